--- /dev/null
+++ b/crates/core/src/claims.rs
@@ -0,0 +1,132 @@
+//! The idempotency key of a request, seen from the instance that took the request from its caller.
+//!
+//! Nothing is sent to an endpoint before the key's home has granted it. If the home cannot be asked, the
+//! honest answer is "unknown", not "not run": an earlier try with the key may have run elsewhere.
+
+use std::time::{Duration, Instant};
+
+use crate::error::{ErrorKind, Refusal};
+use crate::event::Effect;
+use crate::ids::RequestKey;
+use crate::instance::Instance;
+use crate::message::{ClaimAnswer, Fate, Message};
+use crate::requests::{Phase, Request};
+use crate::{IdempotencyKey, InstanceId, RequestId, Ticket};
+
+/// How long the home has to answer, inquiries among homes included.
+const CLAIM: Duration = Duration::from_millis(1_500);
+/// When to try a key again that cannot be told about or is in use.
+const KEY_RETRY: Duration = Duration::from_secs(2);
+
+impl Instance {
+    pub(crate) fn claim(&mut self, now: Instant, key: RequestKey, out: &mut Vec<Effect>) {
+        self.requests.get_mut(key).phase = Phase::Claiming;
+        self.requests.set_due(key, now + CLAIM);
+        self.ask_home(now, key, out);
+    }
+
+    fn ask_home(&mut self, now: Instant, key: RequestKey, out: &mut Vec<Effect>) {
+        let request = self.requests.get(key);
+        let Some(idempotency) = request.key else {
+            return;
+        };
+        let id = request.id;
+        let Some(home) = self.members.home(idempotency) else {
+            return;
+        };
+        let revision = self.members.revision();
+        self.deliver(now, home, Message::Claim { key: idempotency, request: id, revision }, out);
+    }
+
+    /// The home answered.
+    pub(crate) fn claimed(
+        &mut self,
+        now: Instant,
+        from: InstanceId,
+        idempotency: IdempotencyKey,
+        id: RequestId,
+        answer: ClaimAnswer,
+        out: &mut Vec<Effect>,
+    ) {
+        let waiting = self.requests.find(Ticket(id.sequence)).filter(|&k| {
+            let request = self.requests.get(k);
+            request.id == id && request.phase == Phase::Claiming
+        });
+        let Some(key) = waiting else {
+            if answer == ClaimAnswer::Granted && self.forgone.remove(&id).is_some() {
+                // The request ended while it waited for the grant and never ran, so the key is free. Only a
+                // request on that list may say so: a late second grant for one that did run must not.
+                let message = Message::Settle { key: idempotency, request: id, fate: Fate::NotRun };
+                self.deliver(now, from, message, out);
+            }
+            return;
+        };
+        match answer {
+            ClaimAnswer::Granted => self.granted(now, key, from, out),
+            ClaimAnswer::Ran(Some(stored)) => {
+                let request = self.requests.close(key);
+                self.counters.replayed += 1;
+                out.push(Effect::Replay { ticket: request.ticket, stored });
+            }
+            ClaimAnswer::Ran(None) => self.refuse(now, key, Refusal::new(ErrorKind::KeyUsed), out),
+            ClaimAnswer::InUse => self.refuse(now, key, Refusal::later(ErrorKind::KeyInUse, KEY_RETRY), out),
+            ClaimAnswer::Unknown => self.refuse(now, key, Refusal::later(ErrorKind::KeyUnknown, KEY_RETRY), out),
+            ClaimAnswer::Revision(theirs) => self.other_list(now, key, from, theirs, out),
+        }
+    }
+
+    fn granted(&mut self, now: Instant, key: RequestKey, home: InstanceId, out: &mut Vec<Effect>) {
+        self.grants.insert(self.requests.get(key).id, home);
+        self.admit(now, key, out);
+    }
+
+    /// The home uses another list: whoever is behind catches up, and the claim is made again.
+    fn other_list(
+        &mut self,
+        now: Instant,
+        key: RequestKey,
+        home: InstanceId,
+        theirs: u64,
+        out: &mut Vec<Effect>,
+    ) {
+        let ours = self.members.revision();
+        if theirs > ours {
+            let message = Message::Fetch { version: self.versions.number(), revision: ours };
+            // The claim is repeated by `reclaim` when the list has come.
+            return self.deliver(now, home, message, out);
+        }
+        if theirs < ours
+            && let Some(list) = self.members.list.clone()
+        {
+            self.deliver(now, home, Message::List(list), out);
+        }
+        self.ask_home(now, key, out);
+    }
+
+    /// A new list came into use: open claims go to the home by that list.
+    pub(crate) fn reclaim(&mut self, now: Instant, out: &mut Vec<Effect>) {
+        let claiming = self.requests.iter().filter(|(_, r)| r.phase == Phase::Claiming);
+        let keys: Vec<RequestKey> = claiming.map(|(key, _)| key).collect();
+        for key in keys {
+            self.ask_home(now, key, out);
+        }
+    }
+
+    /// Remembers a request that ended while it waited for a grant.
+    pub(crate) fn forgo(&mut self, now: Instant, request: &Request) {
+        if request.phase == Phase::Claiming {
+            self.forgone.insert(request.id, now);
+        }
+    }
+
+    /// Tells the home what became of a request that held a claim.
+    pub(crate) fn settle(&mut self, now: Instant, request: &Request, fate: Fate, out: &mut Vec<Effect>) {
+        let Some(key) = request.key else {
+            return;
+        };
+        let Some(home) = self.grants.remove(&request.id) else {
+            return;
+        };
+        self.deliver(now, home, Message::Settle { key, request: request.id, fate }, out);
+    }
+}
--- /dev/null
+++ b/crates/core/src/error.rs
@@ -0,0 +1,164 @@
+//! The closed list of error kinds, and the table from kind to answer.
+
+use std::time::Duration;
+
+/// What a refused caller may conclude about its request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Outcome {
+    /// Nothing of the request reached an endpoint; it is safe to send it again.
+    NotRun,
+    /// The request may have run, once at most.
+    Unknown,
+    /// The request ran, at least in part, and gave no whole answer.
+    Failed,
+}
+
+impl Outcome {
+    /// Value of the header `x-teaselshunt-outcome`.
+    pub const fn text(self) -> &'static str {
+        match self {
+            Self::NotRun => "not-run",
+            Self::Unknown => "unknown",
+            Self::Failed => "failed",
+        }
+    }
+}
+
+/// Every reason for which a caller gets no answer of an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum ErrorKind {
+    /// The request is malformed.
+    Invalid,
+    /// No such model.
+    UnknownModel,
+    /// No such service or route.
+    UnknownService,
+    /// The body is larger than allowed.
+    TooLarge,
+    /// The caller did not send its whole request in time.
+    Incomplete,
+    /// No configuration has been seen yet.
+    NotReady,
+    /// The instance is stopping.
+    Stopping,
+    /// Every fitting slot is taken for longer than the class may wait.
+    Overloaded,
+    /// No endpoint that may serve the request is in reach.
+    NoEndpoint,
+    /// The caller's deadline passed before the request was sent anywhere.
+    Expired,
+    /// The caller's deadline passed while the request was running.
+    DeadlinePassed,
+    /// Endpoints failed more often than a request is retried.
+    EndpointFailed,
+    /// The endpoint found the request wrong.
+    Rejected,
+    /// A call that may not be repeated was sent, and its fate is not known.
+    OutcomeUnknown,
+    /// A request with the same idempotency key is still in progress.
+    KeyInUse,
+    /// A request with the same idempotency key ran, and its answer is no longer kept.
+    KeyUsed,
+    /// It cannot be told whether a request with the same idempotency key ran.
+    KeyUnknown,
+    /// A fault of this program.
+    Internal,
+}
+
+/// What a caller is told for an [`ErrorKind`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// `error.type` of the OpenAI error body.
+    pub family: &'static str,
+    /// `error.code` of the OpenAI error body, also the label of metrics and logs.
+    pub code: &'static str,
+    /// `error.message`.
+    pub message: &'static str,
+    /// What the caller may conclude.
+    pub outcome: Outcome,
+}
+
+const fn row(
+    status: u16,
+    family: &'static str,
+    code: &'static str,
+    outcome: Outcome,
+    message: &'static str,
+) -> Answer {
+    Answer { status, family, code, message, outcome }
+}
+
+impl ErrorKind {
+    /// Every kind, in the order of the table.
+    pub const ALL: [Self; 18] = [
+        Self::Invalid,
+        Self::UnknownModel,
+        Self::UnknownService,
+        Self::TooLarge,
+        Self::Incomplete,
+        Self::NotReady,
+        Self::Stopping,
+        Self::Overloaded,
+        Self::NoEndpoint,
+        Self::Expired,
+        Self::DeadlinePassed,
+        Self::EndpointFailed,
+        Self::Rejected,
+        Self::OutcomeUnknown,
+        Self::KeyInUse,
+        Self::KeyUsed,
+        Self::KeyUnknown,
+        Self::Internal,
+    ];
+
+    /// The answer for this kind.
+    #[rustfmt::skip] // One kind a line reads as the table that it is.
+    pub const fn answer(self) -> Answer {
+        use Outcome::{Failed, NotRun, Unknown};
+        const CALLER: &str = "invalid_request_error";
+        const SERVER: &str = "server_error";
+        match self {
+            Self::Invalid        => row(400, CALLER, "invalid_request",    NotRun,  "the request is malformed"),
+            Self::UnknownModel   => row(404, CALLER, "model_not_found",    NotRun,  "no such model"),
+            Self::UnknownService => row(404, CALLER, "not_found",          NotRun,  "no such service or route"),
+            Self::TooLarge       => row(413, CALLER, "body_too_large",     NotRun,  "the body is larger than allowed"),
+            Self::Incomplete     => row(408, CALLER, "request_incomplete", NotRun,  "the whole request did not arrive in time"),
+            Self::NotReady       => row(503, SERVER, "not_ready",          NotRun,  "no configuration has been seen yet"),
+            Self::Stopping       => row(503, SERVER, "stopping",           NotRun,  "this instance is stopping"),
+            Self::Overloaded     => row(429, "rate_limit_error", "overloaded", NotRun, "every fitting slot is taken"),
+            Self::NoEndpoint     => row(503, SERVER, "no_endpoint",        NotRun,  "no endpoint that may serve this is in reach"),
+            Self::Expired        => row(504, SERVER, "expired",            NotRun,  "the deadline passed before the request was sent on"),
+            Self::DeadlinePassed => row(504, SERVER, "deadline_passed",    Unknown, "the deadline passed while the request ran"),
+            Self::EndpointFailed => row(502, SERVER, "endpoint_failed",    Failed,  "endpoints failed and the retries are used up"),
+            Self::Rejected       => row(400, CALLER, "endpoint_rejected",  Failed,  "the endpoint found the request wrong"),
+            Self::OutcomeUnknown => row(502, SERVER, "outcome_unknown",    Unknown, "the call was sent and its fate is not known"),
+            Self::KeyInUse       => row(409, CALLER, "key_in_use",         Unknown, "a request with this idempotency key is in progress"),
+            Self::KeyUsed        => row(409, CALLER, "key_used",           Unknown, "a request with this idempotency key ran; its answer is not kept"),
+            Self::KeyUnknown     => row(503, SERVER, "key_unknown",        Unknown, "whether a request with this idempotency key ran cannot be told"),
+            Self::Internal       => row(500, SERVER, "internal",           Unknown, "a fault of the router"),
+        }
+    }
+}
+
+/// A final answer without a result.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Refusal {
+    /// Why.
+    pub kind: ErrorKind,
+    /// When to come back, where coming back can help.
+    pub retry: Option<Duration>,
+}
+
+impl Refusal {
+    /// A refusal that coming back does not change.
+    pub const fn new(kind: ErrorKind) -> Self {
+        Self { kind, retry: None }
+    }
+
+    /// A refusal with a time to come back.
+    pub const fn later(kind: ErrorKind, retry: Duration) -> Self {
+        Self { kind, retry: Some(retry) }
+    }
+}
--- /dev/null
+++ b/crates/core/src/fleet.rs
@@ -0,0 +1,346 @@
+//! Endpoints as one instance sees them: what the configuration says, what reports say, what it uses itself.
+//!
+//! Own use is exact, use by others is known only from lagging reports. The load that choices are made by is
+//! the sum of both, so that an instance never forgets what it has just sent, whatever the reports say.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use rand::Rng;
+use rand::rngs::SmallRng;
+use slotmap::SlotMap;
+use teaselshunt_settings::{Configuration, EndpointState, Role};
+
+use crate::event::{Report, Target};
+use crate::ids::EndpointKey;
+use crate::{EndpointId, InstanceId};
+
+/// Failures in a row after which an endpoint is left alone for a while.
+const FAILURES: u32 = 2;
+/// First pause of an endpoint that failed; doubles up to [`PAUSE_MAX`].
+const PAUSE: Duration = Duration::from_millis(500);
+const PAUSE_MAX: Duration = Duration::from_secs(8);
+/// Reports older than this say nothing about others any more.
+const REPORT_AGE: Duration = Duration::from_secs(5);
+
+/// An endpoint as an operator sees it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EndpointView {
+    /// Name.
+    pub name: String,
+    /// Data centre.
+    pub site: String,
+    /// Pool.
+    pub pool: String,
+    /// What it does.
+    pub role: Role,
+    /// Requests of this instance there.
+    pub own: u32,
+    /// Requests of others there, by the last report.
+    pub others: u32,
+    /// Slots.
+    pub slots: u32,
+    /// Whether it gets no new work, for whatever reason the operators or itself gave.
+    pub leaving: bool,
+    /// Whether it is left alone after failures.
+    pub paused: bool,
+}
+
+/// One endpoint.
+#[derive(Debug)]
+pub(crate) struct EndpointEntry {
+    pub(crate) id: EndpointId,
+    pub(crate) name: String,
+    pub(crate) address: SocketAddr,
+    pub(crate) domain: String,
+    pub(crate) site: String,
+    pub(crate) pool: String,
+    pub(crate) role: Role,
+    pub(crate) slots: u32,
+    /// By the configuration, or gone from it.
+    draining: bool,
+    /// By its own word.
+    leaving: bool,
+    /// No longer in the configuration; kept while work of this instance runs there.
+    removed: bool,
+    own: u32,
+    others: u32,
+    reported: Option<Instant>,
+    failures: u32,
+    paused: Option<Instant>,
+}
+
+impl EndpointEntry {
+    pub(crate) fn target(&self) -> Target {
+        Target { id: self.id, address: self.address }
+    }
+
+    fn usable(&self, now: Instant) -> bool {
+        !self.draining && !self.leaving && !self.removed && self.paused.is_none_or(|until| now >= until)
+    }
+
+    fn load(&self) -> u32 {
+        self.own + self.others
+    }
+}
+
+/// All endpoints that one instance knows.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    endpoints: SlotMap<EndpointKey, EndpointEntry>,
+    by_id: HashMap<EndpointId, EndpointKey>,
+    groups: HashMap<(String, Role), Vec<EndpointKey>>,
+    shares: HashMap<String, u32>,
+}
+
+/// What a choice is made for.
+#[derive(Debug)]
+pub(crate) struct Need<'a> {
+    pub(crate) pool: &'a str,
+    pub(crate) role: Role,
+    /// Failure domain to prefer between equals.
+    pub(crate) domain: &'a str,
+    /// Endpoints that failed this request already.
+    pub(crate) tried: &'a [EndpointKey],
+    /// Most requests for each 100 slots.
+    pub(crate) percent: u32,
+}
+
+impl Fleet {
+    /// Takes a configuration version over. Endpoints that it no longer has stay until their work has ended.
+    pub(crate) fn apply(&mut self, configuration: &Arc<Configuration>) {
+        for entry in self.endpoints.values_mut() {
+            entry.removed = true;
+        }
+        for endpoint in &configuration.endpoints {
+            let id = EndpointId::of(&endpoint.name);
+            let key = self.by_id.get(&id).copied().unwrap_or_else(|| self.insert(id));
+            let entry = &mut self.endpoints[key];
+            if entry.address != endpoint.address {
+                // Another process under an old name: what the old one said of itself says nothing of it.
+                entry.leaving = false;
+                entry.failures = 0;
+                entry.paused = None;
+                entry.reported = None;
+                entry.others = 0;
+            }
+            entry.name.clone_from(&endpoint.name);
+            entry.address = endpoint.address;
+            entry.domain.clone_from(&endpoint.domain);
+            entry.site.clone_from(&endpoint.site);
+            entry.pool.clone_from(&endpoint.pool);
+            entry.role = endpoint.role;
+            entry.slots = endpoint.slots;
+            entry.draining = endpoint.state == EndpointState::Draining;
+            entry.removed = false;
+        }
+        self.shares = configuration.sites.iter().map(|s| (s.name.clone(), s.share)).collect();
+        self.sweep();
+        self.groups.clear();
+        for (key, entry) in &self.endpoints {
+            self.groups.entry((entry.pool.clone(), entry.role)).or_default().push(key);
+        }
+    }
+
+    fn insert(&mut self, id: EndpointId) -> EndpointKey {
+        let key = self.endpoints.insert(EndpointEntry {
+            id,
+            name: String::new(),
+            address: SocketAddr::from(([0, 0, 0, 0], 0)),
+            domain: String::new(),
+            site: String::new(),
+            pool: String::new(),
+            role: Role::Service,
+            slots: 0,
+            draining: false,
+            leaving: false,
+            removed: false,
+            own: 0,
+            others: 0,
+            reported: None,
+            failures: 0,
+            paused: None,
+        });
+        self.by_id.insert(id, key);
+        key
+    }
+
+    /// Forgets removed endpoints without work.
+    fn sweep(&mut self) {
+        let by_id = &mut self.by_id;
+        self.endpoints.retain(|_, entry| {
+            let keep = !entry.removed || entry.own > 0;
+            if !keep {
+                by_id.remove(&entry.id);
+            }
+            keep
+        });
+    }
+
+    pub(crate) fn get(&self, key: EndpointKey) -> &EndpointEntry {
+        &self.endpoints[key]
+    }
+
+    pub(crate) fn find(&self, id: EndpointId) -> Option<EndpointKey> {
+        self.by_id.get(&id).copied()
+    }
+
+    /// Endpoints to ask for reports, with their addresses.
+    pub(crate) fn engines(&self) -> Vec<Target> {
+        let engines = self.endpoints.values().filter(|e| e.role != Role::Service && !e.removed);
+        engines.map(EndpointEntry::target).collect()
+    }
+
+    /// Takes a slot; each is given back once by [`Fleet::release`].
+    pub(crate) fn take(&mut self, key: EndpointKey) {
+        self.endpoints[key].own += 1;
+    }
+
+    pub(crate) fn release(&mut self, key: EndpointKey) {
+        let entry = &mut self.endpoints[key];
+        assert!(entry.own > 0, "a slot of {} is given back twice", entry.name);
+        entry.own -= 1;
+        if entry.removed && entry.own == 0 {
+            let id = entry.id;
+            self.endpoints.remove(key);
+            self.by_id.remove(&id);
+            for keys in self.groups.values_mut() {
+                keys.retain(|&k| k != key);
+            }
+        }
+    }
+
+    /// Whether any endpoint could ever serve the need, full or not.
+    pub(crate) fn serves(&self, now: Instant, pool: &str, role: Role) -> bool {
+        self.group(pool, role).iter().any(|&k| self.endpoints[k].usable(now))
+    }
+
+    /// Slots of usable endpoints of a kind.
+    pub(crate) fn capacity(&self, now: Instant, pool: &str, role: Role) -> u32 {
+        let usable = self.group(pool, role).iter().map(|&k| &self.endpoints[k]).filter(|e| e.usable(now));
+        usable.map(|e| e.slots).sum()
+    }
+
+    fn group(&self, pool: &str, role: Role) -> &[EndpointKey] {
+        self.groups.get(&(pool.to_owned(), role)).map_or(&[], Vec::as_slice)
+    }
+
+    /// Chooses an endpoint with room, by two random choices within a site drawn by its share.
+    ///
+    /// Two choices on stale reports keep instances from all running to the one endpoint that looked idle a
+    /// moment ago, which the least loaded choice does.
+    pub(crate) fn choose(&self, now: Instant, need: &Need<'_>, rng: &mut SmallRng) -> Option<EndpointKey> {
+        let fits = |k: &EndpointKey| {
+            let entry = &self.endpoints[*k];
+            let room = u64::from(entry.load()) * 100 < u64::from(entry.slots) * u64::from(need.percent);
+            entry.usable(now) && room && !need.tried.contains(k) && self.share(&entry.site) > 0
+        };
+        let fitting: Vec<EndpointKey> = self.group(need.pool, need.role).iter().copied().filter(fits).collect();
+        let site = self.draw_site(&fitting, rng)?;
+        let within: Vec<EndpointKey> =
+            fitting.into_iter().filter(|&k| self.endpoints[k].site == site).collect();
+        let a = within[rng.random_range(0..within.len())];
+        let b = within[rng.random_range(0..within.len())];
+        Some(if self.rank(a, need.domain) <= self.rank(b, need.domain) { a } else { b })
+    }
+
+    fn share(&self, site: &str) -> u32 {
+        self.shares.get(site).copied().unwrap_or(0)
+    }
+
+    fn draw_site(&self, fitting: &[EndpointKey], rng: &mut SmallRng) -> Option<String> {
+        let mut sites: Vec<&str> = fitting.iter().map(|&k| self.endpoints[k].site.as_str()).collect();
+        sites.sort_unstable();
+        sites.dedup();
+        let total: u32 = sites.iter().map(|s| self.share(s)).sum();
+        if total == 0 {
+            return None;
+        }
+        let mut draw = rng.random_range(0..total);
+        for site in sites {
+            let share = self.share(site);
+            if draw < share {
+                return Some(site.to_owned());
+            }
+            draw -= share;
+        }
+        None
+    }
+
+    /// Load per slot in thousandths, then distance.
+    fn rank(&self, key: EndpointKey, domain: &str) -> (u32, bool) {
+        let entry = &self.endpoints[key];
+        (entry.load() * 1000 / entry.slots.max(1), entry.domain != domain)
+    }
+
+    /// Takes in a report; `me` tells own work from that of others. Says whether the endpoint was paused.
+    pub(crate) fn report(&mut self, now: Instant, id: EndpointId, me: InstanceId, report: &Report) {
+        let Some(entry) = self.by_id.get(&id).and_then(|&k| self.endpoints.get_mut(k)) else {
+            return;
+        };
+        let others = report.running.iter().filter(|r| r.attempt.request.instance != me).count();
+        entry.others = others as u32;
+        entry.reported = Some(now);
+        entry.leaving = report.leaving;
+    }
+
+    /// Forgets what old reports said about others.
+    pub(crate) fn age(&mut self, now: Instant) {
+        for entry in self.endpoints.values_mut() {
+            if entry.reported.is_some_and(|at| now.duration_since(at) > REPORT_AGE) {
+                entry.reported = None;
+                entry.others = 0;
+            }
+        }
+    }
+
+    /// The endpoint itself said that it leaves.
+    pub(crate) fn leaving(&mut self, key: EndpointKey) {
+        self.endpoints[key].leaving = true;
+    }
+
+    /// A step there went well. Returns whether the endpoint had been paused.
+    pub(crate) fn succeeded(&mut self, key: EndpointKey) -> bool {
+        let entry = &mut self.endpoints[key];
+        entry.failures = 0;
+        entry.paused.take().is_some()
+    }
+
+    /// A step there failed. Returns whether the endpoint is paused from now on and was not before.
+    ///
+    /// Without the pause every request would learn on its own, by its own timeout, that an endpoint is gone;
+    /// callers would see that as a run of slow answers. The pause is short and ends by itself, so a wrong one
+    /// costs little.
+    pub(crate) fn failed(&mut self, now: Instant, key: EndpointKey) -> bool {
+        let entry = &mut self.endpoints[key];
+        entry.failures += 1;
+        if entry.failures < FAILURES {
+            return false;
+        }
+        let doublings = (entry.failures - FAILURES).min(4);
+        let pause = (PAUSE * 2_u32.pow(doublings)).min(PAUSE_MAX);
+        entry.paused.replace(now + pause).is_none()
+    }
+
+    pub(crate) fn view(&self, now: Instant) -> Vec<EndpointView> {
+        let views = self.endpoints.values().map(|e| EndpointView {
+            name: e.name.clone(),
+            site: e.site.clone(),
+            pool: e.pool.clone(),
+            role: e.role,
+            own: e.own,
+            others: e.others,
+            slots: e.slots,
+            leaving: e.draining || e.leaving || e.removed,
+            paused: e.paused.is_some_and(|until| now < until),
+        });
+        views.collect()
+    }
+
+    /// Slots taken by this instance over all endpoints.
+    pub(crate) fn taken(&self) -> u32 {
+        self.endpoints.values().map(|e| e.own).sum()
+    }
+}
--- /dev/null
+++ b/crates/core/src/homes.rs
@@ -0,0 +1,428 @@
+//! At most once per idempotency key, without shared state.
+//!
+//! Every key has a home: the instance that rendezvous hashing picks from the published list. Whoever takes a
+//! keyed request from a caller asks the home for a grant before anything is sent to an endpoint; a home
+//! grants a key once. The safety argument, step by step:
+//!
+//! 1. Asker and home must use the same list revision, or the one behind catches up first. So at one revision
+//!    a key has one home.
+//! 2. When the list changes, a new home first asks every earlier home for its record of the key. An earlier
+//!    home that answers has taken over the new list, by which it is no longer home, so it will not grant
+//!    the key any more.
+//! 3. An earlier home that does not answer (dead, frozen, cut off) may have granted the key. The new home
+//!    says "unknown" until the horizon, after which callers do not retry, has passed.
+//! 4. Meanwhile the silent earlier home may be alive behind a cut. It may grant only while its tenure holds:
+//!    it has read the list from the platform within [`TENURE`], or every member answered at its very
+//!    revision within [`TENURE`]. A list that left it out is newer than what it could read, and a member that
+//!    has moved on does not answer at the old revision. A frozen home that wakes finds its tenure lapsed.
+//! 5. A home that has just started has lost the records of its former life. It asks the runner-up of the key,
+//!    which would have been home without it, and takes no record for an answer only from one that has been
+//!    here for the whole horizon.
+//!
+//! What remains open is stated in docs/AT-MOST-ONCE.md: an asker that is frozen between the check of its grant
+//! and the write to the endpoint for longer than the horizon, and a list of which more than half the members
+//! are replaced inside one cut.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::{Duration, Instant};
+
+use crate::members::{Health, Members};
+use crate::message::{ClaimAnswer, Fate, Message, Record};
+use crate::{IdempotencyKey, InstanceId, RequestId};
+
+/// How long a reading of the list entitles a home to grant.
+pub(crate) const TENURE: Duration = Duration::from_secs(10);
+/// How long a home waits for earlier homes before it answers "unknown".
+const INQUIRY: Duration = Duration::from_millis(700);
+/// Answers larger than this are not kept for a retry.
+pub(crate) const STORED_MAX: usize = 16 * 1024;
+/// Bytes of kept answers, over all keys; beyond it the oldest answers are dropped, never the records.
+const STORE_BYTES: usize = 32 << 20;
+/// Records in one handover message.
+const HANDOVER: usize = 256;
+
+#[derive(Debug)]
+struct Entry {
+    record: Record,
+    at: Instant,
+}
+
+/// A claim that waits for earlier homes.
+#[derive(Debug)]
+struct Inquiry {
+    claims: Vec<(InstanceId, RequestId)>,
+    /// Earlier homes still to answer; `true` where only a complete answer counts.
+    open: BTreeMap<InstanceId, bool>,
+    until: Instant,
+}
+
+/// What a home knows, and what it is finding out.
+#[derive(Debug)]
+pub(crate) struct Homes {
+    me: InstanceId,
+    started: Instant,
+    horizon: Duration,
+    entries: HashMap<IdempotencyKey, Entry>,
+    order: std::collections::VecDeque<(Instant, IdempotencyKey)>,
+    bytes: usize,
+    inquiries: BTreeMap<IdempotencyKey, Inquiry>,
+    /// Last time the list was read from the platform at the revision in use.
+    read: Option<Instant>,
+    /// Instances that handed all their records over before they stopped.
+    handed: HashMap<InstanceId, Instant>,
+    /// Whether this instance has handed its records over, and grants nothing any more.
+    closed: bool,
+}
+
+/// Messages to send and answers to give, in order.
+#[derive(Debug, Default)]
+pub(crate) struct Replies {
+    pub(crate) messages: Vec<(InstanceId, Message)>,
+}
+
+impl Replies {
+    fn answer(&mut self, to: InstanceId, key: IdempotencyKey, request: RequestId, answer: ClaimAnswer) {
+        self.messages.push((to, Message::Claimed { key, request, answer }));
+    }
+}
+
+impl Homes {
+    pub(crate) fn new(me: InstanceId, started: Instant, horizon: Duration) -> Self {
+        Self {
+            me,
+            started,
+            horizon,
+            entries: HashMap::new(),
+            order: std::collections::VecDeque::new(),
+            bytes: 0,
+            inquiries: BTreeMap::new(),
+            read: None,
+            handed: HashMap::new(),
+            closed: false,
+        }
+    }
+
+    pub(crate) fn set_horizon(&mut self, horizon: Duration) {
+        self.horizon = horizon;
+    }
+
+    pub(crate) fn horizon(&self) -> Duration {
+        self.horizon
+    }
+
+    /// Keys on record.
+    pub(crate) fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// A new list came into use.
+    ///
+    /// An instance that is live in it may be a new process under an old name, with grants that the handover
+    /// of the old one does not hold; forgetting the handover costs an "unknown" at most.
+    pub(crate) fn relisted(&mut self, members: &Members) {
+        self.handed.retain(|&id, _| members.get(id).is_none_or(|m| m.leaving));
+        self.read = None;
+    }
+
+    /// The list was read from the platform and is the one in use.
+    pub(crate) fn confirmed(&mut self, asked: Instant) {
+        self.read = self.read.max(Some(asked));
+    }
+
+    /// Whether the list in use was read from the platform lately.
+    pub(crate) fn fresh(&self, now: Instant) -> bool {
+        self.read.is_some_and(|at| now.duration_since(at) < TENURE)
+    }
+
+    /// Whether this instance may grant now; step 4 of the argument.
+    fn tenured(&self, now: Instant, members: &Members) -> bool {
+        let since = now.checked_sub(TENURE).unwrap_or(now);
+        (self.fresh(now) && members.established()) || members.unanimous(since)
+    }
+
+    /// A claim of `from`, which is this instance itself for its own callers.
+    pub(crate) fn claim(
+        &mut self,
+        now: Instant,
+        members: &Members,
+        from: InstanceId,
+        key: IdempotencyKey,
+        request: RequestId,
+        revision: u64,
+    ) -> Replies {
+        let mut replies = Replies::default();
+        if revision != members.revision() {
+            replies.answer(from, key, request, ClaimAnswer::Revision(members.revision()));
+            return replies;
+        }
+        if let Some(entry) = self.entries.get_mut(&key) {
+            replies.answer(from, key, request, entry.answer(members, request));
+            return replies;
+        }
+        if members.home(key) != Some(self.me) || self.closed {
+            replies.answer(from, key, request, ClaimAnswer::Unknown);
+            return replies;
+        }
+        if let Some(inquiry) = self.inquiries.get_mut(&key) {
+            inquiry.claims.push((from, request));
+            return replies;
+        }
+        let open = self.earlier(now, members, key);
+        let inquiry = Inquiry { claims: vec![(from, request)], open, until: now + INQUIRY };
+        self.ask(members, key, &inquiry, &mut replies);
+        self.inquiries.insert(key, inquiry);
+        self.conclude(now, members, key, &mut replies);
+        replies
+    }
+
+    /// Earlier homes that must be heard before the key may be granted; steps 2 and 5.
+    fn earlier(&self, now: Instant, members: &Members, key: IdempotencyKey) -> BTreeMap<InstanceId, bool> {
+        let mut open = BTreeMap::new();
+        for home in members.former_homes(key) {
+            if home != self.me && !self.handed.contains_key(&home) {
+                open.insert(home, false);
+            }
+        }
+        if now.duration_since(self.started) < self.horizon
+            && let Some(home) = members.runner_up(key)
+        {
+            open.insert(home, true);
+        }
+        open
+    }
+
+    fn ask(&self, members: &Members, key: IdempotencyKey, inquiry: &Inquiry, replies: &mut Replies) {
+        let revision = members.revision();
+        for &home in inquiry.open.keys() {
+            replies.messages.push((home, Message::Inquire { key, revision }));
+        }
+    }
+
+    /// Ends an inquiry that has all its answers, or no time left.
+    fn conclude(&mut self, now: Instant, members: &Members, key: IdempotencyKey, replies: &mut Replies) {
+        let Some(inquiry) = self.inquiries.get(&key) else {
+            return;
+        };
+        // The tenure is checked last, at the moment of the grant: an inquiry takes time.
+        let tenured = self.tenured(now, members);
+        let clear = inquiry.open.is_empty();
+        if !(clear && tenured) && now < inquiry.until {
+            return;
+        }
+        let claims = self.inquiries.remove(&key).map_or(Vec::new(), |i| i.claims);
+        let grant = clear && tenured && members.home(key) == Some(self.me);
+        for (from, request) in claims {
+            let answer = match self.entries.get_mut(&key) {
+                Some(entry) => entry.answer(members, request),
+                None if grant => {
+                    self.put(now, key, Record::Granted(request));
+                    ClaimAnswer::Granted
+                }
+                None => ClaimAnswer::Unknown,
+            };
+            replies.answer(from, key, request, answer);
+        }
+    }
+
+    fn put(&mut self, now: Instant, key: IdempotencyKey, record: Record) {
+        self.bytes += size(&record);
+        if let Some(old) = self.entries.insert(key, Entry { record, at: now }) {
+            self.bytes -= size(&old.record);
+        }
+        self.order.push_back((now, key));
+    }
+
+    /// What became of a grant.
+    pub(crate) fn settle(
+        &mut self,
+        now: Instant,
+        key: IdempotencyKey,
+        request: RequestId,
+        fate: Fate,
+    ) {
+        let held = self.entries.get(&key).is_some_and(|e| e.record == Record::Granted(request));
+        if !held {
+            return;
+        }
+        match fate {
+            Fate::NotRun => {
+                let entry = self.entries.remove(&key);
+                self.bytes -= entry.map_or(0, |e| size(&e.record));
+            }
+            Fate::Ran(stored) => self.put(now, key, Record::Ran(stored)),
+            Fate::Unknown => self.put(now, key, Record::Unknown),
+        }
+    }
+
+    /// A later home asks for a record.
+    pub(crate) fn inquire(&mut self, now: Instant, members: &Members, key: IdempotencyKey, revision: u64) -> Message {
+        let ours = members.revision();
+        if ours == revision && members.home(key) == Some(self.me) {
+            // Two lists under one revision: the platform broke its word. Neither side may grant.
+            self.put(now, key, Record::Unknown);
+        }
+        // An inquiry under way here could still end in a grant; by the newer list it will not, because this
+        // instance is not the home any more, and `conclude` checks that.
+        let full = now.duration_since(self.started) >= self.horizon;
+        let former = members.former_homes(key);
+        let complete = full && former.iter().all(|&h| h == self.me || self.handed.contains_key(&h));
+        let record = self.entries.get(&key).map(|e| e.record.clone());
+        Message::Inquired { key, revision: ours, record, complete }
+    }
+
+    /// An earlier home answered.
+    pub(crate) fn inquired(
+        &mut self,
+        now: Instant,
+        members: &Members,
+        from: InstanceId,
+        key: IdempotencyKey,
+        (revision, record, complete): (u64, Option<Record>, bool),
+    ) -> Replies {
+        let mut replies = Replies::default();
+        let Some(inquiry) = self.inquiries.get_mut(&key) else {
+            return replies;
+        };
+        let Some(&strict) = inquiry.open.get(&from) else {
+            return replies;
+        };
+        if revision < members.revision() {
+            // It still acts on an older list and could grant: let it catch up, then ask again.
+            if let Some(list) = &members.list {
+                replies.messages.push((from, Message::List(list.clone())));
+            }
+            replies.messages.push((from, Message::Inquire { key, revision: members.revision() }));
+            return replies;
+        }
+        if record.is_some() || complete || !strict {
+            inquiry.open.remove(&from);
+        }
+        if let Some(record) = record {
+            self.put(now, key, record);
+            if let Some(inquiry) = self.inquiries.get_mut(&key) {
+                inquiry.until = now;
+            }
+        }
+        self.conclude(now, members, key, &mut replies);
+        replies
+    }
+
+    /// Time passed, or the membership changed.
+    pub(crate) fn tick(&mut self, now: Instant, members: &Members) -> Replies {
+        let mut replies = Replies::default();
+        let keys: Vec<IdempotencyKey> = self.inquiries.keys().copied().collect();
+        for key in keys {
+            self.conclude(now, members, key, &mut replies);
+        }
+        self.forget(now);
+        replies
+    }
+
+    /// Whether a claim waits for the tenure, so that members should be asked for their revision.
+    pub(crate) fn wants_confirmation(&self, now: Instant, members: &Members) -> bool {
+        !self.inquiries.is_empty() && !self.tenured(now, members)
+    }
+
+    fn forget(&mut self, now: Instant) {
+        while let Some(&(at, key)) = self.order.front() {
+            let expired = now.duration_since(at) > self.horizon + TENURE;
+            if !expired && self.bytes <= STORE_BYTES {
+                break;
+            }
+            self.order.pop_front();
+            let Some(entry) = self.entries.get_mut(&key).filter(|e| e.at == at) else {
+                continue;
+            };
+            self.bytes -= size(&entry.record);
+            if expired {
+                self.entries.remove(&key);
+                continue;
+            }
+            // Too many bytes: the answer goes, the record that it ran stays.
+            if let Record::Ran(stored) = &mut entry.record {
+                *stored = None;
+            }
+            self.bytes += size(&entry.record);
+            let late = at + self.horizon;
+            entry.at = late;
+            self.order.push_back((late, key));
+        }
+        self.handed.retain(|_, at| now.duration_since(*at) < self.horizon + TENURE);
+    }
+
+    /// Records for the homes that follow this instance when it stops.
+    pub(crate) fn handover(&mut self, members: &Members) -> Vec<(InstanceId, Message)> {
+        self.closed = true;
+        let mut parts: BTreeMap<InstanceId, Vec<(IdempotencyKey, Record)>> = BTreeMap::new();
+        for (id, _) in members.iter().filter(|(_, m)| !m.leaving) {
+            parts.insert(id, Vec::new());
+        }
+        for (&key, entry) in &self.entries {
+            let Some(home) = members.runner_up(key) else {
+                continue;
+            };
+            parts.entry(home).or_default().push((key, entry.record.clone()));
+        }
+        let mut messages = Vec::new();
+        for (home, records) in parts {
+            let mut chunks: Vec<Vec<(IdempotencyKey, Record)>> =
+                records.chunks(HANDOVER).map(<[_]>::to_vec).collect();
+            let final_chunk = chunks.pop().unwrap_or_default();
+            messages.extend(chunks.into_iter().map(|records| (home, Message::Handover { records, last: false })));
+            messages.push((home, Message::Handover { records: final_chunk, last: true }));
+        }
+        messages
+    }
+
+    /// Takes over the records of an instance that stops.
+    pub(crate) fn take_over(
+        &mut self,
+        now: Instant,
+        from: InstanceId,
+        records: Vec<(IdempotencyKey, Record)>,
+        last: bool,
+    ) {
+        for (key, record) in records {
+            // A grant that its holder has not settled by now never will be: the record stays a grant, and
+            // `Entry::answer` turns it to unknown once the holder is gone.
+            if !self.entries.contains_key(&key) {
+                self.put(now, key, record);
+            }
+        }
+        if last {
+            self.handed.insert(from, now);
+        }
+    }
+}
+
+impl Entry {
+    fn answer(&mut self, members: &Members, asker: RequestId) -> ClaimAnswer {
+        if let Record::Granted(holder) = self.record
+            && holder != asker
+            && gone(members, holder)
+        {
+            self.record = Record::Unknown;
+        }
+        match &self.record {
+            // The same request asks again because the first answer was lost on the way.
+            Record::Granted(holder) if *holder == asker => ClaimAnswer::Granted,
+            Record::Granted(_) => ClaimAnswer::InUse,
+            Record::Ran(stored) => ClaimAnswer::Ran(stored.clone()),
+            Record::Unknown => ClaimAnswer::Unknown,
+        }
+    }
+}
+
+/// Whether the process that holds a grant has ended, so that nobody will settle it.
+fn gone(members: &Members, holder: RequestId) -> bool {
+    members.get(holder.instance).is_some_and(|m| {
+        m.incarnation > holder.incarnation || matches!(m.health, Health::Dead(_))
+    })
+}
+
+fn size(record: &Record) -> usize {
+    match record {
+        Record::Ran(Some(stored)) => stored.body.len() + stored.content.len() + 64,
+        Record::Ran(None) | Record::Granted(_) | Record::Unknown => 64,
+    }
+}
--- /dev/null
+++ b/crates/core/src/instance.rs
@@ -0,0 +1,455 @@
+//! One entry instance: its state, and the dispatch of events.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::{Duration, Instant};
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use teaselshunt_settings::Policy;
+
+use crate::counters::Counters;
+use crate::event::{Audit, Effect, Event, Offer, Report, Source};
+use crate::fleet::{EndpointView, Fleet};
+use crate::homes::{Homes, Replies};
+use crate::members::{Health, MemberView, Members};
+use crate::message::{Heartbeat, Message};
+use crate::orphans::{Cancels, ended};
+use crate::queue::Queue;
+use crate::requests::Requests;
+use crate::versions::{Verdict, Versions};
+use crate::{EndpointId, InstanceId, Listed, RequestId};
+
+/// Time between two load reports of an engine.
+const POLL: Duration = Duration::from_millis(500);
+/// Time between two fetches of documents from peers.
+const FETCH: Duration = Duration::from_millis(300);
+/// Time between two rounds that ask every member for its list revision.
+const CONFIRM: Duration = Duration::from_millis(300);
+/// How long a request that gave up on a grant is remembered.
+const FORGONE: Duration = Duration::from_secs(60);
+/// How long a planned stop waits for unconfirmed cancels and for its last messages to leave.
+const LINGER: Duration = Duration::from_millis(500);
+
+/// Who an instance is.
+#[derive(Debug, Clone)]
+pub struct Identity {
+    /// Name, unique in the fleet.
+    pub name: String,
+    /// Failure domain.
+    pub domain: String,
+    /// Deployment that it serves.
+    pub deployment: String,
+    /// Start of the process in milliseconds since the Unix epoch; higher than any earlier start under this
+    /// name.
+    pub incarnation: u64,
+}
+
+impl Identity {
+    pub(crate) fn id(&self) -> InstanceId {
+        InstanceId::of(&self.name)
+    }
+}
+
+/// What an operator sees of an instance.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Snapshot {
+    /// Configuration version in force, 0 for none.
+    pub version: u64,
+    /// List revision in use, 0 for none.
+    pub revision: u64,
+    /// Whether a planned stop is under way.
+    pub stopping: bool,
+    /// Requests in progress.
+    pub requests: usize,
+    /// Requests waiting for a slot, by pool.
+    pub waiting: BTreeMap<String, usize>,
+    /// Idempotency keys on record here.
+    pub keys: usize,
+    /// Cancels that engines have not confirmed.
+    pub cancels: usize,
+    /// Other members.
+    pub members: Vec<MemberView>,
+    /// Endpoints.
+    pub endpoints: Vec<EndpointView>,
+    /// Counts since the start.
+    pub counters: Counters,
+}
+
+/// One entry instance. See the head of the crate.
+#[derive(Debug)]
+pub struct Instance {
+    pub(crate) identity: Identity,
+    pub(crate) rng: SmallRng,
+    pub(crate) versions: Versions,
+    pub(crate) members: Members,
+    pub(crate) fleet: Fleet,
+    pub(crate) homes: Homes,
+    pub(crate) requests: Requests,
+    pub(crate) queues: BTreeMap<String, Queue>,
+    /// Moving average of how long a slot is held, by pool.
+    pub(crate) holds: HashMap<String, Duration>,
+    pub(crate) cancels: Cancels,
+    /// Homes that granted the keys of requests in progress.
+    pub(crate) grants: HashMap<RequestId, InstanceId>,
+    /// Requests that ended before their grant came.
+    pub(crate) forgone: BTreeMap<RequestId, Instant>,
+    /// Retries left, in hundredths.
+    pub(crate) budget: u32,
+    pub(crate) counters: Counters,
+    next_poll: Instant,
+    next_fetch: Instant,
+    next_confirm: Instant,
+    /// When the last request of a planned stop ended.
+    drained: Option<Instant>,
+    stopped: bool,
+}
+
+impl Instance {
+    /// Longest time between two [`Event::Tick`].
+    pub const TICK: Duration = Duration::from_millis(50);
+
+    /// Starts with nothing: no configuration, no list, no requests.
+    pub fn new(now: Instant, identity: Identity, seed: u64) -> Self {
+        let id = identity.id();
+        let horizon = Duration::from_secs(Policy::default().horizon_s);
+        Self {
+            rng: SmallRng::seed_from_u64(seed),
+            versions: Versions::new(identity.deployment.clone()),
+            members: Members::new(id, identity.domain.clone(), identity.incarnation, now),
+            fleet: Fleet::default(),
+            homes: Homes::new(id, now, horizon),
+            requests: Requests::default(),
+            queues: BTreeMap::new(),
+            holds: HashMap::new(),
+            cancels: Cancels::default(),
+            grants: HashMap::new(),
+            forgone: BTreeMap::new(),
+            budget: crate::flow::RETRY * 10,
+            counters: Counters::default(),
+            next_poll: now,
+            next_fetch: now,
+            next_confirm: now,
+            drained: None,
+            stopped: false,
+            identity,
+        }
+    }
+
+    /// Takes in an event and appends what is to be done about it, in order.
+    ///
+    /// `now` must not go back between calls.
+    pub fn step(&mut self, now: Instant, event: Event, out: &mut Vec<Effect>) {
+        // First of all, so that a process that wakes from a freeze acts on nothing that has expired meanwhile.
+        self.expire(now, out);
+        match event {
+            Event::Arrived { ticket, work } => self.arrived(now, ticket, work, out),
+            Event::CallerGone { ticket } => self.caller_gone(now, ticket, out),
+            Event::Prefilled { attempt, .. } => self.prefilled(now, attempt, out),
+            Event::Imported { attempt } => self.imported(attempt, out),
+            Event::Advanced { attempt, offset } => self.advanced(now, attempt, offset),
+            Event::Finished { attempt, offset } => self.finished(now, attempt, offset, out),
+            Event::Called { attempt, stored } => self.called(now, attempt, stored, out),
+            Event::Failed { attempt, fault, offset } => self.failed(now, attempt, fault, offset, out),
+            Event::Cancelled { attempt, endpoint, confirmed } => {
+                if confirmed {
+                    self.cancels.confirmed(attempt, endpoint);
+                }
+            }
+            Event::Reported { endpoint, report } => self.reported(now, endpoint, &report, out),
+            Event::Unreported { endpoint } => self.unreported(now, endpoint, out),
+            Event::Offered { offer, source } => self.offered(now, offer, source, out),
+            Event::Listed { list, source, asked } => self.listed(now, list, source, asked, out),
+            Event::Received { from, message } => self.received(now, from, message, out),
+            Event::Stop => self.stop(now, out),
+            Event::Tick => self.tick(now, out),
+        }
+    }
+
+    /// What an operator sees.
+    pub fn snapshot(&self, now: Instant) -> Snapshot {
+        Snapshot {
+            version: self.versions.number(),
+            revision: self.members.revision(),
+            stopping: self.members.stopping,
+            requests: self.requests.len(),
+            waiting: self.queues.iter().map(|(pool, q)| (pool.clone(), q.len())).collect(),
+            keys: self.homes.len(),
+            cancels: self.cancels.len(),
+            members: self.members.view(),
+            endpoints: self.fleet.view(now),
+            counters: self.counters.clone(),
+        }
+    }
+
+    /// Model names of the configuration in force.
+    pub fn models(&self) -> Vec<String> {
+        let models = self.versions.current().map(|c| c.models.as_slice()).unwrap_or_default();
+        models.iter().map(|m| m.name.clone()).collect()
+    }
+
+    pub(crate) fn policy(&self) -> Policy {
+        self.versions.current().map_or_else(Policy::default, |c| c.policy.clone())
+    }
+
+    fn offered(&mut self, now: Instant, offer: Offer, source: Source, out: &mut Vec<Effect>) {
+        let number = match &offer {
+            Offer::Valid { configuration, .. } => Some(configuration.version),
+            Offer::Invalid { version, .. } => *version,
+        };
+        match self.versions.offer(offer) {
+            Some(Verdict::Accepted) => self.in_force(now, source, out),
+            Some(Verdict::Refused(cause)) => {
+                out.push(Effect::Audit(Audit::Refused { version: number, source, cause }));
+            }
+            Some(Verdict::Stale) | None => {}
+        }
+    }
+
+    fn in_force(&mut self, now: Instant, source: Source, out: &mut Vec<Effect>) {
+        let Some(configuration) = self.versions.current().cloned() else {
+            return;
+        };
+        self.fleet.apply(&configuration);
+        self.homes.set_horizon(Duration::from_secs(configuration.policy.horizon_s));
+        out.push(Effect::Audit(Audit::Accepted { version: configuration.version, source }));
+        // Neighbours are told at once, so that a version crosses the fleet in hops of milliseconds and also
+        // reaches those that cannot read the platform.
+        self.tell_neighbours(now, out);
+        self.pump_all(now, out);
+    }
+
+    fn listed(&mut self, now: Instant, list: Listed, source: Source, asked: Instant, out: &mut Vec<Effect>) {
+        let revision = list.revision;
+        if self.members.accept(now, list) {
+            self.homes.relisted(&self.members);
+            out.push(Effect::Audit(Audit::List { revision, source }));
+            self.tell_neighbours(now, out);
+            self.reclaim(now, out);
+        }
+        if source == Source::Platform && revision == self.members.revision() {
+            self.homes.confirmed(asked);
+        }
+    }
+
+    fn received(&mut self, now: Instant, from: InstanceId, message: Message, out: &mut Vec<Effect>) {
+        match message {
+            Message::Heartbeat(beat) => {
+                self.heard(now, from, &beat, out);
+                let reply = self.members.heartbeat(now, self.versions.number());
+                self.deliver(now, from, Message::Echo { stamp: beat.stamp, beat: reply }, out);
+            }
+            Message::Echo { stamp, beat } => {
+                self.heard(now, from, &beat, out);
+                self.members.echoed(from, stamp);
+            }
+            Message::Fetch { version, revision } => self.fetched(now, from, version, revision, out),
+            Message::Configuration { text } => {
+                self.offered(now, Offer::read(&text), Source::Peer(from), out);
+            }
+            Message::List(list) => self.listed(now, list, Source::Peer(from), now, out),
+            Message::Claim { key, request, revision } => {
+                let replies = self.homes.claim(now, &self.members, from, key, request, revision);
+                self.send_replies(now, replies, out);
+            }
+            Message::Claimed { key, request, answer } => self.claimed(now, from, key, request, answer, out),
+            Message::Settle { key, request, fate } => self.homes.settle(now, key, request, fate),
+            Message::Inquire { key, revision } => {
+                let reply = self.homes.inquire(now, &self.members, key, revision);
+                self.deliver(now, from, reply, out);
+            }
+            Message::Inquired { key, revision, record, complete } => {
+                let answer = (revision, record, complete);
+                let replies = self.homes.inquired(now, &self.members, from, key, answer);
+                self.send_replies(now, replies, out);
+            }
+            Message::Handover { records, last } => self.homes.take_over(now, from, records, last),
+        }
+    }
+
+    fn send_replies(&mut self, now: Instant, replies: Replies, out: &mut Vec<Effect>) {
+        for (to, message) in replies.messages {
+            self.deliver(now, to, message, out);
+        }
+    }
+
+    /// Sends a message to a member; one to this instance itself is taken in at once.
+    pub(crate) fn deliver(&mut self, now: Instant, to: InstanceId, message: Message, out: &mut Vec<Effect>) {
+        if to == self.identity.id() {
+            return self.received(now, to, message, out);
+        }
+        if let Some(member) = self.members.get(to) {
+            out.push(Effect::Send { to, address: member.address, message });
+        }
+    }
+
+    fn heard(&mut self, now: Instant, from: InstanceId, beat: &Heartbeat, out: &mut Vec<Effect>) {
+        let mut changes = Vec::new();
+        changes.extend(self.members.heard(now, from, beat));
+        for &rumour in &beat.rumours {
+            changes.extend(self.members.rumour(now, rumour));
+        }
+        audit_health(changes, out);
+        let behind = beat.version > self.versions.number() || beat.revision > self.members.revision();
+        if behind && now >= self.next_fetch {
+            self.next_fetch = now + FETCH;
+            let message =
+                Message::Fetch { version: self.versions.number(), revision: self.members.revision() };
+            self.deliver(now, from, message, out);
+        }
+    }
+
+    fn fetched(&mut self, now: Instant, from: InstanceId, version: u64, revision: u64, out: &mut Vec<Effect>) {
+        if let Some(text) = self.versions.text().filter(|_| self.versions.number() > version) {
+            let text = text.to_string();
+            self.deliver(now, from, Message::Configuration { text }, out);
+        }
+        if let Some(list) = self.members.list.clone().filter(|l| l.revision > revision) {
+            self.deliver(now, from, Message::List(list), out);
+        }
+    }
+
+    fn tell_neighbours(&mut self, now: Instant, out: &mut Vec<Effect>) {
+        let beat = self.members.heartbeat(now, self.versions.number());
+        for (to, address) in self.members.neighbours() {
+            out.push(Effect::Send { to, address, message: Message::Heartbeat(beat.clone()) });
+        }
+    }
+
+    fn reported(&mut self, now: Instant, endpoint: EndpointId, report: &Report, out: &mut Vec<Effect>) {
+        let me = self.identity.id();
+        self.fleet.report(now, endpoint, me, report);
+        let Some(key) = self.fleet.find(endpoint) else {
+            return;
+        };
+        if self.fleet.succeeded(key) {
+            let name = self.fleet.get(key).name.clone();
+            out.push(Effect::Audit(Audit::Endpoint { endpoint: name, reachable: true }));
+        }
+        self.cancel_orphans(now, endpoint, report, out);
+        self.pump_all(now, out);
+    }
+
+    /// Cancels work whose owner's life has ended; see the head of the module `orphans`.
+    fn cancel_orphans(&mut self, now: Instant, endpoint: EndpointId, report: &Report, out: &mut Vec<Effect>) {
+        let Some(key) = self.fleet.find(endpoint) else {
+            return;
+        };
+        let target = self.fleet.get(key).target();
+        let fresh = self.homes.fresh(now);
+        for running in &report.running {
+            let attempt = running.attempt;
+            let owner = attempt.request;
+            let orphan = if owner.instance == self.identity.id() {
+                owner.incarnation < self.identity.incarnation
+                    || (owner.incarnation == self.identity.incarnation && !self.requests.needs(attempt))
+            } else {
+                ended(now, &self.members, owner.instance, owner.incarnation, fresh)
+            };
+            if !orphan || !self.cancels.begin(now, attempt, endpoint) {
+                continue;
+            }
+            self.counters.orphans += 1;
+            out.push(Effect::Cancel { attempt, target });
+            let name = self.fleet.get(key).name.clone();
+            out.push(Effect::Audit(Audit::Orphan { attempt, endpoint: name }));
+        }
+    }
+
+    fn unreported(&mut self, now: Instant, endpoint: EndpointId, out: &mut Vec<Effect>) {
+        let Some(key) = self.fleet.find(endpoint) else {
+            return;
+        };
+        if self.fleet.failed(now, key) {
+            let name = self.fleet.get(key).name.clone();
+            out.push(Effect::Audit(Audit::Endpoint { endpoint: name, reachable: false }));
+        }
+    }
+
+    fn stop(&mut self, now: Instant, out: &mut Vec<Effect>) {
+        if self.members.stopping {
+            return;
+        }
+        self.members.stopping = true;
+        out.push(Effect::Audit(Audit::Stopping));
+        self.tell_neighbours(now, out);
+    }
+
+    fn tick(&mut self, now: Instant, out: &mut Vec<Effect>) {
+        let beats = self.members.beat(now);
+        if !beats.is_empty() {
+            let beat = self.members.heartbeat(now, self.versions.number());
+            let sends = beats.into_iter().map(|(to, address)| Effect::Send {
+                to,
+                address,
+                message: Message::Heartbeat(beat.clone()),
+            });
+            out.extend(sends);
+        }
+        audit_health(self.members.review(now), out);
+        self.members.forget(now, self.homes.horizon());
+        let replies = self.homes.tick(now, &self.members);
+        self.send_replies(now, replies, out);
+        self.confirm(now, out);
+        self.poll(now, out);
+        self.resend_cancels(now, out);
+        self.forgone.retain(|_, at| now.duration_since(*at) < FORGONE);
+        self.fleet.age(now);
+        self.pump_all(now, out);
+        self.end_stop(now, out);
+    }
+
+    /// Asks members for their revision while a claim waits for the tenure that their answers give.
+    fn confirm(&mut self, now: Instant, out: &mut Vec<Effect>) {
+        if now < self.next_confirm || !self.homes.wants_confirmation(now, &self.members) {
+            return;
+        }
+        self.next_confirm = now + CONFIRM;
+        let since = now.checked_sub(crate::homes::TENURE / 2).unwrap_or(now);
+        let beat = self.members.heartbeat(now, self.versions.number());
+        for (to, address) in self.members.silent(since) {
+            out.push(Effect::Send { to, address, message: Message::Heartbeat(beat.clone()) });
+        }
+    }
+
+    fn poll(&mut self, now: Instant, out: &mut Vec<Effect>) {
+        if now < self.next_poll {
+            return;
+        }
+        self.next_poll = now + POLL;
+        out.extend(self.fleet.engines().into_iter().map(|target| Effect::Poll { target }));
+    }
+
+    fn resend_cancels(&mut self, now: Instant, out: &mut Vec<Effect>) {
+        for (attempt, endpoint) in self.cancels.due(now) {
+            if let Some(key) = self.fleet.find(endpoint) {
+                let target = self.fleet.get(key).target();
+                out.push(Effect::Cancel { attempt, target });
+            }
+        }
+    }
+
+    /// Ends a planned stop once nothing of a caller is left here.
+    fn end_stop(&mut self, now: Instant, out: &mut Vec<Effect>) {
+        if !self.members.stopping || self.stopped || self.requests.len() > 0 {
+            return;
+        }
+        let Some(drained) = self.drained else {
+            assert_eq!(self.fleet.taken(), 0, "no request is left, but slots are taken");
+            self.drained = Some(now);
+            for (to, message) in self.homes.handover(&self.members) {
+                self.deliver(now, to, message, out);
+            }
+            return;
+        };
+        if now.duration_since(drained) >= LINGER {
+            self.stopped = true;
+            out.push(Effect::Stopped);
+        }
+    }
+}
+
+fn audit_health(changes: Vec<(InstanceId, Health)>, out: &mut Vec<Effect>) {
+    for (instance, health) in changes {
+        out.push(Effect::Audit(Audit::Member { instance, health: health.text() }));
+    }
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,50 @@
+//! The decisions of one entry instance, with no input or output of its own.
+//!
+//! An [`Instance`] is driven through one entry: [`Instance::step`] takes the time and one typed [`Event`]
+//! and appends typed [`Effect`]s. It reads no clock, starts no task, opens no socket and draws random
+//! numbers only from a generator seeded at its start, so that the same events at the same times give the
+//! same effects. A daemon runs one instance on its control thread; a test or bench runs many side by side
+//! in virtual time.
+//!
+//! Modules look down only: `instance` dispatches to `flow` (the steps of a request) and `claims` (its
+//! idempotency key), which use `requests`, `fleet`, `queue`, `homes` and `orphans`; `members` and `versions`
+//! know nothing of requests.
+//!
+//! Invariants, asserted in the program:
+//! - a request gets exactly one final effect ([`Effect::Refuse`], or the end of the answer that its driver
+//!   streams);
+//! - a refusal that says "not run" is only given to a request of which nothing can have reached an
+//!   endpoint;
+//! - a call that may not be repeated is sent again only if the last send provably never left;
+//! - a version in force is only ever replaced by a higher one;
+//! - a slot taken at an endpoint is given back exactly once.
+
+mod claims;
+mod clock;
+mod counters;
+mod error;
+mod event;
+mod fleet;
+mod flow;
+mod homes;
+mod ids;
+mod instance;
+mod members;
+mod message;
+mod orphans;
+mod queue;
+mod requests;
+mod versions;
+
+pub use clock::{Clock, ManualClock, SystemClock};
+pub use error::{Answer, ErrorKind, Outcome, Refusal};
+pub use event::{
+    Audit, Call, Effect, Event, Fault, Generate, Instances, Listed, Offer, Report, Running, Source, Stored, Target,
+    Work,
+};
+pub use fleet::{EndpointView, Fleet};
+pub use ids::{AttemptId, EndpointId, IdempotencyKey, InstanceId, RequestId, Ticket};
+pub use instance::{Identity, Instance, Snapshot};
+pub use members::{Health, MemberView};
+pub use message::{ClaimAnswer, Fate, Heartbeat, Message, Record, Rumour};
+pub use counters::{ClassCounters, Counters};
--- /dev/null
+++ b/crates/core/src/members.rs
@@ -0,0 +1,454 @@
+//! Membership: the platform's list of instances, and which of them are alive.
+//!
+//! The list says who belongs to the fleet; it lags. Heartbeats say who is alive; they are sent over a sparse
+//! overlay, because at 380 instances a full mesh costs each of them more than its 4 KB a second. Within its
+//! failure domain an instance beats to the members at distance 1, 2, 4, … on a ring ordered by id, so that
+//! news crosses a domain in `log2 n` hops. To every other domain it beats to the members of its own rank, so
+//! that every member of every domain is watched from every other domain, also when two are cut apart.
+//!
+//! A member that misses [`MISSES`] beats is suspected, and the suspicion spreads as a rumour. The suspect
+//! refutes it by a higher epoch; if it does not within [`SUSPICION`], it is held for dead. Health only ever
+//! guides choices (whom to ask, whose leftovers to clear); nothing that must hold at all times rests on it.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::event::Listed;
+use crate::message::{Heartbeat, Rumour};
+use crate::{IdempotencyKey, InstanceId};
+
+/// Time between two heartbeats to the same neighbour.
+pub(crate) const BEAT: Duration = Duration::from_secs(1);
+/// Heartbeats without an echo before a neighbour is suspected.
+const MISSES: u32 = 3;
+/// How long a suspect has to refute.
+const SUSPICION: Duration = Duration::from_secs(5);
+/// Rumours in one heartbeat.
+const RUMOURS: usize = 8;
+
+/// What is held of an instance's health.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Health {
+    /// Listed, and nothing heard of it yet.
+    Unknown,
+    /// Seen alive, directly or by a rumour.
+    Alive,
+    /// Missed heartbeats since then, or said to.
+    Suspect(Instant),
+    /// Did not refute; held for dead since then.
+    Dead(Instant),
+}
+
+impl Health {
+    /// Name for logs, metrics and status.
+    pub const fn text(self) -> &'static str {
+        match self {
+            Self::Unknown => "unknown",
+            Self::Alive => "alive",
+            Self::Suspect(_) => "suspect",
+            Self::Dead(_) => "dead",
+        }
+    }
+}
+
+/// A member as an operator sees it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MemberView {
+    /// Name.
+    pub name: String,
+    /// Failure domain.
+    pub domain: String,
+    /// Health as held here.
+    pub health: Health,
+    /// Configuration version that it last told of, 0 if it never did.
+    pub version: u64,
+    /// Whether the list or the member itself says that it leaves.
+    pub leaving: bool,
+}
+
+/// One member.
+#[derive(Debug)]
+pub(crate) struct Member {
+    pub(crate) name: String,
+    pub(crate) domain: String,
+    pub(crate) address: SocketAddr,
+    pub(crate) leaving: bool,
+    pub(crate) health: Health,
+    pub(crate) incarnation: u64,
+    epoch: u32,
+    pub(crate) version: u64,
+    pub(crate) revision: u64,
+    /// When it was last heard directly.
+    pub(crate) heard: Option<Instant>,
+    /// When the heartbeat was sent whose echo told `revision`. Unlike `heard` it does not move when a process
+    /// wakes from a freeze and finds old echoes in its socket buffers.
+    echoed: Option<Instant>,
+    unanswered: u32,
+}
+
+/// A list that was in use before, for those who ask who had a key then.
+#[derive(Debug)]
+pub(crate) struct Former {
+    pub(crate) homes: Vec<InstanceId>,
+    pub(crate) replaced: Instant,
+}
+
+/// All members, as one instance sees them.
+#[derive(Debug)]
+pub(crate) struct Members {
+    me: InstanceId,
+    domain: String,
+    incarnation: u64,
+    epoch: u32,
+    pub(crate) list: Option<Listed>,
+    pub(crate) former: VecDeque<Former>,
+    members: BTreeMap<InstanceId, Member>,
+    /// Instances that the list had once, with the last sign of life: a heartbeat or the list itself.
+    dropped: BTreeMap<InstanceId, Instant>,
+    neighbours: Vec<InstanceId>,
+    rumours: BTreeMap<InstanceId, (Rumour, u32)>,
+    started: Instant,
+    next_beat: Instant,
+    pub(crate) stopping: bool,
+}
+
+impl Members {
+    pub(crate) fn new(me: InstanceId, domain: String, incarnation: u64, started: Instant) -> Self {
+        Self {
+            me,
+            domain,
+            incarnation,
+            epoch: 0,
+            list: None,
+            former: VecDeque::new(),
+            members: BTreeMap::new(),
+            dropped: BTreeMap::new(),
+            neighbours: Vec::new(),
+            rumours: BTreeMap::new(),
+            started,
+            next_beat: started,
+            stopping: false,
+        }
+    }
+
+    /// Revision of the list in use, 0 for none.
+    pub(crate) fn revision(&self) -> u64 {
+        self.list.as_ref().map_or(0, |l| l.revision)
+    }
+
+    /// Takes a list in if it is newer than the one in use.
+    pub(crate) fn accept(&mut self, now: Instant, list: Listed) -> bool {
+        if list.revision <= self.revision() {
+            return false;
+        }
+        if self.list.is_some() {
+            self.former.push_back(Former { homes: self.homes(), replaced: now });
+        }
+        let mut members = BTreeMap::new();
+        for entry in &list.instances {
+            let id = InstanceId::of(&entry.name);
+            if id == self.me {
+                continue;
+            }
+            let mut member = self.members.remove(&id).unwrap_or_else(|| Member::new(&entry.name));
+            member.domain.clone_from(&entry.domain);
+            member.address = entry.peers;
+            member.leaving = entry.leaving;
+            members.insert(id, member);
+            self.dropped.remove(&id);
+        }
+        let gone = std::mem::replace(&mut self.members, members);
+        self.dropped.extend(gone.into_keys().map(|id| (id, now)));
+        self.list = Some(list);
+        self.neighbours = self.overlay();
+        true
+    }
+
+    /// How long an instance that the list once had has given no sign of life.
+    pub(crate) fn dropped_for(&self, now: Instant, id: InstanceId) -> Option<Duration> {
+        self.dropped.get(&id).map(|&at| now.duration_since(at))
+    }
+
+    /// Drops former lists that no key can reach back to, and instances that left longer ago than that.
+    pub(crate) fn forget(&mut self, now: Instant, horizon: Duration) {
+        self.dropped.retain(|_, at| now.duration_since(*at) <= horizon);
+        while self.former.front().is_some_and(|f| now.duration_since(f.replaced) > horizon) {
+            self.former.pop_front();
+        }
+    }
+
+    pub(crate) fn get(&self, id: InstanceId) -> Option<&Member> {
+        self.members.get(&id)
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (InstanceId, &Member)> {
+        self.members.iter().map(|(&id, m)| (id, m))
+    }
+
+    /// Instances that can be home of a key by the list in use: those that are not leaving.
+    fn homes(&self) -> Vec<InstanceId> {
+        let Some(list) = &self.list else {
+            return Vec::new();
+        };
+        list.instances.iter().filter(|i| !i.leaving).map(|i| InstanceId::of(&i.name)).collect()
+    }
+
+    /// Home of a key by the list in use.
+    pub(crate) fn home(&self, key: IdempotencyKey) -> Option<InstanceId> {
+        highest(key, &self.homes())
+    }
+
+    /// Home of a key by the list in use if this instance were not in it.
+    pub(crate) fn runner_up(&self, key: IdempotencyKey) -> Option<InstanceId> {
+        let mut homes = self.homes();
+        homes.retain(|&i| i != self.me);
+        highest(key, &homes)
+    }
+
+    /// Instances that to this one's knowledge may have been home of a key before the list in use.
+    pub(crate) fn former_homes(&self, key: IdempotencyKey) -> Vec<InstanceId> {
+        let mut homes: Vec<InstanceId> = self.former.iter().filter_map(|f| highest(key, &f.homes)).collect();
+        homes.sort_unstable();
+        homes.dedup();
+        homes
+    }
+
+    /// Whether at least half of the others were heard at the list in use or a later one.
+    pub(crate) fn established(&self) -> bool {
+        let revision = self.revision();
+        let heard = self.members.values().filter(|m| m.heard.is_some() && m.revision >= revision).count();
+        revision > 0 && heard * 2 >= self.members.len()
+    }
+
+    /// Whether every other member was heard at exactly the list in use since `since`.
+    pub(crate) fn unanimous(&self, since: Instant) -> bool {
+        let revision = self.revision();
+        revision > 0
+            && self.members.values().all(|m| m.revision == revision && m.echoed.is_some_and(|e| e >= since))
+    }
+
+    /// Neighbours on the overlay; see the head of the module.
+    fn overlay(&self) -> Vec<InstanceId> {
+        let Some(list) = &self.list else {
+            return Vec::new();
+        };
+        let mut domains: BTreeMap<&str, Vec<InstanceId>> = BTreeMap::new();
+        for entry in &list.instances {
+            domains.entry(&entry.domain).or_default().push(InstanceId::of(&entry.name));
+        }
+        let own = domains.entry(&self.domain).or_default();
+        if !own.contains(&self.me) {
+            own.push(self.me);
+        }
+        for ids in domains.values_mut() {
+            ids.sort_unstable();
+        }
+        let own = &domains[self.domain.as_str()];
+        let size = own.len();
+        let rank = own.iter().position(|&i| i == self.me).expect("this instance was added above");
+        let mut neighbours: Vec<InstanceId> = std::iter::successors(Some(1), |d| Some(d * 2))
+            .take_while(|&d| d < size)
+            .map(|d| own[(rank + d) % size])
+            .collect();
+        for (_, ids) in domains.iter().filter(|(name, _)| **name != self.domain) {
+            let first = rank % ids.len();
+            neighbours.extend(ids.iter().skip(first).step_by(size));
+        }
+        neighbours
+    }
+
+    /// Neighbours to beat to now, with their addresses; counts beats that went unanswered.
+    pub(crate) fn beat(&mut self, now: Instant) -> Vec<(InstanceId, SocketAddr)> {
+        if now < self.next_beat {
+            return Vec::new();
+        }
+        // After a freeze the lost beats are not made up for: a burst would look like load, not like life.
+        self.next_beat = (self.next_beat + BEAT).max(now + BEAT / 2);
+        let mut targets = Vec::with_capacity(self.neighbours.len());
+        for id in &self.neighbours {
+            let Some(member) = self.members.get_mut(id) else {
+                continue;
+            };
+            member.unanswered += 1;
+            targets.push((*id, member.address));
+        }
+        targets
+    }
+
+    /// Moves suspects on; returns members whose health changed.
+    pub(crate) fn review(&mut self, now: Instant) -> Vec<(InstanceId, Health)> {
+        let mut changed = Vec::new();
+        for (&id, member) in &mut self.members {
+            match member.health {
+                Health::Alive | Health::Unknown if member.unanswered > MISSES => {
+                    member.health = Health::Suspect(now);
+                    self.rumours.insert(id, (member.rumour(id, true), 0));
+                }
+                Health::Suspect(since) if now.duration_since(since) > SUSPICION => {
+                    member.health = Health::Dead(now);
+                }
+                Health::Unknown | Health::Alive | Health::Suspect(_) | Health::Dead(_) => continue,
+            }
+            changed.push((id, member.health));
+        }
+        changed
+    }
+
+    /// What this instance says of itself now, with the rumours that have been told least.
+    pub(crate) fn heartbeat(&mut self, now: Instant, version: u64) -> Heartbeat {
+        let limit = 3 * (self.members.len() + 2).ilog2();
+        let mut fresh: Vec<InstanceId> = self.rumours.keys().copied().collect();
+        fresh.sort_by_key(|id| self.rumours[id].1);
+        fresh.truncate(RUMOURS);
+        let mut rumours = Vec::with_capacity(fresh.len());
+        for id in fresh {
+            let Some((rumour, told)) = self.rumours.get_mut(&id) else {
+                continue;
+            };
+            rumours.push(*rumour);
+            *told += 1;
+            if *told > limit {
+                self.rumours.remove(&id);
+            }
+        }
+        Heartbeat {
+            stamp: now.duration_since(self.started).as_millis() as u64,
+            incarnation: self.incarnation,
+            epoch: self.epoch,
+            version,
+            revision: self.revision(),
+            stopping: self.stopping,
+            rumours,
+        }
+    }
+
+    /// Takes in what a member says of itself; returns a change of its health.
+    pub(crate) fn heard(
+        &mut self,
+        now: Instant,
+        from: InstanceId,
+        beat: &Heartbeat,
+    ) -> Option<(InstanceId, Health)> {
+        if let Some(at) = self.dropped.get_mut(&from) {
+            *at = now;
+        }
+        let member = self.members.get_mut(&from)?;
+        if (beat.incarnation, beat.epoch) < (member.incarnation, member.epoch) {
+            // A beat of a process that has been replaced, delayed on the way.
+            return None;
+        }
+        let news = beat.incarnation > member.incarnation || beat.epoch > member.epoch;
+        member.incarnation = beat.incarnation;
+        member.epoch = beat.epoch;
+        member.version = beat.version;
+        member.revision = beat.revision;
+        member.heard = Some(now);
+        member.unanswered = 0;
+        member.leaving |= beat.stopping;
+        let before = std::mem::replace(&mut member.health, Health::Alive);
+        if news {
+            self.rumours.insert(from, (member.rumour(from, false), 0));
+        }
+        (before != Health::Alive).then_some((from, Health::Alive))
+    }
+
+    /// Takes in the echo of a heartbeat that bore `stamp`.
+    pub(crate) fn echoed(&mut self, from: InstanceId, stamp: u64) {
+        let sent = self.started + Duration::from_millis(stamp);
+        if let Some(member) = self.members.get_mut(&from) {
+            member.echoed = member.echoed.max(Some(sent));
+        }
+    }
+
+    /// Neighbours with their addresses.
+    pub(crate) fn neighbours(&self) -> Vec<(InstanceId, SocketAddr)> {
+        let known = self.neighbours.iter().filter_map(|id| self.members.get(id).map(|m| (*id, m.address)));
+        known.collect()
+    }
+
+    /// Members that have not echoed since `since`, with their addresses.
+    pub(crate) fn silent(&self, since: Instant) -> Vec<(InstanceId, SocketAddr)> {
+        let silent = self.members.iter().filter(|(_, m)| m.echoed.is_none_or(|e| e < since));
+        silent.map(|(&id, m)| (id, m.address)).collect()
+    }
+
+    /// Takes in a rumour; returns a change of health.
+    pub(crate) fn rumour(&mut self, now: Instant, rumour: Rumour) -> Option<(InstanceId, Health)> {
+        if rumour.instance == self.me {
+            self.refute(rumour);
+            return None;
+        }
+        let member = self.members.get_mut(&rumour.instance)?;
+        let (theirs, ours) = ((rumour.incarnation, rumour.epoch), (member.incarnation, member.epoch));
+        if theirs < ours || (theirs == ours && !rumour.suspect) {
+            return None;
+        }
+        let health = if rumour.suspect { Health::Suspect(now) } else { Health::Alive };
+        if rumour.suspect && matches!(member.health, Health::Suspect(_) | Health::Dead(_)) {
+            return None;
+        }
+        // Whoever hears the member itself knows better than a rumour.
+        let direct = member.heard.is_some_and(|h| now.duration_since(h) < 2 * BEAT);
+        if rumour.suspect && direct {
+            return None;
+        }
+        member.incarnation = rumour.incarnation;
+        member.epoch = rumour.epoch;
+        let before = std::mem::replace(&mut member.health, health);
+        if !rumour.suspect {
+            member.unanswered = 0;
+        }
+        self.rumours.insert(rumour.instance, (rumour, 0));
+        (before != health).then_some((rumour.instance, health))
+    }
+
+    /// Answers a suspicion of this instance with a higher epoch, which overrides it everywhere.
+    fn refute(&mut self, rumour: Rumour) {
+        if rumour.suspect && rumour.incarnation == self.incarnation && rumour.epoch >= self.epoch {
+            self.epoch = rumour.epoch + 1;
+        }
+    }
+
+    pub(crate) fn view(&self) -> Vec<MemberView> {
+        let members = self.members.values().map(|m| MemberView {
+            name: m.name.clone(),
+            domain: m.domain.clone(),
+            health: m.health,
+            version: m.version,
+            leaving: m.leaving,
+        });
+        members.collect()
+    }
+}
+
+impl Member {
+    fn new(name: &str) -> Self {
+        Self {
+            name: name.to_owned(),
+            domain: String::new(),
+            address: SocketAddr::from(([0, 0, 0, 0], 0)),
+            leaving: false,
+            health: Health::Unknown,
+            incarnation: 0,
+            epoch: 0,
+            version: 0,
+            revision: 0,
+            heard: None,
+            echoed: None,
+            unanswered: 0,
+        }
+    }
+
+    fn rumour(&self, id: InstanceId, suspect: bool) -> Rumour {
+        Rumour { instance: id, incarnation: self.incarnation, epoch: self.epoch, suspect }
+    }
+}
+
+/// Rendezvous hashing: the candidate with the highest hash of itself and the key.
+fn highest(key: IdempotencyKey, candidates: &[InstanceId]) -> Option<InstanceId> {
+    let bytes = key.0.to_le_bytes();
+    candidates.iter().copied().max_by_key(|i| (xxh3_64_with_seed(&bytes, i.0), *i))
+}
--- /dev/null
+++ b/crates/core/src/message.rs
@@ -0,0 +1,154 @@
+//! Messages between instances.
+
+use serde::{Deserialize, Serialize};
+
+use crate::{IdempotencyKey, InstanceId, Listed, RequestId, Stored};
+
+/// A message from one instance to another.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Message {
+    /// I am here.
+    Heartbeat(Heartbeat),
+    /// So am I; an answer to a heartbeat.
+    Echo {
+        /// The heartbeat's stamp, given back.
+        stamp: u64,
+        /// What the sender says of itself.
+        beat: Heartbeat,
+    },
+    /// Send me what you have that is newer than this.
+    Fetch {
+        /// My configuration version, 0 for none.
+        version: u64,
+        /// My list revision, 0 for none.
+        revision: u64,
+    },
+    /// The configuration in force here.
+    Configuration {
+        /// Its JSON text.
+        text: String,
+    },
+    /// The list of instances in use here.
+    List(Listed),
+    /// May I run the request with this idempotency key?
+    Claim {
+        /// The key.
+        key: IdempotencyKey,
+        /// The request that asks.
+        request: RequestId,
+        /// The list revision by which you are the key's home.
+        revision: u64,
+    },
+    /// The home's answer to a claim.
+    Claimed {
+        /// The key.
+        key: IdempotencyKey,
+        /// The request that asked.
+        request: RequestId,
+        /// The answer.
+        answer: ClaimAnswer,
+    },
+    /// What became of a granted claim.
+    Settle {
+        /// The key.
+        key: IdempotencyKey,
+        /// The request that held the claim.
+        request: RequestId,
+        /// What became of it.
+        fate: Fate,
+    },
+    /// Have you ever granted this key? Answering at this revision also gives up every older claim to it.
+    Inquire {
+        /// The key.
+        key: IdempotencyKey,
+        /// List revision by which the asker is the key's home.
+        revision: u64,
+    },
+    /// Answer to an inquiry.
+    Inquired {
+        /// The key.
+        key: IdempotencyKey,
+        /// List revision of the one that answers; lower than asked means that it cannot answer yet.
+        revision: u64,
+        /// The grant on record.
+        record: Option<Record>,
+        /// Whether it has been a home without a break for the whole horizon, so that no record means no grant.
+        complete: bool,
+    },
+    /// Records of an instance that stops, for the homes that follow it.
+    Handover {
+        /// Keys and what became of them.
+        records: Vec<(IdempotencyKey, Record)>,
+        /// Whether these are the last.
+        last: bool,
+    },
+}
+
+/// What a home knows of a key.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Record {
+    /// Granted, and not settled yet.
+    Granted(RequestId),
+    /// Ran; the answer is kept if it was small.
+    Ran(Option<Stored>),
+    /// May have run: whoever held the claim is gone.
+    Unknown,
+}
+
+/// What became of a request that held a claim.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Fate {
+    /// It provably did not run, so the key is free again.
+    NotRun,
+    /// It ran; the answer is kept if it was small.
+    Ran(Option<Stored>),
+    /// It may have run.
+    Unknown,
+}
+
+/// A home's answer to a claim.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ClaimAnswer {
+    /// Run it; nobody else has and nobody else will.
+    Granted,
+    /// Another request with this key is in progress.
+    InUse,
+    /// It ran.
+    Ran(Option<Stored>),
+    /// It cannot be told.
+    Unknown,
+    /// The asker and the home use different lists; this is the home's revision.
+    Revision(u64),
+}
+
+/// What an instance says of itself, with news of others.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// Sender's monotonic clock in milliseconds, for the echo to give back.
+    pub stamp: u64,
+    /// Start of the sender, in milliseconds since the Unix epoch.
+    pub incarnation: u64,
+    /// How often the sender has refuted its own death in this incarnation.
+    pub epoch: u32,
+    /// Configuration version in force.
+    pub version: u64,
+    /// List revision in use.
+    pub revision: u64,
+    /// Whether the sender is stopping.
+    pub stopping: bool,
+    /// News of others, newest first, at most eight.
+    pub rumours: Vec<Rumour>,
+}
+
+/// News of an instance's health.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Rumour {
+    /// The instance.
+    pub instance: InstanceId,
+    /// Its incarnation.
+    pub incarnation: u64,
+    /// Its epoch.
+    pub epoch: u32,
+    /// Whether it is suspected of being dead; otherwise it was seen alive.
+    pub suspect: bool,
+}
--- /dev/null
+++ b/crates/core/src/orphans.rs
@@ -0,0 +1,85 @@
+//! Memory that engines hold for requests that are gone.
+//!
+//! Two ways lead to such memory. A caller goes away or a try is given up: then a cancel is sent, and sent
+//! again until the engine confirms it. Or an instance ends with work at engines: the engine's reports name
+//! the owner and its incarnation with every try, and any survivor that reads a report can tell that the
+//! owner's life has ended and cancel for it. Cancels are idempotent, so it does no harm if several do.
+//!
+//! A wrong verdict would cut off a live instance's work, so an owner counts as ended only when a later
+//! incarnation of it was heard, or when the members hold it for dead *and* the platform's list, freshly read,
+//! no longer has it live. During an outage of the platform only the first holds; the memory is then bounded
+//! by the length of the generation, which engines end by themselves.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use crate::members::{Health, Members};
+use crate::{AttemptId, EndpointId, InstanceId};
+
+/// Time between two sendings of an unconfirmed cancel.
+const AGAIN: Duration = Duration::from_millis(500);
+/// Sendings after which an unconfirmed cancel is left to the engine's next report.
+const SENDINGS: u32 = 20;
+/// How long a dead member is left in peace, for its refutation to arrive.
+const GRACE: Duration = Duration::from_secs(5);
+
+#[derive(Debug)]
+struct Pending {
+    next: Instant,
+    sent: u32,
+}
+
+/// Cancels that engines have not confirmed.
+#[derive(Debug, Default)]
+pub(crate) struct Cancels {
+    pending: BTreeMap<(AttemptId, EndpointId), Pending>,
+}
+
+impl Cancels {
+    /// Notes a cancel; says whether it is new and must be sent now.
+    pub(crate) fn begin(&mut self, now: Instant, attempt: AttemptId, endpoint: EndpointId) -> bool {
+        if self.pending.contains_key(&(attempt, endpoint)) {
+            return false;
+        }
+        self.pending.insert((attempt, endpoint), Pending { next: now + AGAIN, sent: 1 });
+        true
+    }
+
+    pub(crate) fn confirmed(&mut self, attempt: AttemptId, endpoint: EndpointId) {
+        self.pending.remove(&(attempt, endpoint));
+    }
+
+    /// Cancels to send again.
+    pub(crate) fn due(&mut self, now: Instant) -> Vec<(AttemptId, EndpointId)> {
+        self.pending.retain(|_, p| p.sent < SENDINGS);
+        let mut due = Vec::new();
+        for (&which, pending) in &mut self.pending {
+            if pending.next <= now {
+                pending.next = now + AGAIN;
+                pending.sent += 1;
+                due.push(which);
+            }
+        }
+        due
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.pending.len()
+    }
+}
+
+/// Whether the process that owned a try has ended, to the knowledge of this one. `fresh` says whether the
+/// list was read from the platform lately.
+pub(crate) fn ended(now: Instant, members: &Members, owner: InstanceId, incarnation: u64, fresh: bool) -> bool {
+    let Some(member) = members.get(owner) else {
+        // An owner that was never listed may be too new for a list that lags; it is left alone.
+        return fresh && members.dropped_for(now, owner).is_some_and(|d| d > GRACE);
+    };
+    if member.incarnation > incarnation {
+        return true;
+    }
+    let Health::Dead(since) = member.health else {
+        return false;
+    };
+    fresh && member.leaving && now.duration_since(since) > GRACE
+}
--- /dev/null
+++ b/crates/core/src/requests.rs
@@ -0,0 +1,202 @@
+//! The arena of requests in progress.
+//!
+//! A request is in exactly one [`Phase`], and holds exactly the slots that its phase names.
+
+use std::collections::{BTreeSet, HashMap};
+use std::time::{Duration, Instant};
+
+use slotmap::SlotMap;
+
+use crate::ids::{EndpointKey, RequestKey};
+use crate::{AttemptId, IdempotencyKey, RequestId, Ticket};
+
+/// Where a request stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Phase {
+    /// Waits for the home of its idempotency key.
+    Claiming,
+    /// Waits for a slot.
+    Waiting,
+    /// A prefill engine works on it; a decode slot is kept for it.
+    Prefilling { prefill: EndpointKey, decode: EndpointKey },
+    /// Its KV cache is on its way to the decode engine.
+    Importing { prefill: EndpointKey, decode: EndpointKey },
+    /// A decode engine generates.
+    Decoding { decode: EndpointKey },
+    /// A plain service works on it.
+    Calling { endpoint: EndpointKey },
+}
+
+/// What the request needs, from the configuration in force when it arrived.
+#[derive(Debug, Clone)]
+pub(crate) enum Kind {
+    Generate { prompt: u32, first: Duration, gap: Duration },
+    Call { repeatable: bool, timeout: Duration },
+}
+
+/// KV cache that a prefill engine holds for a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Cache {
+    pub(crate) attempt: AttemptId,
+    pub(crate) prefill: EndpointKey,
+}
+
+/// One request.
+#[derive(Debug)]
+pub(crate) struct Request {
+    pub(crate) ticket: Ticket,
+    pub(crate) id: RequestId,
+    pub(crate) kind: Kind,
+    pub(crate) pool: String,
+    pub(crate) class: String,
+    pub(crate) team: String,
+    pub(crate) priority: u8,
+    /// Longest wait for a slot.
+    pub(crate) wait: Duration,
+    pub(crate) key: Option<IdempotencyKey>,
+    pub(crate) arrived: Instant,
+    pub(crate) deadline: Instant,
+    pub(crate) phase: Phase,
+    /// Number of the last try.
+    pub(crate) attempts: u32,
+    /// Whether something of it may have reached an endpoint.
+    pub(crate) ran: bool,
+    /// Tokens passed to the caller.
+    pub(crate) offset: u32,
+    pub(crate) first_token: Option<Instant>,
+    /// When the decode slot was taken, to learn how long slots are held.
+    pub(crate) held: Instant,
+    pub(crate) cache: Option<Cache>,
+    /// Whether the stream in progress was taken up again once already.
+    pub(crate) resumed: bool,
+    pub(crate) tried: Vec<EndpointKey>,
+    /// Whether the caller has gone and only the outcome for the idempotency key is awaited.
+    pub(crate) gone: bool,
+    due: Instant,
+}
+
+impl Request {
+    pub(crate) fn attempt(&self) -> AttemptId {
+        AttemptId { request: self.id, number: self.attempts }
+    }
+}
+
+/// What a request is made of.
+#[derive(Debug)]
+pub(crate) struct Opening {
+    pub(crate) ticket: Ticket,
+    pub(crate) id: RequestId,
+    pub(crate) kind: Kind,
+    pub(crate) pool: String,
+    pub(crate) class: String,
+    pub(crate) team: String,
+    pub(crate) priority: u8,
+    pub(crate) wait: Duration,
+    pub(crate) key: Option<IdempotencyKey>,
+    pub(crate) deadline: Duration,
+}
+
+/// All requests in progress.
+#[derive(Debug, Default)]
+pub(crate) struct Requests {
+    arena: SlotMap<RequestKey, Request>,
+    by_ticket: HashMap<Ticket, RequestKey>,
+    due: BTreeSet<(Instant, RequestKey)>,
+}
+
+impl Requests {
+    pub(crate) fn open(&mut self, now: Instant, opening: Opening) -> RequestKey {
+        let deadline = now + opening.deadline;
+        let ticket = opening.ticket;
+        let key = self.arena.insert(Request {
+            ticket,
+            id: opening.id,
+            kind: opening.kind,
+            pool: opening.pool,
+            class: opening.class,
+            team: opening.team,
+            priority: opening.priority,
+            wait: opening.wait,
+            key: opening.key,
+            arrived: now,
+            deadline,
+            phase: Phase::Claiming,
+            attempts: 0,
+            ran: false,
+            offset: 0,
+            first_token: None,
+            held: now,
+            cache: None,
+            resumed: false,
+            tried: Vec::new(),
+            gone: false,
+            due: deadline,
+        });
+        self.due.insert((deadline, key));
+        let before = self.by_ticket.insert(ticket, key);
+        assert!(before.is_none(), "ticket {} is used twice", ticket.0);
+        key
+    }
+
+    pub(crate) fn close(&mut self, key: RequestKey) -> Request {
+        let request = self.arena.remove(key).expect("a request is closed once");
+        self.by_ticket.remove(&request.ticket);
+        self.due.remove(&(request.due, key));
+        request
+    }
+
+    pub(crate) fn get(&self, key: RequestKey) -> &Request {
+        &self.arena[key]
+    }
+
+    pub(crate) fn get_mut(&mut self, key: RequestKey) -> &mut Request {
+        &mut self.arena[key]
+    }
+
+    pub(crate) fn find(&self, ticket: Ticket) -> Option<RequestKey> {
+        self.by_ticket.get(&ticket).copied()
+    }
+
+    /// The request of which this is the last try; `None` for a late event of an earlier one.
+    pub(crate) fn current(&self, attempt: AttemptId) -> Option<RequestKey> {
+        let key = self.find(Ticket(attempt.request.sequence))?;
+        let request = &self.arena[key];
+        (request.attempt() == attempt).then_some(key)
+    }
+
+    /// Whether an engine should go on holding memory for the try.
+    pub(crate) fn needs(&self, attempt: AttemptId) -> bool {
+        let Some(key) = self.find(Ticket(attempt.request.sequence)) else {
+            return false;
+        };
+        let request = &self.arena[key];
+        request.attempt() == attempt || request.cache.is_some_and(|c| c.attempt == attempt)
+    }
+
+    /// Sets the time at which the request is looked at again; never later than its deadline.
+    pub(crate) fn set_due(&mut self, key: RequestKey, at: Instant) {
+        let request = &mut self.arena[key];
+        let at = at.min(request.deadline);
+        self.due.remove(&(request.due, key));
+        request.due = at;
+        self.due.insert((at, key));
+    }
+
+    /// A request whose time has come.
+    pub(crate) fn overdue(&mut self, now: Instant) -> Option<RequestKey> {
+        let &(at, key) = self.due.first()?;
+        if at > now {
+            return None;
+        }
+        self.due.pop_first();
+        Some(key)
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.arena.len()
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (RequestKey, &Request)> {
+        self.arena.iter()
+    }
+}
--- /dev/null
+++ b/crates/settings/src/check.rs
@@ -0,0 +1,166 @@
+//! Reading a document and naming every mistake in it.
+
+use std::collections::HashSet;
+use std::fmt;
+
+use schemars::{JsonSchema, schema_for};
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+
+use crate::{Configuration, Role, Settings};
+
+/// One mistake in a document.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Mistake {
+    /// JSON pointer to the place, empty for the whole document.
+    pub path: String,
+    /// What was found there and what is allowed.
+    pub text: String,
+}
+
+impl fmt::Display for Mistake {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let path = if self.path.is_empty() { "/" } else { &self.path };
+        write!(f, "{path}: {}", self.text)
+    }
+}
+
+/// All mistakes in a document, in document order.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("{}", .0.iter().map(ToString::to_string).collect::<Vec<_>>().join("\n"))]
+pub struct Mistakes(pub Vec<Mistake>);
+
+/// Reads a configuration version from JSON text.
+///
+/// # Errors
+/// Every mistake found; the document is refused whole.
+pub fn parse_configuration(text: &str) -> Result<Configuration, Mistakes> {
+    let configuration = parse::<Configuration>(text)?;
+    let mistakes = References::new(&configuration).check();
+    if mistakes.is_empty() { Ok(configuration) } else { Err(Mistakes(mistakes)) }
+}
+
+/// Reads the settings of one instance from JSON text.
+///
+/// # Errors
+/// Every mistake found.
+pub fn parse_settings(text: &str) -> Result<Settings, Mistakes> {
+    parse(text)
+}
+
+fn parse<T: JsonSchema + DeserializeOwned>(text: &str) -> Result<T, Mistakes> {
+    let value: Value = serde_json::from_str(text).map_err(|e| single("", format!("not JSON: {e}")))?;
+    let schema = serde_json::to_value(schema_for!(T)).expect("a derived schema is JSON");
+    let validator = jsonschema::validator_for(&schema).expect("a derived schema is valid");
+    let mistakes: Vec<Mistake> = validator
+        .iter_errors(&value)
+        .map(|e| Mistake { path: e.instance_path.to_string(), text: e.to_string() })
+        .collect();
+    if !mistakes.is_empty() {
+        return Err(Mistakes(mistakes));
+    }
+    // The schema cannot express every format (an IP address and port, say), so the typed read may still fail.
+    serde_json::from_value(value).map_err(|e| single("", e.to_string()))
+}
+
+fn single(path: &str, text: String) -> Mistakes {
+    Mistakes(vec![Mistake { path: path.to_owned(), text }])
+}
+
+/// Checks names and the references between them.
+struct References<'a> {
+    configuration: &'a Configuration,
+    mistakes: Vec<Mistake>,
+}
+
+impl<'a> References<'a> {
+    fn new(configuration: &'a Configuration) -> Self {
+        Self { configuration, mistakes: Vec::new() }
+    }
+
+    fn check(mut self) -> Vec<Mistake> {
+        let c = self.configuration;
+        let domains = self.unique("domains", c.domains.iter().map(|d| d.name.as_str()));
+        let sites = self.unique("sites", c.sites.iter().map(|s| s.name.as_str()));
+        let classes = self.unique("classes", c.classes.iter().map(|x| x.name.as_str()));
+        let pools = self.unique("pools", c.pools.iter().map(|p| p.name.as_str()));
+        self.unique("models", c.models.iter().map(|m| m.name.as_str()));
+        self.unique("endpoints", c.endpoints.iter().map(|e| e.name.as_str()));
+        self.unique("services", c.services.iter().map(|s| s.name.as_str()));
+        self.unique("teams", c.teams.iter().map(|t| t.name.as_str()));
+        for (i, pool) in c.pools.iter().enumerate() {
+            for (j, class) in pool.classes.iter().enumerate() {
+                self.known(&classes, class, &format!("/pools/{i}/classes/{j}"));
+            }
+        }
+        for (i, model) in c.models.iter().enumerate() {
+            self.known(&pools, &model.pool, &format!("/models/{i}/pool"));
+            self.known(&classes, &model.class, &format!("/models/{i}/class"));
+            self.served(i);
+        }
+        for (i, endpoint) in c.endpoints.iter().enumerate() {
+            self.known(&domains, &endpoint.domain, &format!("/endpoints/{i}/domain"));
+            self.known(&sites, &endpoint.site, &format!("/endpoints/{i}/site"));
+            self.known(&pools, &endpoint.pool, &format!("/endpoints/{i}/pool"));
+        }
+        for (i, service) in c.services.iter().enumerate() {
+            self.known(&pools, &service.pool, &format!("/services/{i}/pool"));
+            self.service_only(i);
+        }
+        for (i, link) in c.links.iter().enumerate() {
+            self.known(&domains, &link.from, &format!("/links/{i}/from"));
+            self.known(&domains, &link.to, &format!("/links/{i}/to"));
+        }
+        self.mistakes
+    }
+
+    fn unique(&mut self, part: &str, names: impl Iterator<Item = &'a str>) -> HashSet<&'a str> {
+        let mut seen = HashSet::new();
+        for (i, name) in names.enumerate() {
+            if !seen.insert(name) {
+                self.add(format!("/{part}/{i}/name"), format!("{name:?} is used twice; names are unique"));
+            }
+        }
+        seen
+    }
+
+    fn known(&mut self, names: &HashSet<&str>, name: &str, path: &str) {
+        if names.contains(name) {
+            return;
+        }
+        let mut allowed: Vec<&str> = names.iter().copied().collect();
+        allowed.sort_unstable();
+        self.add(path.to_owned(), format!("{name:?} is not defined; allowed: {}", allowed.join(", ")));
+    }
+
+    /// A model's pool must serve the model's class, or its requests would have nowhere to go.
+    fn served(&mut self, model: usize) {
+        let model_entry = &self.configuration.models[model];
+        let Some(pool) = self.configuration.pools.iter().find(|p| p.name == model_entry.pool) else {
+            return;
+        };
+        if !pool.classes.contains(&model_entry.class) {
+            let text = format!(
+                "pool {:?} does not serve class {:?}; allowed: {}",
+                pool.name,
+                model_entry.class,
+                pool.classes.join(", ")
+            );
+            self.add(format!("/models/{model}/class"), text);
+        }
+    }
+
+    /// A service's pool must hold plain services only: an engine does not understand their calls.
+    fn service_only(&mut self, service: usize) {
+        let pool = &self.configuration.services[service].pool;
+        let stray = self.configuration.endpoints.iter().find(|e| &e.pool == pool && e.role != Role::Service);
+        if let Some(endpoint) = stray {
+            let text = format!("pool {pool:?} holds the engine {:?}; allowed: role service only", endpoint.name);
+            self.add(format!("/services/{service}/pool"), text);
+        }
+    }
+
+    fn add(&mut self, path: String, text: String) {
+        self.mistakes.push(Mistake { path, text });
+    }
+}
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,21 @@
+//! What operators write: the settings of one instance and the numbered configuration of the fleet.
+//!
+//! Both are JSON. A document is read in two passes. The first holds it against a schema derived from the
+//! types in this crate, so that *every* mistake of shape is reported with its JSON path, not only the
+//! first. The second checks what a schema cannot say: that names are unique and that references between
+//! parts of a configuration lead somewhere.
+//!
+//! Invariant: a [`Configuration`] or [`Settings`] that left [`parse_configuration`] or [`parse_settings`]
+//! holds no dangling reference and no duplicate name. It is never changed afterwards; a new version is a
+//! new value.
+
+mod check;
+mod configuration;
+mod settings;
+
+pub use check::{Mistake, Mistakes, parse_configuration, parse_settings};
+pub use configuration::{
+    Class, Configuration, Domain, Endpoint, EndpointState, Link, Load, Model, Policy, Pool, Role, Service, Site,
+    Team,
+};
+pub use settings::{Keys, Limits, Listeners, Settings};
