Run the whole path as separate processes

Found on the way: a request whose every try failed before it was sent was called 'failed' from the second try on, though nothing had run. Whether something may have run is now derived from the phase and one flag for earlier tries.

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,1 +1,3 @@
-fn main(){}
+//! Measurements.
+
+fn main() {}
--- a/crates/core/src/claims.rs
+++ b/crates/core/src/claims.rs
@@ -91,7 +91,7 @@
     ) {
         let ours = self.members.revision();
         if theirs > ours {
-            let message = Message::Fetch { version: self.versions.number(), revision: ours };
+            let message = self.fetch();
             // The claim is repeated by `reclaim` when the list has come.
             return self.deliver(now, home, message, out);
         }
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -51,6 +51,8 @@
         attempt: AttemptId,
         /// Tokens passed on, over all tries.
         offset: u32,
+        /// The answer where it is small enough to be kept for its idempotency key.
+        stored: Option<Stored>,
     },
     /// A service call was answered.
     Called {
@@ -105,6 +107,13 @@
         /// When the reading was begun; the list cannot be trusted to be newer than that.
         asked: Instant,
     },
+    /// The platform answered that this list revision is still the latest.
+    Unchanged {
+        /// The revision.
+        revision: u64,
+        /// When the reading was begun.
+        asked: Instant,
+    },
     /// A peer sent a message.
     Received {
         /// The peer, as its certificate names it.
@@ -241,12 +250,12 @@
     /// Grows with every change of the list.
     pub revision: u64,
     /// Instances, live and leaving.
-    pub instances: Vec<Instances>,
+    pub instances: Vec<Entry>,
 }
 
 /// One instance of the list.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Instances {
+pub struct Entry {
     /// Name.
     pub name: String,
     /// Failure domain.
@@ -277,6 +286,11 @@
     pub body: Vec<u8>,
 }
 
+impl Stored {
+    /// Largest body that is kept, in bytes.
+    pub const MAX: usize = 16 * 1024;
+}
+
 /// An endpoint to send to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Target {
@@ -378,6 +392,8 @@
     Send {
         /// The peer.
         to: InstanceId,
+        /// Its name, which its certificate must show.
+        name: Arc<str>,
         /// Its address.
         address: SocketAddr,
         /// The message.
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -19,6 +19,8 @@
 
 /// Failures in a row after which an endpoint is left alone for a while.
 const FAILURES: u32 = 2;
+/// Polls in a row without an answer after which an endpoint counts as out of reach.
+const UNANSWERED: u32 = 3;
 /// First pause of an endpoint that failed; doubles up to [`PAUSE_MAX`].
 const PAUSE: Duration = Duration::from_millis(500);
 const PAUSE_MAX: Duration = Duration::from_secs(8);
@@ -70,6 +72,9 @@
     reported: Option<Instant>,
     failures: u32,
     paused: Option<Instant>,
+    /// Polls since the last report. Kept apart from `failures`: an engine that answers polls but no work must
+    /// not be forgiven by its reports.
+    unanswered: u32,
 }
 
 impl EndpointEntry {
@@ -78,7 +83,9 @@
     }
 
     fn usable(&self, now: Instant) -> bool {
-        !self.draining && !self.leaving && !self.removed && self.paused.is_none_or(|until| now >= until)
+        let leaving = self.draining || self.leaving || self.removed;
+        let reached = self.unanswered < UNANSWERED && self.paused.is_none_or(|until| now >= until);
+        !leaving && reached
     }
 
     fn load(&self) -> u32 {
@@ -123,6 +130,7 @@
                 entry.leaving = false;
                 entry.failures = 0;
                 entry.paused = None;
+                entry.unanswered = 0;
                 entry.reported = None;
                 entry.others = 0;
             }
@@ -162,6 +170,7 @@
             reported: None,
             failures: 0,
             paused: None,
+            unanswered: 0,
         });
         self.by_id.insert(id, key);
         key
@@ -275,15 +284,21 @@
         (entry.load() * 1000 / entry.slots.max(1), entry.domain != domain)
     }
 
-    /// Takes in a report; `me` tells own work from that of others. Says whether the endpoint was paused.
-    pub(crate) fn report(&mut self, now: Instant, id: EndpointId, me: InstanceId, report: &Report) {
-        let Some(entry) = self.by_id.get(&id).and_then(|&k| self.endpoints.get_mut(k)) else {
-            return;
-        };
+    /// Takes in a report; `me` tells own work from that of others. Says whether the endpoint was out of reach.
+    pub(crate) fn report(&mut self, now: Instant, key: EndpointKey, me: InstanceId, report: &Report) -> bool {
+        let entry = &mut self.endpoints[key];
         let others = report.running.iter().filter(|r| r.attempt.request.instance != me).count();
         entry.others = others as u32;
         entry.reported = Some(now);
         entry.leaving = report.leaving;
+        std::mem::take(&mut entry.unanswered) >= UNANSWERED
+    }
+
+    /// A poll went unanswered. Says whether the endpoint counts as out of reach from now on.
+    pub(crate) fn unreported(&mut self, key: EndpointKey) -> bool {
+        let entry = &mut self.endpoints[key];
+        entry.unanswered += 1;
+        entry.unanswered == UNANSWERED
     }
 
     /// Forgets what old reports said about others.
@@ -334,7 +349,7 @@
             others: e.others,
             slots: e.slots,
             leaving: e.draining || e.leaving || e.removed,
-            paused: e.paused.is_some_and(|until| now < until),
+            paused: e.unanswered >= UNANSWERED || e.paused.is_some_and(|until| now < until),
         });
         views.collect()
     }
--- a/crates/core/src/flow.rs
+++ b/crates/core/src/flow.rs
@@ -247,12 +247,11 @@
         true
     }
 
-    /// Opens the next try. From here on the request may have run.
+    /// Opens the next try.
     fn begin(&mut self, key: RequestKey, phase: Phase) -> &mut Request {
         let request = self.requests.get_mut(key);
         request.phase = phase;
         request.attempts += 1;
-        request.ran = true;
         request
     }
 
@@ -353,7 +352,14 @@
         request.resumed = false;
     }
 
-    pub(crate) fn finished(&mut self, now: Instant, attempt: AttemptId, offset: u32, out: &mut Vec<Effect>) {
+    pub(crate) fn finished(
+        &mut self,
+        now: Instant,
+        attempt: AttemptId,
+        offset: u32,
+        stored: Option<Stored>,
+        out: &mut Vec<Effect>,
+    ) {
         self.advanced(now, attempt, offset);
         let Some(key) = self.requests.current(attempt) else {
             return;
@@ -366,8 +372,7 @@
         self.learn_hold(now, key);
         self.fleet.release(decode);
         let request = self.requests.close(key);
-        // A stream is not kept for a retry; its caller has it.
-        self.settle(now, &request, Fate::Ran(None), out);
+        self.settle(now, &request, Fate::Ran(stored), out);
         self.pump(now, &request.pool, out);
     }
 
@@ -428,10 +433,9 @@
         let request = self.requests.get_mut(key);
         let attempt = request.attempt();
         request.tried.push(prefill);
-        if fault.unsent() {
-            // Only the first try can take back that something ran; later ones do not undo earlier ones.
-            request.ran = request.attempts > 1;
-        } else {
+        request.phase = Phase::Waiting;
+        request.touched |= !fault.unsent();
+        if !fault.unsent() {
             self.cancel(now, attempt, prefill, out);
         }
         self.fleet.release(prefill);
@@ -460,9 +464,17 @@
             return;
         }
         self.waste(now, key, out);
+        self.back_to_waiting(key);
         self.retry(now, key, fault, out);
     }
 
+    /// A try of which something ran has ended.
+    fn back_to_waiting(&mut self, key: RequestKey) {
+        let request = self.requests.get_mut(key);
+        request.phase = Phase::Waiting;
+        request.touched = true;
+    }
+
     /// The decode engine did not begin, so the KV cache is still good: try another one at once.
     fn import_elsewhere(
         &mut self,
@@ -515,6 +527,7 @@
         }
         self.count_waste(key, Some(decode));
         self.fleet.release(decode);
+        self.back_to_waiting(key);
         self.retry(now, key, fault, out);
     }
 
@@ -533,11 +546,8 @@
         let Kind::Call { repeatable, .. } = request.kind else {
             unreachable!("only calls are in the phase of calling");
         };
-        let first = request.attempts == 1;
-        if fault.unsent() && (first || !repeatable) {
-            // A call that may not be repeated has only unsent tries behind it, or it would not be here.
-            request.ran = false;
-        }
+        request.phase = Phase::Waiting;
+        request.touched |= !fault.unsent();
         if !fault.unsent() && !repeatable {
             return self.refuse(now, key, Refusal::new(ErrorKind::OutcomeUnknown), out);
         }
@@ -548,7 +558,7 @@
     fn retry(&mut self, now: Instant, key: RequestKey, fault: Fault, out: &mut Vec<Effect>) {
         let request = self.requests.get(key);
         let pool = request.pool.clone();
-        let ran = request.ran;
+        let ran = request.may_have_run();
         if fault == Fault::Rejected {
             self.refuse(now, key, Refusal::new(ErrorKind::Rejected), out);
         } else if self.may_retry(now, key) {
@@ -587,7 +597,7 @@
             request.gone = true;
             return;
         }
-        let fate = if request.ran { Fate::Unknown } else { Fate::NotRun };
+        let fate = if request.may_have_run() { Fate::Unknown } else { Fate::NotRun };
         self.withdraw(now, key, out);
         let request = self.requests.close(key);
         self.forgo(now, &request);
@@ -650,9 +660,9 @@
     pub(crate) fn refuse(&mut self, now: Instant, key: RequestKey, refusal: Refusal, out: &mut Vec<Effect>) {
         let request = self.requests.close(key);
         let not_run = refusal.kind.answer().outcome == Outcome::NotRun;
-        assert!(!(not_run && request.ran), "{} is called not run, but may have run", request.id);
+        assert!(!(not_run && request.may_have_run()), "{} is called not run, but may have run", request.id);
         self.count_refusal(refusal.kind);
-        let fate = if request.ran { Fate::Unknown } else { Fate::NotRun };
+        let fate = if request.may_have_run() { Fate::Unknown } else { Fate::NotRun };
         self.forgo(now, &request);
         self.settle(now, &request, fate, out);
         if !request.gone {
@@ -665,7 +675,7 @@
         while let Some(key) = self.requests.overdue(now) {
             let request = self.requests.get(key);
             let late = now >= request.deadline;
-            let (ran, phase) = (request.ran, request.phase);
+            let (ran, phase) = (request.may_have_run(), request.phase);
             let refusal = match phase {
                 Phase::Claiming => Refusal::later(ErrorKind::KeyUnknown, ELSEWHERE),
                 _ if late && ran => Refusal::new(ErrorKind::DeadlinePassed),
--- a/crates/core/src/homes.rs
+++ b/crates/core/src/homes.rs
@@ -34,8 +34,6 @@
 pub(crate) const TENURE: Duration = Duration::from_secs(10);
 /// How long a home waits for earlier homes before it answers "unknown".
 const INQUIRY: Duration = Duration::from_millis(700);
-/// Answers larger than this are not kept for a retry.
-pub(crate) const STORED_MAX: usize = 16 * 1024;
 /// Bytes of kept answers, over all keys; beyond it the oldest answers are dropped, never the records.
 const STORE_BYTES: usize = 32 << 20;
 /// Records in one handover message.
--- a/crates/core/src/instance.rs
+++ b/crates/core/src/instance.rs
@@ -1,6 +1,8 @@
 //! One entry instance: its state, and the dispatch of events.
 
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use rand::SeedableRng;
@@ -39,6 +41,8 @@
     pub domain: String,
     /// Deployment that it serves.
     pub deployment: String,
+    /// Address for peers, as others reach it.
+    pub address: SocketAddr,
     /// Start of the process in milliseconds since the Unix epoch; higher than any earlier start under this
     /// name.
     pub incarnation: u64,
@@ -147,7 +151,7 @@
             Event::Prefilled { attempt, .. } => self.prefilled(now, attempt, out),
             Event::Imported { attempt } => self.imported(attempt, out),
             Event::Advanced { attempt, offset } => self.advanced(now, attempt, offset),
-            Event::Finished { attempt, offset } => self.finished(now, attempt, offset, out),
+            Event::Finished { attempt, offset, stored } => self.finished(now, attempt, offset, stored, out),
             Event::Called { attempt, stored } => self.called(now, attempt, stored, out),
             Event::Failed { attempt, fault, offset } => self.failed(now, attempt, fault, offset, out),
             Event::Cancelled { attempt, endpoint, confirmed } => {
@@ -156,9 +160,14 @@
                 }
             }
             Event::Reported { endpoint, report } => self.reported(now, endpoint, &report, out),
-            Event::Unreported { endpoint } => self.unreported(now, endpoint, out),
+            Event::Unreported { endpoint } => self.unreported(endpoint, out),
             Event::Offered { offer, source } => self.offered(now, offer, source, out),
             Event::Listed { list, source, asked } => self.listed(now, list, source, asked, out),
+            Event::Unchanged { revision, asked } => {
+                if revision == self.members.revision() {
+                    self.homes.confirmed(asked);
+                }
+            }
             Event::Received { from, message } => self.received(now, from, message, out),
             Event::Stop => self.stop(now, out),
             Event::Tick => self.tick(now, out),
@@ -181,6 +190,14 @@
         }
     }
 
+    /// Name of a listed instance, or its id.
+    pub fn name(&self, id: InstanceId) -> String {
+        if id == self.identity.id() {
+            return self.identity.name.clone();
+        }
+        self.members.get(id).map_or_else(|| format!("{:016x}", id.0), |m| m.name.to_string())
+    }
+
     /// Model names of the configuration in force.
     pub fn models(&self) -> Vec<String> {
         let models = self.versions.current().map(|c| c.models.as_slice()).unwrap_or_default();
@@ -242,7 +259,9 @@
                 self.heard(now, from, &beat, out);
                 self.members.echoed(from, stamp);
             }
-            Message::Fetch { version, revision } => self.fetched(now, from, version, revision, out),
+            Message::Fetch { version, revision, name, address } => {
+                self.fetched(from, (version, revision), &name, address, out);
+            }
             Message::Configuration { text } => {
                 self.offered(now, Offer::read(&text), Source::Peer(from), out);
             }
@@ -278,7 +297,7 @@
             return self.received(now, to, message, out);
         }
         if let Some(member) = self.members.get(to) {
-            out.push(Effect::Send { to, address: member.address, message });
+            out.push(Effect::Send { to, name: Arc::clone(&member.name), address: member.address, message });
         }
     }
 
@@ -292,36 +311,64 @@
         let behind = beat.version > self.versions.number() || beat.revision > self.members.revision();
         if behind && now >= self.next_fetch {
             self.next_fetch = now + FETCH;
-            let message =
-                Message::Fetch { version: self.versions.number(), revision: self.members.revision() };
+            let message = self.fetch();
             self.deliver(now, from, message, out);
         }
     }
 
-    fn fetched(&mut self, now: Instant, from: InstanceId, version: u64, revision: u64, out: &mut Vec<Effect>) {
+    /// Sends what is newer here, also to an instance that the list in use does not have yet.
+    fn fetched(
+        &mut self,
+        from: InstanceId,
+        (version, revision): (u64, u64),
+        name: &str,
+        address: SocketAddr,
+        out: &mut Vec<Effect>,
+    ) {
+        if InstanceId::of(name) != from {
+            return;
+        }
+        let name: Arc<str> = Arc::from(name);
+        let mut send = |message| out.push(Effect::Send { to: from, name: Arc::clone(&name), address, message });
         if let Some(text) = self.versions.text().filter(|_| self.versions.number() > version) {
-            let text = text.to_string();
-            self.deliver(now, from, Message::Configuration { text }, out);
+            send(Message::Configuration { text: text.to_string() });
         }
         if let Some(list) = self.members.list.clone().filter(|l| l.revision > revision) {
-            self.deliver(now, from, Message::List(list), out);
+            send(Message::List(list));
+        }
+    }
+
+    /// A question for whatever a peer has that is newer.
+    pub fn fetch(&self) -> Message {
+        Message::Fetch {
+            version: self.versions.number(),
+            revision: self.members.revision(),
+            name: self.identity.name.clone(),
+            address: self.identity.address,
         }
     }
 
     fn tell_neighbours(&mut self, now: Instant, out: &mut Vec<Effect>) {
+        let neighbours = self.members.neighbours().to_vec();
+        self.beat_to(now, neighbours, out);
+    }
+
+    fn beat_to(&mut self, now: Instant, targets: Vec<InstanceId>, out: &mut Vec<Effect>) {
+        if targets.is_empty() {
+            return;
+        }
         let beat = self.members.heartbeat(now, self.versions.number());
-        for (to, address) in self.members.neighbours() {
-            out.push(Effect::Send { to, address, message: Message::Heartbeat(beat.clone()) });
+        for to in targets {
+            self.deliver(now, to, Message::Heartbeat(beat.clone()), out);
         }
     }
 
     fn reported(&mut self, now: Instant, endpoint: EndpointId, report: &Report, out: &mut Vec<Effect>) {
         let me = self.identity.id();
-        self.fleet.report(now, endpoint, me, report);
         let Some(key) = self.fleet.find(endpoint) else {
             return;
         };
-        if self.fleet.succeeded(key) {
+        if self.fleet.report(now, key, me, report) {
             let name = self.fleet.get(key).name.clone();
             out.push(Effect::Audit(Audit::Endpoint { endpoint: name, reachable: true }));
         }
@@ -355,11 +402,11 @@
         }
     }
 
-    fn unreported(&mut self, now: Instant, endpoint: EndpointId, out: &mut Vec<Effect>) {
+    fn unreported(&mut self, endpoint: EndpointId, out: &mut Vec<Effect>) {
         let Some(key) = self.fleet.find(endpoint) else {
             return;
         };
-        if self.fleet.failed(now, key) {
+        if self.fleet.unreported(key) {
             let name = self.fleet.get(key).name.clone();
             out.push(Effect::Audit(Audit::Endpoint { endpoint: name, reachable: false }));
         }
@@ -375,16 +422,8 @@
     }
 
     fn tick(&mut self, now: Instant, out: &mut Vec<Effect>) {
-        let beats = self.members.beat(now);
-        if !beats.is_empty() {
-            let beat = self.members.heartbeat(now, self.versions.number());
-            let sends = beats.into_iter().map(|(to, address)| Effect::Send {
-                to,
-                address,
-                message: Message::Heartbeat(beat.clone()),
-            });
-            out.extend(sends);
-        }
+        let targets = self.members.beat(now);
+        self.beat_to(now, targets, out);
         audit_health(self.members.review(now), out);
         self.members.forget(now, self.homes.horizon());
         let replies = self.homes.tick(now, &self.members);
@@ -405,10 +444,8 @@
         }
         self.next_confirm = now + CONFIRM;
         let since = now.checked_sub(crate::homes::TENURE / 2).unwrap_or(now);
-        let beat = self.members.heartbeat(now, self.versions.number());
-        for (to, address) in self.members.silent(since) {
-            out.push(Effect::Send { to, address, message: Message::Heartbeat(beat.clone()) });
-        }
+        let silent = self.members.silent(since);
+        self.beat_to(now, silent, out);
     }
 
     fn poll(&mut self, now: Instant, out: &mut Vec<Effect>) {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -39,7 +39,7 @@
 pub use clock::{Clock, ManualClock, SystemClock};
 pub use error::{Answer, ErrorKind, Outcome, Refusal};
 pub use event::{
-    Audit, Call, Effect, Event, Fault, Generate, Instances, Listed, Offer, Report, Running, Source, Stored, Target,
+    Audit, Call, Effect, Entry, Event, Fault, Generate, Listed, Offer, Report, Running, Source, Stored, Target,
     Work,
 };
 pub use fleet::{EndpointView, Fleet};
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -12,6 +12,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -72,7 +73,7 @@
 /// One member.
 #[derive(Debug)]
 pub(crate) struct Member {
-    pub(crate) name: String,
+    pub(crate) name: Arc<str>,
     pub(crate) domain: String,
     pub(crate) address: SocketAddr,
     pub(crate) leaving: bool,
@@ -260,8 +261,8 @@
         neighbours
     }
 
-    /// Neighbours to beat to now, with their addresses; counts beats that went unanswered.
-    pub(crate) fn beat(&mut self, now: Instant) -> Vec<(InstanceId, SocketAddr)> {
+    /// Neighbours to beat to now; counts beats that went unanswered.
+    pub(crate) fn beat(&mut self, now: Instant) -> Vec<InstanceId> {
         if now < self.next_beat {
             return Vec::new();
         }
@@ -273,7 +274,7 @@
                 continue;
             };
             member.unanswered += 1;
-            targets.push((*id, member.address));
+            targets.push(*id);
         }
         targets
     }
@@ -363,16 +364,14 @@
         }
     }
 
-    /// Neighbours with their addresses.
-    pub(crate) fn neighbours(&self) -> Vec<(InstanceId, SocketAddr)> {
-        let known = self.neighbours.iter().filter_map(|id| self.members.get(id).map(|m| (*id, m.address)));
-        known.collect()
+    pub(crate) fn neighbours(&self) -> &[InstanceId] {
+        &self.neighbours
     }
 
-    /// Members that have not echoed since `since`, with their addresses.
-    pub(crate) fn silent(&self, since: Instant) -> Vec<(InstanceId, SocketAddr)> {
+    /// Members that have not echoed since `since`.
+    pub(crate) fn silent(&self, since: Instant) -> Vec<InstanceId> {
         let silent = self.members.iter().filter(|(_, m)| m.echoed.is_none_or(|e| e < since));
-        silent.map(|(&id, m)| (id, m.address)).collect()
+        silent.map(|(&id, _)| id).collect()
     }
 
     /// Takes in a rumour; returns a change of health.
@@ -414,7 +413,7 @@
 
     pub(crate) fn view(&self) -> Vec<MemberView> {
         let members = self.members.values().map(|m| MemberView {
-            name: m.name.clone(),
+            name: m.name.to_string(),
             domain: m.domain.clone(),
             health: m.health,
             version: m.version,
@@ -427,7 +426,7 @@
 impl Member {
     fn new(name: &str) -> Self {
         Self {
-            name: name.to_owned(),
+            name: Arc::from(name),
             domain: String::new(),
             address: SocketAddr::from(([0, 0, 0, 0], 0)),
             leaving: false,
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -1,5 +1,7 @@
 //! Messages between instances.
 
+use std::net::SocketAddr;
+
 use serde::{Deserialize, Serialize};
 
 use crate::{IdempotencyKey, InstanceId, Listed, RequestId, Stored};
@@ -22,6 +24,10 @@
         version: u64,
         /// My list revision, 0 for none.
         revision: u64,
+        /// My name, for one whose list does not have me yet.
+        name: String,
+        /// My address for peers.
+        address: SocketAddr,
     },
     /// The configuration in force here.
     Configuration {
--- a/crates/core/src/requests.rs
+++ b/crates/core/src/requests.rs
@@ -59,8 +59,8 @@
     pub(crate) phase: Phase,
     /// Number of the last try.
     pub(crate) attempts: u32,
-    /// Whether something of it may have reached an endpoint.
-    pub(crate) ran: bool,
+    /// Whether something of an earlier try may have reached an endpoint.
+    pub(crate) touched: bool,
     /// Tokens passed to the caller.
     pub(crate) offset: u32,
     pub(crate) first_token: Option<Instant>,
@@ -76,6 +76,16 @@
 }
 
 impl Request {
+    /// Whether something of it may have reached an endpoint, by an earlier try or the one in progress.
+    pub(crate) fn may_have_run(&self) -> bool {
+        match self.phase {
+            Phase::Claiming | Phase::Waiting => self.touched,
+            Phase::Prefilling { .. } | Phase::Importing { .. } | Phase::Decoding { .. } | Phase::Calling { .. } => {
+                true
+            }
+        }
+    }
+
     pub(crate) fn attempt(&self) -> AttemptId {
         AttemptId { request: self.id, number: self.attempts }
     }
@@ -122,7 +132,7 @@
             deadline,
             phase: Phase::Claiming,
             attempts: 0,
-            ran: false,
+            touched: false,
             offset: 0,
             first_token: None,
             held: now,
--- /dev/null
+++ b/crates/ctl/src/commands/drain.rs
@@ -0,0 +1,25 @@
+//! `drain`: a planned stop of one instance, as by SIGTERM.
+
+use std::net::SocketAddr;
+
+use gumdrop::Options;
+
+use super::{Failure, client};
+
+#[derive(Debug, Options)]
+pub(crate) struct Arguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(free, required, help = "operators' address of the instance, IP:PORT")]
+    instance: Option<SocketAddr>,
+}
+
+pub(crate) async fn run(arguments: &Arguments) -> Result<(), Failure> {
+    let address = arguments.instance.ok_or_else(|| Failure::Usage("no instance was given".to_owned()))?;
+    let asked = client(address)?.post(format!("http://{address}/drain")).send().await;
+    asked
+        .and_then(reqwest::Response::error_for_status)
+        .map_err(|error| Failure::Unreachable { address, error })?;
+    println!("{address} is stopping; it finishes its requests and ends");
+    Ok(())
+}
--- /dev/null
+++ b/crates/daemon/src/callers/answer.rs
@@ -0,0 +1,110 @@
+//! Refusals and kept answers as HTTP responses.
+
+use std::time::Duration;
+
+use poem::http::{HeaderName, StatusCode, header};
+use poem::{Body, Response};
+use serde::Serialize;
+use teaselshunt_core::{ErrorKind, Outcome, Refusal, RequestId, Stored};
+
+/// Id of the request, on every answer to a request that was taken.
+pub(crate) const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
+/// What a refused caller may conclude.
+const OUTCOME: HeaderName = HeaderName::from_static("x-teaselshunt-outcome");
+/// Read by OpenAI clients before their own rules for retries.
+const SHOULD_RETRY: HeaderName = HeaderName::from_static("x-should-retry");
+/// Read by OpenAI clients in place of `Retry-After`, for times under a second.
+const RETRY_AFTER_MS: HeaderName = HeaderName::from_static("retry-after-ms");
+/// Marks an answer that was kept for an idempotency key.
+const REPLAYED: HeaderName = HeaderName::from_static("idempotent-replayed");
+
+/// The OpenAI error body.
+#[derive(Debug, Serialize)]
+pub(crate) struct ErrorBody {
+    error: ErrorDetail,
+}
+
+#[derive(Debug, Serialize)]
+struct ErrorDetail {
+    message: String,
+    r#type: &'static str,
+    param: Option<String>,
+    code: &'static str,
+    outcome: &'static str,
+}
+
+/// A refusal with more to say than its kind.
+#[derive(Debug)]
+pub(crate) struct Rejection {
+    pub(crate) refusal: Refusal,
+    /// What exactly is wrong, for the caller.
+    pub(crate) detail: Option<String>,
+    pub(crate) request: Option<RequestId>,
+}
+
+impl Rejection {
+    pub(crate) fn new(kind: ErrorKind, detail: impl Into<String>) -> Self {
+        Self { refusal: Refusal::new(kind), detail: Some(detail.into()), request: None }
+    }
+
+    pub(crate) fn of(refusal: Refusal, request: Option<RequestId>) -> Self {
+        Self { refusal, detail: None, request }
+    }
+
+    pub(crate) fn body(&self) -> ErrorBody {
+        let answer = self.refusal.kind.answer();
+        let message = match &self.detail {
+            Some(detail) => format!("{}: {detail}", answer.message),
+            None => answer.message.to_owned(),
+        };
+        let error = ErrorDetail {
+            message,
+            r#type: answer.family,
+            param: None,
+            code: answer.code,
+            outcome: answer.outcome.text(),
+        };
+        ErrorBody { error }
+    }
+
+    pub(crate) fn into_response(self) -> Response {
+        let answer = self.refusal.kind.answer();
+        // Sending again is only right where nothing ran and coming back can help.
+        let again = answer.outcome == Outcome::NotRun && self.refusal.retry.is_some();
+        let status = StatusCode::from_u16(answer.status).expect("the table holds valid statuses");
+        let mut response = Response::builder()
+            .status(status)
+            .content_type("application/json")
+            .header(OUTCOME, answer.outcome.text())
+            .header(SHOULD_RETRY, if again { "true" } else { "false" });
+        if let Some(retry) = self.refusal.retry {
+            response = response
+                .header(header::RETRY_AFTER, whole_seconds(retry).to_string())
+                .header(RETRY_AFTER_MS, retry.as_millis().to_string());
+        }
+        if let Some(request) = self.request {
+            response = response.header(REQUEST_ID, request.to_string());
+        }
+        if answer.status == 408 {
+            response = response.header(header::CONNECTION, "close");
+        }
+        let body = serde_json::to_vec(&self.body()).expect("an error body is JSON");
+        response.body(Body::from(body))
+    }
+}
+
+/// `Retry-After` knows whole seconds only; rounding down would call callers back too early.
+fn whole_seconds(time: Duration) -> u64 {
+    time.as_millis().div_ceil(1000).max(1) as u64
+}
+
+/// A kept answer.
+pub(crate) fn replayed(stored: Stored, request: Option<RequestId>) -> Response {
+    let status = StatusCode::from_u16(stored.status).unwrap_or(StatusCode::OK);
+    let mut response =
+        Response::builder().status(status).content_type(&stored.content).header(REPLAYED, "true");
+    if let Some(request) = request {
+        response = response.header(REQUEST_ID, request.to_string());
+    }
+    response.body(Body::from(stored.body))
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -18,4 +18,4 @@
     Class, Configuration, Domain, Endpoint, EndpointState, Link, Load, Model, Policy, Pool, Role, Service, Site,
     Team,
 };
-pub use settings::{Keys, Limits, Listeners, Settings};
+pub use settings::{Keys, Limits, Listeners, Seed, Settings};
--- a/crates/settings/src/settings.rs
+++ b/crates/settings/src/settings.rs
@@ -23,9 +23,9 @@
     /// Addresses of the platform's configuration service, tried in turn.
     #[schemars(length(min = 1))]
     pub platform: Vec<SocketAddr>,
-    /// Peer addresses to ask when the platform cannot be reached at the start.
+    /// Peers to ask when the platform cannot be reached at the start.
     #[serde(default)]
-    pub seeds: Vec<SocketAddr>,
+    pub seeds: Vec<Seed>,
     /// Keys for the connections between instances.
     pub keys: Keys,
     /// Bounds on what callers may take.
@@ -33,6 +33,17 @@
     pub limits: Limits,
 }
 
+/// A peer that is known from the settings alone.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Seed {
+    /// Name of the instance, as in its certificate.
+    #[schemars(length(min = 1))]
+    pub name: String,
+    /// Its address for peers.
+    pub address: SocketAddr,
+}
+
 /// Listening addresses of one instance.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
@@ -67,6 +78,12 @@
     /// Requests in progress at once.
     #[schemars(range(min = 1, max = 1_000_000))]
     pub requests: usize,
+    /// Connections of callers at once; more are closed at once.
+    #[schemars(range(min = 1, max = 1_000_000))]
+    pub connections: usize,
+    /// How long a connection may stand idle, in milliseconds.
+    #[schemars(range(min = 100, max = 86_400_000))]
+    pub idle_ms: u64,
     /// How long a caller may take to send its request, in milliseconds.
     #[schemars(range(min = 100, max = 600_000))]
     pub receive_ms: u64,
@@ -80,6 +97,14 @@
 
 impl Default for Limits {
     fn default() -> Self {
-        Self { body: 8 << 20, requests: 4096, receive_ms: 10_000, deadline_ms: 300_000, drain_ms: 600_000 }
+        Self {
+            body: 8 << 20,
+            requests: 4096,
+            connections: 12_000,
+            idle_ms: 60_000,
+            receive_ms: 10_000,
+            deadline_ms: 300_000,
+            drain_ms: 600_000,
+        }
     }
 }
--- /dev/null
+++ b/crates/standin/src/commands/ask.rs
@@ -0,0 +1,172 @@
+//! `ask`: a caller that sends the first users' kinds of work and checks every answer.
+
+use std::time::{Duration, Instant};
+
+use gumdrop::Options;
+use reqwest::{Client, Response, StatusCode};
+use serde_json::{Value, json};
+use teaselshunt_standin::answer;
+
+use super::CommandError;
+
+/// How long to wait for the instances to be ready.
+const READY: Duration = Duration::from_secs(30);
+/// Tokens of an answer at most.
+const LIMIT: u32 = 200;
+const JOB_SHEET: &str = "Job sheet 1183, crusher BR-07, quarry Serra Branca: jaw plates worn to 40%, belt 3 \
+    slipped twice, oil at 82 C after four hours, stopped at 15:10 to clear a blocked chute. Summarise for the \
+    municipal road crew.";
+
+#[derive(Debug, Options)]
+pub(crate) struct Arguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(free, help = "callers' addresses of entry instances, IP:PORT")]
+    instances: Vec<String>,
+    #[options(required, help = "model for long work that can wait")]
+    long: String,
+    #[options(required, help = "model for quick lookups")]
+    quick: String,
+    #[options(required, help = "service for calls that may not be repeated")]
+    service: String,
+}
+
+pub(crate) async fn run(arguments: Arguments) -> Result<(), CommandError> {
+    if arguments.instances.is_empty() {
+        return Err(wrong("no address of an instance was given"));
+    }
+    let caller = Caller { client: Client::builder().no_proxy().build()? };
+    for instance in &arguments.instances {
+        caller.wait_ready(instance).await?;
+    }
+    for instance in &arguments.instances {
+        caller.summarise(instance, &arguments.long).await?;
+        caller.look_up(instance, &arguments.quick).await?;
+        caller.book(instance, &arguments.service).await?;
+    }
+    caller.retry_elsewhere(&arguments.instances, &arguments.service).await
+}
+
+fn wrong(text: impl Into<String>) -> CommandError {
+    CommandError::Wrong(text.into())
+}
+
+struct Caller {
+    client: Client,
+}
+
+impl Caller {
+    async fn wait_ready(&self, instance: &str) -> Result<(), CommandError> {
+        let start = Instant::now();
+        loop {
+            let models = self.client.get(format!("http://{instance}/v1/models")).send().await;
+            if let Ok(response) = models
+                && let Ok(list) = response.json::<Value>().await
+                && list["data"].as_array().is_some_and(|d| !d.is_empty())
+            {
+                return Ok(());
+            }
+            if start.elapsed() > READY {
+                return Err(wrong(format!("{instance} is not ready after {READY:?}")));
+            }
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    }
+
+    /// A job sheet, whole.
+    async fn summarise(&self, instance: &str, model: &str) -> Result<(), CommandError> {
+        let body = json!({ "model": model, "prompt": JOB_SHEET, "max_tokens": LIMIT });
+        let url = format!("http://{instance}/v1/completions");
+        let response = self.patiently(|| self.client.post(&url).json(&body).send()).await?;
+        let reply: Value = response.json().await?;
+        let text = reply["choices"][0]["text"].as_str().unwrap_or_default();
+        check("summary", instance, text, &answer(JOB_SHEET, LIMIT))
+    }
+
+    /// A desk lookup, streamed.
+    async fn look_up(&self, instance: &str, model: &str) -> Result<(), CommandError> {
+        let question = format!("Is crusher BR-12 free on 9 December? Desk {instance}.");
+        let messages = json!([{ "role": "user", "content": question }]);
+        let body = json!({ "model": model, "messages": messages, "max_tokens": LIMIT, "stream": true });
+        let url = format!("http://{instance}/v1/chat/completions");
+        let response = self.patiently(|| self.client.post(&url).json(&body).send()).await?;
+        let events = response.text().await?;
+        let mut text = String::new();
+        let mut done = false;
+        for data in events.lines().filter_map(|l| l.strip_prefix("data: ")) {
+            if data == "[DONE]" {
+                done = true;
+                continue;
+            }
+            let event: Value = serde_json::from_str(data)?;
+            text.push_str(event["choices"][0]["delta"]["content"].as_str().unwrap_or_default());
+        }
+        if !done {
+            return Err(wrong(format!("{instance}: the stream of a lookup has no end")));
+        }
+        check("lookup", instance, &text, &answer(&format!("user: {question}\n"), LIMIT))
+    }
+
+    /// A booking, which must not run twice.
+    async fn book(&self, instance: &str, service: &str) -> Result<(), CommandError> {
+        let url = format!("http://{instance}/services/{service}/bookings");
+        let order = json!({ "machine": "BR-12", "days": 2, "desk": instance }).to_string();
+        let response = self.patiently(|| self.client.post(&url).body(order.clone()).send()).await?;
+        let reply: Value = response.json().await?;
+        println!("booking   {instance}: number {}", reply["number"]);
+        check("booking", instance, reply["call"]["body"].as_str().unwrap_or_default(), &order)
+    }
+
+    /// The same keyed booking through two instances: the second gets the first one's answer.
+    async fn retry_elsewhere(&self, instances: &[String], service: &str) -> Result<(), CommandError> {
+        let order = json!({ "machine": "BR-03", "days": 1 }).to_string();
+        let key = format!("quickstart-{}", std::process::id());
+        let mut numbers = Vec::new();
+        for instance in instances {
+            let url = format!("http://{instance}/services/{service}/bookings");
+            let call = || self.client.post(&url).header("Idempotency-Key", &key).body(order.clone()).send();
+            let reply: Value = self.patiently(call).await?.json().await?;
+            numbers.push(reply["number"].clone());
+        }
+        println!("booking   with one key through {} instances: numbers {numbers:?}", instances.len());
+        if numbers.windows(2).any(|pair| pair[0] != pair[1]) {
+            return Err(wrong("a booking with an idempotency key ran twice"));
+        }
+        Ok(())
+    }
+
+    /// Comes back when told to, for as long as the start of a fleet may take.
+    async fn patiently<F, R>(&self, call: F) -> Result<Response, CommandError>
+    where
+        F: Fn() -> R,
+        R: Future<Output = reqwest::Result<Response>>,
+    {
+        let start = Instant::now();
+        loop {
+            let response = call().await?;
+            if response.status() == StatusCode::SERVICE_UNAVAILABLE && start.elapsed() < READY {
+                let after = response.headers().get("retry-after").and_then(|v| v.to_str().ok()?.parse().ok());
+                tokio::time::sleep(Duration::from_secs(after.unwrap_or(1))).await;
+                continue;
+            }
+            return whole(response).await;
+        }
+    }
+}
+
+async fn whole(response: Response) -> Result<Response, CommandError> {
+    let status = response.status();
+    if status.is_success() {
+        return Ok(response);
+    }
+    let text = response.text().await?;
+    Err(wrong(format!("status {status}: {text}")))
+}
+
+fn check(what: &str, instance: &str, got: &str, expected: &str) -> Result<(), CommandError> {
+    if got != expected {
+        return Err(wrong(format!("{instance}: the {what} is not exact:\n got {got:?}\nwant {expected:?}")));
+    }
+    println!("{what:9} {instance}: exact, {} bytes: {:.60}...", got.len(), got);
+    Ok(())
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,19 @@
-//! x
+//! Small stand-ins for what the system meets: engines, plain services, the platform, and a network between.
+//!
+//! They follow the published protocols of docs/ENGINE.md and docs/PLATFORM.md and no more, for tests, the
+//! quickstart and experiments. They run inside a test process or as processes of their own, and do faults on
+//! command. What an engine generates is a function of prompt and offset ([`token`]), so that whoever looks
+//! can tell whether a caller got exactly its own whole answer.
+
+mod content;
+mod engine;
+mod platform;
+mod relay;
+mod server;
+mod service;
+
+pub use content::{answer, length, token};
+pub use engine::{Engine, EngineOptions, Faults};
+pub use platform::Platform;
+pub use relay::Relay;
+pub use service::{Execution, Service, ServiceFaults};
--- /dev/null
+++ b/crates/standin/src/platform.rs
@@ -0,0 +1,204 @@
+//! A stand-in of the platform: numbered configurations and the list of instances, to be read and watched.
+//!
+//! Operators' patches are accepted here against a base version; the system itself never writes.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use poem::http::StatusCode;
+use poem::web::{Data, Json, Query};
+use poem::{EndpointExt, IntoResponse, Response, Route, get, handler};
+use serde::Deserialize;
+use serde_json::Value;
+use teaselshunt_settings::parse_configuration;
+use teaselshunt_wire::platform::{CONFIGURATION, INSTANCES, Patch, PatchAnswer};
+use tokio::sync::watch;
+
+use crate::server::Running;
+
+#[derive(Debug, Clone)]
+struct Document {
+    number: u64,
+    text: String,
+}
+
+#[derive(Debug)]
+struct State {
+    configuration: watch::Sender<Document>,
+    instances: watch::Sender<Document>,
+    outage: watch::Sender<bool>,
+    /// What a replica that lags answers, while it does.
+    stale: Mutex<Option<Document>>,
+    calls: Mutex<u64>,
+}
+
+/// A running stand-in.
+#[derive(Debug)]
+pub struct Platform {
+    state: Arc<State>,
+    running: Running,
+}
+
+impl Platform {
+    /// Starts a platform on `address`, port 0 for any, that publishes the JSON text of a configuration.
+    ///
+    /// # Errors
+    /// The address cannot be listened on.
+    pub async fn start(address: SocketAddr, configuration: &str) -> std::io::Result<Self> {
+        let state = Arc::new(State {
+            configuration: watch::Sender::new(Document {
+                number: version(configuration),
+                text: configuration.to_owned(),
+            }),
+            instances: watch::Sender::new(Document { number: 0, text: String::new() }),
+            outage: watch::Sender::new(false),
+            stale: Mutex::new(None),
+            calls: Mutex::new(0),
+        });
+        let route = Route::new()
+            .at(CONFIGURATION, get(read_configuration).post(take_patch))
+            .at(INSTANCES, get(read_instances).post(post_instances))
+            .at("/outage", poem::post(set_outage))
+            .data(Arc::clone(&state));
+        let running = Running::start(address, route).await?;
+        Ok(Self { state, running })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.running.address
+    }
+
+    /// Publishes a configuration, checked or not, whatever its number.
+    pub fn publish(&self, text: &str) {
+        self.state.configuration.send_replace(Document { number: version(text), text: text.to_owned() });
+    }
+
+    /// Publishes a list of instances.
+    pub fn publish_instances(&self, revision: u64, text: &str) {
+        self.state.instances.send_replace(Document { number: revision, text: text.to_owned() });
+    }
+
+    /// Answers nothing while `down`.
+    pub fn set_outage(&self, down: bool) {
+        self.state.outage.send_replace(down);
+    }
+
+    /// Answers reads of the configuration with this text, as a replica that lags would.
+    pub fn set_stale(&self, text: Option<&str>) {
+        let document = text.map(|t| Document { number: version(t), text: t.to_owned() });
+        *lock(&self.state.stale) = document;
+        // Waiting watches end, and are answered anew.
+        self.state.configuration.send_modify(|_| {});
+    }
+
+    /// Calls so far, a waiting watch counted as one.
+    pub fn calls(&self) -> u64 {
+        *lock(&self.state.calls)
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn version(text: &str) -> u64 {
+    let value: Option<Value> = serde_json::from_str(text).ok();
+    value.and_then(|v| v["version"].as_u64()).unwrap_or(0)
+}
+
+#[derive(Debug, Deserialize)]
+struct Watch {
+    #[serde(default)]
+    after: u64,
+    #[serde(default)]
+    wait_ms: u64,
+}
+
+/// Answers with the document once its number is higher, or with 204 when the wait is over.
+async fn answer(state: &State, source: &watch::Sender<Document>, query: &Watch) -> Response {
+    *lock(&state.calls) += 1;
+    if *state.outage.borrow() {
+        // An outage is silence, not an error.
+        let mut outage = state.outage.subscribe();
+        let over = outage.wait_for(|down| !down).await.is_ok();
+        return if over { StatusCode::SERVICE_UNAVAILABLE.into_response() } else { StatusCode::GONE.into_response() };
+    }
+    let mut changes = source.subscribe();
+    let mut outage = state.outage.subscribe();
+    let newer = changes.wait_for(|d| d.number > query.after);
+    tokio::select! {
+        document = newer => match document {
+            Ok(document) => document.text.clone().into_response(),
+            Err(_) => StatusCode::GONE.into_response(),
+        },
+        _ = outage.wait_for(|down| *down) => StatusCode::SERVICE_UNAVAILABLE.into_response(),
+        () = tokio::time::sleep(Duration::from_millis(query.wait_ms)) => StatusCode::NO_CONTENT.into_response(),
+    }
+}
+
+#[handler]
+async fn read_configuration(Data(state): Data<&Arc<State>>, Query(query): Query<Watch>) -> Response {
+    let stale = lock(&state.stale).clone();
+    if let Some(document) = stale {
+        *lock(&state.calls) += 1;
+        return document.text.into_response();
+    }
+    answer(state, &state.configuration, &query).await
+}
+
+#[handler]
+async fn read_instances(Data(state): Data<&Arc<State>>, Query(query): Query<Watch>) -> Response {
+    answer(state, &state.instances, &query).await
+}
+
+#[handler]
+fn post_instances(Data(state): Data<&Arc<State>>, Json(list): Json<Value>) -> Response {
+    let number = list["revision"].as_u64().unwrap_or(0);
+    state.instances.send_replace(Document { number, text: list.to_string() });
+    StatusCode::OK.into_response()
+}
+
+#[handler]
+fn set_outage(Data(state): Data<&Arc<State>>, Json(down): Json<bool>) {
+    state.outage.send_replace(down);
+}
+
+/// An operator's patch: taken only against the version published now, and only if the result checks.
+#[handler]
+fn take_patch(Data(state): Data<&Arc<State>>, Json(patch): Json<Patch>) -> Response {
+    let mut outcome = Err(String::new());
+    let mut version = 0;
+    state.configuration.send_if_modified(|document| {
+        version = document.number;
+        outcome = patched(document, &patch);
+        let Ok(next) = &outcome else {
+            return false;
+        };
+        *document = next.clone();
+        version = document.number;
+        true
+    });
+    match outcome {
+        Ok(_) => Json(PatchAnswer { version, error: None }).into_response(),
+        Err(error) => {
+            Json(PatchAnswer { version, error: Some(error) }).with_status(StatusCode::CONFLICT).into_response()
+        }
+    }
+}
+
+fn patched(document: &Document, patch: &Patch) -> Result<Document, String> {
+    if patch.base != document.number {
+        return Err(format!("the patch is against version {}, but {} is published", patch.base, document.number));
+    }
+    let mut value: Value = serde_json::from_str(&document.text).map_err(|e| e.to_string())?;
+    let operations: json_patch::Patch =
+        serde_json::from_value(patch.patch.clone()).map_err(|e| e.to_string())?;
+    json_patch::patch(&mut value, &operations).map_err(|e| e.to_string())?;
+    let number = document.number + 1;
+    value["version"] = number.into();
+    let text = value.to_string();
+    parse_configuration(&text).map_err(|e| e.to_string())?;
+    Ok(Document { number, text })
+}
--- /dev/null
+++ b/crates/wire/src/peer.rs
@@ -0,0 +1,24 @@
+//! Codec of the messages between instances: one message a QUIC stream, in postcard.
+
+use teaselshunt_core::Message;
+
+/// Largest message; a configuration of a megabyte and its envelope fit.
+pub const MESSAGE_MAX: usize = 4 << 20;
+
+/// Bytes from a peer that are not a message.
+#[derive(Debug, thiserror::Error)]
+#[error("not a message of this protocol: {0}")]
+pub struct Garbled(#[from] postcard::Error);
+
+/// Encodes a message.
+pub fn encode(message: &Message) -> Vec<u8> {
+    postcard::to_stdvec(message).expect("every message can be encoded")
+}
+
+/// Decodes a message.
+///
+/// # Errors
+/// The bytes are not a message.
+pub fn decode(bytes: &[u8]) -> Result<Message, Garbled> {
+    Ok(postcard::from_bytes(bytes)?)
+}
