Let idempotency keys that tell their age be granted soon after a start

Cause: a home that started less than the horizon (15 minutes) ago cannot know what its former life granted, so it answered 'unknown' to every key; the quickstart's keyed booking never ran. Ruled out: asking the runner-up alone (it has just started too), and trusting an empty fleet (a power loss looks the same). Now a key that is a UUID of version 7 tells when it was made, and needs no inquiry of homes that lost their place before that. Before: refused for 900 s after a cold start. Keys that do not tell behave as before.

--- a/crates/core/src/claims.rs
+++ b/crates/core/src/claims.rs
@@ -11,7 +11,7 @@
 use crate::instance::Instance;
 use crate::message::{ClaimAnswer, Fate, Message};
 use crate::requests::{Phase, Request};
-use crate::{IdempotencyKey, InstanceId, RequestId, Ticket};
+use crate::{IdempotencyKey, InstanceId, Keyed, RequestId, Ticket};
 
 /// How long the home has to answer, inquiries among homes included.
 const CLAIM: Duration = Duration::from_millis(1_500);
@@ -27,7 +27,7 @@
 
     fn ask_home(&mut self, now: Instant, key: RequestKey, out: &mut Vec<Effect>) {
         let request = self.requests.get(key);
-        let Some(idempotency) = request.key else {
+        let Some(Keyed { key: idempotency, born }) = request.key else {
             return;
         };
         let id = request.id;
@@ -35,7 +35,7 @@
             return;
         };
         let revision = self.members.revision();
-        self.deliver(now, home, Message::Claim { key: idempotency, request: id, revision }, out);
+        self.deliver(now, home, Message::Claim { key: idempotency, request: id, revision, born }, out);
     }
 
     /// The home answered.
@@ -121,7 +121,7 @@
 
     /// Tells the home what became of a request that held a claim.
     pub(crate) fn settle(&mut self, now: Instant, request: &Request, fate: Fate, out: &mut Vec<Effect>) {
-        let Some(key) = request.key else {
+        let Some(Keyed { key, .. }) = request.key else {
             return;
         };
         let Some(home) = self.grants.remove(&request.id) else {
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 use teaselshunt_settings::{Configuration, parse_configuration};
 
-use crate::{AttemptId, EndpointId, IdempotencyKey, InstanceId, Message, Refusal, RequestId, Ticket};
+use crate::{AttemptId, EndpointId, InstanceId, Keyed, Message, Refusal, RequestId, Ticket};
 
 /// Something that happened.
 #[derive(Debug, Clone)]
@@ -148,7 +148,7 @@
     /// Most tokens to generate.
     pub limit: u32,
     /// Idempotency key, if the caller gave one.
-    pub key: Option<IdempotencyKey>,
+    pub key: Option<Keyed>,
     /// Time from arrival after which the caller has no use for the answer.
     pub deadline: Duration,
 }
@@ -161,7 +161,7 @@
     /// HTTP method, upper case.
     pub method: String,
     /// Idempotency key, if the caller gave one.
-    pub key: Option<IdempotencyKey>,
+    pub key: Option<Keyed>,
     /// Time from arrival after which the caller has no use for the answer.
     pub deadline: Duration,
 }
--- a/crates/core/src/homes.rs
+++ b/crates/core/src/homes.rs
@@ -19,6 +19,10 @@
 //!    which would have been home without it, and takes no record for an answer only from one that has been
 //!    here for the whole horizon.
 //!
+//! 6. A key that tells when it was made (a UUID of version 7) needs no inquiry of an earlier home whose last
+//!    possible grant lies before that: after a restart or a change of the list only keys that were made
+//!    earlier, or do not tell, meet an "unknown".
+//!
 //! What remains open is stated in docs/AT-MOST-ONCE.md: an asker that is frozen between the check of its grant
 //! and the write to the endpoint for longer than the horizon, and a list of which more than half the members
 //! are replaced inside one cut.
@@ -45,6 +49,18 @@
     at: Instant,
 }
 
+/// A claim as it arrived.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Claim {
+    /// Who asks; this instance itself for its own callers.
+    pub(crate) from: InstanceId,
+    pub(crate) request: RequestId,
+    /// List revision of the asker.
+    pub(crate) revision: u64,
+    /// When the key was made, in milliseconds since the Unix epoch, if it tells.
+    pub(crate) born: Option<u64>,
+}
+
 /// A claim that waits for earlier homes.
 #[derive(Debug)]
 struct Inquiry {
@@ -59,7 +75,11 @@
 pub(crate) struct Homes {
     me: InstanceId,
     started: Instant,
+    /// The start in milliseconds since the Unix epoch.
+    epoch: u64,
     horizon: Duration,
+    /// How far a caller's clock may be ahead.
+    skew: Duration,
     entries: HashMap<IdempotencyKey, Entry>,
     order: std::collections::VecDeque<(Instant, IdempotencyKey)>,
     bytes: usize,
@@ -85,11 +105,13 @@
 }
 
 impl Homes {
-    pub(crate) fn new(me: InstanceId, started: Instant, horizon: Duration) -> Self {
+    pub(crate) fn new(me: InstanceId, (started, epoch): (Instant, u64), horizon: Duration) -> Self {
         Self {
             me,
             started,
+            epoch,
             horizon,
+            skew: Duration::ZERO,
             entries: HashMap::new(),
             order: std::collections::VecDeque::new(),
             bytes: 0,
@@ -100,8 +122,9 @@
         }
     }
 
-    pub(crate) fn set_horizon(&mut self, horizon: Duration) {
+    pub(crate) fn set_terms(&mut self, horizon: Duration, skew: Duration) {
         self.horizon = horizon;
+        self.skew = skew;
     }
 
     pub(crate) fn horizon(&self) -> Duration {
@@ -138,16 +161,14 @@
         (self.fresh(now) && members.established()) || members.unanimous(since)
     }
 
-    /// A claim of `from`, which is this instance itself for its own callers.
     pub(crate) fn claim(
         &mut self,
         now: Instant,
         members: &Members,
-        from: InstanceId,
         key: IdempotencyKey,
-        request: RequestId,
-        revision: u64,
+        claim: Claim,
     ) -> Replies {
+        let Claim { from, request, revision, born } = claim;
         let mut replies = Replies::default();
         if revision != members.revision() {
             replies.answer(from, key, request, ClaimAnswer::Revision(members.revision()));
@@ -165,7 +186,7 @@
             inquiry.claims.push((from, request));
             return replies;
         }
-        let open = self.earlier(now, members, key);
+        let open = self.earlier(now, members, key, born);
         let inquiry = Inquiry { claims: vec![(from, request)], open, until: now + INQUIRY };
         self.ask(members, key, &inquiry, &mut replies);
         self.inquiries.insert(key, inquiry);
@@ -174,14 +195,24 @@
     }
 
     /// Earlier homes that must be heard before the key may be granted; steps 2 and 5.
-    fn earlier(&self, now: Instant, members: &Members, key: IdempotencyKey) -> BTreeMap<InstanceId, bool> {
+    fn earlier(
+        &self,
+        now: Instant,
+        members: &Members,
+        key: IdempotencyKey,
+        born: Option<u64>,
+    ) -> BTreeMap<InstanceId, bool> {
         let mut open = BTreeMap::new();
-        for home in members.former_homes(key) {
+        for (home, replaced) in members.former_homes(key) {
+            if self.made_after(born, replaced) {
+                continue;
+            }
             if home != self.me && !self.handed.contains_key(&home) {
                 open.insert(home, false);
             }
         }
         if now.duration_since(self.started) < self.horizon
+            && !self.made_after(born, self.started)
             && let Some(home) = members.runner_up(key)
         {
             open.insert(home, true);
@@ -189,6 +220,14 @@
         open
     }
 
+    /// Whether a key was made after the last moment at which a home that lost its place `at` can have granted
+    /// it: its tenure may have lasted a while longer, and the caller's clock may be ahead.
+    fn made_after(&self, born: Option<u64>, at: Instant) -> bool {
+        let lost = self.epoch + at.duration_since(self.started).as_millis() as u64;
+        let margin = (TENURE + self.skew).as_millis() as u64;
+        born.is_some_and(|born| born > lost + margin)
+    }
+
     fn ask(&self, members: &Members, key: IdempotencyKey, inquiry: &Inquiry, replies: &mut Replies) {
         let revision = members.revision();
         for &home in inquiry.open.keys() {
@@ -263,7 +302,7 @@
         // instance is not the home any more, and `conclude` checks that.
         let full = now.duration_since(self.started) >= self.horizon;
         let former = members.former_homes(key);
-        let complete = full && former.iter().all(|&h| h == self.me || self.handed.contains_key(&h));
+        let complete = full && former.iter().all(|(h, _)| *h == self.me || self.handed.contains_key(h));
         let record = self.entries.get(&key).map(|e| e.record.clone());
         Message::Inquired { key, revision: ours, record, complete }
     }
@@ -294,6 +333,9 @@
         }
         if record.is_some() || complete || !strict {
             inquiry.open.remove(&from);
+        } else {
+            // Nobody can tell, now or later within the horizon: the caller hears it at once.
+            inquiry.until = now;
         }
         if let Some(record) = record {
             self.put(now, key, record);
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -53,6 +53,18 @@
     }
 }
 
+/// An idempotency key and when it was made, where the key itself tells.
+///
+/// A key in the form of a UUID of version 7 carries the time at which it was made. A home can then tell that
+/// no earlier home can have seen it; of any other key it must assume that it may be as old as the horizon.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Keyed {
+    /// The key.
+    pub key: IdempotencyKey,
+    /// When it was made, in milliseconds since the Unix epoch, by the caller's clock.
+    pub born: Option<u64>,
+}
+
 /// A caller's connection to its request, chosen by whoever drives the instance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Ticket(pub u64);
--- a/crates/core/src/instance.rs
+++ b/crates/core/src/instance.rs
@@ -12,7 +12,7 @@
 use crate::counters::Counters;
 use crate::event::{Audit, Effect, Event, Offer, Report, Source};
 use crate::fleet::{EndpointView, Fleet};
-use crate::homes::{Homes, Replies};
+use crate::homes::{Claim, Homes, Replies};
 use crate::members::{Health, MemberView, Members};
 use crate::message::{Heartbeat, Message};
 use crate::orphans::{Cancels, ended};
@@ -121,7 +121,7 @@
             versions: Versions::new(identity.deployment.clone()),
             members: Members::new(id, identity.domain.clone(), identity.incarnation, now),
             fleet: Fleet::default(),
-            homes: Homes::new(id, now, horizon),
+            homes: Homes::new(id, (now, identity.incarnation), horizon),
             requests: Requests::default(),
             queues: BTreeMap::new(),
             holds: HashMap::new(),
@@ -227,7 +227,8 @@
             return;
         };
         self.fleet.apply(&configuration);
-        self.homes.set_horizon(Duration::from_secs(configuration.policy.horizon_s));
+        let policy = &configuration.policy;
+        self.homes.set_terms(Duration::from_secs(policy.horizon_s), Duration::from_millis(policy.skew_ms));
         out.push(Effect::Audit(Audit::Accepted { version: configuration.version, source }));
         // Neighbours are told at once, so that a version crosses the fleet in hops of milliseconds and also
         // reaches those that cannot read the platform.
@@ -266,8 +267,9 @@
                 self.offered(now, Offer::read(&text), Source::Peer(from), out);
             }
             Message::List(list) => self.listed(now, list, Source::Peer(from), now, out),
-            Message::Claim { key, request, revision } => {
-                let replies = self.homes.claim(now, &self.members, from, key, request, revision);
+            Message::Claim { key, request, revision, born } => {
+                let claim = Claim { from, request, revision, born };
+                let replies = self.homes.claim(now, &self.members, key, claim);
                 self.send_replies(now, replies, out);
             }
             Message::Claimed { key, request, answer } => self.claimed(now, from, key, request, answer, out),
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -43,7 +43,7 @@
     Work,
 };
 pub use fleet::{EndpointView, Fleet};
-pub use ids::{AttemptId, EndpointId, IdempotencyKey, InstanceId, RequestId, Ticket};
+pub use ids::{AttemptId, EndpointId, IdempotencyKey, InstanceId, Keyed, RequestId, Ticket};
 pub use instance::{Identity, Instance, Snapshot};
 pub use members::{Health, MemberView};
 pub use message::{ClaimAnswer, Fate, Heartbeat, Message, Record, Rumour};
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -209,12 +209,11 @@
         highest(key, &homes)
     }
 
-    /// Instances that to this one's knowledge may have been home of a key before the list in use.
-    pub(crate) fn former_homes(&self, key: IdempotencyKey) -> Vec<InstanceId> {
-        let mut homes: Vec<InstanceId> = self.former.iter().filter_map(|f| highest(key, &f.homes)).collect();
-        homes.sort_unstable();
-        homes.dedup();
-        homes
+    /// Instances that to this one's knowledge may have been home of a key before the list in use,
+    /// with the time at which each lost its place for good.
+    pub(crate) fn former_homes(&self, key: IdempotencyKey) -> BTreeMap<InstanceId, Instant> {
+        // Lists are in order of time, so the last place of a home is the one that stays.
+        self.former.iter().filter_map(|f| highest(key, &f.homes).map(|home| (home, f.replaced))).collect()
     }
 
     /// Whether at least half of the others were heard at the list in use or a later one.
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -44,6 +44,8 @@
         request: RequestId,
         /// The list revision by which you are the key's home.
         revision: u64,
+        /// When the key was made, in milliseconds since the Unix epoch, if it tells.
+        born: Option<u64>,
     },
     /// The home's answer to a claim.
     Claimed {
--- a/crates/core/src/requests.rs
+++ b/crates/core/src/requests.rs
@@ -8,7 +8,7 @@
 use slotmap::SlotMap;
 
 use crate::ids::{EndpointKey, RequestKey};
-use crate::{AttemptId, IdempotencyKey, RequestId, Ticket};
+use crate::{AttemptId, Keyed, RequestId, Ticket};
 
 /// Where a request stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -53,7 +53,7 @@
     pub(crate) priority: u8,
     /// Longest wait for a slot.
     pub(crate) wait: Duration,
-    pub(crate) key: Option<IdempotencyKey>,
+    pub(crate) key: Option<Keyed>,
     pub(crate) arrived: Instant,
     pub(crate) deadline: Instant,
     pub(crate) phase: Phase,
@@ -102,7 +102,7 @@
     pub(crate) team: String,
     pub(crate) priority: u8,
     pub(crate) wait: Duration,
-    pub(crate) key: Option<IdempotencyKey>,
+    pub(crate) key: Option<Keyed>,
     pub(crate) deadline: Duration,
 }
 
--- a/crates/daemon/src/callers/headers.rs
+++ b/crates/daemon/src/callers/headers.rs
@@ -4,7 +4,8 @@
 
 use poem::Request;
 use poem::http::HeaderMap;
-use teaselshunt_core::{ErrorKind, IdempotencyKey};
+use teaselshunt_core::{ErrorKind, IdempotencyKey, Keyed};
+use uuid::Uuid;
 
 use super::answer::Rejection;
 
@@ -36,7 +37,7 @@
 #[derive(Debug)]
 pub(crate) struct Terms {
     pub(crate) team: String,
-    pub(crate) key: Option<IdempotencyKey>,
+    pub(crate) key: Option<Keyed>,
     pub(crate) deadline: Duration,
 }
 
@@ -48,7 +49,7 @@
             Some(key) if key.is_empty() || key.len() > KEY_MAX => {
                 return Err(invalid(IDEMPOTENCY, &format!("1 to {KEY_MAX} characters are allowed")));
             }
-            Some(key) => Some(IdempotencyKey::of(&team, key)),
+            Some(key) => Some(Keyed { key: IdempotencyKey::of(&team, key), born: born(key) }),
             None => None,
         };
         let deadline = match text(headers, DEADLINE)? {
@@ -62,6 +63,13 @@
     }
 }
 
+/// When a key was made, if it is a UUID that tells (RFC 9562, version 7).
+fn born(key: &str) -> Option<u64> {
+    let id = Uuid::parse_str(key).ok().filter(|id| id.get_version_num() == 7)?;
+    let (seconds, nanos) = id.get_timestamp()?.to_unix();
+    Some(seconds * 1000 + u64::from(nanos) / 1_000_000)
+}
+
 fn text<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Rejection> {
     let Some(value) = headers.get(name) else {
         return Ok(None);
--- a/crates/settings/src/configuration.rs
+++ b/crates/settings/src/configuration.rs
@@ -237,6 +237,10 @@
     /// How long an idempotency key is remembered, in seconds; callers must not retry later than this.
     #[schemars(range(min = 1, max = 86_400))]
     pub horizon_s: u64,
+    /// How far a caller's clock may be ahead of an instance's, in milliseconds; for idempotency keys that tell
+    /// when they were made.
+    #[schemars(range(max = 600_000))]
+    pub skew_ms: u64,
     /// Prefills that one prefill engine may have running and waiting, per 100 slots; low saves prefill
     /// work at a fault, high keeps the engines busy.
     #[schemars(range(min = 100, max = 1000))]
@@ -254,6 +258,7 @@
             attempts: 4,
             retry_percent: 20,
             horizon_s: 900,
+            skew_ms: 30_000,
             backlog_percent: 150,
             loading_max: 1,
         }
