Test the daemon as processes: paths, bad input, stops, silence, keys, versions

Found while writing them: the HTTP library ends a streamed body whose stream fails as if it were whole, so a stand-in that meant to break its connection did not; stand-ins now break by promising more bytes than they send, and the router never passes a part of a service's answer on. A prefill engine that evicted a result is not tried again for the same request while there are others.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -238,7 +238,9 @@
     /// Reads a version from its JSON text.
     pub fn read(text: &str) -> Self {
         match parse_configuration(text) {
-            Ok(configuration) => Self::Valid { configuration: Arc::new(configuration), text: Arc::from(text) },
+            Ok(configuration) => {
+                Self::Valid { configuration: Arc::new(configuration), text: Arc::from(text) }
+            }
             Err(mistakes) => Self::Invalid { version: None, mistakes: mistakes.to_string() },
         }
     }
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -246,7 +246,8 @@
             let room = u64::from(entry.load()) * 100 < u64::from(entry.slots) * u64::from(need.percent);
             entry.usable(now) && room && !need.tried.contains(k) && self.share(&entry.site) > 0
         };
-        let fitting: Vec<EndpointKey> = self.group(need.pool, need.role).iter().copied().filter(fits).collect();
+        let fitting: Vec<EndpointKey> =
+            self.group(need.pool, need.role).iter().copied().filter(fits).collect();
         let site = self.draw_site(&fitting, rng)?;
         let within: Vec<EndpointKey> =
             fitting.into_iter().filter(|&k| self.endpoints[k].site == site).collect();
--- a/crates/core/src/flow.rs
+++ b/crates/core/src/flow.rs
@@ -227,7 +227,13 @@
         true
     }
 
-    fn start_call(&mut self, now: Instant, key: RequestKey, timeout: Duration, out: &mut Vec<Effect>) -> bool {
+    fn start_call(
+        &mut self,
+        now: Instant,
+        key: RequestKey,
+        timeout: Duration,
+        out: &mut Vec<Effect>,
+    ) -> bool {
         let Some(endpoint) = self.choose(now, key, Role::Service) else {
             return false;
         };
@@ -414,8 +420,12 @@
         request.offset = offset;
         match request.phase {
             Phase::Claiming | Phase::Waiting => {}
-            Phase::Prefilling { prefill, decode } => self.prefill_failed(now, key, (prefill, decode), fault, out),
-            Phase::Importing { prefill, decode } => self.import_failed(now, key, (prefill, decode), fault, out),
+            Phase::Prefilling { prefill, decode } => {
+                self.prefill_failed(now, key, (prefill, decode), fault, out)
+            }
+            Phase::Importing { prefill, decode } => {
+                self.import_failed(now, key, (prefill, decode), fault, out)
+            }
             Phase::Decoding { decode } => self.decode_failed(now, key, decode, fault, out),
             Phase::Calling { endpoint } => self.call_failed(now, key, endpoint, fault, out),
         }
@@ -452,7 +462,9 @@
         out: &mut Vec<Effect>,
     ) {
         let attempt = self.requests.get(key).attempt();
-        if fault != Fault::Evicted {
+        if fault == Fault::Evicted {
+            self.requests.get_mut(key).tried.push(prefill);
+        } else {
             self.blame(now, decode, fault, out);
             self.requests.get_mut(key).tried.push(decode);
         }
--- a/crates/core/src/homes.rs
+++ b/crates/core/src/homes.rs
@@ -270,13 +270,7 @@
     }
 
     /// What became of a grant.
-    pub(crate) fn settle(
-        &mut self,
-        now: Instant,
-        key: IdempotencyKey,
-        request: RequestId,
-        fate: Fate,
-    ) {
+    pub(crate) fn settle(&mut self, now: Instant, key: IdempotencyKey, request: RequestId, fate: Fate) {
         let held = self.entries.get(&key).is_some_and(|e| e.record == Record::Granted(request));
         if !held {
             return;
@@ -292,7 +286,13 @@
     }
 
     /// A later home asks for a record.
-    pub(crate) fn inquire(&mut self, now: Instant, members: &Members, key: IdempotencyKey, revision: u64) -> Message {
+    pub(crate) fn inquire(
+        &mut self,
+        now: Instant,
+        members: &Members,
+        key: IdempotencyKey,
+        revision: u64,
+    ) -> Message {
         let ours = members.revision();
         if ours == revision && members.home(key) == Some(self.me) {
             // Two lists under one revision: the platform broke its word. Neither side may grant.
@@ -408,7 +408,8 @@
             let mut chunks: Vec<Vec<(IdempotencyKey, Record)>> =
                 records.chunks(HANDOVER).map(<[_]>::to_vec).collect();
             let final_chunk = chunks.pop().unwrap_or_default();
-            messages.extend(chunks.into_iter().map(|records| (home, Message::Handover { records, last: false })));
+            messages
+                .extend(chunks.into_iter().map(|records| (home, Message::Handover { records, last: false })));
             messages.push((home, Message::Handover { records: final_chunk, last: true }));
         }
         messages
@@ -455,9 +456,9 @@
 
 /// Whether the process that holds a grant has ended, so that nobody will settle it.
 fn gone(members: &Members, holder: RequestId) -> bool {
-    members.get(holder.instance).is_some_and(|m| {
-        m.incarnation > holder.incarnation || matches!(m.health, Health::Dead(_))
-    })
+    members
+        .get(holder.instance)
+        .is_some_and(|m| m.incarnation > holder.incarnation || matches!(m.health, Health::Dead(_)))
 }
 
 fn size(record: &Record) -> usize {
--- a/crates/core/src/instance.rs
+++ b/crates/core/src/instance.rs
@@ -331,7 +331,8 @@
             return;
         }
         let name: Arc<str> = Arc::from(name);
-        let mut send = |message| out.push(Effect::Send { to: from, name: Arc::clone(&name), address, message });
+        let mut send =
+            |message| out.push(Effect::Send { to: from, name: Arc::clone(&name), address, message });
         if let Some(text) = self.versions.text().filter(|_| self.versions.number() > version) {
             send(Message::Configuration { text: text.to_string() });
         }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -37,14 +37,14 @@
 mod versions;
 
 pub use clock::{Clock, ManualClock, SystemClock};
+pub use counters::{ClassCounters, Counters};
 pub use error::{Answer, ErrorKind, Outcome, Refusal};
 pub use event::{
-    Audit, Call, Effect, Entry, Event, Fault, Generate, Listed, Offer, Report, Running, Source, Stored, Target,
-    Work,
+    Audit, Call, Effect, Entry, Event, Fault, Generate, Listed, Offer, Report, Running, Source, Stored,
+    Target, Work,
 };
 pub use fleet::{EndpointView, Fleet};
 pub use ids::{AttemptId, EndpointId, IdempotencyKey, InstanceId, Keyed, RequestId, Ticket};
 pub use instance::{Identity, Instance, Snapshot};
 pub use members::{Health, MemberView};
 pub use message::{ClaimAnswer, Fate, Heartbeat, Message, Record, Rumour};
-pub use counters::{ClassCounters, Counters};
--- a/crates/core/src/orphans.rs
+++ b/crates/core/src/orphans.rs
@@ -70,7 +70,13 @@
 
 /// Whether the process that owned a try has ended, to the knowledge of this one. `fresh` says whether the
 /// list was read from the platform lately.
-pub(crate) fn ended(now: Instant, members: &Members, owner: InstanceId, incarnation: u64, fresh: bool) -> bool {
+pub(crate) fn ended(
+    now: Instant,
+    members: &Members,
+    owner: InstanceId,
+    incarnation: u64,
+    fresh: bool,
+) -> bool {
     let Some(member) = members.get(owner) else {
         // An owner that was never listed may be too new for a list that lags; it is left alone.
         return fresh && members.dropped_for(now, owner).is_some_and(|d| d > GRACE);
--- a/crates/core/src/requests.rs
+++ b/crates/core/src/requests.rs
@@ -80,9 +80,10 @@
     pub(crate) fn may_have_run(&self) -> bool {
         match self.phase {
             Phase::Claiming | Phase::Waiting => self.touched,
-            Phase::Prefilling { .. } | Phase::Importing { .. } | Phase::Decoding { .. } | Phase::Calling { .. } => {
-                true
-            }
+            Phase::Prefilling { .. }
+            | Phase::Importing { .. }
+            | Phase::Decoding { .. }
+            | Phase::Calling { .. } => true,
         }
     }
 
--- a/crates/ctl/src/commands/mod.rs
+++ b/crates/ctl/src/commands/mod.rs
@@ -22,8 +22,8 @@
     Usage(String),
     #[error("{address} cannot be asked: {error}")]
     Unreachable { address: SocketAddr, error: reqwest::Error },
-    #[error("keys cannot be made: {0}")]
-    Keys(#[from] rcgen::Error),
+    #[error(transparent)]
+    Keys(#[from] teaselshunt_ctl::KeyError),
 }
 
 impl Failure {
@@ -80,7 +80,9 @@
 async fn get(address: SocketAddr, path: &str) -> Result<reqwest::Response, Failure> {
     let client = client(address)?;
     let asked = client.get(format!("http://{address}{path}")).send().await;
-    asked.and_then(reqwest::Response::error_for_status).map_err(|error| Failure::Unreachable { address, error })
+    asked
+        .and_then(reqwest::Response::error_for_status)
+        .map_err(|error| Failure::Unreachable { address, error })
 }
 
 fn client(address: SocketAddr) -> Result<reqwest::Client, Failure> {
--- a/crates/ctl/src/commands/status.rs
+++ b/crates/ctl/src/commands/status.rs
@@ -111,7 +111,8 @@
                 obstacles.push(format!("{} still takes new work at {}", endpoint.name, status.instance));
             }
             if endpoint.own > 0 {
-                obstacles.push(format!("{} has {} requests of {}", endpoint.name, endpoint.own, status.instance));
+                obstacles
+                    .push(format!("{} has {} requests of {}", endpoint.name, endpoint.own, status.instance));
             }
         }
     }
--- a/crates/daemon/src/acceptor.rs
+++ b/crates/daemon/src/acceptor.rs
@@ -67,7 +67,11 @@
 }
 
 impl AsyncRead for Connection {
-    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
         Pin::new(&mut self.stream).poll_read(cx, buf)
     }
 }
--- a/crates/daemon/src/callers/headers.rs
+++ b/crates/daemon/src/callers/headers.rs
@@ -55,7 +55,12 @@
         let deadline = match text(headers, DEADLINE)? {
             Some(ms) => match ms.parse() {
                 Ok(ms @ 1..=DEADLINE_MAX) => Duration::from_millis(ms),
-                _ => return Err(invalid(DEADLINE, &format!("{ms:?} is not a number from 1 to {DEADLINE_MAX}"))),
+                _ => {
+                    return Err(invalid(
+                        DEADLINE,
+                        &format!("{ms:?} is not a number from 1 to {DEADLINE_MAX}"),
+                    ));
+                }
             },
             None => default,
         };
--- a/crates/daemon/src/callers/openai.rs
+++ b/crates/daemon/src/callers/openai.rs
@@ -168,7 +168,10 @@
         Content::Parts(parts) => {
             for part in parts {
                 if part.r#type != "text" {
-                    return Err(invalid(format!("messages: type {:?} was given, text is allowed", part.r#type)));
+                    return Err(invalid(format!(
+                        "messages: type {:?} was given, text is allowed",
+                        part.r#type
+                    )));
                 }
                 prompt.push_str(&part.text);
             }
@@ -303,7 +306,8 @@
 
     fn stream(self, first: Vec<Token>) -> Response {
         let id = self.id();
-        let events = Streaming { id: id.clone(), answer: self, pending: Some(Output::Tokens(first)), done: false };
+        let events =
+            Streaming { id: id.clone(), answer: self, pending: Some(Output::Tokens(first)), done: false };
         let body = Body::from_bytes_stream(stream::unfold(events, Streaming::next));
         Response::builder()
             .content_type("text/event-stream")
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -8,8 +8,8 @@
 
 use slog::{Logger, crit};
 use teaselshunt_core::{
-    AttemptId, Clock, Effect, Event, Identity, Instance, InstanceId, Message, Refusal, RequestId, Snapshot, Stored,
-    Target, Ticket, Work,
+    AttemptId, Clock, Effect, Event, Identity, Instance, InstanceId, Message, Refusal, RequestId, Snapshot,
+    Stored, Target, Ticket, Work,
 };
 use tokio::sync::{mpsc, oneshot, watch};
 
@@ -22,11 +22,32 @@
 #[derive(Debug)]
 pub(crate) enum Command {
     Accepted(RequestId),
-    Prefill { attempt: AttemptId, target: Target, priority: u8, timeout: Duration },
-    Import { attempt: AttemptId, origin: Target, target: Target, timeout: Duration },
-    Decode { attempt: AttemptId, target: Target, resume: Option<AttemptId>, priority: u8, stall: Duration },
+    Prefill {
+        attempt: AttemptId,
+        target: Target,
+        priority: u8,
+        timeout: Duration,
+    },
+    Import {
+        attempt: AttemptId,
+        origin: Target,
+        target: Target,
+        timeout: Duration,
+    },
+    Decode {
+        attempt: AttemptId,
+        target: Target,
+        resume: Option<AttemptId>,
+        priority: u8,
+        stall: Duration,
+    },
     /// `issued` is when the core decided on the call.
-    Call { attempt: AttemptId, target: Target, timeout: Duration, issued: Instant },
+    Call {
+        attempt: AttemptId,
+        target: Target,
+        timeout: Duration,
+        issued: Instant,
+    },
     Refuse(Refusal),
     Replay(Stored),
 }
--- a/crates/daemon/src/driver/call.rs
+++ b/crates/daemon/src/driver/call.rs
@@ -41,7 +41,11 @@
 }
 
 /// Starts the driver of a call.
-pub(crate) fn start_call(session: Session, engines: Engines, plan: CallPlan) -> oneshot::Receiver<CallOutput> {
+pub(crate) fn start_call(
+    session: Session,
+    engines: Engines,
+    plan: CallPlan,
+) -> oneshot::Receiver<CallOutput> {
     let (output, receiver) = oneshot::channel();
     let driver = Driver { session, engines, plan, request: None };
     tokio::spawn(driver.run(output));
--- a/crates/daemon/src/driver/generate.rs
+++ b/crates/daemon/src/driver/generate.rs
@@ -57,7 +57,11 @@
 }
 
 /// Starts the driver of a generation.
-pub(crate) fn start_generation(session: Session, engines: Engines, generation: Generation) -> mpsc::Receiver<Output> {
+pub(crate) fn start_generation(
+    session: Session,
+    engines: Engines,
+    generation: Generation,
+) -> mpsc::Receiver<Output> {
     let (output, receiver) = mpsc::channel(QUEUE);
     let driver = Driver {
         session,
--- a/crates/daemon/src/engines.rs
+++ b/crates/daemon/src/engines.rs
@@ -8,8 +8,8 @@
 use serde::de::DeserializeOwned;
 use teaselshunt_core::{AttemptId, Fault, Report, Running};
 use teaselshunt_wire::engine::{
-    self, CancelRequest, CancelResponse, DecodeRequest, EngineError, EngineFault, ImportRequest, ImportResponse,
-    LoadReport, PrefillRequest, PrefillResponse,
+    self, CancelRequest, CancelResponse, DecodeRequest, EngineError, EngineFault, ImportRequest,
+    ImportResponse, LoadReport, PrefillRequest, PrefillResponse,
 };
 
 /// Longest time to make a connection.
@@ -68,7 +68,11 @@
     }
 
     /// Opens a decode stream; the caller of this function times its progress.
-    pub(crate) async fn decode(&self, address: SocketAddr, request: &DecodeRequest) -> Result<Response, Fault> {
+    pub(crate) async fn decode(
+        &self,
+        address: SocketAddr,
+        request: &DecodeRequest,
+    ) -> Result<Response, Fault> {
         send(self.post(address, engine::DECODE, request)).await
     }
 
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -62,9 +62,19 @@
             orphans: counter(r, "orphans_cancelled_total", "Work of dead instances cancelled at engines.")?,
             refused: counters(r, "requests_refused_total", "Refusals by error code.", &["code"])?,
             answered: counters(r, "answers_total", "Whole answers.", &["class", "site"])?,
-            good: counters(r, "answers_good_total", "Whole answers within both targets.", &["class", "site"])?,
+            good: counters(
+                r,
+                "answers_good_total",
+                "Whole answers within both targets.",
+                &["class", "site"],
+            )?,
             prefilled: counters(r, "prefill_tokens_total", "Prompt tokens prefilled.", &["class", "site"])?,
-            wasted: counters(r, "prefill_tokens_wasted_total", "Prefilled and not used.", &["class", "site"])?,
+            wasted: counters(
+                r,
+                "prefill_tokens_wasted_total",
+                "Prefilled and not used.",
+                &["class", "site"],
+            )?,
             version: gauge(r, "configuration_version", "Configuration version in force.")?,
             revision: gauge(r, "instances_revision", "Revision of the instance list in use.")?,
             requests: gauge(r, "requests_in_progress", "Requests in progress.")?,
@@ -154,7 +164,12 @@
     Ok(metric)
 }
 
-fn counters(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> Result<IntCounterVec, prometheus::Error> {
+fn counters(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    labels: &[&str],
+) -> Result<IntCounterVec, prometheus::Error> {
     let metric = IntCounterVec::new(Opts::new(name, help), labels)?;
     registry.register(Box::new(metric.clone()))?;
     Ok(metric)
@@ -166,13 +181,23 @@
     Ok(metric)
 }
 
-fn gauges(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> Result<IntGaugeVec, prometheus::Error> {
+fn gauges(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    labels: &[&str],
+) -> Result<IntGaugeVec, prometheus::Error> {
     let metric = IntGaugeVec::new(Opts::new(name, help), labels)?;
     registry.register(Box::new(metric.clone()))?;
     Ok(metric)
 }
 
-fn histogram(registry: &Registry, name: &str, help: &str, buckets: &[f64]) -> Result<HistogramVec, prometheus::Error> {
+fn histogram(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    buckets: &[f64],
+) -> Result<HistogramVec, prometheus::Error> {
     let options = HistogramOpts::new(name, help).buckets(buckets.to_vec());
     let metric = HistogramVec::new(options, &["model"])?;
     registry.register(Box::new(metric.clone()))?;
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -113,12 +113,7 @@
         }
     }
 
-    fn open(
-        &self,
-        links: &mut HashMap<InstanceId, mpsc::Sender<Outgoing>>,
-        to: InstanceId,
-        first: Outgoing,
-    ) {
+    fn open(&self, links: &mut HashMap<InstanceId, mpsc::Sender<Outgoing>>, to: InstanceId, first: Outgoing) {
         let (sender, receiver) = mpsc::channel(QUEUE);
         let _ = sender.try_send(first);
         links.insert(to, sender);
--- /dev/null
+++ b/crates/daemon/tests/all/keys.rs
@@ -0,0 +1,127 @@
+//! Calls that may not be repeated: at most once, and honest about it.
+
+use serde_json::Value;
+use teaselshunt_standin::ServiceFaults;
+
+use crate::support::{Fleet, until};
+
+fn key() -> String {
+    uuid::Uuid::now_v7().to_string()
+}
+
+/// The service runs a booking and then the connection breaks. Whether it ran cannot be told, so the caller
+/// hears "unknown", and the router does not send it again: a second booking would send a truck for nothing.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_broken_booking_is_unknown_and_not_sent_again() {
+    let fleet = Fleet::start(1).await;
+    let daemon = fleet.daemon(0).await;
+    fleet.service.set_faults(ServiceFaults { drop: true, ..ServiceFaults::default() });
+    let response = fleet.booking(&daemon, "broken").send().await.unwrap();
+    assert_eq!(response.status(), 502);
+    assert_eq!(response.headers()["x-teaselshunt-outcome"], "unknown");
+    assert_eq!(response.headers()["x-should-retry"], "false");
+    assert_eq!(fleet.ran("broken"), 1);
+}
+
+/// The same call as an idempotent GET is sent again, and the caller gets its answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_service_out_of_reach_means_not_run() {
+    let mut fleet = Fleet::start(1).await;
+    // Port 9 on loopback: nobody listens.
+    fleet.patch(|c| c["endpoints"][4]["address"] = "127.0.0.1:9".into());
+    let daemon = fleet.daemon(0).await;
+    until("the address is in force", || async { fleet.status(&daemon).await["version"] == 2 }).await;
+    let response = fleet.booking(&daemon, "unsent").send().await.unwrap();
+    assert_eq!(response.status(), 503);
+    assert_eq!(response.headers()["x-teaselshunt-outcome"], "not-run");
+    assert!(response.headers().contains_key("retry-after"));
+    assert_eq!(fleet.ran("unsent"), 0);
+}
+
+/// A caller sends a keyed booking through one instance and again through the others. It runs once, and every
+/// retry gets the first one's answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_keyed_booking_runs_once_through_any_instance() {
+    let fleet = Fleet::start(3).await;
+    let daemons = fleet.daemons().await;
+    fleet.grants_keys(&daemons[0]).await;
+    for n in 0..5 {
+        let (key, body) = (key(), format!("booking {n}"));
+        let mut numbers = Vec::new();
+        for daemon in &daemons {
+            let response = fleet.booking(daemon, &body).header("Idempotency-Key", &key).send().await.unwrap();
+            assert_eq!(response.status(), 200);
+            let reply: Value = response.json().await.unwrap();
+            numbers.push(reply["number"].clone());
+        }
+        assert!(numbers.iter().all(|n| *n == numbers[0]), "{numbers:?}");
+        assert_eq!(fleet.ran(&body), 1);
+    }
+}
+
+/// Two instances get the same keyed booking at the same time, while the service is slow. One runs it; the
+/// other hears that the key is in use, or gets the kept answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn two_tries_at_once_run_once() {
+    let fleet = Fleet::start(2).await;
+    let daemons = fleet.daemons().await;
+    fleet.grants_keys(&daemons[0]).await;
+    fleet.service.set_faults(ServiceFaults { slow_ms: 200, ..ServiceFaults::default() });
+    for n in 0..5 {
+        let (key, body) = (key(), format!("race {n}"));
+        let send = |d| fleet.booking(d, &body).header("Idempotency-Key", &key).send();
+        let (a, b) = tokio::join!(send(&daemons[0]), send(&daemons[1]));
+        let mut statuses = [a.unwrap().status().as_u16(), b.unwrap().status().as_u16()];
+        statuses.sort_unstable();
+        assert!(statuses == [200, 200] || statuses == [200, 409], "{statuses:?}");
+        assert_eq!(fleet.ran(&body), 1);
+    }
+}
+
+/// An instance takes a keyed booking and is killed while the service works on it. The caller retries through
+/// a survivor. The booking ran, but nobody left knows; the survivors must not run it again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_retry_after_a_kill_does_not_run_again() {
+    let fleet = Fleet::start(3).await;
+    let mut daemons = fleet.daemons().await;
+    fleet.grants_keys(&daemons[0]).await;
+    fleet.service.set_faults(ServiceFaults { hang: true, ..ServiceFaults::default() });
+    let key = key();
+    let request = fleet.booking(&daemons[0], "killed").header("Idempotency-Key", &key);
+    let waiting = tokio::spawn(async move { request.send().await });
+    until("the service has run it", || async { fleet.ran("killed") == 1 }).await;
+    drop(daemons.remove(0));
+    assert!(waiting.await.unwrap().is_err());
+    fleet.service.set_faults(ServiceFaults::default());
+    for daemon in &daemons {
+        let retry = fleet.booking(daemon, "killed").header("Idempotency-Key", &key).send().await.unwrap();
+        assert_eq!(retry.headers()["x-teaselshunt-outcome"], "unknown", "{}", retry.status());
+    }
+    assert_eq!(fleet.ran("killed"), 1);
+}
+
+/// An instance is frozen, and the list drops it meanwhile. Keys whose home it was move on. When it wakes it
+/// still believes in the old list; a caller that reaches it must not get a grant that its new home also gave.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_home_that_slept_does_not_grant_what_others_granted() {
+    let mut fleet = Fleet::start(3).await;
+    let daemons = fleet.daemons().await;
+    fleet.grants_keys(&daemons[1]).await;
+    daemons[0].signal("STOP");
+    fleet.publish_list(|i| i != 0);
+    fleet.grants_keys(&daemons[1]).await;
+    let mut granted = Vec::new();
+    for n in 0..12 {
+        let (key, body) = (key(), format!("slept {n}"));
+        let sent = fleet.booking(&daemons[1 + n % 2], &body).header("Idempotency-Key", &key).send();
+        if sent.await.unwrap().status().is_success() {
+            granted.push((key, body));
+        }
+    }
+    daemons[0].signal("CONT");
+    for (key, body) in &granted {
+        let _ = fleet.booking(&daemons[0], body).header("Idempotency-Key", key).send().await;
+        assert_eq!(fleet.ran(body), 1);
+    }
+    assert!(!granted.is_empty());
+}
--- /dev/null
+++ b/crates/daemon/tests/all/path.rs
@@ -0,0 +1,82 @@
+//! One request from its caller to its answer, through separate processes.
+
+use serde_json::{Value, json};
+use teaselshunt_standin::answer;
+
+use crate::support::{Fleet, streamed};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn completions_are_exact_whole_and_streamed() {
+    let fleet = Fleet::start(2).await;
+    for daemon in &fleet.daemons().await {
+        let prompt = "Movement log, Newman, 14 landings.";
+        let response = fleet.completion(daemon, prompt, false).send().await.unwrap();
+        let id = response.headers()["x-request-id"].to_str().unwrap().to_owned();
+        let reply: Value = response.json().await.unwrap();
+        assert_eq!(reply["choices"][0]["text"], answer(prompt, 400));
+        assert_eq!(reply["choices"][0]["finish_reason"], "stop");
+        assert_eq!(reply["id"], id);
+
+        let response = fleet.completion(daemon, prompt, true).send().await.unwrap();
+        assert_eq!(streamed(response).await, Some(answer(prompt, 400)));
+    }
+    assert_eq!(fleet.held(), Vec::<String>::new());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn chat_completions_and_models_speak_as_openai_clients_expect() {
+    let fleet = Fleet::start(1).await;
+    let daemon = fleet.daemon(0).await;
+    let url = format!("http://{}/v1", daemon.callers);
+    let models: Value = fleet.client.get(format!("{url}/models")).send().await.unwrap().json().await.unwrap();
+    assert_eq!(models["data"][0]["id"], "long");
+
+    let messages = json!([
+        { "role": "system", "content": "Short." },
+        { "role": "user", "content": [{ "type": "text", "text": "Fee for a PC-12 at Karratha?" }] },
+    ]);
+    let body = json!({ "model": "long", "messages": messages, "max_completion_tokens": 10 });
+    let reply: Value = fleet
+        .client
+        .post(format!("{url}/chat/completions"))
+        .json(&body)
+        .send()
+        .await
+        .unwrap()
+        .json()
+        .await
+        .unwrap();
+    let prompt = "system: Short.\nuser: Fee for a PC-12 at Karratha?\n";
+    assert_eq!(reply["choices"][0]["message"]["content"], answer(prompt, 10));
+    assert_eq!(reply["choices"][0]["finish_reason"], "length");
+    assert_eq!(reply["object"], "chat.completion");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_service_gets_the_call_and_its_caller_the_answer() {
+    let fleet = Fleet::start(1).await;
+    let daemon = fleet.daemon(0).await;
+    let url = format!("http://{}/services/bookings/a/b?c=d", daemon.callers);
+    let reply: Value = fleet.client.put(url).body("machine 12").send().await.unwrap().json().await.unwrap();
+    assert_eq!(reply["call"], json!({ "method": "PUT", "path": "/a/b?c=d", "body": "machine 12" }));
+    assert_eq!(fleet.ran("machine 12"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn metrics_and_status_are_on_the_operators_listener_only() {
+    let fleet = Fleet::start(1).await;
+    let daemon = fleet.daemon(0).await;
+    fleet.completion(&daemon, "Tariff?", false).send().await.unwrap();
+    let text = async |address, path| {
+        fleet.client.get(format!("http://{address}{path}")).send().await.unwrap().text().await.unwrap()
+    };
+    let metrics = text(daemon.operators, "/metrics").await;
+    assert!(metrics.contains("teaselshunt_answers_total{class=\"invoice\",site=\"old\"} 1"), "{metrics}");
+    assert!(metrics.contains("teaselshunt_configuration_version 1"));
+    let audit = text(daemon.operators, "/audit").await;
+    assert!(audit.contains("\"change\":\"configuration\""), "{audit}");
+    for path in ["/metrics", "/status", "/audit", "/drain"] {
+        let response = fleet.client.get(format!("http://{}{path}", daemon.callers)).send().await.unwrap();
+        assert_eq!(response.status(), 404);
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/all/support.rs
@@ -0,0 +1,307 @@
+//! Starting a small deployment: stand-ins in this process, instances as processes of their own.
+
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
+use std::path::Path;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::{Duration, Instant};
+
+use reqwest::{Client, RequestBuilder, Response};
+use serde_json::{Value, json};
+use teaselshunt_ctl::make_keys;
+use teaselshunt_settings::Role;
+use teaselshunt_standin::{Engine, EngineOptions, Platform, Service};
+use tempfile::TempDir;
+
+/// Longest wait for a condition; long, because a busy machine is no fault of the program.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// Waits until a condition holds.
+pub(crate) async fn until<F, R>(what: &str, mut condition: F)
+where
+    F: FnMut() -> R,
+    R: Future<Output = bool>,
+{
+    let start = Instant::now();
+    while !condition().await {
+        assert!(start.elapsed() < PATIENCE, "waited in vain until {what}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Stand-ins, and the settings of the instances before them.
+pub(crate) struct Fleet {
+    pub(crate) platform: Platform,
+    pub(crate) prefill: Vec<Engine>,
+    pub(crate) decode: Vec<Engine>,
+    pub(crate) service: Service,
+    pub(crate) configuration: Value,
+    pub(crate) client: Client,
+    names: Vec<String>,
+    listed: Vec<Value>,
+    settings: Vec<Value>,
+    revision: u64,
+    directory: TempDir,
+}
+
+/// A running instance; killed when dropped.
+pub(crate) struct Daemon {
+    child: Child,
+    pub(crate) callers: SocketAddr,
+    pub(crate) operators: SocketAddr,
+}
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
+}
+
+fn free_tcp() -> SocketAddr {
+    TcpListener::bind(loopback()).unwrap().local_addr().unwrap()
+}
+
+fn free_udp() -> SocketAddr {
+    UdpSocket::bind(loopback()).unwrap().local_addr().unwrap()
+}
+
+impl Fleet {
+    /// Two prefill and two decode engines, one service, and settings for `instances` instances, none of which
+    /// is started yet.
+    pub(crate) async fn start(instances: usize) -> Self {
+        Self::with(instances, EngineOptions::quick(Role::Decode)).await
+    }
+
+    pub(crate) async fn with(instances: usize, decode_options: EngineOptions) -> Self {
+        let mut prefill = Vec::new();
+        let mut decode = Vec::new();
+        for _ in 0..2 {
+            prefill.push(Engine::start(loopback(), EngineOptions::quick(Role::Prefill)).await.unwrap());
+            decode.push(Engine::start(loopback(), decode_options.clone()).await.unwrap());
+        }
+        let service = Service::start(loopback()).await.unwrap();
+        let configuration = configuration(&prefill, &decode, &service);
+        let platform = Platform::start(loopback(), &configuration.to_string()).await.unwrap();
+        let directory = TempDir::new().unwrap();
+        let names: Vec<String> = (0..instances).map(|i| format!("entry-{i}")).collect();
+        make_keys(directory.path(), &names).unwrap();
+        let settings: Vec<Value> =
+            names.iter().map(|n| settings(n, platform.address(), directory.path())).collect();
+        let listed = settings.iter().map(entry).collect();
+        let client = Client::builder().no_proxy().pool_max_idle_per_host(0).build().unwrap();
+        let mut fleet = Self {
+            platform,
+            prefill,
+            decode,
+            service,
+            configuration,
+            client,
+            names,
+            listed,
+            settings,
+            revision: 0,
+            directory,
+        };
+        fleet.publish_list(|_| true);
+        fleet
+    }
+
+    /// Publishes a list with the instances that `keep` keeps, by their number.
+    pub(crate) fn publish_list(&mut self, keep: impl Fn(usize) -> bool) {
+        self.revision += 1;
+        let kept = self.listed.iter().enumerate().filter(|(i, _)| keep(*i)).map(|(_, e)| e.clone());
+        let list = json!({ "revision": self.revision, "instances": kept.collect::<Vec<_>>() });
+        self.platform.publish_instances(self.revision, &list.to_string());
+    }
+
+    /// Changes the configuration, and publishes it under the next number.
+    pub(crate) fn patch(&mut self, change: impl FnOnce(&mut Value)) -> u64 {
+        change(&mut self.configuration);
+        let version = self.configuration["version"].as_u64().unwrap() + 1;
+        self.configuration["version"] = version.into();
+        self.platform.publish(&self.configuration.to_string());
+        version
+    }
+
+    /// Changes the settings of an instance that is not started yet.
+    pub(crate) fn adjust(&mut self, index: usize, change: impl FnOnce(&mut Value)) {
+        change(&mut self.settings[index]);
+    }
+
+    /// Names a peer that an instance asks when it cannot read the platform.
+    pub(crate) fn seed(&mut self, index: usize, peer: usize) {
+        let seed = json!([{ "name": self.names[peer], "address": self.settings[peer]["listen"]["peers"] }]);
+        self.settings[index]["seeds"] = seed;
+    }
+
+    /// Starts an instance without waiting for it.
+    pub(crate) fn launch(&self, index: usize) -> Daemon {
+        let settings = &self.settings[index];
+        let path = self.directory.path().join(format!("{}.json", self.names[index]));
+        std::fs::write(&path, settings.to_string()).unwrap();
+        let log = std::fs::File::create(self.directory.path().join("log")).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_teaselshuntd"))
+            .arg(&path)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .unwrap();
+        let address = |name: &str| settings["listen"][name].as_str().unwrap().parse().unwrap();
+        Daemon { child, callers: address("callers"), operators: address("operators") }
+    }
+
+    /// Starts an instance and waits until it is ready and sees every endpoint answer.
+    pub(crate) async fn daemon(&self, index: usize) -> Daemon {
+        let daemon = self.launch(index);
+        until("the instance is ready", || async {
+            let ready = self.client.get(format!("http://{}/ready", daemon.operators)).send().await;
+            ready.is_ok_and(|r| r.status().is_success())
+        })
+        .await;
+        daemon
+    }
+
+    pub(crate) async fn daemons(&self) -> Vec<Daemon> {
+        let mut daemons = Vec::new();
+        for index in 0..self.names.len() {
+            daemons.push(self.daemon(index).await);
+        }
+        daemons
+    }
+
+    pub(crate) async fn status(&self, daemon: &Daemon) -> Value {
+        let url = format!("http://{}/status", daemon.operators);
+        self.client.get(url).send().await.unwrap().json().await.unwrap()
+    }
+
+    /// A completion through an instance, not sent yet.
+    pub(crate) fn completion(&self, daemon: &Daemon, prompt: &str, stream: bool) -> RequestBuilder {
+        let body = json!({ "model": "long", "prompt": prompt, "max_tokens": 400, "stream": stream });
+        self.client.post(format!("http://{}/v1/completions", daemon.callers)).json(&body)
+    }
+
+    /// A booking through an instance, not sent yet.
+    pub(crate) fn booking(&self, daemon: &Daemon, body: &str) -> RequestBuilder {
+        let url = format!("http://{}/services/bookings/new", daemon.callers);
+        self.client.post(url).body(body.to_owned())
+    }
+
+    /// Waits until every home grants keys: members heard, tenure and skew past. Each probe has a home of its
+    /// own, so a dozen in a row reach all of them.
+    pub(crate) async fn grants_keys(&self, daemon: &Daemon) {
+        until("every home grants keys", || async {
+            for _ in 0..12 {
+                let key = uuid::Uuid::now_v7().to_string();
+                let booking = self.booking(daemon, "probe").header("Idempotency-Key", key);
+                if !booking.send().await.unwrap().status().is_success() {
+                    return false;
+                }
+            }
+            true
+        })
+        .await;
+    }
+
+    /// Bookings that ran with this body.
+    pub(crate) fn ran(&self, body: &str) -> usize {
+        self.service.executions().iter().filter(|e| e.body == body).count()
+    }
+
+    /// Ids that any engine holds memory for.
+    pub(crate) fn held(&self) -> Vec<String> {
+        self.prefill.iter().chain(&self.decode).flat_map(Engine::held).collect()
+    }
+}
+
+impl Daemon {
+    pub(crate) fn signal(&self, name: &str) {
+        let status = Command::new("kill").arg(format!("-{name}")).arg(self.child.id().to_string()).status();
+        assert!(status.unwrap().success());
+    }
+
+    /// Waits for the end of the process.
+    pub(crate) async fn end(&mut self) -> ExitStatus {
+        let start = Instant::now();
+        loop {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status;
+            }
+            assert!(start.elapsed() < PATIENCE, "the instance does not end");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Resident memory in bytes.
+    pub(crate) fn memory(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find(|l| l.starts_with("VmRSS:")).unwrap();
+        line.split_whitespace().nth(1).unwrap().parse::<u64>().unwrap() * 1024
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// The text of a streamed completion, if it came to its end mark.
+pub(crate) async fn streamed(response: Response) -> Option<String> {
+    let body = response.text().await.ok()?;
+    let mut text = String::new();
+    let mut done = false;
+    for data in body.lines().filter_map(|l| l.strip_prefix("data: ")) {
+        if data == "[DONE]" {
+            done = true;
+            continue;
+        }
+        let event: Value = serde_json::from_str(data).unwrap();
+        text.push_str(event["choices"][0]["text"].as_str()?);
+    }
+    done.then_some(text)
+}
+
+fn settings(name: &str, platform: SocketAddr, keys: &Path) -> Value {
+    json!({
+        "instance": name, "domain": "osborne", "deployment": "test",
+        "listen": { "callers": free_tcp(), "operators": free_tcp(), "peers": free_udp() },
+        "platform": [platform],
+        "keys": {
+            "authority": keys.join("authority.pem"),
+            "certificate": keys.join(format!("{name}.pem")),
+            "private": keys.join(format!("{name}.key")),
+        },
+    })
+}
+
+fn entry(settings: &Value) -> Value {
+    json!({
+        "name": settings["instance"], "domain": settings["domain"],
+        "peers": settings["listen"]["peers"], "leaving": false,
+    })
+}
+
+fn configuration(prefill: &[Engine], decode: &[Engine], service: &Service) -> Value {
+    let endpoint = |name: String, address: SocketAddr, pool: &str, role: &str, slots: u32| {
+        json!({ "name": name, "address": address, "domain": "osborne", "site": "old", "pool": pool,
+            "role": role, "slots": slots })
+    };
+    let mut endpoints = Vec::new();
+    for (i, engine) in prefill.iter().enumerate() {
+        endpoints.push(endpoint(format!("prefill-{i}"), engine.address(), "fee-writer", "prefill", 4));
+    }
+    for (i, engine) in decode.iter().enumerate() {
+        endpoints.push(endpoint(format!("decode-{i}"), engine.address(), "fee-writer", "decode", 20));
+    }
+    endpoints.push(endpoint("bookings-0".to_owned(), service.address(), "bookings", "service", 64));
+    json!({
+        "version": 1, "deployment": "test",
+        "domains": [{ "name": "osborne", "region": "perth" }],
+        "sites": [{ "name": "old", "share": 100 }],
+        "classes": [{ "name": "invoice", "priority": 5, "first_ms": 1100, "gap_ms": 68, "wait_ms": 60000 }],
+        "pools": [{ "name": "fee-writer", "classes": ["invoice"] }, { "name": "bookings", "classes": [] }],
+        "models": [{ "name": "long", "pool": "fee-writer", "class": "invoice" }],
+        "endpoints": endpoints,
+        "services": [{ "name": "bookings", "pool": "bookings", "repeatable": ["GET"], "timeout_ms": 5000 }],
+        "policy": { "skew_ms": 100 },
+    })
+}
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -155,7 +155,8 @@
         let pool = &self.configuration.services[service].pool;
         let stray = self.configuration.endpoints.iter().find(|e| &e.pool == pool && e.role != Role::Service);
         if let Some(endpoint) = stray {
-            let text = format!("pool {pool:?} holds the engine {:?}; allowed: role service only", endpoint.name);
+            let text =
+                format!("pool {pool:?} holds the engine {:?}; allowed: role service only", endpoint.name);
             self.add(format!("/services/{service}/pool"), text);
         }
     }
--- a/crates/standin/src/commands/ask.rs
+++ b/crates/standin/src/commands/ask.rs
@@ -134,7 +134,8 @@
                 }
                 let call = self.client.post(&url).header("Idempotency-Key", &key).body(order.clone());
                 reply = call.send().await?.json().await?;
-                tokio::time::sleep(Duration::from_millis(if reply["number"].is_null() { 500 } else { 0 })).await;
+                tokio::time::sleep(Duration::from_millis(if reply["number"].is_null() { 500 } else { 0 }))
+                    .await;
             }
             numbers.push(reply["number"].clone());
         }
--- a/crates/standin/src/commands/fleet.rs
+++ b/crates/standin/src/commands/fleet.rs
@@ -18,8 +18,8 @@
 
 pub(crate) async fn run(arguments: Arguments) -> Result<(), CommandError> {
     let path = arguments.configuration;
-    let configuration = parse_configuration(&read(&path)?)
-        .map_err(|mistakes| CommandError::Mistakes { path, mistakes })?;
+    let configuration =
+        parse_configuration(&read(&path)?).map_err(|mistakes| CommandError::Mistakes { path, mistakes })?;
     let mut engines = Vec::new();
     let mut services = Vec::new();
     for endpoint in &configuration.endpoints {
--- a/crates/standin/src/content.rs
+++ b/crates/standin/src/content.rs
@@ -3,8 +3,8 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 const WORDS: [&str; 16] = [
-    "crusher", "belt", "road", "gravel", "apron", "landing", "fee", "shire", "invoice", "quote", "motor", "sieve",
-    "runway", "bearing", "hire", "log",
+    "crusher", "belt", "road", "gravel", "apron", "landing", "fee", "shire", "invoice", "quote", "motor",
+    "sieve", "runway", "bearing", "hire", "log",
 ];
 /// Shortest natural answer, in tokens.
 const SHORTEST: u32 = 12;
--- a/crates/standin/src/engine/http.rs
+++ b/crates/standin/src/engine/http.rs
@@ -10,8 +10,8 @@
 use poem::{Body, EndpointExt, IntoResponse, Response, Route, get, handler, post};
 use serde::{Deserialize, Serialize};
 use teaselshunt_wire::engine::{
-    self, CancelRequest, CancelResponse, DecodeRequest, EngineError, EngineFault, ImportRequest, ImportResponse,
-    Order, PrefillRequest, PrefillResponse, TokenEvent,
+    self, CancelRequest, CancelResponse, DecodeRequest, EngineError, EngineFault, ImportRequest,
+    ImportResponse, Order, PrefillRequest, PrefillResponse, TokenEvent,
 };
 
 use super::Faults;
@@ -36,12 +36,6 @@
     Json(EngineError { error }).with_status(status).into_response()
 }
 
-/// An answer whose connection breaks in the middle.
-fn broken() -> Response {
-    let parts = stream::iter([Ok(Bytes::from_static(b"{")), Err(std::io::Error::other("dropped on command"))]);
-    Response::builder().body(Body::from_bytes_stream(parts))
-}
-
 /// Refuses a new step if the engine is told to.
 fn refusal(faults: &Faults) -> Option<Response> {
     if faults.leaving {
@@ -65,7 +59,7 @@
     // In a task of its own: an engine does not notice that a client is gone.
     let work = tokio::spawn(run_prefill(Arc::clone(state), request));
     if faults.drop {
-        return broken();
+        return crate::server::broken();
     }
     match work.await {
         Ok(Some(response)) => Json(response).into_response(),
@@ -88,7 +82,10 @@
     if !state.end_prefill(&id, cache) {
         return None;
     }
-    let keep = if state.faults().evict { Duration::ZERO } else { state.options.keep };
+    if state.faults().evict {
+        state.evict(&id);
+    }
+    let keep = state.options.keep;
     let (keeper, kept) = (Arc::clone(&state), id.clone());
     tokio::spawn(async move {
         tokio::time::sleep(keep).await;
@@ -121,7 +118,7 @@
     }
     let work = tokio::spawn(run_import(Arc::clone(state), request));
     if faults.drop {
-        return broken();
+        return crate::server::broken();
     }
     match work.await {
         Ok(Some(response)) => Json(response).into_response(),
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -123,7 +123,11 @@
         // An outage is silence, not an error.
         let mut outage = state.outage.subscribe();
         let over = outage.wait_for(|down| !down).await.is_ok();
-        return if over { StatusCode::SERVICE_UNAVAILABLE.into_response() } else { StatusCode::GONE.into_response() };
+        return if over {
+            StatusCode::SERVICE_UNAVAILABLE.into_response()
+        } else {
+            StatusCode::GONE.into_response()
+        };
     }
     let mut changes = source.subscribe();
     let mut outage = state.outage.subscribe();
@@ -182,15 +186,18 @@
     });
     match outcome {
         Ok(_) => Json(PatchAnswer { version, error: None }).into_response(),
-        Err(error) => {
-            Json(PatchAnswer { version, error: Some(error) }).with_status(StatusCode::CONFLICT).into_response()
-        }
+        Err(error) => Json(PatchAnswer { version, error: Some(error) })
+            .with_status(StatusCode::CONFLICT)
+            .into_response(),
     }
 }
 
 fn patched(document: &Document, patch: &Patch) -> Result<Document, String> {
     if patch.base != document.number {
-        return Err(format!("the patch is against version {}, but {} is published", patch.base, document.number));
+        return Err(format!(
+            "the patch is against version {}, but {} is published",
+            patch.base, document.number
+        ));
     }
     let mut value: Value = serde_json::from_str(&document.text).map_err(|e| e.to_string())?;
     let operations: json_patch::Patch =
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -2,8 +2,9 @@
 
 use std::net::SocketAddr;
 
+use poem::http::header;
 use poem::listener::{Acceptor, Listener, TcpListener};
-use poem::{IntoEndpoint, Server};
+use poem::{IntoEndpoint, Response, Server};
 use tokio::task::JoinHandle;
 
 /// A server that ends with its value.
@@ -36,3 +37,10 @@
         self.task.abort();
     }
 }
+
+/// An answer whose connection breaks in the middle: it promises more bytes than it has.
+///
+/// An error of a streamed body would not do: the HTTP library ends such a body as if it were whole.
+pub(crate) fn broken() -> Response {
+    Response::builder().header(header::CONTENT_LENGTH, "1000").body("{")
+}
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -4,10 +4,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use bytes::Bytes;
-use futures_util::stream;
 use poem::web::{Data, Json};
-use poem::{Body, EndpointExt, IntoResponse, Request, Response, Route, handler};
+use poem::{EndpointExt, IntoResponse, Request, Response, Route, handler};
 use serde::{Deserialize, Serialize};
 
 use crate::server::Running;
@@ -106,8 +104,7 @@
         std::future::pending::<()>().await;
     }
     if faults.drop {
-        let parts = [Ok(Bytes::from_static(b"{")), Err(std::io::Error::other("dropped on command"))];
-        return Response::builder().body(Body::from_bytes_stream(stream::iter(parts)));
+        return crate::server::broken();
     }
     Json(Booked { number, call }).into_response()
 }
