--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,3 +1,32 @@
-//! Measurements.
+//! `teaselshunt-bench`: measurements and long random runs.
 
-fn main() {}
+mod commands;
+
+use std::process::ExitCode;
+
+use gumdrop::Options;
+
+use commands::Command;
+
+#[derive(Debug, Options)]
+struct Arguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(command)]
+    command: Option<Command>,
+}
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse_args_default_or_exit();
+    let Some(command) = arguments.command else {
+        eprintln!("{}\n\ncommands:\n{}", Arguments::usage(), Command::usage());
+        return ExitCode::from(2);
+    };
+    match command.run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("teaselshunt-bench: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -27,6 +27,22 @@
 /// Reports older than this say nothing about others any more.
 const REPORT_AGE: Duration = Duration::from_secs(5);
 
+/// How an endpoint is chosen among those with room.
+///
+/// The plain ones are kept to measure against.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Placement {
+    /// The less loaded of two random ones.
+    #[default]
+    TwoChoices,
+    /// Any, full or not.
+    Random,
+    /// Each in turn, full or not.
+    RoundRobin,
+    /// The least loaded by the last reports alone.
+    LeastReported,
+}
+
 /// An endpoint as an operator sees it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct EndpointView {
@@ -69,6 +85,8 @@
     removed: bool,
     own: u32,
     others: u32,
+    /// All that the last report named, own work included.
+    listed: u32,
     reported: Option<Instant>,
     failures: u32,
     paused: Option<Instant>,
@@ -100,6 +118,8 @@
     by_id: HashMap<EndpointId, EndpointKey>,
     groups: HashMap<(String, Role), Vec<EndpointKey>>,
     shares: HashMap<String, u32>,
+    placement: Placement,
+    turn: usize,
 }
 
 /// What a choice is made for.
@@ -167,6 +187,7 @@
             removed: false,
             own: 0,
             others: 0,
+            listed: 0,
             reported: None,
             failures: 0,
             paused: None,
@@ -236,11 +257,40 @@
         self.groups.get(&(pool.to_owned(), role)).map_or(&[], Vec::as_slice)
     }
 
+    pub(crate) fn set_placement(&mut self, placement: Placement) {
+        self.placement = placement;
+    }
+
+    /// Chooses an endpoint by the placement in use.
+    pub(crate) fn choose(&mut self, now: Instant, need: &Need<'_>, rng: &mut SmallRng) -> Option<EndpointKey> {
+        match self.placement {
+            Placement::TwoChoices => self.two_choices(now, need, rng),
+            Placement::Random => {
+                let any = self.untried(now, need);
+                (!any.is_empty()).then(|| any[rng.random_range(0..any.len())])
+            }
+            Placement::RoundRobin => {
+                let any = self.untried(now, need);
+                self.turn += 1;
+                (!any.is_empty()).then(|| any[self.turn % any.len()])
+            }
+            Placement::LeastReported => {
+                let any = self.untried(now, need);
+                any.into_iter().min_by_key(|&k| self.endpoints[k].listed * 1000 / self.endpoints[k].slots.max(1))
+            }
+        }
+    }
+
+    fn untried(&self, now: Instant, need: &Need<'_>) -> Vec<EndpointKey> {
+        let fits = |k: &EndpointKey| self.endpoints[*k].usable(now) && !need.tried.contains(k);
+        self.group(need.pool, need.role).iter().copied().filter(fits).collect()
+    }
+
     /// Chooses an endpoint with room, by two random choices within a site drawn by its share.
     ///
     /// Two choices on stale reports keep instances from all running to the one endpoint that looked idle a
     /// moment ago, which the least loaded choice does.
-    pub(crate) fn choose(&self, now: Instant, need: &Need<'_>, rng: &mut SmallRng) -> Option<EndpointKey> {
+    fn two_choices(&self, now: Instant, need: &Need<'_>, rng: &mut SmallRng) -> Option<EndpointKey> {
         let fits = |k: &EndpointKey| {
             let entry = &self.endpoints[*k];
             let room = u64::from(entry.load()) * 100 < u64::from(entry.slots) * u64::from(need.percent);
@@ -290,6 +340,7 @@
         let entry = &mut self.endpoints[key];
         let others = report.running.iter().filter(|r| r.attempt.request.instance != me).count();
         entry.others = others as u32;
+        entry.listed = report.running.len() as u32;
         entry.reported = Some(now);
         entry.leaving = report.leaving;
         std::mem::take(&mut entry.unanswered) >= UNANSWERED
--- a/crates/core/src/instance.rs
+++ b/crates/core/src/instance.rs
@@ -11,7 +11,7 @@
 
 use crate::counters::Counters;
 use crate::event::{Audit, Effect, Event, Offer, Report, Source};
-use crate::fleet::{EndpointView, Fleet};
+use crate::fleet::{EndpointView, Fleet, Placement};
 use crate::homes::{Claim, Homes, Replies};
 use crate::members::{Health, MemberView, Members};
 use crate::message::{Heartbeat, Message};
@@ -139,6 +139,13 @@
         }
     }
 
+    /// Sets how endpoints are chosen, for measurements against plain ways.
+    #[must_use]
+    pub fn with_placement(mut self, placement: Placement) -> Self {
+        self.fleet.set_placement(placement);
+        self
+    }
+
     /// Takes in an event and appends what is to be done about it, in order.
     ///
     /// `now` must not go back between calls.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -43,7 +43,7 @@
     Audit, Call, Effect, Entry, Event, Fault, Generate, Listed, Offer, Report, Running, Source, Stored,
     Target, Work,
 };
-pub use fleet::{EndpointView, Fleet};
+pub use fleet::{EndpointView, Fleet, Placement};
 pub use ids::{AttemptId, EndpointId, IdempotencyKey, InstanceId, Keyed, RequestId, Ticket};
 pub use instance::{Identity, Instance, Snapshot};
 pub use members::{Health, MemberView};
