--- a/crates/bench/src/world/callers.rs
+++ b/crates/bench/src/world/callers.rs
@@ -275,7 +275,9 @@
                 self.tally.violations.push(text);
             }
             if !self.nodes[index].drivers.is_empty() {
-                self.tally.violations.push(format!("instance {index} still drives requests"));
+                let snapshot = self.nodes[index].instance.as_ref().map(|i| i.snapshot(self.instant()));
+                let text = format!("instance {index} still drives requests: {:?}; {snapshot:?}", self.nodes[index].drivers);
+                self.tally.violations.push(text);
             }
         }
     }
--- a/crates/core/src/claims.rs
+++ b/crates/core/src/claims.rs
@@ -15,11 +15,19 @@
 
 /// How long the home has to answer, inquiries among homes included.
 const CLAIM: Duration = Duration::from_millis(1_500);
+/// After a freeze, requests that came meanwhile are read within this time.
+const STUPOR: Duration = Duration::from_secs(5);
 /// When to try a key again that cannot be told about or is in use.
 const KEY_RETRY: Duration = Duration::from_secs(2);
 
 impl Instance {
     pub(crate) fn claim(&mut self, now: Instant, key: RequestKey, out: &mut Vec<Effect>) {
+        let tells = self.requests.get(key).key.is_some_and(|k| k.born.is_some());
+        let woke = self.woke.is_some_and(|at| now.duration_since(at) < STUPOR);
+        if woke && !tells {
+            // It may have lain here for longer than any home remembers keys, and a grant could be a second one.
+            return self.refuse(now, key, Refusal::later(ErrorKind::KeyUnknown, KEY_RETRY), out);
+        }
         self.requests.get_mut(key).phase = Phase::Claiming;
         self.requests.set_due(key, now + CLAIM);
         self.ask_home(now, key, out);
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -100,10 +100,13 @@
         Target { id: self.id, address: self.address }
     }
 
+    fn is_leaving(&self) -> bool {
+        self.draining || self.leaving || self.removed
+    }
+
     fn usable(&self, now: Instant) -> bool {
-        let leaving = self.draining || self.leaving || self.removed;
         let reached = self.unanswered < UNANSWERED && self.paused.is_none_or(|until| now >= until);
-        !leaving && reached
+        !self.is_leaving() && reached
     }
 
     fn load(&self) -> u32 {
@@ -244,13 +247,13 @@
 
     /// Whether any endpoint could ever serve the need, full or not.
     pub(crate) fn serves(&self, now: Instant, pool: &str, role: Role) -> bool {
-        self.group(pool, role).iter().any(|&k| self.endpoints[k].usable(now))
+        self.group(pool, role).iter().any(|&k| self.open(now, &self.endpoints[k]))
     }
 
     /// Slots of usable endpoints of a kind.
     pub(crate) fn capacity(&self, now: Instant, pool: &str, role: Role) -> u32 {
-        let usable = self.group(pool, role).iter().map(|&k| &self.endpoints[k]).filter(|e| e.usable(now));
-        usable.map(|e| e.slots).sum()
+        let open = self.group(pool, role).iter().map(|&k| &self.endpoints[k]).filter(|e| self.open(now, e));
+        open.map(|e| e.slots).sum()
     }
 
     fn group(&self, pool: &str, role: Role) -> &[EndpointKey] {
@@ -294,7 +297,7 @@
         let fits = |k: &EndpointKey| {
             let entry = &self.endpoints[*k];
             let room = u64::from(entry.load()) * 100 < u64::from(entry.slots) * u64::from(need.percent);
-            entry.usable(now) && room && !need.tried.contains(k) && self.share(&entry.site) > 0
+            self.open(now, entry) && room && !need.tried.contains(k)
         };
         let fitting: Vec<EndpointKey> =
             self.group(need.pool, need.role).iter().copied().filter(fits).collect();
@@ -306,6 +309,11 @@
         Some(if self.rank(a, need.domain) <= self.rank(b, need.domain) { a } else { b })
     }
 
+    /// Whether an endpoint takes new work, full or not.
+    fn open(&self, now: Instant, entry: &EndpointEntry) -> bool {
+        entry.usable(now) && self.share(&entry.site) > 0
+    }
+
     fn share(&self, site: &str) -> u32 {
         self.shares.get(site).copied().unwrap_or(0)
     }
@@ -363,6 +371,11 @@
         }
     }
 
+    /// Whether an endpoint is to get nothing new, by whatever word.
+    pub(crate) fn is_leaving(&self, key: EndpointKey) -> bool {
+        self.endpoints[key].is_leaving()
+    }
+
     /// The endpoint itself said that it leaves.
     pub(crate) fn leaving(&mut self, key: EndpointKey) {
         self.endpoints[key].leaving = true;
@@ -400,7 +413,7 @@
             own: e.own,
             others: e.others,
             slots: e.slots,
-            leaving: e.draining || e.leaving || e.removed,
+            leaving: e.is_leaving(),
             paused: e.unanswered >= UNANSWERED || e.paused.is_some_and(|until| now < until),
         });
         views.collect()
--- a/crates/core/src/flow.rs
+++ b/crates/core/src/flow.rs
@@ -27,6 +27,8 @@
 /// When a caller should come back to an instance that is stopping or has no configuration yet: the balancer
 /// gives it another one.
 const ELSEWHERE: Duration = Duration::from_secs(1);
+/// Longest time to come back that a caller is told; what is further off cannot be foretold.
+const LATEST: Duration = Duration::from_secs(30);
 /// Wait for a service slot: callers of plain services are quick, and so are the services.
 const SERVICE_WAIT: Duration = Duration::from_secs(2);
 /// Priority of service calls among themselves.
@@ -132,18 +134,50 @@
     /// Queues a request, or refuses it at once if it would wait longer than its class may.
     pub(crate) fn admit(&mut self, now: Instant, key: RequestKey, out: &mut Vec<Effect>) {
         let request = self.requests.get(key);
-        let (pool, role) = (request.pool.clone(), role(&request.kind));
-        if !self.fleet.serves(now, &pool, role) {
-            return self.refuse(now, key, Refusal::later(ErrorKind::NoEndpoint, ELSEWHERE), out);
-        }
-        let wait = self.expected_wait(now, request);
-        if wait > request.wait {
-            return self.refuse(now, key, Refusal::later(ErrorKind::Overloaded, wait), out);
+        if !self.served(now, request) || self.expected_wait(now, request) > request.wait {
+            let refusal = self.no_slot(now, request);
+            return self.refuse(now, key, refusal, out);
         }
+        let pool = request.pool.clone();
         self.enqueue(now, key);
         self.pump(now, &pool, out);
     }
 
+    /// Whether there are open endpoints, full or not, for every step of a request.
+    fn served(&self, now: Instant, request: &Request) -> bool {
+        let roles: &[Role] = match request.kind {
+            Kind::Generate { .. } => &[Role::Prefill, Role::Decode],
+            Kind::Call { .. } => &[Role::Service],
+        };
+        roles.iter().all(|&r| self.fleet.serves(now, &request.pool, r))
+    }
+
+    /// Why a request of which nothing ran gets no slot, and when to come back.
+    fn no_slot(&self, now: Instant, request: &Request) -> Refusal {
+        if !self.served(now, request) {
+            return Refusal::later(ErrorKind::NoEndpoint, ELSEWHERE);
+        }
+        let wait = self.expected_wait(now, request).clamp(ELSEWHERE, LATEST);
+        Refusal::later(ErrorKind::Overloaded, wait)
+    }
+
+    /// A configuration came into force: requests that wait for endpoints that it no longer has are given up
+    /// now and not at the end of their wait.
+    pub(crate) fn refuse_unserved(&mut self, now: Instant, out: &mut Vec<Effect>) {
+        let waiting = self.requests.iter().filter(|(_, r)| r.phase == Phase::Waiting && !self.served(now, r));
+        let keys: Vec<RequestKey> = waiting.map(|(key, _)| key).collect();
+        for key in keys {
+            self.withdraw(now, key, out);
+            let request = self.requests.get(key);
+            let refusal = if request.may_have_run() {
+                Refusal::later(ErrorKind::EndpointFailed, ELSEWHERE)
+            } else {
+                self.no_slot(now, request)
+            };
+            self.refuse(now, key, refusal, out);
+        }
+    }
+
     fn enqueue(&mut self, now: Instant, key: RequestKey) {
         let request = self.requests.get_mut(key);
         request.phase = Phase::Waiting;
@@ -296,11 +330,37 @@
         self.count_prefill(key, decode);
         let request = self.requests.get_mut(key);
         request.cache = Some(Cache { attempt, prefill });
-        self.import(key, prefill, decode, out);
+        self.import_if_open(now, key, (prefill, decode), out);
         let pool = self.requests.get(key).pool.clone();
         self.pump(now, &pool, out);
     }
 
+    /// A decode slot is kept from before the prefill, and the endpoint may have begun to leave since. What was
+    /// not yet sent there is new work to it, and goes elsewhere.
+    fn import_if_open(
+        &mut self,
+        now: Instant,
+        key: RequestKey,
+        (prefill, decode): (EndpointKey, EndpointKey),
+        out: &mut Vec<Effect>,
+    ) {
+        if !self.fleet.is_leaving(decode) {
+            return self.import(key, prefill, decode, out);
+        }
+        self.fleet.release(decode);
+        match self.choose(now, key, Role::Decode) {
+            Some(other) => {
+                self.fleet.take(other);
+                self.import(key, prefill, other, out);
+            }
+            None => {
+                self.waste(now, key, out);
+                self.back_to_waiting(key);
+                self.retry(now, key, Fault::Leaving, out);
+            }
+        }
+    }
+
     fn import(&mut self, key: RequestKey, prefill: EndpointKey, decode: EndpointKey, out: &mut Vec<Effect>) {
         let timeout = self.step_timeout();
         let origin = self.fleet.get(prefill).target();
@@ -693,7 +753,7 @@
                 _ if late && ran => Refusal::new(ErrorKind::DeadlinePassed),
                 _ if late => Refusal::new(ErrorKind::Expired),
                 _ if ran => Refusal::later(ErrorKind::EndpointFailed, ELSEWHERE),
-                _ => Refusal::later(ErrorKind::Overloaded, self.expected_wait(now, request).max(ELSEWHERE)),
+                _ => self.no_slot(now, request),
             };
             self.withdraw(now, key, out);
             self.refuse(now, key, refusal, out);
--- a/crates/core/src/homes.rs
+++ b/crates/core/src/homes.rs
@@ -23,6 +23,10 @@
 //!    possible grant lies before that: after a restart or a change of the list only keys that were made
 //!    earlier, or do not tell, meet an "unknown".
 //!
+//! 7. A key is good for the horizon. One that tells its age is refused as "unknown" once it is older: a request
+//!    can lie in the socket of a frozen instance for any time and come up when everything about it is
+//!    forgotten. For keys that do not tell, an instance that wakes answers "unknown" for a while.
+//!
 //! What remains open is stated in docs/AT-MOST-ONCE.md: an asker that is frozen between the check of its grant
 //! and the write to the endpoint for longer than the horizon, and a list of which more than half the members
 //! are replaced inside one cut.
@@ -127,9 +131,6 @@
         self.skew = skew;
     }
 
-    pub(crate) fn horizon(&self) -> Duration {
-        self.horizon
-    }
 
     /// Keys on record.
     pub(crate) fn len(&self) -> usize {
@@ -178,6 +179,10 @@
             replies.answer(from, key, request, entry.answer(members, request));
             return replies;
         }
+        if self.outdated(now, born) {
+            replies.answer(from, key, request, ClaimAnswer::Unknown);
+            return replies;
+        }
         if members.home(key) != Some(self.me) || self.closed {
             replies.answer(from, key, request, ClaimAnswer::Unknown);
             return replies;
@@ -213,7 +218,7 @@
                 open.insert(home, false);
             }
         }
-        if now.duration_since(self.started) < self.horizon
+        if now.duration_since(self.started) < self.memory()
             && !self.made_after(born, self.started)
             && let Some(home) = members.runner_up(key)
         {
@@ -222,12 +227,27 @@
         open
     }
 
+    /// Whether a key is older than anything that is remembered about keys.
+    fn outdated(&self, now: Instant, born: Option<u64>) -> bool {
+        let age = |born| self.wall(now).saturating_sub(born);
+        born.is_some_and(|born| age(born) > self.horizon.as_millis() as u64)
+    }
+
+    /// Milliseconds since the Unix epoch, by the clock at the start and the monotonic time since.
+    fn wall(&self, at: Instant) -> u64 {
+        self.epoch + at.duration_since(self.started).as_millis() as u64
+    }
+
+    /// How long records and former lists are kept: a caller's clock may be ahead and its key look younger.
+    pub(crate) fn memory(&self) -> Duration {
+        self.horizon + self.skew + TENURE
+    }
+
     /// Whether a key was made after the last moment at which a home that lost its place `at` can have granted
     /// it: its tenure may have lasted a while longer, and the caller's clock may be ahead.
     fn made_after(&self, born: Option<u64>, at: Instant) -> bool {
-        let lost = self.epoch + at.duration_since(self.started).as_millis() as u64;
         let margin = (TENURE + self.skew).as_millis() as u64;
-        born.is_some_and(|born| born > lost + margin)
+        born.is_some_and(|born| born > self.wall(at) + margin)
     }
 
     /// Ends an inquiry that has all its answers, or no time left.
@@ -295,7 +315,7 @@
         }
         // An inquiry under way here could still end in a grant; by the newer list it will not, because this
         // instance is not the home any more, and `conclude` checks that.
-        let full = now.duration_since(self.started) >= self.horizon;
+        let full = now.duration_since(self.started) >= self.memory();
         let former = members.former_homes(key);
         let complete = full && former.iter().all(|(h, _)| *h == self.me || self.handed.contains_key(h));
         let record = self.entries.get(&key).map(|e| e.record.clone());
@@ -360,7 +380,7 @@
 
     fn forget(&mut self, now: Instant) {
         while let Some(&(at, key)) = self.order.front() {
-            let expired = now.duration_since(at) > self.horizon + TENURE;
+            let expired = now.duration_since(at) > self.memory();
             if !expired && self.bytes <= STORE_BYTES {
                 break;
             }
@@ -382,7 +402,8 @@
             entry.at = late;
             self.order.push_back((late, key));
         }
-        self.handed.retain(|_, at| now.duration_since(*at) < self.horizon + TENURE);
+        let memory = self.memory();
+        self.handed.retain(|_, at| now.duration_since(*at) < memory);
     }
 
     /// Records for the homes that follow this instance when it stops.
--- a/crates/core/src/instance.rs
+++ b/crates/core/src/instance.rs
@@ -29,6 +29,8 @@
 const CONFIRM: Duration = Duration::from_millis(300);
 /// How long a request that gave up on a grant is remembered.
 const FORGONE: Duration = Duration::from_mins(1);
+/// A pause between events that is no mere load: ticks come many times in it.
+const FREEZE: Duration = Duration::from_secs(1);
 /// How long a planned stop waits for unconfirmed cancels and for its last messages to leave.
 const LINGER: Duration = Duration::from_millis(500);
 
@@ -106,6 +108,10 @@
     /// When the last request of a planned stop ended.
     drained: Option<Instant>,
     stopped: bool,
+    /// Time of the last event.
+    stepped: Instant,
+    /// When the process last woke from a freeze.
+    pub(crate) woke: Option<Instant>,
 }
 
 impl Instance {
@@ -135,6 +141,8 @@
             next_confirm: now,
             drained: None,
             stopped: false,
+            stepped: now,
+            woke: None,
             identity,
         }
     }
@@ -150,6 +158,10 @@
     ///
     /// `now` must not go back between calls.
     pub fn step(&mut self, now: Instant, event: Event, out: &mut Vec<Effect>) {
+        if now.duration_since(self.stepped) > FREEZE {
+            self.woke = Some(now);
+        }
+        self.stepped = now;
         // First of all, so that a process that wakes from a freeze acts on nothing that has expired meanwhile.
         self.expire(now, out);
         match event {
@@ -240,6 +252,7 @@
         // Neighbours are told at once, so that a version crosses the fleet in hops of milliseconds and also
         // reaches those that cannot read the platform.
         self.tell_neighbours(now, out);
+        self.refuse_unserved(now, out);
         self.pump_all(now, out);
     }
 
@@ -435,7 +448,7 @@
         let targets = self.members.beat(now);
         self.beat_to(now, targets, out);
         audit_health(self.members.review(now), out);
-        self.members.forget(now, self.homes.horizon());
+        self.members.forget(now, self.homes.memory());
         let replies = self.homes.tick(now, &self.members);
         self.send_replies(now, replies, out);
         self.confirm(now, out);
