Measure the routing policy against plain ones and a bound

The policy command runs the real core in virtual time. Also: the order of handed-over records no longer depends on a hash seed.

--- /dev/null
+++ b/crates/bench/src/commands/plot.rs
@@ -0,0 +1,52 @@
+//! Plots of goodput and waste over load.
+
+use plotters::prelude::*;
+use teaselshunt_bench::{Outcome, Policy};
+
+use super::CommandError;
+
+const SIZE: (u32, u32) = (1100, 480);
+const COLOURS: [RGBColor; 5] =
+    [RGBColor(200, 30, 30), RGBColor(120, 120, 120), RGBColor(30, 120, 200), RGBColor(30, 150, 60), BLACK];
+
+fn failed(error: impl std::fmt::Display) -> CommandError {
+    CommandError::Usage(format!("the plot cannot be drawn: {error}"))
+}
+
+/// Draws a curve a policy, goodput on the left and waste on the right.
+pub(crate) fn plot(file: &str, title: &str, curves: &[(Policy, Vec<Outcome>)]) -> Result<(), CommandError> {
+    let root = SVGBackend::new(file, SIZE).into_drawing_area();
+    root.fill(&WHITE).map_err(failed)?;
+    let (left, right) = root.split_horizontally(SIZE.0 / 2);
+    draw(&left, &format!("{title}: answers within both targets a second"), curves, |o| o.goodput)?;
+    draw(&right, &format!("{title}: prefill wasted, %"), curves, |o| o.wasted * 100.0)?;
+    root.present().map_err(failed)
+}
+
+fn draw(
+    area: &DrawingArea<SVGBackend<'_>, plotters::coord::Shift>,
+    title: &str,
+    curves: &[(Policy, Vec<Outcome>)],
+    value: fn(&Outcome) -> f64,
+) -> Result<(), CommandError> {
+    let points = curves.iter().flat_map(|(_, outcomes)| outcomes);
+    let high = points.clone().map(value).fold(1.0, f64::max) * 1.1;
+    let far = points.map(|o| o.load).fold(1.0, f64::max);
+    let mut chart = ChartBuilder::on(area)
+        .caption(title, ("sans-serif", 16))
+        .margin(12)
+        .x_label_area_size(36)
+        .y_label_area_size(48)
+        .build_cartesian_2d(0.0..far, 0.0..high)
+        .map_err(failed)?;
+    chart.configure_mesh().x_desc("load").draw().map_err(failed)?;
+    for ((policy, outcomes), colour) in curves.iter().zip(COLOURS) {
+        let line = LineSeries::new(outcomes.iter().map(|o| (o.load, value(o))), colour.stroke_width(2));
+        chart
+            .draw_series(line)
+            .map_err(failed)?
+            .label(format!("{policy:?}"))
+            .legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], colour));
+    }
+    chart.configure_series_labels().border_style(BLACK).background_style(WHITE).draw().map_err(failed)
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -9,9 +9,11 @@
 //! Everything is drawn from one seed: the same seed gives the same run.
 
 mod plan;
+mod policy;
 mod world;
 
 pub use plan::Plan;
+pub use policy::{ClassOutcome, Experiment, Outcome, Policy, Trouble};
 pub use world::{
     Asked, ClassTally, Deployment, EngineSpeed, Fault, Load, Options, Side, Tally, World, britasol, pindan,
 };
--- a/crates/bench/src/world/node.rs
+++ b/crates/bench/src/world/node.rs
@@ -1,6 +1,6 @@
 //! An entry instance: the real core, and whether its process lives.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 use rand::Rng;
 use teaselshunt_core::{Effect, Entry, Event, Identity, Instance, InstanceId, Ticket};
@@ -21,7 +21,7 @@
     /// What happened to a frozen process, to be seen when it wakes.
     missed: Vec<Happening>,
     pub(super) leaving: bool,
-    pub(super) drivers: HashMap<Ticket, Driver>,
+    pub(super) drivers: BTreeMap<Ticket, Driver>,
     pub(super) next_ticket: u64,
     version: u64,
     /// Time of the last event.
@@ -51,7 +51,7 @@
                 frozen: false,
                 missed: Vec::new(),
                 leaving: false,
-                drivers: HashMap::new(),
+                drivers: BTreeMap::new(),
                 next_ticket: 0,
                 version: 0,
                 thawed: std::time::Duration::ZERO,
@@ -105,7 +105,7 @@
         let node = &mut self.nodes[index];
         node.instance = None;
         node.life += 1;
-        let broken: Vec<(Ticket, Driver)> = node.drivers.drain().collect();
+        let broken: Vec<(Ticket, Driver)> = std::mem::take(&mut node.drivers).into_iter().collect();
         for (_, driver) in broken {
             self.connection_broken(driver.caller);
         }
--- a/crates/core/src/homes.rs
+++ b/crates/core/src/homes.rs
@@ -413,11 +413,14 @@
         for (id, _) in members.iter().filter(|(_, m)| !m.leaving) {
             parts.insert(id, Vec::new());
         }
-        for (&key, entry) in &self.entries {
+        // In the order of the keys, so that the same state gives the same messages.
+        let mut keys: Vec<IdempotencyKey> = self.entries.keys().copied().collect();
+        keys.sort_unstable();
+        for key in keys {
             let Some(home) = members.runner_up(key) else {
                 continue;
             };
-            parts.entry(home).or_default().push((key, entry.record.clone()));
+            parts.entry(home).or_default().push((key, self.entries[&key].record.clone()));
         }
         let mut messages = Vec::new();
         for (home, records) in parts {
