Give each pool's slots one owner, and late work a place behind work in time

Cause of the waste: eight instances chose decode slots on lagging reports and overbooked them. Weighed: two choices on reports (measured, keeps wasting), slots leased to instances in parts (strands a part with every idle instance), one owner.

--- a/crates/bench/src/world/callers.rs
+++ b/crates/bench/src/world/callers.rs
@@ -59,8 +59,9 @@
 pub(super) struct Caller {
     pub(super) asked: Asked,
     class: String,
-    /// First sending.
+    /// First and last sending.
     began: Duration,
+    sent: Duration,
     pub(super) first: Option<Duration>,
     /// The last sending's id.
     pub(super) request: Option<RequestId>,
@@ -131,6 +132,7 @@
             asked,
             class,
             began: at,
+            sent: at,
             first: None,
             request: None,
             sendings: 0,
@@ -161,6 +163,7 @@
             state.key = Some(Keyed { key, born: Some(now_ms) });
         }
         state.request = None;
+        state.sent = self.now;
         let node = alive[self.rng.random_range(0..alive.len())];
         let work = self.callers[caller].work();
         let patience = self.callers[caller].asked.patience;
@@ -195,17 +198,22 @@
         }
         state.done = true;
         let (asked, class) = (state.asked.clone(), state.class.clone());
-        let first = state.first.unwrap_or(now) - state.began;
+        let first = state.first.unwrap_or(now) - state.sent;
+        let since_began = state.first.unwrap_or(now) - state.began;
         let gaps = asked.output.saturating_sub(1).max(1);
         let gap = (now - state.first.unwrap_or(now)) / gaps;
         let targets = self.deployment.configuration.classes.iter().find(|c| c.name == class);
-        let good = targets.is_none_or(|c| {
-            first <= Duration::from_millis(c.first_ms) && gap <= Duration::from_millis(c.gap_ms)
-        });
+        let good = |first: Duration| {
+            targets.is_none_or(|c| {
+                first <= Duration::from_millis(c.first_ms) && gap <= Duration::from_millis(c.gap_ms)
+            })
+        };
+        let (good, good_first) = (good(first), good(since_began));
         self.tally.used += u64::from(asked.prompt);
         let tally = self.tally.class(&class);
         tally.answered += 1;
         tally.good += u64::from(good);
+        tally.good_first += u64::from(good_first);
         if !asked.call {
             tally.first.saturating_record(first.as_millis().max(1) as u64);
             tally.gap.saturating_record(gap.as_micros().max(1) as u64);
@@ -305,6 +313,7 @@
             team: String::new(),
             prompt: self.asked.prompt,
             limit: self.asked.output,
+            again: self.sendings > 1,
             key,
             deadline,
         })
--- a/crates/bench/src/world/drivers.rs
+++ b/crates/bench/src/world/drivers.rs
@@ -18,6 +18,7 @@
 #[derive(Debug)]
 pub(super) struct Driver {
     pub(super) caller: usize,
+    accepted: bool,
     /// Try in progress.
     attempt: Option<AttemptId>,
     /// Grows with every step, so that a late look at an earlier one is told apart.
@@ -30,8 +31,13 @@
 }
 
 impl Driver {
+    /// Whether the core has taken the request.
+    pub(super) fn accepted(&self) -> bool {
+        self.accepted
+    }
+
     pub(super) fn new(caller: usize) -> Self {
-        Self { caller, attempt: None, number: 0, cache: None, offset: 0, moved: Duration::ZERO }
+        Self { caller, accepted: false, attempt: None, number: 0, cache: None, offset: 0, moved: Duration::ZERO }
     }
 }
 
@@ -40,8 +46,10 @@
     pub(super) fn drive(&mut self, node: usize, effect: Effect) {
         match effect {
             Effect::Accept { ticket, request } => {
-                let caller = self.nodes[node].drivers[&ticket].caller;
-                self.callers[caller].request = Some(request);
+                if let Some(driver) = self.nodes[node].drivers.get_mut(&ticket) {
+                    driver.accepted = true;
+                    self.callers[driver.caller].request = Some(request);
+                }
             }
             Effect::Prefill { ticket, attempt, target, priority, timeout } => {
                 let Some(driver) = self.begin(node, ticket, attempt) else {
--- a/crates/bench/src/world/mod.rs
+++ b/crates/bench/src/world/mod.rs
@@ -50,7 +50,7 @@
     fn default() -> Self {
         Self {
             seed: 1,
-            placement: Placement::TwoChoices,
+            placement: Placement::Owner,
             speed: EngineSpeed::default(),
             lag: Duration::from_millis(300),
             list_lag: Duration::from_secs(3),
--- a/crates/bench/src/world/tally.rs
+++ b/crates/bench/src/world/tally.rs
@@ -14,8 +14,10 @@
     pub offered: u64,
     /// Whole answers.
     pub answered: u64,
-    /// Whole answers within both targets.
+    /// Whole answers within both targets, the first counted from the sending that was answered.
     pub good: u64,
+    /// The same, counted from the caller's first sending.
+    pub good_first: u64,
     /// Callers that gave up after refusals.
     pub refused: u64,
     /// First token, in milliseconds.
@@ -31,6 +33,7 @@
             offered: 0,
             answered: 0,
             good: 0,
+            good_first: 0,
             refused: 0,
             first: histogram(LONGEST),
             gap: histogram(LONGEST * 1000),
@@ -78,6 +81,11 @@
         self.classes.values().map(|c| c.good).sum()
     }
 
+    /// Whole answers within both targets, counted from the first sending, over all classes.
+    pub fn good_first(&self) -> u64 {
+        self.classes.values().map(|c| c.good_first).sum()
+    }
+
     /// Requests that callers made, over all classes.
     pub fn offered(&self) -> u64 {
         self.classes.values().map(|c| c.offered).sum()
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -147,6 +147,8 @@
     pub prompt: u32,
     /// Most tokens to generate.
     pub limit: u32,
+    /// Whether the caller says that it was refused before and comes back; its target has passed already.
+    pub again: bool,
     /// Idempotency key, if the caller gave one.
     pub key: Option<Keyed>,
     /// Time from arrival after which the caller has no use for the answer.
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -14,6 +14,7 @@
 use teaselshunt_settings::{Configuration, EndpointState, Role};
 
 use crate::event::{Report, Target};
+use crate::slots::Use;
 use crate::ids::EndpointKey;
 use crate::{EndpointId, InstanceId};
 
@@ -32,8 +33,10 @@
 /// The plain ones are kept to measure against.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum Placement {
-    /// The less loaded of two random ones.
+    /// By the owner of the pool's slots, which sees every reservation.
     #[default]
+    Owner,
+    /// The less loaded of two random ones, by own use and reports; also what an asker falls back to.
     TwoChoices,
     /// Any, full or not.
     Random,
@@ -85,6 +88,8 @@
     removed: bool,
     own: u32,
     others: u32,
+    /// Requests that the last report named and that the owner of the pool does not account for.
+    foreign: u32,
     /// All that the last report named, own work included.
     listed: u32,
     reported: Option<Instant>,
@@ -190,6 +195,7 @@
             removed: false,
             own: 0,
             others: 0,
+            foreign: 0,
             listed: 0,
             reported: None,
             failures: 0,
@@ -216,13 +222,22 @@
         &self.endpoints[key]
     }
 
+    pub(crate) fn placement(&self) -> Placement {
+        self.placement
+    }
+
+    /// Id of an endpoint that may be gone by now.
+    pub(crate) fn known(&self, key: EndpointKey) -> Option<EndpointId> {
+        self.endpoints.get(key).map(|e| e.id)
+    }
+
     pub(crate) fn find(&self, id: EndpointId) -> Option<EndpointKey> {
         self.by_id.get(&id).copied()
     }
 
-    /// Endpoints to ask for reports, with their addresses.
-    pub(crate) fn engines(&self) -> Vec<Target> {
-        let engines = self.endpoints.values().filter(|e| e.role != Role::Service && !e.removed);
+    /// Engines of the pools that `wanted` names, to ask for reports.
+    pub(crate) fn engines(&self, wanted: impl Fn(&str) -> bool) -> Vec<Target> {
+        let engines = self.endpoints.values().filter(|e| e.role != Role::Service && !e.removed && wanted(&e.pool));
         engines.map(EndpointEntry::target).collect()
     }
 
@@ -267,7 +282,7 @@
     /// Chooses an endpoint by the placement in use.
     pub(crate) fn choose(&mut self, now: Instant, need: &Need<'_>, rng: &mut SmallRng) -> Option<EndpointKey> {
         match self.placement {
-            Placement::TwoChoices => self.two_choices(now, need, rng),
+            Placement::Owner | Placement::TwoChoices => self.two_choices(now, need, rng),
             Placement::Random => {
                 let any = self.untried(now, need);
                 (!any.is_empty()).then(|| any[rng.random_range(0..any.len())])
@@ -284,6 +299,44 @@
         }
     }
 
+    /// Chooses a slot pair, as the owner of the pool: the decode engine with the most room at a site drawn by its
+    /// share, and the prefill engine with the least to do.
+    ///
+    /// Only engines that have reported lately are chosen: an owner that has just come to be does not know yet
+    /// what runs there.
+    pub(crate) fn pair(
+        &self,
+        now: Instant,
+        need: &Need<'_>,
+        used: impl Fn(EndpointKey) -> Use,
+        rng: &mut SmallRng,
+    ) -> Option<(EndpointKey, EndpointKey)> {
+        let fits = |role: Role, percent: u32| {
+            let used = &used;
+            move |k: &EndpointKey| {
+                let entry = &self.endpoints[*k];
+                let load = u64::from(used(*k).requests + entry.foreign);
+                let room = load * 100 < u64::from(entry.slots) * u64::from(percent);
+                let known = entry.reported.is_some() && !need.tried.contains(k);
+                entry.role == role && room && known && self.open(now, entry)
+            }
+        };
+        let decodes = self.group(need.pool, Role::Decode).iter().copied();
+        let decodes: Vec<EndpointKey> = decodes.filter(fits(Role::Decode, 100)).collect();
+        let site = self.draw_site(&decodes, rng)?;
+        let decode = decodes.into_iter().filter(|&k| self.endpoints[k].site == site).min_by_key(|&k| {
+            let entry = &self.endpoints[k];
+            ((used(k).requests + entry.foreign) * 1000 / entry.slots.max(1), entry.domain != need.domain, rng.random::<u32>())
+        })?;
+        let near = &self.endpoints[decode].domain;
+        let prefills = self.group(need.pool, Role::Prefill).iter().copied();
+        let prefill = prefills.filter(fits(Role::Prefill, need.percent)).min_by_key(|&k| {
+            let entry = &self.endpoints[k];
+            (used(k).tokens, entry.foreign, entry.domain != *near, rng.random::<u32>())
+        })?;
+        Some((prefill, decode))
+    }
+
     fn untried(&self, now: Instant, need: &Need<'_>) -> Vec<EndpointKey> {
         let fits = |k: &EndpointKey| self.endpoints[*k].usable(now) && !need.tried.contains(k);
         self.group(need.pool, need.role).iter().copied().filter(fits).collect()
@@ -343,9 +396,18 @@
         (entry.load() * 1000 / entry.slots.max(1), entry.domain != domain)
     }
 
-    /// Takes in a report; `me` tells own work from that of others. Says whether the endpoint was out of reach.
-    pub(crate) fn report(&mut self, now: Instant, key: EndpointKey, me: InstanceId, report: &Report) -> bool {
+    /// Takes in a report; `me` tells own work from that of others, and `foreign` is what the owner of the pool
+    /// does not account for. Says whether the endpoint was out of reach.
+    pub(crate) fn report(
+        &mut self,
+        now: Instant,
+        key: EndpointKey,
+        me: InstanceId,
+        report: &Report,
+        foreign: u32,
+    ) -> bool {
         let entry = &mut self.endpoints[key];
+        entry.foreign = foreign;
         let others = report.running.iter().filter(|r| r.attempt.request.instance != me).count();
         entry.others = others as u32;
         entry.listed = report.running.len() as u32;
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -38,6 +38,17 @@
     }
 }
 
+/// A pool, by the hash of its name.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct PoolId(pub u64);
+
+impl PoolId {
+    /// Id of the pool called `name`.
+    pub fn of(name: &str) -> Self {
+        Self(xxh3_64(name.as_bytes()))
+    }
+}
+
 /// An idempotency key, by the hash of team and text, so that teams cannot collide on purpose or by chance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct IdempotencyKey(pub u128);
--- a/crates/core/src/instance.rs
+++ b/crates/core/src/instance.rs
@@ -17,9 +17,11 @@
 use crate::message::{Heartbeat, Message};
 use crate::orphans::{Cancels, ended};
 use crate::queue::Queue;
+use crate::ids::RequestKey;
 use crate::requests::Requests;
+use crate::slots::Slots;
 use crate::versions::{Verdict, Versions};
-use crate::{EndpointId, InstanceId, Listed, RequestId};
+use crate::{EndpointId, InstanceId, Listed, PoolId, RequestId};
 
 /// Time between two load reports of an engine.
 const POLL: Duration = Duration::from_millis(500);
@@ -91,9 +93,22 @@
     pub(crate) fleet: Fleet,
     pub(crate) homes: Homes,
     pub(crate) requests: Requests,
-    pub(crate) queues: BTreeMap<String, Queue>,
+    pub(crate) queues: BTreeMap<String, Queue<RequestKey>>,
     /// Moving average of how long a slot is held, by pool.
     pub(crate) holds: HashMap<String, Duration>,
+    /// Moving average of a prefill's time for each prompt token, by pool.
+    pub(crate) paces: HashMap<String, Duration>,
+    /// Moving average of the time from the end of a prefill to the first token, by pool.
+    pub(crate) tails: HashMap<String, Duration>,
+    /// Names of the pools of the configuration in force.
+    pub(crate) pools: BTreeMap<PoolId, String>,
+    /// Slots of the pools that this instance owns, or owned lately.
+    pub(crate) slots: BTreeMap<PoolId, Slots>,
+    /// Grants of this owner to its own requests, on their way inside a step.
+    pub(crate) own_grants: Vec<(RequestId, EndpointId, EndpointId)>,
+    /// Pools whose owner was silent, and when.
+    pub(crate) alone: HashMap<String, Instant>,
+    pub(crate) next_renew: Instant,
     pub(crate) cancels: Cancels,
     /// Homes that granted the keys of requests in progress.
     pub(crate) grants: HashMap<RequestId, InstanceId>,
@@ -131,6 +146,13 @@
             requests: Requests::default(),
             queues: BTreeMap::new(),
             holds: HashMap::new(),
+            paces: HashMap::new(),
+            tails: HashMap::new(),
+            pools: BTreeMap::new(),
+            slots: BTreeMap::new(),
+            own_grants: Vec::new(),
+            alone: HashMap::new(),
+            next_renew: now,
             cancels: Cancels::default(),
             grants: HashMap::new(),
             forgone: BTreeMap::new(),
@@ -200,7 +222,7 @@
             revision: self.members.revision(),
             stopping: self.members.stopping,
             requests: self.requests.len(),
-            waiting: self.queues.iter().map(|(pool, q)| (pool.clone(), q.len())).collect(),
+            waiting: self.waiting(),
             keys: self.homes.len(),
             cancels: self.cancels.len(),
             members: self.members.view(),
@@ -209,6 +231,18 @@
         }
     }
 
+    /// Requests that wait here or, for owned pools, at this owner.
+    fn waiting(&self) -> BTreeMap<String, usize> {
+        let mut waiting: BTreeMap<String, usize> =
+            self.queues.iter().map(|(pool, q)| (pool.clone(), q.len())).collect();
+        for (id, slots) in &self.slots {
+            if let Some(name) = self.pools.get(id) {
+                *waiting.entry(name.clone()).or_default() += slots.waiting();
+            }
+        }
+        waiting
+    }
+
     /// Name of a listed instance, or its id.
     pub fn name(&self, id: InstanceId) -> String {
         if id == self.identity.id() {
@@ -246,6 +280,9 @@
             return;
         };
         self.fleet.apply(&configuration);
+        self.pools = configuration.pools.iter().map(|p| (PoolId::of(&p.name), p.name.clone())).collect();
+        let pools = &self.pools;
+        self.slots.retain(|id, _| pools.contains_key(id));
         let policy = &configuration.policy;
         self.homes.set_terms(Duration::from_secs(policy.horizon_s), Duration::from_millis(policy.skew_ms));
         out.push(Effect::Audit(Audit::Accepted { version: configuration.version, source }));
@@ -303,6 +340,21 @@
                 let replies = self.homes.inquired(now, &self.members, from, key, answer);
                 self.send_replies(now, replies, out);
             }
+            Message::Reserve(reserve) => self.reserve_asked(now, from, reserve, out),
+            Message::Queued { request } => self.queued(from, request),
+            Message::Reserved { pool, request, prefill, decode } => {
+                self.reserved(now, from, (pool, request), (prefill, decode), out);
+            }
+            Message::Declined { request, wait_ms } => {
+                let wait = Duration::from_millis(u64::from(wait_ms));
+                self.declined(now, from, request, wait, out);
+            }
+            Message::Freed { pool, request, prefill, decode } => {
+                self.freed(now, pool, request, (prefill, decode), out);
+            }
+            Message::Holding { pool, incarnation, sequences } => {
+                self.held_by(now, from, (pool, incarnation), sequences, out);
+            }
             Message::Handover { records, last } => self.homes.take_over(now, from, records, last),
         }
     }
@@ -391,11 +443,14 @@
         let Some(key) = self.fleet.find(endpoint) else {
             return;
         };
-        if self.fleet.report(now, key, me, report) {
+        let foreign = self.foreign(key, report);
+        if self.fleet.report(now, key, me, report, foreign) {
             let name = self.fleet.get(key).name.clone();
             out.push(Effect::Audit(Audit::Endpoint { endpoint: name, reachable: true }));
         }
         self.cancel_orphans(now, endpoint, report, out);
+        let pool = PoolId::of(&self.fleet.get(key).pool);
+        self.assign(now, pool, out);
         self.pump_all(now, out);
     }
 
@@ -453,6 +508,9 @@
         self.send_replies(now, replies, out);
         self.confirm(now, out);
         self.poll(now, out);
+        self.review_asked(now, out);
+        self.review_slots(now, out);
+        self.renew_leases(now, out);
         self.resend_cancels(now, out);
         self.forgone.retain(|_, at| now.duration_since(*at) < FORGONE);
         self.fleet.age(now);
@@ -476,7 +534,8 @@
             return;
         }
         self.next_poll = now + POLL;
-        out.extend(self.fleet.engines().into_iter().map(|target| Effect::Poll { target }));
+        let engines = self.fleet.engines(|pool| self.wants_reports(now, pool));
+        out.extend(engines.into_iter().map(|target| Effect::Poll { target }));
     }
 
     fn resend_cancels(&mut self, now: Instant, out: &mut Vec<Effect>) {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -17,7 +17,7 @@
 //!   endpoint;
 //! - a call that may not be repeated is sent again only if the last send provably never left;
 //! - a version in force is only ever replaced by a higher one;
-//! - a slot taken at an endpoint is given back exactly once.
+//! - a slot taken at an endpoint is given back exactly once, and a request holds one lease at most.
 
 mod claims;
 mod clock;
@@ -33,7 +33,9 @@
 mod message;
 mod orphans;
 mod queue;
+mod reservations;
 mod requests;
+mod slots;
 mod versions;
 
 pub use clock::{Clock, ManualClock, SystemClock};
@@ -44,7 +46,7 @@
     Target, Work,
 };
 pub use fleet::{EndpointView, Fleet, Placement};
-pub use ids::{AttemptId, EndpointId, IdempotencyKey, InstanceId, Keyed, RequestId, Ticket};
+pub use ids::{AttemptId, EndpointId, IdempotencyKey, InstanceId, Keyed, PoolId, RequestId, Ticket};
 pub use instance::{Identity, Instance, Snapshot};
 pub use members::{Health, MemberView};
-pub use message::{ClaimAnswer, Fate, Heartbeat, Message, Record, Rumour};
+pub use message::{ClaimAnswer, Fate, Heartbeat, Message, Record, Reserve, Rumour};
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -19,7 +19,7 @@
 
 use crate::event::Listed;
 use crate::message::{Heartbeat, Rumour};
-use crate::{IdempotencyKey, InstanceId};
+use crate::{IdempotencyKey, InstanceId, PoolId};
 
 /// Time between two heartbeats to the same neighbour.
 pub(crate) const BEAT: Duration = Duration::from_secs(1);
@@ -185,6 +185,11 @@
         self.others.get(&id)
     }
 
+    /// Failure domain of a member, or of this instance.
+    pub(crate) fn domain_of(&self, id: InstanceId) -> &str {
+        self.others.get(&id).map_or(&self.domain, |m| &m.domain)
+    }
+
     pub(crate) fn iter(&self) -> impl Iterator<Item = (InstanceId, &Member)> {
         self.others.iter().map(|(&id, m)| (id, m))
     }
@@ -216,6 +221,15 @@
         self.former.iter().filter_map(|f| highest(key, &f.homes).map(|home| (home, f.replaced))).collect()
     }
 
+    /// Owner of a pool's slots: of the members that live and stay, by this instance's view.
+    pub(crate) fn owner(&self, pool: PoolId) -> InstanceId {
+        let stays = |m: &Member| !m.leaving && matches!(m.health, Health::Alive | Health::Unknown);
+        let others = self.others.iter().filter(|(_, m)| stays(m)).map(|(&id, _)| id);
+        let candidates = others.chain((!self.stopping).then_some(self.me));
+        let highest = candidates.max_by_key(|i| (xxh3_64_with_seed(&pool.0.to_le_bytes(), i.0), *i));
+        highest.unwrap_or(self.me)
+    }
+
     /// Whether at least half of the others were heard at the list in use or a later one.
     pub(crate) fn established(&self) -> bool {
         let revision = self.revision();
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{IdempotencyKey, InstanceId, Listed, RequestId, Stored};
+use crate::{EndpointId, IdempotencyKey, InstanceId, Listed, PoolId, RequestId, Stored};
 
 /// A message from one instance to another.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -83,6 +83,51 @@
         /// Whether it has been a home without a break for the whole horizon, so that no record means no grant.
         complete: bool,
     },
+    /// May I have a slot pair for a request? Asked of the pool's owner, and asked again without harm.
+    Reserve(Reserve),
+    /// The request waits here.
+    Queued {
+        /// The request.
+        request: RequestId,
+    },
+    /// The request may use these.
+    Reserved {
+        /// The pool.
+        pool: PoolId,
+        /// The request.
+        request: RequestId,
+        /// Prefill engine.
+        prefill: EndpointId,
+        /// Decode engine.
+        decode: EndpointId,
+    },
+    /// The request would wait too long.
+    Declined {
+        /// The request.
+        request: RequestId,
+        /// How long, in milliseconds.
+        wait_ms: u32,
+    },
+    /// The request does not need these slots any more, or does not wait any more.
+    Freed {
+        /// Its pool.
+        pool: PoolId,
+        /// The request.
+        request: RequestId,
+        /// Whether the prefill slot is free.
+        prefill: bool,
+        /// Whether the decode slot is free, and the place in the queue.
+        decode: bool,
+    },
+    /// All of my requests of a pool that hold slots; sent to its owner every second.
+    Holding {
+        /// The pool.
+        pool: PoolId,
+        /// My start, in milliseconds since the Unix epoch.
+        incarnation: u64,
+        /// Their numbers.
+        sequences: Vec<u64>,
+    },
     /// Records of an instance that stops, for the homes that follow it.
     Handover {
         /// Keys and what became of them.
@@ -92,6 +137,27 @@
     },
 }
 
+/// What a request needs of its pool.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Reserve {
+    /// The pool.
+    pub pool: PoolId,
+    /// The request.
+    pub request: RequestId,
+    /// 0 is served first.
+    pub priority: u8,
+    /// Team, empty for callers without one.
+    pub team: String,
+    /// Prompt tokens.
+    pub prompt: u32,
+    /// Milliseconds from now until the first token is late; 0 if it is.
+    pub first_ms: u32,
+    /// Milliseconds from now until the asker gives up.
+    pub wait_ms: u32,
+    /// Endpoints that failed it.
+    pub tried: Vec<EndpointId>,
+}
+
 /// What a home knows of a key.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Record {
--- a/crates/core/src/orphans.rs
+++ b/crates/core/src/orphans.rs
@@ -19,7 +19,7 @@
 /// Time between two sendings of an unconfirmed cancel.
 const AGAIN: Duration = Duration::from_millis(500);
 /// Sendings after which an unconfirmed cancel is left to the engine's next report.
-const SENDINGS: u32 = 20;
+const SENDINGS: u32 = 120;
 /// How long a dead member is left in peace, for its refutation to arrive.
 const GRACE: Duration = Duration::from_secs(5);
 
--- a/crates/core/src/requests.rs
+++ b/crates/core/src/requests.rs
@@ -8,7 +8,7 @@
 use slotmap::SlotMap;
 
 use crate::ids::{EndpointKey, RequestKey};
-use crate::{AttemptId, Keyed, RequestId, Ticket};
+use crate::{AttemptId, InstanceId, Keyed, RequestId, Ticket};
 
 /// Where a request stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -30,7 +30,7 @@
 /// What the request needs, from the configuration in force when it arrived.
 #[derive(Debug, Clone)]
 pub(crate) enum Kind {
-    Generate { prompt: u32, first: Duration, gap: Duration },
+    Generate { prompt: u32, first: Duration, gap: Duration, again: bool },
     Call { repeatable: bool, timeout: Duration },
 }
 
@@ -66,15 +66,30 @@
     pub(crate) first_token: Option<Instant>,
     /// When the decode slot was taken, to learn how long slots are held.
     pub(crate) held: Instant,
+    /// When the last prefill ended.
+    pub(crate) prefilled: Instant,
     pub(crate) cache: Option<Cache>,
     /// Whether the stream in progress was taken up again once already.
     pub(crate) resumed: bool,
     pub(crate) tried: Vec<EndpointKey>,
     /// Whether the caller has gone and only the outcome for the idempotency key is awaited.
     pub(crate) gone: bool,
+    /// The question to the pool's owner; without one a waiting request stands in the queue here.
+    pub(crate) asked: Option<Asked>,
+    /// The owner that gave the slots.
+    pub(crate) lease: Option<InstanceId>,
     due: Instant,
 }
 
+/// A question to the owner of a pool's slots.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Asked {
+    pub(crate) owner: InstanceId,
+    pub(crate) at: Instant,
+    /// Whether the owner has answered it.
+    pub(crate) heard: bool,
+}
+
 impl Request {
     /// Whether something of it may have reached an endpoint, by an earlier try or the one in progress.
     pub(crate) fn may_have_run(&self) -> bool {
@@ -137,10 +152,13 @@
             offset: 0,
             first_token: None,
             held: now,
+            prefilled: now,
             cache: None,
             resumed: false,
             tried: Vec::new(),
             gone: false,
+            asked: None,
+            lease: None,
             due: deadline,
         });
         self.due.insert((deadline, key));
--- a/crates/daemon/src/callers/headers.rs
+++ b/crates/daemon/src/callers/headers.rs
@@ -13,6 +13,8 @@
 const DEADLINE: &str = "x-teaselshunt-deadline-ms";
 /// The caller's team.
 const TEAM: &str = "openai-organization";
+/// Number of the try, which OpenAI clients send by themselves.
+const RETRY_COUNT: &str = "x-stainless-retry-count";
 const IDEMPOTENCY: &str = "idempotency-key";
 /// Longest idempotency key.
 const KEY_MAX: usize = 255;
@@ -39,6 +41,8 @@
     pub(crate) team: String,
     pub(crate) key: Option<Keyed>,
     pub(crate) deadline: Duration,
+    /// Whether the caller was refused before and comes back.
+    pub(crate) again: bool,
 }
 
 impl Terms {
@@ -64,7 +68,8 @@
             },
             None => default,
         };
-        Ok(Self { team, key, deadline })
+        let again = text(headers, RETRY_COUNT)?.is_some_and(|count| count != "0");
+        Ok(Self { team, key, deadline, again })
     }
 }
 
--- a/crates/daemon/src/callers/openai.rs
+++ b/crates/daemon/src/callers/openai.rs
@@ -220,6 +220,7 @@
         team: terms.team,
         prompt: asked.prompt.len().div_ceil(BYTES_PER_TOKEN) as u32,
         limit: asked.limit,
+        again: terms.again,
         key: terms.key,
         deadline: terms.deadline,
     };
