Ask homes again that do not answer, and give test instances ports of their own

Claims are asked again every 250 ms, a message is tried on a second connection, and test ports lie below the local port range.

--- a/crates/bench/src/commands/plot.rs
+++ b/crates/bench/src/commands/plot.rs
@@ -6,8 +6,14 @@
 use super::CommandError;
 
 const SIZE: (u32, u32) = (1100, 480);
-const COLOURS: [RGBColor; 6] =
-    [RGBColor(200, 30, 30), RGBColor(230, 150, 30), RGBColor(120, 120, 120), RGBColor(30, 120, 200), RGBColor(30, 150, 60), BLACK];
+const COLOURS: [RGBColor; 6] = [
+    RGBColor(200, 30, 30),
+    RGBColor(230, 150, 30),
+    RGBColor(120, 120, 120),
+    RGBColor(30, 120, 200),
+    RGBColor(30, 150, 60),
+    BLACK,
+];
 
 fn failed(error: impl std::fmt::Display) -> CommandError {
     CommandError::Usage(format!("the plot cannot be drawn: {error}"))
--- a/crates/bench/src/commands/policy.rs
+++ b/crates/bench/src/commands/policy.rs
@@ -38,16 +38,19 @@
     }
     let at = |load, seed| Experiment { deployment: deployment.clone(), load, seed, trouble };
     if let Some(file) = &arguments.report {
-        let curves = Policy::ALL.map(|policy| {
-            (policy, LOADS.map(|load| at(load, arguments.seed).run(policy)).to_vec())
-        });
+        let curves = Policy::ALL
+            .map(|policy| (policy, LOADS.map(|load| at(load, arguments.seed).run(policy)).to_vec()));
         return plot(file, &arguments.deployment, &curves);
     }
     for policy in Policy::ALL {
         let seeds = arguments.seed..arguments.seed + arguments.seeds.max(1);
         let outcomes: Vec<Outcome> = std::thread::scope(|scope| {
-            let runs: Vec<_> =
-                seeds.map(|seed| { let e = at(arguments.load, seed); scope.spawn(move || e.run(policy)) }).collect();
+            let runs: Vec<_> = seeds
+                .map(|seed| {
+                    let e = at(arguments.load, seed);
+                    scope.spawn(move || e.run(policy))
+                })
+                .collect();
             runs.into_iter().map(|r| r.join().expect("an experiment does not panic")).collect()
         });
         print(policy, &outcomes, arguments.json);
--- a/crates/bench/src/policy.rs
+++ b/crates/bench/src/policy.rs
@@ -40,14 +40,8 @@
 
 impl Policy {
     /// All of them, ours first.
-    pub const ALL: [Self; 6] = [
-        Self::Ours,
-        Self::TwoChoices,
-        Self::Random,
-        Self::RoundRobin,
-        Self::LeastReported,
-        Self::Omniscient,
-    ];
+    pub const ALL: [Self; 6] =
+        [Self::Ours, Self::TwoChoices, Self::Random, Self::RoundRobin, Self::LeastReported, Self::Omniscient];
 
     fn placement(self) -> Placement {
         match self {
@@ -182,7 +176,8 @@
         let endpoints = &self.deployment.configuration.endpoints;
         let rate = |pool: &str, (prompt, output): (f64, f64)| {
             let count = |role| endpoints.iter().filter(|e| e.pool == pool && e.role == role).count() as f64;
-            let slots = endpoints.iter().find(|e| e.pool == pool && e.role == teaselshunt_settings::Role::Decode);
+            let slots =
+                endpoints.iter().find(|e| e.pool == pool && e.role == teaselshunt_settings::Role::Decode);
             let slots = slots.map_or(1, |e| e.slots);
             let step = speed.decode_step(slots).as_secs_f64();
             let decode = count(teaselshunt_settings::Role::Decode) * f64::from(slots) / step / output;
--- a/crates/bench/src/world/callers.rs
+++ b/crates/bench/src/world/callers.rs
@@ -284,7 +284,10 @@
             }
             if !self.nodes[index].drivers.is_empty() {
                 let snapshot = self.nodes[index].instance.as_ref().map(|i| i.snapshot(self.instant()));
-                let text = format!("instance {index} still drives requests: {:?}; {snapshot:?}", self.nodes[index].drivers);
+                let text = format!(
+                    "instance {index} still drives requests: {:?}; {snapshot:?}",
+                    self.nodes[index].drivers
+                );
                 self.tally.violations.push(text);
             }
         }
--- a/crates/bench/src/world/drivers.rs
+++ b/crates/bench/src/world/drivers.rs
@@ -37,7 +37,15 @@
     }
 
     pub(super) fn new(caller: usize) -> Self {
-        Self { caller, accepted: false, attempt: None, number: 0, cache: None, offset: 0, moved: Duration::ZERO }
+        Self {
+            caller,
+            accepted: false,
+            attempt: None,
+            number: 0,
+            cache: None,
+            offset: 0,
+            moved: Duration::ZERO,
+        }
     }
 }
 
@@ -144,7 +152,8 @@
             let event = Event::Unreported { endpoint: target.id };
             return self.after(POLL, Happening::Result { node, life, event });
         }
-        let request = teaselshunt_core::RequestId { instance: self.nodes[node].id, incarnation: 0, sequence: 0 };
+        let request =
+            teaselshunt_core::RequestId { instance: self.nodes[node].id, incarnation: 0, sequence: 0 };
         let attempt = AttemptId { request, number: 0 };
         let job = Job { node, life, ticket: Ticket(0), attempt, task: Task::Poll };
         let delay = self.network.delay(near, far, &mut self.rng);
--- a/crates/bench/src/world/platform.rs
+++ b/crates/bench/src/world/platform.rs
@@ -87,7 +87,8 @@
     /// The list catches up: the dead are dropped, the leaving marked, the living listed.
     pub(super) fn relist(&mut self) {
         let entries = self.nodes.iter().filter(|n| n.alive());
-        let instances: Vec<Entry> = entries.map(|n| Entry { leaving: n.leaving, ..n.entry.clone() }).collect();
+        let instances: Vec<Entry> =
+            entries.map(|n| Entry { leaving: n.leaving, ..n.entry.clone() }).collect();
         if instances == self.platform.list.instances {
             return;
         }
--- a/crates/core/src/claims.rs
+++ b/crates/core/src/claims.rs
@@ -17,6 +17,8 @@
 const CLAIM: Duration = Duration::from_millis(1_500);
 /// After a freeze, requests that came meanwhile are read within this time.
 const STUPOR: Duration = Duration::from_secs(5);
+/// Time between two rounds that ask silent homes again.
+const RECLAIM: Duration = Duration::from_millis(250);
 /// When to try a key again that cannot be told about or is in use.
 const KEY_RETRY: Duration = Duration::from_secs(2);
 
@@ -113,7 +115,16 @@
         self.ask_home(now, key, out);
     }
 
-    /// A new list came into use: open claims go to the home by that list.
+    /// Asks homes again that have not answered. A claim or its answer can be lost with a connection; asking again
+    /// is harmless, because a home knows the request that it granted.
+    pub(crate) fn review_claims(&mut self, now: Instant, out: &mut Vec<Effect>) {
+        if now >= self.next_reclaim {
+            self.next_reclaim = now + RECLAIM;
+            self.reclaim(now, out);
+        }
+    }
+
+    /// Open claims go to the home by the list in use.
     pub(crate) fn reclaim(&mut self, now: Instant, out: &mut Vec<Effect>) {
         let claiming = self.requests.iter().filter(|(_, r)| r.phase == Phase::Claiming);
         let keys: Vec<RequestKey> = claiming.map(|(key, _)| key).collect();
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -14,8 +14,8 @@
 use teaselshunt_settings::{Configuration, EndpointState, Role};
 
 use crate::event::{Report, Target};
-use crate::slots::Use;
 use crate::ids::EndpointKey;
+use crate::slots::Use;
 use crate::{EndpointId, InstanceId};
 
 /// Failures in a row after which an endpoint is left alone for a while.
@@ -237,7 +237,8 @@
 
     /// Engines of the pools that `wanted` names, to ask for reports.
     pub(crate) fn engines(&self, wanted: impl Fn(&str) -> bool) -> Vec<Target> {
-        let engines = self.endpoints.values().filter(|e| e.role != Role::Service && !e.removed && wanted(&e.pool));
+        let engines =
+            self.endpoints.values().filter(|e| e.role != Role::Service && !e.removed && wanted(&e.pool));
         engines.map(EndpointEntry::target).collect()
     }
 
@@ -280,7 +281,12 @@
     }
 
     /// Chooses an endpoint by the placement in use.
-    pub(crate) fn choose(&mut self, now: Instant, need: &Need<'_>, rng: &mut SmallRng) -> Option<EndpointKey> {
+    pub(crate) fn choose(
+        &mut self,
+        now: Instant,
+        need: &Need<'_>,
+        rng: &mut SmallRng,
+    ) -> Option<EndpointKey> {
         match self.placement {
             Placement::Owner | Placement::TwoChoices => self.two_choices(now, need, rng),
             Placement::Random => {
@@ -294,7 +300,8 @@
             }
             Placement::LeastReported => {
                 let any = self.untried(now, need);
-                any.into_iter().min_by_key(|&k| self.endpoints[k].listed * 1000 / self.endpoints[k].slots.max(1))
+                any.into_iter()
+                    .min_by_key(|&k| self.endpoints[k].listed * 1000 / self.endpoints[k].slots.max(1))
             }
         }
     }
@@ -326,7 +333,11 @@
         let site = self.draw_site(&decodes, rng)?;
         let decode = decodes.into_iter().filter(|&k| self.endpoints[k].site == site).min_by_key(|&k| {
             let entry = &self.endpoints[k];
-            ((used(k).requests + entry.foreign) * 1000 / entry.slots.max(1), entry.domain != need.domain, rng.random::<u32>())
+            (
+                (used(k).requests + entry.foreign) * 1000 / entry.slots.max(1),
+                entry.domain != need.domain,
+                rng.random::<u32>(),
+            )
         })?;
         let near = &self.endpoints[decode].domain;
         let prefills = self.group(need.pool, Role::Prefill).iter().copied();
--- a/crates/core/src/flow.rs
+++ b/crates/core/src/flow.rs
@@ -734,7 +734,13 @@
         }
     }
 
-    fn release_prefill(&mut self, now: Instant, key: RequestKey, prefill: EndpointKey, out: &mut Vec<Effect>) {
+    fn release_prefill(
+        &mut self,
+        now: Instant,
+        key: RequestKey,
+        prefill: EndpointKey,
+        out: &mut Vec<Effect>,
+    ) {
         self.fleet.release(prefill);
         self.free_lease(now, key, (true, false), out);
     }
--- a/crates/core/src/homes.rs
+++ b/crates/core/src/homes.rs
@@ -131,7 +131,6 @@
         self.skew = skew;
     }
 
-
     /// Keys on record.
     pub(crate) fn len(&self) -> usize {
         self.entries.len()
--- a/crates/core/src/instance.rs
+++ b/crates/core/src/instance.rs
@@ -13,11 +13,11 @@
 use crate::event::{Audit, Effect, Event, Offer, Report, Source};
 use crate::fleet::{EndpointView, Fleet, Placement};
 use crate::homes::{Claim, Homes, Replies};
+use crate::ids::RequestKey;
 use crate::members::{Health, MemberView, Members};
 use crate::message::{Heartbeat, Message};
 use crate::orphans::{Cancels, ended};
 use crate::queue::Queue;
-use crate::ids::RequestKey;
 use crate::requests::Requests;
 use crate::slots::Slots;
 use crate::versions::{Verdict, Versions};
@@ -109,6 +109,7 @@
     /// Pools whose owner was silent, and when.
     pub(crate) alone: HashMap<String, Instant>,
     pub(crate) next_renew: Instant,
+    pub(crate) next_reclaim: Instant,
     pub(crate) cancels: Cancels,
     /// Homes that granted the keys of requests in progress.
     pub(crate) grants: HashMap<RequestId, InstanceId>,
@@ -153,6 +154,7 @@
             own_grants: Vec::new(),
             alone: HashMap::new(),
             next_renew: now,
+            next_reclaim: now,
             cancels: Cancels::default(),
             grants: HashMap::new(),
             forgone: BTreeMap::new(),
@@ -508,6 +510,7 @@
         self.send_replies(now, replies, out);
         self.confirm(now, out);
         self.poll(now, out);
+        self.review_claims(now, out);
         self.review_asked(now, out);
         self.review_slots(now, out);
         self.renew_leases(now, out);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -33,8 +33,8 @@
 mod message;
 mod orphans;
 mod queue;
-mod reservations;
 mod requests;
+mod reservations;
 mod slots;
 mod versions;
 
--- a/crates/core/src/reservations.rs
+++ b/crates/core/src/reservations.rs
@@ -114,7 +114,12 @@
         };
         let id = request.id;
         let pool = self.pool_of(key);
-        self.deliver(now, asked.owner, Message::Freed { pool, request: id, prefill: true, decode: true }, out);
+        self.deliver(
+            now,
+            asked.owner,
+            Message::Freed { pool, request: id, prefill: true, decode: true },
+            out,
+        );
     }
 
     /// Tells the owner that slots are free again.
@@ -277,7 +282,8 @@
 
     /// Hands out slots of a pool while there are requests and slots.
     pub(crate) fn assign(&mut self, now: Instant, pool: PoolId, out: &mut Vec<Effect>) {
-        let (Some(name), Some(configuration)) = (self.pools.get(&pool).cloned(), self.versions.current().cloned())
+        let (Some(name), Some(configuration)) =
+            (self.pools.get(&pool).cloned(), self.versions.current().cloned())
         else {
             return;
         };
@@ -380,7 +386,8 @@
     pub(crate) fn wants_reports(&self, now: Instant, pool: &str) -> bool {
         let id = PoolId::of(pool);
         let alone = self.alone.get(pool).is_some_and(|&at| now.duration_since(at) < RESTART);
-        let owned = self.members.owner(id) == self.identity.id() || self.slots.get(&id).is_some_and(Slots::busy);
+        let owned =
+            self.members.owner(id) == self.identity.id() || self.slots.get(&id).is_some_and(Slots::busy);
         self.fleet.placement() != Placement::Owner || alone || owned
     }
 }
--- a/crates/core/src/slots.rs
+++ b/crates/core/src/slots.rs
@@ -148,7 +148,8 @@
     pub(crate) fn peek(&mut self, now: Instant) -> Option<AskKey> {
         self.demote(now);
         let late_first = self.turn.is_multiple_of(LATE_TURN);
-        let (first, second) = if late_first { (&self.late, &self.timely) } else { (&self.timely, &self.late) };
+        let (first, second) =
+            if late_first { (&self.late, &self.timely) } else { (&self.timely, &self.late) };
         first.peek().or_else(|| second.peek())
     }
 
@@ -267,8 +268,7 @@
             self.free(now, request, true, true);
         }
         self.released.retain(|_, at| now.duration_since(*at) < ECHO);
-        let over: Vec<RequestId> =
-            self.asks.values().filter(|a| now > a.until).map(|a| a.request).collect();
+        let over: Vec<RequestId> = self.asks.values().filter(|a| now > a.until).map(|a| a.request).collect();
         for request in over {
             self.withdraw(request);
         }
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -160,17 +160,25 @@
 impl Link {
     async fn run(mut self, mut queue: mpsc::Receiver<Outgoing>) {
         while let Ok(Some(outgoing)) = tokio::time::timeout(IDLE, queue.recv()).await {
-            let Some(connection) = self.connection(&outgoing).await else {
+            // Twice, because a connection that ended a moment ago shows it only when it is used.
+            if !self.deliver(&outgoing).await && !self.deliver(&outgoing).await {
                 tokio::time::sleep(PAUSE).await;
                 while queue.try_recv().is_ok() {}
-                continue;
-            };
-            if send(&connection, &outgoing.message).await.is_none() {
-                self.connection = None;
             }
         }
     }
 
+    async fn deliver(&mut self, outgoing: &Outgoing) -> bool {
+        let Some(connection) = self.connection(outgoing).await else {
+            return false;
+        };
+        let sent = send(&connection, &outgoing.message).await.is_some();
+        if !sent {
+            self.connection = None;
+        }
+        sent
+    }
+
     async fn connection(&mut self, outgoing: &Outgoing) -> Option<Connection> {
         if let Some(connection) = &self.connection
             && connection.close_reason().is_none()
--- a/crates/daemon/tests/all/keys.rs
+++ b/crates/daemon/tests/all/keys.rs
@@ -50,7 +50,7 @@
         let mut numbers = Vec::new();
         for daemon in &daemons {
             let response = fleet.booking(daemon, &body).header("Idempotency-Key", &key).send().await.unwrap();
-            assert_eq!(response.status(), 200);
+            assert_eq!(response.status(), 200, "{response:?}");
             let reply: Value = response.json().await.unwrap();
             numbers.push(reply["number"].clone());
         }
--- a/crates/daemon/tests/all/support.rs
+++ b/crates/daemon/tests/all/support.rs
@@ -3,6 +3,7 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
 use std::path::Path;
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
 use reqwest::{Client, RequestBuilder, Response};
@@ -54,12 +55,23 @@
     SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
 }
 
-fn free_tcp() -> SocketAddr {
-    TcpListener::bind(loopback()).unwrap().local_addr().unwrap()
-}
-
-fn free_udp() -> SocketAddr {
-    UdpSocket::bind(loopback()).unwrap().local_addr().unwrap()
+/// Ports given to instances. They lie below the range that the system takes local ports of connections from:
+/// a port that was free a moment ago could otherwise be taken by one of thousands of test connections before
+/// the instance binds it.
+static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
+const PORTS: std::ops::Range<u16> = 10_000..32_000;
+
+/// A port that is free for TCP and UDP.
+fn free_port() -> SocketAddr {
+    let start = (std::process::id() % 200) as u16 * 100;
+    loop {
+        let offset =
+            start.wrapping_add(NEXT_PORT.fetch_add(1, Ordering::Relaxed)) % (PORTS.end - PORTS.start);
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, PORTS.start + offset));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 impl Fleet {
@@ -136,7 +148,8 @@
         let settings = &self.settings[index];
         let path = self.directory.path().join(format!("{}.json", self.names[index]));
         std::fs::write(&path, settings.to_string()).unwrap();
-        let log = std::fs::File::create(self.directory.path().join("log")).unwrap();
+        let log =
+            std::fs::File::create(self.directory.path().join(format!("{}.log", self.names[index]))).unwrap();
         let child = Command::new(env!("CARGO_BIN_EXE_teaselshuntd"))
             .arg(&path)
             .stdin(Stdio::null())
@@ -263,7 +276,7 @@
 fn settings(name: &str, platform: SocketAddr, keys: &Path) -> Value {
     json!({
         "instance": name, "domain": "osborne", "deployment": "test",
-        "listen": { "callers": free_tcp(), "operators": free_tcp(), "peers": free_udp() },
+        "listen": { "callers": free_port(), "operators": free_port(), "peers": free_port() },
         "platform": [platform],
         "keys": {
             "authority": keys.join("authority.pem"),
