Measure slopes of control and decisions, and make them flat

First words are no news now, and members and endpoints are reviewed four times a second instead of twenty.

--- a/crates/bench/src/commands/mod.rs
+++ b/crates/bench/src/commands/mod.rs
@@ -1,8 +1,10 @@
 //! The commands, one a file.
 
 mod chaos;
+mod cost;
 mod plot;
 mod policy;
+mod slopes;
 
 use gumdrop::Options;
 
@@ -11,6 +13,12 @@
 pub(crate) enum CommandError {
     #[error("{0}")]
     Usage(String),
+    #[error("{0}")]
+    System(#[from] std::io::Error),
+    #[error("{0}")]
+    Http(#[from] reqwest::Error),
+    #[error("{0}")]
+    Keys(#[from] teaselshunt_ctl::KeyError),
     #[error("{0} violations")]
     Violations(usize),
 }
@@ -21,6 +29,10 @@
     Chaos(chaos::Arguments),
     #[options(help = "measure the routing policy against plain ones")]
     Policy(policy::Arguments),
+    #[options(help = "measure how costs grow with endpoints and instances")]
+    Slopes(slopes::Arguments),
+    #[options(help = "measure the router's own cost against direct calls")]
+    Cost(cost::Arguments),
 }
 
 impl Command {
@@ -28,6 +40,8 @@
         match self {
             Self::Chaos(arguments) => chaos::run(&arguments),
             Self::Policy(arguments) => policy::run(&arguments),
+            Self::Slopes(arguments) => slopes::run(&arguments),
+            Self::Cost(arguments) => cost::run(&arguments),
         }
     }
 }
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -10,10 +10,12 @@
 
 mod plan;
 mod policy;
+mod slopes;
 mod world;
 
 pub use plan::Plan;
+pub use slopes::{Decision, Gossip, decision, gossip};
 pub use policy::{ClassOutcome, Experiment, Outcome, Policy, Trouble};
 pub use world::{
-    Asked, ClassTally, Deployment, EngineSpeed, Fault, Load, Options, Side, Tally, World, britasol, pindan,
+    Asked, ClassTally, Deployment, EngineSpeed, Fault, Load, Options, Side, Tally, World, britasol, pindan, scaled,
 };
--- a/crates/bench/src/world/deployment.rs
+++ b/crates/bench/src/world/deployment.rs
@@ -1,7 +1,7 @@
 //! The first users' deployments, as their example settings have them.
 
 use teaselshunt_core::{Entry, Listed};
-use teaselshunt_settings::{Configuration, parse_configuration};
+use teaselshunt_settings::{Configuration, Domain, Endpoint, Model, Pool, Role, parse_configuration};
 
 /// A configuration, its instances, and the kinds of work that its callers send.
 #[derive(Debug, Clone)]
@@ -30,6 +30,38 @@
     Deployment { configuration, instances: list.instances, long, quick, service }
 }
 
+/// A fleet of any size: instances spread over five domains, one pool for each two dozen endpoints, a third of
+/// them for prefill.
+pub fn scaled(instances: usize, endpoints: usize) -> Deployment {
+    let mut deployment = britasol();
+    let c = &mut deployment.configuration;
+    let domain = |i: usize| format!("domain-{}", i % 5);
+    c.domains = (0..5).map(|i| Domain { name: domain(i), region: format!("region-{}", i % 2) }).collect();
+    let pools = endpoints.div_ceil(24).max(1);
+    let pool = |i: usize| format!("pool-{}", i % pools);
+    let classes = vec!["summary".to_owned()];
+    c.pools = (0..pools).map(|i| Pool { name: pool(i), classes: classes.clone() }).collect();
+    c.models = (0..pools)
+        .map(|i| Model { name: format!("model-{i}"), pool: pool(i), class: "summary".to_owned() })
+        .collect();
+    let sample = c.endpoints[0].clone();
+    c.endpoints = (0..endpoints)
+        .map(|i| {
+            let role = if (i / pools).is_multiple_of(3) { Role::Prefill } else { Role::Decode };
+            let slots = if role == Role::Prefill { 4 } else { 20 };
+            let name = format!("endpoint-{i}");
+            Endpoint { name, domain: domain(i), pool: pool(i), role, slots, ..sample.clone() }
+        })
+        .collect();
+    c.services.clear();
+    c.links.clear();
+    let sample = deployment.instances[0].clone();
+    deployment.instances = (0..instances)
+        .map(|i| Entry { name: format!("entry-{i}"), domain: domain(i), ..sample.clone() })
+        .collect();
+    deployment
+}
+
 /// Cooperativa Britadeira Sertão Solidário: four failure domains, eight instances.
 pub fn britasol() -> Deployment {
     deployment(
--- a/crates/bench/src/world/mod.rs
+++ b/crates/bench/src/world/mod.rs
@@ -19,7 +19,7 @@
 use teaselshunt_core::{EndpointId, Event, InstanceId, Message, Placement, RequestId, Ticket};
 
 pub use callers::{Asked, Load};
-pub use deployment::{Deployment, britasol, pindan};
+pub use deployment::{Deployment, britasol, pindan, scaled};
 pub use engine::EngineSpeed;
 pub use faults::Fault;
 pub use network::Side;
@@ -184,6 +184,12 @@
         world
     }
 
+    /// Whether every instance that lives has the latest version in force.
+    pub fn is_uniform(&self) -> bool {
+        let latest = self.platform.latest().version;
+        (0..self.nodes.len()).all(|i| self.version(i).is_none_or(|v| v == latest))
+    }
+
     /// Virtual time since the start.
     pub fn now(&self) -> Duration {
         self.now
--- a/crates/core/src/instance.rs
+++ b/crates/core/src/instance.rs
@@ -1,6 +1,6 @@
 //! One entry instance: its state, and the dispatch of events.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -25,6 +25,8 @@
 
 /// Time between two load reports of an engine.
 const POLL: Duration = Duration::from_millis(500);
+/// Time between two looks at every member and endpoint.
+const REVIEW: Duration = Duration::from_millis(250);
 /// Time between two fetches of documents from peers.
 const FETCH: Duration = Duration::from_millis(300);
 /// Time between two rounds that ask every member for its list revision.
@@ -119,6 +121,7 @@
     pub(crate) budget: u32,
     pub(crate) counters: Counters,
     next_poll: Instant,
+    next_review: Instant,
     next_fetch: Instant,
     next_confirm: Instant,
     /// When the last request of a planned stop ended.
@@ -161,6 +164,7 @@
             budget: crate::flow::RETRY * 10,
             counters: Counters::default(),
             next_poll: now,
+            next_review: now,
             next_fetch: now,
             next_confirm: now,
             drained: None,
@@ -504,8 +508,13 @@
     fn tick(&mut self, now: Instant, out: &mut Vec<Effect>) {
         let targets = self.members.beat(now);
         self.beat_to(now, targets, out);
-        audit_health(self.members.review(now), out);
-        self.members.forget(now, self.homes.memory());
+        if now >= self.next_review {
+            // Once in a while only: these look at every member and endpoint, and there may be hundreds.
+            self.next_review = now + REVIEW;
+            audit_health(self.members.review(now), out);
+            self.members.forget(now, self.homes.memory());
+            self.fleet.age(now);
+        }
         let replies = self.homes.tick(now, &self.members);
         self.send_replies(now, replies, out);
         self.confirm(now, out);
@@ -516,7 +525,6 @@
         self.renew_leases(now, out);
         self.resend_cancels(now, out);
         self.forgone.retain(|_, at| now.duration_since(*at) < FORGONE);
-        self.fleet.age(now);
         self.pump_all(now, out);
         self.end_stop(now, out);
     }
@@ -537,7 +545,10 @@
             return;
         }
         self.next_poll = now + POLL;
-        let engines = self.fleet.engines(|pool| self.wants_reports(now, pool));
+        // Asked once for each pool: finding an owner costs a hash for every member.
+        let wanted: BTreeSet<&str> =
+            self.pools.values().map(String::as_str).filter(|pool| self.wants_reports(now, pool)).collect();
+        let engines = self.fleet.engines(|pool| wanted.contains(pool));
         out.extend(engines.into_iter().map(|target| Effect::Poll { target }));
     }
 
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -354,7 +354,10 @@
             // A beat of a process that has been replaced, delayed on the way.
             return None;
         }
-        let news = beat.incarnation > member.incarnation || beat.epoch > member.epoch;
+        // The first word of a member is no news: everybody has it from the list. At the start of a large fleet
+        // such rumours would take a minute's bandwidth.
+        let known = member.incarnation != 0;
+        let news = known && (beat.incarnation > member.incarnation || beat.epoch > member.epoch);
         member.incarnation = beat.incarnation;
         member.epoch = beat.epoch;
         member.version = beat.version;
--- a/crates/core/src/reservations.rs
+++ b/crates/core/src/reservations.rs
@@ -80,9 +80,12 @@
     pub(crate) fn review_asked(&mut self, now: Instant, out: &mut Vec<Effect>) {
         let waiting = self.requests.iter().filter(|(_, r)| r.phase == Phase::Waiting);
         let asked: Vec<(RequestKey, Asked)> = waiting.filter_map(|(k, r)| r.asked.map(|a| (k, a))).collect();
+        let mut owners: BTreeMap<PoolId, InstanceId> = BTreeMap::new();
         for (key, asked) in asked {
+            let pool = self.pool_of(key);
+            let owner = *owners.entry(pool).or_insert_with(|| self.members.owner(pool));
             let since = now.duration_since(asked.at);
-            if self.members.owner(self.pool_of(key)) != asked.owner {
+            if owner != asked.owner {
                 self.unask(now, key, out);
                 self.reserve(now, key, out);
             } else if !asked.heard && since > SILENT {
--- a/crates/standin/src/engine/http.rs
+++ b/crates/standin/src/engine/http.rs
@@ -144,7 +144,10 @@
     let id = request.request_id;
     let begun = match &request.resume {
         Some(old) => state.resume(old, &id),
-        None => state.begin_stream(&id, |prompt| content::length(prompt, request.max_tokens)),
+        None => state.begin_stream(&id, |prompt| match state.options.length {
+            Some(length) => length.min(request.max_tokens),
+            None => content::length(prompt, request.max_tokens),
+        }),
     };
     let Some((stream, number)) = begun else {
         return fault(StatusCode::GONE, EngineFault::Evicted);
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -40,6 +40,8 @@
     pub lag: Duration,
     /// How long loading weights takes.
     pub load_time: Duration,
+    /// Length of every answer that its limit allows; without it the prompt decides.
+    pub length: Option<u32>,
 }
 
 impl EngineOptions {
@@ -56,6 +58,7 @@
             blocks: 4096,
             lag: Duration::from_millis(100),
             load_time: Duration::from_millis(200),
+            length: None,
         }
     }
 
