--- a/crates/bench/src/commands/cost.rs
+++ b/crates/bench/src/commands/cost.rs
@@ -114,9 +114,9 @@
         platform.publish_instances(1, &list.to_string());
         let path = directory.path().join("settings.json");
         std::fs::write(&path, settings.to_string())?;
-        let daemon =
-            Command::new(program).arg(&path).stdout(Stdio::null()).stderr(Stdio::null()).spawn()?;
-        let client = Client::builder().no_proxy().tcp_nodelay(true).build()?;
+        let daemon = Command::new(program).arg(&path).stdout(Stdio::null()).stderr(Stdio::null()).spawn()?;
+        // A new connection for each call, as the router makes them.
+        let client = Client::builder().no_proxy().tcp_nodelay(true).pool_max_idle_per_host(0).build()?;
         let bench =
             Self { prefill, decode, _platform: platform, _directory: directory, daemon, callers, client };
         bench.ready().await?;
@@ -167,7 +167,8 @@
         let request = ImportRequest { request_id: id.clone(), origin, handle };
         let reply = self.client.post(url(&self.decode, IMPORT)).json(&request).send().await?;
         reply.error_for_status()?.json::<Value>().await?;
-        let request = DecodeRequest { request_id: id, resume: None, offset: 0, max_tokens: limit, priority: 0 };
+        let request =
+            DecodeRequest { request_id: id, resume: None, offset: 0, max_tokens: limit, priority: 0 };
         let reply = self.client.post(url(&self.decode, DECODE)).json(&request).send().await?;
         let mut response = reply.error_for_status()?;
         response.chunk().await?;
@@ -177,7 +178,8 @@
     }
 
     async fn latency(&self, requests: u32) -> Result<(), CommandError> {
-        let mut routed = Histogram::<u64>::new(3).expect("three digits are allowed");
+        let mut routed =
+            Histogram::<u64>::new_with_bounds(1, 60_000_000, 3).expect("the bounds are in order");
         let mut direct = routed.clone();
         for number in 0..requests {
             // In turn, so that whatever else the machine does falls on both.
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -14,8 +14,9 @@
 mod world;
 
 pub use plan::Plan;
-pub use slopes::{Decision, Gossip, decision, gossip};
 pub use policy::{ClassOutcome, Experiment, Outcome, Policy, Trouble};
+pub use slopes::{Decision, Gossip, decision, gossip};
 pub use world::{
-    Asked, ClassTally, Deployment, EngineSpeed, Fault, Load, Options, Side, Tally, World, britasol, pindan, scaled,
+    Asked, ClassTally, Deployment, EngineSpeed, Fault, Load, Options, Side, Tally, World, britasol, pindan,
+    scaled,
 };
--- a/crates/bench/src/slopes.rs
+++ b/crates/bench/src/slopes.rs
@@ -5,7 +5,8 @@
 
 use serde::Serialize;
 use teaselshunt_core::{
-    AttemptId, Effect, EndpointId, Event, Generate, Identity, Instance, Listed, Offer, Report, Source, Ticket, Work,
+    AttemptId, Effect, EndpointId, Event, Generate, Identity, Instance, Listed, Offer, Report, Source,
+    Ticket, Work,
 };
 
 use crate::world::{Fault, Options, Side, World, scaled};
--- a/crates/daemon/src/supervisor.rs
+++ b/crates/daemon/src/supervisor.rs
@@ -61,7 +61,11 @@
 /// # Errors
 /// It cannot start.
 pub fn run(settings: Settings) -> Result<(), StartError> {
-    let runtime = tokio::runtime::Builder::new_multi_thread().thread_name("traffic").enable_all().build()?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(settings.limits.threads)
+        .thread_name("traffic")
+        .enable_all()
+        .build()?;
     runtime.block_on(supervise(settings))
 }
 
--- a/crates/settings/src/settings.rs
+++ b/crates/settings/src/settings.rs
@@ -87,6 +87,10 @@
     /// How long a caller may take to send its request, in milliseconds.
     #[schemars(range(min = 100, max = 600_000))]
     pub receive_ms: u64,
+    /// Threads for traffic; the control thread comes on top. Idle threads look for work, so more than needed
+    /// cost processor time.
+    #[schemars(range(min = 1, max = 256))]
+    pub threads: usize,
     /// Default deadline of a request, in milliseconds.
     #[schemars(range(min = 100, max = 86_400_000))]
     pub deadline_ms: u64,
@@ -103,6 +107,7 @@
             connections: 12_000,
             idle_ms: 60_000,
             receive_ms: 10_000,
+            threads: 2,
             deadline_ms: 300_000,
             drain_ms: 600_000,
         }
