Test idempotency keys under storms of retries

Storms of calls whose services work but do not answer, with kills, freezes, restarts and an outage, make hundreds of retries a run.

--- a/crates/bench/src/world/node.rs
+++ b/crates/bench/src/world/node.rs
@@ -18,6 +18,8 @@
     pub(super) life: u32,
     pub(super) instance: Option<Instance>,
     pub(super) frozen: bool,
+    /// When it last began to stand still.
+    pub(super) frozen_at: std::time::Duration,
     /// What happened to a frozen process, to be seen when it wakes.
     missed: Vec<Happening>,
     pub(super) leaving: bool,
@@ -49,6 +51,7 @@
                 life: 0,
                 instance: None,
                 frozen: false,
+                frozen_at: std::time::Duration::ZERO,
                 missed: Vec::new(),
                 leaving: false,
                 drivers: BTreeMap::new(),
@@ -114,8 +117,11 @@
     }
 
     pub(super) fn freeze(&mut self, index: usize) {
-        if self.nodes[index].alive() {
+        if self.nodes[index].alive() && !self.nodes[index].frozen {
             self.nodes[index].frozen = true;
+            self.nodes[index].frozen_at = self.now;
+            let lag = self.options.list_lag;
+            self.after(lag, Happening::Relist);
         }
     }
 
@@ -126,6 +132,9 @@
         }
         node.frozen = false;
         node.thawed = self.now;
+        let lag = self.options.list_lag;
+        self.after(lag, Happening::Relist);
+        let node = &mut self.nodes[index];
         for happening in std::mem::take(&mut node.missed) {
             self.happen(happening);
         }
--- a/crates/bench/src/world/platform.rs
+++ b/crates/bench/src/world/platform.rs
@@ -86,7 +86,10 @@
 
     /// The list catches up: the dead are dropped, the leaving marked, the living listed.
     pub(super) fn relist(&mut self) {
-        let entries = self.nodes.iter().filter(|n| n.alive());
+        // The platform takes an instance that stands still for dead, as it cannot tell the two apart.
+        let (now, lag) = (self.now, self.options.list_lag);
+        let seen = |n: &&super::Node| n.alive() && !(n.frozen && now >= n.frozen_at + lag);
+        let entries = self.nodes.iter().filter(seen);
         let instances: Vec<Entry> =
             entries.map(|n| Entry { leaving: n.leaving, ..n.entry.clone() }).collect();
         if instances == self.platform.list.instances {
--- /dev/null
+++ b/crates/bench/tests/all/keys.rs
@@ -0,0 +1,89 @@
+//! Idempotency keys under failures that make callers retry: at most once, whatever happens to the homes.
+
+use std::time::Duration;
+
+use teaselshunt_bench::{Deployment, Fault, Load, Options, World, britasol, pindan};
+use teaselshunt_settings::Role;
+
+/// Faults of one run, by time in milliseconds.
+type Faults = Vec<(u64, Fault)>;
+
+fn at(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// Runs a storm of keyed calls whose services do the work but do not answer from 21 to 40 s, so that every
+/// broken connection leaves a call that ran and a caller that retries.
+fn storm(mut deployment: Deployment, seed: u64, faults: Faults) -> (u64, Vec<String>) {
+    deployment.configuration.policy.horizon_s = 60;
+    deployment.configuration.policy.skew_ms = 100;
+    let endpoints = deployment.configuration.endpoints.iter().enumerate();
+    let services: Vec<usize> = endpoints.filter(|(_, e)| e.role == Role::Service).map(|(i, _)| i).collect();
+    let mut world = World::new(deployment, Options { seed, ..Options::default() });
+    let (from, until) = (at(15_000), at(45_000));
+    world.load(Load { long: 0.0, quick: 0.0, calls: 30.0, impatient: 0.0, from, until });
+    for service in services {
+        world.schedule(at(21_000), Fault::Stall(service));
+        world.schedule(at(40_000), Fault::StallEnd(service));
+    }
+    for (ms, fault) in faults {
+        world.schedule(at(ms), fault);
+    }
+    world.run(until);
+    world.settle();
+    (world.tally().resent, world.tally().violations.clone())
+}
+
+fn holds(name: &str, faults: impl Fn(u64) -> Faults) {
+    for seed in 0..8 {
+        let deployment = if seed % 2 == 0 { britasol() } else { pindan() };
+        let (resent, violations) = storm(deployment, seed, faults(seed));
+        assert!(resent > 10, "{name}, seed {seed}: only {resent} calls were sent again");
+        assert!(violations.is_empty(), "{name}, seed {seed}:\n{}", violations.join("\n"));
+    }
+}
+
+/// Instances are killed one after the other while calls run. Callers retry through others; the homes of their
+/// keys are among the dead, and the new homes after the list has changed know nothing. They must not grant.
+#[test]
+fn homes_are_killed() {
+    holds("killed", |s| {
+        (0..3).map(|i| (22_000 + i * 2_500 + s * 90, Fault::Kill((s + i) as usize))).collect()
+    });
+}
+
+/// Instances stand still, the list drops them, keys get new homes, other instances are killed so that callers
+/// retry, and the sleepers wake with their old list and answer what lies in their sockets.
+#[test]
+fn homes_sleep_and_wake_after_the_list_dropped_them() {
+    holds("asleep", |s| {
+        let n = s as usize;
+        vec![
+            (20_500, Fault::Freeze(n)),
+            (20_600, Fault::Freeze(n + 1)),
+            (25_000 + s * 70, Fault::Kill(n + 2)),
+            (27_000, Fault::Kill(n + 3)),
+            (34_000, Fault::Thaw(n)),
+            (34_500, Fault::Thaw(n + 1)),
+        ]
+    });
+}
+
+/// Instances are killed and start again under their names at once, with nothing in memory.
+#[test]
+fn homes_restart_without_memory() {
+    holds("restarted", |s| {
+        let n = s as usize;
+        let kills = [(22_000, n), (23_000, n + 1), (24_000, n + 2), (25_500, n + 3)];
+        kills.iter().flat_map(|&(ms, n)| [(ms, Fault::Kill(n)), (ms + 400, Fault::Start(n))]).collect()
+    });
+}
+
+/// The platform is down from before the first kill to the end; the list never changes.
+#[test]
+fn homes_are_killed_in_an_outage() {
+    holds("outage", |s| {
+        let n = s as usize;
+        vec![(20_000, Fault::Outage), (23_000, Fault::Kill(n)), (24_000, Fault::Kill(n + 1))]
+    });
+}
--- a/crates/bench/tests/all/main.rs
+++ b/crates/bench/tests/all/main.rs
@@ -4,5 +4,6 @@
 //! many others as one likes.
 
 mod found;
+mod keys;
 mod policy;
 mod random;
