--- a/crates/bench/src/world/faults.rs
+++ b/crates/bench/src/world/faults.rs
@@ -73,8 +73,8 @@
             Fault::Stop(n) => self.stop(self.node_of(n)),
             Fault::Freeze(n) => self.freeze(self.node_of(n)),
             Fault::Thaw(n) => self.thaw(self.node_of(n)),
-            Fault::Cut(a, b) => self.network.set_cut(self.side_of(a), self.side_of(b), true),
-            Fault::Mend(a, b) => self.network.set_cut(self.side_of(a), self.side_of(b), false),
+            Fault::Cut(a, b) => self.cut(a, b, true),
+            Fault::Mend(a, b) => self.cut(a, b, false),
             Fault::Outage => self.platform.down = true,
             Fault::OutageEnd => self.platform.down = false,
             Fault::Stale => self.platform.stale = true,
@@ -96,6 +96,12 @@
         }
     }
 
+    fn cut(&mut self, a: Side, b: Side, cut: bool) {
+        self.network.set_cut(self.side_of(a), self.side_of(b), cut);
+        let lag = self.options.list_lag;
+        self.after(lag, Happening::Relist);
+    }
+
     fn start(&mut self, node: usize) {
         if !self.nodes[node].alive() {
             self.boot(node);
--- a/crates/bench/src/world/platform.rs
+++ b/crates/bench/src/world/platform.rs
@@ -86,9 +86,13 @@
 
     /// The list catches up: the dead are dropped, the leaving marked, the living listed.
     pub(super) fn relist(&mut self) {
-        // The platform takes an instance that stands still for dead, as it cannot tell the two apart.
+        // The platform takes an instance that stands still or is cut off from it for dead, as it cannot tell.
         let (now, lag) = (self.now, self.options.list_lag);
-        let seen = |n: &&super::Node| n.alive() && !(n.frozen && now >= n.frozen_at + lag);
+        let network = &self.network;
+        let seen = |n: &&super::Node| {
+            let still = n.frozen && now >= n.frozen_at + lag;
+            n.alive() && !still && !network.is_cut(Side::Domain(n.domain), Side::Platform)
+        };
         let entries = self.nodes.iter().filter(seen);
         let instances: Vec<Entry> =
             entries.map(|n| Entry { leaving: n.leaving, ..n.entry.clone() }).collect();
--- a/crates/bench/tests/all/keys.rs
+++ b/crates/bench/tests/all/keys.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use teaselshunt_bench::{Deployment, Fault, Load, Options, World, britasol, pindan};
+use teaselshunt_bench::{Deployment, Fault, Load, Options, Side, World, britasol, pindan};
 use teaselshunt_settings::Role;
 
 /// Faults of one run, by time in milliseconds.
@@ -87,3 +87,18 @@
         vec![(20_000, Fault::Outage), (23_000, Fault::Kill(n)), (24_000, Fault::Kill(n + 1))]
     });
 }
+
+/// A failure domain is cut off from the platform and from the other domains, and goes on with its old list. The
+/// others get a list without it, their new homes grant keys, the calls run, and the instances that made them are
+/// killed. The callers retry, also through the cut-off domain, where the old homes of the same keys still live:
+/// an old home must find that its tenure has ended, or the call runs a second time.
+#[test]
+fn homes_are_cut_off_with_an_old_list() {
+    holds("cut off", |s| {
+        let (n, sides) = (s as usize, [Side::Platform, Side::Domain(1), Side::Domain(2), Side::Domain(3)]);
+        let cuts = sides.into_iter().map(|side| (5_000, Fault::Cut(Side::Domain(0), side)));
+        // Instances 0 and 1, and with Pindan's 2, are in the domain that is cut off.
+        let kills = (0..4).map(|i| (22_000 + i as u64 * 1_500, Fault::Kill(3 + (n + i) % 4)));
+        cuts.chain(kills).collect()
+    });
+}
