Split the flow of requests by job, and test it step by step

flow.rs had grown to 914 lines with four jobs: what a request needs (opening), its steps (flow), what follows a failure (failures), and what is learnt and counted (learning); the end of a generation and of a call stood twice.

--- /dev/null
+++ b/crates/core/src/failures.rs
@@ -0,0 +1,224 @@
+//! What follows when a step at an endpoint fails: take the stream up, go elsewhere, or give up.
+//!
+//! Every failure is answered by what it proves. Only an unsent step leaves "not run" possible; a call that may
+//! not be repeated is sent again only after such a one.
+
+use std::time::Instant;
+
+use teaselshunt_settings::Role;
+
+use crate::AttemptId;
+use crate::error::{ErrorKind, Refusal};
+use crate::event::{Audit, Effect, Fault};
+use crate::flow::{ELSEWHERE, RETRY};
+use crate::ids::{EndpointKey, RequestKey};
+use crate::instance::Instance;
+use crate::requests::{Kind, Phase};
+
+impl Instance {
+    pub(crate) fn failed(
+        &mut self,
+        now: Instant,
+        attempt: AttemptId,
+        fault: Fault,
+        offset: u32,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(key) = self.requests.current(attempt) else {
+            return;
+        };
+        let request = self.requests.get_mut(key);
+        assert!(offset >= request.offset, "output of {attempt} moved back");
+        request.offset = offset;
+        match request.phase {
+            Phase::Claiming | Phase::Waiting => {}
+            Phase::Prefilling { prefill, decode } => {
+                self.prefill_failed(now, key, (prefill, decode), fault, out);
+            }
+            Phase::Importing { prefill, decode } => {
+                self.import_failed(now, key, (prefill, decode), fault, out);
+            }
+            Phase::Decoding { decode } => self.decode_failed(now, key, decode, fault, out),
+            Phase::Calling { endpoint } => self.call_failed(now, key, endpoint, fault, out),
+        }
+    }
+
+    pub(crate) fn prefill_failed(
+        &mut self,
+        now: Instant,
+        key: RequestKey,
+        (prefill, decode): (EndpointKey, EndpointKey),
+        fault: Fault,
+        out: &mut Vec<Effect>,
+    ) {
+        self.blame(now, prefill, fault, out);
+        let request = self.requests.get_mut(key);
+        let attempt = request.attempt();
+        request.tried.push(prefill);
+        request.phase = Phase::Waiting;
+        request.touched |= !fault.unsent();
+        if !fault.unsent() {
+            self.cancel(now, attempt, prefill, out);
+        }
+        self.release_prefill(now, key, prefill, out);
+        self.release_decode(now, key, decode, out);
+        self.retry(now, key, fault, out);
+    }
+
+    pub(crate) fn import_failed(
+        &mut self,
+        now: Instant,
+        key: RequestKey,
+        (prefill, decode): (EndpointKey, EndpointKey),
+        fault: Fault,
+        out: &mut Vec<Effect>,
+    ) {
+        let attempt = self.requests.get(key).attempt();
+        if fault == Fault::Evicted {
+            self.requests.get_mut(key).tried.push(prefill);
+        } else {
+            self.blame(now, decode, fault, out);
+            self.requests.get_mut(key).tried.push(decode);
+        }
+        if !fault.unsent() {
+            self.cancel(now, attempt, decode, out);
+        }
+        self.release_decode(now, key, decode, out);
+        if fault.unsent() && self.import_elsewhere(now, key, prefill, out) {
+            return;
+        }
+        self.waste(now, key, out);
+        self.back_to_waiting(key);
+        self.retry(now, key, fault, out);
+    }
+
+    /// A try of which something ran has ended.
+    pub(crate) fn back_to_waiting(&mut self, key: RequestKey) {
+        let request = self.requests.get_mut(key);
+        request.phase = Phase::Waiting;
+        request.touched = true;
+    }
+
+    /// The decode engine did not begin, so the KV cache is still good: try another one at once.
+    pub(crate) fn import_elsewhere(
+        &mut self,
+        now: Instant,
+        key: RequestKey,
+        prefill: EndpointKey,
+        out: &mut Vec<Effect>,
+    ) -> bool {
+        if !self.may_retry(now, key) {
+            return false;
+        }
+        let Some(decode) = self.choose(now, key, Role::Decode) else {
+            return false;
+        };
+        self.spend_retry();
+        self.fleet.take(decode);
+        self.requests.get_mut(key).attempts += 1;
+        self.import(key, prefill, decode, out);
+        true
+    }
+
+    pub(crate) fn decode_failed(
+        &mut self,
+        now: Instant,
+        key: RequestKey,
+        decode: EndpointKey,
+        fault: Fault,
+        out: &mut Vec<Effect>,
+    ) {
+        let silent = matches!(fault, Fault::Stalled | Fault::Broken | Fault::TimedOut);
+        let request = self.requests.get_mut(key);
+        let attempt = request.attempt();
+        if silent && !request.resumed {
+            // A connection can go silent for good while the engine works on and new connections are fine:
+            // the caller would see its answer stop in the middle. Taking the stream up on a new connection
+            // at the offset that the caller has costs nothing but the pause, and the engine itself says
+            // whether it still has the request.
+            request.resumed = true;
+            request.attempts += 1;
+            self.counters.resumed += 1;
+            return self.decode(key, decode, Some(attempt), out);
+        }
+        request.tried.push(decode);
+        let resumed_from = (request.resumed && request.attempts > 1)
+            .then(|| AttemptId { request: request.id, number: request.attempts - 1 });
+        self.blame(now, decode, fault, out);
+        self.cancel(now, attempt, decode, out);
+        if let Some(earlier) = resumed_from {
+            self.cancel(now, earlier, decode, out);
+        }
+        self.count_waste(key, Some(decode));
+        self.release_decode(now, key, decode, out);
+        self.back_to_waiting(key);
+        self.retry(now, key, fault, out);
+    }
+
+    pub(crate) fn call_failed(
+        &mut self,
+        now: Instant,
+        key: RequestKey,
+        endpoint: EndpointKey,
+        fault: Fault,
+        out: &mut Vec<Effect>,
+    ) {
+        self.blame(now, endpoint, fault, out);
+        self.fleet.release(endpoint);
+        let request = self.requests.get_mut(key);
+        request.tried.push(endpoint);
+        let Kind::Call { repeatable, .. } = request.kind else {
+            unreachable!("only calls are in the phase of calling");
+        };
+        request.phase = Phase::Waiting;
+        request.touched |= !fault.unsent();
+        if !fault.unsent() && !repeatable {
+            return self.refuse(now, key, Refusal::new(ErrorKind::OutcomeUnknown), out);
+        }
+        self.retry(now, key, fault, out);
+    }
+
+    /// Sends the request back to the queue, or gives up on it.
+    pub(crate) fn retry(&mut self, now: Instant, key: RequestKey, fault: Fault, out: &mut Vec<Effect>) {
+        let request = self.requests.get(key);
+        let pool = request.pool.clone();
+        let ran = request.may_have_run();
+        if fault == Fault::Rejected {
+            self.refuse(now, key, Refusal::new(ErrorKind::Rejected), out);
+        } else if self.may_retry(now, key) {
+            self.spend_retry();
+            self.enqueue(now, key, out);
+        } else if ran {
+            self.refuse(now, key, Refusal::later(ErrorKind::EndpointFailed, ELSEWHERE), out);
+        } else {
+            self.refuse(now, key, Refusal::later(ErrorKind::NoEndpoint, ELSEWHERE), out);
+        }
+        self.pump(now, &pool, out);
+    }
+
+    pub(crate) fn may_retry(&self, now: Instant, key: RequestKey) -> bool {
+        let request = self.requests.get(key);
+        let allowed = request.attempts < self.policy().attempts && now < request.deadline && !request.gone;
+        allowed && self.budget >= RETRY
+    }
+
+    /// Retries come from a budget that grows with arrivals, so that a fault of many endpoints cannot turn the
+    /// callers' load into a multiple of itself and keep the endpoints down after the fault has ended.
+    pub(crate) fn spend_retry(&mut self) {
+        self.budget -= RETRY;
+        self.counters.retried += 1;
+    }
+
+    pub(crate) fn blame(&mut self, now: Instant, endpoint: EndpointKey, fault: Fault, out: &mut Vec<Effect>) {
+        match fault {
+            Fault::Leaving => self.fleet.leaving(endpoint),
+            Fault::NotSent | Fault::Broken | Fault::TimedOut | Fault::Stalled => {
+                if self.fleet.failed(now, endpoint) {
+                    let name = self.fleet.get(endpoint).name.clone();
+                    out.push(Effect::Audit(Audit::Endpoint { endpoint: name, reachable: false }));
+                }
+            }
+            Fault::Busy | Fault::Evicted | Fault::Rejected => {}
+        }
+    }
+}
--- a/crates/core/src/flow.rs
+++ b/crates/core/src/flow.rs
@@ -16,24 +16,20 @@
 use teaselshunt_settings::{Role, Team};
 
 use crate::error::{ErrorKind, Outcome, Refusal};
-use crate::event::{Audit, Call, Effect, Fault, Generate, Stored, Work};
+use crate::event::{Audit, Effect, Fault, Stored, Work};
 use crate::fleet::Need;
 use crate::ids::{EndpointKey, RequestKey};
 use crate::instance::Instance;
 use crate::message::Fate;
 use crate::queue::Queue;
-use crate::requests::{Cache, Kind, Opening, Phase, Request};
-use crate::{AttemptId, RequestId, Ticket};
+use crate::requests::{Cache, Kind, Phase, Request};
+use crate::{AttemptId, Ticket};
 
 /// When a caller should come back to an instance that is stopping or has no configuration yet: the balancer
 /// gives it another one.
 pub(crate) const ELSEWHERE: Duration = Duration::from_secs(1);
 /// Longest time to come back that a caller is told; what is further off cannot be foretold.
 const LATEST: Duration = Duration::from_secs(30);
-/// Wait for a service slot: callers of plain services are quick, and so are the services.
-const SERVICE_WAIT: Duration = Duration::from_secs(2);
-/// Priority of service calls among themselves.
-const SERVICE_PRIORITY: u8 = 0;
 /// One retry, in the hundredths that the budget is counted in.
 pub(crate) const RETRY: u32 = 100;
 /// Most hundredths of a retry that the budget saves up.
@@ -56,83 +52,6 @@
         }
     }
 
-    /// Refuses a request that was never taken in.
-    fn turn_away(&mut self, ticket: Ticket, refusal: Refusal, out: &mut Vec<Effect>) {
-        self.count_refusal(refusal.kind);
-        out.push(Effect::Refuse { ticket, refusal });
-    }
-
-    fn opening(&self, ticket: Ticket, work: Work) -> Result<Opening, Refusal> {
-        if self.members.stopping {
-            return Err(Refusal::later(ErrorKind::Stopping, ELSEWHERE));
-        }
-        if self.versions.current().is_none() {
-            return Err(Refusal::later(ErrorKind::NotReady, ELSEWHERE));
-        }
-        match work {
-            Work::Generate(generate) => self.open_generate(ticket, generate),
-            Work::Call(call) => self.open_call(ticket, &call),
-        }
-    }
-
-    fn open_generate(&self, ticket: Ticket, work: Generate) -> Result<Opening, Refusal> {
-        let unknown = Refusal::new(ErrorKind::UnknownModel);
-        let configuration = self.versions.current().ok_or(unknown)?;
-        let model = configuration.models.iter().find(|m| m.name == work.model).ok_or(unknown)?;
-        let class = configuration.classes.iter().find(|c| c.name == model.class).ok_or(unknown)?;
-        let kind = Kind::Generate {
-            prompt: work.prompt,
-            first: Duration::from_millis(class.first_ms),
-            gap: Duration::from_millis(class.gap_ms),
-            again: work.again,
-        };
-        Ok(Opening {
-            ticket,
-            id: self.request_id(ticket),
-            kind,
-            pool: model.pool.clone(),
-            class: class.name.clone(),
-            team: self.team(work.team),
-            priority: class.priority,
-            wait: Duration::from_millis(class.wait_ms),
-            key: work.key,
-            deadline: work.deadline,
-        })
-    }
-
-    fn open_call(&self, ticket: Ticket, work: &Call) -> Result<Opening, Refusal> {
-        let unknown = Refusal::new(ErrorKind::UnknownService);
-        let configuration = self.versions.current().ok_or(unknown)?;
-        let service = configuration.services.iter().find(|s| s.name == work.service).ok_or(unknown)?;
-        let kind = Kind::Call {
-            repeatable: service.repeatable.contains(&work.method),
-            timeout: Duration::from_millis(service.timeout_ms),
-        };
-        Ok(Opening {
-            ticket,
-            id: self.request_id(ticket),
-            kind,
-            pool: service.pool.clone(),
-            class: service.name.clone(),
-            team: String::new(),
-            priority: SERVICE_PRIORITY,
-            wait: SERVICE_WAIT,
-            key: work.key,
-            deadline: work.deadline,
-        })
-    }
-
-    fn request_id(&self, ticket: Ticket) -> RequestId {
-        let identity = &self.identity;
-        RequestId { instance: identity.id(), incarnation: identity.incarnation, sequence: ticket.0 }
-    }
-
-    /// Callers that the configuration does not name share one team, so that made-up names win nothing.
-    fn team(&self, name: String) -> String {
-        let known = self.versions.current().is_some_and(|c| c.teams.iter().any(|t| t.name == name));
-        if known { name } else { String::new() }
-    }
-
     /// Queues a request, or refuses it at once if it would wait longer than its class may.
     pub(crate) fn admit(&mut self, now: Instant, key: RequestKey, out: &mut Vec<Effect>) {
         let request = self.requests.get(key);
@@ -180,7 +99,7 @@
         }
     }
 
-    fn enqueue(&mut self, now: Instant, key: RequestKey, out: &mut Vec<Effect>) {
+    pub(crate) fn enqueue(&mut self, now: Instant, key: RequestKey, out: &mut Vec<Effect>) {
         let request = self.requests.get_mut(key);
         request.phase = Phase::Waiting;
         let due = now + request.wait;
@@ -206,7 +125,7 @@
 
     /// How long a new request would stand in the queue: those ahead of it, at the pace at which slots of this
     /// pool have come free lately.
-    fn expected_wait(&self, now: Instant, request: &Request) -> Duration {
+    pub(crate) fn expected_wait(&self, now: Instant, request: &Request) -> Duration {
         let ahead = self.queues.get(&request.pool).map_or(0, |q| q.ahead(request.priority));
         let slots = self.fleet.capacity(now, &request.pool, role(&request.kind)).max(1);
         let held = self.holds.get(&request.pool).copied().unwrap_or_default();
@@ -234,14 +153,14 @@
     }
 
     /// Takes slots for a request and sends it; `false` if there are none.
-    fn start(&mut self, now: Instant, key: RequestKey, out: &mut Vec<Effect>) -> bool {
+    pub(crate) fn start(&mut self, now: Instant, key: RequestKey, out: &mut Vec<Effect>) -> bool {
         match self.requests.get(key).kind {
             Kind::Generate { .. } => self.start_prefill(now, key, out),
             Kind::Call { timeout, .. } => self.start_call(now, key, timeout, out),
         }
     }
 
-    fn start_prefill(&mut self, now: Instant, key: RequestKey, out: &mut Vec<Effect>) -> bool {
+    pub(crate) fn start_prefill(&mut self, now: Instant, key: RequestKey, out: &mut Vec<Effect>) -> bool {
         let Some(decode) = self.choose(now, key, Role::Decode) else {
             return false;
         };
@@ -279,7 +198,7 @@
         self.running(key);
     }
 
-    fn start_call(
+    pub(crate) fn start_call(
         &mut self,
         now: Instant,
         key: RequestKey,
@@ -306,7 +225,7 @@
     }
 
     /// Opens the next try.
-    fn begin(&mut self, key: RequestKey, phase: Phase) -> &mut Request {
+    pub(crate) fn begin(&mut self, key: RequestKey, phase: Phase) -> &mut Request {
         let request = self.requests.get_mut(key);
         request.phase = phase;
         request.attempts += 1;
@@ -314,7 +233,7 @@
     }
 
     /// A request that runs is looked at again only at its deadline; its driver times the steps.
-    fn running(&mut self, key: RequestKey) {
+    pub(crate) fn running(&mut self, key: RequestKey) {
         let deadline = self.requests.get(key).deadline;
         self.requests.set_due(key, deadline);
     }
@@ -357,7 +276,7 @@
 
     /// A decode slot is kept from before the prefill, and the endpoint may have begun to leave since. What was
     /// not yet sent there is new work to it, and goes elsewhere.
-    fn import_if_open(
+    pub(crate) fn import_if_open(
         &mut self,
         now: Instant,
         key: RequestKey,
@@ -377,7 +296,13 @@
         self.import(key, prefill, other, out);
     }
 
-    fn import(&mut self, key: RequestKey, prefill: EndpointKey, decode: EndpointKey, out: &mut Vec<Effect>) {
+    pub(crate) fn import(
+        &mut self,
+        key: RequestKey,
+        prefill: EndpointKey,
+        decode: EndpointKey,
+        out: &mut Vec<Effect>,
+    ) {
         let timeout = self.step_timeout();
         let origin = self.fleet.get(prefill).target();
         let target = self.fleet.get(decode).target();
@@ -400,7 +325,7 @@
         self.decode(key, decode, None, out);
     }
 
-    fn decode(
+    pub(crate) fn decode(
         &mut self,
         key: RequestKey,
         decode: EndpointKey,
@@ -450,13 +375,7 @@
         let Phase::Decoding { decode } = self.requests.get(key).phase else {
             return;
         };
-        self.succeeded(decode, out);
-        self.count_answer(now, key, decode);
-        self.learn_hold(now, key);
-        self.release_decode(now, key, decode, out);
-        let request = self.requests.close(key);
-        self.settle(now, &request, Fate::Ran(stored), out);
-        self.pump(now, &request.pool, out);
+        self.answered(now, key, decode, stored, out);
     }
 
     pub(crate) fn called(
@@ -472,206 +391,25 @@
         let Phase::Calling { endpoint } = self.requests.get(key).phase else {
             return;
         };
-        self.succeeded(endpoint, out);
-        self.count_answer(now, key, endpoint);
-        self.learn_hold(now, key);
-        self.fleet.release(endpoint);
-        let request = self.requests.close(key);
-        self.settle(now, &request, Fate::Ran(stored), out);
-        self.pump(now, &request.pool, out);
-    }
-
-    pub(crate) fn failed(
-        &mut self,
-        now: Instant,
-        attempt: AttemptId,
-        fault: Fault,
-        offset: u32,
-        out: &mut Vec<Effect>,
-    ) {
-        let Some(key) = self.requests.current(attempt) else {
-            return;
-        };
-        let request = self.requests.get_mut(key);
-        assert!(offset >= request.offset, "output of {attempt} moved back");
-        request.offset = offset;
-        match request.phase {
-            Phase::Claiming | Phase::Waiting => {}
-            Phase::Prefilling { prefill, decode } => {
-                self.prefill_failed(now, key, (prefill, decode), fault, out);
-            }
-            Phase::Importing { prefill, decode } => {
-                self.import_failed(now, key, (prefill, decode), fault, out);
-            }
-            Phase::Decoding { decode } => self.decode_failed(now, key, decode, fault, out),
-            Phase::Calling { endpoint } => self.call_failed(now, key, endpoint, fault, out),
-        }
-    }
-
-    fn prefill_failed(
-        &mut self,
-        now: Instant,
-        key: RequestKey,
-        (prefill, decode): (EndpointKey, EndpointKey),
-        fault: Fault,
-        out: &mut Vec<Effect>,
-    ) {
-        self.blame(now, prefill, fault, out);
-        let request = self.requests.get_mut(key);
-        let attempt = request.attempt();
-        request.tried.push(prefill);
-        request.phase = Phase::Waiting;
-        request.touched |= !fault.unsent();
-        if !fault.unsent() {
-            self.cancel(now, attempt, prefill, out);
-        }
-        self.release_prefill(now, key, prefill, out);
-        self.release_decode(now, key, decode, out);
-        self.retry(now, key, fault, out);
-    }
-
-    fn import_failed(
-        &mut self,
-        now: Instant,
-        key: RequestKey,
-        (prefill, decode): (EndpointKey, EndpointKey),
-        fault: Fault,
-        out: &mut Vec<Effect>,
-    ) {
-        let attempt = self.requests.get(key).attempt();
-        if fault == Fault::Evicted {
-            self.requests.get_mut(key).tried.push(prefill);
-        } else {
-            self.blame(now, decode, fault, out);
-            self.requests.get_mut(key).tried.push(decode);
-        }
-        if !fault.unsent() {
-            self.cancel(now, attempt, decode, out);
-        }
-        self.release_decode(now, key, decode, out);
-        if fault.unsent() && self.import_elsewhere(now, key, prefill, out) {
-            return;
-        }
-        self.waste(now, key, out);
-        self.back_to_waiting(key);
-        self.retry(now, key, fault, out);
+        self.answered(now, key, endpoint, stored, out);
     }
 
-    /// A try of which something ran has ended.
-    fn back_to_waiting(&mut self, key: RequestKey) {
-        let request = self.requests.get_mut(key);
-        request.phase = Phase::Waiting;
-        request.touched = true;
-    }
-
-    /// The decode engine did not begin, so the KV cache is still good: try another one at once.
-    fn import_elsewhere(
-        &mut self,
-        now: Instant,
-        key: RequestKey,
-        prefill: EndpointKey,
-        out: &mut Vec<Effect>,
-    ) -> bool {
-        if !self.may_retry(now, key) {
-            return false;
-        }
-        let Some(decode) = self.choose(now, key, Role::Decode) else {
-            return false;
-        };
-        self.spend_retry();
-        self.fleet.take(decode);
-        self.requests.get_mut(key).attempts += 1;
-        self.import(key, prefill, decode, out);
-        true
-    }
-
-    fn decode_failed(
-        &mut self,
-        now: Instant,
-        key: RequestKey,
-        decode: EndpointKey,
-        fault: Fault,
-        out: &mut Vec<Effect>,
-    ) {
-        let silent = matches!(fault, Fault::Stalled | Fault::Broken | Fault::TimedOut);
-        let request = self.requests.get_mut(key);
-        let attempt = request.attempt();
-        if silent && !request.resumed {
-            // A connection can go silent for good while the engine works on and new connections are fine:
-            // the caller would see its answer stop in the middle. Taking the stream up on a new connection
-            // at the offset that the caller has costs nothing but the pause, and the engine itself says
-            // whether it still has the request.
-            request.resumed = true;
-            request.attempts += 1;
-            self.counters.resumed += 1;
-            return self.decode(key, decode, Some(attempt), out);
-        }
-        request.tried.push(decode);
-        let resumed_from = (request.resumed && request.attempts > 1)
-            .then(|| AttemptId { request: request.id, number: request.attempts - 1 });
-        self.blame(now, decode, fault, out);
-        self.cancel(now, attempt, decode, out);
-        if let Some(earlier) = resumed_from {
-            self.cancel(now, earlier, decode, out);
-        }
-        self.count_waste(key, Some(decode));
-        self.release_decode(now, key, decode, out);
-        self.back_to_waiting(key);
-        self.retry(now, key, fault, out);
-    }
-
-    fn call_failed(
+    /// The whole answer is with the caller.
+    pub(crate) fn answered(
         &mut self,
         now: Instant,
         key: RequestKey,
         endpoint: EndpointKey,
-        fault: Fault,
+        stored: Option<Stored>,
         out: &mut Vec<Effect>,
     ) {
-        self.blame(now, endpoint, fault, out);
-        self.fleet.release(endpoint);
-        let request = self.requests.get_mut(key);
-        request.tried.push(endpoint);
-        let Kind::Call { repeatable, .. } = request.kind else {
-            unreachable!("only calls are in the phase of calling");
-        };
-        request.phase = Phase::Waiting;
-        request.touched |= !fault.unsent();
-        if !fault.unsent() && !repeatable {
-            return self.refuse(now, key, Refusal::new(ErrorKind::OutcomeUnknown), out);
-        }
-        self.retry(now, key, fault, out);
-    }
-
-    /// Sends the request back to the queue, or gives up on it.
-    fn retry(&mut self, now: Instant, key: RequestKey, fault: Fault, out: &mut Vec<Effect>) {
-        let request = self.requests.get(key);
-        let pool = request.pool.clone();
-        let ran = request.may_have_run();
-        if fault == Fault::Rejected {
-            self.refuse(now, key, Refusal::new(ErrorKind::Rejected), out);
-        } else if self.may_retry(now, key) {
-            self.spend_retry();
-            self.enqueue(now, key, out);
-        } else if ran {
-            self.refuse(now, key, Refusal::later(ErrorKind::EndpointFailed, ELSEWHERE), out);
-        } else {
-            self.refuse(now, key, Refusal::later(ErrorKind::NoEndpoint, ELSEWHERE), out);
-        }
-        self.pump(now, &pool, out);
-    }
-
-    fn may_retry(&self, now: Instant, key: RequestKey) -> bool {
-        let request = self.requests.get(key);
-        let allowed = request.attempts < self.policy().attempts && now < request.deadline && !request.gone;
-        allowed && self.budget >= RETRY
-    }
-
-    /// Retries come from a budget that grows with arrivals, so that a fault of many endpoints cannot turn the
-    /// callers' load into a multiple of itself and keep the endpoints down after the fault has ended.
-    fn spend_retry(&mut self) {
-        self.budget -= RETRY;
-        self.counters.retried += 1;
+        self.succeeded(endpoint, out);
+        self.count_answer(now, key, endpoint);
+        self.learn_hold(now, key);
+        self.release_decode(now, key, endpoint, out);
+        let request = self.requests.close(key);
+        self.settle(now, &request, Fate::Ran(stored), out);
+        self.pump(now, &request.pool, out);
     }
 
     pub(crate) fn caller_gone(&mut self, now: Instant, ticket: Ticket, out: &mut Vec<Effect>) {
@@ -695,7 +433,7 @@
     }
 
     /// Frees whatever a request holds here and at endpoints, wherever it stands.
-    fn withdraw(&mut self, now: Instant, key: RequestKey, out: &mut Vec<Effect>) {
+    pub(crate) fn withdraw(&mut self, now: Instant, key: RequestKey, out: &mut Vec<Effect>) {
         let request = self.requests.get(key);
         let attempt = request.attempt();
         match request.phase {
@@ -730,7 +468,7 @@
         }
     }
 
-    fn release_prefill(
+    pub(crate) fn release_prefill(
         &mut self,
         now: Instant,
         key: RequestKey,
@@ -741,13 +479,19 @@
         self.free_lease(now, key, (true, false), out);
     }
 
-    fn release_decode(&mut self, now: Instant, key: RequestKey, decode: EndpointKey, out: &mut Vec<Effect>) {
+    pub(crate) fn release_decode(
+        &mut self,
+        now: Instant,
+        key: RequestKey,
+        decode: EndpointKey,
+        out: &mut Vec<Effect>,
+    ) {
         self.fleet.release(decode);
         self.free_lease(now, key, (false, true), out);
     }
 
     /// The KV cache of a finished prefill is of no use any more.
-    fn waste(&mut self, now: Instant, key: RequestKey, out: &mut Vec<Effect>) {
+    pub(crate) fn waste(&mut self, now: Instant, key: RequestKey, out: &mut Vec<Effect>) {
         let Some(cache) = self.requests.get_mut(key).cache.take() else {
             return;
         };
@@ -755,7 +499,13 @@
         self.count_waste(key, None);
     }
 
-    fn cancel(&mut self, now: Instant, attempt: AttemptId, endpoint: EndpointKey, out: &mut Vec<Effect>) {
+    pub(crate) fn cancel(
+        &mut self,
+        now: Instant,
+        attempt: AttemptId,
+        endpoint: EndpointKey,
+        out: &mut Vec<Effect>,
+    ) {
         let target = self.fleet.get(endpoint).target();
         if self.cancels.begin(now, attempt, target.id) {
             out.push(Effect::Cancel { attempt, target });
@@ -794,95 +544,16 @@
         }
     }
 
-    fn blame(&mut self, now: Instant, endpoint: EndpointKey, fault: Fault, out: &mut Vec<Effect>) {
-        match fault {
-            Fault::Leaving => self.fleet.leaving(endpoint),
-            Fault::NotSent | Fault::Broken | Fault::TimedOut | Fault::Stalled => {
-                if self.fleet.failed(now, endpoint) {
-                    let name = self.fleet.get(endpoint).name.clone();
-                    out.push(Effect::Audit(Audit::Endpoint { endpoint: name, reachable: false }));
-                }
-            }
-            Fault::Busy | Fault::Evicted | Fault::Rejected => {}
-        }
-    }
-
-    fn succeeded(&mut self, endpoint: EndpointKey, out: &mut Vec<Effect>) {
+    pub(crate) fn succeeded(&mut self, endpoint: EndpointKey, out: &mut Vec<Effect>) {
         if self.fleet.succeeded(endpoint) {
             let name = self.fleet.get(endpoint).name.clone();
             out.push(Effect::Audit(Audit::Endpoint { endpoint: name, reachable: true }));
         }
     }
 
-    fn step_timeout(&self) -> Duration {
+    pub(crate) fn step_timeout(&self) -> Duration {
         Duration::from_millis(self.policy().step_ms)
     }
-
-    /// Moving average of how long requests of a pool hold their slot.
-    fn learn_hold(&mut self, now: Instant, key: RequestKey) {
-        let request = self.requests.get(key);
-        let held = now.duration_since(request.held);
-        let average = self.holds.entry(request.pool.clone()).or_insert(held);
-        *average = (*average * 7 + held) / 8;
-    }
-
-    /// Moving average of a prefill's time for each prompt token, the wait inside the engine included.
-    fn learn_pace(&mut self, now: Instant, key: RequestKey) {
-        let request = self.requests.get(key);
-        let Kind::Generate { prompt, .. } = request.kind else {
-            return;
-        };
-        let took = now.duration_since(request.held) / prompt.max(1);
-        let pace = self.paces.entry(request.pool.clone()).or_insert(took);
-        *pace = (*pace * 15 + took) / 16;
-    }
-
-    /// Moving average of the time from the end of a prefill to the first token.
-    fn learn_tail(&mut self, now: Instant, key: RequestKey) {
-        let request = self.requests.get(key);
-        if request.first_token.is_some() {
-            return;
-        }
-        let took = now.duration_since(request.prefilled);
-        let tail = self.tails.entry(request.pool.clone()).or_insert(took);
-        *tail = (*tail * 15 + took) / 16;
-    }
-
-    fn count_refusal(&mut self, kind: ErrorKind) {
-        *self.counters.refused.entry(kind.answer().code).or_default() += 1;
-    }
-
-    fn count_prefill(&mut self, key: RequestKey, decode: EndpointKey) {
-        let request = self.requests.get(key);
-        if let Kind::Generate { prompt, .. } = request.kind {
-            let site = &self.fleet.get(decode).site;
-            self.counters.class(&request.class, site).prefilled += u64::from(prompt);
-        }
-    }
-
-    /// Counts a prefill of which nothing was used: by the decode endpoint's site where it is known.
-    fn count_waste(&mut self, key: RequestKey, decode: Option<EndpointKey>) {
-        let request = self.requests.get(key);
-        if let Kind::Generate { prompt, .. } = request.kind {
-            let site = decode.map_or("", |d| self.fleet.get(d).site.as_str());
-            self.counters.class(&request.class, site).wasted += u64::from(prompt);
-        }
-    }
-
-    /// A prefill that was under way is counted as done and wasted.
-    fn count_started_waste(&mut self, key: RequestKey, decode: EndpointKey) {
-        self.count_prefill(key, decode);
-        self.count_waste(key, Some(decode));
-    }
-
-    fn count_answer(&mut self, now: Instant, key: RequestKey, endpoint: EndpointKey) {
-        let request = self.requests.get(key);
-        let good = within_targets(now, request);
-        let site = &self.fleet.get(endpoint).site;
-        let class = self.counters.class(&request.class, site);
-        class.answered += 1;
-        class.good += u64::from(good);
-    }
 }
 
 fn role(kind: &Kind) -> Role {
@@ -900,15 +571,3 @@
 fn request_resumed(request: &Request) -> bool {
     request.resumed && request.attempts > 1
 }
-
-/// Whether first token and mean gap between tokens met the targets of the class.
-fn within_targets(now: Instant, request: &Request) -> bool {
-    let Kind::Generate { first, gap, .. } = request.kind else {
-        return true;
-    };
-    let Some(token) = request.first_token else {
-        return false;
-    };
-    let gaps = request.offset.saturating_sub(1);
-    token.duration_since(request.arrived) <= first && now.duration_since(token) <= gap * gaps.max(1)
-}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,8 +6,8 @@
 //! same effects. A daemon runs one instance on its control thread; a test or bench runs many side by side
 //! in virtual time.
 //!
-//! Modules look down only: `instance` dispatches to `flow` (the steps of a request) and `claims` (its
-//! idempotency key), which use `requests`, `fleet`, `queue`, `homes` and `orphans`; `members` and `versions`
+//! Modules look down only: `instance` dispatches to `opening`, `flow` and `failures` (the steps of a request),
+//! `reservations` (its slots) and `claims` (its idempotency key), which use `requests`, `fleet`, `queue`, `homes` and `orphans`; `members` and `versions`
 //! know nothing of requests.
 //!
 //! Invariants, asserted in the program:
@@ -24,13 +24,16 @@
 mod counters;
 mod error;
 mod event;
+mod failures;
 mod fleet;
 mod flow;
 mod homes;
 mod ids;
 mod instance;
+mod learning;
 mod members;
 mod message;
+mod opening;
 mod orphans;
 mod queue;
 mod requests;
--- /dev/null
+++ b/crates/core/src/opening.rs
@@ -0,0 +1,94 @@
+//! What a request needs, read from the configuration in force when it arrives.
+
+use std::time::Duration;
+
+use crate::error::{ErrorKind, Refusal};
+use crate::event::{Call, Effect, Generate, Work};
+use crate::flow::ELSEWHERE;
+use crate::instance::Instance;
+use crate::requests::{Kind, Opening};
+use crate::{RequestId, Ticket};
+
+/// Wait for a service slot: callers of plain services are quick, and so are the services.
+const SERVICE_WAIT: Duration = Duration::from_secs(2);
+/// Priority of service calls among themselves.
+const SERVICE_PRIORITY: u8 = 0;
+
+impl Instance {
+    /// Refuses a request that was never taken in.
+    pub(crate) fn turn_away(&mut self, ticket: Ticket, refusal: Refusal, out: &mut Vec<Effect>) {
+        self.count_refusal(refusal.kind);
+        out.push(Effect::Refuse { ticket, refusal });
+    }
+
+    pub(crate) fn opening(&self, ticket: Ticket, work: Work) -> Result<Opening, Refusal> {
+        if self.members.stopping {
+            return Err(Refusal::later(ErrorKind::Stopping, ELSEWHERE));
+        }
+        if self.versions.current().is_none() {
+            return Err(Refusal::later(ErrorKind::NotReady, ELSEWHERE));
+        }
+        match work {
+            Work::Generate(generate) => self.open_generate(ticket, generate),
+            Work::Call(call) => self.open_call(ticket, &call),
+        }
+    }
+
+    pub(crate) fn open_generate(&self, ticket: Ticket, work: Generate) -> Result<Opening, Refusal> {
+        let unknown = Refusal::new(ErrorKind::UnknownModel);
+        let configuration = self.versions.current().ok_or(unknown)?;
+        let model = configuration.models.iter().find(|m| m.name == work.model).ok_or(unknown)?;
+        let class = configuration.classes.iter().find(|c| c.name == model.class).ok_or(unknown)?;
+        let kind = Kind::Generate {
+            prompt: work.prompt,
+            first: Duration::from_millis(class.first_ms),
+            gap: Duration::from_millis(class.gap_ms),
+            again: work.again,
+        };
+        Ok(Opening {
+            ticket,
+            id: self.request_id(ticket),
+            kind,
+            pool: model.pool.clone(),
+            class: class.name.clone(),
+            team: self.team(work.team),
+            priority: class.priority,
+            wait: Duration::from_millis(class.wait_ms),
+            key: work.key,
+            deadline: work.deadline,
+        })
+    }
+
+    pub(crate) fn open_call(&self, ticket: Ticket, work: &Call) -> Result<Opening, Refusal> {
+        let unknown = Refusal::new(ErrorKind::UnknownService);
+        let configuration = self.versions.current().ok_or(unknown)?;
+        let service = configuration.services.iter().find(|s| s.name == work.service).ok_or(unknown)?;
+        let kind = Kind::Call {
+            repeatable: service.repeatable.contains(&work.method),
+            timeout: Duration::from_millis(service.timeout_ms),
+        };
+        Ok(Opening {
+            ticket,
+            id: self.request_id(ticket),
+            kind,
+            pool: service.pool.clone(),
+            class: service.name.clone(),
+            team: String::new(),
+            priority: SERVICE_PRIORITY,
+            wait: SERVICE_WAIT,
+            key: work.key,
+            deadline: work.deadline,
+        })
+    }
+
+    pub(crate) fn request_id(&self, ticket: Ticket) -> RequestId {
+        let identity = &self.identity;
+        RequestId { instance: identity.id(), incarnation: identity.incarnation, sequence: ticket.0 }
+    }
+
+    /// Callers that the configuration does not name share one team, so that made-up names win nothing.
+    pub(crate) fn team(&self, name: String) -> String {
+        let known = self.versions.current().is_some_and(|c| c.teams.iter().any(|t| t.name == name));
+        if known { name } else { String::new() }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/all/main.rs
@@ -0,0 +1,5 @@
+//! One instance of the decision core, driven event by event.
+
+mod ids;
+mod steps;
+mod support;
--- /dev/null
+++ b/crates/core/tests/all/support.rs
@@ -0,0 +1,97 @@
+//! An instance alone with an example configuration.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use teaselshunt_core::{
+    AttemptId, Effect, EndpointId, Event, Generate, Identity, Instance, Listed, Offer, Report, Source,
+    Ticket, Work,
+};
+use teaselshunt_settings::{Configuration, parse_configuration};
+
+const CONFIGURATION: &str = include_str!("../../../../examples/pindan/configuration.json");
+
+/// One instance, its clock, and what it wanted done since the last look.
+pub(crate) struct Alone {
+    instance: Instance,
+    now: Instant,
+    pub(crate) configuration: Configuration,
+}
+
+impl Alone {
+    pub(crate) fn start() -> Self {
+        let now = Instant::now();
+        let identity = Identity {
+            name: "osborne-1".to_owned(),
+            domain: "osborne".to_owned(),
+            deployment: "pindan".to_owned(),
+            address: ([127, 0, 0, 1], 1).into(),
+            incarnation: 1,
+        };
+        let configuration = parse_configuration(CONFIGURATION).expect("the example checks");
+        let mut alone = Self { instance: Instance::new(now, identity, 1), now, configuration };
+        let list = Listed { revision: 1, instances: Vec::new() };
+        alone.step(Event::Listed { list, source: Source::Platform, asked: now });
+        alone.offer();
+        for endpoint in alone.configuration.endpoints.clone() {
+            let event =
+                Event::Reported { endpoint: EndpointId::of(&endpoint.name), report: Report::default() };
+            alone.step(event);
+        }
+        alone
+    }
+
+    pub(crate) fn step(&mut self, event: Event) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        self.instance.step(self.now, event, &mut effects);
+        effects
+    }
+
+    pub(crate) fn pass(&mut self, time: Duration) {
+        self.now += time;
+    }
+
+    fn offer(&mut self) -> Vec<Effect> {
+        let configuration = Arc::new(self.configuration.clone());
+        let offer = Offer::Valid { configuration, text: Arc::from("") };
+        self.step(Event::Offered { offer, source: Source::Platform })
+    }
+
+    /// Puts a changed configuration in force.
+    pub(crate) fn change(&mut self, change: impl FnOnce(&mut Configuration)) {
+        change(&mut self.configuration);
+        self.configuration.version += 1;
+        self.offer();
+    }
+
+    /// A caller asks for an invoice; the try that began.
+    pub(crate) fn arrive(&mut self, ticket: u64) -> AttemptId {
+        let work = Work::Generate(Generate {
+            model: "fee-writer-invoice".to_owned(),
+            team: String::new(),
+            prompt: 1000,
+            limit: 100,
+            again: false,
+            key: None,
+            deadline: Duration::from_secs(60),
+        });
+        let effects = self.step(Event::Arrived { ticket: Ticket(ticket), work });
+        prefill(&effects).expect("there is room")
+    }
+}
+
+/// The prefill among effects.
+pub(crate) fn prefill(effects: &[Effect]) -> Option<AttemptId> {
+    effects.iter().find_map(|e| match e {
+        Effect::Prefill { attempt, .. } => Some(*attempt),
+        _ => None,
+    })
+}
+
+/// Target of the import among effects.
+pub(crate) fn import(effects: &[Effect]) -> Option<EndpointId> {
+    effects.iter().find_map(|e| match e {
+        Effect::Import { target, .. } => Some(target.id),
+        _ => None,
+    })
+}
