--- a/crates/core/tests/all/support.rs
+++ b/crates/core/tests/all/support.rs
@@ -73,7 +73,7 @@
             limit: 100,
             again: false,
             key: None,
-            deadline: Duration::from_secs(60),
+            deadline: Duration::from_mins(1),
         });
         let effects = self.step(Event::Arrived { ticket: Ticket(ticket), work });
         prefill(&effects).expect("there is room")
--- a/crates/daemon/tests/all/main.rs
+++ b/crates/daemon/tests/all/main.rs
@@ -9,6 +9,7 @@
 mod input;
 mod keys;
 mod path;
+mod peers;
 mod silence;
 mod stop;
 mod support;
--- a/crates/daemon/tests/all/support.rs
+++ b/crates/daemon/tests/all/support.rs
@@ -137,6 +137,18 @@
         change(&mut self.settings[index]);
     }
 
+    /// Makes a new authority and new keys for every instance, over the old files.
+    pub(crate) fn renew_keys(&self) {
+        std::fs::remove_file(self.directory.path().join("authority.key")).unwrap();
+        make_keys(self.directory.path(), &self.names).unwrap();
+    }
+
+    /// What an instance has logged.
+    pub(crate) fn log(&self, index: usize) -> String {
+        let path = self.directory.path().join(format!("{}.log", self.names[index]));
+        std::fs::read_to_string(path).unwrap_or_default()
+    }
+
     /// Names a peer that an instance asks when it cannot read the platform.
     pub(crate) fn seed(&mut self, index: usize, peer: usize) {
         let seed = json!([{ "name": self.names[peer], "address": self.settings[peer]["listen"]["peers"] }]);
--- a/examples/quickstart.sh
+++ b/examples/quickstart.sh
@@ -50,4 +50,5 @@
 
 for pid in "${daemons[@]}"; do kill -TERM "$pid"; done
 for pid in "${daemons[@]}"; do wait "$pid"; done
+for pid in "${pids[@]:0:2}"; do kill -TERM "$pid"; wait "$pid"; done
 echo "every answer was exact, and every instance stopped gracefully"
