Do not take a restarted home's empty memory for 'never granted', and prefer the nearer of equals

Cause: a new home asked the key's earlier home, which had been killed and started again; its new process had no record, and that counted as an answer. Ruled out: a late claim in a frozen home (its tenure had lapsed) and the strict question to the runner-up (it was refused). An earlier home now says whether it has run since before the key can have been granted.

Policy: decode loads within a quarter are equal, and the endpoint in the asker's domain is chosen.

--- a/crates/bench/tests/all/found.rs
+++ b/crates/bench/tests/all/found.rs
@@ -77,3 +77,19 @@
     ];
     holds(true, 12_464_092_819_757_161_081, &faults);
 }
+
+/// A keyed call runs, and the home of its key is killed and started again. Instances that slept meanwhile are
+/// listed again, one of them becomes the key's home, and asks the earlier one: its new process has no record, and
+/// that was taken for "never granted". The retry ran the call a second time.
+#[test]
+fn earlier_home_that_was_started_again_remembers_nothing() {
+    let faults = [
+        (31_853, Fault::Freeze(53)),
+        (32_719, Fault::Freeze(6)),
+        (33_711, Fault::Freeze(49)),
+        (40_400, Fault::Stall(23)),
+        (51_658, Fault::Freeze(8)),
+        (53_455, Fault::Kill(47)),
+    ];
+    holds(false, 6_346_730_226_550_437_374, &faults);
+}
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -25,6 +25,9 @@
 /// First pause of an endpoint that failed; doubles up to [`PAUSE_MAX`].
 const PAUSE: Duration = Duration::from_millis(500);
 const PAUSE_MAX: Duration = Duration::from_secs(8);
+/// Loads in thousandths that differ by less than this are taken for equal, and the nearer endpoint is chosen: a
+/// stream inside its failure domain survives every cut between domains.
+const STEP: u32 = 250;
 /// Reports older than this say nothing about others any more.
 const REPORT_AGE: Duration = Duration::from_secs(5);
 
@@ -333,11 +336,8 @@
         let site = self.draw_site(&decodes, rng)?;
         let decode = decodes.into_iter().filter(|&k| self.endpoints[k].site == site).min_by_key(|&k| {
             let entry = &self.endpoints[k];
-            (
-                (used(k).requests + entry.foreign) * 1000 / entry.slots.max(1),
-                entry.domain != need.domain,
-                rng.random::<u32>(),
-            )
+            let load = (used(k).requests + entry.foreign) * 1000 / entry.slots.max(1);
+            (load / STEP, entry.domain != need.domain, load, rng.random::<u32>())
         })?;
         let near = &self.endpoints[decode].domain;
         let prefills = self.group(need.pool, Role::Prefill).iter().copied();
--- a/crates/core/src/homes.rs
+++ b/crates/core/src/homes.rs
@@ -9,7 +9,8 @@
 //! 2. When the list changes, a new home first asks every earlier home for its record of the key. An earlier
 //!    home that answers has taken over the new list, by which it is no longer home, so it will not grant
 //!    the key any more.
-//! 3. An earlier home that does not answer (dead, frozen, cut off) may have granted the key. The new home
+//! 3. An earlier home that does not answer (dead, frozen, cut off), or has been started again since the key
+//!    can have been granted, may have granted it. The new home
 //!    says "unknown" until the horizon, after which callers do not retry, has passed.
 //! 4. Meanwhile the silent earlier home may be alive behind a cut. It may grant only while its tenure holds:
 //!    it has read the list from the platform within [`TENURE`], or every member answered at its very
@@ -68,6 +69,7 @@
 /// A claim that waits for earlier homes.
 #[derive(Debug)]
 struct Inquiry {
+    born: Option<u64>,
     claims: Vec<(InstanceId, RequestId)>,
     /// Earlier homes still to answer; `true` where only a complete answer counts.
     open: BTreeMap<InstanceId, bool>,
@@ -96,6 +98,15 @@
     closed: bool,
 }
 
+/// What an earlier home answered.
+#[derive(Debug)]
+pub(crate) struct Finding {
+    pub(crate) revision: u64,
+    pub(crate) record: Option<Record>,
+    pub(crate) whole: bool,
+    pub(crate) complete: bool,
+}
+
 /// Messages to send and answers to give, in order.
 #[derive(Debug, Default)]
 pub(crate) struct Replies {
@@ -191,9 +202,9 @@
             return replies;
         }
         let open = self.earlier(now, members, key, born);
-        let inquiry = Inquiry { claims: vec![(from, request)], open, until: now + INQUIRY };
+        let inquiry = Inquiry { born, claims: vec![(from, request)], open, until: now + INQUIRY };
         for &home in inquiry.open.keys() {
-            replies.messages.push((home, Message::Inquire { key, revision }));
+            replies.messages.push((home, Message::Inquire { key, revision, born }));
         }
         self.inquiries.insert(key, inquiry);
         self.conclude(now, members, key, &mut replies);
@@ -305,7 +316,7 @@
         now: Instant,
         members: &Members,
         key: IdempotencyKey,
-        revision: u64,
+        (revision, born): (u64, Option<u64>),
     ) -> Message {
         let ours = members.revision();
         if ours == revision && members.home(key) == Some(self.me) {
@@ -318,7 +329,8 @@
         let former = members.former_homes(key);
         let complete = full && former.iter().all(|(h, _)| *h == self.me || self.handed.contains_key(h));
         let record = self.entries.get(&key).map(|e| e.record.clone());
-        Message::Inquired { key, revision: ours, record, complete }
+        let whole = full || born.is_some_and(|b| b > self.epoch + self.skew.as_millis() as u64);
+        Message::Inquired { key, revision: ours, record, whole, complete }
     }
 
     /// An earlier home answered.
@@ -328,8 +340,9 @@
         members: &Members,
         from: InstanceId,
         key: IdempotencyKey,
-        (revision, record, complete): (u64, Option<Record>, bool),
+        finding: Finding,
     ) -> Replies {
+        let Finding { revision, record, whole, complete } = finding;
         let mut replies = Replies::default();
         let Some(inquiry) = self.inquiries.get_mut(&key) else {
             return replies;
@@ -342,10 +355,11 @@
             if let Some(list) = &members.list {
                 replies.messages.push((from, Message::List(list.clone())));
             }
-            replies.messages.push((from, Message::Inquire { key, revision: members.revision() }));
+            let again = Message::Inquire { key, revision: members.revision(), born: inquiry.born };
+            replies.messages.push((from, again));
             return replies;
         }
-        if record.is_some() || complete || !strict {
+        if record.is_some() || complete || (whole && !strict) {
             inquiry.open.remove(&from);
         } else {
             // Nobody can tell, now or later within the horizon: the caller hears it at once.
--- a/crates/core/src/instance.rs
+++ b/crates/core/src/instance.rs
@@ -12,7 +12,7 @@
 use crate::counters::Counters;
 use crate::event::{Audit, Effect, Event, Offer, Report, Source};
 use crate::fleet::{EndpointView, Fleet, Placement};
-use crate::homes::{Claim, Homes, Replies};
+use crate::homes::{Claim, Finding, Homes, Replies};
 use crate::ids::RequestKey;
 use crate::members::{Health, MemberView, Members};
 use crate::message::{Heartbeat, Message};
@@ -343,13 +343,13 @@
             }
             Message::Claimed { key, request, answer } => self.claimed(now, from, key, request, answer, out),
             Message::Settle { key, request, fate } => self.homes.settle(now, key, request, fate),
-            Message::Inquire { key, revision } => {
-                let reply = self.homes.inquire(now, &self.members, key, revision);
+            Message::Inquire { key, revision, born } => {
+                let reply = self.homes.inquire(now, &self.members, key, (revision, born));
                 self.deliver(now, from, reply, out);
             }
-            Message::Inquired { key, revision, record, complete } => {
-                let answer = (revision, record, complete);
-                let replies = self.homes.inquired(now, &self.members, from, key, answer);
+            Message::Inquired { key, revision, record, whole, complete } => {
+                let finding = Finding { revision, record, whole, complete };
+                let replies = self.homes.inquired(now, &self.members, from, key, finding);
                 self.send_replies(now, replies, out);
             }
             Message::Reserve(reserve) => self.reserve_asked(now, from, &reserve, out),
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -71,6 +71,8 @@
         key: IdempotencyKey,
         /// List revision by which the asker is the key's home.
         revision: u64,
+        /// When the key was made, in milliseconds since the Unix epoch, if it tells.
+        born: Option<u64>,
     },
     /// Answer to an inquiry.
     Inquired {
@@ -80,7 +82,10 @@
         revision: u64,
         /// The grant on record.
         record: Option<Record>,
-        /// Whether it has been a home without a break for the whole horizon, so that no record means no grant.
+        /// Whether this process has run since before the key can have been granted, so that no record means no
+        /// grant of its own. An instance that was started again remembers nothing of its former life.
+        whole: bool,
+        /// Whether besides it was the only home for the whole horizon, so that no record means no grant at all.
         complete: bool,
     },
     /// May I have a slot pair for a request? Asked of the pool's owner, and asked again without harm.
