--- a/crates/core/src/instance.rs
+++ b/crates/core/src/instance.rs
@@ -16,7 +16,7 @@
 use crate::ids::RequestKey;
 use crate::members::{Health, MemberView, Members};
 use crate::message::{Heartbeat, Message};
-use crate::orphans::{Cancels, ended};
+use crate::orphans::Cancels;
 use crate::queue::Queue;
 use crate::requests::Requests;
 use crate::slots::Slots;
@@ -25,9 +25,6 @@
 
 /// Time between two load reports of an engine.
 const POLL: Duration = Duration::from_millis(500);
-/// Looks at every engine after the start, and polls from one to the next.
-const SWEEPS: u32 = 5;
-const SWEEP_EVERY: u32 = 4;
 /// Time between two looks at every member and endpoint.
 const REVIEW: Duration = Duration::from_millis(250);
 /// Time between two fetches of documents from peers.
@@ -126,7 +123,7 @@
     next_poll: Instant,
     next_review: Instant,
     /// Polls since a configuration came into force, up to the end of the sweeps.
-    polls: u32,
+    pub(crate) polls: u32,
     next_fetch: Instant,
     next_confirm: Instant,
     /// When the last request of a planned stop ended.
@@ -466,35 +463,6 @@
         self.pump_all(now, out);
     }
 
-    /// Cancels work whose owner's life has ended; see the head of the module `orphans`.
-    fn cancel_orphans(&mut self, now: Instant, endpoint: EndpointId, report: &Report, out: &mut Vec<Effect>) {
-        let Some(key) = self.fleet.find(endpoint) else {
-            return;
-        };
-        let target = self.fleet.get(key).target();
-        let fresh = self.homes.fresh(now);
-        for running in &report.running {
-            self.members.note_start(running.attempt.request.instance, running.attempt.request.incarnation);
-        }
-        for running in &report.running {
-            let attempt = running.attempt;
-            let owner = attempt.request;
-            let orphan = if owner.instance == self.identity.id() {
-                owner.incarnation < self.identity.incarnation
-                    || (owner.incarnation == self.identity.incarnation && !self.requests.needs(attempt))
-            } else {
-                ended(now, &self.members, owner.instance, owner.incarnation, fresh)
-            };
-            if !orphan || !self.cancels.begin(now, attempt, endpoint) {
-                continue;
-            }
-            self.counters.orphans += 1;
-            out.push(Effect::Cancel { attempt, target });
-            let name = self.fleet.get(key).name.clone();
-            out.push(Effect::Audit(Audit::Orphan { attempt, endpoint: name }));
-        }
-    }
-
     fn unreported(&mut self, endpoint: EndpointId, out: &mut Vec<Effect>) {
         let Some(key) = self.fleet.find(endpoint) else {
             return;
@@ -566,27 +534,6 @@
         out.extend(engines.into_iter().map(|target| Effect::Poll { target }));
     }
 
-    /// Whether to ask every engine now, for a while after the start.
-    ///
-    /// Engines may hold work of the former life of this instance. Whoever could have told it from live work may
-    /// be gone as well; this process itself always can.
-    fn sweep(&mut self) -> bool {
-        if self.pools.is_empty() || self.polls >= SWEEPS * SWEEP_EVERY {
-            return false;
-        }
-        self.polls += 1;
-        (self.polls - 1).is_multiple_of(SWEEP_EVERY)
-    }
-
-    fn resend_cancels(&mut self, now: Instant, out: &mut Vec<Effect>) {
-        for (attempt, endpoint) in self.cancels.due(now) {
-            if let Some(key) = self.fleet.find(endpoint) {
-                let target = self.fleet.get(key).target();
-                out.push(Effect::Cancel { attempt, target });
-            }
-        }
-    }
-
     /// Ends a planned stop once nothing of a caller is left here.
     fn end_stop(&mut self, now: Instant, out: &mut Vec<Effect>) {
         if !self.members.stopping || self.stopped || self.requests.len() > 0 {
--- a/crates/core/src/orphans.rs
+++ b/crates/core/src/orphans.rs
@@ -13,6 +13,8 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+use crate::event::{Audit, Effect, Report};
+use crate::instance::Instance;
 use crate::members::{Health, Members};
 use crate::{AttemptId, EndpointId, InstanceId};
 
@@ -23,6 +25,10 @@
 /// How long a dead member is left in peace, for its refutation to arrive.
 const GRACE: Duration = Duration::from_secs(5);
 
+/// Looks at every engine after the start, and polls from one to the next.
+const SWEEPS: u32 = 5;
+const SWEEP_EVERY: u32 = 4;
+
 #[derive(Debug)]
 struct Pending {
     next: Instant,
@@ -89,3 +95,61 @@
     };
     fresh && member.leaving && now.duration_since(since) > GRACE
 }
+
+impl Instance {
+    /// Cancels work whose owner's life has ended; see the head of the module `orphans`.
+    pub(crate) fn cancel_orphans(
+        &mut self,
+        now: Instant,
+        endpoint: EndpointId,
+        report: &Report,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(key) = self.fleet.find(endpoint) else {
+            return;
+        };
+        let target = self.fleet.get(key).target();
+        let fresh = self.homes.fresh(now);
+        for running in &report.running {
+            self.members.note_start(running.attempt.request.instance, running.attempt.request.incarnation);
+        }
+        for running in &report.running {
+            let attempt = running.attempt;
+            let owner = attempt.request;
+            let orphan = if owner.instance == self.identity.id() {
+                owner.incarnation < self.identity.incarnation
+                    || (owner.incarnation == self.identity.incarnation && !self.requests.needs(attempt))
+            } else {
+                ended(now, &self.members, owner.instance, owner.incarnation, fresh)
+            };
+            if !orphan || !self.cancels.begin(now, attempt, endpoint) {
+                continue;
+            }
+            self.counters.orphans += 1;
+            out.push(Effect::Cancel { attempt, target });
+            let name = self.fleet.get(key).name.clone();
+            out.push(Effect::Audit(Audit::Orphan { attempt, endpoint: name }));
+        }
+    }
+
+    /// Whether to ask every engine now, for a while after the start.
+    ///
+    /// Engines may hold work of the former life of this instance. Whoever could have told it from live work may
+    /// be gone as well; this process itself always can.
+    pub(crate) fn sweep(&mut self) -> bool {
+        if self.pools.is_empty() || self.polls >= SWEEPS * SWEEP_EVERY {
+            return false;
+        }
+        self.polls += 1;
+        (self.polls - 1).is_multiple_of(SWEEP_EVERY)
+    }
+
+    pub(crate) fn resend_cancels(&mut self, now: Instant, out: &mut Vec<Effect>) {
+        for (attempt, endpoint) in self.cancels.due(now) {
+            if let Some(key) = self.fleet.find(endpoint) {
+                let target = self.fleet.get(key).target();
+                out.push(Effect::Cancel { attempt, target });
+            }
+        }
+    }
+}
