Let one function say what proves that a call was never sent

The rule stood in the engine calls and again in the driver of service calls; 'not run' rests on it, so the two must not drift apart. No behaviour changes.

--- a/crates/daemon/src/driver/call.rs
+++ b/crates/daemon/src/driver/call.rs
@@ -9,7 +9,7 @@
 use tokio::sync::oneshot;
 
 use crate::control::{Command, Session};
-use crate::engines::Engines;
+use crate::engines::{Engines, dispatch};
 
 /// Largest answer of a service.
 const ANSWER_MAX: usize = 64 << 20;
@@ -142,12 +142,7 @@
         if self.session.now().duration_since(issued) > STALE {
             return Err(Fault::NotSent);
         }
-        let response = match call.send().await {
-            Ok(response) => response,
-            Err(error) if error.is_connect() => return Err(Fault::NotSent),
-            Err(error) if error.is_timeout() => return Err(Fault::TimedOut),
-            Err(_) => return Err(Fault::Broken),
-        };
+        let response = dispatch(call).await?;
         let (status, headers) = (response.status(), response.headers().clone());
         let body = read_whole(response).await?;
         Ok((status, headers, body))
--- a/crates/daemon/src/engines.rs
+++ b/crates/daemon/src/engines.rs
@@ -105,13 +105,18 @@
 }
 
 /// Sends a call, and tells a failure that proves that nothing left this process from one that does not.
-pub(crate) async fn send(call: RequestBuilder) -> Result<Response, Fault> {
-    let response = match call.send().await {
-        Ok(response) => response,
-        Err(error) if error.is_connect() => return Err(Fault::NotSent),
-        Err(error) if error.is_timeout() => return Err(Fault::TimedOut),
-        Err(_) => return Err(Fault::Broken),
-    };
+pub(crate) async fn dispatch(call: RequestBuilder) -> Result<Response, Fault> {
+    match call.send().await {
+        Ok(response) => Ok(response),
+        Err(error) if error.is_connect() => Err(Fault::NotSent),
+        Err(error) if error.is_timeout() => Err(Fault::TimedOut),
+        Err(_) => Err(Fault::Broken),
+    }
+}
+
+/// Sends a step to an engine; an answer that is no success is a fault.
+async fn send(call: RequestBuilder) -> Result<Response, Fault> {
+    let response = dispatch(call).await?;
     if response.status().is_success() {
         return Ok(response);
     }
