Keep streams in their failure domain while it has room

Ruled out: copies of running generations elsewhere, since memory is what binds. Now a prompt goes away only where it would wait behind another, and a decode engine away counts 0.3 of its memory more.

--- a/crates/routing/src/endpoints.rs
+++ b/crates/routing/src/endpoints.rs
@@ -111,8 +111,15 @@
 /// What another failure domain adds to an endpoint's expected latency: two crossings and their price.
 const DISTANCE: f64 = 0.006;
 
-/// What another failure domain counts in tokens in flight; moves across domains take twice as long.
-const AWAY: f64 = 400.0;
+/// What another failure domain counts in tokens in flight at a prefill engine, about one usual prompt: a prompt goes
+/// away only where it would wait behind one at home.
+const AWAY_PREFILL: f64 = 3_000.0;
+/// The same at a decode engine, as a part of its memory.
+///
+/// A stream that crosses domains breaks when its domain is cut off, and callers of both sides lose it. Streams at home
+/// outlive the cut. Memory is the narrow place, so that home engines are filled first and only their last part is left
+/// for when the others are full as well.
+const AWAY_DECODE: f64 = 0.3;
 /// Spread of the choice in tokens: instances that choose in the same moment, before they have heard of each other's
 /// choice, would all take the same engine. About half of a usual prompt.
 const SPREAD: f64 = 1_500.0;
@@ -432,7 +439,10 @@
                 let distance = if away { DISTANCE } else { 0.0 };
                 entry.expected(now) * f64::from(entry.running + 1) + distance + jitter * 0.002
             }
-            Some(_) => in_flight as f64 + if away { AWAY } else { 0.0 } + jitter * SPREAD,
+            Some(_) => {
+                let distance = need.limit.map_or(AWAY_PREFILL, |memory| memory as f64 * AWAY_DECODE);
+                in_flight as f64 + if away { distance } else { 0.0 } + jitter * SPREAD
+            }
         }
     }
 }
--- a/crates/routing/tests/all/endpoints.rs
+++ b/crates/routing/tests/all/endpoints.rs
@@ -153,3 +153,24 @@
     endpoints.learn(now, other, Verdict::Full);
     assert!(endpoints.choose(now, decode, &mut rng).is_none());
 }
+
+/// A failure domain is cut off while many streams run. Callers lose each stream whose engine is on the other side, so
+/// streams stay at home while home engines have room, and only the last part of their memory is kept for when engines
+/// away are full too.
+#[test]
+fn streams_stay_in_their_failure_domain_while_it_has_room() {
+    const MEMORY: u64 = 24_000;
+    let (mut endpoints, now, mut rng) = (Endpoints::default(), Instant::now(), rand::rng());
+    for (id, domain) in [("home", "north"), ("away", "south")] {
+        endpoints.upsert(Endpoint { stage: Some(Stage::Decode), ..endpoint(id, domain) });
+    }
+    let decode = Need { stage: Some(Stage::Decode), tokens: 3_000, limit: Some(MEMORY), ..need(&[]) };
+    let mut places = Vec::new();
+    while let Some(key) = endpoints.choose(now, decode, &mut rng) {
+        endpoints.begin(now, key, decode.tokens);
+        places.push(endpoints.get(key).expect("listed").id.to_string());
+    }
+    assert_eq!(places.len(), 16, "both are used up");
+    assert!(places[..2].iter().all(|id| id == "home"), "{places:?}");
+    assert!(places[8..].contains(&"home".to_owned()), "{places:?}");
+}
