Leave the prompt to the decode engine when a prefill's answer is lost

Ruled out: a second prefill, which counts as a send. A stream that is taken up is read by its new engine too, for the same reason. The same commit writes what a generation needs and how many events it had into the request's line.

--- a/crates/forward/src/generate.rs
+++ b/crates/forward/src/generate.rs
@@ -45,7 +45,7 @@
 /// Serves a generation.
 pub(crate) async fn run(node: &Rc<Node>, job: Job, trace: Trace) -> Response<AnswerBody> {
     let patience = (job.arrived + PATIENCE).min(job.until);
-    let (answer, slot) = match start(node, &job, &trace, patience, Vec::new()).await {
+    let (answer, slot) = match start(node, &job, &trace, patience, Prompt::Unread, Vec::new()).await {
         Ok(started) => started,
         Err(refusal) => return refuse(node, refusal, trace),
     };
@@ -61,7 +61,8 @@
     Response::from_parts(head, Either::Left(Full::new(body)))
 }
 
-/// Takes a stream up that broke at engine `broken`, at another one, after the last event that the caller has.
+/// Takes a stream up that broke at engine `broken`, at another one, after the last event that the caller has. That one
+/// reads the prompt itself: a second prefill would count as one more send.
 pub(crate) async fn resume(
     node: &Rc<Node>,
     job: &mut Job,
@@ -75,7 +76,7 @@
     }
     job.headers.insert("last-event-id", last);
     let patience = (node.now() + PATIENCE).min(job.until);
-    let (answer, slot) = start(node, job, trace, patience, vec![broken]).await.ok()?;
+    let (answer, slot) = start(node, job, trace, patience, Prompt::ByDecode, vec![broken]).await.ok()?;
     (answer.response.status() == StatusCode::OK).then_some((answer, slot))
 }
 
@@ -107,30 +108,41 @@
     });
 }
 
+/// Where a generation's prompt is.
+#[derive(Debug)]
+enum Prompt {
+    /// Not read yet.
+    Unread,
+    /// At a prefill engine.
+    Read(Cache),
+    /// The decode engine reads it itself: slower, and between the tokens of others, but with no other engine needed.
+    ByDecode,
+}
+
 async fn start(
     node: &Rc<Node>,
     job: &Job,
     trace: &Trace,
     patience: Instant,
+    mut prompt: Prompt,
     mut tried: Vec<EndpointKey>,
 ) -> Result<(Answer, Slot), Refusal> {
     let mut sent = 0;
-    let mut cache = None;
     for _ in 0..ROUNDS {
         let mut room = reserve(node, job, trace, patience, &tried).await?;
-        if cache.is_none() {
-            cache = prefill(node, job, trace, &mut sent).await?;
+        if matches!(prompt, Prompt::Unread) {
+            prompt = prefill(node, job, trace, &mut sent).await?;
         }
         if sent > 0 && (sent >= job.route.attempts || !node.may_repeat(&job.service)) {
             break;
         }
-        let result = decode(node, job, &room, cache.as_ref()).await;
+        let result = decode(node, job, &room, &prompt).await;
         let text = result.as_ref().map_or_else(|f| f.text(), |_| "answered");
         trace.step("decode", &name(node, room.endpoint), text);
         match result {
             Ok(answer) => {
                 room.hold = None;
-                if let Some(cache) = &mut cache {
+                if let Prompt::Read(cache) = &mut prompt {
                     cache.handle = None;
                 }
                 let slot = room.slot.take().expect("a room has its slot until a run begins");
@@ -140,7 +152,7 @@
             Err(StepFailure::Unsent) => {}
             Err(StepFailure::Refused | StepFailure::Misdirected) => {
                 sent += 1;
-                cache = None;
+                prompt = Prompt::ByDecode;
             }
             Err(StepFailure::Broken | StepFailure::TimedOut) => {
                 sent += 1;
@@ -150,7 +162,7 @@
                     let kind = if over { ErrorKind::DeadlinePassed } else { ErrorKind::OutcomeUnknown };
                     return Err(Refusal::new(kind));
                 }
-                cache = None;
+                prompt = Prompt::ByDecode;
             }
         }
         tried.push(room.endpoint);
@@ -162,67 +174,64 @@
     node.locate(key).map_or_else(|| "gone".into(), |(_, id)| id)
 }
 
-/// Has the prompt read. `None` where no prefill engine is in reach; the decode engine then reads it itself.
+/// Has the prompt read.
 ///
-/// Only the first accepted call is free; a refused or repeated one counts as a send in `sent`.
-async fn prefill(
-    node: &Rc<Node>,
-    job: &Job,
-    trace: &Trace,
-    sent: &mut u32,
-) -> Result<Option<Cache>, Refusal> {
+/// Only the first call that an engine accepts is free; a refused one counts as a send in `sent`. A call without an
+/// answer was probably accepted, so that a second prefill would count, and on a route with one attempt nothing would
+/// be left for the decode. The prompt is then left to the decode engine: a caller whose prefill engine lost its answer
+/// gets its stream a fifth of a second later and not a refusal.
+async fn prefill(node: &Rc<Node>, job: &Job, trace: &Trace, sent: &mut u32) -> Result<Prompt, Refusal> {
     let mut tried = Vec::new();
     for _ in 0..ROUNDS {
-        let prompt = job.meta.prompt;
-        let chosen = node.choose_engine(&job.service.name, Some(Stage::Prefill), &tried, prompt, None);
+        let tokens = job.meta.prompt;
+        let chosen = node.choose_engine(&job.service.name, Some(Stage::Prefill), &tried, tokens, None);
         let Some(key) = chosen else { break };
         let Some((address, id)) = node.locate(key) else { continue };
         if *sent > 0 && (*sent >= job.route.attempts || !node.may_repeat(&job.service)) {
             break;
         }
         tried.push(key);
-        let _slot = node.occupy(key, prompt);
+        let _slot = node.occupy(key, tokens);
         let begun = node.now();
         let in_flight = node.state.borrow().endpoints.load(key);
-        let longest = job.service.engine.map_or(CALL, |e| e.hold.mul_f64(PREFILL_PART));
-        let until = (node.now() + longest).min(job.until);
-        let result = match node.send(job, key, Purpose::Prefill, until).await {
-            Ok(answer) if answer.response.status() == StatusCode::OK => {
-                let body = answer.response.into_body();
-                node.read(body, answer.connection, until).await.map_err(StepFailure::from)
-            }
-            Ok(_) => Err(StepFailure::Broken),
-            Err(failure) => Err(failure),
-        };
-        let handle = result.as_ref().ok().and_then(|body| node.protocol.read_prefilled(body));
+        let result = prefill_at(node, job, key).await;
         let text = result.as_ref().map_or_else(|f| f.text(), |_| "ok");
         trace.step("prefill", &id, text);
-        if let Some(handle) = handle {
-            let took = node.now().duration_since(begun);
-            let state = &mut *node.state.borrow_mut();
-            state.paces.entry(Arc::clone(&job.service.name)).or_default().learn(in_flight, took);
-            return Ok(Some(Cache { node: Rc::clone(node), address, handle: Some(handle) }));
-        }
-        if result != Err(StepFailure::Unsent) {
-            *sent += 1;
-        }
-        if node.now() >= job.until {
-            return Err(Refusal::new(ErrorKind::Expired));
+        match result {
+            Ok(handle) => {
+                let took = node.now().duration_since(begun);
+                let state = &mut *node.state.borrow_mut();
+                state.paces.entry(Arc::clone(&job.service.name)).or_default().learn(in_flight, took);
+                return Ok(Prompt::Read(Cache { node: Rc::clone(node), address, handle: Some(handle) }));
+            }
+            Err(_) if node.now() >= job.until => return Err(Refusal::new(ErrorKind::Expired)),
+            Err(StepFailure::Unsent) => {}
+            Err(StepFailure::Refused | StepFailure::Misdirected) => *sent += 1,
+            Err(StepFailure::Broken | StepFailure::TimedOut) => break,
         }
     }
-    if *sent > 0 {
-        return Err(Refusal::later(ErrorKind::Overloaded, FULL));
+    Ok(Prompt::ByDecode)
+}
+
+/// Has the prompt read at one engine; gives the handle of its KV cache.
+async fn prefill_at(node: &Node, job: &Job, key: EndpointKey) -> Result<String, StepFailure> {
+    let longest = job.service.engine.map_or(CALL, |e| e.hold.mul_f64(PREFILL_PART));
+    let until = (node.now() + longest).min(job.until);
+    let answer = node.send(job, key, Purpose::Prefill, until).await?;
+    if answer.response.status() != StatusCode::OK {
+        return Err(StepFailure::Broken);
     }
-    Ok(None)
+    let body = node.read(answer.response.into_body(), answer.connection, until).await?;
+    node.protocol.read_prefilled(&body).ok_or(StepFailure::Broken)
 }
 
-async fn decode(node: &Node, job: &Job, room: &Room, cache: Option<&Cache>) -> Result<Answer, StepFailure> {
+async fn decode(node: &Node, job: &Job, room: &Room, prompt: &Prompt) -> Result<Answer, StepFailure> {
     let hold = room.hold.as_deref();
-    let purpose = match cache {
-        Some(Cache { address, handle: Some(handle), .. }) => {
+    let purpose = match prompt {
+        Prompt::Read(Cache { address, handle: Some(handle), .. }) => {
             Purpose::Decode { source: *address, handle, hold }
         }
-        Some(_) | None => Purpose::Whole { hold },
+        Prompt::Read(_) | Prompt::Unread | Prompt::ByDecode => Purpose::Whole { hold },
     };
     node.send(job, room.endpoint, purpose, node.now() + FIRST).await
 }
--- a/crates/forward/src/requests.rs
+++ b/crates/forward/src/requests.rs
@@ -31,7 +31,7 @@
 ) -> Result<Response<AnswerBody>, Infallible> {
     let arrived = node.now();
     let meta = node.protocol.read_request(request.headers());
-    let mut trace = Trace::new(&node, &meta.id, arrived);
+    let mut trace = Trace::new(&node, &meta, arrived);
     let mut response = match open(&node, request, meta, arrived, &mut trace).await {
         Ok(job) => run(&node, job, trace).await,
         Err(refusal) => refuse(&node, refusal, trace),
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -86,7 +86,7 @@
     let whole_only = source.resumes > 0;
     loop {
         let endpoint = run.endpoint;
-        let end = pass(&source.job, run, &pieces, &mut events, whole_only, &node).await;
+        let end = pass(&source.job, run, &pieces, &mut events, whole_only, &node, &trace).await;
         match end {
             End::Whole => return trace.end("answered", status),
             End::CallerGone => return trace.end("caller_gone", status),
@@ -123,6 +123,7 @@
     events: &mut Events,
     whole_only: bool,
     node: &Node,
+    trace: &Trace,
 ) -> End {
     let Run { mut body, connection, slot, .. } = run;
     loop {
@@ -148,6 +149,7 @@
                 Err(_) => continue,
             },
         };
+        trace.passed(events.count(&data));
         let data = if whole_only { events.take(&data) } else { data };
         if data.is_empty() {
             continue;
@@ -163,9 +165,21 @@
 pub(crate) struct Events {
     pub(crate) partial: BytesMut,
     pub(crate) last: Option<String>,
+    /// Whether the bytes so far end with a line's end.
+    line_ended: bool,
 }
 
 impl Events {
+    /// How many events end in these bytes; an event ends with an empty line.
+    fn count(&mut self, data: &[u8]) -> u32 {
+        let mut count = 0;
+        for &byte in data {
+            count += u32::from(byte == b'\n' && self.line_ended);
+            self.line_ended = byte == b'\n';
+        }
+        count
+    }
+
     /// Adds bytes and gives back the whole events that are there now.
     pub(crate) fn take(&mut self, data: &[u8]) -> Bytes {
         self.partial.extend_from_slice(data);
--- a/crates/forward/src/trace.rs
+++ b/crates/forward/src/trace.rs
@@ -1,14 +1,15 @@
 //! The story of one request, written as one log line at its end.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::fmt::Write;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use slog::info;
 
 use crate::node::Node;
+use crate::protocol::Meta;
 
 /// What is told of a request. Dropped without an end it says that the caller has gone.
 #[derive(Debug)]
@@ -20,20 +21,36 @@
     version: u64,
     arrived: Instant,
     steps: RefCell<String>,
+    /// How long the caller waits, as it says.
+    deadline: Option<Duration>,
+    size: Size,
+    /// Events that were passed on.
+    events: Cell<u32>,
     ended: bool,
 }
 
+/// What a generation was expected to need, in tokens; all 0 for a plain request.
+#[derive(Debug, Clone, Copy, Default)]
+struct Size {
+    prompt: u64,
+    output: u64,
+    hint: Option<u64>,
+}
+
 impl Trace {
-    pub(crate) fn new(node: &Rc<Node>, id: &str, arrived: Instant) -> Self {
+    pub(crate) fn new(node: &Rc<Node>, meta: &Meta, arrived: Instant) -> Self {
         node.metrics.running.inc();
         Self {
             node: Rc::clone(node),
-            id: id.to_owned(),
+            id: meta.id.clone(),
             kind: "none",
             route: Arc::from(""),
             version: 0,
             arrived,
             steps: RefCell::default(),
+            deadline: meta.deadline,
+            size: Size { prompt: meta.prompt, output: meta.output, hint: meta.hint },
+            events: Cell::new(0),
             ended: false,
         }
     }
@@ -54,6 +71,11 @@
         let _ = write!(steps, "{gap}{step}@{endpoint}={outcome}+{at}ms");
     }
 
+    /// So many more events of a stream go to the caller.
+    pub(crate) fn passed(&self, events: u32) {
+        self.events.set(self.events.get() + events);
+    }
+
     /// The head of the answer goes to the caller.
     pub(crate) fn first(&self) {
         let took = self.node.now().duration_since(self.arrived);
@@ -78,6 +100,11 @@
             "route" => &*self.route,
             "version" => self.version,
             "list_age_ms" => self.node.list_age().map(|a| a.as_millis() as u64),
+            "deadline_ms" => self.deadline.map(|d| d.as_millis() as u64),
+            "prompt" => self.size.prompt,
+            "output" => self.size.output,
+            "hint" => self.size.hint,
+            "events" => self.events.get(),
             "steps" => self.steps.borrow().as_str(),
             "outcome" => outcome,
             "status" => status,
