Let requests that can be on time go before late ones

Late ones now leave room for one more, and wait longer. Test: ledger::a_late_request_leaves_the_last_room_to_others.

--- a/crates/forward/src/catalog.rs
+++ b/crates/forward/src/catalog.rs
@@ -275,6 +275,7 @@
         }
         self.node.metrics.version.set(routes.version as i64);
         info!(self.node.log, "configuration"; "version" => routes.version, "before" => current);
+        state.allowances.retain(|name| routes.has_route(name));
         state.routes = Some(routes);
     }
 
--- a/crates/forward/src/generate.rs
+++ b/crates/forward/src/generate.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use http_body_util::{Either, Full};
 use hyper::Response;
@@ -15,19 +15,22 @@
 use hyper::header::HeaderValue;
 use slog::debug;
 use teaselshunt_core::{ErrorKind, Refusal};
-use teaselshunt_routing::{EndpointKey, Repeat, Stage};
+use teaselshunt_routing::{EndpointKey, Repeat};
 
 use crate::body::AnswerBody;
 use crate::node::{Answer, Job, Node, Slot, StepFailure};
 use crate::protocol::{Call, Purpose};
 use crate::requests::refuse;
-use crate::rooms::{Room, reserve};
+use crate::rooms::{Patience, Room, reserve};
 use crate::stream::{self, Events, Source};
 use crate::trace::Trace;
 
-/// How long a request waits for room. Most rooms come free within this time in a burst; a longer wait makes the first
-/// event late anyway and keeps others waiting.
-const PATIENCE: Duration = Duration::from_millis(700);
+/// Part of the aim for the first event in which room must be found; the rest is what a short prefill takes.
+const ROOM_PART: f64 = 0.78;
+/// Part of the time after which callers leave that a search for room lasts at most; the rest is for a long prefill.
+const WAIT_PART: f64 = 0.6;
+/// How long a search for room lasts for a stream that broke: its caller has seen a part of it and waits.
+const RESUME: Duration = Duration::from_millis(700);
 /// Longest time for a small call to an engine: many round trips.
 pub(crate) const CALL: Duration = Duration::from_millis(200);
 /// Part of a reservation's life that a prefill may take.
@@ -44,7 +47,7 @@
 
 /// Serves a generation.
 pub(crate) async fn run(node: &Rc<Node>, job: Job, trace: Trace) -> Response<AnswerBody> {
-    let patience = (job.arrived + PATIENCE).min(job.until);
+    let patience = patience(&job);
     let (answer, slot) = match start(node, &job, &trace, patience, Prompt::Unread, Vec::new()).await {
         Ok(started) => started,
         Err(refusal) => return refuse(node, refusal, trace),
@@ -61,6 +64,16 @@
     Response::from_parts(head, Either::Left(Full::new(body)))
 }
 
+/// How long a request waits for room: until it can't be on time any more among those that can, and then behind them. A
+/// refusal instead would only bring the caller back to the same queue, and it may come back but once or twice.
+fn patience(job: &Job) -> Patience {
+    let route = &job.route;
+    let shortest = route.goal.mul_f64(1.0 - ROOM_PART);
+    let wait = route.leaving().mul_f64(WAIT_PART);
+    let due = job.due.checked_sub(shortest).unwrap_or(job.arrived);
+    Patience { due, until: (job.arrived + wait).min(job.until) }
+}
+
 /// Takes a stream up that broke at engine `broken`, at another one, after the last event that the caller has. That one
 /// reads the prompt itself: a second prefill would count as one more send.
 pub(crate) async fn resume(
@@ -75,7 +88,8 @@
         return None;
     }
     job.headers.insert("last-event-id", last);
-    let patience = (node.now() + PATIENCE).min(job.until);
+    let until = (node.now() + RESUME).min(job.until);
+    let patience = Patience { due: until, until };
     let (answer, slot) = start(node, job, trace, patience, Prompt::ByDecode, vec![broken]).await.ok()?;
     (answer.response.status() == StatusCode::OK).then_some((answer, slot))
 }
@@ -123,7 +137,7 @@
     node: &Rc<Node>,
     job: &Job,
     trace: &Trace,
-    patience: Instant,
+    patience: Patience,
     mut prompt: Prompt,
     mut tried: Vec<EndpointKey>,
 ) -> Result<(Answer, Slot), Refusal> {
@@ -184,7 +198,7 @@
     let mut tried = Vec::new();
     for _ in 0..ROUNDS {
         let tokens = job.meta.prompt;
-        let chosen = node.choose_engine(&job.service.name, Some(Stage::Prefill), &tried, tokens, None);
+        let chosen = node.choose_prefill(&job.service.name, &tried, tokens);
         let Some(key) = chosen else { break };
         let Some((address, id)) = node.locate(key) else { continue };
         if *sent > 0 && (*sent >= job.route.attempts || !node.may_repeat(&job.service)) {
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -19,7 +19,7 @@
 use slog::{Logger, info};
 use teaselshunt_core::Clock;
 use teaselshunt_routing::{
-    Budgets, EndpointKey, Endpoints, Need, Pace, Route, RouteSet, Service, Stage, Verdict,
+    Allowances, Budgets, EndpointKey, Endpoints, Need, Pace, Route, RouteSet, Service, Stage, Verdict,
 };
 use tokio::sync::{Notify, watch};
 
@@ -52,6 +52,8 @@
     pub(crate) rng: SmallRng,
     /// Pace of prefill by service.
     pub(crate) paces: HashMap<Arc<str>, Pace>,
+    /// How long callers of each route wait in all.
+    pub(crate) allowances: Allowances,
     /// When the store last answered about endpoints.
     pub(crate) listed: Option<Instant>,
 }
@@ -86,6 +88,9 @@
     pub(crate) route: Arc<Route>,
     pub(crate) service: Arc<Service>,
     pub(crate) arrived: Instant,
+    /// When the answer, or the first event of a stream, is due to be on time; past if the caller has been refused
+    /// before and comes back.
+    pub(crate) due: Instant,
     /// When the caller, or the route's timeout, stops waiting.
     pub(crate) until: Instant,
 }
@@ -172,20 +177,27 @@
     }
 
     pub(crate) fn choose(&self, service: &str, tried: &[EndpointKey]) -> Option<EndpointKey> {
-        self.choose_engine(service, None, tried, 0, None)
+        self.choose_for(Need { tried, ..self.need(service) })
     }
 
-    /// Chooses an engine with at most `limit` tokens in flight, `tokens` of them new.
-    pub(crate) fn choose_engine(
+    /// A need of an instance here that has no wishes yet.
+    pub(crate) fn need<'a>(&'a self, service: &'a str) -> Need<'a> {
+        let domain = &self.settings.domain;
+        Need { service, stage: None, domain, tried: &[], tokens: 0, limit: None, spare: 0 }
+    }
+
+    /// Chooses the engine that reads a prompt of so many tokens.
+    pub(crate) fn choose_prefill(
         &self,
         service: &str,
-        stage: Option<Stage>,
         tried: &[EndpointKey],
         tokens: u64,
-        limit: Option<u64>,
     ) -> Option<EndpointKey> {
+        self.choose_for(Need { stage: Some(Stage::Prefill), tried, tokens, ..self.need(service) })
+    }
+
+    pub(crate) fn choose_for(&self, need: Need<'_>) -> Option<EndpointKey> {
         let beliefs = &mut *self.state.borrow_mut();
-        let need = Need { service, stage, domain: &self.settings.domain, tried, tokens, limit };
         beliefs.endpoints.choose(self.now(), need, &mut beliefs.rng)
     }
 
--- a/crates/forward/src/requests.rs
+++ b/crates/forward/src/requests.rs
@@ -63,13 +63,16 @@
     if node.phase() >= if short { Phase::Ending } else { Phase::Refusing } {
         return Err(Refusal::later(ErrorKind::Stopping, ELSEWHERE));
     }
-    let service = {
+    let (service, due) = {
         let state = &mut *node.state.borrow_mut();
+        let deadline = meta.deadline.filter(|_| !short);
+        let spent = deadline.map(|d| state.allowances.spent(arrived, &route.name, d)).unwrap_or_default();
+        trace.spent(spent);
         let name = route.draw(&mut state.rng).cloned();
         let service = name.and_then(|name| routes.service(&name).cloned());
         let service = service.ok_or(Refusal::new(ErrorKind::UnknownService))?;
         state.budgets.request(arrived, &service.name);
-        service
+        (service, arrived + route.goal.saturating_sub(spent))
     };
     let until = arrived + meta.deadline.unwrap_or(DEADLINE).min(route.timeout);
     let path = head.uri.path_and_query().map_or("/", |p| p.as_str()).to_owned();
@@ -84,6 +87,7 @@
         route: Arc::clone(route),
         service,
         arrived,
+        due,
         until,
     })
 }
--- a/crates/forward/src/rooms.rs
+++ b/crates/forward/src/rooms.rs
@@ -12,7 +12,7 @@
 use hyper::StatusCode;
 use rand::Rng;
 use teaselshunt_core::{ErrorKind, Refusal};
-use teaselshunt_routing::{EndpointKey, Stage, Verdict};
+use teaselshunt_routing::{EndpointKey, Need, Stage, Verdict};
 
 use crate::generate::{CALL, FULL, NO_ENDPOINT, name, tidy};
 use crate::node::{Job, Node, Slot};
@@ -22,10 +22,23 @@
 
 /// Pause between two looks for room, about the time between two ends of generations at an engine.
 const LOOK: Duration = Duration::from_millis(30);
+/// The same for a request that is late already; it takes what those that can be on time leave, and has longer to wait.
+const LOOK_LATE: Duration = Duration::from_millis(100);
 /// Part of the expected output that room is reserved for.
 const OUTPUT_PART: f64 = 1.0;
 /// Part of the aim for the first event that a prefill may be expected to take.
 const PREFILL_GOAL: f64 = 0.7;
+/// The same for a request that is late already: it does not lengthen a queue of prompts that can be on time.
+const PREFILL_GOAL_LATE: f64 = 0.35;
+
+/// How long a search for room lasts.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Patience {
+    /// Until then the request can be on time.
+    pub(crate) due: Instant,
+    /// When the search ends.
+    pub(crate) until: Instant,
+}
 
 /// Room that is reserved at a decode engine. Dropped with its reservation it gives it back.
 #[derive(Debug)]
@@ -47,26 +60,29 @@
 }
 
 /// Reserves room for the whole generation at a decode engine.
+///
+/// While room is short, requests that can still be on time go before those that can't. In a burst every caller that is
+/// refused comes back; if all were equal, half of the room would go to callers who are late already, and as many new
+/// ones would be made late by that.
 pub(crate) async fn reserve(
     node: &Rc<Node>,
     job: &Job,
     trace: &Trace,
-    patience: Instant,
+    patience: Patience,
     tried: &[EndpointKey],
 ) -> Result<Room, Refusal> {
     let tokens = job.meta.prompt + expected_output(&job.meta);
-    let ttl = job.service.engine.map_or(CALL, |e| e.hold);
-    let limit = job.service.engine.map(|e| e.tokens);
     let mut want = Want::Open;
     let mut asked = 0_u32;
     loop {
         let now = node.now();
-        if now >= patience && asked > 0 {
+        if now >= patience.until && asked > 0 {
             break;
         }
-        let chosen = if in_time(node, job) {
+        let late = now >= patience.due;
+        let chosen = if in_time(node, job, late) {
             want = Want::Room;
-            node.choose_engine(&job.service.name, Some(Stage::Decode), tried, tokens, limit)
+            choose(node, job, tried, tokens, late)
         } else {
             want = Want::Prefill;
             None
@@ -76,37 +92,28 @@
                 want = Want::Open;
                 break;
             }
-            if now >= patience {
+            if now >= patience.until {
                 break;
             }
             asked += 1;
             let pause = node.state.borrow_mut().rng.random_range(0.5..1.5);
-            tokio::time::sleep(LOOK.mul_f64(pause)).await;
+            tokio::time::sleep(if late { LOOK_LATE } else { LOOK }.mul_f64(pause)).await;
             continue;
         };
         let Some((address, id)) = node.locate(key) else { continue };
         asked += 1;
         let slot = node.occupy(key, tokens);
-        let until = (now + CALL).min(job.until);
-        let answer = node.call(address, node.protocol.reserve(&id, tokens, ttl), until).await;
-        let hold = match &answer {
-            Ok((StatusCode::OK, body)) => node.protocol.read_reserved(body),
-            Ok(_) | Err(_) => None,
-        };
-        let (verdict, outcome) = judge(&answer);
-        node.metrics.step("reserve", if hold.is_some() { "ok" } else { outcome });
-        if let Some(hold) = hold {
-            return Ok(Room {
-                node: Rc::clone(node),
-                endpoint: key,
-                address,
-                hold: Some(hold),
-                slot: Some(slot),
-            });
-        }
-        node.learn(key, verdict);
-        if verdict != Verdict::Full {
-            trace.step("reserve", &name(node, key), outcome);
+        match reserve_at(node, job, address, &id, tokens).await {
+            Ok(hold) => {
+                let node = Rc::clone(node);
+                return Ok(Room { node, endpoint: key, address, hold: Some(hold), slot: Some(slot) });
+            }
+            Err((verdict, outcome)) => {
+                node.learn(key, verdict);
+                if verdict != Verdict::Full {
+                    trace.step("reserve", &name(node, key), outcome);
+                }
+            }
         }
     }
     trace.step("reserve", "any", want.text());
@@ -116,6 +123,34 @@
     }
 }
 
+/// Chooses the decode engine to ask. For a late request there must be room for another one like it besides.
+fn choose(node: &Node, job: &Job, tried: &[EndpointKey], tokens: u64, late: bool) -> Option<EndpointKey> {
+    let limit = job.service.engine.map(|e| e.tokens);
+    let spare = if late { tokens } else { 0 };
+    let stage = Some(Stage::Decode);
+    node.choose_for(Need { stage, tried, tokens, limit, spare, ..node.need(&job.service.name) })
+}
+
+/// Asks one engine for room; gives the id of the reservation, or what the failure says of the engine and its name.
+async fn reserve_at(
+    node: &Node,
+    job: &Job,
+    address: SocketAddr,
+    id: &str,
+    tokens: u64,
+) -> Result<String, (Verdict, &'static str)> {
+    let ttl = job.service.engine.map_or(CALL, |e| e.hold);
+    let until = (node.now() + CALL).min(job.until);
+    let answer = node.call(address, node.protocol.reserve(id, tokens, ttl), until).await;
+    let hold = match &answer {
+        Ok((StatusCode::OK, body)) => node.protocol.read_reserved(body),
+        Ok(_) | Err(_) => None,
+    };
+    let (verdict, outcome) = judge(&answer);
+    node.metrics.step("reserve", if hold.is_some() { "ok" } else { outcome });
+    hold.ok_or((verdict, outcome))
+}
+
 /// What a call that brought no room says of its engine, and its name for logs.
 fn judge(answer: &Result<(StatusCode, Bytes), Failure>) -> (Verdict, &'static str) {
     match answer {
@@ -153,13 +188,14 @@
 ///
 /// Prompts that are sent all the same would make those behind them late as well, and a prefill that ends too late is
 /// lost.
-fn in_time(node: &Node, job: &Job) -> bool {
+fn in_time(node: &Node, job: &Job, late: bool) -> bool {
     let prompt = job.meta.prompt;
-    let chosen = node.choose_engine(&job.service.name, Some(Stage::Prefill), &[], prompt, None);
+    let chosen = node.choose_prefill(&job.service.name, &[], prompt);
     let Some(key) = chosen else { return true };
     let state = node.state.borrow();
+    let part = if late { PREFILL_GOAL_LATE } else { PREFILL_GOAL };
     let pace = state.paces.get(&job.service.name).copied().unwrap_or_default();
-    pace.in_time(state.endpoints.load(key), prompt, job.route.goal.mul_f64(PREFILL_GOAL))
+    pace.in_time(state.endpoints.load(key), prompt, job.route.goal.mul_f64(part))
 }
 
 /// Tokens of output to reserve room for.
--- a/crates/forward/src/supervisor.rs
+++ b/crates/forward/src/supervisor.rs
@@ -11,7 +11,7 @@
 use rand::rngs::SmallRng;
 use slog::{error, info, warn};
 use teaselshunt_core::SystemClock;
-use teaselshunt_routing::{Budgets, Endpoints};
+use teaselshunt_routing::{Allowances, Budgets, Endpoints};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{Notify, watch};
@@ -89,6 +89,7 @@
             budgets: Budgets::new(settings.repeats),
             rng: SmallRng::from_os_rng(),
             paces: HashMap::new(),
+            allowances: Allowances::default(),
             listed: None,
         }),
         protocol,
--- a/crates/forward/src/trace.rs
+++ b/crates/forward/src/trace.rs
@@ -23,6 +23,8 @@
     steps: RefCell<String>,
     /// How long the caller waits, as it says.
     deadline: Option<Duration>,
+    /// How much of its time the caller had spent before.
+    spent: Duration,
     size: Size,
     /// Events that were passed on.
     events: Cell<u32>,
@@ -49,6 +51,7 @@
             arrived,
             steps: RefCell::default(),
             deadline: meta.deadline,
+            spent: Duration::ZERO,
             size: Size { prompt: meta.prompt, output: meta.output, hint: meta.hint },
             events: Cell::new(0),
             ended: false,
@@ -62,6 +65,11 @@
         self.version = version;
     }
 
+    /// How much of its time the caller has spent on earlier sendings.
+    pub(crate) fn spent(&mut self, spent: Duration) {
+        self.spent = spent;
+    }
+
     /// A step at an endpoint ended.
     pub(crate) fn step(&self, step: &str, endpoint: &str, outcome: &str) {
         let at = self.node.now().duration_since(self.arrived).as_millis();
@@ -101,6 +109,7 @@
             "version" => self.version,
             "list_age_ms" => self.node.list_age().map(|a| a.as_millis() as u64),
             "deadline_ms" => self.deadline.map(|d| d.as_millis() as u64),
+            "spent_ms" => self.spent.as_millis() as u64,
             "prompt" => self.size.prompt,
             "output" => self.size.output,
             "hint" => self.size.hint,
--- a/crates/routing/src/endpoints.rs
+++ b/crates/routing/src/endpoints.rs
@@ -199,6 +199,8 @@
     pub tokens: u64,
     /// Most tokens that an engine may have in flight; none for no limit.
     pub limit: Option<u64>,
+    /// Tokens of the limit to leave to others.
+    pub spare: u64,
 }
 
 /// All endpoints that the list names.
@@ -418,7 +420,7 @@
                 continue;
             }
             let in_flight = entry.tokens + self.ledger.others(entry.tag);
-            if need.limit.is_some_and(|limit| in_flight > 0 && in_flight + need.tokens > limit) {
+            if need.limit.is_some_and(|limit| in_flight > 0 && in_flight + need.tokens + need.spare > limit) {
                 continue;
             }
             let rank = (paused, Self::cost(entry, in_flight, now, need, rng));
@@ -434,15 +436,11 @@
     fn cost(entry: &Entry, in_flight: u64, now: Instant, need: Need<'_>, rng: &mut impl Rng) -> f64 {
         let away = &*entry.endpoint.domain != need.domain;
         let jitter = rng.random_range(0.0..1.0);
-        match need.stage {
-            None => {
-                let distance = if away { DISTANCE } else { 0.0 };
-                entry.expected(now) * f64::from(entry.running + 1) + distance + jitter * 0.002
-            }
-            Some(_) => {
-                let distance = need.limit.map_or(AWAY_PREFILL, |memory| memory as f64 * AWAY_DECODE);
-                in_flight as f64 + if away { distance } else { 0.0 } + jitter * SPREAD
-            }
+        if need.stage.is_none() {
+            let distance = if away { DISTANCE } else { 0.0 };
+            return entry.expected(now) * f64::from(entry.running + 1) + distance + jitter * 0.002;
         }
+        let distance = need.limit.map_or(AWAY_PREFILL, |memory| memory as f64 * AWAY_DECODE);
+        in_flight as f64 + if away { distance } else { 0.0 } + jitter * SPREAD
     }
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -2,10 +2,10 @@
 //! endpoints. No input or output, no clock, randomness passed in.
 //!
 //! `routes` is one configuration version; `endpoints` is what is believed of every endpoint and chooses among
-//! them; `ledger` is what other instances have in flight; `pace` learns how long prefill takes; `peers` is who
-//! else there is; `budget` limits
-//! repeats; `stages` decides how many engines prefill and how many decode.
+//! them; `ledger` is what other instances have in flight; `pace` learns how long prefill takes; `allowances` learns
+//! how long callers wait in all; `peers` is who else there is; `budget` limits repeats; `stages` decides how many engines prefill and how many decode.
 
+mod allowances;
 mod budget;
 mod endpoints;
 mod ledger;
@@ -14,6 +14,7 @@
 mod routes;
 mod stages;
 
+pub use allowances::Allowances;
 pub use budget::{Budgets, Terms};
 pub use endpoints::{Endpoint, EndpointKey, EndpointState, Endpoints, Need, Stage, Verdict};
 pub use ledger::{EngineTag, Ledger};
--- a/crates/routing/src/routes.rs
+++ b/crates/routing/src/routes.rs
@@ -48,7 +48,19 @@
     pub targets: Vec<(Arc<str>, u32)>,
 }
 
+/// Shortest time without an event after which callers leave a stream; and the same in aims for the first event and in
+/// longest pauses between events. The longest of the three counts. From the platform's description of its callers.
+const LEAVING: Duration = Duration::from_secs(2);
+const LEAVING_GOALS: u32 = 4;
+const LEAVING_GAPS: u32 = 8;
+
 impl Route {
+    /// Time without an event after which callers leave a stream.
+    pub fn leaving(&self) -> Duration {
+        let gaps = self.gap.map_or(Duration::ZERO, |gap| gap * LEAVING_GAPS);
+        LEAVING.max(self.goal * LEAVING_GOALS).max(gaps)
+    }
+
     /// Draws a service by weight.
     pub fn draw(&self, rng: &mut impl Rng) -> Option<&Arc<str>> {
         let total: u32 = self.targets.iter().map(|t| t.1).sum();
@@ -138,6 +150,11 @@
         routes.iter().find(|r| path.starts_with(&r.prefix))
     }
 
+    /// Whether there is a route of this name.
+    pub fn has_route(&self, name: &str) -> bool {
+        self.hosts.values().flatten().any(|route| &*route.name == name)
+    }
+
     /// A service by name.
     pub fn service(&self, name: &str) -> Option<&Arc<Service>> {
         self.services.get(name)
--- a/crates/routing/tests/all/ledger.rs
+++ b/crates/routing/tests/all/ledger.rs
@@ -75,8 +75,15 @@
     limit: Option<u64>,
     rng: &mut SmallRng,
 ) -> Option<EndpointKey> {
-    let need =
-        Need { service: "model", stage: Some(stage), domain: "north", tried: &[], tokens: 4_000, limit };
+    let need = Need {
+        service: "model",
+        stage: Some(stage),
+        domain: "north",
+        tried: &[],
+        tokens: 4_000,
+        limit,
+        spare: 0,
+    };
     endpoints.choose(now, need, rng)
 }
 
@@ -120,6 +127,29 @@
     assert!(choose(&endpoints, now, Stage::Decode, Some(30_000), &mut rng).is_some());
 }
 
+/// An engine has room for one more request. One that can be on time takes it; one that is late already leaves it, and is
+/// served where there is room for another besides.
+#[test]
+fn a_late_request_leaves_the_last_room_to_others() {
+    let (now, mut rng) = (Instant::now(), SmallRng::seed_from_u64(7));
+    let mut endpoints = engines(1, Stage::Decode);
+    let tag = EngineTag::of("g-0");
+    let late = Need {
+        service: "model",
+        stage: Some(Stage::Decode),
+        domain: "north",
+        tried: &[],
+        tokens: 4_000,
+        limit: Some(30_000),
+        spare: 4_000,
+    };
+    endpoints.ledger().update(now, peer(1), 1, HashMap::from([(tag, 24_000)]));
+    assert!(choose(&endpoints, now, Stage::Decode, Some(30_000), &mut rng).is_some());
+    assert!(endpoints.choose(now, late, &mut rng).is_none());
+    endpoints.ledger().update(now, peer(1), 2, HashMap::from([(tag, 20_000)]));
+    assert!(endpoints.choose(now, late, &mut rng).is_some());
+}
+
 /// Prefill slows to a third of its pace. The expectation follows within some tens of results, so that requests which
 /// can't be served in time are turned away before they are sent.
 #[test]
--- a/crates/routing/tests/all/main.rs
+++ b/crates/routing/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Decisions without input or output.
 
+mod allowances;
 mod budget;
 mod endpoints;
 mod ledger;
