Coalesce changes of the store from the start, but at the instance that orders

Ten of some thirty calls an instance fell into its first four seconds. Only the instance that orders engines needs that haste. Ruled out: no haste at all, since stages would change after traffic begins.

--- a/crates/forward/src/catalog.rs
+++ b/crates/forward/src/catalog.rs
@@ -23,6 +23,7 @@
 use teaselshunt_routing::{RouteSet, Stage};
 
 use crate::node::Node;
+use crate::orders;
 use crate::pool::Failure;
 use crate::protocol::{Batch, Call, News};
 
@@ -33,10 +34,11 @@
 const WAIT_PART: f64 = 0.55;
 /// Part of the shortest bound that an instance waits after a change before it asks for the next.
 const COALESCE_PART: f64 = 0.3;
-/// Time after the start in which changes are coalesced for [`FILLING_COALESCE`] only: endpoints register then, and callers
-/// are served the sooner.
+/// Time after the start in which the instance that orders engines coalesces changes for [`FILLING_COALESCE`] only: endpoints
+/// register then, engines take seconds to change their stage, and traffic is about to begin. The others need no such
+/// haste: it cost each of them some ten calls to the store.
 const FILLING: Duration = Duration::from_secs(4);
-/// Half of what endpoints of one heartbeat interval are apart at most; each instance makes some ten calls then.
+/// Half of what endpoints of one heartbeat interval are apart at most.
 const FILLING_COALESCE: Duration = Duration::from_millis(300);
 /// Longest time for a page of the list.
 const PAGE: Duration = Duration::from_millis(1500);
@@ -85,6 +87,8 @@
     revision: Cell<Option<u64>>,
     reading: RefCell<Reading>,
     started: Instant,
+    /// Whether this process orders engines.
+    orders: bool,
     /// When the store last answered.
     heard: Cell<Instant>,
     /// Until when an entry that has gone may be one that lapsed while the store was lost.
@@ -100,6 +104,7 @@
             revision: Cell::new(None),
             reading: RefCell::default(),
             started,
+            orders: orders::is_holder(node),
             heard,
             lapses: Cell::new(None),
         }
@@ -229,7 +234,7 @@
         let changed = !batch.news.is_empty();
         self.apply(batch);
         if changed {
-            let filling = self.node.now().duration_since(self.started) < FILLING;
+            let filling = self.orders && self.node.now().duration_since(self.started) < FILLING;
             let pause = settings.apply.min(settings.drain).mul_f64(COALESCE_PART);
             tokio::time::sleep(if filling { FILLING_COALESCE.min(pause) } else { pause }).await;
         }
--- a/crates/forward/src/orders.rs
+++ b/crates/forward/src/orders.rs
@@ -27,7 +27,7 @@
 const CALL: Duration = Duration::from_secs(1);
 
 /// Whether this process is the one that orders.
-fn is_holder(node: &Node) -> bool {
+pub(crate) fn is_holder(node: &Node) -> bool {
     let settings = &node.settings;
     settings.first && settings.control.is_some() && settings.control.as_ref() == settings.seeds.first()
 }
