Tell callers who come back from new ones with other deadlines

A caller now counts as coming back if a fifth of its time is gone, waits half of the time after which it would leave, and a new one is refused when it can't be on time.

--- a/crates/forward/src/generate.rs
+++ b/crates/forward/src/generate.rs
@@ -27,8 +27,9 @@
 
 /// Part of the aim for the first event in which room must be found; the rest is what a short prefill takes.
 const ROOM_PART: f64 = 0.78;
-/// Part of the time after which callers leave that a search for room lasts at most; the rest is for a long prefill.
-const WAIT_PART: f64 = 0.6;
+/// Part of the time after which callers leave that the search for room lasts for one who was refused before; the rest is
+/// for a long prefill.
+const RETURN_PART: f64 = 0.5;
 /// How long a search for room lasts for a stream that broke: its caller has seen a part of it and waits.
 const RESUME: Duration = Duration::from_millis(700);
 /// Longest time for a small call to an engine: many round trips.
@@ -64,14 +65,12 @@
     Response::from_parts(head, Either::Left(Full::new(body)))
 }
 
-/// How long a request waits for room: until it can't be on time any more among those that can, and then behind them. A
-/// refusal instead would only bring the caller back to the same queue, and it may come back but once or twice.
+/// How long a request waits for room. A new one waits while it can be on time; longer, it would only keep others
+/// waiting. One that was refused before waits longer, behind the others: it may not come back again.
 fn patience(job: &Job) -> Patience {
     let route = &job.route;
-    let shortest = route.goal.mul_f64(1.0 - ROOM_PART);
-    let wait = route.leaving().mul_f64(WAIT_PART);
-    let due = job.due.checked_sub(shortest).unwrap_or(job.arrived);
-    Patience { due, until: (job.arrived + wait).min(job.until) }
+    let wait = if job.returns { route.leaving().mul_f64(RETURN_PART) } else { route.goal.mul_f64(ROOM_PART) };
+    Patience { until: (job.arrived + wait).min(job.until), late: job.returns }
 }
 
 /// Takes a stream up that broke at engine `broken`, at another one, after the last event that the caller has. That one
@@ -89,7 +88,7 @@
     }
     job.headers.insert("last-event-id", last);
     let until = (node.now() + RESUME).min(job.until);
-    let patience = Patience { due: until, until };
+    let patience = Patience { until, late: false };
     let (answer, slot) = start(node, job, trace, patience, Prompt::ByDecode, vec![broken]).await.ok()?;
     (answer.response.status() == StatusCode::OK).then_some((answer, slot))
 }
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -88,9 +88,8 @@
     pub(crate) route: Arc<Route>,
     pub(crate) service: Arc<Service>,
     pub(crate) arrived: Instant,
-    /// When the answer, or the first event of a stream, is due to be on time; past if the caller has been refused
-    /// before and comes back.
-    pub(crate) due: Instant,
+    /// Whether the caller was refused before and comes back; its answer is late whatever happens.
+    pub(crate) returns: bool,
     /// When the caller, or the route's timeout, stops waiting.
     pub(crate) until: Instant,
 }
--- a/crates/forward/src/requests.rs
+++ b/crates/forward/src/requests.rs
@@ -63,16 +63,16 @@
     if node.phase() >= if short { Phase::Ending } else { Phase::Refusing } {
         return Err(Refusal::later(ErrorKind::Stopping, ELSEWHERE));
     }
-    let (service, due) = {
+    let (service, returns) = {
         let state = &mut *node.state.borrow_mut();
         let deadline = meta.deadline.filter(|_| !short);
-        let spent = deadline.map(|d| state.allowances.spent(arrived, &route.name, d)).unwrap_or_default();
-        trace.spent(spent);
+        let returns = deadline.is_some_and(|d| state.allowances.returns(arrived, &route.name, d));
+        trace.returns(returns);
         let name = route.draw(&mut state.rng).cloned();
         let service = name.and_then(|name| routes.service(&name).cloned());
         let service = service.ok_or(Refusal::new(ErrorKind::UnknownService))?;
         state.budgets.request(arrived, &service.name);
-        (service, arrived + route.goal.saturating_sub(spent))
+        (service, returns)
     };
     let until = arrived + meta.deadline.unwrap_or(DEADLINE).min(route.timeout);
     let path = head.uri.path_and_query().map_or("/", |p| p.as_str()).to_owned();
@@ -87,7 +87,7 @@
         route: Arc::clone(route),
         service,
         arrived,
-        due,
+        returns,
         until,
     })
 }
--- a/crates/forward/src/rooms.rs
+++ b/crates/forward/src/rooms.rs
@@ -34,10 +34,10 @@
 /// How long a search for room lasts.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Patience {
-    /// Until then the request can be on time.
-    pub(crate) due: Instant,
     /// When the search ends.
     pub(crate) until: Instant,
+    /// Whether the request is late already, and leaves the last room to others.
+    pub(crate) late: bool,
 }
 
 /// Room that is reserved at a decode engine. Dropped with its reservation it gives it back.
@@ -72,14 +72,14 @@
     tried: &[EndpointKey],
 ) -> Result<Room, Refusal> {
     let tokens = job.meta.prompt + expected_output(&job.meta);
+    let Patience { until, late } = patience;
     let mut want = Want::Open;
     let mut asked = 0_u32;
     loop {
         let now = node.now();
-        if now >= patience.until && asked > 0 {
+        if now >= until && asked > 0 {
             break;
         }
-        let late = now >= patience.due;
         let chosen = if in_time(node, job, late) {
             want = Want::Room;
             choose(node, job, tried, tokens, late)
@@ -92,7 +92,7 @@
                 want = Want::Open;
                 break;
             }
-            if now >= patience.until {
+            if now >= until {
                 break;
             }
             asked += 1;
--- a/crates/forward/src/trace.rs
+++ b/crates/forward/src/trace.rs
@@ -23,8 +23,8 @@
     steps: RefCell<String>,
     /// How long the caller waits, as it says.
     deadline: Option<Duration>,
-    /// How much of its time the caller had spent before.
-    spent: Duration,
+    /// Whether the caller was refused before.
+    returns: bool,
     size: Size,
     /// Events that were passed on.
     events: Cell<u32>,
@@ -51,7 +51,7 @@
             arrived,
             steps: RefCell::default(),
             deadline: meta.deadline,
-            spent: Duration::ZERO,
+            returns: false,
             size: Size { prompt: meta.prompt, output: meta.output, hint: meta.hint },
             events: Cell::new(0),
             ended: false,
@@ -65,9 +65,9 @@
         self.version = version;
     }
 
-    /// How much of its time the caller has spent on earlier sendings.
-    pub(crate) fn spent(&mut self, spent: Duration) {
-        self.spent = spent;
+    /// Whether the caller was refused before.
+    pub(crate) fn returns(&mut self, returns: bool) {
+        self.returns = returns;
     }
 
     /// A step at an endpoint ended.
@@ -109,7 +109,7 @@
             "version" => self.version,
             "list_age_ms" => self.node.list_age().map(|a| a.as_millis() as u64),
             "deadline_ms" => self.deadline.map(|d| d.as_millis() as u64),
-            "spent_ms" => self.spent.as_millis() as u64,
+            "returns" => self.returns,
             "prompt" => self.size.prompt,
             "output" => self.size.output,
             "hint" => self.size.hint,
--- a/crates/routing/src/allowances.rs
+++ b/crates/routing/src/allowances.rs
@@ -1,9 +1,10 @@
-//! How much of its time a caller has spent before a request arrives.
+//! Which callers come back after a refusal.
 //!
 //! A caller that was refused comes back with what is left of its time as the deadline, and nothing else tells it from
-//! one that asks for the first time. The longest deadline that a route's callers give is taken for the whole time, and
-//! what lacks from it for the time spent. An instance that has seen a route's callers only when they came back takes
-//! them for new ones, which does no harm: they wait among those that can still be on time.
+//! one that asks for the first time. The longest deadline that a route's callers give is taken for the whole time. New
+//! callers' deadlines differ too, by some 15 in 100 where it was looked at, so that only what lacks more counts. An
+//! instance that has seen a route's callers only when they came back takes them for new ones, which does no harm: they
+//! wait among those that can still be on time.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -13,6 +14,10 @@
 /// deadlines with a release, and instances see hundreds of requests in this time.
 const PERIOD: Duration = Duration::from_secs(30);
 
+/// Part of the longest deadline that a new caller gives at least. Refused ones come back after a fifth of their time: the
+/// wait before the refusal and the time that they are told to stay away.
+const NEW_PART: f64 = 0.82;
+
 #[derive(Debug)]
 struct Longest {
     begun: Instant,
@@ -27,8 +32,8 @@
 }
 
 impl Allowances {
-    /// Learns from a caller's deadline, and says how much of its time the caller has spent.
-    pub fn spent(&mut self, now: Instant, route: &Arc<str>, deadline: Duration) -> Duration {
+    /// Learns from a caller's deadline, and says whether the caller comes back.
+    pub fn returns(&mut self, now: Instant, route: &Arc<str>, deadline: Duration) -> bool {
         let first = || Longest { begun: now, current: deadline, before: Duration::ZERO };
         let longest = self.routes.entry(Arc::clone(route)).or_insert_with(first);
         if now.duration_since(longest.begun) >= PERIOD {
@@ -36,7 +41,7 @@
             longest.begun = now;
         }
         longest.current = longest.current.max(deadline);
-        longest.current.max(longest.before).saturating_sub(deadline)
+        deadline < longest.current.max(longest.before).mul_f64(NEW_PART)
     }
 
     /// Forgets routes that are not in force any more.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -2,8 +2,8 @@
 //! endpoints. No input or output, no clock, randomness passed in.
 //!
 //! `routes` is one configuration version; `endpoints` is what is believed of every endpoint and chooses among
-//! them; `ledger` is what other instances have in flight; `pace` learns how long prefill takes; `allowances` learns
-//! how long callers wait in all; `peers` is who else there is; `budget` limits repeats; `stages` decides how many engines prefill and how many decode.
+//! them; `ledger` is what other instances have in flight; `pace` learns how long prefill takes; `allowances` tells
+//! callers who come back from new ones; `peers` is who else there is; `budget` limits repeats; `stages` decides how many engines prefill and how many decode.
 
 mod allowances;
 mod budget;
