Pass over endpoints that answer with failures

Ruled out: a factor on its latency, which kept callers away long after (endpoints::a_failing_endpoint_is_paused_and_tried_again failed). Test: endpoints::an_endpoint_that_fails_fast_does_not_draw_callers (failed first).

--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -251,7 +251,8 @@
             Ok((response, connection)) => self.check(job, response, connection, key, purpose),
             Err(failure) => Err(failure.into()),
         };
-        let verdict = match outcome {
+        let verdict = match &outcome {
+            Ok(Answer { response, .. }) if response.status().is_server_error() => Verdict::Erred,
             Ok(_) => Verdict::Answered(self.now().duration_since(begun)),
             Err(StepFailure::Refused) => Verdict::Full,
             Err(StepFailure::Unsent | StepFailure::Misdirected) => Verdict::Absent,
--- a/crates/routing/src/endpoints.rs
+++ b/crates/routing/src/endpoints.rs
@@ -74,6 +74,8 @@
 pub enum Verdict {
     /// It answered, after this time.
     Answered(Duration),
+    /// It answered with a failure of its own.
+    Erred,
     /// It has no room now.
     Full,
     /// It broke off, was silent, or answered nonsense.
@@ -108,6 +110,14 @@
 /// Time in which an average that gets no results falls half-way back to the assumed latency. A slow endpoint is
 /// so tried again after some seconds.
 const HALF_LIFE: f64 = 3.0;
+/// Weight of one result in the moving average of failures.
+const ERROR_WEIGHT: f64 = 0.25;
+/// Time in which the share of failures falls by half without results; longer than that of latencies, since each try of
+/// an endpoint that fails costs a caller its answer.
+const ERROR_HALF_LIFE: f64 = 5.0;
+/// Share of failures over which an endpoint is only chosen where there is no other: three in a row at an endpoint that
+/// was well. Some services fail one request in seven by nature, so that two in a row say nothing.
+const ERRORS: f64 = 0.5;
 /// What another failure domain adds to an endpoint's expected latency: two crossings and their price.
 const DISTANCE: f64 = 0.006;
 
@@ -140,6 +150,9 @@
     silent: Option<Instant>,
     latency: f64,
     measured: Option<Instant>,
+    /// Share of failures as of `judged`.
+    errors: f64,
+    judged: Option<Instant>,
     /// When an endpoint that the list has lost counts as gone.
     doubted: Option<Instant>,
 }
@@ -158,6 +171,8 @@
             silent: None,
             latency: LATENCY,
             measured: None,
+            errors: 0.0,
+            judged: None,
             doubted: None,
         }
     }
@@ -168,15 +183,35 @@
         LATENCY + (self.latency - LATENCY) * 0.5_f64.powf(age / HALF_LIFE)
     }
 
+    /// Share of results that are failures. It fades without results, so that the endpoint is tried again.
+    fn error_share(&self, now: Instant) -> f64 {
+        let Some(at) = self.judged else { return 0.0 };
+        self.errors * 0.5_f64.powf(now.duration_since(at).as_secs_f64() / ERROR_HALF_LIFE)
+    }
+
+    fn judge(&mut self, now: Instant, failed: bool) {
+        let share = self.error_share(now);
+        self.errors = share + (f64::from(u8::from(failed)) - share) * ERROR_WEIGHT;
+        self.judged = Some(now);
+    }
+
+    fn is_failing(&self, now: Instant) -> bool {
+        self.error_share(now) > ERRORS
+    }
+
     fn is_open(&self, now: Instant) -> bool {
         self.endpoint.state == EndpointState::Ready && self.doubted.is_none_or(|until| now < until)
     }
 
-    /// Whether it is only chosen where there is no other: it failed lately, or is a prefill engine that is silent.
+    /// Whether it is only chosen where there is no other: it failed lately, fails most requests, or is a prefill engine
+    /// that is silent.
+    ///
+    /// An endpoint can fail everything with good health answers, and fast. By its latency alone it would look the best of
+    /// all and draw over half of the callers to itself.
     fn is_paused(&self, now: Instant) -> bool {
         let prefills = self.endpoint.stage == Some(Stage::Prefill);
         let silent = prefills && self.silent.is_some_and(|since| now.duration_since(since) > SILENT);
-        silent || self.paused.is_some_and(|until| now < until)
+        silent || self.is_failing(now) || self.paused.is_some_and(|until| now < until)
     }
 
     fn is_full(&self, now: Instant) -> bool {
@@ -349,6 +384,15 @@
             entry.silent = Some(now);
         }
         match verdict {
+            Verdict::Answered(_) => entry.judge(now, false),
+            Verdict::Erred | Verdict::Failed => entry.judge(now, true),
+            Verdict::Full | Verdict::Absent | Verdict::Unknown => {}
+        }
+        match verdict {
+            Verdict::Erred => {
+                entry.failures = 0;
+                false
+            }
             Verdict::Answered(latency) => {
                 let expected = entry.expected(now);
                 entry.latency = expected + (latency.as_secs_f64() - expected) * WEIGHT;
@@ -388,9 +432,10 @@
         busy.map(|e| (e.tag, u32::try_from(e.tokens).unwrap_or(u32::MAX))).collect()
     }
 
-    /// Endpoints that this instance has paused.
+    /// Endpoints that this instance has paused, or that fail most of its requests.
     pub fn suspects(&self, now: Instant) -> Vec<EngineTag> {
-        self.arena.values().filter(|e| e.paused.is_some_and(|until| now < until)).map(|e| e.tag).collect()
+        let suspect = |e: &&Entry| e.is_failing(now) || e.paused.is_some_and(|until| now < until);
+        self.arena.values().filter(suspect).map(|e| e.tag).collect()
     }
 
     /// Tokens in flight at an engine, of all instances.
--- a/crates/routing/tests/all/endpoints.rs
+++ b/crates/routing/tests/all/endpoints.rs
@@ -174,3 +174,22 @@
     assert!(places[..2].iter().all(|id| id == "home"), "{places:?}");
     assert!(places[8..].contains(&"home".to_owned()), "{places:?}");
 }
+
+/// An endpoint fails every request at once while its health answers are good. By latency and load it looks the best of
+/// all, and more than half of all bookings went to it and failed. After three failures callers go elsewhere, other
+/// instances hear of it, and some seconds later it is tried again. Two failures in a row say nothing.
+#[test]
+fn an_endpoint_that_fails_fast_does_not_draw_callers() {
+    let (mut endpoints, now, mut rng) = (Endpoints::default(), Instant::now(), rand::rng());
+    endpoints.upsert(endpoint("fails", "north"));
+    let key = endpoints.choose(now, need(&[]), &mut rng).expect("one");
+    endpoints.upsert(endpoint("slow", "south"));
+    endpoints.learn(now, key, Verdict::Answered(Duration::from_millis(20)));
+    endpoints.learn(now, key, Verdict::Erred);
+    endpoints.learn(now, key, Verdict::Erred);
+    assert!(endpoints.suspects(now).is_empty());
+    endpoints.learn(now, key, Verdict::Erred);
+    assert_eq!(chosen(&endpoints, now), names(&["slow"]));
+    assert_eq!(endpoints.suspects(now).len(), 1);
+    assert!(chosen(&endpoints, now + Duration::from_mins(1)).contains("fails"), "old failures fade");
+}
