Use the limit of connections, and drop what is read from the wire and used nowhere

The limit of connections an endpoint is used now: idle connections are kept by an instance's share of it.

--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -74,6 +74,8 @@
     pub(crate) phase: watch::Sender<Phase>,
     /// Wakes whoever tells other instances what is in flight.
     pub(crate) changed: Notify,
+    /// Other instances that are known.
+    pub(crate) peers: Cell<usize>,
     /// Open connections of callers.
     pub(crate) connections: Cell<usize>,
 }
--- a/crates/forward/src/peers.rs
+++ b/crates/forward/src/peers.rs
@@ -119,6 +119,7 @@
         for address in self.peers.forget(now) {
             info!(self.node.log, "peer"; "address" => %address, "state" => "forgotten");
         }
+        self.node.peers.set(self.peers.len());
         self.sequence += 1;
         let (in_flight, suspects, named, mut targets) = {
             let state = &mut *self.node.state.borrow_mut();
--- a/crates/forward/src/pool.rs
+++ b/crates/forward/src/pool.rs
@@ -4,7 +4,7 @@
 //! kept only after a whole answer that allows it. An exchange tells apart what provably never left this process,
 //! which may be sent again whatever it is, from what may have arrived.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -75,6 +75,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Pool {
     idle: RefCell<HashMap<SocketAddr, Vec<Connection>>>,
+    /// Most idle connections to one address, if fewer than [`IDLE`].
+    most: Cell<Option<usize>>,
 }
 
 impl Pool {
@@ -138,12 +140,18 @@
         connection.since = Instant::now();
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(connection.address).or_default();
-        if connections.len() >= IDLE {
+        let most = self.most.get().map_or(IDLE, |most| most.min(IDLE));
+        if connections.len() >= most {
             connections.remove(0);
         }
         connections.push(connection);
     }
 
+    /// Sets the most idle connections that may be kept to one address.
+    pub(crate) fn keep_at_most(&self, most: Option<usize>) {
+        self.most.set(most);
+    }
+
     /// Closes connections that have been idle too long.
     pub(crate) fn sweep(&self) {
         let mut idle = self.idle.borrow_mut();
--- a/crates/forward/src/supervisor.rs
+++ b/crates/forward/src/supervisor.rs
@@ -100,6 +100,7 @@
         log,
         phase: watch::Sender::new(Phase::Serving),
         changed: Notify::new(),
+        peers: Cell::new(0),
         connections: Cell::new(0),
         settings,
     });
@@ -143,6 +144,7 @@
     loop {
         tokio::time::sleep(HOUSEKEEPING).await;
         node.pool.sweep();
+        node.pool.keep_at_most(idle_share(&node));
         node.state.borrow_mut().endpoints.ledger().expire(node.now());
         let gone = node.state.borrow_mut().endpoints.expire(node.now());
         for id in gone {
@@ -151,6 +153,13 @@
     }
 }
 
+/// Idle connections to one endpoint that this instance may keep.
+fn idle_share(node: &Node) -> Option<usize> {
+    let state = node.state.borrow();
+    let instances = node.peers.get() + 1;
+    state.routes.as_ref()?.services().map(|service| service.idle_share(instances)).min()
+}
+
 /// Reads the settings again on request. Addresses and names are fixed for the life of a process, so that a change
 /// of them is only logged; it takes effect at the next start.
 async fn reloads(node: Rc<Node>, mut hangup: Signal, reload: impl Fn() -> Result<Settings, String>) {
--- a/crates/routing/src/endpoints.rs
+++ b/crates/routing/src/endpoints.rs
@@ -61,8 +61,6 @@
     pub address: SocketAddr,
     /// Failure domain.
     pub domain: Arc<str>,
-    /// Requests that it works on at once.
-    pub slots: u32,
     /// Whether it takes new work.
     pub state: EndpointState,
     /// Set for model engines.
--- a/crates/routing/src/routes.rs
+++ b/crates/routing/src/routes.rs
@@ -42,8 +42,6 @@
     pub gap: Option<Duration>,
     /// Most endpoints that one request may be sent to.
     pub attempts: u32,
-    /// Rank; 0 is most urgent.
-    pub priority: u8,
     /// Services and their weights.
     pub targets: Vec<(Arc<str>, u32)>,
 }
@@ -81,25 +79,34 @@
 pub struct Service {
     /// Name.
     pub name: Arc<str>,
-    /// Connections that one endpoint accepts from all instances together.
+    /// Connections that one endpoint accepts from all instances together; 0 where nothing is said.
     pub connections: u32,
     /// Set where the endpoints are model engines.
     pub engine: Option<Engine>,
 }
 
+/// Part of the connections that an endpoint accepts which may be idle; the rest is for requests in progress and for
+/// instances that are not known yet.
+const IDLE_PART: f64 = 0.6;
+
+impl Service {
+    /// Idle connections to one endpoint that each of so many instances may keep, one at least.
+    ///
+    /// An endpoint resets connections beyond its limit, whoever made them, and a request that may run once is then lost.
+    /// Idle connections of many instances alone could reach it.
+    pub fn idle_share(&self, instances: usize) -> usize {
+        let share = f64::from(self.connections) * IDLE_PART / instances.max(1) as f64;
+        if self.connections == 0 { usize::MAX } else { (share as usize).max(1) }
+    }
+}
+
 /// The common properties of a service's model engines.
 #[derive(Debug, Clone, Copy)]
 pub struct Engine {
-    /// Requests in one batch.
-    pub slots: u32,
     /// Memory for tokens.
     pub tokens: u64,
-    /// How long the result of a prefill is kept.
-    pub handle: Duration,
     /// Longest reservation of room.
     pub hold: Duration,
-    /// Time that a change of stage takes.
-    pub switch: Duration,
 }
 
 /// What a caller may send, and how long it may take.
--- a/crates/routing/tests/all/endpoints.rs
+++ b/crates/routing/tests/all/endpoints.rs
@@ -12,7 +12,6 @@
         service: Arc::from("desk"),
         address: ([127, 0, 0, 1], 1).into(),
         domain: Arc::from(domain),
-        slots: 6,
         state: EndpointState::Ready,
         stage: None,
     }
--- a/crates/routing/tests/all/ledger.rs
+++ b/crates/routing/tests/all/ledger.rs
@@ -60,7 +60,6 @@
             service: Arc::from("model"),
             address: ([127, 0, 0, 1], 1).into(),
             domain: Arc::from("north"),
-            slots: 8,
             state: EndpointState::Ready,
             stage: Some(stage),
         });
--- a/crates/routing/tests/all/routes.rs
+++ b/crates/routing/tests/all/routes.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use quickcheck::quickcheck;
-use teaselshunt_routing::{Limits, Repeat, Route, RouteSet};
+use teaselshunt_routing::{Limits, Repeat, Route, RouteSet, Service};
 
 fn route(host: &str, prefix: &str) -> Route {
     Route {
@@ -16,7 +16,6 @@
         goal: Duration::from_millis(100),
         gap: None,
         attempts: 1,
-        priority: 0,
         targets: vec![(Arc::from("a"), 90), (Arc::from("b"), 10)],
     }
 }
@@ -61,3 +60,13 @@
     let none = Route { targets: Vec::new(), ..route };
     assert!(none.draw(&mut rng).is_none());
 }
+
+/// An endpoint accepts a hundred connections. Nine instances may keep several idle ones each; three hundred may keep one
+/// each, so that idle ones do not use up what requests need.
+#[test]
+fn many_instances_keep_fewer_idle_connections() {
+    let service = Service { name: Arc::from("desk"), connections: 100, engine: None };
+    assert_eq!(service.idle_share(9), 6);
+    assert_eq!(service.idle_share(300), 1);
+    assert_eq!(Service { connections: 0, ..service }.idle_share(300), usize::MAX, "nothing is said");
+}
--- a/crates/routing/tests/all/stages.rs
+++ b/crates/routing/tests/all/stages.rs
@@ -13,7 +13,6 @@
         service: Arc::from("model"),
         address: ([127, 0, 0, 1], 1).into(),
         domain: Arc::from(["north", "south", "west"][number % 3]),
-        slots: 8,
         state: EndpointState::Ready,
         stage: Some(if number < prefill { Stage::Prefill } else { Stage::Decode }),
     };
