Tell callers without room to come back after a quarter of their time

A refusal for want of luck (an engine that had changed) now says 0.1 s, since the answer may still be on time.

--- a/crates/forward/src/generate.rs
+++ b/crates/forward/src/generate.rs
@@ -38,9 +38,15 @@
 const PREFILL_PART: f64 = 0.8;
 /// Longest wait for the first event; callers leave about then.
 const FIRST: Duration = Duration::from_secs(4);
-/// When to come back after a refusal for want of room. Its aim is missed by then whatever the time, so what counts is
-/// that there is room: a burst lasts some seconds, and who comes back within it is refused again.
-pub(crate) const FULL: Duration = Duration::from_millis(2500);
+/// Part of a caller's time after which it is told to come back if there is no room. Its aim is missed by then whatever
+/// the time, so what counts is that there is room: bursts last some seconds, and who comes back within one is refused
+/// again. Callers themselves wait a third of their time at most.
+const AWAY_PART: f64 = 0.27;
+/// Longest such time; a burst is over by then.
+const AWAY: Duration = Duration::from_secs(4);
+/// When to come back if an engine refused that had been believed to take the request: beliefs are corrected by then, and
+/// the answer may still be on time.
+const AGAIN: Duration = Duration::from_millis(100);
 /// When to come back if no engine is in reach.
 pub(crate) const NO_ENDPOINT: Duration = Duration::from_millis(500);
 /// Rounds of room, prefill and decode that one request may take if engines cannot be reached.
@@ -73,6 +79,12 @@
     Patience { until: (job.arrived + wait).min(job.until), late: job.returns }
 }
 
+/// The refusal for want of room.
+pub(crate) fn no_room(node: &Node, job: &Job) -> Refusal {
+    let left = job.until.saturating_duration_since(node.now());
+    Refusal::later(ErrorKind::Overloaded, left.mul_f64(AWAY_PART).min(AWAY))
+}
+
 /// Takes a stream up that broke at engine `broken`, at another one, after the last event that the caller has. That one
 /// reads the prompt itself: a second prefill would count as one more send.
 pub(crate) async fn resume(
@@ -180,7 +192,7 @@
         }
         tried.push(room.endpoint);
     }
-    Err(Refusal::later(ErrorKind::Overloaded, FULL))
+    Err(Refusal::later(ErrorKind::Overloaded, AGAIN))
 }
 
 pub(crate) fn name(node: &Node, key: EndpointKey) -> Arc<str> {
--- a/crates/forward/src/rooms.rs
+++ b/crates/forward/src/rooms.rs
@@ -14,7 +14,7 @@
 use teaselshunt_core::{ErrorKind, Refusal};
 use teaselshunt_routing::{EndpointKey, Need, Stage, Verdict};
 
-use crate::generate::{CALL, FULL, NO_ENDPOINT, name, tidy};
+use crate::generate::{CALL, NO_ENDPOINT, name, no_room, tidy};
 use crate::node::{Job, Node, Slot};
 use crate::pool::Failure;
 use crate::trace::Trace;
@@ -116,7 +116,7 @@
     trace.step("reserve", "any", want.text());
     match want {
         Want::Open => Err(Refusal::later(ErrorKind::NoEndpoint, NO_ENDPOINT)),
-        Want::Room | Want::Prefill => Err(Refusal::later(ErrorKind::Overloaded, FULL)),
+        Want::Room | Want::Prefill => Err(no_room(node, job)),
     }
 }
 
