Send callers who wait for room elsewhere once a stop refuses streams

Callers who come back wait up to half of the time after which they would leave. Without this one that came just before a stop refuses streams would begin 1.8 s later, and its stream would be cut at the end of the grace time.

--- a/crates/forward/src/requests.rs
+++ b/crates/forward/src/requests.rs
@@ -22,7 +22,7 @@
 /// Deadline of a request that names none.
 const DEADLINE: Duration = Duration::from_secs(30);
 /// When to come back to an instance that is stopping or not ready: at once, since others serve.
-const ELSEWHERE: Duration = Duration::from_millis(50);
+pub(crate) const ELSEWHERE: Duration = Duration::from_millis(50);
 
 /// Answers a request.
 pub(crate) async fn serve(
--- a/crates/forward/src/rooms.rs
+++ b/crates/forward/src/rooms.rs
@@ -15,8 +15,9 @@
 use teaselshunt_routing::{EndpointKey, Need, Stage, Verdict};
 
 use crate::generate::{CALL, NO_ENDPOINT, name, no_room, tidy};
-use crate::node::{Job, Node, Slot};
+use crate::node::{Job, Node, Phase, Slot};
 use crate::pool::Failure;
+use crate::requests::ELSEWHERE;
 use crate::trace::Trace;
 
 /// Pause between two looks for room, about the time between two ends of generations at an engine.
@@ -77,6 +78,11 @@
         if now >= until && asked > 0 {
             break;
         }
+        // What begins now must end within the grace time; an instance that does not stop can still serve the caller.
+        if late && node.phase() >= Phase::Refusing {
+            want = Want::Instance;
+            break;
+        }
         let chosen = if in_time(node, job, late) {
             want = Want::Room;
             choose(node, job, tried, tokens, late)
@@ -115,6 +121,7 @@
     }
     trace.step("reserve", "any", want.text());
     match want {
+        Want::Instance => Err(Refusal::later(ErrorKind::Stopping, ELSEWHERE)),
         Want::Open => Err(Refusal::later(ErrorKind::NoEndpoint, NO_ENDPOINT)),
         Want::Room | Want::Prefill => Err(no_room(node, job)),
     }
@@ -166,6 +173,8 @@
     Open,
     /// Room at one.
     Room,
+    /// An instance that is not about to end.
+    Instance,
     /// A prefill engine that would be done in time.
     Prefill,
 }
@@ -175,6 +184,7 @@
         match self {
             Self::Open => "none_open",
             Self::Room => "full",
+            Self::Instance => "stopping",
             Self::Prefill => "prefill_behind",
         }
     }
