--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -152,23 +152,6 @@
     tokens: u64,
 }
 
-impl Slot {
-    /// Tokens that are accounted for.
-    pub(crate) const fn tokens(&self) -> u64 {
-        self.tokens
-    }
-
-    /// The work takes `tokens` in all, if that is more than was thought.
-    pub(crate) fn grow(&mut self, tokens: u64) {
-        let more = tokens.saturating_sub(self.tokens);
-        if more > 0 {
-            self.node.state.borrow_mut().endpoints.grow(self.endpoint, more);
-            self.tokens = tokens;
-            self.node.changed.notify_one();
-        }
-    }
-}
-
 impl Drop for Slot {
     fn drop(&mut self) {
         self.node.state.borrow_mut().endpoints.end(self.endpoint, self.tokens);
@@ -255,11 +238,6 @@
         outputs.entry(Arc::clone(&job.service.name)).or_default().learn(hint, events);
     }
 
-    /// Tokens that so many events of a generation stand for, if that is known.
-    pub(crate) fn made(&self, job: &Job, events: u32) -> Option<u64> {
-        self.state.borrow().outputs.get(&job.service.name)?.made(events)
-    }
-
     pub(crate) fn learn(&self, key: EndpointKey, verdict: Verdict) {
         let changed = self.state.borrow_mut().endpoints.learn(self.now(), key, verdict);
         if changed && let Some((_, id)) = self.locate(key) {
