--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -88,10 +88,7 @@
         let endpoint = run.endpoint;
         let end = pass(&source.job, run, &pieces, &mut events, whole_only, &node, &trace).await;
         match end {
-            End::Whole => {
-                node.learn_output(&source.job, trace.events());
-                return trace.end("answered", status);
-            }
+            End::Whole => return trace.end("answered", status),
             End::CallerGone => return trace.end("caller_gone", status),
             End::TimedOut => {
                 // The caller may be gone as well; the channel says so by an error that needs no action.
--- a/crates/routing/src/endpoints.rs
+++ b/crates/routing/src/endpoints.rs
@@ -360,7 +360,7 @@
         }
     }
 
-    /// Work of `tokens` in all has ended.
+    /// Work that began with the same `tokens` has ended.
     pub fn end(&mut self, key: EndpointKey, tokens: u64) {
         if let Some(entry) = self.arena.get_mut(key) {
             entry.running = entry.running.saturating_sub(1);
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -2,15 +2,13 @@
 //! endpoints. No input or output, no clock, randomness passed in.
 //!
 //! `routes` is one configuration version; `endpoints` is what is believed of every endpoint and chooses among
-//! them; `ledger` is what other instances have in flight; `pace` learns how long prefill takes, `outputs` how many tokens
-//! generations make; `allowances` tells callers who come back from new ones; `peers` is who else there is; `budget`
-//! limits repeats; `stages` decides how many engines prefill and how many decode.
+//! them; `ledger` is what other instances have in flight; `pace` learns how long prefill takes; `allowances` tells
+//! callers who come back from new ones; `peers` is who else there is; `budget` limits repeats; `stages` decides how many engines prefill and how many decode.
 
 mod allowances;
 mod budget;
 mod endpoints;
 mod ledger;
-mod outputs;
 mod pace;
 mod peers;
 mod routes;
@@ -20,7 +18,6 @@
 pub use budget::{Budgets, Terms};
 pub use endpoints::{Endpoint, EndpointKey, EndpointState, Endpoints, Need, Stage, Verdict};
 pub use ledger::{EngineTag, Ledger};
-pub use outputs::Outputs;
 pub use pace::Pace;
 pub use peers::Peers;
 pub use routes::{Engine, Limits, Repeat, Route, RouteSet, Service};
--- a/crates/routing/tests/all/main.rs
+++ b/crates/routing/tests/all/main.rs
@@ -4,7 +4,6 @@
 mod budget;
 mod endpoints;
 mod ledger;
-mod outputs;
 mod peers;
 mod routes;
 mod stages;
