--- a/crates/routing/tests/all/main.rs
+++ b/crates/routing/tests/all/main.rs
@@ -3,6 +3,7 @@
 mod allowances;
 mod budget;
 mod endpoints;
+mod growth;
 mod ledger;
 mod peers;
 mod routes;
