Pass over an endpoint when a later one is listed at its address

Ruled out: seeing it in the answer to the reservation, which names nobody (a look at its headers). A suspicion only, since old entries can be written late. Test: endpoints::a_former_start_at_the_same_address_is_passed_over (failed first).

--- a/crates/routing/src/endpoints.rs
+++ b/crates/routing/src/endpoints.rs
@@ -151,6 +151,8 @@
     /// Share of failures as of `judged`.
     errors: f64,
     judged: Option<Instant>,
+    /// The endpoint that was listed at the same address after this one.
+    successor: Option<EndpointKey>,
     /// When an endpoint that the list has lost counts as gone.
     doubted: Option<Instant>,
 }
@@ -171,6 +173,7 @@
             measured: None,
             errors: 0.0,
             judged: None,
+            successor: None,
             doubted: None,
         }
     }
@@ -241,6 +244,8 @@
 pub struct Endpoints {
     arena: SlotMap<EndpointKey, Entry>,
     by_id: HashMap<Arc<str>, EndpointKey>,
+    /// The endpoint that was listed last at each address.
+    by_address: HashMap<SocketAddr, EndpointKey>,
     services: HashMap<Arc<str>, Vec<EndpointKey>>,
     ledger: Ledger<SocketAddr>,
 }
@@ -253,7 +258,11 @@
     pub fn upsert(&mut self, mut endpoint: Endpoint) -> bool {
         let Some(&key) = self.by_id.get(&endpoint.id) else {
             let (id, service) = (Arc::clone(&endpoint.id), Arc::clone(&endpoint.service));
+            let address = endpoint.address;
             let key = self.arena.insert(Entry::new(endpoint));
+            if let Some(former) = self.by_address.insert(address, key).and_then(|k| self.arena.get_mut(k)) {
+                former.successor = Some(key);
+            }
             self.by_id.insert(id, key);
             self.services.entry(service).or_default().push(key);
             return true;
@@ -275,6 +284,9 @@
             && let Some(keys) = self.services.get_mut(&entry.endpoint.service)
         {
             keys.retain(|&k| k != key);
+            if self.by_address.get(&entry.endpoint.address) == Some(&key) {
+                self.by_address.remove(&entry.endpoint.address);
+            }
         }
         true
     }
@@ -457,7 +469,8 @@
             if !fits || need.tried.contains(&key) {
                 continue;
             }
-            let paused = entry.is_paused(now) || self.ledger.suspected(now, entry.tag);
+            let paused =
+                entry.is_paused(now) || self.is_replaced(entry) || self.ledger.suspected(now, entry.tag);
             healthy |= !paused;
             if entry.is_full(now) {
                 continue;
@@ -476,6 +489,16 @@
         (!absent).then_some(key)
     }
 
+    /// Whether another endpoint that takes new work was listed later at the same address.
+    ///
+    /// An endpoint that crashed is listed for some heartbeats beside its next start. That one grants room without a look at
+    /// who is meant, and refuses the run that follows: the prompt was read for nothing, and the caller is refused. It is
+    /// only a suspicion, since an old entry can be written late, and ends with the later endpoint.
+    fn is_replaced(&self, entry: &Entry) -> bool {
+        let successor = entry.successor.and_then(|key| self.arena.get(key));
+        successor.is_some_and(|later| later.endpoint.state == EndpointState::Ready)
+    }
+
     fn cost(entry: &Entry, in_flight: u64, now: Instant, need: Need<'_>, rng: &mut impl Rng) -> f64 {
         let away = &*entry.endpoint.domain != need.domain;
         let jitter = rng.random_range(0.0..1.0);
--- a/crates/routing/tests/all/endpoints.rs
+++ b/crates/routing/tests/all/endpoints.rs
@@ -4,13 +4,13 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use teaselshunt_routing::{Endpoint, EndpointState, Endpoints, Need, Stage, Verdict};
+use teaselshunt_routing::{Endpoint, EndpointState, Endpoints, EngineTag, Need, Stage, Verdict};
 
 fn endpoint(id: &str, domain: &str) -> Endpoint {
     Endpoint {
         id: Arc::from(id),
         service: Arc::from("desk"),
-        address: ([127, 0, 0, 1], 1).into(),
+        address: (EngineTag::of(id).0.to_be_bytes(), 1).into(),
         domain: Arc::from(domain),
         state: EndpointState::Ready,
         stage: None,
@@ -192,3 +192,21 @@
     assert_eq!(endpoints.suspects(now).len(), 1);
     assert!(chosen(&endpoints, now + Duration::from_mins(1)).contains("fails"), "old failures fade");
 }
+
+/// An engine crashes and starts anew under its old address, and the list names both starts for some seconds. Work goes to
+/// the new one at once: the room that it grants to the former start is worth nothing. If the later entry was an old one
+/// written late, the first answer shows it, and the other is used again.
+#[test]
+fn a_former_start_at_the_same_address_is_passed_over() {
+    let (mut endpoints, now) = (Endpoints::default(), Instant::now());
+    let former = endpoint("former", "north");
+    endpoints.upsert(former.clone());
+    endpoints.upsert(Endpoint { address: former.address, ..endpoint("later", "south") });
+    assert_eq!(chosen(&endpoints, now), names(&["later"]));
+    endpoints.upsert(endpoint("former", "north"));
+    assert_eq!(chosen(&endpoints, now), names(&["later"]), "a repeated entry changes nothing");
+    let mut rng = rand::rng();
+    let key = endpoints.choose(now, need(&[]), &mut rng).expect("one");
+    endpoints.retire(now, key);
+    assert_eq!(chosen(&endpoints, now), names(&["former"]));
+}
--- a/crates/routing/tests/all/ledger.rs
+++ b/crates/routing/tests/all/ledger.rs
@@ -58,7 +58,7 @@
         endpoints.upsert(Endpoint {
             id: Arc::from(format!("g-{number}")),
             service: Arc::from("model"),
-            address: ([127, 0, 0, 1], 1).into(),
+            address: ([127, 0, 0, 1], 1 + number as u16).into(),
             domain: Arc::from("north"),
             state: EndpointState::Ready,
             stage: Some(stage),
