Revert "Ask engines for room that covers the growth of others"

Tried: room asked for covers what the generations at the engine will still grow by, so that instances with the same old news do not fill it twice. Conclusion: engines keep a reservation for as long as its generation runs, so that what it covers beyond need is lost; streams are put back for outputs beyond the estimate, not for races between instances.

--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -19,7 +19,7 @@
 use slog::{Logger, info};
 use teaselshunt_core::Clock;
 use teaselshunt_routing::{
-    Allowances, Budgets, EndpointKey, Endpoints, Growth, Need, Pace, Route, RouteSet, Service, Stage, Verdict,
+    Allowances, Budgets, EndpointKey, Endpoints, Need, Pace, Route, RouteSet, Service, Stage, Verdict,
 };
 use tokio::sync::{Notify, watch};
 
@@ -52,8 +52,6 @@
     pub(crate) rng: SmallRng,
     /// Pace of prefill by service.
     pub(crate) paces: HashMap<Arc<str>, Pace>,
-    /// Growth of running generations by service.
-    pub(crate) growths: HashMap<Arc<str>, Growth>,
     /// How long callers of each route wait in all.
     pub(crate) allowances: Allowances,
     /// When the store last answered about endpoints.
--- a/crates/forward/src/rooms.rs
+++ b/crates/forward/src/rooms.rs
@@ -5,7 +5,6 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -74,7 +73,6 @@
     tried: &[EndpointKey],
 ) -> Result<Room, Refusal> {
     let tokens = job.meta.prompt + expected_output(&job.meta);
-    learn_growth(node, job);
     let Patience { until, late } = patience;
     let mut want = Want::Open;
     let mut asked = 0_u32;
@@ -110,7 +108,7 @@
         let Some((address, id)) = node.locate(key) else { continue };
         asked += 1;
         let slot = node.occupy(key, tokens);
-        match reserve_at(node, job, address, &id, tokens + ahead(node, job, key)).await {
+        match reserve_at(node, job, address, &id, tokens).await {
             Ok(hold) => {
                 let node = Rc::clone(node);
                 return Ok(Room { node, endpoint: key, address, hold: Some(hold), slot: Some(slot) });
@@ -147,19 +145,6 @@
     node.choose_for(Need { stage, tried, tokens, limit, spare, ..node.need(&job.service.name) })
 }
 
-fn learn_growth(node: &Node, job: &Job) {
-    let growths = &mut node.state.borrow_mut().growths;
-    let growth = growths.entry(Arc::clone(&job.service.name)).or_default();
-    growth.learn(job.meta.prompt, expected_output(&job.meta));
-}
-
-/// Tokens that the generations at an engine will need besides what they use now.
-fn ahead(node: &Node, job: &Job, key: EndpointKey) -> u64 {
-    let state = node.state.borrow();
-    let others = state.endpoints.load(key).saturating_sub(job.meta.prompt + expected_output(&job.meta));
-    state.growths.get(&job.service.name).map_or(0, |growth| growth.ahead(others))
-}
-
 /// Asks one engine for room; gives the id of the reservation, or what the failure says of the engine and its name.
 async fn reserve_at(
     node: &Node,
--- a/crates/forward/src/supervisor.rs
+++ b/crates/forward/src/supervisor.rs
@@ -89,7 +89,6 @@
             budgets: Budgets::new(settings.repeats),
             rng: SmallRng::from_os_rng(),
             paces: HashMap::new(),
-            growths: HashMap::new(),
             allowances: Allowances::default(),
             listed: None,
         }),
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -8,7 +8,6 @@
 mod allowances;
 mod budget;
 mod endpoints;
-mod growth;
 mod ledger;
 mod pace;
 mod peers;
@@ -18,7 +17,6 @@
 pub use allowances::Allowances;
 pub use budget::{Budgets, Terms};
 pub use endpoints::{Endpoint, EndpointKey, EndpointState, Endpoints, Need, Stage, Verdict};
-pub use growth::Growth;
 pub use ledger::{EngineTag, Ledger};
 pub use pace::Pace;
 pub use peers::Peers;
--- a/crates/routing/tests/all/main.rs
+++ b/crates/routing/tests/all/main.rs
@@ -3,7 +3,6 @@
 mod allowances;
 mod budget;
 mod endpoints;
-mod growth;
 mod ledger;
 mod peers;
 mod routes;
