--- a/crates/routing/src/endpoints.rs
+++ b/crates/routing/src/endpoints.rs
@@ -10,112 +10,14 @@
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use rand::Rng;
 use slotmap::SlotMap;
 
-use crate::{EngineTag, Ledger};
+use crate::belief::Belief;
+use crate::{Endpoint, EndpointKey, EndpointState, EngineTag, Ledger, Stage, Verdict};
 
-slotmap::new_key_type! {
-    /// An endpoint in the arena of one instance.
-    pub struct EndpointKey;
-}
-
-/// Part of a generation that an engine does.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub enum Stage {
-    /// Reads prompts.
-    Prefill,
-    /// Generates.
-    Decode,
-}
-
-impl Stage {
-    /// Name for logs.
-    pub const fn text(self) -> &'static str {
-        match self {
-            Self::Prefill => "prefill",
-            Self::Decode => "decode",
-        }
-    }
-}
-
-/// Whether an endpoint takes new work.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum EndpointState {
-    /// It does.
-    Ready,
-    /// It is on its way out.
-    Leaving,
-}
-
-/// An endpoint as the list has it.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Endpoint {
-    /// Id of this start of the endpoint; another start has another id.
-    pub id: Arc<str>,
-    /// Its service.
-    pub service: Arc<str>,
-    /// Its address, which may have belonged to another endpoint before.
-    pub address: SocketAddr,
-    /// Failure domain.
-    pub domain: Arc<str>,
-    /// Whether it takes new work.
-    pub state: EndpointState,
-    /// Set for model engines.
-    pub stage: Option<Stage>,
-}
-
-/// How a step at an endpoint ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Verdict {
-    /// It answered, after this time.
-    Answered(Duration),
-    /// It answered with a failure of its own.
-    Erred,
-    /// It has no room now.
-    Full,
-    /// It broke off, was silent, or answered nonsense.
-    Failed,
-    /// It could not be reached, or another one has its address.
-    Absent,
-    /// Nothing can be concluded.
-    Unknown,
-}
-
-/// Failures in a row after which an endpoint is paused.
-const FAILURES: u32 = 2;
-/// First pause; doubles with each further failure. About the shortest outage worth avoiding.
-const PAUSE: Duration = Duration::from_millis(500);
-/// Longest pause, so that an endpoint that is back is found within this time.
-const PAUSE_MAX: Duration = Duration::from_secs(2);
-/// How long others are told of an endpoint that has ended; the list shows it by then.
-const RETIRED: Duration = Duration::from_secs(10);
-/// How long a refusal for want of room keeps an endpoint from being asked again; doubles with each further refusal in a
-/// row. An engine that changes its stage refuses everything for seconds while it has nothing to do, and would draw all
-/// requests to itself.
-const FULL: Duration = Duration::from_millis(60);
-/// Longest such time.
-const FULL_MAX: Duration = Duration::from_millis(960);
-/// Time without any answer after which an engine with work of this instance counts as silent: several times what a
-/// prefill or a small call takes at an engine that is not behind.
-const SILENT: Duration = Duration::from_millis(1200);
-/// Latency that is assumed of an endpoint with no results yet.
-const LATENCY: f64 = 0.020;
-/// Weight of one result in the moving average of latencies.
-const WEIGHT: f64 = 0.2;
-/// Time in which an average that gets no results falls half-way back to the assumed latency. A slow endpoint is
-/// so tried again after some seconds.
-const HALF_LIFE: f64 = 3.0;
-/// Weight of one result in the moving average of failures.
-const ERROR_WEIGHT: f64 = 0.25;
-/// Time in which the share of failures falls by half without results; longer than that of latencies, since each try of
-/// an endpoint that fails costs a caller its answer.
-const ERROR_HALF_LIFE: f64 = 5.0;
-/// Share of failures over which an endpoint is only chosen where there is no other: three in a row at an endpoint that
-/// was well. Some services fail one request in seven by nature, so that two in a row say nothing.
-const ERRORS: f64 = 0.5;
 /// What another failure domain adds to an endpoint's expected latency: two crossings and their price.
 const DISTANCE: f64 = 0.006;
 
@@ -140,17 +42,7 @@
     running: u32,
     /// Tokens of these.
     tokens: u64,
-    failures: u32,
-    paused: Option<Instant>,
-    full: Option<Instant>,
-    refusals: u32,
-    /// Since when work is in progress there without any answer.
-    silent: Option<Instant>,
-    latency: f64,
-    measured: Option<Instant>,
-    /// Share of failures as of `judged`.
-    errors: f64,
-    judged: Option<Instant>,
+    belief: Belief,
     /// The endpoint that was listed at the same address after this one.
     successor: Option<EndpointKey>,
     /// When an endpoint that the list has lost counts as gone.
@@ -164,59 +56,20 @@
             endpoint,
             running: 0,
             tokens: 0,
-            failures: 0,
-            paused: None,
-            full: None,
-            refusals: 0,
-            silent: None,
-            latency: LATENCY,
-            measured: None,
-            errors: 0.0,
-            judged: None,
+            belief: Belief::default(),
             successor: None,
             doubted: None,
         }
     }
 
-    fn expected(&self, now: Instant) -> f64 {
-        let Some(at) = self.measured else { return LATENCY };
-        let age = now.duration_since(at).as_secs_f64();
-        LATENCY + (self.latency - LATENCY) * 0.5_f64.powf(age / HALF_LIFE)
-    }
-
-    /// Share of results that are failures. It fades without results, so that the endpoint is tried again.
-    fn error_share(&self, now: Instant) -> f64 {
-        let Some(at) = self.judged else { return 0.0 };
-        self.errors * 0.5_f64.powf(now.duration_since(at).as_secs_f64() / ERROR_HALF_LIFE)
-    }
-
-    fn judge(&mut self, now: Instant, failed: bool) {
-        let share = self.error_share(now);
-        self.errors = share + (f64::from(u8::from(failed)) - share) * ERROR_WEIGHT;
-        self.judged = Some(now);
-    }
-
-    fn is_failing(&self, now: Instant) -> bool {
-        self.error_share(now) > ERRORS
-    }
-
     fn is_open(&self, now: Instant) -> bool {
         self.endpoint.state == EndpointState::Ready && self.doubted.is_none_or(|until| now < until)
     }
 
-    /// Whether it is only chosen where there is no other: it failed lately, fails most requests, or is a prefill engine
-    /// that is silent.
-    ///
-    /// An endpoint can fail everything with good health answers, and fast. By its latency alone it would look the best of
-    /// all and draw over half of the callers to itself.
+    /// Whether it is only chosen where there is no other: it is suspect, or a prefill engine that is silent.
     fn is_paused(&self, now: Instant) -> bool {
         let prefills = self.endpoint.stage == Some(Stage::Prefill);
-        let silent = prefills && self.silent.is_some_and(|since| now.duration_since(since) > SILENT);
-        silent || self.is_failing(now) || self.paused.is_some_and(|until| now < until)
-    }
-
-    fn is_full(&self, now: Instant) -> bool {
-        self.full.is_some_and(|until| now < until)
+        (prefills && self.belief.is_silent(now)) || self.belief.is_suspect(now)
     }
 }
 
@@ -294,8 +147,7 @@
     /// An endpoint has ended, whatever the list says: another one has its address. It does not come back.
     pub fn retire(&mut self, now: Instant, key: EndpointKey) {
         if let Some(entry) = self.arena.get_mut(key) {
-            // Paused as well, so that others hear of it until the list shows it.
-            entry.paused = Some(now + RETIRED);
+            entry.belief.retire(now);
             entry.endpoint.state = EndpointState::Leaving;
         }
     }
@@ -365,7 +217,7 @@
     pub fn begin(&mut self, now: Instant, key: EndpointKey, tokens: u64) {
         if let Some(entry) = self.arena.get_mut(key) {
             if entry.running == 0 {
-                entry.silent = Some(now);
+                entry.belief.begin(now);
             }
             entry.running += 1;
             entry.tokens += tokens;
@@ -378,62 +230,16 @@
             entry.running = entry.running.saturating_sub(1);
             entry.tokens = entry.tokens.saturating_sub(tokens);
             if entry.running == 0 {
-                entry.silent = None;
+                entry.belief.end();
             }
         }
     }
 
     /// Learns from how a step ended. Says whether the endpoint's being in use has changed.
-    ///
-    /// Without the pause every request would find out on its own, by its own timeout, that an endpoint is dead;
-    /// callers would see a run of slow answers. The pause is short and ends by itself, so that a wrong one costs
-    /// little.
     pub fn learn(&mut self, now: Instant, key: EndpointKey, verdict: Verdict) -> bool {
         let Some(entry) = self.arena.get_mut(key) else { return false };
-        if matches!(verdict, Verdict::Answered(_) | Verdict::Full) && entry.silent.is_some() {
-            entry.silent = Some(now);
-        }
-        match verdict {
-            Verdict::Answered(_) => entry.judge(now, false),
-            Verdict::Erred | Verdict::Failed => entry.judge(now, true),
-            Verdict::Full | Verdict::Absent | Verdict::Unknown => {}
-        }
-        match verdict {
-            Verdict::Erred => {
-                entry.failures = 0;
-                false
-            }
-            Verdict::Answered(latency) => {
-                let expected = entry.expected(now);
-                entry.latency = expected + (latency.as_secs_f64() - expected) * WEIGHT;
-                entry.measured = Some(now);
-                entry.failures = 0;
-                entry.full = None;
-                entry.refusals = 0;
-                entry.paused.take().is_some()
-            }
-            Verdict::Full => {
-                entry.full = Some(now + (FULL * 2_u32.pow(entry.refusals.min(4))).min(FULL_MAX));
-                // Room at a decode engine comes free at any moment; a refusal there says little of the next.
-                if entry.endpoint.stage != Some(Stage::Decode) {
-                    entry.refusals += 1;
-                }
-                entry.failures = 0;
-                entry.paused.take().is_some()
-            }
-            Verdict::Failed | Verdict::Absent => {
-                // One failure may be chance; an endpoint that is not there is not there for the next one either.
-                entry.failures =
-                    (entry.failures + 1).max(if verdict == Verdict::Absent { FAILURES } else { 0 });
-                if entry.failures < FAILURES {
-                    return false;
-                }
-                let doublings = (entry.failures - FAILURES).min(4);
-                let pause = (PAUSE * 2_u32.pow(doublings)).min(PAUSE_MAX);
-                entry.paused.replace(now + pause).is_none()
-            }
-            Verdict::Unknown => false,
-        }
+        let decodes = entry.endpoint.stage == Some(Stage::Decode);
+        entry.belief.learn(now, verdict, decodes)
     }
 
     /// What this instance has in flight, by engine.
@@ -444,8 +250,7 @@
 
     /// Endpoints that this instance has paused, or that fail most of its requests.
     pub fn suspects(&self, now: Instant) -> Vec<EngineTag> {
-        let suspect = |e: &&Entry| e.is_failing(now) || e.paused.is_some_and(|until| now < until);
-        self.arena.values().filter(suspect).map(|e| e.tag).collect()
+        self.arena.values().filter(|e| e.belief.is_suspect(now)).map(|e| e.tag).collect()
     }
 
     /// Tokens in flight at an engine, of all instances.
@@ -472,7 +277,7 @@
             let paused =
                 entry.is_paused(now) || self.is_replaced(entry) || self.ledger.suspected(now, entry.tag);
             healthy |= !paused;
-            if entry.is_full(now) {
+            if entry.belief.is_full(now) {
                 continue;
             }
             let in_flight = entry.tokens + self.ledger.others(entry.tag);
@@ -504,7 +309,7 @@
         let jitter = rng.random_range(0.0..1.0);
         if need.stage.is_none() {
             let distance = if away { DISTANCE } else { 0.0 };
-            return entry.expected(now) * f64::from(entry.running + 1) + distance + jitter * 0.002;
+            return entry.belief.expected(now) * f64::from(entry.running + 1) + distance + jitter * 0.002;
         }
         let distance = need.limit.map_or(AWAY_PREFILL, |memory| memory as f64 * AWAY_DECODE);
         in_flight as f64 + if away { distance } else { 0.0 } + jitter * SPREAD
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -1,12 +1,14 @@
 //! Decisions on requests that are passed on whole: where each goes, whether it may go again, what is believed of
 //! endpoints. No input or output, no clock, randomness passed in.
 //!
-//! `routes` is one configuration version; `endpoints` is what is believed of every endpoint and chooses among
-//! them; `ledger` is what other instances have in flight; `pace` learns how long prefill takes; `allowances` tells
+//! `routes` is one configuration version; `endpoints` keeps every `endpoint` with the `belief` that results have
+//! left, and chooses among them; `ledger` is what other instances have in flight; `pace` learns how long prefill takes; `allowances` tells
 //! callers who come back from new ones; `peers` is who else there is; `budget` limits repeats; `stages` decides how many engines prefill and how many decode.
 
 mod allowances;
+mod belief;
 mod budget;
+mod endpoint;
 mod endpoints;
 mod ledger;
 mod pace;
@@ -16,7 +18,8 @@
 
 pub use allowances::Allowances;
 pub use budget::{Budgets, Terms};
-pub use endpoints::{Endpoint, EndpointKey, EndpointState, Endpoints, Need, Stage, Verdict};
+pub use endpoint::{Endpoint, EndpointKey, EndpointState, Stage, Verdict};
+pub use endpoints::{Endpoints, Need};
 pub use ledger::{EngineTag, Ledger};
 pub use pace::Pace;
 pub use peers::Peers;
