--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -19,7 +19,8 @@
 use slog::{Logger, info};
 use teaselshunt_core::Clock;
 use teaselshunt_routing::{
-    Allowances, Budgets, EndpointKey, Endpoints, Need, Pace, Route, RouteSet, Service, Stage, Verdict,
+    Allowances, Budgets, EndpointKey, Endpoints, Need, Outputs, Pace, Route, RouteSet, Service, Stage,
+    Verdict,
 };
 use tokio::sync::{Notify, watch};
 
@@ -52,6 +53,8 @@
     pub(crate) rng: SmallRng,
     /// Pace of prefill by service.
     pub(crate) paces: HashMap<Arc<str>, Pace>,
+    /// Outputs of generations by service.
+    pub(crate) outputs: HashMap<Arc<str>, Outputs>,
     /// How long callers of each route wait in all.
     pub(crate) allowances: Allowances,
     /// When the store last answered about endpoints.
@@ -149,6 +152,23 @@
     tokens: u64,
 }
 
+impl Slot {
+    /// Tokens that are accounted for.
+    pub(crate) const fn tokens(&self) -> u64 {
+        self.tokens
+    }
+
+    /// The work takes `tokens` in all, if that is more than was thought.
+    pub(crate) fn grow(&mut self, tokens: u64) {
+        let more = tokens.saturating_sub(self.tokens);
+        if more > 0 {
+            self.node.state.borrow_mut().endpoints.grow(self.endpoint, more);
+            self.tokens = tokens;
+            self.node.changed.notify_one();
+        }
+    }
+}
+
 impl Drop for Slot {
     fn drop(&mut self) {
         self.node.state.borrow_mut().endpoints.end(self.endpoint, self.tokens);
@@ -220,6 +240,26 @@
         state.endpoints.get_open(self.now(), key).map(|e| (e.address, Arc::clone(&e.id)))
     }
 
+    /// Tokens that a generation is expected to make.
+    pub(crate) fn expected_output(&self, job: &Job) -> u64 {
+        let Some(hint) = job.meta.hint else { return job.meta.output };
+        let state = self.state.borrow();
+        let expected = state.outputs.get(&job.service.name).map_or(hint, |outputs| outputs.expect(hint));
+        expected.min(job.meta.output)
+    }
+
+    /// A generation ended whole after so many events.
+    pub(crate) fn learn_output(&self, job: &Job, events: u32) {
+        let Some(hint) = job.meta.hint else { return };
+        let outputs = &mut self.state.borrow_mut().outputs;
+        outputs.entry(Arc::clone(&job.service.name)).or_default().learn(hint, events);
+    }
+
+    /// Tokens that so many events of a generation stand for, if that is known.
+    pub(crate) fn made(&self, job: &Job, events: u32) -> Option<u64> {
+        self.state.borrow().outputs.get(&job.service.name)?.made(events)
+    }
+
     pub(crate) fn learn(&self, key: EndpointKey, verdict: Verdict) {
         let changed = self.state.borrow_mut().endpoints.learn(self.now(), key, verdict);
         if changed && let Some((_, id)) = self.locate(key) {
--- a/crates/forward/src/rooms.rs
+++ b/crates/forward/src/rooms.rs
@@ -17,7 +17,6 @@
 use crate::generate::{CALL, NO_ENDPOINT, name, no_room, tidy};
 use crate::node::{Job, Node, Phase, Slot};
 use crate::pool::Failure;
-use crate::protocol::Meta;
 use crate::requests::ELSEWHERE;
 use crate::trace::Trace;
 
@@ -25,8 +24,6 @@
 const LOOK: Duration = Duration::from_millis(30);
 /// The same for a request that is late already; it takes what those that can be on time leave, and has longer to wait.
 const LOOK_LATE: Duration = Duration::from_millis(100);
-/// Part of the expected output that room is reserved for.
-const OUTPUT_PART: f64 = 1.0;
 /// Part of the aim for the first event that a prefill may be expected to take.
 const PREFILL_GOAL: f64 = 0.7;
 /// The same for a request that is late already: it does not lengthen a queue of prompts that can be on time.
@@ -72,7 +69,7 @@
     patience: Patience,
     tried: &[EndpointKey],
 ) -> Result<Room, Refusal> {
-    let tokens = job.meta.prompt + expected_output(&job.meta);
+    let tokens = job.meta.prompt + node.expected_output(job);
     let Patience { until, late } = patience;
     let mut want = Want::Open;
     let mut asked = 0_u32;
@@ -215,12 +212,6 @@
     pace.in_time(state.endpoints.load(key), prompt, job.route.goal.mul_f64(part))
 }
 
-/// Tokens of output to reserve room for.
-fn expected_output(meta: &Meta) -> u64 {
-    let hint = meta.hint.unwrap_or(meta.output).min(meta.output);
-    (hint as f64 * OUTPUT_PART) as u64
-}
-
 /// Whether any decode engine takes new work at all, full or not.
 fn is_served(node: &Node, job: &Job) -> bool {
     let state = node.state.borrow();
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -88,7 +88,10 @@
         let endpoint = run.endpoint;
         let end = pass(&source.job, run, &pieces, &mut events, whole_only, &node, &trace).await;
         match end {
-            End::Whole => return trace.end("answered", status),
+            End::Whole => {
+                node.learn_output(&source.job, trace.events());
+                return trace.end("answered", status);
+            }
             End::CallerGone => return trace.end("caller_gone", status),
             End::TimedOut => {
                 // The caller may be gone as well; the channel says so by an error that needs no action.
@@ -125,7 +128,7 @@
     node: &Node,
     trace: &Trace,
 ) -> End {
-    let Run { mut body, connection, slot, .. } = run;
+    let Run { mut body, connection, mut slot, .. } = run;
     loop {
         let stall = job.route.gap.filter(|_| whole_only).map(|gap| node.now() + gap * STALL);
         let wait = stall.map_or(job.until, |at| at.min(job.until));
@@ -150,6 +153,9 @@
             },
         };
         trace.passed(events.count(&data));
+        if let Some(made) = node.made(job, trace.events()).filter(|_| job.service.engine.is_some()) {
+            account(&mut slot, job.meta.prompt, made);
+        }
         let data = if whole_only { events.take(&data) } else { data };
         if data.is_empty() {
             continue;
@@ -160,6 +166,19 @@
     }
 }
 
+/// Part by which a generation that has made more than was expected is expected to go on: what is left of a lognormal
+/// variable with the spread that estimates leave, beyond its median.
+const GROWTH: f64 = 1.25;
+
+/// Accounts for a generation that makes more than was expected, so that nobody sends another one to an engine whose memory
+/// is about to run out. An engine without memory puts streams back in the middle: their callers see a pause, and their
+/// prompts are read again.
+fn account(slot: &mut Slot, prompt: u64, made: u64) {
+    if prompt + made > slot.tokens() {
+        slot.grow(prompt + (made as f64 * GROWTH) as u64);
+    }
+}
+
 /// Cuts a stream into whole events and remembers the id of the last one.
 #[derive(Debug, Default)]
 pub(crate) struct Events {
--- a/crates/forward/src/supervisor.rs
+++ b/crates/forward/src/supervisor.rs
@@ -89,6 +89,7 @@
             budgets: Budgets::new(settings.repeats),
             rng: SmallRng::from_os_rng(),
             paces: HashMap::new(),
+            outputs: HashMap::new(),
             allowances: Allowances::default(),
             listed: None,
         }),
--- a/crates/forward/src/trace.rs
+++ b/crates/forward/src/trace.rs
@@ -84,6 +84,11 @@
         self.events.set(self.events.get() + events);
     }
 
+    /// Events that were passed on.
+    pub(crate) fn events(&self) -> u32 {
+        self.events.get()
+    }
+
     /// The head of the answer goes to the caller.
     pub(crate) fn first(&self) {
         let took = self.node.now().duration_since(self.arrived);
--- a/crates/routing/src/endpoints.rs
+++ b/crates/routing/src/endpoints.rs
@@ -224,7 +224,14 @@
         }
     }
 
-    /// Work that began with the same `tokens` has ended.
+    /// Work in progress at an endpoint takes so many tokens more than it began with.
+    pub fn grow(&mut self, key: EndpointKey, tokens: u64) {
+        if let Some(entry) = self.arena.get_mut(key) {
+            entry.tokens += tokens;
+        }
+    }
+
+    /// Work of `tokens` in all has ended.
     pub fn end(&mut self, key: EndpointKey, tokens: u64) {
         if let Some(entry) = self.arena.get_mut(key) {
             entry.running = entry.running.saturating_sub(1);
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -1,9 +1,10 @@
 //! Decisions on requests that are passed on whole: where each goes, whether it may go again, what is believed of
 //! endpoints. No input or output, no clock, randomness passed in.
 //!
-//! `routes` is one configuration version; `endpoints` keeps every `endpoint` with the `belief` that results have
-//! left, and chooses among them; `ledger` is what other instances have in flight; `pace` learns how long prefill takes; `allowances` tells
-//! callers who come back from new ones; `peers` is who else there is; `budget` limits repeats; `stages` decides how many engines prefill and how many decode.
+//! `routes` is one configuration version; `endpoints` keeps every `endpoint` with the `belief` that results have left, and
+//! chooses among them; `ledger` is what other instances have in flight; `pace` learns how long prefill takes, `outputs` how
+//! many tokens generations make; `allowances` tells callers who come back from new ones; `peers` is who else there is;
+//! `budget` limits repeats; `stages` decides how many engines prefill and how many decode.
 
 mod allowances;
 mod belief;
@@ -11,6 +12,7 @@
 mod endpoint;
 mod endpoints;
 mod ledger;
+mod outputs;
 mod pace;
 mod peers;
 mod routes;
@@ -21,6 +23,7 @@
 pub use endpoint::{Endpoint, EndpointKey, EndpointState, Stage, Verdict};
 pub use endpoints::{Endpoints, Need};
 pub use ledger::{EngineTag, Ledger};
+pub use outputs::Outputs;
 pub use pace::Pace;
 pub use peers::Peers;
 pub use routes::{Engine, Limits, Repeat, Route, RouteSet, Service};
--- /dev/null
+++ b/crates/routing/src/outputs.rs
@@ -0,0 +1,61 @@
+//! How many tokens generations make, learned from those that have ended.
+//!
+//! Callers estimate their output, rightly at the median but often far off. An estimate that is far from the usual one is
+//! mostly wrong in that direction, so that the truth lies between the two (regression to the mean). How far between is
+//! learned as a regression of logarithms: of events that came on tokens that were estimated. That estimates are right at
+//! the median also gives the tokens in one event, which engines do not tell.
+
+/// Ended generations that count; some minutes of one instance, and enough for a steady slope.
+const SPAN: f64 = 200.0;
+/// Weight of the first assumption, that estimates are right, in generations.
+const PRIOR: f64 = 10.0;
+/// Variance of estimates' logarithms that goes with it.
+const PRIOR_VARIANCE: f64 = 0.5;
+/// Generations before the tokens in an event are told.
+const ENOUGH: f64 = 10.0;
+
+/// What has been learned of one service's generations.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Outputs {
+    count: f64,
+    /// Mean logarithms.
+    hint: f64,
+    events: f64,
+    /// Variance of estimates' logarithms, and their covariance with those of events.
+    variance: f64,
+    covariance: f64,
+}
+
+impl Outputs {
+    /// A generation that was estimated at `hint` tokens ended whole after so many events.
+    pub fn learn(&mut self, hint: u64, events: u32) {
+        if hint == 0 || events == 0 {
+            return;
+        }
+        self.count = (self.count + 1.0).min(SPAN);
+        let weight = 1.0 / self.count;
+        let hint = (hint as f64).ln() - self.hint;
+        let events = f64::from(events).ln() - self.events;
+        self.hint += weight * hint;
+        self.events += weight * events;
+        self.variance = (1.0 - weight) * (self.variance + weight * hint * hint);
+        self.covariance = (1.0 - weight) * (self.covariance + weight * hint * events);
+    }
+
+    /// Expected tokens of a generation that is estimated at `hint`.
+    pub fn expect(&self, hint: u64) -> u64 {
+        if self.count == 0.0 || hint == 0 {
+            return hint;
+        }
+        let prior = PRIOR * PRIOR_VARIANCE;
+        let slope = (self.covariance * self.count + prior) / (self.variance * self.count + prior);
+        let off = (hint as f64).ln() - self.hint;
+        (self.hint + slope.clamp(0.0, 1.0) * off).exp().round() as u64
+    }
+
+    /// Tokens that so many events stand for, if enough has been learned.
+    pub fn made(&self, events: u32) -> Option<u64> {
+        let tokens = (self.hint - self.events).exp() * f64::from(events);
+        (self.count >= ENOUGH).then_some(tokens.round() as u64)
+    }
+}
--- a/crates/routing/tests/all/ledger.rs
+++ b/crates/routing/tests/all/ledger.rs
@@ -149,6 +149,21 @@
     assert!(endpoints.choose(now, late, &mut rng).is_some());
 }
 
+/// A generation makes more than was expected. Its engine is passed over before its memory is used up, and all that was
+/// counted is given back at the end.
+#[test]
+fn a_generation_that_overruns_fills_its_engine() {
+    let (now, mut rng) = (Instant::now(), SmallRng::seed_from_u64(7));
+    let mut endpoints = engines(1, Stage::Decode);
+    let key = choose(&endpoints, now, Stage::Decode, Some(10_000), &mut rng).expect("one");
+    endpoints.begin(now, key, 4_000);
+    assert!(choose(&endpoints, now, Stage::Decode, Some(10_000), &mut rng).is_some());
+    endpoints.grow(key, 3_000);
+    assert!(choose(&endpoints, now, Stage::Decode, Some(10_000), &mut rng).is_none());
+    endpoints.end(key, 7_000);
+    assert_eq!(endpoints.load(key), 0);
+}
+
 /// Prefill slows to a third of its pace. The expectation follows within some tens of results, so that requests which
 /// can't be served in time are turned away before they are sent.
 #[test]
--- a/crates/routing/tests/all/main.rs
+++ b/crates/routing/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod budget;
 mod endpoints;
 mod ledger;
+mod outputs;
 mod peers;
 mod routes;
 mod stages;
--- /dev/null
+++ b/crates/routing/tests/all/outputs.rs
@@ -0,0 +1,43 @@
+//! Expected outputs of generations.
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use teaselshunt_routing::Outputs;
+
+/// Tokens in an event of the engines that are imitated.
+const EVENT: f64 = 11.0;
+
+/// About a standard normal number.
+fn normal(rng: &mut SmallRng) -> f64 {
+    (0..12).map(|_| rng.random_range(0.0..1.0)).sum::<f64>() - 6.0
+}
+
+/// Outputs vary by a factor of two, and callers' estimates of them by 1.6 in either direction. Room reserved by estimates
+/// alone is too much for those that expect much, and too little for those that expect little: engines run out of memory
+/// with room to spare elsewhere, and put streams back in the middle. What is learned must halve the error at least, and
+/// be right on average for those who estimate much.
+#[test]
+fn expectations_lie_between_the_estimate_and_the_usual() {
+    let mut rng = SmallRng::seed_from_u64(7);
+    let mut outputs = Outputs::default();
+    assert_eq!(outputs.expect(1_500), 1_500, "nothing is known yet");
+    assert_eq!(outputs.made(10), None);
+    let mut draw = move || {
+        let tokens = (580.0_f64.ln() + 0.7 * normal(&mut rng)).exp();
+        let hint = (tokens.ln() + 0.5 * normal(&mut rng)).exp();
+        (tokens, hint as u64)
+    };
+    for _ in 0..400 {
+        let (tokens, hint) = draw();
+        outputs.learn(hint, (tokens / EVENT).ceil() as u32);
+    }
+    let (mut before, mut after) = (0.0, 0.0);
+    for _ in 0..2_000 {
+        let (tokens, hint) = draw();
+        before += (hint as f64 - tokens).powi(2);
+        after += (outputs.expect(hint) as f64 - tokens).powi(2);
+    }
+    assert!(after < before / 2.0, "{after} {before}");
+    let made = outputs.made(100).expect("enough was learned") as f64;
+    assert!((made / (100.0 * EVENT) - 1.0).abs() < 0.15, "{made}");
+}
