Do not say "not run" of a resumable stream that may have run

Cause: a resumable stream whose first engine lost its answer was refused as overloaded (429, not run) when no other engine had room or the budget for repeats was used up. Found by reading the change. Ruled out for other kinds: plain requests count what may have run, other streams were answered 502. Now the answer is 502, outcome unknown. Test: generations::a_stream_that_may_have_run_is_not_refused_as_not_run (failed first: 429).

--- a/crates/forward/src/generate.rs
+++ b/crates/forward/src/generate.rs
@@ -153,8 +153,14 @@
     mut tried: Vec<EndpointKey>,
 ) -> Result<(Answer, Slot), Refusal> {
     let mut sent = 0;
+    // Whether an engine may have run the request: then no refusal may say that it has not.
+    let mut ran = false;
     for _ in 0..ROUNDS {
-        let mut room = reserve(node, job, trace, patience, &tried).await?;
+        let mut room = match reserve(node, job, trace, patience, &tried).await {
+            Ok(room) => room,
+            Err(_) if ran => break,
+            Err(refusal) => return Err(refusal),
+        };
         if matches!(prompt, Prompt::Unread) {
             prompt = prefill(node, job, trace, &mut sent).await?;
         }
@@ -181,17 +187,22 @@
             }
             Err(StepFailure::Broken | StepFailure::TimedOut) => {
                 sent += 1;
+                ran = true;
                 let resumable = job.route.repeat == (Repeat::Stream { resumable: true });
-                if !resumable || sent >= job.route.attempts || node.now() >= job.until {
-                    let over = node.now() >= job.until;
-                    let kind = if over { ErrorKind::DeadlinePassed } else { ErrorKind::OutcomeUnknown };
-                    return Err(Refusal::new(kind));
+                if node.now() >= job.until {
+                    return Err(Refusal::new(ErrorKind::DeadlinePassed));
+                }
+                if !resumable || sent >= job.route.attempts {
+                    break;
                 }
                 prompt = Prompt::ByDecode;
             }
         }
         tried.push(room.endpoint);
     }
+    if ran {
+        return Err(Refusal::new(ErrorKind::OutcomeUnknown));
+    }
     Err(Refusal::later(ErrorKind::Overloaded, AGAIN))
 }
 
