Trace the known red: a silent home refuses a booking before it runs

What brings the symptom about is shown by a new test: with the homes of keys frozen, bookings are refused as key_unknown and have not run.

--- a/crates/daemon/tests/all/keys.rs
+++ b/crates/daemon/tests/all/keys.rs
@@ -111,6 +111,32 @@
     assert_eq!(fleet.ran("killed"), 1);
 }
 
+/// Two of three instances are frozen, as a busy machine freezes them for a moment. A booking whose key has its home at one of
+/// them gets no grant in time: it is refused, the refusal says that the key's fate is not known, and the booking has not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_booking_whose_home_is_silent_is_refused_before_it_runs() {
+    let fleet = Fleet::start(3).await;
+    let daemons = fleet.daemons().await;
+    fleet.grants_keys(&daemons[0]).await;
+    for daemon in &daemons[1..] {
+        daemon.signal("STOP");
+    }
+    let mut refused = 0;
+    for n in 0..12 {
+        let body = format!("silent {n}");
+        let sent = fleet.booking(&daemons[0], &body).header("Idempotency-Key", key()).send();
+        let response = sent.await.unwrap();
+        if response.status().is_success() {
+            continue;
+        }
+        let reply: Value = response.json().await.unwrap();
+        assert_eq!(reply["error"]["code"], "key_unknown", "{reply}");
+        assert_eq!(fleet.ran(&body), 0);
+        refused += 1;
+    }
+    assert!(refused > 0, "no key has its home at a frozen instance");
+}
+
 /// Sends a keyed booking until the service runs it; gives its key and the request, which is still waiting.
 ///
 /// An instance that could not reach a key's home in time refuses, and the booking has not run; the caller tries again
