Ask decode engines that keep refusing less and less

Now the time doubles from the fourth refusal in a row. Test: endpoints::an_engine_that_keeps_refusing_is_asked_less_and_less (failed first: 50 asks in 3 s).

--- a/crates/routing/src/belief.rs
+++ b/crates/routing/src/belief.rs
@@ -19,6 +19,10 @@
 /// row. An engine that changes its stage refuses everything for seconds while it has nothing to do, and would draw all
 /// requests to itself.
 const FULL: Duration = Duration::from_millis(60);
+/// Refusals in a row of a decode engine from which the time doubles. Room there comes free at any moment, and one refusal
+/// says little of the next; but memory can be taken by work that nobody counts, such as that of an instance that is frozen,
+/// and then all waiting requests would ask all such engines over and over.
+const FULL_ROW: u32 = 4;
 /// Longest such time.
 const FULL_MAX: Duration = Duration::from_millis(960);
 /// Time without any answer after which an engine with work of this instance counts as silent: several times what a
@@ -170,11 +174,9 @@
     }
 
     fn refused(&mut self, now: Instant, decodes: bool) {
-        self.full = Some(now + (FULL * 2_u32.pow(self.refusals.min(4))).min(FULL_MAX));
-        // Room at a decode engine comes free at any moment; a refusal there says little of the next.
-        if !decodes {
-            self.refusals += 1;
-        }
+        let doublings = if decodes { self.refusals.saturating_sub(FULL_ROW - 1) } else { self.refusals };
+        self.full = Some(now + (FULL * 2_u32.pow(doublings.min(4))).min(FULL_MAX));
+        self.refusals = self.refusals.saturating_add(1);
         self.failures = 0;
     }
 
--- a/crates/routing/tests/all/endpoints.rs
+++ b/crates/routing/tests/all/endpoints.rs
@@ -210,3 +210,29 @@
     endpoints.retire(now, key);
     assert_eq!(chosen(&endpoints, now), names(&["former"]));
 }
+
+/// An instance is frozen, and an engine works on for it: its memory is full, and what others count says that there is room.
+/// Whoever waits for room asks it again and again, 18,000 times a second in one recorded day. One refusal keeps a decode engine
+/// from being asked for a moment only; several in a row do so for longer, until it takes something again.
+#[test]
+fn an_engine_that_keeps_refusing_is_asked_less_and_less() {
+    let (mut endpoints, now, mut rng) = (Endpoints::default(), Instant::now(), rand::rng());
+    endpoints.upsert(Endpoint { stage: Some(Stage::Decode), ..endpoint("a", "north") });
+    let decode = Need { stage: Some(Stage::Decode), ..need(&[]) };
+    let key = endpoints.choose(now, decode, &mut rng).expect("one");
+    let mut asked = |endpoints: &mut Endpoints, verdict| {
+        let mut count = 0;
+        for step in 0..300 {
+            let at = now + Duration::from_millis(10 * step);
+            if endpoints.choose(at, decode, &mut rng).is_some() {
+                endpoints.learn(at, key, verdict);
+                count += 1;
+            }
+        }
+        count
+    };
+    let refused = asked(&mut endpoints, Verdict::Full);
+    assert!((5..12).contains(&refused), "{refused}");
+    endpoints.learn(now, key, Verdict::Answered(Duration::from_millis(10)));
+    assert_eq!(asked(&mut endpoints, Verdict::Answered(Duration::from_millis(10))), 300);
+}
