--- a/crates/routing/src/belief.rs
+++ b/crates/routing/src/belief.rs
@@ -140,7 +140,6 @@
             self.silent = Some(now);
         }
         match verdict {
-            Verdict::Unknown => false,
             Verdict::Erred => {
                 self.judge(now, true);
                 self.failures = 0;
--- a/crates/routing/src/endpoint.rs
+++ b/crates/routing/src/endpoint.rs
@@ -67,6 +67,4 @@
     Failed,
     /// It could not be reached, or another one has its address.
     Absent,
-    /// Nothing can be concluded.
-    Unknown,
 }
