Answer each grant of a keyed request that has ended, and remind holders of lost outcomes

A frozen home wakes, takes up one claim, grants it, and hears that it is not needed: the key is free. Then it takes up another claim of the same request, which was sent again by the transport or overtaken, and grants it once more. The asker had struck the request off its list at the first grant and passed the second one over: the key stayed granted to a live holder, and every retry was told in_use until the horizon. Reproduced as a unit test that fails first. Beside it, word of a request's end is sent once and can be lost with a connection, with the same symptom.

Now the fates of keyed requests are remembered for a minute (1,024 at most, 16 MB) and each grant of an ended request is answered; a home that says in_use reminds the holder of its grant, who says again what became of it, or nothing while it runs.

Ruled out: a holder that is taken for dead by the home just after it woke (it counts no unanswered beats while frozen); a test that waits badly (it waits 30 s for a state that ends only with the horizon).

--- a/crates/core/src/claims.rs
+++ b/crates/core/src/claims.rs
@@ -22,6 +22,18 @@
 /// When to try a key again that cannot be told about or is in use.
 const KEY_RETRY: Duration = Duration::from_secs(2);
 
+/// How long the fate of a keyed request is remembered here: a connection between instances, and what lies in it, ends sooner.
+const ENDED: Duration = Duration::from_mins(1);
+/// Most fates that are remembered, with answers of [`Stored::MAX`](crate::Stored::MAX) bytes each: 16 MB.
+const ENDED_MAX: usize = 1024;
+
+/// A keyed request that has ended.
+#[derive(Debug)]
+pub(crate) struct Ended {
+    at: Instant,
+    fate: Fate,
+}
+
 impl Instance {
     pub(crate) fn claim(&mut self, now: Instant, key: RequestKey, out: &mut Vec<Effect>) {
         let tells = self.requests.get(key).key.is_some_and(|k| k.born.is_some());
@@ -63,11 +75,8 @@
             request.id == id && request.phase == Phase::Claiming
         });
         let Some(key) = waiting else {
-            if answer == ClaimAnswer::Granted && self.forgone.remove(&id).is_some() {
-                // The request ended while it waited for the grant and never ran, so the key is free. Only a
-                // request on that list may say so: a late second grant for one that did run must not.
-                let message = Message::Settle { key: idempotency, request: id, fate: Fate::NotRun };
-                self.deliver(now, from, message, out);
+            if answer == ClaimAnswer::Granted {
+                self.tell_fate(now, from, idempotency, id, out);
             }
             return;
         };
@@ -133,10 +142,42 @@
         }
     }
 
-    /// Remembers a request that ended while it waited for a grant.
+    /// Tells a home that has granted a key to a request what became of that request, if it has ended.
+    ///
+    /// Claims are repeated and overtake one another, and word of a fate can be lost with a connection: a home may grant a
+    /// request after it has ended, or forget that and grant it again. Unanswered, such a grant would keep the key "in use"
+    /// for every retry of the caller. So each grant of a request that ended is answered, for as long as a claim can lie in
+    /// the socket of a home that is frozen.
+    fn tell_fate(
+        &mut self,
+        now: Instant,
+        home: InstanceId,
+        key: IdempotencyKey,
+        id: RequestId,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(ended) = self.ended.get(&id) else { return };
+        let message = Message::Settle { key, request: id, fate: ended.fate.clone() };
+        self.deliver(now, home, message, out);
+    }
+
+    /// Remembers the fate of a keyed request; the oldest is forgotten if there are too many.
+    fn remember(&mut self, now: Instant, id: RequestId, fate: Fate) {
+        self.ended.insert(id, Ended { at: now, fate });
+        while self.ended.len() > ENDED_MAX {
+            self.ended.pop_first();
+        }
+    }
+
+    /// Forgets fates that no home can ask for any more.
+    pub(crate) fn forget_ended(&mut self, now: Instant) {
+        self.ended.retain(|_, ended| now.duration_since(ended.at) < ENDED);
+    }
+
+    /// Remembers a request that ended while it waited for a grant: it never ran.
     pub(crate) fn forgo(&mut self, now: Instant, request: &Request) {
         if request.phase == Phase::Claiming {
-            self.forgone.insert(request.id, now);
+            self.remember(now, request.id, Fate::NotRun);
         }
     }
 
@@ -148,6 +189,7 @@
         let Some(home) = self.grants.remove(&request.id) else {
             return;
         };
+        self.remember(now, request.id, fate.clone());
         self.deliver(now, home, Message::Settle { key, request: request.id, fate }, out);
     }
 }
--- a/crates/core/src/homes.rs
+++ b/crates/core/src/homes.rs
@@ -117,6 +117,25 @@
     fn answer(&mut self, to: InstanceId, key: IdempotencyKey, request: RequestId, answer: ClaimAnswer) {
         self.messages.push((to, Message::Claimed { key, request, answer }));
     }
+
+    /// Answers a claim of a key that is on record.
+    ///
+    /// Word of how a grant ended can be lost. Where another request wants the key, its holder is reminded of the grant; it
+    /// says again what became of it, or nothing while it still runs.
+    fn on_record(
+        &mut self,
+        (to, key, request): (InstanceId, IdempotencyKey, RequestId),
+        members: &Members,
+        entry: &mut Entry,
+    ) {
+        let answer = entry.answer(members, request);
+        if answer == ClaimAnswer::InUse
+            && let Record::Granted(holder) = entry.record
+        {
+            self.answer(holder.instance, key, holder, ClaimAnswer::Granted);
+        }
+        self.answer(to, key, request, answer);
+    }
 }
 
 impl Homes {
@@ -186,7 +205,7 @@
             return replies;
         }
         if let Some(entry) = self.entries.get_mut(&key) {
-            replies.answer(from, key, request, entry.answer(members, request));
+            replies.on_record((from, key, request), members, entry);
             return replies;
         }
         if self.outdated(now, born) {
@@ -274,13 +293,15 @@
         let claims = self.inquiries.remove(&key).map_or(Vec::new(), |i| i.claims);
         let grant = clear && tenured && members.home(key) == Some(self.me);
         for (from, request) in claims {
-            let answer = match self.entries.get_mut(&key) {
-                Some(entry) => entry.answer(members, request),
-                None if grant => {
-                    self.put(now, key, Record::Granted(request));
-                    ClaimAnswer::Granted
-                }
-                None => ClaimAnswer::Unknown,
+            if let Some(entry) = self.entries.get_mut(&key) {
+                replies.on_record((from, key, request), members, entry);
+                continue;
+            }
+            let answer = if grant {
+                self.put(now, key, Record::Granted(request));
+                ClaimAnswer::Granted
+            } else {
+                ClaimAnswer::Unknown
             };
             replies.answer(from, key, request, answer);
         }
--- a/crates/core/src/instance.rs
+++ b/crates/core/src/instance.rs
@@ -9,6 +9,7 @@
 use rand::rngs::SmallRng;
 use teaselshunt_settings::Policy;
 
+use crate::claims::Ended;
 use crate::counters::Counters;
 use crate::event::{Audit, Effect, Event, Offer, Report, Source};
 use crate::fleet::{EndpointView, Fleet, Placement};
@@ -31,8 +32,6 @@
 const FETCH: Duration = Duration::from_millis(300);
 /// Time between two rounds that ask every member for its list revision.
 const CONFIRM: Duration = Duration::from_millis(300);
-/// How long a request that gave up on a grant is remembered.
-const FORGONE: Duration = Duration::from_mins(1);
 /// A pause between events that is no mere load: ticks come many times in it.
 const FREEZE: Duration = Duration::from_secs(1);
 /// How long a planned stop waits for unconfirmed cancels and for its last messages to leave.
@@ -115,8 +114,8 @@
     pub(crate) cancels: Cancels,
     /// Homes that granted the keys of requests in progress.
     pub(crate) grants: HashMap<RequestId, InstanceId>,
-    /// Requests that ended before their grant came.
-    pub(crate) forgone: BTreeMap<RequestId, Instant>,
+    /// Keyed requests that ended lately.
+    pub(crate) ended: BTreeMap<RequestId, Ended>,
     /// Retries left, in hundredths.
     pub(crate) budget: u32,
     pub(crate) counters: Counters,
@@ -162,7 +161,7 @@
             next_reclaim: now,
             cancels: Cancels::default(),
             grants: HashMap::new(),
-            forgone: BTreeMap::new(),
+            ended: BTreeMap::new(),
             budget: crate::flow::RETRY * 10,
             counters: Counters::default(),
             next_poll: now,
@@ -501,7 +500,7 @@
         self.review_slots(now, out);
         self.renew_leases(now, out);
         self.resend_cancels(now, out);
-        self.forgone.retain(|_, at| now.duration_since(*at) < FORGONE);
+        self.forget_ended(now);
         self.pump_all(now, out);
         self.end_stop(now, out);
     }
--- /dev/null
+++ b/crates/core/tests/all/claims.rs
@@ -0,0 +1,152 @@
+//! What becomes of an idempotency key whose request ended while messages about it were still on their way.
+
+use std::time::Duration;
+
+use teaselshunt_core::{
+    Call, ClaimAnswer, Effect, Entry, Event, Fate, Heartbeat, IdempotencyKey, InstanceId, Keyed, Listed,
+    Message, RequestId, Source, Ticket, Work,
+};
+
+use crate::support::Alone;
+
+const OTHER: &str = "malaga-1";
+
+/// Longer than an asker waits for a home.
+const CLAIM: Duration = Duration::from_millis(1_600);
+
+/// An instance that knows and has heard another one.
+fn pair() -> Alone {
+    let mut alone = Alone::start();
+    let entry = |name: &str, domain: &str, port| Entry {
+        name: name.to_owned(),
+        domain: domain.to_owned(),
+        peers: ([127, 0, 0, 1], port).into(),
+        leaving: false,
+    };
+    let instances = vec![entry("osborne-1", "osborne", 1), entry(OTHER, "malaga", 2)];
+    let list = Listed { revision: 2, instances };
+    let asked = alone.now();
+    alone.step(Event::Listed { list, source: Source::Platform, asked });
+    let beat = Heartbeat {
+        stamp: 0,
+        incarnation: 1,
+        epoch: 0,
+        version: 1,
+        revision: 2,
+        stopping: false,
+        rumours: Vec::new(),
+    };
+    alone.receive(Message::Heartbeat(beat));
+    alone
+}
+
+impl Alone {
+    fn receive(&mut self, message: Message) -> Vec<Effect> {
+        self.step(Event::Received { from: InstanceId::of(OTHER), message })
+    }
+
+    /// A caller books with the `number`th key.
+    fn book(&mut self, number: u64) -> Vec<Effect> {
+        let key = Keyed { key: key(number), born: None };
+        let work = Work::Call(Call {
+            service: "fees".to_owned(),
+            method: "POST".to_owned(),
+            key: Some(key),
+            deadline: Duration::from_secs(5),
+        });
+        self.step(Event::Arrived { ticket: Ticket(number), work })
+    }
+
+    /// Books with keys until the home of one is the other instance; its claim.
+    fn claim_elsewhere(&mut self) -> (IdempotencyKey, RequestId) {
+        let claim = |effects: Vec<Effect>| {
+            effects.into_iter().find_map(|effect| match effect {
+                Effect::Send { message: Message::Claim { key, request, .. }, .. } => Some((key, request)),
+                _ => None,
+            })
+        };
+        (1..100).find_map(|n| claim(self.book(n))).expect("some key has its home elsewhere")
+    }
+}
+
+fn key(number: u64) -> IdempotencyKey {
+    IdempotencyKey::of("", &format!("key {number}"))
+}
+
+/// What the other instance is told of a request's fate.
+fn settled(effects: &[Effect]) -> Option<Fate> {
+    effects.iter().find_map(|effect| match effect {
+        Effect::Send { message: Message::Settle { fate, .. }, .. } => Some(fate.clone()),
+        _ => None,
+    })
+}
+
+/// A home is silent, and the caller is refused. The home wakes and takes up the claims that lie in its socket, which the
+/// asker repeated meanwhile; streams overtake one another. It grants the first one, hears that it is not needed and forgets
+/// it, then takes up another claim of the same request and grants it again. Whoever retries is told "in use" for as long as
+/// that grant stands: each grant of a request that ended must be answered, not the first one only.
+#[test]
+fn a_claim_that_is_granted_again_after_its_request_ended_is_given_back_again() {
+    let mut alone = pair();
+    let (key, request) = alone.claim_elsewhere();
+    alone.pass(CLAIM);
+    let effects = alone.step(Event::Tick);
+    assert!(effects.iter().any(|e| matches!(e, Effect::Refuse { .. })), "{effects:?}");
+    for _ in 0..3 {
+        let answer = ClaimAnswer::Granted;
+        let effects = alone.receive(Message::Claimed { key, request, answer });
+        assert_eq!(settled(&effects), Some(Fate::NotRun));
+    }
+}
+
+/// A booking has run and its caller has the answer, but word of it to the key's home is lost with the connection. The home
+/// asks the holder when somebody else wants the key, and is told again; it would call the key in use for ever.
+#[test]
+fn the_fate_of_a_request_is_told_again_when_its_home_asks() {
+    let mut alone = pair();
+    let (key, request) = alone.claim_elsewhere();
+    let granted = || Message::Claimed { key, request, answer: ClaimAnswer::Granted };
+    let effects = alone.receive(granted());
+    let attempt = effects.iter().find_map(|e| match e {
+        Effect::Call { attempt, .. } => Some(*attempt),
+        _ => None,
+    });
+    let attempt = attempt.expect("it is sent to a service");
+    assert_eq!(settled(&alone.receive(granted())), None, "it still runs");
+    let ran = Some(Fate::Ran(None));
+    assert_eq!(settled(&alone.step(Event::Called { attempt, stored: None })), ran);
+    assert_eq!(settled(&alone.receive(granted())), ran);
+}
+
+/// A home has granted a key, and word of the request's end was lost. Another try with the key asks the home, which says
+/// "in use" and reminds the holder of its grant.
+#[test]
+fn a_home_reminds_the_holder_of_a_key_that_another_try_wants() {
+    let mut alone = pair();
+    let other = InstanceId::of(OTHER);
+    let claim = |sequence| RequestId { instance: other, incarnation: 1, sequence };
+    let answers = |effects: &[Effect]| -> Vec<(RequestId, ClaimAnswer)> {
+        let sent = effects.iter().filter_map(|effect| match effect {
+            Effect::Send { message: Message::Claimed { request, answer, .. }, .. } => {
+                Some((*request, answer.clone()))
+            }
+            _ => None,
+        });
+        sent.collect()
+    };
+    let ask = |alone: &mut Alone, number, sequence| {
+        let message = Message::Claim { key: key(number), request: claim(sequence), revision: 2, born: None };
+        answers(&alone.receive(message))
+    };
+    let granted = |alone: &mut Alone, number| {
+        ask(alone, number, 1);
+        // The home asks the one who would be home without it first, which answers that it knows of nothing.
+        let (key, revision) = (key(number), 2);
+        let reply = Message::Inquired { key, revision, record: None, whole: true, complete: true };
+        answers(&alone.receive(reply)).contains(&(claim(1), ClaimAnswer::Granted))
+    };
+    let number = (1..100).find(|&n| granted(&mut alone, n)).expect("some key has its home here");
+    let told = ask(&mut alone, number, 2);
+    assert!(told.contains(&(claim(2), ClaimAnswer::InUse)), "{told:?}");
+    assert!(told.contains(&(claim(1), ClaimAnswer::Granted)), "{told:?}");
+}
--- a/crates/core/tests/all/support.rs
+++ b/crates/core/tests/all/support.rs
@@ -47,6 +47,10 @@
         effects
     }
 
+    pub(crate) fn now(&self) -> Instant {
+        self.now
+    }
+
     pub(crate) fn pass(&mut self, time: Duration) {
         self.now += time;
     }
