Tell starts of an endpoint apart by their time of birth, and pass over entries of other writers

A later birth under an id is another endpoint for all that is believed, in flight, reserved or ordered: it has another key and another tag in digests. Entries of a former birth are passed over; a state, stage or field of another type makes an entry unreadable, and its endpoint is not used until it writes again.

Beside it: digests bear a life that is drawn at random and a count, in place of a clock; an instance on a machine whose clock went back was not heard until the clock had caught up. The wire between instances has version 3.

Ruled out: trusting ids that come back after a removal only (a lapse, a lost watch or a page can hide the end between two lives).

--- a/crates/forward/src/catalog.rs
+++ b/crates/forward/src/catalog.rs
@@ -20,7 +20,7 @@
 use hyper::StatusCode;
 use rand::Rng;
 use slog::{info, warn};
-use teaselshunt_routing::{RouteSet, Stage};
+use teaselshunt_routing::{Endpoint, Listing, RouteSet, Stage};
 
 use crate::node::Node;
 use crate::orders;
@@ -197,9 +197,11 @@
         // Pages are no snapshot: what changes behind the first page's revision is found by the watch.
         let revision = *reading.revision.get_or_insert(batch.revision);
         for news in &batch.news {
-            if let News::Endpoint(endpoint) = news {
-                reading.present.insert(Arc::clone(&endpoint.id));
-            }
+            match news {
+                News::Endpoint(endpoint) => reading.present.insert(Arc::clone(&endpoint.id)),
+                News::Invalid { endpoint: Some(id), .. } => reading.present.insert(Arc::clone(id)),
+                News::Routes(_) | News::Gone(_) | News::Invalid { endpoint: None, .. } => continue,
+            };
         }
         reading.after.clone_from(&batch.more);
         self.apply(batch);
@@ -252,19 +254,12 @@
         for news in batch.news {
             match news {
                 News::Routes(routes) => self.apply_routes(routes),
-                News::Endpoint(endpoint) => {
-                    let (id, state) = (Arc::clone(&endpoint.id), endpoint.state);
-                    let (service, address) = (Arc::clone(&endpoint.service), endpoint.address);
-                    let part = endpoint.stage.map(Stage::text);
-                    if self.node.state.borrow_mut().endpoints.upsert(endpoint) {
-                        info!(self.node.log, "endpoint"; "endpoint" => &*id, "service" => &*service,
-                            "address" => %address, "state" => ?state, "stage" => part,
-                            "revision" => batch.revision);
-                    }
-                }
+                News::Endpoint(endpoint) => self.apply_endpoint(endpoint, batch.revision),
                 News::Gone(id) => self.lose(&id),
-                News::Invalid { key, cause } => {
-                    warn!(self.node.log, "unreadable entry"; "key" => key, "cause" => cause);
+                News::Invalid { key, endpoint, cause } => {
+                    let withdrawn =
+                        endpoint.is_some_and(|id| self.node.state.borrow_mut().endpoints.withdraw(&id));
+                    warn!(self.node.log, "unreadable entry"; "key" => key, "cause" => cause, "withdrawn" => withdrawn);
                 }
             }
         }
@@ -272,6 +267,27 @@
         self.node.metrics.endpoints.set(count as i64);
     }
 
+    fn apply_endpoint(&self, endpoint: Endpoint, revision: u64) {
+        let (id, state) = (Arc::clone(&endpoint.id), endpoint.state);
+        let (service, address) = (Arc::clone(&endpoint.service), endpoint.address);
+        let part = endpoint.stage.map(Stage::text);
+        let listing = self.node.state.borrow_mut().endpoints.upsert(endpoint);
+        match listing {
+            Listing::Started | Listing::Changed => {
+                info!(self.node.log, "endpoint"; "endpoint" => &*id, "service" => &*service, "address" => %address,
+                    "state" => ?state, "stage" => part, "revision" => revision);
+            }
+            Listing::Foreign => {
+                warn!(self.node.log, "endpoint"; "endpoint" => &*id, "state" => "withdrawn",
+                    "cause" => "an entry without a time of birth", "revision" => revision);
+            }
+            Listing::Outdated => {
+                info!(self.node.log, "endpoint"; "endpoint" => &*id, "state" => "outdated", "revision" => revision);
+            }
+            Listing::Known => {}
+        }
+    }
+
     fn apply_routes(&self, routes: Arc<RouteSet>) {
         let mut state = self.node.state.borrow_mut();
         let current = state.routes.as_ref().map_or(0, |r| r.version);
--- a/crates/forward/src/orders.rs
+++ b/crates/forward/src/orders.rs
@@ -7,12 +7,11 @@
 
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use hyper::StatusCode;
 use slog::info;
-use teaselshunt_routing::{Change, Service, Stage, plan_changes};
+use teaselshunt_routing::{Change, Life, Service, Stage, plan_changes};
 
 use crate::node::{Node, Phase};
 use crate::protocol::Order;
@@ -53,7 +52,7 @@
         }
         for change in wanted(&node, &ordered, serving) {
             // An engine is ordered once in its life: an order that got no answer may have been accepted.
-            if ordered.insert(Arc::clone(&change.id), change.stage).is_none() {
+            if ordered.insert(change.life.clone(), change.stage).is_none() {
                 fence += 1;
                 give(&node, &change, fence).await;
             }
@@ -62,8 +61,8 @@
     }
 }
 
-/// The stage that each engine was ordered to take.
-type Ordered = HashMap<Arc<str>, Stage>;
+/// The stage that each start of an engine was ordered to take.
+type Ordered = HashMap<Life, Stage>;
 
 fn wanted(node: &Node, ordered: &Ordered, serving: bool) -> Vec<Change> {
     let state = node.state.borrow();
@@ -73,7 +72,7 @@
     let plan = |service: &Service| {
         let open = state.endpoints.open(now, &service.name);
         let memory = service.engine.map_or(0, |e| e.tokens);
-        plan_changes(open, |id| ordered.get(id).copied(), serving, memory)
+        plan_changes(open, |life| ordered.get(life).copied(), serving, memory)
     };
     engines.flat_map(|service| plan(service)).collect()
 }
--- a/crates/forward/src/peers.rs
+++ b/crates/forward/src/peers.rs
@@ -9,7 +9,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::Instant;
 
 use rand::Rng;
 use rand::seq::IteratorRandom;
@@ -26,7 +26,7 @@
 const LARGEST: usize = 8 * 1024;
 
 /// First byte of each datagram. Another one is of a version that reads differently, and is passed over.
-const VERSION: u8 = 2;
+const VERSION: u8 = 3;
 
 /// Everything that a sender has in flight.
 #[derive(Debug, Serialize, Deserialize)]
@@ -35,7 +35,9 @@
     version: u8,
     /// Tag of the sender's failure domain.
     domain: u32,
-    /// Grows with each digest, also over restarts: it begins at the time of day of the start, in microseconds.
+    /// Drawn at random at the start of the sender.
+    life: u64,
+    /// Grows with each digest of that life.
     sequence: u64,
     /// Tokens by engine.
     in_flight: Vec<(u32, u32)>,
@@ -59,9 +61,9 @@
         }
     };
     let seeds: Vec<_> = node.settings.seeds.iter().map(|s| SocketAddr::new(s.ip(), port)).collect();
-    let start = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as u64);
+    let life = node.state.borrow_mut().rng.random();
     let domain = tag(&node.settings.domain);
-    let mut gossip = Gossip { node, own, domain, seeds, peers: Peers::default(), sequence: start };
+    let mut gossip = Gossip { node, own, domain, seeds, peers: Peers::default(), life, sequence: 0 };
     let mut buffer = vec![0; LARGEST];
     let mut next = gossip.node.now();
     loop {
@@ -93,6 +95,7 @@
     domain: u32,
     seeds: Vec<SocketAddr>,
     peers: Peers<SocketAddr>,
+    life: u64,
     sequence: u64,
 }
 
@@ -120,7 +123,7 @@
         for tag in digest.reads {
             ledger.reads(now, EngineTag(tag));
         }
-        ledger.update(now, from, digest.sequence, in_flight);
+        ledger.update(now, from, (digest.life, digest.sequence), in_flight);
     }
 
     async fn send(&mut self, socket: &UdpSocket) {
@@ -143,9 +146,9 @@
         let asks = self.node.state.borrow_mut().rng.random_bool(0.2);
         let unheard = self.seeds.iter().filter(|s| **s != self.own && !self.peers.contains(**s));
         targets.extend(unheard.filter(|_| asks || self.peers.is_empty()));
-        let Self { domain, sequence, .. } = *self;
+        let Self { domain, life, sequence, .. } = *self;
         let version = VERSION;
-        let digest = Digest { version, domain, sequence, in_flight, suspects, reads, peers: named };
+        let digest = Digest { version, domain, life, sequence, in_flight, suspects, reads, peers: named };
         let Ok(data) = postcard::to_allocvec(&digest) else { return };
         for peer in targets {
             // A datagram that cannot be sent is as good as lost.
--- a/crates/forward/src/protocol.rs
+++ b/crates/forward/src/protocol.rs
@@ -104,6 +104,8 @@
     Invalid {
         /// Its key.
         key: String,
+        /// Id of the endpoint whose entry it stands for; the endpoint is not used until it writes its entry again.
+        endpoint: Option<Arc<str>>,
         /// What is wrong with it.
         cause: String,
     },
--- a/crates/routing/src/endpoint.rs
+++ b/crates/routing/src/endpoint.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 slotmap::new_key_type! {
     /// An endpoint in the arena of one instance.
@@ -40,8 +40,10 @@
 /// An endpoint as the list has it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Endpoint {
-    /// Id of this start of the endpoint; another start has another id.
+    /// Its id; a later start of the endpoint may bear it again.
     pub id: Arc<str>,
+    /// When this start began, by the endpoint's own clock; `None` where the platform tells no such time.
+    pub born: Option<SystemTime>,
     /// Its service.
     pub service: Arc<str>,
     /// Its address, which may have belonged to another endpoint before.
@@ -54,6 +56,20 @@
     pub stage: Option<Stage>,
 }
 
+/// One start of an endpoint. What was believed, ordered or kept at one start says nothing of the next.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Life {
+    id: Arc<str>,
+    born: Option<SystemTime>,
+}
+
+impl Endpoint {
+    /// Which start of the endpoint this is.
+    pub fn life(&self) -> Life {
+        Life { id: Arc::clone(&self.id), born: self.born }
+    }
+}
+
 /// How a step at an endpoint ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
--- a/crates/routing/src/endpoints.rs
+++ b/crates/routing/src/endpoints.rs
@@ -49,12 +49,14 @@
     successor: Option<EndpointKey>,
     /// When an endpoint that the list has lost counts as gone.
     doubted: Option<Instant>,
+    /// Whether its last entry was not its own, or could not be read.
+    withdrawn: bool,
 }
 
 impl Entry {
     fn new(endpoint: Endpoint) -> Self {
         Self {
-            tag: EngineTag::of(&endpoint.id),
+            tag: EngineTag::of(&endpoint.id, endpoint.born),
             endpoint,
             running: 0,
             tokens: 0,
@@ -62,11 +64,13 @@
             belief: Belief::default(),
             successor: None,
             doubted: None,
+            withdrawn: false,
         }
     }
 
     fn is_open(&self, now: Instant) -> bool {
-        self.endpoint.state == EndpointState::Ready && self.doubted.is_none_or(|until| now < until)
+        let ready = self.endpoint.state == EndpointState::Ready && !self.withdrawn;
+        ready && self.doubted.is_none_or(|until| now < until)
     }
 
     /// Whether it is only chosen where there is no other: it is suspect, or a prefill engine that is silent.
@@ -102,6 +106,21 @@
     pub reads: bool,
 }
 
+/// What an entry of the list says beside what was known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Listing {
+    /// A start of an endpoint that was not known.
+    Started,
+    /// News of a known start.
+    Changed,
+    /// Nothing.
+    Known,
+    /// Something about a start that has ended.
+    Outdated,
+    /// It is not the endpoint's own; the endpoint is not used until it writes again.
+    Foreign,
+}
+
 /// All endpoints that the list names.
 #[derive(Debug, Default)]
 pub struct Endpoints {
@@ -114,30 +133,64 @@
 }
 
 impl Endpoints {
-    /// Takes an endpoint's entry over. Says whether anything changed.
+    /// Takes an endpoint's entry over.
     ///
-    /// An endpoint that has said that it leaves does not come back under the same id: an old entry that arrives
-    /// late would otherwise send work to it again.
-    pub fn upsert(&mut self, mut endpoint: Endpoint) -> bool {
+    /// Within one start, an endpoint that has said that it leaves does not come back: an old entry that arrives late would
+    /// otherwise send work to it again. A later start under the same id begins with nothing: its key is another one, so that
+    /// what was begun at the former start cannot go on there by mistake, and entries of the former start are passed over.
+    pub fn upsert(&mut self, mut endpoint: Endpoint) -> Listing {
         let Some(&key) = self.by_id.get(&endpoint.id) else {
-            let (id, service) = (Arc::clone(&endpoint.id), Arc::clone(&endpoint.service));
-            let address = endpoint.address;
-            let key = self.arena.insert(Entry::new(endpoint));
-            if let Some(former) = self.by_address.insert(address, key).and_then(|k| self.arena.get_mut(k)) {
-                former.successor = Some(key);
-            }
-            self.by_id.insert(id, key);
-            self.services.entry(service).or_default().push(key);
-            return true;
+            self.insert(endpoint);
+            return Listing::Started;
         };
         let entry = &mut self.arena[key];
-        entry.doubted = None;
-        if entry.endpoint.state == EndpointState::Leaving {
+        let known = &entry.endpoint;
+        match (known.born, endpoint.born) {
+            (Some(former), Some(later)) if former < later => {
+                self.remove(&endpoint.id);
+                self.insert(endpoint);
+                return Listing::Started;
+            }
+            (Some(later), Some(former)) if former < later => return Listing::Outdated,
+            (Some(_), None) => {
+                entry.withdrawn = true;
+                return Listing::Foreign;
+            }
+            (Some(_), Some(_)) | (None, _) => {}
+        }
+        if known.state == EndpointState::Leaving {
             endpoint.state = EndpointState::Leaving;
         }
-        let changed = entry.endpoint != endpoint;
+        if known.service != endpoint.service || known.address != endpoint.address {
+            self.remove(&endpoint.id);
+            self.insert(endpoint);
+            return Listing::Changed;
+        }
+        let changed = entry.withdrawn || *known != endpoint;
+        entry.doubted = None;
+        entry.withdrawn = false;
+        entry.tag = EngineTag::of(&endpoint.id, endpoint.born);
         entry.endpoint = endpoint;
-        changed
+        if changed { Listing::Changed } else { Listing::Known }
+    }
+
+    fn insert(&mut self, endpoint: Endpoint) {
+        let (id, service) = (Arc::clone(&endpoint.id), Arc::clone(&endpoint.service));
+        let address = endpoint.address;
+        let key = self.arena.insert(Entry::new(endpoint));
+        if let Some(former) = self.by_address.insert(address, key).and_then(|k| self.arena.get_mut(k)) {
+            former.successor = Some(key);
+        }
+        self.by_id.insert(id, key);
+        self.services.entry(service).or_default().push(key);
+    }
+
+    /// The entry under an id was overwritten with something that names no endpoint. Nothing new goes there until the
+    /// endpoint writes its entry again. Says whether it was in the list.
+    pub fn withdraw(&mut self, id: &str) -> bool {
+        let Some(&key) = self.by_id.get(id) else { return false };
+        self.arena[key].withdrawn = true;
+        true
     }
 
     /// Forgets an endpoint that has gone.
--- a/crates/routing/src/ledger.rs
+++ b/crates/routing/src/ledger.rs
@@ -6,23 +6,30 @@
 //! ask an engine that is full, or pass over one that is not.
 
 use std::collections::HashMap;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-/// An engine in the ledger, by a hash of its id; a collision makes a choice worse and no more.
+/// One start of an engine in the ledger, by a hash; a collision makes a choice worse and no more.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct EngineTag(pub u32);
 
 impl EngineTag {
-    /// Tag of the engine with this id.
-    pub fn of(id: &str) -> Self {
-        Self(tag(id))
+    /// Tag of the start that began at `born`. It differs between two starts under one id: what others have in flight at the
+    /// former one would make the later one look full.
+    pub fn of(id: &str, born: Option<SystemTime>) -> Self {
+        let since = born.and_then(|born| born.duration_since(UNIX_EPOCH).ok());
+        let millis = since.map_or(0, |since| since.as_millis() as u64);
+        Self(hash(tag(id), &millis.to_le_bytes()))
     }
 }
 
 /// A short stand-in for a name (32 bits of FNV-1a, the same on every instance).
 pub fn tag(name: &str) -> u32 {
-    let step = |hash: u32, byte: u8| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193);
-    name.bytes().fold(0x811c_9dc5, step)
+    hash(0x811c_9dc5, name.as_bytes())
+}
+
+fn hash(start: u32, bytes: &[u8]) -> u32 {
+    let step = |hash: u32, &byte: &u8| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193);
+    bytes.iter().fold(start, step)
 }
 
 /// Silence after which what an instance had in flight counts as ended: it is dead, frozen or cut off, and engines stop
@@ -39,7 +46,8 @@
 
 #[derive(Debug)]
 struct Account {
-    sequence: u64,
+    /// Life of the sender, and number of its last digest.
+    order: (u64, u64),
     heard: Instant,
     tokens: HashMap<EngineTag, u32>,
 }
@@ -67,17 +75,28 @@
 }
 
 impl<P: Copy + Eq + std::hash::Hash> Ledger<P> {
-    /// Takes over all that an instance says it has in flight. What is older than the last is ignored; `sequence`
-    /// grows with each digest, also over the instance's restarts.
-    pub fn update(&mut self, now: Instant, from: P, sequence: u64, tokens: HashMap<EngineTag, u32>) {
-        if self.accounts.get(&from).is_some_and(|a| a.sequence >= sequence) {
+    /// Takes over all that an instance says it has in flight. `life` is drawn at random at its start and `sequence` grows
+    /// with each digest of that life; what is older than the last is ignored.
+    ///
+    /// Two lives have no order. A clock would give one, but an instance that starts again after its clock went back would
+    /// then not be heard until the clock has caught up, and others would take engines for empty that it has filled. A
+    /// digest of a former life that arrives behind one of the next counts until the next one comes, a moment later.
+    pub fn update(
+        &mut self,
+        now: Instant,
+        from: P,
+        (life, sequence): (u64, u64),
+        tokens: HashMap<EngineTag, u32>,
+    ) {
+        let outdated = |a: &Account| a.order.0 == life && a.order.1 >= sequence;
+        if self.accounts.get(&from).is_some_and(outdated) {
             return;
         }
         self.drop_account(from);
         for (&tag, &count) in &tokens {
             *self.totals.entry(tag).or_default() += u64::from(count);
         }
-        self.accounts.insert(from, Account { sequence, heard: now, tokens });
+        self.accounts.insert(from, Account { order: (life, sequence), heard: now, tokens });
     }
 
     /// An instance says that it could not use an endpoint lately.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -21,8 +21,8 @@
 
 pub use allowances::Allowances;
 pub use budget::{Budgets, Terms};
-pub use endpoint::{Endpoint, EndpointKey, EndpointState, Stage, Verdict};
-pub use endpoints::{Endpoints, Need};
+pub use endpoint::{Endpoint, EndpointKey, EndpointState, Life, Stage, Verdict};
+pub use endpoints::{Endpoints, Listing, Need};
 pub use ledger::{EngineTag, Ledger, tag};
 pub use outputs::Outputs;
 pub use pace::Pace;
--- a/crates/routing/src/stages.rs
+++ b/crates/routing/src/stages.rs
@@ -6,7 +6,7 @@
 
 use std::sync::Arc;
 
-use crate::{Endpoint, Stage};
+use crate::{Endpoint, Life, Stage};
 
 /// Tokens of memory at which one decode engine keeps up with one prefill engine: a request's tokens (some thousands)
 /// times how much longer an answer takes than its prefill (some thirty times).
@@ -26,24 +26,26 @@
 pub struct Change {
     /// The engine.
     pub id: Arc<str>,
+    /// Which start of it.
+    pub life: Life,
     /// Its new stage.
     pub stage: Stage,
 }
 
 /// Changes that bring the engines of one service to the wanted share; `open` are those that take new work, and
-/// `ordered` tells the stage that an engine was ordered to take already, which the list shows only seconds later.
+/// `ordered` tells the stage that a start of an engine was ordered to take already, which the list shows only seconds later.
 ///
 /// Each failure domain keeps its prefill engines as evenly as numbers allow: the domain with the most gives one up
 /// first. `memory` is an engine's memory in tokens. At least two are kept, so that the loss of one leaves prefill working. With `serving` a small excess is left
 /// alone.
 pub fn plan_changes<'a>(
     open: impl Iterator<Item = &'a Endpoint>,
-    ordered: impl Fn(&str) -> Option<Stage>,
+    ordered: impl Fn(&Life) -> Option<Stage>,
     serving: bool,
     memory: u64,
 ) -> Vec<Change> {
     let all: Vec<&Endpoint> = open.filter(|e| e.stage.is_some()).collect();
-    let stage = |e: &Endpoint| ordered(&e.id).or(e.stage);
+    let stage = |e: &Endpoint| ordered(&e.life()).or(e.stage);
     let mut prefill: Vec<&Endpoint> =
         all.iter().copied().filter(|e| stage(e) == Some(Stage::Prefill)).collect();
     let memory = memory as f64;
@@ -61,7 +63,7 @@
             break;
         };
         let engine = prefill.remove(index);
-        changes.push(Change { id: Arc::clone(&engine.id), stage: Stage::Decode });
+        changes.push(Change { id: Arc::clone(&engine.id), life: engine.life(), stage: Stage::Decode });
     }
     changes
 }
--- a/crates/routing/tests/all/endpoints.rs
+++ b/crates/routing/tests/all/endpoints.rs
@@ -9,8 +9,9 @@
 fn endpoint(id: &str, domain: &str) -> Endpoint {
     Endpoint {
         id: Arc::from(id),
+        born: None,
         service: Arc::from("desk"),
-        address: (EngineTag::of(id).0.to_be_bytes(), 1).into(),
+        address: (EngineTag::of(id, None).0.to_be_bytes(), 1).into(),
         domain: Arc::from(domain),
         state: EndpointState::Ready,
         stage: None,
--- a/crates/routing/tests/all/ledger.rs
+++ b/crates/routing/tests/all/ledger.rs
@@ -29,7 +29,7 @@
             let (from, sequence) = (from % 5, u64::from(sequence) + 1);
             let tokens: HashMap<_, _> =
                 tokens.into_iter().map(|(tag, n)| (EngineTag(u32::from(tag % 8)), u32::from(n))).collect();
-            ledger.update(now, peer(from), sequence, tokens.clone());
+            ledger.update(now, peer(from), (1, sequence), tokens.clone());
             if newest.get(&from).is_none_or(|(last, _)| *last < sequence) {
                 newest.insert(from, (sequence, tokens));
             }
@@ -45,18 +45,31 @@
 /// ends, and an account that stayed would keep their room empty.
 #[test]
 fn a_silent_instances_account_is_dropped() {
-    let (mut ledger, now, tag) = (Ledger::default(), Instant::now(), EngineTag::of("g-1"));
-    ledger.update(now, peer(1), 1, HashMap::from([(tag, 500)]));
-    ledger.update(now + Duration::from_secs(2), peer(2), 1, HashMap::from([(tag, 70)]));
+    let (mut ledger, now, tag) = (Ledger::default(), Instant::now(), EngineTag::of("g-1", None));
+    ledger.update(now, peer(1), (1, 1), HashMap::from([(tag, 500)]));
+    ledger.update(now + Duration::from_secs(2), peer(2), (1, 1), HashMap::from([(tag, 70)]));
     ledger.expire(now + Duration::from_secs(2));
     assert_eq!(ledger.others(tag), 70);
 }
 
+/// An instance starts again, and its machine's clock has gone back meanwhile. What it tells counts from its first digest on:
+/// ordered by a clock, others would take the engines that it fills for empty until that clock has caught up.
+#[test]
+fn an_instance_that_starts_again_is_heard_at_once() {
+    let (mut ledger, now, tag) = (Ledger::default(), Instant::now(), EngineTag::of("g-1", None));
+    ledger.update(now, peer(1), (9, 5_000), HashMap::from([(tag, 500)]));
+    ledger.update(now, peer(1), (4, 1), HashMap::from([(tag, 70)]));
+    assert_eq!(ledger.others(tag), 70);
+    ledger.update(now, peer(1), (4, 1), HashMap::from([(tag, 900)]));
+    assert_eq!(ledger.others(tag), 70);
+}
+
 fn engines(count: usize, stage: Stage) -> Endpoints {
     let mut endpoints = Endpoints::default();
     for number in 0..count {
         endpoints.upsert(Endpoint {
             id: Arc::from(format!("g-{number}")),
+            born: None,
             service: Arc::from("model"),
             address: ([127, 0, 0, 1], 1 + number as u16).into(),
             domain: Arc::from("north"),
@@ -102,12 +115,12 @@
         let told: Vec<_> = instances.iter().map(Endpoints::in_flight).collect();
         for (index, instance) in instances.iter_mut().enumerate() {
             for (from, tokens) in told.iter().enumerate().filter(|(from, _)| *from != index) {
-                instance.ledger().update(now, peer(from as u8), round + 1, tokens.clone());
+                instance.ledger().update(now, peer(from as u8), (1, round + 1), tokens.clone());
             }
         }
     }
     let load = |number: usize| -> u64 {
-        let tag = EngineTag::of(&format!("g-{number}"));
+        let tag = EngineTag::of(&format!("g-{number}"), None);
         instances.iter().map(|i| u64::from(i.in_flight().get(&tag).copied().unwrap_or(0))).sum()
     };
     let loads: Vec<u64> = (0..5).map(load).collect();
@@ -120,10 +133,10 @@
 fn an_engine_that_others_filled_is_passed_over() {
     let (now, mut rng) = (Instant::now(), SmallRng::seed_from_u64(7));
     let mut endpoints = engines(1, Stage::Decode);
-    let tag = EngineTag::of("g-0");
-    endpoints.ledger().update(now, peer(1), 1, HashMap::from([(tag, 28_000)]));
+    let tag = EngineTag::of("g-0", None);
+    endpoints.ledger().update(now, peer(1), (1, 1), HashMap::from([(tag, 28_000)]));
     assert!(choose(&endpoints, now, Stage::Decode, Some(30_000), &mut rng).is_none());
-    endpoints.ledger().update(now, peer(1), 2, HashMap::from([(tag, 20_000)]));
+    endpoints.ledger().update(now, peer(1), (1, 2), HashMap::from([(tag, 20_000)]));
     assert!(choose(&endpoints, now, Stage::Decode, Some(30_000), &mut rng).is_some());
 }
 
@@ -133,7 +146,7 @@
 fn a_late_request_leaves_the_last_room_to_others() {
     let (now, mut rng) = (Instant::now(), SmallRng::seed_from_u64(7));
     let mut endpoints = engines(1, Stage::Decode);
-    let tag = EngineTag::of("g-0");
+    let tag = EngineTag::of("g-0", None);
     let late = Need {
         service: "model",
         stage: Some(Stage::Decode),
@@ -144,10 +157,10 @@
         spare: 4_000,
         reads: false,
     };
-    endpoints.ledger().update(now, peer(1), 1, HashMap::from([(tag, 24_000)]));
+    endpoints.ledger().update(now, peer(1), (1, 1), HashMap::from([(tag, 24_000)]));
     assert!(choose(&endpoints, now, Stage::Decode, Some(30_000), &mut rng).is_some());
     assert!(endpoints.choose(now, late, &mut rng).is_none());
-    endpoints.ledger().update(now, peer(1), 2, HashMap::from([(tag, 20_000)]));
+    endpoints.ledger().update(now, peer(1), (1, 2), HashMap::from([(tag, 20_000)]));
     assert!(endpoints.choose(now, late, &mut rng).is_some());
 }
 
--- a/crates/routing/tests/all/main.rs
+++ b/crates/routing/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod budget;
 mod endpoints;
 mod ledger;
+mod lives;
 mod outputs;
 mod patience;
 mod peers;
--- a/crates/routing/tests/all/reads.rs
+++ b/crates/routing/tests/all/reads.rs
@@ -27,6 +27,7 @@
     for number in 0..ENGINES {
         endpoints.upsert(Endpoint {
             id: Arc::from(format!("g-{number}")),
+            born: None,
             service: Arc::from("model"),
             address: ([10, 0, 0, number as u8], 1).into(),
             domain: Arc::from("north"),
@@ -78,7 +79,7 @@
             looks[index] = now + LOOK.mul_f64(rng.random_range(0.5..1.5));
             while waiting[index] > 0 {
                 let Some(key) = instances[index].choose(now, need(reads), &mut rng) else { break };
-                let tag = EngineTag::of(&instances[index].get(key).expect("it is listed").id);
+                let tag = EngineTag::of(&instances[index].get(key).expect("it is listed").id, None);
                 overlaps += usize::from(running.iter().any(|r| r.2 == tag));
                 instances[index].begin_read(key);
                 instances[index].begin(now, key, TOKENS);
@@ -115,7 +116,7 @@
 fn a_read_of_which_nothing_more_is_heard_ends() {
     let (mut endpoints, now, mut rng) = (engines(), Instant::now(), SmallRng::seed_from_u64(1));
     for number in 0..ENGINES {
-        endpoints.ledger().reads(now, EngineTag::of(&format!("g-{number}")));
+        endpoints.ledger().reads(now, EngineTag::of(&format!("g-{number}"), None));
     }
     assert!(endpoints.choose(now, need(true), &mut rng).is_none());
     assert!(endpoints.choose(now, need(false), &mut rng).is_some(), "others may go there");
--- a/crates/routing/tests/all/stages.rs
+++ b/crates/routing/tests/all/stages.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use teaselshunt_routing::{Endpoint, EndpointState, Stage, plan_changes};
+use teaselshunt_routing::{Endpoint, EndpointState, Life, Stage, plan_changes};
 
 /// Memory at which about two of seven engines prefill.
 const MEMORY: u64 = 34_000;
@@ -10,6 +10,7 @@
 fn engines(prefill: usize, decode: usize) -> Vec<Endpoint> {
     let engine = |number: usize| Endpoint {
         id: Arc::from(format!("g-{number}")),
+        born: None,
         service: Arc::from("model"),
         address: ([127, 0, 0, 1], 1).into(),
         domain: Arc::from(["north", "south", "west"][number % 3]),
@@ -26,7 +27,7 @@
     let engines = engines(9, 11);
     let first = plan_changes(engines.iter(), |_| None, false, MEMORY);
     assert!(!first.is_empty());
-    let ordered = |id: &str| first.iter().find(|c| &*c.id == id).map(|c| c.stage);
+    let ordered = |life: &Life| first.iter().find(|c| c.life == *life).map(|c| c.stage);
     assert!(plan_changes(engines.iter(), ordered, false, MEMORY).is_empty());
 }
 
