Let two of a failure domain read the store and tell the others

Cause: each change of the list wakes every instance that watches the store.

Now two instances of a domain with seven or more read for all and tell what they read in a datagram, typed; the others ask only when what they know was not confirmed for 0.65 of the shortest bound, or when something is missing between what they know and a telling. Who reads follows from addresses; nothing that must hold rests on it (crates/routing/src/news.rs argues it). Where fewer instances are in a domain all read as before.

--- a/crates/core/src/clock.rs
+++ b/crates/core/src/clock.rs
@@ -3,10 +3,15 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+use rustix::time::{ClockId, clock_gettime};
+
 /// A source of monotonic time.
 pub trait Clock: Send + Sync + std::fmt::Debug {
-    /// The time now.
+    /// The time now. A machine that is suspended does not count that time here.
     fn now(&self) -> Instant;
+
+    /// Time since the machine started, the time in which it was suspended included.
+    fn uptime(&self) -> Duration;
 }
 
 /// The machine's monotonic clock.
@@ -17,18 +22,25 @@
     fn now(&self) -> Instant {
         Instant::now()
     }
+
+    fn uptime(&self) -> Duration {
+        let time = clock_gettime(ClockId::Boottime);
+        Duration::new(time.tv_sec.unsigned_abs(), u32::try_from(time.tv_nsec).unwrap_or(0))
+    }
 }
 
 /// A clock that moves only when told to. Clones share the same time.
 #[derive(Debug, Clone)]
 pub struct ManualClock {
     now: Arc<Mutex<Instant>>,
+    start: Instant,
 }
 
 impl ManualClock {
     /// Starts at an arbitrary instant.
     pub fn new() -> Self {
-        Self { now: Arc::new(Mutex::new(Instant::now())) }
+        let start = Instant::now();
+        Self { now: Arc::new(Mutex::new(start)), start }
     }
 
     /// Moves the time forward.
@@ -48,4 +60,8 @@
     fn now(&self) -> Instant {
         *self.now.lock().unwrap_or_else(PoisonError::into_inner)
     }
+
+    fn uptime(&self) -> Duration {
+        self.now().duration_since(self.start)
+    }
 }
--- a/crates/forward/src/catalog.rs
+++ b/crates/forward/src/catalog.rs
@@ -6,11 +6,14 @@
 //!
 //! Calls to the store are counted and shared among all instances, and a change wakes every one of them. After a change
 //! an instance therefore waits a part of the time that it has to apply the next one, and then takes all that has
-//! gathered in one call. At many instances and changes this decides how many calls there are.
+//! gathered in one call. Where a failure domain has many instances, few of them watch and tell the others what the store
+//! answered, word for word ([`Telling`]); `teaselshunt_routing::Source` says who and why that is enough.
 //!
 //! A version replaces only a lower one. An endpoint that has left does not come back. What is known stays in use
 //! while the store is away.
 
+mod sharing;
+
 use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
 use std::rc::Rc;
@@ -20,18 +23,26 @@
 use hyper::StatusCode;
 use rand::Rng;
 use slog::{info, warn};
-use teaselshunt_routing::{Endpoint, Listing, RouteSet, Stage};
+use teaselshunt_routing::{Endpoint, Freshness, Listing, Pulse, RouteSet, Source, Stage};
+use tokio::sync::{Notify, mpsc};
 
 use crate::node::Node;
 use crate::orders;
 use crate::pool::Failure;
 use crate::protocol::{Batch, Call, News};
+use sharing::Ask;
+pub(crate) use sharing::Telling;
 
 /// How long a call may take beyond its wait: the store's slowest answers that are still of use.
 const SLACK: Duration = Duration::from_millis(900);
 /// Part of the time until bounds hold again after a disturbance, for which a watch waits; a connection that has gone
 /// silent is found within this and [`SLACK`], and leaves the time to read what was missed.
 const WAIT_PART: f64 = 0.55;
+/// Part of the shortest bound for which a watch waits whose answer others are told. With the pause after a change it stays
+/// under the time for which they believe the last telling, so that they do not ask while their reader is well.
+const READER_WAIT_PART: f64 = 0.25;
+/// Time over which instances spread that ask for an answer too long to be told.
+const GAP_SPREAD: Duration = Duration::from_millis(300);
 /// Part of the shortest bound that an instance waits after a change before it asks for the next.
 const COALESCE_PART: f64 = 0.3;
 /// Time after the start in which the instance that orders engines coalesces changes for [`FILLING_COALESCE`] only: endpoints
@@ -81,7 +92,7 @@
 
 /// Follows the store for as long as the process runs.
 #[derive(Debug)]
-pub(crate) struct Follower {
+pub(crate) struct Catalog {
     node: Rc<Node>,
     /// Revision up to which changes are known; `None` before the store was read whole.
     revision: Cell<Option<u64>>,
@@ -89,36 +100,55 @@
     started: Instant,
     /// Whether this process orders engines.
     orders: bool,
-    /// When the store last answered.
+    /// When the store last answered, this instance or one that told it.
     heard: Cell<Instant>,
     /// Until when an entry that has gone may be one that lapsed while the store was lost.
     lapses: Cell<Option<Instant>>,
+    source: Cell<Source>,
+    freshness: Cell<Freshness>,
+    pulse: Cell<Pulse>,
+    /// Wakes an instance that goes by its peers: its source has changed, or it must ask the store.
+    woken: Notify,
+    ask: Cell<Ask>,
+    /// To whoever sends tellings to peers.
+    tellings: mpsc::Sender<Telling>,
 }
 
-impl Follower {
-    pub(crate) fn new(node: &Rc<Node>) -> Self {
+impl Catalog {
+    /// `tellings` takes what is to be told to peers of the same failure domain.
+    pub(crate) fn new(node: &Rc<Node>, tellings: mpsc::Sender<Telling>) -> Self {
         let started = node.now();
-        let heard = Cell::new(started);
+        let settings = &node.settings;
         Self {
             node: Rc::clone(node),
             revision: Cell::new(None),
             reading: RefCell::default(),
             started,
             orders: orders::is_holder(node),
-            heard,
+            heard: Cell::new(started),
             lapses: Cell::new(None),
+            source: Cell::default(),
+            freshness: Cell::new(Freshness::new(settings.apply.min(settings.drain))),
+            pulse: Cell::new(Pulse::new(node.clock.uptime())),
+            woken: Notify::new(),
+            ask: Cell::default(),
+            tellings,
         }
     }
 
-    pub(crate) async fn run(self) {
+    pub(crate) async fn run(self: Rc<Self>) {
         let mut failures = 0_u32;
         loop {
             if failures > 0 {
                 self.expect_return();
             }
-            let result = match self.revision.get() {
-                None => self.read_all().await,
-                Some(revision) => self.watch(revision, failures > 0).await,
+            let result = match (self.revision.get(), self.source.get()) {
+                (None, _) => self.read_all().await,
+                (Some(_), Source::Peers) if self.believes() => {
+                    self.wait_for_word().await;
+                    continue;
+                }
+                (Some(revision), _) => self.watch(revision, failures > 0).await,
             };
             match result {
                 Ok(()) => {
@@ -139,6 +169,12 @@
         }
     }
 
+    fn confirmed(&self, at: Duration) {
+        let mut freshness = self.freshness.get();
+        freshness.confirm(at);
+        self.freshness.set(freshness);
+    }
+
     /// A call has failed. If the store has been silent for long, entries that are gone at its return may have lapsed.
     fn expect_return(&self) {
         let now = self.node.now();
@@ -177,13 +213,14 @@
     async fn read_all(&self) -> Result<(), StoreError> {
         for _ in 0..PAGES {
             let after = self.reading.borrow().after.clone();
+            let asked = self.node.clock.uptime();
             let call = self.node.protocol.list(after.as_deref());
             let (status, body) = self.call("list", call, PAGE).await?;
             if status != StatusCode::OK {
                 return Err(StoreError::Status(status));
             }
             let batch = self.node.protocol.read_list(&body).map_err(StoreError::Unreadable)?;
-            self.answered();
+            self.answered(asked);
             if self.take_page(batch) {
                 return Ok(());
             }
@@ -214,11 +251,17 @@
     }
 
     /// Waits for changes. While the store is lost it does not wait: a long call that is made just before the store's
-    /// return is lost with it, and nothing would be heard until it is given up.
+    /// return is lost with it, and nothing would be heard until it is given up. Neither does an instance that goes by its
+    /// peers otherwise: it asks because something is missing.
     async fn watch(&self, revision: u64, lost: bool) -> Result<(), StoreError> {
-        let settings = &self.node.settings;
-        let usual = (settings.settle + settings.apply.min(settings.drain)).mul_f64(WAIT_PART);
-        let wait = if lost { Duration::ZERO } else { usual };
+        let source = self.source.get();
+        let ask = self.ask.take();
+        if ask == Ask::Gap {
+            let part = self.node.state.borrow_mut().rng.random_range(0.0..1.0);
+            tokio::time::sleep(GAP_SPREAD.mul_f64(part)).await;
+        }
+        let wait = if lost { Duration::ZERO } else { self.usual_wait(source) };
+        let asked = self.node.clock.uptime();
         let call = self.node.protocol.watch(revision, wait);
         let (status, body) = self.call("watch", call, wait + SLACK).await?;
         match status {
@@ -231,23 +274,53 @@
             status => return Err(StoreError::Status(status)),
         }
         let batch = self.node.protocol.read_watch(&body).map_err(StoreError::Unreadable)?;
-        self.answered();
-        self.revision.set(Some(batch.revision.max(revision)));
-        let changed = !batch.news.is_empty();
-        self.apply(batch);
-        if changed {
-            let filling = self.orders && self.node.now().duration_since(self.started) < FILLING;
-            let pause = settings.apply.min(settings.drain).mul_f64(COALESCE_PART);
-            tokio::time::sleep(if filling { FILLING_COALESCE.min(pause) } else { pause }).await;
+        self.answered(asked);
+        // Peers may have told more meanwhile.
+        let known = self.revision.get().unwrap_or(revision);
+        let reached = batch.revision.max(revision);
+        if reached > known || known == revision {
+            self.revision.set(Some(reached));
+            let changed = !batch.news.is_empty();
+            // Of a gap the others hear from whoever told of what lies behind it.
+            if source != Source::Alone && ask != Ask::Gap {
+                self.tell((revision, reached), &batch.news);
+            }
+            self.apply(batch);
+            if changed && source != Source::Peers {
+                tokio::time::sleep(self.coalescing()).await;
+            }
         }
         Ok(())
     }
 
-    /// The store has answered.
-    fn answered(&self) {
+    /// How long a watch waits while the store is well.
+    fn usual_wait(&self, source: Source) -> Duration {
+        let settings = &self.node.settings;
+        let shortest = settings.apply.min(settings.drain);
+        match source {
+            Source::Alone => (settings.settle + shortest).mul_f64(WAIT_PART),
+            Source::Reader => shortest.mul_f64(READER_WAIT_PART),
+            Source::Peers => Duration::ZERO,
+        }
+    }
+
+    /// How long to wait after a change for others to gather.
+    fn coalescing(&self) -> Duration {
+        let settings = &self.node.settings;
+        let pause = settings.apply.min(settings.drain).mul_f64(COALESCE_PART);
+        let filling = self.orders && self.node.now().duration_since(self.started) < FILLING;
+        if filling { FILLING_COALESCE.min(pause) } else { pause }
+    }
+
+    /// The store has answered a call that was made at `asked`.
+    fn answered(&self, asked: Duration) {
         let now = self.node.now();
         self.heard.set(now);
         self.node.state.borrow_mut().listed = Some(now);
+        // The answer may have lain unread while this process stood still.
+        let uptime = self.node.clock.uptime();
+        let stalled = self.pulse.get().stalled_since(asked, uptime);
+        self.confirmed(if stalled { asked } else { uptime });
     }
 
     fn apply(&self, batch: Batch) {
--- /dev/null
+++ b/crates/forward/src/catalog/sharing.rs
@@ -0,0 +1,124 @@
+//! News of the store that instances of a failure domain tell one another.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+use slog::{debug, info, warn};
+use teaselshunt_routing::{Source, Word};
+
+use super::{Catalog, RETURN};
+use crate::protocol::{Batch, News};
+
+/// Part of the time for which an instance believes what it was told, by which it asks sooner, at random: the first one that
+/// asks tells the others.
+const EARLY: f64 = 0.15;
+/// Longest news that are told to others, in bytes: some two hundred entries of endpoints, in a datagram of a few packets. Of
+/// longer ones they hear the revision and ask for themselves.
+const TELLING_MAX: usize = 12 * 1024;
+
+/// What the store answered, as it is told to peers.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct Telling {
+    /// Revision after which the changes in `answer` begin.
+    after: u64,
+    /// Revision up to which they go.
+    revision: u64,
+    /// How long before the telling the store confirmed that, in milliseconds.
+    age: u32,
+    /// Whether entries that have gone may be ones that lapsed while the store was away.
+    lapses: bool,
+    /// The news up to there, encoded; `None` if they are too long to be told.
+    news: Option<Vec<u8>>,
+}
+
+/// Whether an instance that goes by its peers must ask the store itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub(super) enum Ask {
+    #[default]
+    No,
+    /// Nobody has confirmed for long what is known.
+    Due,
+    /// Something between what is known and a telling is missing.
+    Gap,
+}
+
+impl Catalog {
+    /// Peers of the same failure domain are those that `near` gives. Called several times a second.
+    pub(crate) fn peers_are(&self, own: SocketAddr, near: impl Iterator<Item = SocketAddr>) {
+        let mut pulse = self.pulse.get();
+        pulse.beat(self.node.clock.uptime());
+        self.pulse.set(pulse);
+        let source = match Source::of(&own, near) {
+            // Engines are ordered by what the list says now, without the way over a peer.
+            Source::Peers if self.orders => Source::Reader,
+            source => source,
+        };
+        if self.source.replace(source) != source {
+            info!(self.node.log, "news of the store"; "from" => source.text());
+            self.woken.notify_one();
+        }
+    }
+
+    /// Whether what peers tell is enough for now.
+    pub(super) fn believes(&self) -> bool {
+        self.ask.get() == Ask::No && self.freshness.get().left(self.node.clock.uptime()).is_some()
+    }
+
+    /// Waits until what is known must be confirmed, or something else is to be looked at.
+    pub(super) async fn wait_for_word(&self) {
+        let before = self.freshness.get();
+        let Some(left) = before.left(self.node.clock.uptime()) else { return };
+        let part = self.node.state.borrow_mut().rng.random_range(0.0..EARLY);
+        let pause = left.saturating_sub(before.limit().mul_f64(part));
+        let woken = tokio::time::timeout(pause, self.woken.notified()).await.is_ok();
+        if !woken && self.freshness.get() == before {
+            self.ask.set(Ask::Due);
+        }
+    }
+
+    /// A peer of the same failure domain tells what the store answered it.
+    pub(crate) fn told(&self, telling: Telling) {
+        let Some(known) = self.revision.get() else { return };
+        let Telling { after, revision, age, lapses, news } = telling;
+        let now = self.node.now();
+        if lapses {
+            self.lapses.set(Some(now + RETURN));
+        }
+        match Word::of(known, after, revision, news.is_some()) {
+            Word::Confirmed => {}
+            Word::Changes => {
+                let Ok(news) = postcard::from_bytes(&news.unwrap_or_default()) else {
+                    warn!(self.node.log, "unreadable telling"; "revision" => revision);
+                    return self.ask();
+                };
+                self.revision.set(Some(revision));
+                self.apply(Batch { news, revision, more: None });
+            }
+            Word::Gap => return self.ask(),
+        }
+        let age = Duration::from_millis(u64::from(age));
+        self.confirmed(self.node.clock.uptime().saturating_sub(age));
+        self.heard.set(self.heard.get().max(now.checked_sub(age).unwrap_or(now)));
+        self.node.state.borrow_mut().listed = Some(now);
+    }
+
+    /// The store must be asked for what is missing here.
+    fn ask(&self) {
+        self.ask.set(Ask::Gap);
+        self.woken.notify_one();
+    }
+
+    /// Tells peers what the store answered. One telling that is lost is made good by the next, or by what the peers ask
+    /// themselves.
+    pub(super) fn tell(&self, (after, revision): (u64, u64), news: &[News]) {
+        let age = self.freshness.get().age(self.node.clock.uptime());
+        let lapses = self.lapses.get().is_some_and(|until| self.node.now() < until);
+        let news = postcard::to_allocvec(news).ok().filter(|news| news.len() <= TELLING_MAX);
+        let age = u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
+        if self.tellings.try_send(Telling { after, revision, age, lapses, news }).is_err() {
+            debug!(self.node.log, "a telling was dropped"; "revision" => revision);
+        }
+    }
+}
--- a/crates/forward/src/peers.rs
+++ b/crates/forward/src/peers.rs
@@ -1,4 +1,4 @@
-//! Datagrams between instances: what each has in flight at engines, and who there is.
+//! Datagrams between instances: what each has in flight at engines, who there is, and what the store said.
 //!
 //! There is no list of instances, only the addresses of a few, some of which may be gone. Each instance tells these of
 //! itself; every datagram names some others, so that after some rounds all know all. A peer that is silent is forgotten.
@@ -17,24 +17,40 @@
 use slog::{info, warn};
 use teaselshunt_routing::{EngineTag, HEARTBEAT, Peers, tag};
 use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
 
+use crate::catalog::{Catalog, Telling};
 use crate::node::Node;
 
 /// Peers named in a datagram.
 const NAMED: usize = 3;
 /// Largest datagram that is read, in bytes.
-const LARGEST: usize = 8 * 1024;
+const LARGEST: usize = 16 * 1024;
 
 /// First byte of each datagram. Another one is of a version that reads differently, and is passed over.
 const VERSION: u8 = 3;
+/// Tellings that wait to be sent; more are dropped, and the next one makes them good.
+pub(crate) const TELLINGS: usize = 16;
 
-/// Everything that a sender has in flight.
+/// What instances send one another.
 #[derive(Debug, Serialize, Deserialize)]
-struct Digest {
+struct Datagram {
     /// [`VERSION`].
     version: u8,
     /// Tag of the sender's failure domain.
     domain: u32,
+    content: Content,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+enum Content {
+    Digest(Digest),
+    Telling(Telling),
+}
+
+/// Everything that a sender has in flight.
+#[derive(Debug, Serialize, Deserialize)]
+struct Digest {
     /// Drawn at random at the start of the sender.
     life: u64,
     /// Grows with each digest of that life.
@@ -50,7 +66,12 @@
 }
 
 /// Sends and receives digests for as long as the process runs.
-pub(crate) async fn run(node: Rc<Node>, port: u16) {
+pub(crate) async fn run(
+    catalog: Rc<Catalog>,
+    node: Rc<Node>,
+    port: u16,
+    mut tellings: mpsc::Receiver<Telling>,
+) {
     let own = SocketAddr::new(node.settings.callers.ip(), port);
     let socket = match UdpSocket::bind(own).await {
         Ok(socket) => socket,
@@ -63,7 +84,7 @@
     let seeds: Vec<_> = node.settings.seeds.iter().map(|s| SocketAddr::new(s.ip(), port)).collect();
     let life = node.state.borrow_mut().rng.random();
     let domain = tag(&node.settings.domain);
-    let mut gossip = Gossip { node, own, domain, seeds, peers: Peers::default(), life, sequence: 0 };
+    let mut gossip = Gossip { catalog, node, own, domain, seeds, peers: Peers::default(), life, sequence: 0 };
     let mut buffer = vec![0; LARGEST];
     let mut next = gossip.node.now();
     loop {
@@ -74,6 +95,7 @@
                     gossip.receive(from, &buffer[..length]);
                 }
             }
+            Some(telling) = tellings.recv() => gossip.tell(&socket, telling).await,
             () = wait(&node, next) => {
                 gossip.send(&socket).await;
                 next = node.now() + gossip.peers.pace();
@@ -90,6 +112,7 @@
 }
 
 struct Gossip {
+    catalog: Rc<Catalog>,
     node: Rc<Node>,
     own: SocketAddr,
     domain: u32,
@@ -101,12 +124,21 @@
 
 impl Gossip {
     fn receive(&mut self, from: SocketAddr, data: &[u8]) {
-        let Ok(digest) = postcard::from_bytes::<Digest>(data) else { return };
-        if digest.version != VERSION {
+        let Ok(datagram) = postcard::from_bytes::<Datagram>(data) else { return };
+        if datagram.version != VERSION {
             return;
         }
+        let near = datagram.domain == self.domain;
+        match datagram.content {
+            Content::Digest(digest) => self.receive_digest(from, near, digest),
+            Content::Telling(telling) if near && self.peers.contains(from) => self.catalog.told(telling),
+            Content::Telling(_) => {}
+        }
+    }
+
+    fn receive_digest(&mut self, from: SocketAddr, near: bool, digest: Digest) {
         let now = self.node.now();
-        if self.peers.heard(now, from, digest.domain == self.domain) {
+        if self.peers.heard(now, from, near) {
             info!(self.node.log, "peer"; "address" => %from, "state" => "known", "peers" => self.peers.len());
         }
         for peer in digest.peers {
@@ -132,6 +164,7 @@
             info!(self.node.log, "peer"; "address" => %address, "state" => "forgotten");
         }
         self.node.peers.set(self.peers.len());
+        self.catalog.peers_are(self.own, self.peers.near(now));
         self.sequence += 1;
         let mut targets = self.peers.due(now);
         let (in_flight, suspects, reads, named) = {
@@ -146,10 +179,20 @@
         let asks = self.node.state.borrow_mut().rng.random_bool(0.2);
         let unheard = self.seeds.iter().filter(|s| **s != self.own && !self.peers.contains(**s));
         targets.extend(unheard.filter(|_| asks || self.peers.is_empty()));
-        let Self { domain, life, sequence, .. } = *self;
-        let version = VERSION;
-        let digest = Digest { version, domain, life, sequence, in_flight, suspects, reads, peers: named };
-        let Ok(data) = postcard::to_allocvec(&digest) else { return };
+        let Self { life, sequence, .. } = *self;
+        let digest = Digest { life, sequence, in_flight, suspects, reads, peers: named };
+        self.send_to(socket, targets, Content::Digest(digest)).await;
+    }
+
+    /// Tells peers of the same failure domain what the store answered.
+    async fn tell(&self, socket: &UdpSocket, telling: Telling) {
+        let targets = self.peers.near(self.node.now()).collect();
+        self.send_to(socket, targets, Content::Telling(telling)).await;
+    }
+
+    async fn send_to(&self, socket: &UdpSocket, targets: Vec<SocketAddr>, content: Content) {
+        let datagram = Datagram { version: VERSION, domain: self.domain, content };
+        let Ok(data) = postcard::to_allocvec(&datagram) else { return };
         for peer in targets {
             // A datagram that cannot be sent is as good as lost.
             let _ = socket.send_to(&data, peer).await;
--- a/crates/forward/src/protocol.rs
+++ b/crates/forward/src/protocol.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use hyper::header::HeaderMap;
 use hyper::{Method, StatusCode};
+use serde::{Deserialize, Serialize};
 use teaselshunt_routing::{Endpoint, RouteSet, Stage};
 
 /// What the head of a caller's request says beside method, path and body.
@@ -92,7 +93,7 @@
 }
 
 /// One piece of news from the platform's store.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum News {
     /// A configuration version.
     Routes(Arc<RouteSet>),
--- a/crates/forward/src/supervisor.rs
+++ b/crates/forward/src/supervisor.rs
@@ -14,10 +14,10 @@
 use teaselshunt_routing::{Allowances, Budgets, Endpoints};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, mpsc, watch};
 use tokio::task::LocalSet;
 
-use crate::catalog::Follower;
+use crate::catalog::Catalog;
 use crate::metrics::Metrics;
 use crate::node::{Node, Phase, State};
 use crate::pool::Pool;
@@ -111,9 +111,11 @@
     if let Some(address) = node.settings.metrics {
         start(&node, "metrics", front::metrics(Rc::clone(&node), address));
     }
-    start(&node, "store", Follower::new(&node).run());
+    let (sender, tellings) = mpsc::channel(peers::TELLINGS);
+    let catalog = Rc::new(Catalog::new(&node, sender));
+    start(&node, "store", Rc::clone(&catalog).run());
     if let Some(port) = node.settings.peers {
-        start(&node, "peers", peers::run(Rc::clone(&node), port));
+        start(&node, "peers", peers::run(catalog, Rc::clone(&node), port, tellings));
     }
     start(&node, "orders", orders::run(Rc::clone(&node)));
     start(&node, "housekeeping", housekeeping(Rc::clone(&node)));
--- a/crates/routing/src/endpoint.rs
+++ b/crates/routing/src/endpoint.rs
@@ -4,13 +4,15 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 
+use serde::{Deserialize, Serialize};
+
 slotmap::new_key_type! {
     /// An endpoint in the arena of one instance.
     pub struct EndpointKey;
 }
 
 /// Part of a generation that an engine does.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Stage {
     /// Reads prompts.
     Prefill,
@@ -29,7 +31,7 @@
 }
 
 /// Whether an endpoint takes new work.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum EndpointState {
     /// It does.
     Ready,
@@ -38,7 +40,7 @@
 }
 
 /// An endpoint as the list has it.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Endpoint {
     /// Its id; a later start of the endpoint may bear it again.
     pub id: Arc<str>,
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -3,7 +3,8 @@
 //!
 //! `routes` is one configuration version; `endpoints` keeps every `endpoint` with the `belief` that results have left, and
 //! chooses among them; `ledger` is what other instances have in flight; `pace` learns how long prefill takes, `outputs` how
-//! many tokens generations make; `allowances` tells callers who come back from new ones; `peers` is who else there is;
+//! many tokens generations make; `allowances` tells callers who come back from new ones; `peers` is who else there is, `news` who reads the
+//! platform's store for the others;
 //! `budget` limits repeats; `stages` decides how many engines prefill and how many decode.
 
 mod allowances;
@@ -12,6 +13,7 @@
 mod endpoint;
 mod endpoints;
 mod ledger;
+mod news;
 mod outputs;
 mod pace;
 mod patience;
@@ -24,6 +26,7 @@
 pub use endpoint::{Endpoint, EndpointKey, EndpointState, Life, Stage, Verdict};
 pub use endpoints::{Endpoints, Listing, Need};
 pub use ledger::{EngineTag, Ledger, tag};
+pub use news::{Freshness, Pulse, Source, Word};
 pub use outputs::Outputs;
 pub use pace::Pace;
 pub use patience::{Patience, way_back};
--- /dev/null
+++ b/crates/routing/src/news.rs
@@ -0,0 +1,155 @@
+//! Who of a failure domain reads the platform's store, and for how long the others go by what they are told.
+//!
+//! Calls to the store are counted over all instances, and each change of the list wakes whoever watches it: with some
+//! thirty instances in a domain, each change is read thirty times. So two of a domain read and tell the others at once.
+//! Nobody chooses the two and nobody has to agree on them: each instance takes those with the lowest addresses of the peers
+//! that it has heard lately. Two views may differ for a moment; then one more reads, or one fewer.
+//!
+//! Nothing that must hold rests on who reads. A telling says up to which revision its sender knows the store and how long
+//! ago the store itself confirmed that. An instance asks the store itself as soon as what it knows has not been confirmed
+//! for [`Freshness::limit`], whatever it was told and whoever is silent, dead, cut off or late. Only the age counts, so that
+//! a telling that is old, comes twice or out of order can make nothing worse. The age is measured by a clock that counts the
+//! time in which a machine is suspended, and an answer of the store that may have lain unread while its reader stood still
+//! counts from the moment at which it was asked for ([`Pulse`]).
+
+use std::time::Duration;
+
+/// Instances of a domain that read the store: one may die without the others having to ask.
+const READERS: usize = 2;
+/// Peers of the same domain from which on not everybody reads. With fewer, two that read often make as many calls as all
+/// that read seldom.
+const SHARING: usize = 6;
+/// Part of the shortest bound after which what is known must be confirmed again. The rest is for the call to the store
+/// itself, which may be slow, and for its repetition.
+const LIMIT_PART: f64 = 0.65;
+/// Time between two beats of a process that counts as having stood still; several times their usual distance.
+const STALL: Duration = Duration::from_millis(1200);
+
+/// Where an instance gets news of the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Source {
+    /// From the store, for itself.
+    #[default]
+    Alone,
+    /// From the store, for itself and its peers.
+    Reader,
+    /// From peers that read it.
+    Peers,
+}
+
+impl Source {
+    /// What an instance at `own` does, with these peers of its domain heard lately.
+    pub fn of<P: Ord>(own: &P, peers: impl Iterator<Item = P>) -> Self {
+        let (mut count, mut lower) = (0, 0);
+        for peer in peers {
+            count += 1;
+            lower += usize::from(peer < *own);
+        }
+        match lower {
+            _ if count < SHARING => Self::Alone,
+            0..READERS => Self::Reader,
+            _ => Self::Peers,
+        }
+    }
+
+    /// Name for logs.
+    pub const fn text(self) -> &'static str {
+        match self {
+            Self::Alone => "alone",
+            Self::Reader => "reader",
+            Self::Peers => "peers",
+        }
+    }
+}
+
+/// What a telling means to an instance that hears it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Word {
+    /// Changes that are to be taken over.
+    Changes,
+    /// Nothing new; what is known is confirmed.
+    Confirmed,
+    /// Something between what is known and the telling is missing: the store must be asked.
+    Gap,
+}
+
+impl Word {
+    /// Judges a telling of the changes after `after` up to `revision`; `known` is the revision that is known already.
+    /// `complete` says whether the telling holds these changes.
+    pub const fn of(known: u64, after: u64, revision: u64, complete: bool) -> Self {
+        if revision <= known {
+            Self::Confirmed
+        } else if after <= known && complete {
+            Self::Changes
+        } else {
+            Self::Gap
+        }
+    }
+}
+
+/// When the store last confirmed what is known. Times are since the start of the machine, suspension included.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Freshness {
+    limit: Duration,
+    confirmed: Duration,
+}
+
+impl Freshness {
+    /// Starts unconfirmed; `bound` is the shortest time within which news must have effect.
+    pub fn new(bound: Duration) -> Self {
+        Self { limit: bound.mul_f64(LIMIT_PART), confirmed: Duration::ZERO }
+    }
+
+    /// Longest time for which what is known may go unconfirmed.
+    pub const fn limit(&self) -> Duration {
+        self.limit
+    }
+
+    /// What is known was all there was at a time.
+    pub fn confirm(&mut self, at: Duration) {
+        self.confirmed = self.confirmed.max(at);
+    }
+
+    /// How long ago what is known was confirmed.
+    pub const fn age(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.confirmed)
+    }
+
+    /// How long what is known may still go unconfirmed; `None` if the store must be asked.
+    pub fn left(&self, now: Duration) -> Option<Duration> {
+        self.limit.checked_sub(self.age(now)).filter(|left| !left.is_zero())
+    }
+}
+
+/// Beats of a process, by which it notices that it stood still.
+#[derive(Debug, Clone, Copy)]
+pub struct Pulse {
+    last: Duration,
+    /// When it last went on after it had stood still.
+    woke: Option<Duration>,
+}
+
+impl Pulse {
+    /// The first beat.
+    pub const fn new(now: Duration) -> Self {
+        Self { last: now, woke: None }
+    }
+
+    /// A beat.
+    pub fn beat(&mut self, now: Duration) {
+        if self.is_late(now) {
+            self.woke = Some(now);
+        }
+        self.last = now;
+    }
+
+    fn is_late(&self, now: Duration) -> bool {
+        now.saturating_sub(self.last) > STALL
+    }
+
+    /// Whether the process may have stood still between a time and now. Its beats and its other work go on in any order
+    /// after that, so that a beat that is due counts as well.
+    pub fn stalled_since(&self, since: Duration, now: Duration) -> bool {
+        self.is_late(now) || self.woke.is_some_and(|woke| woke >= since)
+    }
+}
--- a/crates/routing/src/peers.rs
+++ b/crates/routing/src/peers.rs
@@ -78,6 +78,12 @@
         self.known.iter().filter(move |(_, peer)| fresh(peer)).map(|(&p, _)| p)
     }
 
+    /// Peers of the same failure domain that were heard lately.
+    pub fn near(&self, now: Instant) -> impl Iterator<Item = P> {
+        let near = move |peer: &Peer| peer.near && peer.direct && now.duration_since(peer.at) < FRESH;
+        self.known.iter().filter(move |(_, peer)| near(peer)).map(|(&p, _)| p)
+    }
+
     /// Time between two tellings of a peer while there is something new.
     fn gap(&self, near: bool) -> Duration {
         let others = self.known.len().min(FANOUT) as u32;
--- a/crates/routing/src/routes.rs
+++ b/crates/routing/src/routes.rs
@@ -8,9 +8,10 @@
 use std::time::Duration;
 
 use rand::Rng;
+use serde::{Deserialize, Serialize};
 
 /// What may be repeated of a route's requests.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Repeat {
     /// A request may run more than once.
     Idempotent,
@@ -24,7 +25,7 @@
 }
 
 /// Where requests of a host and path prefix go, and under which terms.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Route {
     /// Name that operators use.
     pub name: Arc<str>,
@@ -75,7 +76,7 @@
 }
 
 /// What a service's endpoints are.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Service {
     /// Name.
     pub name: Arc<str>,
@@ -101,7 +102,7 @@
 }
 
 /// The common properties of a service's model engines.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub struct Engine {
     /// Memory for tokens.
     pub tokens: u64,
@@ -110,7 +111,7 @@
 }
 
 /// What a caller may send, and how long it may take.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub struct Limits {
     /// Largest head, in bytes.
     pub head: usize,
@@ -123,7 +124,7 @@
 }
 
 /// A configuration version.
-#[derive(Debug)]
+#[derive(Debug, Serialize, Deserialize)]
 pub struct RouteSet {
     /// Its number.
     pub version: u64,
