An entry that comes back does not take its address from the endpoint listed there since

Cause, from the lines of one engine: it crashed behind a cut, its entry went at 7.6 s, its replacement was listed at the same address, and at 11.2 s the old entry came back for some seconds. Of two endpoints at an address the one listed later was taken for the living one, so that each of 195 instances sent work to the one that was gone until it was told otherwise by the answer, one prompt each.

Ruled out: engines that refuse because they change their stage (none was ordered then); a list that is late (it was read 0.3 s after the change).

Starts that have gone are remembered (1,024); one that comes back is the former one at its address if another has been listed there since. Test first: lives::an_entry_that_comes_back_does_not_take_its_address_again.

--- a/crates/routing/src/endpoints.rs
+++ b/crates/routing/src/endpoints.rs
@@ -7,7 +7,7 @@
 //! Invariant: an endpoint that the list calls leaving or gone is never chosen, but for one exception that has a
 //! time limit ([`Endpoints::doubt`]).
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Instant;
@@ -16,7 +16,7 @@
 use slotmap::SlotMap;
 
 use crate::belief::Belief;
-use crate::{Endpoint, EndpointKey, EndpointState, EngineTag, Ledger, Stage, Verdict};
+use crate::{Endpoint, EndpointKey, EndpointState, EngineTag, Ledger, Life, Stage, Verdict};
 
 /// What another failure domain adds to an endpoint's expected latency: two crossings and their price.
 const DISTANCE: f64 = 0.006;
@@ -129,9 +129,39 @@
     /// The endpoint that was listed last at each address.
     by_address: HashMap<SocketAddr, EndpointKey>,
     services: HashMap<Arc<str>, Vec<EndpointKey>>,
+    departed: Departed,
     ledger: Ledger<SocketAddr>,
 }
 
+/// Starts of endpoints that are remembered after they have gone; more than leave in the minutes in which an old entry may
+/// still be written.
+const DEPARTED: usize = 1024;
+
+/// Starts of endpoints that were listed and have gone, the latest ones.
+#[derive(Debug, Default)]
+struct Departed {
+    known: HashSet<Life>,
+    order: VecDeque<Life>,
+}
+
+impl Departed {
+    fn insert(&mut self, life: Life) {
+        if !self.known.insert(life.clone()) {
+            return;
+        }
+        self.order.push_back(life);
+        if self.order.len() > DEPARTED
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.known.remove(&oldest);
+        }
+    }
+
+    fn contains(&self, life: &Life) -> bool {
+        self.known.contains(life)
+    }
+}
+
 impl Endpoints {
     /// Takes an endpoint's entry over.
     ///
@@ -140,7 +170,8 @@
     /// what was begun at the former start cannot go on there by mistake, and entries of the former start are passed over.
     pub fn upsert(&mut self, mut endpoint: Endpoint) -> Listing {
         let Some(&key) = self.by_id.get(&endpoint.id) else {
-            self.insert(endpoint);
+            let returns = self.departed.contains(&endpoint.life());
+            self.insert(endpoint, returns);
             return Listing::Started;
         };
         let entry = &mut self.arena[key];
@@ -148,7 +179,7 @@
         match (known.born, endpoint.born) {
             (Some(former), Some(later)) if former < later => {
                 self.remove(&endpoint.id);
-                self.insert(endpoint);
+                self.insert(endpoint, false);
                 return Listing::Started;
             }
             (Some(later), Some(former)) if former < later => return Listing::Outdated,
@@ -163,7 +194,7 @@
         }
         if known.service != endpoint.service || known.address != endpoint.address {
             self.remove(&endpoint.id);
-            self.insert(endpoint);
+            self.insert(endpoint, false);
             return Listing::Changed;
         }
         let changed = entry.withdrawn || *known != endpoint;
@@ -174,12 +205,20 @@
         if changed { Listing::Changed } else { Listing::Known }
     }
 
-    fn insert(&mut self, endpoint: Endpoint) {
+    /// Lists a start of an endpoint. One that `returns` was listed before and had gone: its entry lapsed and is back, or is
+    /// an old one that was written late. If another endpoint has been listed at the address since, that one has it.
+    fn insert(&mut self, endpoint: Endpoint, returns: bool) {
         let (id, service) = (Arc::clone(&endpoint.id), Arc::clone(&endpoint.service));
         let address = endpoint.address;
+        let holder = self.by_address.get(&address).copied().filter(|&k| self.arena.contains_key(k));
         let key = self.arena.insert(Entry::new(endpoint));
-        if let Some(former) = self.by_address.insert(address, key).and_then(|k| self.arena.get_mut(k)) {
-            former.successor = Some(key);
+        match holder {
+            Some(holder) if returns => self.arena[key].successor = Some(holder),
+            Some(former) => self.arena[former].successor = Some(key),
+            None => {}
+        }
+        if !returns || holder.is_none() {
+            self.by_address.insert(address, key);
         }
         self.by_id.insert(id, key);
         self.services.entry(service).or_default().push(key);
@@ -196,14 +235,14 @@
     /// Forgets an endpoint that has gone.
     pub fn remove(&mut self, id: &str) -> bool {
         let Some(key) = self.by_id.remove(id) else { return false };
-        if let Some(entry) = self.arena.remove(key)
-            && let Some(keys) = self.services.get_mut(&entry.endpoint.service)
-        {
+        let Some(entry) = self.arena.remove(key) else { return true };
+        if let Some(keys) = self.services.get_mut(&entry.endpoint.service) {
             keys.retain(|&k| k != key);
-            if self.by_address.get(&entry.endpoint.address) == Some(&key) {
-                self.by_address.remove(&entry.endpoint.address);
-            }
         }
+        if self.by_address.get(&entry.endpoint.address) == Some(&key) {
+            self.by_address.remove(&entry.endpoint.address);
+        }
+        self.departed.insert(entry.endpoint.life());
         true
     }
 
--- a/crates/routing/tests/all/lives.rs
+++ b/crates/routing/tests/all/lives.rs
@@ -144,6 +144,31 @@
     assert_eq!(endpoints.open(now, "other").count(), 0);
 }
 
+/// An engine crashes behind a cut and is replaced at its address. The store removes its entry, lists the next one, and then an
+/// old entry of the first is written late: it comes back for some seconds. Taken for the later one at the address, it drew the
+/// work of 195 instances, one prompt each, which the engine there refused after the prompt had been read. The replacement
+/// goes on getting the work.
+#[test]
+fn an_entry_that_comes_back_does_not_take_its_address_again() {
+    let (mut endpoints, now) = (Endpoints::default(), Instant::now());
+    let listed = |id: &str| Endpoint { born: None, ..decoder(id, 1) };
+    endpoints.upsert(listed("former"));
+    endpoints.remove("former");
+    endpoints.upsert(listed("later"));
+    endpoints.upsert(listed("former"));
+    for _ in 0..50 {
+        let key = choose(&endpoints, now).expect("the later one");
+        assert_eq!(&*endpoints.get(key).expect("listed").id, "later");
+    }
+    // If it is the later one that is not there, the answer at the address shows it.
+    let later = choose(&endpoints, now).expect("the later one");
+    endpoints.retire(now, later);
+    assert_eq!(
+        &*endpoints.get(choose(&endpoints, now).expect("the former one")).expect("listed").id,
+        "former"
+    );
+}
+
 /// What the list says in one step.
 #[derive(Debug, Clone)]
 enum Step {
