--- a/crates/forward/src/catalog.rs
+++ b/crates/forward/src/catalog.rs
@@ -6,8 +6,8 @@
 //!
 //! Calls to the store are counted and shared among all instances, and a change wakes every one of them. After a change
 //! an instance therefore waits a part of the time that it has to apply the next one, and then takes all that has
-//! gathered in one call. Where a failure domain has many instances, few of them watch and tell the others what the store
-//! answered, word for word ([`Telling`]); `teaselshunt_routing::Source` says who and why that is enough.
+//! gathered in one call. Where a failure domain has many instances, few of them watch and tell the others what they
+//! read ([`Telling`]); `teaselshunt_routing::Source` says who, and the head of its module why that is enough.
 //!
 //! A version replaces only a lower one. An endpoint that has left does not come back. What is known stays in use
 //! while the store is away.
--- a/crates/forward/src/catalog/sharing.rs
+++ b/crates/forward/src/catalog/sharing.rs
@@ -21,7 +21,7 @@
 /// What the store answered, as it is told to peers.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct Telling {
-    /// Revision after which the changes in `answer` begin.
+    /// Revision after which the changes in `news` begin.
     after: u64,
     /// Revision up to which they go.
     revision: u64,
@@ -36,6 +36,7 @@
 /// Whether an instance that goes by its peers must ask the store itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub(super) enum Ask {
+    /// Not before what it knows gets too old.
     #[default]
     No,
     /// Nobody has confirmed for long what is known.
--- a/crates/forward/src/peers.rs
+++ b/crates/forward/src/peers.rs
@@ -4,8 +4,9 @@
 //! itself; every datagram names some others, so that after some rounds all know all. A peer that is silent is forgotten.
 //!
 //! Plain datagrams and not QUIC: what is targets is old after a moment, a lost one is made good by the next, and the
-//! platform hands out no keys that a handshake could rest on. A false datagram can make choices worse; it cannot make a
-//! request run twice or a refusal false.
+//! platform hands out no keys that a handshake could rest on. A false digest can make choices worse; it cannot make a
+//! request run twice or a refusal false. A false telling of the store's news could send work to the wrong endpoint: tellings
+//! are taken from peers of the same failure domain that have been heard, but nobody proves who it is.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
