Log what a lost request asks for, and whether the endpoint that lost it has crashed

The line of a request that an endpoint lost now bears a fingerprint of method, host, path and body. Some 50 ms after a loss one new connection is tried; an endpoint that takes none is logged as crashed, with the requests that it lost. Nothing is decided by it yet.

--- /dev/null
+++ b/crates/forward/src/crashes.rs
@@ -0,0 +1,66 @@
+//! Whether an endpoint has crashed under the requests that it lost.
+//!
+//! A connection that breaks does not say so: an endpoint can lose one answer, and something on the way can reset
+//! connections. But an endpoint that takes no new connection either, right after it lost a request, has ended or is cut
+//! off. One check serves all requests that the endpoint lost meanwhile.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use slog::info;
+use teaselshunt_routing::{EndpointKey, EndpointState};
+
+use crate::node::{Job, Node};
+use crate::trace::Trace;
+
+/// Time between a loss and the check: a process that ends closes its connections and its listener one after the other.
+/// Restarts take longer.
+const SETTLE: Duration = Duration::from_millis(50);
+
+/// A run that an endpoint did not end.
+#[derive(Debug, Clone)]
+pub(crate) struct Loss {
+    /// The caller's id of the request.
+    request: String,
+    fingerprint: teaselshunt_routing::Fingerprint,
+    /// When it was sent there.
+    begun: Instant,
+    /// When it was lost.
+    at: Instant,
+}
+
+impl Loss {
+    /// For logs: what was asked for, under which id, and how long it had been there.
+    fn text(&self) -> String {
+        let ran = self.at.duration_since(self.begun).as_millis();
+        format!("{}@{}+{ran}ms", self.fingerprint, self.request)
+    }
+}
+
+/// An endpoint lost a request that was sent there at `begun`. Finds out whether it has crashed.
+pub(crate) fn check(node: &Rc<Node>, job: &Job, trace: &Trace, endpoint: EndpointKey, begun: Instant) {
+    let fingerprint = job.fingerprint();
+    trace.fingerprint(fingerprint);
+    let loss = Loss { request: job.meta.id.clone(), fingerprint, begun, at: node.now() };
+    let mut losses = node.losses.borrow_mut();
+    let same = losses.entry(endpoint).or_default();
+    same.push(loss);
+    if same.len() == 1 {
+        tokio::task::spawn_local(conclude(Rc::clone(node), endpoint));
+    }
+}
+
+async fn conclude(node: Rc<Node>, endpoint: EndpointKey) {
+    tokio::time::sleep(SETTLE).await;
+    // An endpoint that leaves as planned, or has left the list, may end whatever it runs.
+    let ready = node.state.borrow().endpoints.get(endpoint).map(|e| e.state == EndpointState::Ready);
+    let located = node.locate(endpoint).filter(|_| ready == Some(true));
+    let reached = match &located {
+        Some((address, _)) => node.pool.reach(*address).await,
+        None => true,
+    };
+    let losses = node.losses.borrow_mut().remove(&endpoint).unwrap_or_default();
+    let Some((_, id)) = located.filter(|_| !reached) else { return };
+    let requests: Vec<_> = losses.iter().map(Loss::text).collect();
+    info!(node.log, "endpoint"; "endpoint" => &*id, "state" => "crashed", "under" => requests.join(" "));
+}
--- a/crates/forward/src/generate.rs
+++ b/crates/forward/src/generate.rs
@@ -18,6 +18,7 @@
 
 use crate::body::AnswerBody;
 use crate::calls::{CALL, tidy};
+use crate::crashes;
 use crate::node::{Answer, Job, Node, Slot, StepFailure};
 use crate::protocol::Purpose;
 use crate::refusals::refuse;
@@ -127,8 +128,12 @@
             break;
         }
         let reading = matches!(prompt, Prompt::ByDecode).then(|| node.read_at(room.endpoint));
+        let begun = node.now();
         let result = decode(node, job, &room, &prompt).await;
         drop(reading);
+        if result.as_ref().is_err_and(|failure| failure.may_have_run()) {
+            crashes::check(node, job, trace, room.endpoint, begun);
+        }
         let text = result.as_ref().map_or_else(|f| f.text(), |_| "answered");
         trace.step("decode", &node.name(room.endpoint), text);
         match result {
@@ -190,6 +195,9 @@
         let begun = node.now();
         let in_flight = node.state.borrow().endpoints.load(key);
         let result = prefill_at(node, job, key).await;
+        if result.as_ref().is_err_and(|failure| failure.may_have_run()) {
+            crashes::check(node, job, trace, key, begun);
+        }
         let text = result.as_ref().map_or_else(|f| f.text(), |_| "ok");
         trace.step("prefill", &id, text);
         match result {
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -20,6 +20,7 @@
 mod body;
 mod calls;
 mod catalog;
+mod crashes;
 mod front;
 mod generate;
 mod headers;
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -19,11 +19,12 @@
 use slog::{Logger, info};
 use teaselshunt_core::Clock;
 use teaselshunt_routing::{
-    Allowances, Budgets, EndpointKey, Endpoints, Need, Outputs, Pace, Route, RouteSet, Service, Stage,
-    Verdict,
+    Allowances, Budgets, EndpointKey, Endpoints, Fingerprint, Need, Outputs, Pace, Route, RouteSet, Service,
+    Stage, Verdict,
 };
 use tokio::sync::{Notify, watch};
 
+use crate::crashes::Loss;
 use crate::metrics::Metrics;
 use crate::pool::{Connection, Failure, Pool};
 use crate::protocol::{AnswerMeta, Call, Meta, Protocol, Purpose};
@@ -78,6 +79,8 @@
     pub(crate) peers: Cell<usize>,
     /// Open connections of callers.
     pub(crate) connections: Cell<usize>,
+    /// Requests that endpoints lost, until it is known whether these have crashed.
+    pub(crate) losses: RefCell<HashMap<EndpointKey, Vec<Loss>>>,
 }
 
 /// A caller's request with everything that its steps need.
@@ -99,12 +102,22 @@
     pub(crate) until: Instant,
 }
 
+impl Job {
+    /// By what it is known if it comes again.
+    pub(crate) fn fingerprint(&self) -> Fingerprint {
+        let host = self.headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
+        Fingerprint::of(self.method.as_str(), host, &self.path, &self.body)
+    }
+}
+
 /// An endpoint's answer whose body is still to be read.
 #[derive(Debug)]
 pub(crate) struct Answer {
     pub(crate) response: Response<Incoming>,
     pub(crate) connection: Connection,
     pub(crate) endpoint: EndpointKey,
+    /// When the request was sent there.
+    pub(crate) begun: Instant,
 }
 
 /// How a step failed.
@@ -123,6 +136,11 @@
 }
 
 impl StepFailure {
+    /// Whether the endpoint may have begun to run the request.
+    pub(crate) const fn may_have_run(self) -> bool {
+        matches!(self, Self::Broken | Self::TimedOut)
+    }
+
     pub(crate) const fn text(self) -> &'static str {
         match self {
             Self::Unsent => "unsent",
@@ -316,7 +334,10 @@
         let result = self.pool.exchange(address, request, until.min(job.until)).await;
         let step = step_name(purpose);
         let outcome = match result {
-            Ok((response, connection)) => self.check(job, response, connection, key, purpose),
+            Ok((response, connection)) => {
+                let answer = Answer { response, connection, endpoint: key, begun };
+                self.check(job, answer, purpose)
+            }
             Err(failure) => Err(failure.into()),
         };
         let verdict = match &outcome {
@@ -345,21 +366,15 @@
     ///
     /// An endpoint may answer a request twice; the second answer then stands where the next request's is expected,
     /// and would give one caller what belongs to another. The id tells; such a connection is not used again.
-    fn check(
-        &self,
-        job: &Job,
-        response: Response<Incoming>,
-        connection: Connection,
-        endpoint: EndpointKey,
-        purpose: Purpose<'_>,
-    ) -> Result<Answer, StepFailure> {
+    fn check(&self, job: &Job, answer: Answer, purpose: Purpose<'_>) -> Result<Answer, StepFailure> {
+        let response = &answer.response;
         let AnswerMeta { id, signed, refused, misdirected, endpoint: answering } =
             self.protocol.read_answer(response.status(), response.headers());
         if !id.is_empty() && id != job.meta.id {
             return Err(StepFailure::Broken);
         }
         if misdirected {
-            self.retire_replaced(endpoint, &answering);
+            self.retire_replaced(answer.endpoint, &answering);
             return Err(StepFailure::Misdirected);
         }
         if refused {
@@ -369,7 +384,7 @@
         if !own || response.headers().contains_key(CONTENT_ENCODING) {
             return Err(StepFailure::Broken);
         }
-        Ok(Answer { response, connection, endpoint })
+        Ok(answer)
     }
 
     /// Another endpoint answered at the address of the one that was meant, which has therefore ended. The list may show
--- a/crates/forward/src/plain.rs
+++ b/crates/forward/src/plain.rs
@@ -14,6 +14,7 @@
 use teaselshunt_routing::{EndpointKey, Repeat};
 
 use crate::body::AnswerBody;
+use crate::crashes;
 use crate::node::{Answer, Job, Node, StepFailure};
 use crate::protocol::Purpose;
 use crate::refusals::refuse;
@@ -174,8 +175,12 @@
 ) -> Result<Outcome, StepFailure> {
     let slot = node.occupy(key, 0);
     let name = node.name(key);
+    let begun = node.now();
     let result = whole(node, job, key).await;
     drop(slot);
+    if result.as_ref().is_err_and(|failure| failure.may_have_run()) {
+        crashes::check(node, job, trace, key, begun);
+    }
     let text = match &result {
         Ok(Outcome::Whole(r)) if r.status() == StatusCode::OK => "ok",
         Ok(Outcome::Whole(r)) => r.status().canonical_reason().unwrap_or("answered"),
--- a/crates/forward/src/pool.rs
+++ b/crates/forward/src/pool.rs
@@ -120,6 +120,14 @@
         }
     }
 
+    /// Whether a new connection can be made now. It is kept, since endpoints charge for new ones.
+    pub(crate) async fn reach(&self, address: SocketAddr) -> bool {
+        let Ok(mut connection) = connect(address).await else { return false };
+        connection.reusable = true;
+        self.put(connection);
+        true
+    }
+
     fn take(&self, address: SocketAddr) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&address)?;
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -5,6 +5,7 @@
 //! on, since an engine may stop in the middle of one.
 
 use std::rc::Rc;
+use std::time::Instant;
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Either};
@@ -15,6 +16,7 @@
 use tokio::sync::mpsc;
 
 use crate::body::{AnswerBody, Broken, relay as body_relay};
+use crate::crashes;
 use crate::generate;
 use crate::node::{Answer, Job, Node, Slot};
 use crate::trace::Trace;
@@ -68,7 +70,8 @@
     crate::headers::strip(&mut head.headers);
     let status = head.status.as_u16();
     let (pieces, receiver) = body_relay();
-    let run = Run { body, connection: answer.connection, endpoint: answer.endpoint, slot };
+    let run =
+        Run { body, connection: answer.connection, endpoint: answer.endpoint, begun: answer.begun, slot };
     tokio::task::spawn_local(pump(Rc::clone(node), source, run, pieces, trace, status));
     Response::from_parts(head, Either::Right(receiver))
 }
@@ -78,6 +81,7 @@
     body: Incoming,
     connection: crate::pool::Connection,
     endpoint: teaselshunt_routing::EndpointKey,
+    begun: Instant,
     slot: Slot,
 }
 
@@ -85,7 +89,7 @@
     let mut events = Events::default();
     let whole_only = source.resumes > 0;
     loop {
-        let endpoint = run.endpoint;
+        let Run { endpoint, begun, .. } = run;
         let end = pass(&source.job, run, &pieces, &mut events, whole_only, &node, &trace).await;
         match end {
             End::Whole => {
@@ -101,6 +105,7 @@
             End::Broken => node.learn(endpoint, Verdict::Failed),
         }
         trace.step("stream", &node.name(endpoint), "broken");
+        crashes::check(&node, &source.job, &trace, endpoint, begun);
         let next = if source.resumes > 0 && events.last.is_some() {
             source.resumes -= 1;
             generate::resume(&node, &mut source.job, &events, endpoint, &trace).await
@@ -114,7 +119,8 @@
         events.partial.clear();
         info!(node.log, "stream taken up"; "id" => &source.job.meta.id, "after" => events.last.as_deref());
         let (_, body) = answer.response.into_parts();
-        run = Run { body, connection: answer.connection, endpoint: answer.endpoint, slot };
+        run =
+            Run { body, connection: answer.connection, endpoint: answer.endpoint, begun: answer.begun, slot };
     }
 }
 
--- a/crates/forward/src/supervisor.rs
+++ b/crates/forward/src/supervisor.rs
@@ -102,6 +102,7 @@
         changed: Notify::new(),
         peers: Cell::new(0),
         connections: Cell::new(0),
+        losses: RefCell::default(),
         settings,
     });
     info!(node.log, "started"; "callers" => %node.settings.callers, "store" => %node.settings.store,
--- a/crates/forward/src/trace.rs
+++ b/crates/forward/src/trace.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use slog::info;
+use teaselshunt_routing::Fingerprint;
 
 use crate::node::Node;
 use crate::protocol::Meta;
@@ -32,6 +33,8 @@
     span: Cell<Option<(Instant, Instant)>>,
     /// Longest time between two of them.
     pause: Cell<Duration>,
+    /// What it asks for, once that matters.
+    fingerprint: Cell<Option<Fingerprint>>,
     ended: bool,
 }
 
@@ -60,6 +63,7 @@
             events: Cell::new(0),
             span: Cell::new(None),
             pause: Cell::new(Duration::ZERO),
+            fingerprint: Cell::new(None),
             ended: false,
         }
     }
@@ -76,6 +80,11 @@
         self.returns = returns;
     }
 
+    /// What the request asks for, by which it is known if it comes again.
+    pub(crate) fn fingerprint(&self, fingerprint: Fingerprint) {
+        self.fingerprint.set(Some(fingerprint));
+    }
+
     /// A step at an endpoint ended.
     pub(crate) fn step(&self, step: &str, endpoint: &str, outcome: &str) {
         let at = self.node.now().duration_since(self.arrived).as_millis();
@@ -134,6 +143,7 @@
             "events" => self.events.get(),
             "first_ms" => self.span.get().map(|(first, _)| millis(first.duration_since(self.arrived))),
             "pause_ms" => millis(self.pause.get()),
+            "fingerprint" => self.fingerprint.get().map(|f| f.to_string()),
             "steps" => self.steps.borrow().as_str(),
             "outcome" => outcome,
             "status" => status,
