--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -19,6 +19,6 @@
 pub use relay::Relay;
 pub use service::{Execution, Service, ServiceFaults};
 pub use site::{
-    SiteEndpoint, SiteFault, SiteInstance, SiteOptions, SiteRun, SiteSettings, Store, StoreMode, event,
-    is_signed, site_configuration, site_request,
+    CRASHING_BODY, SiteEndpoint, SiteFault, SiteInstance, SiteOptions, SiteRun, SiteSettings, Store,
+    StoreMode, event, is_signed, site_configuration, site_request,
 };
--- a/crates/standin/src/site/endpoint.rs
+++ b/crates/standin/src/site/endpoint.rs
@@ -10,10 +10,14 @@
 use serde_json::{Value, json};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
 use super::http::{Asked, answer, chunk, head, read};
 
+/// Body of a request that crashes every endpoint that begins to run it. Reading its prompt does no harm.
+pub const CRASHING_BODY: &str = "crash";
+
 /// What a stand-in endpoint is.
 #[derive(Debug, Clone)]
 pub struct SiteOptions {
@@ -91,6 +95,7 @@
     address: SocketAddr,
     inner: Arc<Mutex<Inner>>,
     task: JoinHandle<()>,
+    crashed: watch::Receiver<bool>,
 }
 
 impl SiteEndpoint {
@@ -102,9 +107,10 @@
         let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
         let address = listener.local_addr()?;
         let inner = Arc::new(Mutex::new(Inner::default()));
-        let shared = Arc::new(Shared { options: options.clone(), inner: Arc::clone(&inner) });
-        let task = tokio::spawn(accept(listener, shared));
-        Ok(Self { options, address, inner, task })
+        let (crash, crashed) = watch::channel(false);
+        let shared = Arc::new(Shared { options: options.clone(), inner: Arc::clone(&inner), crash });
+        let task = tokio::spawn(accept(listener, shared, crashed.clone()));
+        Ok(Self { options, address, inner, task, crashed })
     }
 
     /// Where it listens.
@@ -112,6 +118,11 @@
         self.address
     }
 
+    /// Whether a request has crashed it; it listens no more then.
+    pub fn has_crashed(&self) -> bool {
+        *self.crashed.borrow()
+    }
+
     /// Its id.
     pub fn id(&self) -> &str {
         &self.options.id
@@ -175,6 +186,7 @@
 struct Shared {
     options: SiteOptions,
     inner: Arc<Mutex<Inner>>,
+    crash: watch::Sender<bool>,
 }
 
 /// Counts a request as worked on; dropped when its connection ends as well.
@@ -186,11 +198,18 @@
     }
 }
 
-async fn accept(listener: TcpListener, shared: Arc<Shared>) {
+/// Serves until it crashes, which ends the listener and all connections.
+async fn accept(listener: TcpListener, shared: Arc<Shared>, mut crashed: watch::Receiver<bool>) {
     let mut connections = tokio::task::JoinSet::new();
-    while let Ok((stream, _)) = listener.accept().await {
-        let shared = Arc::clone(&shared);
-        connections.spawn(async move { shared.serve(stream).await });
+    loop {
+        tokio::select! {
+            _ = crashed.wait_for(|crashed| *crashed) => return,
+            accepted = listener.accept() => {
+                let Ok((stream, _)) = accepted else { return };
+                let shared = Arc::clone(&shared);
+                connections.spawn(async move { shared.serve(stream).await });
+            }
+        }
     }
 }
 
@@ -279,6 +298,11 @@
             return false;
         }
         tokio::time::sleep(self.options.work).await;
+        let crashes = !prefill && asked.body == CRASHING_BODY.as_bytes();
+        if crashes && self.options.events == 0 {
+            self.crash.send_replace(true);
+            return false;
+        }
         if fault == SiteFault::Lose {
             return false;
         }
@@ -301,7 +325,12 @@
             return true;
         }
         if self.options.events > 0 {
-            return self.events(stream, &headers, &id, after.unwrap_or(0), fault).await;
+            let fault = if crashes { SiteFault::Cut(0) } else { fault };
+            let goes_on = self.events(stream, &headers, &id, after.unwrap_or(0), fault).await;
+            if crashes {
+                self.crash.send_replace(true);
+            }
+            return goes_on;
         }
         let body = format!("answer to {id}");
         if fault == SiteFault::Unframed {
--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -10,6 +10,6 @@
 
 pub use caller::{is_signed, site_request};
 pub use configuration::site_configuration;
-pub use endpoint::{SiteEndpoint, SiteFault, SiteOptions, SiteRun, event};
+pub use endpoint::{CRASHING_BODY, SiteEndpoint, SiteFault, SiteOptions, SiteRun, event};
 pub use instance::{SiteInstance, SiteSettings};
 pub use store::{Store, StoreMode};
