Quarantine requests under which endpoints crash, at all instances

Cause: what bounds sends (attempts, the budget) holds for one id. A caller who sends a request again gives it a new id and comes to any instance, so that a request that crashes each engine was new each time, and went on to the next engine with all its streams.

Now an instance that finds an endpoint gone after it lost requests remembers the crash by their fingerprints and tells its peers for three seconds; all refuse a request under which three endpoints have crashed (503, not run, with the time to come back) for as long as crashes are remembered, ten minutes. Instances that start are told. Whole answers acquit, here or elsewhere; so does the presence of a request in quarantine.

Tried and dropped while building it: crashes counted as a series in time (a run begun after the crash before it).

--- a/crates/core/src/error.rs
+++ b/crates/core/src/error.rs
@@ -45,6 +45,8 @@
     Overloaded,
     /// No endpoint that may serve the request is in reach.
     NoEndpoint,
+    /// Endpoints crash under the request, whoever sends it.
+    Quarantined,
     /// The caller's deadline passed before the request was sent anywhere.
     Expired,
     /// The caller's deadline passed while the request was running.
@@ -92,7 +94,7 @@
 
 impl ErrorKind {
     /// Every kind, in the order of the table.
-    pub const ALL: [Self; 18] = [
+    pub const ALL: [Self; 19] = [
         Self::Invalid,
         Self::UnknownModel,
         Self::UnknownService,
@@ -102,6 +104,7 @@
         Self::Stopping,
         Self::Overloaded,
         Self::NoEndpoint,
+        Self::Quarantined,
         Self::Expired,
         Self::DeadlinePassed,
         Self::EndpointFailed,
@@ -129,6 +132,7 @@
             Self::Stopping       => row(503, SERVER, "stopping",           NotRun,  "this instance is stopping"),
             Self::Overloaded     => row(429, "rate_limit_error", "overloaded", NotRun, "every fitting slot is taken"),
             Self::NoEndpoint     => row(503, SERVER, "no_endpoint",        NotRun,  "no endpoint that may serve this is in reach"),
+            Self::Quarantined    => row(503, SERVER, "quarantined",        NotRun,  "endpoints crashed under this request; it is not sent to more of them"),
             Self::Expired        => row(504, SERVER, "expired",            NotRun,  "the deadline passed before the request was sent on"),
             Self::DeadlinePassed => row(504, SERVER, "deadline_passed",    Unknown, "the deadline passed while the request ran"),
             Self::EndpointFailed => row(502, SERVER, "endpoint_failed",    Failed,  "endpoints failed and the retries are used up"),
--- a/crates/forward/src/crashes.rs
+++ b/crates/forward/src/crashes.rs
@@ -1,4 +1,5 @@
-//! Whether an endpoint has crashed under the requests that it lost.
+//! Whether an endpoint has crashed under the requests that it lost. What follows from that for a request is decided by
+//! [`Quarantine`](teaselshunt_routing::Quarantine).
 //!
 //! A connection that breaks does not say so: an endpoint can lose one answer, and something on the way can reset
 //! connections. But an endpoint that takes no new connection either, right after it lost a request, has ended or is cut
@@ -7,8 +8,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use slog::info;
-use teaselshunt_routing::{EndpointKey, EndpointState};
+use slog::{info, warn};
+use teaselshunt_routing::{Crash, EndpointKey, EndpointState, Fingerprint};
 
 use crate::node::{Job, Node};
 use crate::trace::Trace;
@@ -22,7 +23,7 @@
 pub(crate) struct Loss {
     /// The caller's id of the request.
     request: String,
-    fingerprint: teaselshunt_routing::Fingerprint,
+    fingerprint: Fingerprint,
     /// When it was sent there.
     begun: Instant,
     /// When it was lost.
@@ -63,4 +64,20 @@
     let Some((_, id)) = located.filter(|_| !reached) else { return };
     let requests: Vec<_> = losses.iter().map(Loss::text).collect();
     info!(node.log, "endpoint"; "endpoint" => &*id, "state" => "crashed", "under" => requests.join(" "));
+    let Some(tag) = node.state.borrow().endpoints.tag(endpoint) else { return };
+    let now = node.now();
+    for Loss { fingerprint: request, at, .. } in losses {
+        let crash = Crash { request, endpoint: tag, at };
+        if node.state.borrow_mut().quarantine.crashed(now, crash) {
+            log_quarantine(&node, request);
+        }
+    }
+    node.changed.notify_one();
+}
+
+/// A request is in quarantine from now on.
+pub(crate) fn log_quarantine(node: &Node, request: Fingerprint) {
+    let until = node.state.borrow().quarantine.until(node.now(), request);
+    let left = until.map(|until| until.duration_since(node.now()).as_secs());
+    warn!(node.log, "quarantine"; "fingerprint" => %request, "for_s" => left);
 }
--- a/crates/forward/src/generate.rs
+++ b/crates/forward/src/generate.rs
@@ -50,6 +50,7 @@
     let Ok(body) = node.read(body, answer.connection, job.until).await else {
         return refuse(node, Refusal::new(ErrorKind::EndpointFailed), trace);
     };
+    node.served(&job);
     crate::headers::strip(&mut head.headers);
     trace.end("endpoint_error", head.status.as_u16());
     Response::from_parts(head, Either::Left(Full::new(body)))
@@ -65,7 +66,7 @@
     trace: &Trace,
 ) -> Option<(Answer, Slot)> {
     let last = HeaderValue::from_str(events.last.as_deref()?).ok()?;
-    if !node.may_repeat(&job.service) {
+    if node.quarantined(job).is_some() || !node.may_repeat(&job.service) {
         return None;
     }
     job.headers.insert("last-event-id", last);
@@ -121,8 +122,17 @@
             Err(_) if ran => break,
             Err(refusal) => return Err(refusal),
         };
+        // A search for room and a prefill take long enough for others to tell of the request.
+        match node.quarantined(job) {
+            Some(refusal) if !ran => return Err(refusal),
+            Some(_) => break,
+            None => {}
+        }
         if matches!(prompt, Prompt::Unread) {
             prompt = prefill(node, job, trace, &mut sent).await?;
+            if let Some(refusal) = node.quarantined(job) {
+                return Err(refusal);
+            }
         }
         if sent > 0 && (sent >= job.route.attempts || !node.may_repeat(&job.service)) {
             break;
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -3,7 +3,7 @@
 //! All of it lives on one thread. A machine gives an instance a fraction of one core, so that a second thread would
 //! add switches and locks but no work done.
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -17,10 +17,10 @@
 use hyper::{Method, Request, Response, StatusCode};
 use rand::rngs::SmallRng;
 use slog::{Logger, info};
-use teaselshunt_core::Clock;
+use teaselshunt_core::{Clock, ErrorKind, Refusal};
 use teaselshunt_routing::{
-    Allowances, Budgets, EndpointKey, Endpoints, Fingerprint, Need, Outputs, Pace, Route, RouteSet, Service,
-    Stage, Verdict,
+    Allowances, Budgets, EndpointKey, Endpoints, Fingerprint, Need, Outputs, Pace, Quarantine, Route,
+    RouteSet, Service, Stage, Verdict,
 };
 use tokio::sync::{Notify, watch};
 
@@ -58,6 +58,8 @@
     pub(crate) outputs: HashMap<Arc<str>, Outputs>,
     /// How long callers of each route wait in all.
     pub(crate) allowances: Allowances,
+    /// Requests under which endpoints crash.
+    pub(crate) quarantine: Quarantine,
     /// When the store last answered about endpoints.
     pub(crate) listed: Option<Instant>,
 }
@@ -100,13 +102,17 @@
     pub(crate) returns: bool,
     /// When the caller, or the route's timeout, stops waiting.
     pub(crate) until: Instant,
+    /// By what it is known if it comes again; worked out when it is needed.
+    pub(crate) fingerprint: OnceCell<Fingerprint>,
 }
 
 impl Job {
     /// By what it is known if it comes again.
     pub(crate) fn fingerprint(&self) -> Fingerprint {
-        let host = self.headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
-        Fingerprint::of(self.method.as_str(), host, &self.path, &self.body)
+        *self.fingerprint.get_or_init(|| {
+            let host = self.headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
+            Fingerprint::of(self.method.as_str(), host, &self.path, &self.body)
+        })
     }
 }
 
@@ -313,6 +319,21 @@
         }
     }
 
+    /// Why a request is not sent to an endpoint, if endpoints crash under it.
+    pub(crate) fn quarantined(&self, job: &Job) -> Option<Refusal> {
+        let (state, now) = (self.state.borrow(), self.now());
+        if state.quarantine.is_empty() {
+            return None;
+        }
+        let until = state.quarantine.until(now, job.fingerprint())?;
+        Some(Refusal::later(ErrorKind::Quarantined, until.duration_since(now)))
+    }
+
+    /// A request was answered whole by its endpoint.
+    pub(crate) fn served(&self, job: &Job) {
+        self.state.borrow_mut().quarantine.served(self.now(), job.fingerprint());
+    }
+
     /// Takes a repeat from the service's budget.
     pub(crate) fn may_repeat(&self, service: &Service) -> bool {
         self.state.borrow_mut().budgets.take(self.now(), &service.name)
--- a/crates/forward/src/peers.rs
+++ b/crates/forward/src/peers.rs
@@ -4,32 +4,36 @@
 //! itself; every datagram names some others, so that after some rounds all know all. A peer that is silent is forgotten.
 //!
 //! Plain datagrams and not QUIC: what is targets is old after a moment, a lost one is made good by the next, and the
-//! platform hands out no keys that a handshake could rest on. A false digest can make choices worse; it cannot make a
-//! request run twice or a refusal false. A false telling of the store's news could send work to the wrong endpoint: tellings
+//! platform hands out no keys that a handshake could rest on. A false digest can make choices worse, or have a request
+//! refused for a while; it cannot make a request run twice or a refusal false. A false telling of the store's news could send work to the wrong endpoint: tellings
 //! are taken from peers of the same failure domain that have been heard, but nobody proves who it is.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use rand::Rng;
 use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
-use teaselshunt_routing::{EngineTag, HEARTBEAT, Peers, tag};
+use teaselshunt_routing::{Crash, EngineTag, Fingerprint, HEARTBEAT, Peers, tag};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 
 use crate::catalog::{Catalog, Telling};
+use crate::crashes::log_quarantine;
 use crate::node::Node;
 
 /// Peers named in a datagram.
 const NAMED: usize = 3;
+/// How long all that keeps requests in quarantine is told after a peer was heard that may not know it; some heartbeats, since
+/// datagrams are lost.
+const NEWCOMER: Duration = Duration::from_secs(2);
 /// Largest datagram that is read, in bytes.
 const LARGEST: usize = 16 * 1024;
 
 /// First byte of each datagram. Another one is of a version that reads differently, and is passed over.
-const VERSION: u8 = 3;
+const VERSION: u8 = 4;
 /// Tellings that wait to be sent; more are dropped, and the next one makes them good.
 pub(crate) const TELLINGS: usize = 16;
 
@@ -62,10 +66,37 @@
     suspects: Vec<u32>,
     /// Decode engines that read a prompt of the sender themselves now.
     reads: Vec<u32>,
+    /// Crashes of endpoints under requests.
+    crashes: Vec<CrashWord>,
+    /// Requests that were answered whole after endpoints had crashed under them.
+    served: Vec<Fingerprint>,
     /// Some other peers.
     peers: Vec<SocketAddr>,
 }
 
+/// A crash as it is told. Instances have no clock in common, so that its time is told as an age.
+#[derive(Debug, Serialize, Deserialize)]
+struct CrashWord {
+    request: Fingerprint,
+    endpoint: u32,
+    /// How long ago, in milliseconds.
+    age: u32,
+}
+
+impl CrashWord {
+    fn tell(now: Instant, crash: Crash) -> Self {
+        let age = u32::try_from(now.duration_since(crash.at).as_millis()).unwrap_or(u32::MAX);
+        Self { request: crash.request, endpoint: crash.endpoint.0, age }
+    }
+
+    /// The crash. A machine may have started after it, and its clock may know no time so long ago; then it counts from
+    /// `started`, when this process began.
+    fn hear(&self, now: Instant, started: Instant) -> Crash {
+        let at = now.checked_sub(Duration::from_millis(u64::from(self.age))).unwrap_or(started);
+        Crash { request: self.request, endpoint: EngineTag(self.endpoint), at }
+    }
+}
+
 /// Sends and receives digests for as long as the process runs.
 pub(crate) async fn run(
     catalog: Rc<Catalog>,
@@ -83,9 +114,20 @@
         }
     };
     let seeds: Vec<_> = node.settings.seeds.iter().map(|s| SocketAddr::new(s.ip(), port)).collect();
-    let life = node.state.borrow_mut().rng.random();
+    let (life, started) = (node.state.borrow_mut().rng.random(), node.now());
     let domain = tag(&node.settings.domain);
-    let mut gossip = Gossip { catalog, node, own, domain, seeds, peers: Peers::default(), life, sequence: 0 };
+    let mut gossip = Gossip {
+        catalog,
+        node,
+        own,
+        domain,
+        seeds,
+        peers: Peers::default(),
+        life,
+        sequence: 0,
+        started,
+        newcomer: None,
+    };
     let mut buffer = vec![0; LARGEST];
     let mut next = gossip.node.now();
     loop {
@@ -121,6 +163,9 @@
     peers: Peers<SocketAddr>,
     life: u64,
     sequence: u64,
+    started: Instant,
+    /// When a peer was last heard that is new here, or has started again.
+    newcomer: Option<Instant>,
 }
 
 impl Gossip {
@@ -148,6 +193,7 @@
             }
         }
         let in_flight = digest.in_flight.into_iter().map(|(tag, tokens)| (EngineTag(tag), tokens)).collect();
+        self.receive_crashes(now, &digest.crashes, digest.served);
         let mut state = self.node.state.borrow_mut();
         let ledger = state.endpoints.ledger();
         for tag in digest.suspects {
@@ -156,7 +202,20 @@
         for tag in digest.reads {
             ledger.reads(now, EngineTag(tag));
         }
-        ledger.update(now, from, (digest.life, digest.sequence), in_flight);
+        if ledger.update(now, from, (digest.life, digest.sequence), in_flight) {
+            self.newcomer = Some(now);
+        }
+    }
+
+    fn receive_crashes(&self, now: Instant, crashes: &[CrashWord], served: Vec<Fingerprint>) {
+        for request in served {
+            self.node.state.borrow_mut().quarantine.told_served(now, request);
+        }
+        for crash in crashes.iter().map(|word| word.hear(now, self.started)) {
+            if self.node.state.borrow_mut().quarantine.told(now, crash) {
+                log_quarantine(&self.node, crash.request);
+            }
+        }
     }
 
     async fn send(&mut self, socket: &UdpSocket) {
@@ -168,20 +227,24 @@
         self.catalog.peers_are(self.own, self.peers.near(now));
         self.sequence += 1;
         let mut targets = self.peers.due(now);
-        let (in_flight, suspects, reads, named) = {
+        let newcomers = self.newcomer.is_some_and(|at| now.duration_since(at) < NEWCOMER);
+        let (in_flight, suspects, reads, rumour, named) = {
             let state = &mut *self.node.state.borrow_mut();
             let in_flight = state.endpoints.in_flight().into_iter().map(|(tag, t)| (tag.0, t)).collect();
             let suspects = state.endpoints.suspects(now).into_iter().map(|tag| tag.0).collect();
             let reads = state.endpoints.reading().into_iter().map(|tag| tag.0).collect();
+            let rumour = state.quarantine.rumour(now, newcomers);
             let named = self.peers.fresh(now).choose_multiple(&mut state.rng, NAMED);
-            (in_flight, suspects, reads, named)
+            (in_flight, suspects, reads, rumour, named)
         };
         // A seed that is not heard may be back.
         let asks = self.node.state.borrow_mut().rng.random_bool(0.2);
         let unheard = self.seeds.iter().filter(|s| **s != self.own && !self.peers.contains(**s));
         targets.extend(unheard.filter(|_| asks || self.peers.is_empty()));
         let Self { life, sequence, .. } = *self;
-        let digest = Digest { life, sequence, in_flight, suspects, reads, peers: named };
+        let crashes = rumour.crashes.into_iter().map(|crash| CrashWord::tell(now, crash)).collect();
+        let served = rumour.served;
+        let digest = Digest { life, sequence, in_flight, suspects, reads, crashes, served, peers: named };
         self.send_to(socket, targets, Content::Digest(digest)).await;
     }
 
--- a/crates/forward/src/plain.rs
+++ b/crates/forward/src/plain.rs
@@ -47,6 +47,7 @@
     match result {
         Ok(Outcome::Whole(response)) => {
             let status = response.status().as_u16();
+            node.served(&job);
             trace.first();
             trace.end("answered", status);
             response.map(|body| Either::Left(Full::new(body)))
@@ -108,6 +109,11 @@
 async fn attempts(node: &Rc<Node>, job: &Job, trace: &Trace, mut tried: Tried) -> Result<Outcome, Refusal> {
     let mut last = None;
     while node.now() < job.until && tried.endpoints.len() < UNREACHED + tried.sent as usize {
+        match node.quarantined(job) {
+            Some(refusal) if !tried.ran => return Err(refusal),
+            Some(_) => break,
+            None => {}
+        }
         let repeats = tried.sent > 0;
         if repeats && tried.sent >= job.route.attempts {
             break;
@@ -146,7 +152,8 @@
         };
     }
     let other = node.choose(&job.service.name, &tried.endpoints);
-    let Some(other) = other.filter(|_| node.may_repeat(&job.service)) else {
+    let repeats = |_: &EndpointKey| node.quarantined(job).is_none() && node.may_repeat(&job.service);
+    let Some(other) = other.filter(repeats) else {
         let result = first.await;
         tried.count(&result);
         return result.map_err(|_| tried.spent(node, job));
--- a/crates/forward/src/requests.rs
+++ b/crates/forward/src/requests.rs
@@ -1,5 +1,6 @@
 //! A caller's request from its head to its answer.
 
+use std::cell::OnceCell;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -87,6 +88,7 @@
         arrived,
         returns,
         until,
+        fingerprint: OnceCell::new(),
     })
 }
 
@@ -108,6 +110,10 @@
 }
 
 async fn run(node: &Rc<Node>, job: Job, trace: Trace) -> Response<AnswerBody> {
+    if let Some(refusal) = node.quarantined(&job) {
+        trace.fingerprint(job.fingerprint());
+        return refuse(node, refusal, trace);
+    }
     let staged = job.service.engine.is_some() && has_stages(node, &job);
     if staged { generate::run(node, job, trace).await } else { plain::run(node, job, trace).await }
 }
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -93,6 +93,7 @@
         let end = pass(&source.job, run, &pieces, &mut events, whole_only, &node, &trace).await;
         match end {
             End::Whole => {
+                node.served(&source.job);
                 node.learn_output(&source.job, trace.events());
                 return trace.end("answered", status);
             }
--- a/crates/forward/src/supervisor.rs
+++ b/crates/forward/src/supervisor.rs
@@ -11,7 +11,7 @@
 use rand::rngs::SmallRng;
 use slog::{error, info, warn};
 use teaselshunt_core::SystemClock;
-use teaselshunt_routing::{Allowances, Budgets, Endpoints};
+use teaselshunt_routing::{Allowances, Budgets, Endpoints, Quarantine};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{Notify, mpsc, watch};
@@ -91,6 +91,7 @@
             paces: HashMap::new(),
             outputs: HashMap::new(),
             allowances: Allowances::default(),
+            quarantine: Quarantine::default(),
             listed: None,
         }),
         protocol,
@@ -149,6 +150,7 @@
         node.pool.sweep();
         node.pool.keep_at_most(idle_share(&node));
         node.state.borrow_mut().endpoints.ledger().expire(node.now());
+        node.state.borrow_mut().quarantine.expire(node.now());
         let gone = node.state.borrow_mut().endpoints.expire(node.now());
         for id in gone {
             info!(node.log, "endpoint"; "endpoint" => &*id, "state" => "gone");
--- a/crates/routing/src/endpoints.rs
+++ b/crates/routing/src/endpoints.rs
@@ -289,6 +289,11 @@
         self.arena.get(key).map(|e| &e.endpoint)
     }
 
+    /// Tag of an endpoint's start, if it is still listed.
+    pub fn tag(&self, key: EndpointKey) -> Option<EngineTag> {
+        self.arena.get(key).map(|e| e.tag)
+    }
+
     /// An endpoint by its id.
     pub fn by_id(&self, id: &str) -> Option<&Endpoint> {
         self.get(*self.by_id.get(id)?)
--- a/crates/routing/src/ledger.rs
+++ b/crates/routing/src/ledger.rs
@@ -81,22 +81,26 @@
     /// Two lives have no order. A clock would give one, but an instance that starts again after its clock went back would
     /// then not be heard until the clock has caught up, and others would take engines for empty that it has filled. A
     /// digest of a former life that arrives behind one of the next counts until the next one comes, a moment later.
+    ///
+    /// Says whether this life was not heard of before, or not lately.
     pub fn update(
         &mut self,
         now: Instant,
         from: P,
         (life, sequence): (u64, u64),
         tokens: HashMap<EngineTag, u32>,
-    ) {
+    ) -> bool {
         let outdated = |a: &Account| a.order.0 == life && a.order.1 >= sequence;
         if self.accounts.get(&from).is_some_and(outdated) {
-            return;
+            return false;
         }
+        let begins = self.accounts.get(&from).is_none_or(|a| a.order.0 != life);
         self.drop_account(from);
         for (&tag, &count) in &tokens {
             *self.totals.entry(tag).or_default() += u64::from(count);
         }
         self.accounts.insert(from, Account { order: (life, sequence), heard: now, tokens });
+        begins
     }
 
     /// An instance says that it could not use an endpoint lately.
--- a/crates/routing/tests/all/main.rs
+++ b/crates/routing/tests/all/main.rs
@@ -10,6 +10,7 @@
 mod outputs;
 mod patience;
 mod peers;
+mod quarantine;
 mod reads;
 mod routes;
 mod stages;
