Soak: callers whose request crashes engines, and a check that it stops

Endpoints that crash lose their listeners and, through their proxies, their ways; others take their places.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -8,9 +8,10 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use reqwest::{Client, Response};
-use teaselshunt_standin::{event, is_signed, site_request};
+use teaselshunt_standin::{CRASHING_BODY, event, is_signed, site_request};
 use tokio::task::JoinSet;
 
+use crate::faults::Plan;
 use crate::site::Site;
 
 /// A promise that was broken.
@@ -28,6 +29,13 @@
 const DEADLINE_MS: u64 = 5_000;
 /// Events of a stream.
 const EVENTS: u32 = 20;
+/// Pause of a caller whose request crashes engines, in milliseconds.
+const CRASH_PAUSE: std::ops::Range<u64> = 500..3_000;
+/// Engines that one request may crash before all instances know it, once everything has healed: those that were all down in
+/// one moment have to learn it again.
+const CRASHES: usize = 3;
+/// Time in which all instances know what one has learned.
+const SETTLED: Duration = Duration::from_secs(3);
 /// Longest time for everything to be served again at the end.
 const RECOVERY: Duration = Duration::from_secs(90);
 
@@ -77,6 +85,7 @@
                 let rng = StdRng::seed_from_u64(seed ^ (index as u64 * 7 + kind.len() as u64));
                 tasks.spawn(caller.clone().ask_for_ever(kind, index, rng));
             }
+            tasks.spawn(caller.crash_for_ever(index, StdRng::seed_from_u64(seed ^ (index as u64 * 11))));
         }
         Self { book, counts, tasks: Mutex::new(tasks), timeless }
     }
@@ -101,7 +110,7 @@
         let broken = |promise: &str, id: &str| {
             Some(Broken { promise: promise.to_owned(), request: Some(id.to_owned()) })
         };
-        let once = |id: &str| id.starts_with("once") || id.starts_with("stream");
+        let once = |id: &str| ["once", "stream", "crash"].iter().any(|kind| id.starts_with(kind));
         if let Some((id, _)) = counts.iter().find(|(id, n)| once(id) && **n > 1) {
             return broken("a request that may run once ran twice", id);
         }
@@ -127,16 +136,13 @@
         let addresses: Vec<String> =
             site.parts().instances.iter().map(|s| s.settings.callers.to_string()).collect();
         let newest = format!("v{}", site.parts().version);
-        let caller = |address: &str| Caller {
-            address: address.to_owned(),
-            client: Client::new(),
-            book: Arc::clone(&self.book),
-            counts: Arc::clone(&self.counts),
-        };
         for address in &addresses {
             // The last is the route that only the newest version has.
             for kind in ["once", "safe", "stream", "resume", newest.as_str()] {
-                while !caller(address).ask(kind, &format!("{kind}-end-{address}-{:?}", Instant::now())).await
+                while !self
+                    .caller(address)
+                    .ask(kind, &format!("{kind}-end-{address}-{:?}", Instant::now()))
+                    .await
                 {
                     if Instant::now() > end {
                         let promise =
@@ -156,6 +162,37 @@
         }
         self.broken(site).map_or(Ok(()), Err)
     }
+
+    /// After everything has healed, a request that crashes engines crashes few more.
+    pub(crate) async fn crash_again(&self, site: &Site, plan: &mut Plan) -> Result<(), Broken> {
+        let before = site.crashed();
+        let addresses: Vec<String> =
+            site.parts().instances.iter().map(|s| s.settings.callers.to_string()).collect();
+        for (number, address) in addresses.iter().cycle().take(CRASHES).enumerate() {
+            self.caller(address).ask("crash", &format!("crash-first-{number}")).await;
+            plan.bury(site).await;
+        }
+        tokio::time::sleep(SETTLED).await;
+        for (number, address) in addresses.iter().enumerate() {
+            self.caller(address).ask("crash", &format!("crash-last-{number}")).await;
+            plan.bury(site).await;
+        }
+        let more = site.crashed() - before;
+        if more > CRASHES {
+            let promise = format!("a request crashed {more} engines after everything had healed");
+            return Err(Broken { promise, request: Some("crash-last".to_owned()) });
+        }
+        Ok(())
+    }
+
+    fn caller(&self, address: &str) -> Caller {
+        Caller {
+            address: address.to_owned(),
+            client: Client::new(),
+            book: Arc::clone(&self.book),
+            counts: Arc::clone(&self.counts),
+        }
+    }
 }
 
 fn lock(book: &Mutex<Book>) -> std::sync::MutexGuard<'_, Book> {
@@ -180,17 +217,30 @@
         }
     }
 
+    /// Sends the same request again and again, which crashes each engine that begins to run it.
+    async fn crash_for_ever(self, index: usize, mut rng: StdRng) {
+        for number in 0_u64.. {
+            tokio::time::sleep(Duration::from_millis(rng.random_range(CRASH_PAUSE))).await;
+            self.ask("crash", &format!("crash-{index}-{number}-{:x}", rng.random::<u32>())).await;
+        }
+    }
+
     /// Asks, and checks what comes back. Says whether it was a whole answer.
     async fn ask(&self, kind: &str, id: &str) -> bool {
         self.counts.asked.fetch_add(1, Ordering::Relaxed);
-        let request = site_request(&self.client, &self.address, &format!("/{kind}/"), id, DEADLINE_MS);
+        let crashes = kind == "crash";
+        let path = if crashes { "/stream/".to_owned() } else { format!("/{kind}/") };
+        let mut request = site_request(&self.client, &self.address, &path, id, DEADLINE_MS);
+        if crashes {
+            request = request.body(CRASHING_BODY);
+        }
         // A connection that breaks promises nothing.
         let Ok(response) = request.send().await else { return false };
         match response.status().as_u16() {
             200 => self.check(kind, id, response).await,
             408 | 421 | 429 | 503 => {
                 self.counts.refused.fetch_add(1, Ordering::Relaxed);
-                if kind == "once" || kind == "stream" {
+                if ["once", "stream", "crash"].contains(&kind) {
                     lock(&self.book).refused.push(id.to_owned());
                 }
                 false
@@ -218,7 +268,7 @@
             }
         };
         let text = String::from_utf8_lossy(&text).into_owned();
-        let expected: String = if kind == "stream" || kind == "resume" {
+        let expected: String = if ["stream", "resume", "crash"].contains(&kind) {
             (1..=EVENTS).map(|number| event(id, number)).collect()
         } else {
             format!("answer to {id}")
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -50,6 +50,7 @@
         let pause = self.rng.random_range(50..400);
         tokio::time::sleep(Duration::from_millis(pause)).await;
         self.undo_until(site, Instant::now());
+        self.bury(site).await;
         match self.rng.random_range(0..12) {
             0 => self.kill(site),
             1 => self.terminate(site),
@@ -72,6 +73,7 @@
             endpoint.proxy.set(Harm::None);
             endpoint.server.set_fault(SiteFault::None);
         }
+        self.bury(site).await;
         // Instances that are stopping end first.
         while self.stopped.elapsed() < GRACE {
             self.revive(site);
@@ -240,10 +242,24 @@
         self.later(200, 3000, Undo::Fault(index));
     }
 
+    /// Endpoints that a request has crashed lose their entries, and others take their places.
+    pub(crate) async fn bury(&mut self, site: &Site) {
+        loop {
+            let index = site.parts().endpoints.iter().position(|e| e.server.has_crashed());
+            let Some(index) = index else { return };
+            self.note(&format!("endpoint {index} has crashed"));
+            self.replace_at(site, index, false).await;
+        }
+    }
+
     /// An endpoint leaves, with or without a word, and another one of its stage takes its place.
     async fn replace(&mut self, site: &Site) {
         let index = self.some_endpoint(site);
         let word = self.rng.random_bool(0.6);
+        self.replace_at(site, index, word).await;
+    }
+
+    async fn replace_at(&mut self, site: &Site, index: usize, word: bool) {
         let stage = {
             let mut parts = site.parts();
             let mut leaving = parts.endpoints.swap_remove(index);
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -84,7 +84,10 @@
     if let Err(broken) = callers.recover(&site).await {
         return Err(story(seed, &plan, &broken, &site));
     }
-    Ok(format!("{} faults, {}", plan.count(), callers.summary()))
+    if let Err(broken) = callers.crash_again(&site, &mut plan).await {
+        return Err(story(seed, &plan, &broken, &site));
+    }
+    Ok(format!("{} faults, {} engines crashed, {}", plan.count(), site.crashed(), callers.summary()))
 }
 
 fn story(seed: u64, plan: &Plan, broken: &callers::Broken, site: &Site) -> String {
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -34,11 +34,12 @@
 }
 
 impl Proxy {
-    pub(crate) async fn start(target: SocketAddr) -> std::io::Result<Self> {
+    /// Starts a proxy to `target`, which ends when that one crashes.
+    pub(crate) async fn start(target: SocketAddr, crash: watch::Receiver<bool>) -> std::io::Result<Self> {
         let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
         let address = listener.local_addr()?;
         let harm = Arc::new(watch::Sender::new(Harm::None));
-        let task = tokio::spawn(accept(listener, target, Arc::clone(&harm)));
+        let task = tokio::spawn(accept(listener, target, Arc::clone(&harm), crash));
         Ok(Self { address, harm, task })
     }
 
@@ -53,9 +54,19 @@
     }
 }
 
-async fn accept(listener: TcpListener, target: SocketAddr, harm: Arc<watch::Sender<Harm>>) {
+async fn accept(
+    listener: TcpListener,
+    target: SocketAddr,
+    harm: Arc<watch::Sender<Harm>>,
+    mut crash: watch::Receiver<bool>,
+) {
     let mut connections = JoinSet::new();
-    while let Ok((near, _)) = listener.accept().await {
+    loop {
+        let accepted = tokio::select! {
+            Ok(_) = crash.wait_for(|crashed| *crashed) => return,
+            accepted = listener.accept() => accepted,
+        };
+        let Ok((near, _)) = accepted else { return };
         let harm = harm.subscribe();
         connections.spawn(async move {
             if *harm.borrow() == Harm::Reset {
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use teaselshunt_standin::{SiteEndpoint, SiteInstance, SiteOptions, SiteRun, SiteSettings, Store};
+use tokio::sync::watch;
 
 use crate::proxy::Proxy;
 
@@ -73,7 +74,8 @@
     }
 
     async fn add_instance(&self, number: usize) -> std::io::Result<()> {
-        let store = Proxy::start(self.store.address()).await?;
+        // The store does not crash; a sender that is gone never says so.
+        let store = Proxy::start(self.store.address(), watch::channel(false).1).await?;
         // Addresses of their own, so that ports can be the same on all, as on machines of their own.
         let id = std::process::id();
         let ip = [127, 60 + (id % 100) as u8, 1 + (id / 100 % 200) as u8, number as u8 + 1];
@@ -130,7 +132,7 @@
             room: 20_000,
         };
         let endpoint = SiteEndpoint::start(options).await?;
-        let proxy = Proxy::start(endpoint.address()).await?;
+        let proxy = Proxy::start(endpoint.address(), endpoint.crash()).await?;
         self.store.put(&key(&endpoint), &endpoint.entry(proxy.address, "ready"));
         self.parts().endpoints.push(Endpoint { server: endpoint, proxy, left: None });
         Ok(())
@@ -149,6 +151,12 @@
         all.flat_map(|e| e.server.runs().into_iter().map(|run| (run, e.left))).collect()
     }
 
+    /// Endpoints that a request has crashed.
+    pub(crate) fn crashed(&self) -> usize {
+        let parts = self.parts();
+        parts.endpoints.iter().chain(&parts.ended).filter(|e| e.server.has_crashed()).count()
+    }
+
     /// Log lines of all instances that contain a text.
     pub(crate) fn logged(&self, text: &str) -> Vec<String> {
         let parts = self.parts();
--- a/crates/standin/src/site/endpoint.rs
+++ b/crates/standin/src/site/endpoint.rs
@@ -123,6 +123,11 @@
         *self.crashed.borrow()
     }
 
+    /// Becomes true when a request crashes it.
+    pub fn crash(&self) -> watch::Receiver<bool> {
+        self.crashed.clone()
+    }
+
     /// Its id.
     pub fn id(&self) -> &str {
         &self.options.id
