Quarantine requests under which engines crash on the product's own interface too

The same cause elsewhere: the core's limits on tries hold for one request as well, and a caller who sends it again is new to it. The decision moves to the core, where both paths find it; the core asks an engine that lost a request for its load at once, and one that does not answer has crashed. Instances tell one another in a message of their own, and members that start are told.

With the limit of crashes out of reach the new tests of the core fail.

--- a/crates/bench/src/slopes.rs
+++ b/crates/bench/src/slopes.rs
@@ -5,8 +5,8 @@
 
 use serde::Serialize;
 use teaselshunt_core::{
-    AttemptId, Effect, EndpointId, Event, Generate, Identity, Instance, Listed, Offer, Report, Source,
-    Ticket, Work,
+    AttemptId, Effect, EndpointId, Event, Fingerprint, Generate, Identity, Instance, Listed, Offer, Report,
+    Source, Ticket, Work,
 };
 
 use crate::world::{Fault, Options, Side, World, scaled};
@@ -90,6 +90,7 @@
             limit: 100,
             again: false,
             key: None,
+            fingerprint: Fingerprint(number),
             deadline: Duration::from_mins(1),
         });
         let clock = Instant::now();
--- a/crates/bench/src/world/callers.rs
+++ b/crates/bench/src/world/callers.rs
@@ -4,7 +4,7 @@
 
 use rand::Rng;
 use teaselshunt_core::{
-    Call, Event, Generate, IdempotencyKey, Keyed, Outcome, Refusal, RequestId, Ticket, Work,
+    Call, Event, Fingerprint, Generate, IdempotencyKey, Keyed, Outcome, Refusal, RequestId, Ticket, Work,
 };
 
 use super::drivers::Driver;
@@ -73,6 +73,8 @@
     /// The last sending's id.
     pub(super) request: Option<RequestId>,
     sendings: u32,
+    /// What it asks for, the same in each sending.
+    fingerprint: Fingerprint,
     key: Option<Keyed>,
     pub(super) done: bool,
     /// Executions by services.
@@ -143,6 +145,7 @@
             first: None,
             request: None,
             sendings: 0,
+            fingerprint: Fingerprint(caller as u64),
             key: None,
             done: false,
             ran: 0,
@@ -334,6 +337,7 @@
                 service: self.asked.name.to_owned(),
                 method: method.to_owned(),
                 key,
+                fingerprint: self.fingerprint,
                 deadline,
             });
         }
@@ -344,6 +348,7 @@
             limit: self.asked.output,
             again: self.sendings > 1,
             key,
+            fingerprint: self.fingerprint,
             deadline,
         })
     }
--- a/crates/bench/tests/all/found.rs
+++ b/crates/bench/tests/all/found.rs
@@ -103,3 +103,15 @@
     let faults = [(1, Fault::Share(122)), (43_100, Fault::Cut(Side::Domain(0), Side::Domain(2)))];
     holds(true, 7_772_869_272_280_670_474, &faults);
 }
+
+/// A stream stalls and is taken up again at the same engine, which is asked for its load in the same moment. It reports the
+/// try before, which is not the last one any more, and that was cancelled as left over: the next try held the engine's memory
+/// for ever.
+#[test]
+fn stream_taken_up_while_its_engine_reports() {
+    let faults = [
+        (10_240, Fault::Cut(Side::Domain(5), Side::Domain(1))),
+        (58_827, Fault::Cut(Side::Domain(6), Side::Domain(5))),
+    ];
+    holds(true, 8_842_440_123_689_219_757, &faults);
+}
--- /dev/null
+++ b/crates/core/src/crashes.rs
@@ -0,0 +1,151 @@
+//! Endpoints that go down under requests, as one instance finds out and hears from others.
+//!
+//! A broken step does not say that the endpoint has crashed: one answer can be lost, and so can connections. The engine is asked
+//! for its load at once; one that does not answer, or takes no connection from the next request, has crashed, and whatever
+//! was lost there counts against the requests. What follows for them is decided by
+//! [`Quarantine`](crate::Quarantine).
+
+use std::time::{Duration, Instant};
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::error::{ErrorKind, Refusal};
+use crate::event::{Audit, Effect};
+use crate::ids::{EndpointKey, RequestKey};
+use crate::instance::Instance;
+use crate::message::{CrashReport, Message};
+use crate::quarantine::{Crash, EndpointStart};
+use crate::requests::Phase;
+use crate::{EndpointId, Fingerprint, InstanceId};
+
+/// How long after a loss an endpoint that cannot be reached counts as crashed under the lost request. An engine that lives
+/// answers within this, and one that restarts needs longer.
+const LOSS: Duration = Duration::from_secs(2);
+/// Time that an endpoint needs at least between two crashes, in milliseconds. Two instances that see the same crash name it by
+/// the same period of this length, but for those that lie on its border.
+const RESTART: u64 = 5_000;
+/// Time between two tellings of what is new; one of them is enough, the others are for messages that were lost.
+const TELL: Duration = Duration::from_secs(1);
+
+/// A request that an endpoint lost.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Loss {
+    request: Fingerprint,
+    endpoint: EndpointId,
+    at: Instant,
+}
+
+impl Instance {
+    /// An endpoint lost a request, and may have crashed under it.
+    pub(crate) fn lost(
+        &mut self,
+        now: Instant,
+        key: RequestKey,
+        endpoint: EndpointKey,
+        out: &mut Vec<Effect>,
+    ) {
+        let request = self.requests.get(key).fingerprint;
+        let target = self.fleet.get(endpoint).target();
+        self.losses.retain(|loss| now.duration_since(loss.at) < LOSS);
+        self.losses.push(Loss { request, endpoint: target.id, at: now });
+        if !matches!(self.requests.get(key).phase, Phase::Calling { .. }) {
+            out.push(Effect::Poll { target });
+        }
+    }
+
+    /// An endpoint answers, so that it has not crashed.
+    pub(crate) fn lives(&mut self, endpoint: EndpointId) {
+        self.losses.retain(|loss| loss.endpoint != endpoint);
+    }
+
+    /// An endpoint cannot be reached.
+    pub(crate) fn unreached(&mut self, now: Instant, endpoint: EndpointId, out: &mut Vec<Effect>) {
+        let (lost, rest): (Vec<_>, Vec<_>) = self.losses.drain(..).partition(|l| l.endpoint == endpoint);
+        self.losses = rest;
+        for Loss { request, at, .. } in lost.into_iter().filter(|l| now.duration_since(l.at) < LOSS) {
+            let crash = Crash { request, endpoint: self.start_of(endpoint, at), at };
+            self.next_telling = now;
+            if self.quarantine.crashed(now, crash) {
+                self.enforce(now, request, out);
+            }
+        }
+    }
+
+    /// The start of an endpoint that crashed at a time.
+    fn start_of(&self, endpoint: EndpointId, at: Instant) -> EndpointStart {
+        let lived = at.saturating_duration_since(self.started).as_millis() as u64;
+        let period = (self.identity.incarnation + lived) / RESTART;
+        EndpointStart(xxh3_64_with_seed(&endpoint.0.to_le_bytes(), period))
+    }
+
+    /// A request is in quarantine from now on; those that wait here with the same content are given up at once.
+    fn enforce(&mut self, now: Instant, fingerprint: Fingerprint, out: &mut Vec<Effect>) {
+        out.push(Effect::Audit(Audit::Quarantined { request: fingerprint }));
+        let waits = |r: &crate::requests::Request| r.phase == Phase::Waiting && r.fingerprint == fingerprint;
+        let waiting = self.requests.iter().filter(|(_, request)| waits(request));
+        let keys: Vec<RequestKey> = waiting.map(|(key, _)| key).collect();
+        for key in keys {
+            let Some(refusal) = self.quarantined(now, key) else { continue };
+            self.withdraw(now, key, out);
+            self.refuse(now, key, refusal, out);
+        }
+    }
+
+    /// Why a request is not sent to an endpoint, if endpoints crash under it.
+    pub(crate) fn quarantined(&self, now: Instant, key: RequestKey) -> Option<Refusal> {
+        let request = self.requests.get(key);
+        let left = self.quarantine.until(now, request.fingerprint)?.duration_since(now);
+        // What ran may not be called "not run".
+        let kind = if request.may_have_run() { ErrorKind::EndpointFailed } else { ErrorKind::Quarantined };
+        Some(Refusal::later(kind, left))
+    }
+
+    /// Tells the others what is new, and again for a while.
+    pub(crate) fn tell_crashes(&mut self, now: Instant, out: &mut Vec<Effect>) {
+        self.quarantine.expire(now);
+        if now < self.next_telling {
+            return;
+        }
+        self.next_telling = now + TELL;
+        let Some(message) = self.crash_news(now, false) else { return };
+        let members: Vec<InstanceId> = self.members.iter().map(|(id, _)| id).collect();
+        for to in members {
+            self.deliver(now, to, message.clone(), out);
+        }
+    }
+
+    /// What a member is told that is new, or all that members are told now.
+    pub(crate) fn crash_news(&self, now: Instant, newcomer: bool) -> Option<Message> {
+        let news = self.quarantine.news(now, newcomer);
+        if news.crashes.is_empty() && news.served.is_empty() {
+            return None;
+        }
+        let report = |crash: &Crash| CrashReport {
+            request: crash.request,
+            endpoint: crash.endpoint,
+            age_ms: u32::try_from(now.saturating_duration_since(crash.at).as_millis()).unwrap_or(u32::MAX),
+        };
+        let crashes = news.crashes.iter().map(report).collect();
+        Some(Message::Crashes { crashes, served: news.served })
+    }
+
+    /// A member tells of crashes, and of requests that were answered whole after such.
+    pub(crate) fn told_crashes(
+        &mut self,
+        now: Instant,
+        crashes: Vec<CrashReport>,
+        served: Vec<Fingerprint>,
+        out: &mut Vec<Effect>,
+    ) {
+        for request in served {
+            self.quarantine.told_served(now, request);
+        }
+        for CrashReport { request, endpoint, age_ms } in crashes {
+            // A machine that started after the crash may know no time so long ago.
+            let at = now.checked_sub(Duration::from_millis(u64::from(age_ms))).unwrap_or(self.started);
+            if self.quarantine.told(now, Crash { request, endpoint, at }) {
+                self.enforce(now, request, out);
+            }
+        }
+    }
+}
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 use teaselshunt_settings::{Configuration, parse_configuration};
 
-use crate::{AttemptId, EndpointId, InstanceId, Keyed, Message, Refusal, RequestId, Ticket};
+use crate::{AttemptId, EndpointId, Fingerprint, InstanceId, Keyed, Message, Refusal, RequestId, Ticket};
 
 /// Something that happened.
 #[derive(Debug, Clone)]
@@ -151,6 +151,8 @@
     pub again: bool,
     /// Idempotency key, if the caller gave one.
     pub key: Option<Keyed>,
+    /// By what it is known if it is sent again.
+    pub fingerprint: Fingerprint,
     /// Time from arrival after which the caller has no use for the answer.
     pub deadline: Duration,
 }
@@ -164,6 +166,8 @@
     pub method: String,
     /// Idempotency key, if the caller gave one.
     pub key: Option<Keyed>,
+    /// By what it is known if it is sent again.
+    pub fingerprint: Fingerprint,
     /// Time from arrival after which the caller has no use for the answer.
     pub deadline: Duration,
 }
@@ -449,6 +453,11 @@
         /// Whether it answers.
         reachable: bool,
     },
+    /// Endpoints crash under a request; it is not sent to more of them for a while.
+    Quarantined {
+        /// The request.
+        request: Fingerprint,
+    },
     /// Work of a dead instance was cancelled at an engine.
     Orphan {
         /// The try.
--- a/crates/core/src/failures.rs
+++ b/crates/core/src/failures.rs
@@ -30,7 +30,13 @@
         let request = self.requests.get_mut(key);
         assert!(offset >= request.offset, "output of {attempt} moved back");
         request.offset = offset;
-        match request.phase {
+        let phase = request.phase;
+        if matches!(fault, Fault::Broken | Fault::TimedOut | Fault::Stalled)
+            && let Some(endpoint) = phase.endpoint()
+        {
+            self.lost(now, key, endpoint, out);
+        }
+        match phase {
             Phase::Claiming | Phase::Waiting => {}
             Phase::Prefilling { prefill, decode } => {
                 self.prefill_failed(now, key, (prefill, decode), fault, out);
@@ -185,6 +191,8 @@
         let ran = request.may_have_run();
         if fault == Fault::Rejected {
             self.refuse(now, key, Refusal::new(ErrorKind::Rejected), out);
+        } else if let Some(refusal) = self.quarantined(now, key) {
+            self.refuse(now, key, refusal, out);
         } else if self.may_retry(now, key) {
             self.spend_retry();
             self.enqueue(now, key, out);
@@ -210,6 +218,10 @@
     }
 
     pub(crate) fn blame(&mut self, now: Instant, endpoint: EndpointKey, fault: Fault, out: &mut Vec<Effect>) {
+        if fault == Fault::NotSent {
+            let id = self.fleet.get(endpoint).target().id;
+            self.unreached(now, id, out);
+        }
         match fault {
             Fault::Leaving => self.fleet.leaving(endpoint),
             Fault::NotSent | Fault::Broken | Fault::TimedOut | Fault::Stalled => {
--- a/crates/core/src/flow.rs
+++ b/crates/core/src/flow.rs
@@ -54,6 +54,9 @@
 
     /// Queues a request, or refuses it at once if it would wait longer than its class may.
     pub(crate) fn admit(&mut self, now: Instant, key: RequestKey, out: &mut Vec<Effect>) {
+        if let Some(refusal) = self.quarantined(now, key) {
+            return self.refuse(now, key, refusal, out);
+        }
         let request = self.requests.get(key);
         if !self.served(now, request) || self.expected_wait(now, request) > request.wait {
             let refusal = self.no_slot(now, request);
@@ -408,6 +411,7 @@
         self.learn_hold(now, key);
         self.release_decode(now, key, endpoint, out);
         let request = self.requests.close(key);
+        self.quarantine.served(now, request.fingerprint);
         self.settle(now, &request, Fate::Ran(stored), out);
         self.pump(now, &request.pool, out);
     }
@@ -545,6 +549,7 @@
     }
 
     pub(crate) fn succeeded(&mut self, endpoint: EndpointKey, out: &mut Vec<Effect>) {
+        self.lives(self.fleet.get(endpoint).target().id);
         if self.fleet.succeeded(endpoint) {
             let name = self.fleet.get(endpoint).name.clone();
             out.push(Effect::Audit(Audit::Endpoint { endpoint: name, reachable: true }));
--- a/crates/core/src/instance.rs
+++ b/crates/core/src/instance.rs
@@ -11,6 +11,7 @@
 
 use crate::claims::Ended;
 use crate::counters::Counters;
+use crate::crashes::Loss;
 use crate::event::{Audit, Effect, Event, Offer, Report, Source};
 use crate::fleet::{EndpointView, Fleet, Placement};
 use crate::homes::{Claim, Finding, Homes, Replies};
@@ -18,6 +19,7 @@
 use crate::members::{Health, MemberView, Members};
 use crate::message::{Heartbeat, Message};
 use crate::orphans::Cancels;
+use crate::quarantine::Quarantine;
 use crate::queue::Queue;
 use crate::requests::Requests;
 use crate::slots::Slots;
@@ -114,6 +116,13 @@
     pub(crate) cancels: Cancels,
     /// Homes that granted the keys of requests in progress.
     pub(crate) grants: HashMap<RequestId, InstanceId>,
+    /// Requests that endpoints lost a moment ago.
+    pub(crate) losses: Vec<Loss>,
+    /// Requests under which endpoints crash.
+    pub(crate) quarantine: Quarantine,
+    pub(crate) next_telling: Instant,
+    /// When the process started.
+    pub(crate) started: Instant,
     /// Keyed requests that ended lately.
     pub(crate) ended: BTreeMap<RequestId, Ended>,
     /// Retries left, in hundredths.
@@ -161,6 +170,10 @@
             next_reclaim: now,
             cancels: Cancels::default(),
             grants: HashMap::new(),
+            losses: Vec::new(),
+            quarantine: Quarantine::default(),
+            next_telling: now,
+            started: now,
             ended: BTreeMap::new(),
             budget: crate::flow::RETRY * 10,
             counters: Counters::default(),
@@ -209,7 +222,7 @@
                 }
             }
             Event::Reported { endpoint, report } => self.reported(now, endpoint, &report, out),
-            Event::Unreported { endpoint } => self.unreported(endpoint, out),
+            Event::Unreported { endpoint } => self.unreported(now, endpoint, out),
             Event::Offered { offer, source } => self.offered(now, offer, source, out),
             Event::Listed { list, source, asked } => self.listed(now, list, source, asked, out),
             Event::Unchanged { revision, asked } => {
@@ -348,6 +361,7 @@
                 let replies = self.homes.inquired(now, &self.members, from, key, finding);
                 self.send_replies(now, replies, out);
             }
+            Message::Crashes { crashes, served } => self.told_crashes(now, crashes, served, out),
             Message::Reserve(reserve) => self.reserve_asked(now, from, &reserve, out),
             Message::Queued { request } => self.queued(from, request),
             Message::Reserved { pool, request, prefill, decode } => {
@@ -385,7 +399,12 @@
 
     fn heard(&mut self, now: Instant, from: InstanceId, beat: &Heartbeat, out: &mut Vec<Effect>) {
         let mut changes = Vec::new();
+        let known = self.members.get(from).is_some_and(|member| member.incarnation == beat.incarnation);
         changes.extend(self.members.heard(now, from, beat));
+        if !known && let Some(news) = self.crash_news(now, true) {
+            // A start that knows nothing is not to find out by itself.
+            self.deliver(now, from, news, out);
+        }
         for &rumour in &beat.rumours {
             changes.extend(self.members.rumour(now, rumour));
         }
@@ -451,6 +470,7 @@
         let Some(key) = self.fleet.find(endpoint) else {
             return;
         };
+        self.lives(endpoint);
         let foreign = self.foreign(key, report);
         if self.fleet.report(now, key, me, report, foreign) {
             let name = self.fleet.get(key).name.clone();
@@ -462,10 +482,11 @@
         self.pump_all(now, out);
     }
 
-    fn unreported(&mut self, endpoint: EndpointId, out: &mut Vec<Effect>) {
+    fn unreported(&mut self, now: Instant, endpoint: EndpointId, out: &mut Vec<Effect>) {
         let Some(key) = self.fleet.find(endpoint) else {
             return;
         };
+        self.unreached(now, endpoint, out);
         if self.fleet.unreported(key) {
             let name = self.fleet.get(key).name.clone();
             out.push(Effect::Audit(Audit::Endpoint { endpoint: name, reachable: false }));
@@ -501,6 +522,7 @@
         self.renew_leases(now, out);
         self.resend_cancels(now, out);
         self.forget_ended(now);
+        self.tell_crashes(now, out);
         self.pump_all(now, out);
         self.end_stop(now, out);
     }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,7 +7,7 @@
 //! in virtual time.
 //!
 //! Modules look down only: `instance` dispatches to `opening`, `flow` and `failures` (the steps of a request),
-//! `reservations` (its slots) and `claims` (its idempotency key), which use `requests`, `fleet`, `queue`, `homes` and `orphans`; `members` and `versions`
+//! `reservations` (its slots), `claims` (its idempotency key) and `crashes` (endpoints that go down under it), which use `requests`, `fleet`, `queue`, `homes`, `quarantine` and `orphans`; `members` and `versions`
 //! know nothing of requests.
 //!
 //! Invariants, asserted in the program:
@@ -22,9 +22,11 @@
 mod claims;
 mod clock;
 mod counters;
+mod crashes;
 mod error;
 mod event;
 mod failures;
+mod fingerprint;
 mod fleet;
 mod flow;
 mod homes;
@@ -35,6 +37,7 @@
 mod message;
 mod opening;
 mod orphans;
+mod quarantine;
 mod queue;
 mod requests;
 mod reservations;
@@ -48,8 +51,10 @@
     Audit, Call, Effect, Entry, Event, Fault, Generate, Listed, Offer, Report, Running, Source, Stored,
     Target, Work,
 };
+pub use fingerprint::Fingerprint;
 pub use fleet::{EndpointView, Fleet, Placement};
 pub use ids::{AttemptId, EndpointId, IdempotencyKey, InstanceId, Keyed, PoolId, RequestId, Ticket};
 pub use instance::{Identity, Instance, Snapshot};
 pub use members::{Health, MemberView};
-pub use message::{ClaimAnswer, Fate, Heartbeat, Message, Record, Reserve, Rumour};
+pub use message::{ClaimAnswer, CrashReport, Fate, Heartbeat, Message, Record, Reserve, Rumour};
+pub use quarantine::{Crash, CrashNews, EndpointStart, Quarantine};
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -4,7 +4,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{EndpointId, IdempotencyKey, InstanceId, Listed, PoolId, RequestId, Stored};
+use crate::{
+    EndpointId, EndpointStart, Fingerprint, IdempotencyKey, InstanceId, Listed, PoolId, RequestId, Stored,
+};
 
 /// A message from one instance to another.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -140,6 +142,24 @@
         /// Whether these are the last.
         last: bool,
     },
+    /// Endpoints crashed under requests.
+    Crashes {
+        /// The crashes.
+        crashes: Vec<CrashReport>,
+        /// Requests that were answered whole after endpoints had crashed under them.
+        served: Vec<Fingerprint>,
+    },
+}
+
+/// An endpoint crashed under a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashReport {
+    /// The request.
+    pub request: Fingerprint,
+    /// The endpoint.
+    pub endpoint: EndpointStart,
+    /// How long ago, in milliseconds: instances have no clock in common.
+    pub age_ms: u32,
 }
 
 /// What a request needs of its pool.
--- a/crates/core/src/opening.rs
+++ b/crates/core/src/opening.rs
@@ -55,6 +55,7 @@
             priority: class.priority,
             wait: Duration::from_millis(class.wait_ms),
             key: work.key,
+            fingerprint: work.fingerprint,
             deadline: work.deadline,
         })
     }
@@ -77,6 +78,7 @@
             priority: SERVICE_PRIORITY,
             wait: SERVICE_WAIT,
             key: work.key,
+            fingerprint: work.fingerprint,
             deadline: work.deadline,
         })
     }
--- a/crates/routing/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -17,7 +17,9 @@
 use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
-use crate::{EngineTag, Fingerprint};
+use serde::{Deserialize, Serialize};
+
+use crate::Fingerprint;
 
 /// Crashes from which a request is in quarantine. Two can happen to a stream that was taken up once while endpoints go down
 /// for other reasons; each further one costs all callers of one more endpoint their answers.
@@ -39,20 +41,24 @@
 /// Most crashes, and most whole answers, that one datagram tells: about a kilobyte.
 const TELLING: usize = 64;
 
+/// One start of an endpoint, by a number that is the same on every instance. Two that share a number by chance count as one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct EndpointStart(pub u64);
+
 /// An endpoint crashed under a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Crash {
     /// The request.
     pub request: Fingerprint,
-    /// The endpoint's start.
-    pub endpoint: EngineTag,
+    /// The endpoint.
+    pub endpoint: EndpointStart,
     /// When.
     pub at: Instant,
 }
 
 /// What peers are told.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct Rumour {
+pub struct CrashNews {
     /// Crashes.
     pub crashes: Vec<Crash>,
     /// Requests that were answered whole after endpoints had crashed under them.
@@ -71,7 +77,7 @@
 }
 
 impl Record {
-    fn has(&self, endpoint: EngineTag) -> bool {
+    fn has(&self, endpoint: EndpointStart) -> bool {
         self.crashes.iter().any(|crash| crash.endpoint == endpoint)
     }
 
@@ -200,7 +206,7 @@
 
     /// What peers are told now: what was new here a moment ago, and if some of them are new, all that keeps requests in
     /// quarantine. An instance that starts knows nothing, and is not to find out by itself.
-    pub fn rumour(&self, now: Instant, newcomers: bool) -> Rumour {
+    pub fn news(&self, now: Instant, newcomers: bool) -> CrashNews {
         let recent = |at: Instant| now.duration_since(at) < TOLD;
         let told = |r: &&Record| r.own.is_some_and(recent) || (newcomers && r.until(now).is_some());
         let mut crashes: Vec<_> =
@@ -209,7 +215,7 @@
         crashes.truncate(TELLING);
         let cleared = self.cleared.iter().rev().filter(|(at, _)| recent(*at));
         let served = cleared.take(TELLING).map(|(_, request)| *request).collect();
-        Rumour { crashes, served }
+        CrashNews { crashes, served }
     }
 
     /// Forgets what is too old.
--- a/crates/core/src/requests.rs
+++ b/crates/core/src/requests.rs
@@ -8,7 +8,7 @@
 use slotmap::SlotMap;
 
 use crate::ids::{EndpointKey, RequestKey};
-use crate::{AttemptId, InstanceId, Keyed, RequestId, Ticket};
+use crate::{AttemptId, Fingerprint, InstanceId, Keyed, RequestId, Ticket};
 
 /// Where a request stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -27,6 +27,18 @@
     Calling { endpoint: EndpointKey },
 }
 
+impl Phase {
+    /// The endpoint that works on the request.
+    pub(crate) const fn endpoint(self) -> Option<EndpointKey> {
+        match self {
+            Self::Claiming | Self::Waiting => None,
+            Self::Prefilling { prefill, .. } => Some(prefill),
+            Self::Importing { decode, .. } | Self::Decoding { decode } => Some(decode),
+            Self::Calling { endpoint } => Some(endpoint),
+        }
+    }
+}
+
 /// What the request needs, from the configuration in force when it arrived.
 #[derive(Debug, Clone)]
 pub(crate) enum Kind {
@@ -54,6 +66,7 @@
     /// Longest wait for a slot.
     pub(crate) wait: Duration,
     pub(crate) key: Option<Keyed>,
+    pub(crate) fingerprint: Fingerprint,
     pub(crate) arrived: Instant,
     pub(crate) deadline: Instant,
     pub(crate) phase: Phase,
@@ -119,6 +132,7 @@
     pub(crate) priority: u8,
     pub(crate) wait: Duration,
     pub(crate) key: Option<Keyed>,
+    pub(crate) fingerprint: Fingerprint,
     pub(crate) deadline: Duration,
 }
 
@@ -144,6 +158,7 @@
             priority: opening.priority,
             wait: opening.wait,
             key: opening.key,
+            fingerprint: opening.fingerprint,
             arrived: now,
             deadline,
             phase: Phase::Claiming,
@@ -199,7 +214,10 @@
             return false;
         };
         let request = &self.arena[key];
-        request.attempt() == attempt || request.cache.is_some_and(|c| c.attempt == attempt)
+        // A stream that is being taken up again still runs as the try before: an engine that is asked for its load in this
+        // moment reports that one, and a cancel would end the stream under the next try.
+        let taken_up = request.resumed && attempt.number + 1 == request.attempts;
+        taken_up || request.attempt() == attempt || request.cache.is_some_and(|c| c.attempt == attempt)
     }
 
     /// Sets the time at which the request is looked at again; never later than its deadline.
--- a/crates/core/tests/all/claims.rs
+++ b/crates/core/tests/all/claims.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use teaselshunt_core::{
-    Call, ClaimAnswer, Effect, Entry, Event, Fate, Heartbeat, IdempotencyKey, InstanceId, Keyed, Listed,
-    Message, RequestId, Source, Ticket, Work,
+    Call, ClaimAnswer, Effect, Entry, Event, Fate, Fingerprint, Heartbeat, IdempotencyKey, InstanceId, Keyed,
+    Listed, Message, RequestId, Source, Ticket, Work,
 };
 
 use crate::support::Alone;
@@ -52,6 +52,7 @@
             service: "fees".to_owned(),
             method: "POST".to_owned(),
             key: Some(key),
+            fingerprint: Fingerprint(number),
             deadline: Duration::from_secs(5),
         });
         self.step(Event::Arrived { ticket: Ticket(number), work })
--- a/crates/core/tests/all/main.rs
+++ b/crates/core/tests/all/main.rs
@@ -1,6 +1,8 @@
 //! One instance of the decision core, driven event by event.
 
 mod claims;
+mod crashes;
 mod ids;
+mod quarantine;
 mod steps;
 mod support;
--- a/crates/routing/tests/all/quarantine.rs
+++ b/crates/core/tests/all/quarantine.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use quickcheck::quickcheck;
-use teaselshunt_routing::{Crash, EngineTag, Fingerprint, Quarantine, Rumour};
+use teaselshunt_core::{Crash, CrashNews, EndpointStart, Fingerprint, Quarantine};
 
 const BAD: Fingerprint = Fingerprint(1);
 const OTHER: Fingerprint = Fingerprint(2);
@@ -14,7 +14,7 @@
 const MEMORY: Duration = Duration::from_mins(10);
 
 fn crash(request: Fingerprint, endpoint: u32, at: Instant) -> Crash {
-    Crash { request, endpoint: EngineTag(endpoint), at }
+    Crash { request, endpoint: EndpointStart(u64::from(endpoint)), at }
 }
 
 fn before(now: Instant, seconds: u64) -> Instant {
@@ -31,11 +31,11 @@
     quarantine
 }
 
-fn hear(quarantine: &mut Quarantine, now: Instant, rumour: &Rumour) {
-    for &request in &rumour.served {
+fn hear(quarantine: &mut Quarantine, now: Instant, news: &CrashNews) {
+    for &request in &news.served {
         quarantine.told_served(now, request);
     }
-    for &crash in &rumour.crashes {
+    for &crash in &news.crashes {
         quarantine.told(now, crash);
     }
 }
@@ -67,10 +67,10 @@
             quarantine
         })
         .collect();
-    let rumours: Vec<Rumour> = instances.iter().map(|i| i.rumour(now, false)).collect();
+    let tellings: Vec<CrashNews> = instances.iter().map(|i| i.news(now, false)).collect();
     for instance in &mut instances {
-        for rumour in &rumours {
-            hear(instance, now, rumour);
+        for news in &tellings {
+            hear(instance, now, news);
         }
     }
     assert!(instances.iter().all(|i| is_in(i, now, BAD)));
@@ -84,10 +84,10 @@
     let mut quarantine = seen(1, now);
     quarantine.told(now, crash(BAD, 9, now));
     let later = now + Duration::from_secs(1);
-    let told = quarantine.rumour(later, false).crashes;
-    assert!(told.iter().any(|c| c.endpoint == EngineTag(1)), "{told:?}");
+    let told = quarantine.news(later, false).crashes;
+    assert!(told.iter().any(|c| c.endpoint == EndpointStart(1)), "{told:?}");
     let over = now + Duration::from_secs(5);
-    assert!(quarantine.rumour(over, false).crashes.is_empty(), "everybody knows it by then");
+    assert!(quarantine.news(over, false).crashes.is_empty(), "everybody knows it by then");
 }
 
 /// An instance starts again while callers go on sending a request that is in quarantine. It is told at once, by any peer,
@@ -96,11 +96,11 @@
 fn an_instance_that_starts_is_told_what_is_in_quarantine() {
     let now = Instant::now() + MEMORY;
     let mut peer = Quarantine::default();
-    hear(&mut peer, now, &seen(3, now).rumour(now, false));
+    hear(&mut peer, now, &seen(3, now).news(now, false));
     let later = now + Duration::from_mins(2);
-    assert!(peer.rumour(later, false).crashes.is_empty(), "nothing is new");
+    assert!(peer.news(later, false).crashes.is_empty(), "nothing is new");
     let mut fresh = Quarantine::default();
-    hear(&mut fresh, later, &peer.rumour(later, true));
+    hear(&mut fresh, later, &peer.news(later, true));
     assert!(is_in(&fresh, later, BAD));
 }
 
@@ -119,7 +119,7 @@
     quarantine.served(now, BAD);
     assert!(!is_in(&quarantine, now, BAD), "it is answered after");
     let mut peer = seen(3, now);
-    hear(&mut peer, now, &quarantine.rumour(now, false));
+    hear(&mut peer, now, &quarantine.news(now, false));
     assert!(!is_in(&peer, now, BAD), "it is answered elsewhere");
 }
 
@@ -171,8 +171,8 @@
         quarantine.crashed(now, crash(BAD, endpoint, now));
     }
     assert!(is_in(&quarantine, now, BAD));
-    let rumour = quarantine.rumour(now, true);
-    assert!(rumour.crashes.len() <= 64 && rumour.served.len() <= 64);
+    let news = quarantine.news(now, true);
+    assert!(news.crashes.len() <= 64 && news.served.len() <= 64);
 }
 
 quickcheck! {
--- a/crates/core/tests/all/support.rs
+++ b/crates/core/tests/all/support.rs
@@ -4,8 +4,8 @@
 use std::time::{Duration, Instant};
 
 use teaselshunt_core::{
-    AttemptId, Effect, EndpointId, Event, Generate, Identity, Instance, Listed, Offer, Report, Source,
-    Ticket, Work,
+    AttemptId, Effect, EndpointId, Event, Fingerprint, Generate, Identity, Instance, Listed, Offer, Report,
+    Source, Ticket, Work,
 };
 use teaselshunt_settings::{Configuration, parse_configuration};
 
@@ -70,6 +70,11 @@
 
     /// A caller asks for an invoice; the try that began.
     pub(crate) fn arrive(&mut self, ticket: u64) -> AttemptId {
+        prefill(&self.ask(ticket, Fingerprint(ticket))).expect("there is room")
+    }
+
+    /// A caller asks for an invoice with this content.
+    pub(crate) fn ask(&mut self, ticket: u64, fingerprint: Fingerprint) -> Vec<Effect> {
         let work = Work::Generate(Generate {
             model: "fee-writer-invoice".to_owned(),
             team: String::new(),
@@ -77,10 +82,10 @@
             limit: 100,
             again: false,
             key: None,
+            fingerprint,
             deadline: Duration::from_mins(1),
         });
-        let effects = self.step(Event::Arrived { ticket: Ticket(ticket), work });
-        prefill(&effects).expect("there is room")
+        self.step(Event::Arrived { ticket: Ticket(ticket), work })
     }
 }
 
--- a/crates/daemon/src/audit.rs
+++ b/crates/daemon/src/audit.rs
@@ -103,6 +103,11 @@
                 line.subject = Some(endpoint.clone());
                 line.state = Some(if *reachable { "reachable" } else { "unreachable" });
             }
+            Audit::Quarantined { request } => {
+                line.change = "quarantine";
+                line.subject = Some(request.to_string());
+                line.cause = Some("endpoints crashed under this request".to_owned());
+            }
             Audit::Orphan { attempt, endpoint } => {
                 line.change = "orphan";
                 line.subject = Some(endpoint.clone());
--- a/crates/daemon/src/callers/openai.rs
+++ b/crates/daemon/src/callers/openai.rs
@@ -7,7 +7,7 @@
 use poem::web::Data;
 use poem::{Body, Request, Response, handler};
 use serde::{Deserialize, Serialize};
-use teaselshunt_core::{ErrorKind, Generate, RequestId, Stored, Work};
+use teaselshunt_core::{ErrorKind, Fingerprint, Generate, RequestId, Stored, Work};
 use tokio::sync::{OwnedSemaphorePermit, mpsc};
 
 use super::answer::{REQUEST_ID, Rejection, replayed};
@@ -222,6 +222,7 @@
         limit: asked.limit,
         again: terms.again,
         key: terms.key,
+        fingerprint: Fingerprint::of("POST", "", request.uri().path(), &body),
         deadline: terms.deadline,
     };
     let session = front.control.open(Work::Generate(work));
--- a/crates/daemon/src/callers/services.rs
+++ b/crates/daemon/src/callers/services.rs
@@ -3,7 +3,7 @@
 use poem::http::Method;
 use poem::web::{Data, Path};
 use poem::{Body, Request, Response, handler};
-use teaselshunt_core::{Call, ErrorKind, RequestId, Work};
+use teaselshunt_core::{Call, ErrorKind, Fingerprint, RequestId, Work};
 
 use super::answer::{REQUEST_ID, Rejection, replayed};
 use super::front::{Front, answered};
@@ -34,15 +34,13 @@
     if method == Method::CONNECT {
         return Err(Rejection::new(ErrorKind::Invalid, "method CONNECT is not allowed"));
     }
-    let work = Call { service, method: method.to_string(), key: terms.key, deadline: terms.deadline };
+    let path = with_query(path, request.uri().query());
+    let fingerprint = Fingerprint::of(method.as_str(), &service, &path, &body);
+    let (key, deadline) = (terms.key, terms.deadline);
+    let work = Call { service, method: method.to_string(), key, fingerprint, deadline };
     let session = front.control.open(Work::Call(work));
-    let plan = CallPlan {
-        method,
-        path: with_query(path, request.uri().query()),
-        headers: end_to_end(request.headers()),
-        body,
-        keyed: terms.key.is_some(),
-    };
+    let plan =
+        CallPlan { method, path, headers: end_to_end(request.headers()), body, keyed: terms.key.is_some() };
     let output = start_call(session, front.engines.clone(), plan);
     match output.await {
         Ok(CallOutput::Answered { request, status, headers, body }) => {
--- a/crates/forward/src/crashes.rs
+++ b/crates/forward/src/crashes.rs
@@ -1,5 +1,5 @@
 //! Whether an endpoint has crashed under the requests that it lost. What follows from that for a request is decided by
-//! [`Quarantine`](teaselshunt_routing::Quarantine).
+//! [`Quarantine`](teaselshunt_core::Quarantine).
 //!
 //! A connection that breaks does not say so: an endpoint can lose one answer, and something on the way can reset
 //! connections. But an endpoint that takes no new connection either, right after it lost a request, has ended or is cut
@@ -9,7 +9,8 @@
 use std::time::{Duration, Instant};
 
 use slog::{info, warn};
-use teaselshunt_routing::{Crash, EndpointKey, EndpointState, Fingerprint};
+use teaselshunt_core::{Crash, EndpointStart, Fingerprint};
+use teaselshunt_routing::{EndpointKey, EndpointState};
 
 use crate::node::{Job, Node};
 use crate::trace::Trace;
@@ -67,7 +68,7 @@
     let Some(tag) = node.state.borrow().endpoints.tag(endpoint) else { return };
     let now = node.now();
     for Loss { fingerprint: request, at, .. } in losses {
-        let crash = Crash { request, endpoint: tag, at };
+        let crash = Crash { request, endpoint: EndpointStart(u64::from(tag.0)), at };
         if node.state.borrow_mut().quarantine.crashed(now, crash) {
             log_quarantine(&node, request);
         }
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -17,10 +17,10 @@
 use hyper::{Method, Request, Response, StatusCode};
 use rand::rngs::SmallRng;
 use slog::{Logger, info};
-use teaselshunt_core::{Clock, ErrorKind, Refusal};
+use teaselshunt_core::{Clock, ErrorKind, Fingerprint, Quarantine, Refusal};
 use teaselshunt_routing::{
-    Allowances, Budgets, EndpointKey, Endpoints, Fingerprint, Need, Outputs, Pace, Quarantine, Route,
-    RouteSet, Service, Stage, Verdict,
+    Allowances, Budgets, EndpointKey, Endpoints, Need, Outputs, Pace, Route, RouteSet, Service, Stage,
+    Verdict,
 };
 use tokio::sync::{Notify, watch};
 
--- a/crates/forward/src/peers.rs
+++ b/crates/forward/src/peers.rs
@@ -16,7 +16,8 @@
 use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
-use teaselshunt_routing::{Crash, EngineTag, Fingerprint, HEARTBEAT, Peers, tag};
+use teaselshunt_core::{Crash, EndpointStart, Fingerprint};
+use teaselshunt_routing::{EngineTag, HEARTBEAT, Peers, tag};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 
@@ -78,7 +79,7 @@
 #[derive(Debug, Serialize, Deserialize)]
 struct CrashWord {
     request: Fingerprint,
-    endpoint: u32,
+    endpoint: EndpointStart,
     /// How long ago, in milliseconds.
     age: u32,
 }
@@ -86,14 +87,14 @@
 impl CrashWord {
     fn tell(now: Instant, crash: Crash) -> Self {
         let age = u32::try_from(now.duration_since(crash.at).as_millis()).unwrap_or(u32::MAX);
-        Self { request: crash.request, endpoint: crash.endpoint.0, age }
+        Self { request: crash.request, endpoint: crash.endpoint, age }
     }
 
     /// The crash. A machine may have started after it, and its clock may know no time so long ago; then it counts from
     /// `started`, when this process began.
     fn hear(&self, now: Instant, started: Instant) -> Crash {
         let at = now.checked_sub(Duration::from_millis(u64::from(self.age))).unwrap_or(started);
-        Crash { request: self.request, endpoint: EngineTag(self.endpoint), at }
+        Crash { request: self.request, endpoint: self.endpoint, at }
     }
 }
 
@@ -228,22 +229,22 @@
         self.sequence += 1;
         let mut targets = self.peers.due(now);
         let newcomers = self.newcomer.is_some_and(|at| now.duration_since(at) < NEWCOMER);
-        let (in_flight, suspects, reads, rumour, named) = {
+        let (in_flight, suspects, reads, news, named) = {
             let state = &mut *self.node.state.borrow_mut();
             let in_flight = state.endpoints.in_flight().into_iter().map(|(tag, t)| (tag.0, t)).collect();
             let suspects = state.endpoints.suspects(now).into_iter().map(|tag| tag.0).collect();
             let reads = state.endpoints.reading().into_iter().map(|tag| tag.0).collect();
-            let rumour = state.quarantine.rumour(now, newcomers);
+            let news = state.quarantine.news(now, newcomers);
             let named = self.peers.fresh(now).choose_multiple(&mut state.rng, NAMED);
-            (in_flight, suspects, reads, rumour, named)
+            (in_flight, suspects, reads, news, named)
         };
         // A seed that is not heard may be back.
         let asks = self.node.state.borrow_mut().rng.random_bool(0.2);
         let unheard = self.seeds.iter().filter(|s| **s != self.own && !self.peers.contains(**s));
         targets.extend(unheard.filter(|_| asks || self.peers.is_empty()));
         let Self { life, sequence, .. } = *self;
-        let crashes = rumour.crashes.into_iter().map(|crash| CrashWord::tell(now, crash)).collect();
-        let served = rumour.served;
+        let crashes = news.crashes.into_iter().map(|crash| CrashWord::tell(now, crash)).collect();
+        let served = news.served;
         let digest = Digest { life, sequence, in_flight, suspects, reads, crashes, served, peers: named };
         self.send_to(socket, targets, Content::Digest(digest)).await;
     }
--- a/crates/forward/src/trace.rs
+++ b/crates/forward/src/trace.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use slog::info;
-use teaselshunt_routing::Fingerprint;
+use teaselshunt_core::Fingerprint;
 
 use crate::node::Node;
 use crate::protocol::Meta;
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -3,8 +3,7 @@
 //!
 //! `routes` is one configuration version; `endpoints` keeps every `endpoint` with the `belief` that results have left, and
 //! chooses among them; `ledger` is what other instances have in flight; `pace` learns how long prefill takes, `outputs` how
-//! many tokens generations make; `fingerprint` knows a request that comes again, and `quarantine`
-//! keeps requests under which endpoints crash from the next endpoint; `allowances` tells callers who come back from new ones; `peers` is who else there is, `news` who reads the
+//! many tokens generations make; `allowances` tells callers who come back from new ones; `peers` is who else there is, `news` who reads the
 //! platform's store for the others;
 //! `budget` limits repeats; `stages` decides how many engines prefill and how many decode.
 
@@ -13,14 +12,12 @@
 mod budget;
 mod endpoint;
 mod endpoints;
-mod fingerprint;
 mod ledger;
 mod news;
 mod outputs;
 mod pace;
 mod patience;
 mod peers;
-mod quarantine;
 mod routes;
 mod stages;
 
@@ -28,13 +25,11 @@
 pub use budget::{Budgets, Terms};
 pub use endpoint::{Endpoint, EndpointKey, EndpointState, Life, Stage, Verdict};
 pub use endpoints::{Endpoints, Listing, Need};
-pub use fingerprint::Fingerprint;
 pub use ledger::{EngineTag, Ledger, tag};
 pub use news::{Freshness, Pulse, Source, Word};
 pub use outputs::Outputs;
 pub use pace::Pace;
 pub use patience::{Looks, Patience, way_back};
 pub use peers::{HEARTBEAT, Peers};
-pub use quarantine::{Crash, Quarantine, Rumour};
 pub use routes::{Engine, Limits, Repeat, Route, RouteSet, Service};
 pub use stages::{Change, plan_changes};
--- a/crates/routing/tests/all/main.rs
+++ b/crates/routing/tests/all/main.rs
@@ -10,7 +10,6 @@
 mod outputs;
 mod patience;
 mod peers;
-mod quarantine;
 mod reads;
 mod routes;
 mod stages;
