--- a/crates/standin/src/site/instance.rs
+++ b/crates/standin/src/site/instance.rs
@@ -101,12 +101,13 @@
     /// Sends a signal by name, such as `-TERM`, to this process and no other: once it has ended, its id may be another's.
     ///
     /// # Errors
-    /// `kill` cannot be run.
+    /// `kill` cannot be run, or knows no such signal.
     pub fn signal(&mut self, name: &str) -> std::io::Result<()> {
         if self.ended().is_some() {
             return Ok(());
         }
-        Command::new("kill").args([name, &self.child.id().to_string()]).status().map(|_| ())
+        let status = Command::new("kill").args([name, &self.child.id().to_string()]).status()?;
+        if status.success() { Ok(()) } else { Err(std::io::Error::other(format!("kill {name} failed"))) }
     }
 
     /// Whether it has ended, and if so whether well.
