Charge a prompt that is read at the second try once, and let read prompts pass the prefill queue

What the sends of a generation cost is a type of its own now (routing/sends.rs), paid once. - when the chosen decode engine had gone, the search for another one waited for the prefill engines though the prompt was read. Both tests failed first (429).

--- a/crates/forward/src/generate.rs
+++ b/crates/forward/src/generate.rs
@@ -14,7 +14,7 @@
 use hyper::StatusCode;
 use hyper::header::HeaderValue;
 use teaselshunt_core::{ErrorKind, Refusal};
-use teaselshunt_routing::{EndpointKey, Patience, Repeat};
+use teaselshunt_routing::{EndpointKey, Patience, Repeat, Sends};
 
 use crate::body::AnswerBody;
 use crate::calls::{CALL, tidy};
@@ -22,7 +22,7 @@
 use crate::node::{Answer, Job, Node, Slot, StepFailure};
 use crate::protocol::Purpose;
 use crate::refusals::refuse;
-use crate::rooms::{Room, Search, reserve};
+use crate::rooms::{PromptState, Room, Search, reserve};
 use crate::stream::{self, Events, Source};
 use crate::trace::Trace;
 
@@ -111,12 +111,16 @@
     mut prompt: Prompt,
     mut tried: Vec<EndpointKey>,
 ) -> Result<(Answer, Slot), Refusal> {
-    let mut sent = 0;
+    let mut sends = Sends::default();
     // Whether an engine may have run the request: then no refusal may say that it has not.
     let mut ran = false;
     for _ in 0..ROUNDS {
-        let reads = matches!(prompt, Prompt::ByDecode);
-        let search = Search { patience, reads, tried: &tried };
+        let state = match prompt {
+            Prompt::Unread => PromptState::Unread,
+            Prompt::Read(_) => PromptState::Read,
+            Prompt::ByDecode => PromptState::ByDecode,
+        };
+        let search = Search { patience, prompt: state, tried: &tried };
         let mut room = match reserve(node, job, trace, search).await {
             Ok(room) => room,
             Err(_) if ran => break,
@@ -129,12 +133,12 @@
             None => {}
         }
         if matches!(prompt, Prompt::Unread) {
-            prompt = prefill(node, job, trace, &mut sent).await?;
+            prompt = prefill(node, job, trace, &mut sends).await?;
             if let Some(refusal) = node.quarantined(job) {
                 return Err(refusal);
             }
         }
-        if sent > 0 && (sent >= job.route.attempts || !node.may_repeat(&job.service)) {
+        if !node.may_go(job, &mut sends) {
             break;
         }
         let reading = matches!(prompt, Prompt::ByDecode).then(|| node.read_at(room.endpoint));
@@ -158,17 +162,17 @@
             // The KV cache is still where it was; only another engine is needed.
             Err(StepFailure::Unsent) => {}
             Err(StepFailure::Refused | StepFailure::Misdirected) => {
-                sent += 1;
+                sends.count();
                 prompt = Prompt::ByDecode;
             }
             Err(StepFailure::Broken | StepFailure::TimedOut) => {
-                sent += 1;
+                sends.count();
                 ran = true;
                 let resumable = job.route.repeat == (Repeat::Stream { resumable: true });
                 if node.now() >= job.until {
                     return Err(Refusal::new(ErrorKind::DeadlinePassed));
                 }
-                if !resumable || sent >= job.route.attempts {
+                if !resumable || sends.counted() >= job.route.attempts {
                     break;
                 }
                 prompt = Prompt::ByDecode;
@@ -184,20 +188,20 @@
 
 /// Has the prompt read.
 ///
-/// Only the first call that an engine accepts is free; a refused one counts as a send in `sent`. A call without an
+/// Only the first call that an engine accepts is free; a refused one counts in `sends`. A call without an
 /// answer was probably accepted, so that a second prefill counts. Where the route leaves a send for the decode besides, it
 /// is made at another engine: a decode engine that reads a prompt itself stands still for all its streams meanwhile,
 /// some nine, and pauses them for longer than their callers aim for. On a route with one attempt the prompt is left to the
 /// decode engine: a caller whose prefill engine lost its answer gets its stream a fifth of a second later and not a
 /// refusal.
-async fn prefill(node: &Rc<Node>, job: &Job, trace: &Trace, sent: &mut u32) -> Result<Prompt, Refusal> {
+async fn prefill(node: &Rc<Node>, job: &Job, trace: &Trace, sends: &mut Sends) -> Result<Prompt, Refusal> {
     let mut tried = Vec::new();
     for _ in 0..ROUNDS {
         let tokens = job.meta.prompt;
         let chosen = node.choose_prefill(&job.service.name, &tried, tokens);
         let Some(key) = chosen else { break };
         let Some((address, id)) = node.locate(key) else { continue };
-        if *sent > 0 && (*sent >= job.route.attempts || !node.may_repeat(&job.service)) {
+        if !node.may_go(job, sends) {
             break;
         }
         tried.push(key);
@@ -219,8 +223,10 @@
             }
             Err(_) if node.now() >= job.until => return Err(Refusal::new(ErrorKind::Expired)),
             Err(StepFailure::Unsent) => {}
-            Err(StepFailure::Refused | StepFailure::Misdirected) => *sent += 1,
-            Err(StepFailure::Broken | StepFailure::TimedOut) if *sent + 1 < job.route.attempts => *sent += 1,
+            Err(StepFailure::Refused | StepFailure::Misdirected) => sends.count(),
+            Err(StepFailure::Broken | StepFailure::TimedOut) if sends.counted() + 1 < job.route.attempts => {
+                sends.count();
+            }
             Err(StepFailure::Broken | StepFailure::TimedOut) => break,
         }
     }
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -19,7 +19,7 @@
 use slog::{Logger, info};
 use teaselshunt_core::{Clock, ErrorKind, Fingerprint, Quarantine, Refusal};
 use teaselshunt_routing::{
-    Allowances, Budgets, EndpointKey, Endpoints, Need, Outputs, Pace, Route, RouteSet, Service, Stage,
+    Allowances, Budgets, EndpointKey, Endpoints, Need, Outputs, Pace, Route, RouteSet, Sends, Service, Stage,
     Verdict,
 };
 use tokio::sync::{Notify, watch};
@@ -339,6 +339,12 @@
         self.state.borrow_mut().budgets.take(self.now(), &service.name)
     }
 
+    /// Whether a generation may be sent once more, for its prompt or to run.
+    pub(crate) fn may_go(&self, job: &Job, sends: &mut Sends) -> bool {
+        let budgets = &mut self.state.borrow_mut().budgets;
+        sends.may_go(self.now(), job.route.attempts, &job.service.name, budgets)
+    }
+
     /// Sends a request to an endpoint and checks the head of its answer.
     pub(crate) async fn send(
         &self,
--- a/crates/forward/src/rooms.rs
+++ b/crates/forward/src/rooms.rs
@@ -41,12 +41,22 @@
     }
 }
 
+/// Who reads the prompt of a generation that looks for room.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum PromptState {
+    /// A prefill engine will, once there is room.
+    Unread,
+    /// A prefill engine has.
+    Read,
+    /// The decode engine will.
+    ByDecode,
+}
+
 /// A search for room at a decode engine.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Search<'a> {
     pub(crate) patience: Patience,
-    /// Whether the engine is to read the prompt itself.
-    pub(crate) reads: bool,
+    pub(crate) prompt: PromptState,
     /// Engines not to ask again.
     pub(crate) tried: &'a [EndpointKey],
 }
@@ -73,8 +83,9 @@
             want = Want::Instance;
             break;
         }
-        // A prompt that the decode engine reads itself does not stand in the queue of the prefill engines.
-        let chosen = if search.reads || in_time(node, job, search.patience) {
+        // Only a prompt that a prefill engine is still to read stands in the queue there.
+        let queues = search.prompt == PromptState::Unread;
+        let chosen = if !queues || in_time(node, job, search.patience) {
             want = Want::Room;
             choose(node, job, search, tokens)
         } else {
@@ -135,7 +146,8 @@
 
 /// Chooses the decode engine to ask. For a late request there must be room for another one like it besides.
 fn choose(node: &Node, job: &Job, search: Search<'_>, tokens: u64) -> Option<EndpointKey> {
-    let Search { patience, reads, tried } = search;
+    let Search { patience, prompt, tried } = search;
+    let reads = prompt == PromptState::ByDecode;
     let limit = job.service.engine.map(|e| e.tokens);
     let spare = patience.spare(tokens);
     let stage = Some(Stage::Decode);
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -5,7 +5,7 @@
 //! chooses among them; `ledger` is what other instances have in flight; `pace` learns how long prefill takes, `outputs` how
 //! many tokens generations make; `allowances` tells callers who come back from new ones; `peers` is who else there is, `news` who reads the
 //! platform's store for the others;
-//! `budget` limits repeats; `stages` decides how many engines prefill and how many decode.
+//! `budget` limits repeats, and `sends` says what those of a generation cost; `stages` decides how many engines prefill and how many decode.
 
 mod allowances;
 mod belief;
@@ -19,6 +19,7 @@
 mod patience;
 mod peers;
 mod routes;
+mod sends;
 mod stages;
 
 pub use allowances::Allowances;
@@ -32,4 +33,5 @@
 pub use patience::{Looks, Patience, way_back};
 pub use peers::{HEARTBEAT, Peers};
 pub use routes::{Engine, Limits, Repeat, Route, RouteSet, Service};
+pub use sends::Sends;
 pub use stages::{Change, plan_changes};
--- a/crates/routing/tests/all/main.rs
+++ b/crates/routing/tests/all/main.rs
@@ -12,4 +12,5 @@
 mod peers;
 mod reads;
 mod routes;
+mod sends;
 mod stages;
