--- a/crates/routing/src/endpoints.rs
+++ b/crates/routing/src/endpoints.rs
@@ -7,7 +7,7 @@
 //! Invariant: an endpoint that the list calls leaving or gone is never chosen, but for one exception that has a
 //! time limit ([`Endpoints::doubt`]).
 
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Instant;
@@ -16,7 +16,8 @@
 use slotmap::SlotMap;
 
 use crate::belief::Belief;
-use crate::{Endpoint, EndpointKey, EndpointState, EngineTag, Ledger, Life, Stage, Verdict};
+use crate::departed::Departed;
+use crate::{Endpoint, EndpointKey, EndpointState, EngineTag, Ledger, Stage, Verdict};
 
 /// What another failure domain adds to an endpoint's expected latency: two crossings and their price.
 const DISTANCE: f64 = 0.006;
@@ -133,35 +134,6 @@
     ledger: Ledger<SocketAddr>,
 }
 
-/// Starts of endpoints that are remembered after they have gone; more than leave in the minutes in which an old entry may
-/// still be written.
-const DEPARTED: usize = 1024;
-
-/// Starts of endpoints that were listed and have gone, the latest ones.
-#[derive(Debug, Default)]
-struct Departed {
-    known: HashSet<Life>,
-    order: VecDeque<Life>,
-}
-
-impl Departed {
-    fn insert(&mut self, life: Life) {
-        if !self.known.insert(life.clone()) {
-            return;
-        }
-        self.order.push_back(life);
-        if self.order.len() > DEPARTED
-            && let Some(oldest) = self.order.pop_front()
-        {
-            self.known.remove(&oldest);
-        }
-    }
-
-    fn contains(&self, life: &Life) -> bool {
-        self.known.contains(life)
-    }
-}
-
 impl Endpoints {
     /// Takes an endpoint's entry over.
     ///
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -10,6 +10,7 @@
 mod allowances;
 mod belief;
 mod budget;
+mod departed;
 mod endpoint;
 mod endpoints;
 mod ledger;
