--- a/crates/core/src/crashes.rs
+++ b/crates/core/src/crashes.rs
@@ -13,8 +13,8 @@
 use crate::event::{Audit, Effect};
 use crate::ids::{EndpointKey, RequestKey};
 use crate::instance::Instance;
-use crate::message::{CrashReport, Message};
-use crate::quarantine::{Crash, EndpointStart};
+use crate::message::Message;
+use crate::quarantine::{Crash, CrashReport, EndpointStart};
 use crate::requests::Phase;
 use crate::{EndpointId, Fingerprint, InstanceId};
 
@@ -120,12 +120,7 @@
         if news.crashes.is_empty() && news.served.is_empty() {
             return None;
         }
-        let report = |crash: &Crash| CrashReport {
-            request: crash.request,
-            endpoint: crash.endpoint,
-            age_ms: u32::try_from(now.saturating_duration_since(crash.at).as_millis()).unwrap_or(u32::MAX),
-        };
-        let crashes = news.crashes.iter().map(report).collect();
+        let crashes = news.crashes.into_iter().map(|crash| CrashReport::of(now, crash)).collect();
         Some(Message::Crashes { crashes, served: news.served })
     }
 
@@ -140,11 +135,9 @@
         for request in served {
             self.quarantine.told_served(now, request);
         }
-        for CrashReport { request, endpoint, age_ms } in crashes {
-            // A machine that started after the crash may know no time so long ago.
-            let at = now.checked_sub(Duration::from_millis(u64::from(age_ms))).unwrap_or(self.started);
-            if self.quarantine.told(now, Crash { request, endpoint, at }) {
-                self.enforce(now, request, out);
+        for report in crashes {
+            if self.quarantine.told(now, report.crash(now, self.started)) {
+                self.enforce(now, report.request, out);
             }
         }
     }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -56,5 +56,5 @@
 pub use ids::{AttemptId, EndpointId, IdempotencyKey, InstanceId, Keyed, PoolId, RequestId, Ticket};
 pub use instance::{Identity, Instance, Snapshot};
 pub use members::{Health, MemberView};
-pub use message::{ClaimAnswer, CrashReport, Fate, Heartbeat, Message, Record, Reserve, Rumour};
-pub use quarantine::{Crash, CrashNews, EndpointStart, Quarantine};
+pub use message::{ClaimAnswer, Fate, Heartbeat, Message, Record, Reserve, Rumour};
+pub use quarantine::{Crash, CrashNews, CrashReport, EndpointStart, Quarantine};
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -4,9 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{
-    EndpointId, EndpointStart, Fingerprint, IdempotencyKey, InstanceId, Listed, PoolId, RequestId, Stored,
-};
+use crate::quarantine::CrashReport;
+use crate::{EndpointId, Fingerprint, IdempotencyKey, InstanceId, Listed, PoolId, RequestId, Stored};
 
 /// A message from one instance to another.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -151,17 +150,6 @@
     },
 }
 
-/// An endpoint crashed under a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CrashReport {
-    /// The request.
-    pub request: Fingerprint,
-    /// The endpoint.
-    pub endpoint: EndpointStart,
-    /// How long ago, in milliseconds: instances have no clock in common.
-    pub age_ms: u32,
-}
-
 /// What a request needs of its pool.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Reserve {
--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -56,6 +56,33 @@
     pub at: Instant,
 }
 
+/// A crash as peers are told of it. Instances have no clock in common, so that its time is told as an age.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashReport {
+    /// The request.
+    pub request: Fingerprint,
+    /// The endpoint.
+    pub endpoint: EndpointStart,
+    /// How long ago, in milliseconds.
+    pub age_ms: u32,
+}
+
+impl CrashReport {
+    /// A crash as it is told now.
+    pub fn of(now: Instant, crash: Crash) -> Self {
+        let age = now.saturating_duration_since(crash.at).as_millis();
+        let age_ms = u32::try_from(age).unwrap_or(u32::MAX);
+        Self { request: crash.request, endpoint: crash.endpoint, age_ms }
+    }
+
+    /// The crash that is told of now. The machine may have started after it, and its clock may know no time so long ago;
+    /// the crash counts from `started` then, when this process began.
+    pub fn crash(self, now: Instant, started: Instant) -> Crash {
+        let at = now.checked_sub(Duration::from_millis(u64::from(self.age_ms))).unwrap_or(started);
+        Crash { request: self.request, endpoint: self.endpoint, at }
+    }
+}
+
 /// What peers are told.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct CrashNews {
--- a/crates/forward/src/crashes.rs
+++ b/crates/forward/src/crashes.rs
@@ -5,7 +5,9 @@
 //! connections. But an endpoint that takes no new connection either, right after it lost a request, has ended or is cut
 //! off. One check serves all requests that the endpoint lost meanwhile.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use slog::{info, warn};
@@ -54,21 +56,18 @@
 
 async fn conclude(node: Rc<Node>, endpoint: EndpointKey) {
     tokio::time::sleep(SETTLE).await;
-    // An endpoint that leaves as planned, or has left the list, may end whatever it runs.
-    let ready = node.state.borrow().endpoints.get(endpoint).map(|e| e.state == EndpointState::Ready);
-    let located = node.locate(endpoint).filter(|_| ready == Some(true));
-    let reached = match &located {
-        Some((address, _)) => node.pool.reach(*address).await,
+    let listed = listed(&node, endpoint);
+    let reached = match &listed {
+        Some((address, ..)) => node.pool.reach(*address).await,
         None => true,
     };
     let losses = node.losses.borrow_mut().remove(&endpoint).unwrap_or_default();
-    let Some((_, id)) = located.filter(|_| !reached) else { return };
+    let Some((_, id, start)) = listed.filter(|_| !reached) else { return };
     let requests: Vec<_> = losses.iter().map(Loss::text).collect();
     info!(node.log, "endpoint"; "endpoint" => &*id, "state" => "crashed", "under" => requests.join(" "));
-    let Some(tag) = node.state.borrow().endpoints.tag(endpoint) else { return };
     let now = node.now();
     for Loss { fingerprint: request, at, .. } in losses {
-        let crash = Crash { request, endpoint: EndpointStart(u64::from(tag.0)), at };
+        let crash = Crash { request, endpoint: start, at };
         if node.state.borrow_mut().quarantine.crashed(now, crash) {
             log_quarantine(&node, request);
         }
@@ -76,6 +75,15 @@
     node.changed.notify_one();
 }
 
+/// Address, id and start of an endpoint that is expected to end what it runs. One that leaves as planned, or has left the
+/// list, is not.
+fn listed(node: &Node, endpoint: EndpointKey) -> Option<(SocketAddr, Arc<str>, EndpointStart)> {
+    let state = node.state.borrow();
+    let tag = state.endpoints.tag(endpoint)?;
+    let found = state.endpoints.get(endpoint).filter(|e| e.state == EndpointState::Ready)?;
+    Some((found.address, Arc::clone(&found.id), EndpointStart(u64::from(tag.0))))
+}
+
 /// A request is in quarantine from now on.
 pub(crate) fn log_quarantine(node: &Node, request: Fingerprint) {
     let until = node.state.borrow().quarantine.until(node.now(), request);
--- a/crates/forward/src/peers.rs
+++ b/crates/forward/src/peers.rs
@@ -5,8 +5,9 @@
 //!
 //! Plain datagrams and not QUIC: what is targets is old after a moment, a lost one is made good by the next, and the
 //! platform hands out no keys that a handshake could rest on. A false digest can make choices worse, or have a request
-//! refused for a while; it cannot make a request run twice or a refusal false. A false telling of the store's news could send work to the wrong endpoint: tellings
-//! are taken from peers of the same failure domain that have been heard, but nobody proves who it is.
+//! refused for a while; it cannot make a request run twice or a refusal false. A false telling of the store's news could
+//! send work to the wrong endpoint: tellings are taken from peers of the same failure domain that have been heard, but
+//! nobody proves who it is.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -16,7 +17,7 @@
 use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
-use teaselshunt_core::{Crash, EndpointStart, Fingerprint};
+use teaselshunt_core::{CrashReport, Fingerprint};
 use teaselshunt_routing::{EngineTag, HEARTBEAT, Peers, tag};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
@@ -68,36 +69,13 @@
     /// Decode engines that read a prompt of the sender themselves now.
     reads: Vec<u32>,
     /// Crashes of endpoints under requests.
-    crashes: Vec<CrashWord>,
+    crashes: Vec<CrashReport>,
     /// Requests that were answered whole after endpoints had crashed under them.
     served: Vec<Fingerprint>,
     /// Some other peers.
     peers: Vec<SocketAddr>,
 }
 
-/// A crash as it is told. Instances have no clock in common, so that its time is told as an age.
-#[derive(Debug, Serialize, Deserialize)]
-struct CrashWord {
-    request: Fingerprint,
-    endpoint: EndpointStart,
-    /// How long ago, in milliseconds.
-    age: u32,
-}
-
-impl CrashWord {
-    fn tell(now: Instant, crash: Crash) -> Self {
-        let age = u32::try_from(now.duration_since(crash.at).as_millis()).unwrap_or(u32::MAX);
-        Self { request: crash.request, endpoint: crash.endpoint, age }
-    }
-
-    /// The crash. A machine may have started after it, and its clock may know no time so long ago; then it counts from
-    /// `started`, when this process began.
-    fn hear(&self, now: Instant, started: Instant) -> Crash {
-        let at = now.checked_sub(Duration::from_millis(u64::from(self.age))).unwrap_or(started);
-        Crash { request: self.request, endpoint: self.endpoint, at }
-    }
-}
-
 /// Sends and receives digests for as long as the process runs.
 pub(crate) async fn run(
     catalog: Rc<Catalog>,
@@ -194,7 +172,7 @@
             }
         }
         let in_flight = digest.in_flight.into_iter().map(|(tag, tokens)| (EngineTag(tag), tokens)).collect();
-        self.receive_crashes(now, &digest.crashes, digest.served);
+        self.receive_crashes(now, digest.crashes, digest.served);
         let mut state = self.node.state.borrow_mut();
         let ledger = state.endpoints.ledger();
         for tag in digest.suspects {
@@ -208,11 +186,11 @@
         }
     }
 
-    fn receive_crashes(&self, now: Instant, crashes: &[CrashWord], served: Vec<Fingerprint>) {
+    fn receive_crashes(&self, now: Instant, crashes: Vec<CrashReport>, served: Vec<Fingerprint>) {
         for request in served {
             self.node.state.borrow_mut().quarantine.told_served(now, request);
         }
-        for crash in crashes.iter().map(|word| word.hear(now, self.started)) {
+        for crash in crashes.into_iter().map(|report| report.crash(now, self.started)) {
             if self.node.state.borrow_mut().quarantine.told(now, crash) {
                 log_quarantine(&self.node, crash.request);
             }
@@ -243,7 +221,7 @@
         let unheard = self.seeds.iter().filter(|s| **s != self.own && !self.peers.contains(**s));
         targets.extend(unheard.filter(|_| asks || self.peers.is_empty()));
         let Self { life, sequence, .. } = *self;
-        let crashes = news.crashes.into_iter().map(|crash| CrashWord::tell(now, crash)).collect();
+        let crashes = news.crashes.into_iter().map(|crash| CrashReport::of(now, crash)).collect();
         let served = news.served;
         let digest = Digest { life, sequence, in_flight, suspects, reads, crashes, served, peers: named };
         self.send_to(socket, targets, Content::Digest(digest)).await;
