Tell for how much longer entries may be ones that lapsed, and count doubt from the last confirmation

Now the time that is left is told, and a doubted endpoint's time begins when its entry may first have gone.

--- a/crates/forward/src/catalog.rs
+++ b/crates/forward/src/catalog.rs
@@ -104,6 +104,8 @@
     heard: Cell<Instant>,
     /// Until when an entry that has gone may be one that lapsed while the store was lost.
     lapses: Cell<Option<Instant>>,
+    /// Since when an entry that is found missing now may have been so.
+    absence: Cell<Instant>,
     source: Cell<Source>,
     freshness: Cell<Freshness>,
     pulse: Cell<Pulse>,
@@ -127,6 +129,7 @@
             orders: orders::is_holder(node),
             heard: Cell::new(started),
             lapses: Cell::new(None),
+            absence: Cell::new(started),
             source: Cell::default(),
             freshness: Cell::new(Freshness::new(settings.apply.min(settings.drain))),
             pulse: Cell::new(Pulse::new(node.clock.uptime())),
@@ -179,10 +182,22 @@
     fn expect_return(&self) {
         let now = self.node.now();
         if now.duration_since(self.heard.get()) > LOST {
-            self.lapses.set(Some(now + RETURN));
+            self.may_lapse(now + RETURN);
         }
     }
 
+    /// Entries that go until then may be ones that lapsed.
+    fn may_lapse(&self, until: Instant) {
+        self.lapses.set(self.lapses.get().max(Some(until)));
+    }
+
+    /// News is about to be taken over.
+    fn note_absence(&self) {
+        let age = self.freshness.get().absence(self.node.clock.uptime());
+        let now = self.node.now();
+        self.absence.set(now.checked_sub(age).unwrap_or(now));
+    }
+
     fn backoff(&self, failures: u32) -> Duration {
         let longest = (BACKOFF * 2_u32.pow(failures.min(5))).min(BACKOFF_MAX);
         longest.mul_f64(self.node.state.borrow_mut().rng.random_range(0.5..1.0))
@@ -220,6 +235,9 @@
                 return Err(StoreError::Status(status));
             }
             let batch = self.node.protocol.read_list(&body).map_err(StoreError::Unreadable)?;
+            if after.is_none() {
+                self.note_absence();
+            }
             self.answered(asked);
             if self.take_page(batch) {
                 return Ok(());
@@ -274,6 +292,7 @@
             status => return Err(StoreError::Status(status)),
         }
         let batch = self.node.protocol.read_watch(&body).map_err(StoreError::Unreadable)?;
+        self.note_absence();
         self.answered(asked);
         // Peers may have told more meanwhile.
         let known = self.revision.get().unwrap_or(revision);
@@ -386,7 +405,10 @@
         let lapsed = self.lapses.get().is_some_and(|until| now < until);
         let mut state = self.node.state.borrow_mut();
         if lapsed {
-            state.endpoints.doubt(id, now + self.node.settings.drain.mul_f64(DOUBT_PART));
+            // Not from now on: the store may have said so for as long as nothing else was heard of it, and an endpoint that
+            // has left gets nothing new for longer than the deployment allows.
+            let until = self.absence.get() + self.node.settings.drain.mul_f64(DOUBT_PART);
+            state.endpoints.doubt(id, until);
         } else {
             state.endpoints.remove(id);
         }
--- a/crates/forward/src/catalog/sharing.rs
+++ b/crates/forward/src/catalog/sharing.rs
@@ -27,8 +27,10 @@
     revision: u64,
     /// How long before the telling the store confirmed that, in milliseconds.
     age: u32,
-    /// Whether entries that have gone may be ones that lapsed while the store was away.
-    lapses: bool,
+    /// For how much longer entries that go may be ones that lapsed while the store was away, in milliseconds. Not whether
+    /// they may: instances that tell one another would begin that time anew with each telling, without end, and would go
+    /// on to use endpoints that have left.
+    lapses: u32,
     /// The news up to there, encoded; `None` if they are too long to be told.
     news: Option<Vec<u8>>,
 }
@@ -84,9 +86,8 @@
         let Some(known) = self.revision.get() else { return };
         let Telling { after, revision, age, lapses, news } = telling;
         let now = self.node.now();
-        if lapses {
-            self.lapses.set(Some(now + RETURN));
-        }
+        self.may_lapse(now + millis(lapses).min(RETURN));
+        self.note_absence();
         match Word::of(known, after, revision, news.is_some()) {
             Word::Confirmed => {}
             Word::Changes => {
@@ -99,7 +100,7 @@
             }
             Word::Gap => return self.ask(),
         }
-        let age = Duration::from_millis(u64::from(age));
+        let age = millis(age);
         self.confirmed(self.node.clock.uptime().saturating_sub(age));
         self.heard.set(self.heard.get().max(now.checked_sub(age).unwrap_or(now)));
         self.node.state.borrow_mut().listed = Some(now);
@@ -115,11 +116,21 @@
     /// themselves.
     pub(super) fn tell(&self, (after, revision): (u64, u64), news: &[News]) {
         let age = self.freshness.get().age(self.node.clock.uptime());
-        let lapses = self.lapses.get().is_some_and(|until| self.node.now() < until);
+        let now = self.node.now();
+        let lapses = self.lapses.get().map_or(Duration::ZERO, |until| until.saturating_duration_since(now));
         let news = postcard::to_allocvec(news).ok().filter(|news| news.len() <= TELLING_MAX);
-        let age = u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
+        let (age, lapses) = (told(age), told(lapses));
         if self.tellings.try_send(Telling { after, revision, age, lapses, news }).is_err() {
             debug!(self.node.log, "a telling was dropped"; "revision" => revision);
         }
     }
 }
+
+const fn millis(time: u32) -> Duration {
+    Duration::from_millis(time as u64)
+}
+
+/// A time as it is told, in milliseconds.
+fn told(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
--- a/crates/routing/src/news.rs
+++ b/crates/routing/src/news.rs
@@ -115,6 +115,14 @@
         now.saturating_sub(self.confirmed)
     }
 
+    /// How long ago an entry that is found missing now may have gone: since what was known was last confirmed. Where that is
+    /// longer ago than knowledge may be old the store was away, and nothing tells when the entry went; it counts as gone
+    /// now, since many that lapsed meanwhile are back in a moment.
+    pub fn absence(&self, now: Duration) -> Duration {
+        let age = self.age(now);
+        if age <= self.limit { age } else { Duration::ZERO }
+    }
+
     /// How long what is known may still go unconfirmed; `None` if the store must be asked.
     pub fn left(&self, now: Duration) -> Option<Duration> {
         self.limit.checked_sub(self.age(now)).filter(|left| !left.is_zero())
--- a/crates/routing/tests/all/news.rs
+++ b/crates/routing/tests/all/news.rs
@@ -109,3 +109,15 @@
         changes == (1..=known).collect::<Vec<_>>()
     }
 }
+
+/// An endpoint leaves the list just after the store was last heard, and that is heard a second later. The time in which it may
+/// still be used began with its leaving. After an outage nobody knows when it went, and most that went are back in a moment.
+#[test]
+fn an_entry_is_missing_since_the_last_confirmation() {
+    let mut freshness = Freshness::new(Duration::from_secs(4));
+    let start = Duration::from_secs(100);
+    assert_eq!(freshness.absence(start), Duration::ZERO, "nothing was known");
+    freshness.confirm(start);
+    assert_eq!(freshness.absence(start + Duration::from_secs(1)), Duration::from_secs(1));
+    assert_eq!(freshness.absence(start + Duration::from_secs(9)), Duration::ZERO, "the store was away");
+}
