Keep a grant on record while its holder only seems gone

Cause: a home that took the holder of a grant for dead (silent for some seconds, as on a busy machine) replaced the grant by "unknown" at the first retry. The holder's word, that the booking ran or did not, came a moment later and was passed over, because it settles a grant only. Every retry then heard "unknown" for hours.

Ruled out: the same for "in use": each grant of a request that has ended is answered with its fate.

Now the record stays; what a claim hears is worked out, and a holder that seems gone is asked as well. Before: the new test fails (a retry's holder is not asked, its word is passed over). After: it passes.

--- a/crates/core/src/homes.rs
+++ b/crates/core/src/homes.rs
@@ -120,17 +120,17 @@
 
     /// Answers a claim of a key that is on record.
     ///
-    /// Word of how a grant ended can be lost. Where another request wants the key, its holder is reminded of the grant; it
-    /// says again what became of it, or nothing while it still runs.
+    /// Word of how a grant ended can be lost. Where another request wants the key, its holder is reminded of the grant, gone
+    /// or not; it says again what became of it, or nothing while it still runs.
     fn on_record(
         &mut self,
         (to, key, request): (InstanceId, IdempotencyKey, RequestId),
         members: &Members,
-        entry: &mut Entry,
+        entry: &Entry,
     ) {
         let answer = entry.answer(members, request);
-        if answer == ClaimAnswer::InUse
-            && let Record::Granted(holder) = entry.record
+        if let Record::Granted(holder) = entry.record
+            && holder != request
         {
             self.answer(holder.instance, key, holder, ClaimAnswer::Granted);
         }
@@ -204,7 +204,7 @@
             replies.answer(from, key, request, ClaimAnswer::Revision(members.revision()));
             return replies;
         }
-        if let Some(entry) = self.entries.get_mut(&key) {
+        if let Some(entry) = self.entries.get(&key) {
             replies.on_record((from, key, request), members, entry);
             return replies;
         }
@@ -293,7 +293,7 @@
         let claims = self.inquiries.remove(&key).map_or(Vec::new(), |i| i.claims);
         let grant = clear && tenured && members.home(key) == Some(self.me);
         for (from, request) in claims {
-            if let Some(entry) = self.entries.get_mut(&key) {
+            if let Some(entry) = self.entries.get(&key) {
                 replies.on_record((from, key, request), members, entry);
                 continue;
             }
@@ -490,16 +490,16 @@
 }
 
 impl Entry {
-    fn answer(&mut self, members: &Members, asker: RequestId) -> ClaimAnswer {
-        if let Record::Granted(holder) = self.record
-            && holder != asker
-            && gone(members, holder)
-        {
-            self.record = Record::Unknown;
-        }
+    /// What a claim of the key hears.
+    ///
+    /// A holder that seems gone may only be silent, as a busy machine makes any instance for a moment. The grant therefore
+    /// stays on record: were it replaced by "unknown", the word of the holder that comes a moment later would be passed
+    /// over, and every retry of the caller would hear "unknown" of a booking that ran.
+    fn answer(&self, members: &Members, asker: RequestId) -> ClaimAnswer {
         match &self.record {
             // The same request asks again because the first answer was lost on the way.
             Record::Granted(holder) if *holder == asker => ClaimAnswer::Granted,
+            Record::Granted(holder) if gone(members, *holder) => ClaimAnswer::Unknown,
             Record::Granted(_) => ClaimAnswer::InUse,
             Record::Ran(stored) => ClaimAnswer::Ran(stored.clone()),
             Record::Unknown => ClaimAnswer::Unknown,
--- a/crates/core/tests/all/claims.rs
+++ b/crates/core/tests/all/claims.rs
@@ -27,17 +27,23 @@
     let list = Listed { revision: 2, instances };
     let asked = alone.now();
     alone.step(Event::Listed { list, source: Source::Platform, asked });
-    let beat = Heartbeat {
-        stamp: 0,
-        incarnation: 1,
-        epoch: 0,
+    alone.receive(heartbeat());
+    alone
+}
+
+/// The other instance's.
+fn heartbeat() -> Message {
+    let rumours = Vec::new();
+    let (stamp, incarnation, epoch) = (0, 1, 0);
+    Message::Heartbeat(Heartbeat {
+        stamp,
+        incarnation,
+        epoch,
         version: 1,
         revision: 2,
         stopping: false,
-        rumours: Vec::new(),
-    };
-    alone.receive(Message::Heartbeat(beat));
-    alone
+        rumours,
+    })
 }
 
 impl Alone {
@@ -70,6 +76,43 @@
     }
 }
 
+impl Alone {
+    /// A request of the other instance.
+    fn holder(&self, sequence: u64) -> RequestId {
+        RequestId { instance: InstanceId::of(OTHER), incarnation: 1, sequence }
+    }
+
+    /// The other instance claims the `number`th key for its request `sequence`; whom the home tells what.
+    fn claim(&mut self, number: u64, sequence: u64) -> Vec<(RequestId, ClaimAnswer)> {
+        let request = self.holder(sequence);
+        let claim = Message::Claim { key: key(number), request, revision: 2, born: None };
+        answers(&self.receive(claim))
+    }
+
+    /// Number of a key that has its home here and is granted to the first request of the other instance.
+    fn key_granted_to_other(&mut self) -> u64 {
+        let granted = |alone: &mut Self, number| {
+            alone.claim(number, 1);
+            // The home asks the one who would be home without it first, which answers that it knows of nothing.
+            let (key, revision) = (key(number), 2);
+            let reply = Message::Inquired { key, revision, record: None, whole: true, complete: true };
+            answers(&alone.receive(reply)).contains(&(alone.holder(1), ClaimAnswer::Granted))
+        };
+        (1..100).find(|&n| granted(self, n)).expect("some key has its home here")
+    }
+}
+
+/// What is told about claims.
+fn answers(effects: &[Effect]) -> Vec<(RequestId, ClaimAnswer)> {
+    let sent = effects.iter().filter_map(|effect| match effect {
+        Effect::Send { message: Message::Claimed { request, answer, .. }, .. } => {
+            Some((*request, answer.clone()))
+        }
+        _ => None,
+    });
+    sent.collect()
+}
+
 fn key(number: u64) -> IdempotencyKey {
     IdempotencyKey::of("", &format!("key {number}"))
 }
@@ -119,35 +162,34 @@
     assert_eq!(settled(&alone.receive(granted())), ran);
 }
 
+/// Word of a booking's end comes late because its holder was silent for a moment, as a busy machine makes any instance, and
+/// was taken for dead. A retry meanwhile rightly hears "unknown". Then the holder is heard again and says that the booking
+/// ran: the next retry gets its answer. With the grant forgotten at the first retry, "unknown" would stand for hours.
+#[test]
+fn a_holder_that_was_silent_for_a_moment_still_settles_its_key() {
+    let mut alone = pair();
+    let number = alone.key_granted_to_other();
+    for _ in 0..100 {
+        alone.pass(Duration::from_millis(100));
+        alone.step(Event::Tick);
+    }
+    let told = alone.claim(number, 2);
+    assert!(told.contains(&(alone.holder(2), ClaimAnswer::Unknown)), "{told:?}");
+    assert!(told.contains(&(alone.holder(1), ClaimAnswer::Granted)), "the holder is asked: {told:?}");
+    alone.receive(heartbeat());
+    let settle = Message::Settle { key: key(number), request: alone.holder(1), fate: Fate::Ran(None) };
+    alone.receive(settle);
+    let told = alone.claim(number, 3);
+    assert_eq!(told, [(alone.holder(3), ClaimAnswer::Ran(None))]);
+}
+
 /// A home has granted a key, and word of the request's end was lost. Another try with the key asks the home, which says
 /// "in use" and reminds the holder of its grant.
 #[test]
 fn a_home_reminds_the_holder_of_a_key_that_another_try_wants() {
     let mut alone = pair();
-    let other = InstanceId::of(OTHER);
-    let claim = |sequence| RequestId { instance: other, incarnation: 1, sequence };
-    let answers = |effects: &[Effect]| -> Vec<(RequestId, ClaimAnswer)> {
-        let sent = effects.iter().filter_map(|effect| match effect {
-            Effect::Send { message: Message::Claimed { request, answer, .. }, .. } => {
-                Some((*request, answer.clone()))
-            }
-            _ => None,
-        });
-        sent.collect()
-    };
-    let ask = |alone: &mut Alone, number, sequence| {
-        let message = Message::Claim { key: key(number), request: claim(sequence), revision: 2, born: None };
-        answers(&alone.receive(message))
-    };
-    let granted = |alone: &mut Alone, number| {
-        ask(alone, number, 1);
-        // The home asks the one who would be home without it first, which answers that it knows of nothing.
-        let (key, revision) = (key(number), 2);
-        let reply = Message::Inquired { key, revision, record: None, whole: true, complete: true };
-        answers(&alone.receive(reply)).contains(&(claim(1), ClaimAnswer::Granted))
-    };
-    let number = (1..100).find(|&n| granted(&mut alone, n)).expect("some key has its home here");
-    let told = ask(&mut alone, number, 2);
-    assert!(told.contains(&(claim(2), ClaimAnswer::InUse)), "{told:?}");
-    assert!(told.contains(&(claim(1), ClaimAnswer::Granted)), "{told:?}");
+    let number = alone.key_granted_to_other();
+    let told = alone.claim(number, 2);
+    assert!(told.contains(&(alone.holder(2), ClaimAnswer::InUse)), "{told:?}");
+    assert!(told.contains(&(alone.holder(1), ClaimAnswer::Granted)), "{told:?}");
 }
