Teams, keys and limits over many instances on the users' platform

Instances tell one another what teams near their limits were admitted (Way::Shared); Way::Parts, an equal part for each, is the other way. Unknown keys get 401, teams at their limit 429 with the time at which the account has room. The endpoint sees the team and never the key. A request that surely has not run is given back. Requests in quarantine are a team's own.

--- a/crates/core/src/error.rs
+++ b/crates/core/src/error.rs
@@ -33,6 +33,10 @@
     UnknownModel,
     /// No such service or route.
     UnknownService,
+    /// The caller shows no key, or one that no team holds.
+    Unauthorized,
+    /// The caller's team is at its limit.
+    QuotaExceeded,
     /// The body is larger than allowed.
     TooLarge,
     /// The caller did not send its whole request in time.
@@ -94,10 +98,12 @@
 
 impl ErrorKind {
     /// Every kind, in the order of the table.
-    pub const ALL: [Self; 19] = [
+    pub const ALL: [Self; 21] = [
         Self::Invalid,
         Self::UnknownModel,
         Self::UnknownService,
+        Self::Unauthorized,
+        Self::QuotaExceeded,
         Self::TooLarge,
         Self::Incomplete,
         Self::NotReady,
@@ -126,6 +132,8 @@
             Self::Invalid        => row(400, CALLER, "invalid_request",    NotRun,  "the request is malformed"),
             Self::UnknownModel   => row(404, CALLER, "model_not_found",    NotRun,  "no such model"),
             Self::UnknownService => row(404, CALLER, "not_found",          NotRun,  "no such service or route"),
+            Self::Unauthorized   => row(401, "authentication_error", "invalid_api_key", NotRun, "no key, or one that no team holds"),
+            Self::QuotaExceeded  => row(429, "rate_limit_error", "quota_exceeded", NotRun, "the team is at its limit"),
             Self::TooLarge       => row(413, CALLER, "body_too_large",     NotRun,  "the body is larger than allowed"),
             Self::Incomplete     => row(408, CALLER, "request_incomplete", NotRun,  "the whole request did not arrive in time"),
             Self::NotReady       => row(503, SERVER, "not_ready",          NotRun,  "no configuration has been seen yet"),
--- a/crates/core/src/fingerprint.rs
+++ b/crates/core/src/fingerprint.rs
@@ -13,10 +13,12 @@
 pub struct Fingerprint(pub u64);
 
 impl Fingerprint {
-    /// Fingerprint of a request. `path` includes the query.
-    pub fn of(method: &str, host: &str, path: &str, body: &[u8]) -> Self {
+    /// Fingerprint of a request. `team` is empty where callers have none; `path` includes the query.
+    ///
+    /// The team is part of it, so that no team can have another one's requests refused by sending the same.
+    pub fn of(team: &str, method: &str, host: &str, path: &str, body: &[u8]) -> Self {
         let mut hash = Xxh3::new();
-        for part in [method.as_bytes(), host.as_bytes(), path.as_bytes(), body] {
+        for part in [team.as_bytes(), method.as_bytes(), host.as_bytes(), path.as_bytes(), body] {
             // With their lengths, so that no byte can move from one part to the next.
             hash.update(&(part.len() as u64).to_le_bytes());
             hash.update(part);
--- a/crates/core/tests/all/claims.rs
+++ b/crates/core/tests/all/claims.rs
@@ -77,14 +77,9 @@
 }
 
 impl Alone {
-    /// A request of the other instance.
-    fn holder(&self, sequence: u64) -> RequestId {
-        RequestId { instance: InstanceId::of(OTHER), incarnation: 1, sequence }
-    }
-
     /// The other instance claims the `number`th key for its request `sequence`; whom the home tells what.
     fn claim(&mut self, number: u64, sequence: u64) -> Vec<(RequestId, ClaimAnswer)> {
-        let request = self.holder(sequence);
+        let request = holder(sequence);
         let claim = Message::Claim { key: key(number), request, revision: 2, born: None };
         answers(&self.receive(claim))
     }
@@ -96,12 +91,17 @@
             // The home asks the one who would be home without it first, which answers that it knows of nothing.
             let (key, revision) = (key(number), 2);
             let reply = Message::Inquired { key, revision, record: None, whole: true, complete: true };
-            answers(&alone.receive(reply)).contains(&(alone.holder(1), ClaimAnswer::Granted))
+            answers(&alone.receive(reply)).contains(&(holder(1), ClaimAnswer::Granted))
         };
         (1..100).find(|&n| granted(self, n)).expect("some key has its home here")
     }
 }
 
+/// A request of the other instance.
+fn holder(sequence: u64) -> RequestId {
+    RequestId { instance: InstanceId::of(OTHER), incarnation: 1, sequence }
+}
+
 /// What is told about claims.
 fn answers(effects: &[Effect]) -> Vec<(RequestId, ClaimAnswer)> {
     let sent = effects.iter().filter_map(|effect| match effect {
@@ -174,13 +174,13 @@
         alone.step(Event::Tick);
     }
     let told = alone.claim(number, 2);
-    assert!(told.contains(&(alone.holder(2), ClaimAnswer::Unknown)), "{told:?}");
-    assert!(told.contains(&(alone.holder(1), ClaimAnswer::Granted)), "the holder is asked: {told:?}");
+    assert!(told.contains(&(holder(2), ClaimAnswer::Unknown)), "{told:?}");
+    assert!(told.contains(&(holder(1), ClaimAnswer::Granted)), "the holder is asked: {told:?}");
     alone.receive(heartbeat());
-    let settle = Message::Settle { key: key(number), request: alone.holder(1), fate: Fate::Ran(None) };
+    let settle = Message::Settle { key: key(number), request: holder(1), fate: Fate::Ran(None) };
     alone.receive(settle);
     let told = alone.claim(number, 3);
-    assert_eq!(told, [(alone.holder(3), ClaimAnswer::Ran(None))]);
+    assert_eq!(told, [(holder(3), ClaimAnswer::Ran(None))]);
 }
 
 /// A home has granted a key, and word of the request's end was lost. Another try with the key asks the home, which says
@@ -190,6 +190,6 @@
     let mut alone = pair();
     let number = alone.key_granted_to_other();
     let told = alone.claim(number, 2);
-    assert!(told.contains(&(alone.holder(2), ClaimAnswer::InUse)), "{told:?}");
-    assert!(told.contains(&(alone.holder(1), ClaimAnswer::Granted)), "{told:?}");
+    assert!(told.contains(&(holder(2), ClaimAnswer::InUse)), "{told:?}");
+    assert!(told.contains(&(holder(1), ClaimAnswer::Granted)), "{told:?}");
 }
--- a/crates/core/tests/all/quarantine.rs
+++ b/crates/core/tests/all/quarantine.rs
@@ -204,14 +204,15 @@
 
 #[test]
 fn a_fingerprint_tells_requests_apart() {
-    let one = Fingerprint::of("POST", "a.example", "/x/1", b"body");
-    assert_eq!(one, Fingerprint::of("POST", "a.example", "/x/1", b"body"));
+    let one = Fingerprint::of("a team", "POST", "a.example", "/x/1", b"body");
+    assert_eq!(one, Fingerprint::of("a team", "POST", "a.example", "/x/1", b"body"));
     for other in [
-        Fingerprint::of("GET", "a.example", "/x/1", b"body"),
-        Fingerprint::of("POST", "b.example", "/x/1", b"body"),
-        Fingerprint::of("POST", "a.example", "/x/2", b"body"),
-        Fingerprint::of("POST", "a.example", "/x/1", b"other"),
-        Fingerprint::of("POST", "a.example", "/x/1b", b"ody"),
+        Fingerprint::of("another", "POST", "a.example", "/x/1", b"body"),
+        Fingerprint::of("a team", "GET", "a.example", "/x/1", b"body"),
+        Fingerprint::of("a team", "POST", "b.example", "/x/1", b"body"),
+        Fingerprint::of("a team", "POST", "a.example", "/x/2", b"body"),
+        Fingerprint::of("a team", "POST", "a.example", "/x/1", b"other"),
+        Fingerprint::of("a team", "POST", "a.example", "/x/1b", b"ody"),
     ] {
         assert_ne!(one, other);
     }
--- a/crates/daemon/src/callers/openai.rs
+++ b/crates/daemon/src/callers/openai.rs
@@ -215,6 +215,7 @@
     let terms = Terms::read(request, front.deadline())?;
     let body = front.body(body).await?;
     let asked = read(&body)?;
+    let fingerprint = Fingerprint::of(&terms.team, "POST", "", request.uri().path(), &body);
     let work = Generate {
         model: asked.model.clone(),
         team: terms.team,
@@ -222,7 +223,7 @@
         limit: asked.limit,
         again: terms.again,
         key: terms.key,
-        fingerprint: Fingerprint::of("POST", "", request.uri().path(), &body),
+        fingerprint,
         deadline: terms.deadline,
     };
     let session = front.control.open(Work::Generate(work));
--- a/crates/daemon/src/callers/services.rs
+++ b/crates/daemon/src/callers/services.rs
@@ -35,7 +35,7 @@
         return Err(Rejection::new(ErrorKind::Invalid, "method CONNECT is not allowed"));
     }
     let path = with_query(path, request.uri().query());
-    let fingerprint = Fingerprint::of(method.as_str(), &service, &path, &body);
+    let fingerprint = Fingerprint::of("", method.as_str(), &service, &path, &body);
     let (key, deadline) = (terms.key, terms.deadline);
     let work = Call { service, method: method.to_string(), key, fingerprint, deadline };
     let session = front.control.open(Work::Call(work));
--- a/crates/forward/src/catalog.rs
+++ b/crates/forward/src/catalog.rs
@@ -24,6 +24,7 @@
 use rand::Rng;
 use slog::{info, warn};
 use teaselshunt_routing::{Endpoint, Freshness, Listing, Pulse, RouteSet, Source, Stage};
+use teaselshunt_teams::Teams;
 use tokio::sync::{Notify, mpsc};
 
 use crate::node::Node;
@@ -389,6 +390,9 @@
         self.node.metrics.version.set(routes.version as i64);
         info!(self.node.log, "configuration"; "version" => routes.version, "before" => current);
         state.allowances.retain(|name| routes.has_route(name));
+        let teams = routes.teams.iter().flat_map(Teams::iter);
+        let limits = teams.filter_map(|team| Some((team.tag(), team.limit?)));
+        state.quotas.set_limits(self.node.clock.uptime(), limits);
         state.routes = Some(routes);
     }
 
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -17,6 +17,7 @@
 //! - everything taken at an endpoint (a slot in the account, reserved room, a KV cache) is an object whose drop gives
 //!   it back, so that a caller who leaves at any step leaves nothing behind.
 
+mod admission;
 mod body;
 mod calls;
 mod catalog;
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -1,5 +1,7 @@
 //! Counters and latency histograms in the Prometheus format; docs/OPERATIONS.md lists them.
 
+use std::cell::RefCell;
+use std::collections::HashSet;
 use std::time::Duration;
 
 use prometheus::{
@@ -21,8 +23,17 @@
     pub(crate) version: IntGauge,
     pub(crate) endpoints: IntGauge,
     pub(crate) running: IntGauge,
+    teams: IntCounterVec,
+    /// Teams that have a label of their own.
+    labelled: RefCell<HashSet<String>>,
 }
 
+/// Most teams that have a label of their own; all others share [`OTHER_TEAMS`]. Each label costs some series for as long
+/// as the process runs.
+const TEAM_LABELS: usize = 64;
+/// Label of the teams that have none of their own.
+const OTHER_TEAMS: &str = "(others)";
+
 impl Metrics {
     /// # Errors
     /// Two metrics share a name.
@@ -53,6 +64,12 @@
             version: gauge("configuration_version", "Configuration version in force.")?,
             endpoints: gauge("endpoints", "Endpoints listed.")?,
             running: gauge("requests_in_progress", "Requests in progress.")?,
+            teams: counter(
+                "team_requests_total",
+                "Requests of teams by how they ended.",
+                &["team", "outcome"],
+            )?,
+            labelled: RefCell::default(),
             registry,
         })
     }
@@ -71,6 +88,18 @@
         self.steps.with_label_values(&[step, outcome]).inc();
     }
 
+    /// A request of a team ended; `team` is empty where the caller has none.
+    pub(crate) fn team(&self, team: &str, outcome: &str) {
+        if team.is_empty() {
+            return;
+        }
+        let mut labelled = self.labelled.borrow_mut();
+        let own =
+            labelled.contains(team) || (labelled.len() < TEAM_LABELS && labelled.insert(team.to_owned()));
+        let label = if own { team } else { OTHER_TEAMS };
+        self.teams.with_label_values(&[label, outcome]).inc();
+    }
+
     pub(crate) fn ended(&self, kind: &str, outcome: &str, took: Duration) {
         self.outcomes.with_label_values(&[kind, outcome]).inc();
         self.whole.with_label_values(&[kind]).observe(took.as_secs_f64());
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -22,8 +22,10 @@
     Allowances, Budgets, EndpointKey, Endpoints, Need, Outputs, Pace, Route, RouteSet, Sends, Service, Stage,
     Verdict,
 };
+use teaselshunt_teams::{Quotas, Team};
 use tokio::sync::{Notify, watch};
 
+use crate::admission::Charge;
 use crate::crashes::Loss;
 use crate::metrics::Metrics;
 use crate::pool::{Connection, Failure, Pool};
@@ -60,6 +62,8 @@
     pub(crate) allowances: Allowances,
     /// Requests under which endpoints crash.
     pub(crate) quarantine: Quarantine,
+    /// Limits of teams.
+    pub(crate) quotas: Quotas<SocketAddr>,
     /// When the store last answered about endpoints.
     pub(crate) listed: Option<Instant>,
 }
@@ -97,6 +101,9 @@
     pub(crate) body: Bytes,
     pub(crate) route: Arc<Route>,
     pub(crate) service: Arc<Service>,
+    /// The caller's, where callers have keys.
+    pub(crate) team: Option<Arc<Team>>,
+    pub(crate) charge: Charge,
     pub(crate) arrived: Instant,
     /// Whether the caller was refused before and comes back; its answer is late whatever happens.
     pub(crate) returns: bool,
@@ -107,11 +114,21 @@
 }
 
 impl Job {
+    pub(crate) fn team_name(&self) -> Option<&str> {
+        self.team.as_ref().map(|team| &*team.name)
+    }
+
     /// By what it is known if it comes again.
     pub(crate) fn fingerprint(&self) -> Fingerprint {
         *self.fingerprint.get_or_init(|| {
             let host = self.headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
-            Fingerprint::of(self.method.as_str(), host, &self.path, &self.body)
+            Fingerprint::of(
+                self.team_name().unwrap_or_default(),
+                self.method.as_str(),
+                host,
+                &self.path,
+                &self.body,
+            )
         })
     }
 }
@@ -358,6 +375,10 @@
         let Some((address, id)) = self.locate_open(key) else { return Err(StepFailure::Unsent) };
         let left = job.until.saturating_duration_since(begun);
         let request = self.request(job, &id, purpose, left);
+        let runs = !matches!(purpose, Purpose::Prefill);
+        if runs {
+            job.charge.send();
+        }
         let result = self.pool.exchange(address, request, until.min(job.until)).await;
         let step = step_name(purpose);
         let outcome = match result {
@@ -367,6 +388,9 @@
             }
             Err(failure) => Err(failure.into()),
         };
+        if runs && outcome.as_ref().is_err_and(|failure| !failure.may_have_run()) {
+            job.charge.unsend();
+        }
         let verdict = match &outcome {
             Ok(Answer { response, .. }) if response.status().is_server_error() => Verdict::Erred,
             Ok(_) => Verdict::Answered(self.now().duration_since(begun)),
@@ -384,7 +408,7 @@
         *request.method_mut() = job.method.clone();
         *request.uri_mut() = job.path.parse().expect("the path came from a parsed request");
         let mut headers = job.headers.clone();
-        self.protocol.endpoint_headers(&mut headers, left, id, purpose);
+        self.protocol.endpoint_headers(&mut headers, job.team_name(), left, id, purpose);
         *request.headers_mut() = headers;
         request
     }
--- a/crates/forward/src/peers.rs
+++ b/crates/forward/src/peers.rs
@@ -19,12 +19,13 @@
 use slog::{info, warn};
 use teaselshunt_core::{CrashReport, Fingerprint};
 use teaselshunt_routing::{EngineTag, HEARTBEAT, Peers, tag};
+use teaselshunt_teams::{Hearing, Spending};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 
 use crate::catalog::{Catalog, Telling};
 use crate::crashes::log_quarantine;
-use crate::node::Node;
+use crate::node::{Node, Phase};
 
 /// Peers named in a datagram.
 const NAMED: usize = 3;
@@ -35,7 +36,7 @@
 const LARGEST: usize = 16 * 1024;
 
 /// First byte of each datagram. Another one is of a version that reads differently, and is passed over.
-const VERSION: u8 = 4;
+const VERSION: u8 = 5;
 /// Tellings that wait to be sent; more are dropped, and the next one makes them good.
 pub(crate) const TELLINGS: usize = 16;
 
@@ -72,6 +73,12 @@
     crashes: Vec<CrashReport>,
     /// Requests that were answered whole after endpoints had crashed under them.
     served: Vec<Fingerprint>,
+    /// What teams near their limits were admitted.
+    spending: Vec<Spending>,
+    /// Instances that the sender remembers, with itself.
+    instances: u32,
+    /// Whether the sender is about to end.
+    leaving: bool,
     /// Some other peers.
     peers: Vec<SocketAddr>,
 }
@@ -155,15 +162,15 @@
         }
         let near = datagram.domain == self.domain;
         match datagram.content {
-            Content::Digest(digest) => self.receive_digest(from, near, digest),
+            Content::Digest(digest) => self.receive_digest(from, datagram.domain, digest),
             Content::Telling(telling) if near && self.peers.contains(from) => self.catalog.told(telling),
             Content::Telling(_) => {}
         }
     }
 
-    fn receive_digest(&mut self, from: SocketAddr, near: bool, digest: Digest) {
+    fn receive_digest(&mut self, from: SocketAddr, domain: u32, digest: Digest) {
         let now = self.node.now();
-        if self.peers.heard(now, from, near) {
+        if self.peers.heard(now, from, domain == self.domain) {
             info!(self.node.log, "peer"; "address" => %from, "state" => "known", "peers" => self.peers.len());
         }
         for peer in digest.peers {
@@ -174,6 +181,17 @@
         let in_flight = digest.in_flight.into_iter().map(|(tag, tokens)| (EngineTag(tag), tokens)).collect();
         self.receive_crashes(now, digest.crashes, digest.served);
         let mut state = self.node.state.borrow_mut();
+        let uptime = self.node.clock.uptime();
+        let hearing = Hearing {
+            life: digest.life,
+            sequence: digest.sequence,
+            domain,
+            leaving: digest.leaving,
+            instances: digest.instances,
+        };
+        if state.quotas.heard(uptime, from, hearing) {
+            state.quotas.told(uptime, from, digest.spending);
+        }
         let ledger = state.endpoints.ledger();
         for tag in digest.suspects {
             ledger.suspect(now, from, EngineTag(tag));
@@ -207,14 +225,18 @@
         self.sequence += 1;
         let mut targets = self.peers.due(now);
         let newcomers = self.newcomer.is_some_and(|at| now.duration_since(at) < NEWCOMER);
-        let (in_flight, suspects, reads, news, named) = {
+        let uptime = self.node.clock.uptime();
+        let leaving = self.node.phase() > Phase::Serving;
+        let (in_flight, suspects, reads, news, spending, instances, named) = {
             let state = &mut *self.node.state.borrow_mut();
             let in_flight = state.endpoints.in_flight().into_iter().map(|(tag, t)| (tag.0, t)).collect();
             let suspects = state.endpoints.suspects(now).into_iter().map(|tag| tag.0).collect();
             let reads = state.endpoints.reading().into_iter().map(|tag| tag.0).collect();
             let news = state.quarantine.news(now, newcomers);
             let named = self.peers.fresh(now).choose_multiple(&mut state.rng, NAMED);
-            (in_flight, suspects, reads, news, named)
+            let spending = state.quotas.spending(uptime);
+            let instances = state.quotas.remembered();
+            (in_flight, suspects, reads, news, spending, instances, named)
         };
         // A seed that is not heard may be back.
         let asks = self.node.state.borrow_mut().rng.random_bool(0.2);
@@ -223,7 +245,19 @@
         let Self { life, sequence, .. } = *self;
         let crashes = news.crashes.into_iter().map(|crash| CrashReport::of(now, crash)).collect();
         let served = news.served;
-        let digest = Digest { life, sequence, in_flight, suspects, reads, crashes, served, peers: named };
+        let digest = Digest {
+            life,
+            sequence,
+            in_flight,
+            suspects,
+            reads,
+            crashes,
+            served,
+            spending,
+            instances,
+            leaving,
+            peers: named,
+        };
         self.send_to(socket, targets, Content::Digest(digest)).await;
     }
 
--- a/crates/forward/src/protocol.rs
+++ b/crates/forward/src/protocol.rs
@@ -12,6 +12,7 @@
 use hyper::{Method, StatusCode};
 use serde::{Deserialize, Serialize};
 use teaselshunt_routing::{Endpoint, RouteSet, Stage};
+use teaselshunt_teams::ApiKey;
 
 /// What the head of a caller's request says beside method, path and body.
 #[derive(Debug, Clone, Default)]
@@ -24,6 +25,8 @@
     pub prompt: u64,
     /// Most tokens to generate.
     pub output: u64,
+    /// Whether the request names its tokens.
+    pub sized: bool,
     /// The caller's estimate of the tokens that will be generated; right at the median, often far off.
     pub hint: Option<u64>,
 }
@@ -127,9 +130,19 @@
 pub trait Protocol: Debug {
     /// Reads the head of a caller's request.
     fn read_request(&self, headers: &HeaderMap) -> Meta;
-    /// Headers for an endpoint, from the caller's; hop-by-hop headers are removed already. `left` is the time that
-    /// the endpoint may take, `expect` the id of the endpoint that is meant.
-    fn endpoint_headers(&self, headers: &mut HeaderMap, left: Duration, expect: &str, purpose: Purpose<'_>);
+    /// Takes the key out of the head of a caller's request, so that nothing passes it on.
+    fn take_key(&self, headers: &mut HeaderMap) -> Option<ApiKey>;
+    /// Headers for an endpoint, from the caller's; hop-by-hop headers are removed already. `team` is the caller's, if it
+    /// has one, whatever the caller says; `left` is the time that the endpoint may take, `expect` the id of the endpoint
+    /// that is meant.
+    fn endpoint_headers(
+        &self,
+        headers: &mut HeaderMap,
+        team: Option<&str>,
+        left: Duration,
+        expect: &str,
+        purpose: Purpose<'_>,
+    );
     /// Reads the head of an endpoint's answer.
     fn read_answer(&self, status: StatusCode, headers: &HeaderMap) -> AnswerMeta;
     /// Reserves room for `tokens` at the engine with the id `expect`.
--- a/crates/forward/src/requests.rs
+++ b/crates/forward/src/requests.rs
@@ -9,11 +9,12 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use hyper::header::{CONNECTION, HOST, HeaderValue};
+use hyper::header::{AUTHORIZATION, CONNECTION, HOST, HeaderValue};
 use hyper::{Request, Response};
 use teaselshunt_core::{ErrorKind, Refusal};
 use teaselshunt_routing::{Repeat, Route, RouteSet, Stage};
 
+use crate::admission::{charge, identify};
 use crate::body::AnswerBody;
 use crate::node::{Job, Node, Phase};
 use crate::refusals::{ELSEWHERE, refuse};
@@ -50,7 +51,8 @@
     trace: &mut Trace,
 ) -> Result<Job, Refusal> {
     let routes = node.state.borrow().routes.clone();
-    let (head, body) = request.into_parts();
+    let (mut head, body) = request.into_parts();
+    let key = node.protocol.take_key(&mut head.headers).map(|key| key.digest());
     let body = read_body(body, routes.as_deref()).await?;
     let routes = routes.ok_or(Refusal::later(ErrorKind::NotReady, ELSEWHERE))?;
     let host = head.headers.get(HOST).and_then(|h| h.to_str().ok()).or_else(|| head.uri.host());
@@ -58,10 +60,13 @@
         .find(host.unwrap_or_default(), head.uri.path())
         .ok_or(Refusal::new(ErrorKind::UnknownService))?;
     trace.routed(kind(route), &route.name, routes.version);
+    let team = identify(&routes, route, key)?;
+    trace.team(team.as_deref());
     let short = !matches!(route.repeat, Repeat::Stream { .. });
     if node.phase() >= if short { Phase::Ending } else { Phase::Refusing } {
         return Err(Refusal::later(ErrorKind::Stopping, ELSEWHERE));
     }
+    let charge = charge(node, team.as_deref(), &meta)?;
     let (service, returns) = {
         let state = &mut *node.state.borrow_mut();
         let deadline = meta.deadline.filter(|_| !short);
@@ -77,6 +82,10 @@
     let path = head.uri.path_and_query().map_or("/", |p| p.as_str()).to_owned();
     let mut headers = head.headers;
     headers::strip(&mut headers);
+    if routes.teams.is_some() {
+        // Whatever stands there, a key may be part of it, and no endpoint sees keys.
+        headers.remove(AUTHORIZATION);
+    }
     Ok(Job {
         meta,
         method: head.method,
@@ -85,6 +94,8 @@
         body,
         route: Arc::clone(route),
         service,
+        team,
+        charge,
         arrived,
         returns,
         until,
--- a/crates/forward/src/supervisor.rs
+++ b/crates/forward/src/supervisor.rs
@@ -10,8 +10,9 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use slog::{error, info, warn};
-use teaselshunt_core::{Quarantine, SystemClock};
-use teaselshunt_routing::{Allowances, Budgets, Endpoints};
+use teaselshunt_core::{Clock, Quarantine, SystemClock};
+use teaselshunt_routing::{Allowances, Budgets, Endpoints, tag};
+use teaselshunt_teams::{Quotas, Start, Way};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{Notify, mpsc, watch};
@@ -25,6 +26,8 @@
 use crate::settings::Settings;
 use crate::{front, logs, orders, peers};
 
+/// How instances keep to teams' limits.
+const WAY: Way = Way::Shared;
 /// Pause between two rounds of housekeeping.
 const HOUSEKEEPING: Duration = Duration::from_millis(200);
 /// Time in which a balancer that asks each second and needs two misses has taken the instance out.
@@ -82,6 +85,9 @@
     let log = logs::start(&settings.instance, &settings.domain);
     let callers = listen(settings.callers).await?;
     let ready = listen(settings.ready).await?;
+    let start_of_all = if settings.first { Start::First } else { Start::Again };
+    let domains = (tag(&settings.domain), settings.domains);
+    let quotas = Quotas::new(SystemClock.uptime(), WAY, settings.tolerance, start_of_all, domains);
     let node = Rc::new(Node {
         state: RefCell::new(State {
             routes: None,
@@ -92,6 +98,7 @@
             outputs: HashMap::new(),
             allowances: Allowances::default(),
             quarantine: Quarantine::default(),
+            quotas,
             listed: None,
         }),
         protocol,
@@ -151,6 +158,7 @@
         node.pool.keep_at_most(idle_share(&node));
         node.state.borrow_mut().endpoints.ledger().expire(node.now());
         node.state.borrow_mut().quarantine.expire(node.now());
+        node.state.borrow_mut().quotas.tick(node.clock.uptime());
         let gone = node.state.borrow_mut().endpoints.expire(node.now());
         for id in gone {
             info!(node.log, "endpoint"; "endpoint" => &*id, "state" => "gone");
--- a/crates/forward/src/trace.rs
+++ b/crates/forward/src/trace.rs
@@ -8,6 +8,7 @@
 
 use slog::info;
 use teaselshunt_core::Fingerprint;
+use teaselshunt_teams::Team;
 
 use crate::node::Node;
 use crate::protocol::Meta;
@@ -20,6 +21,8 @@
     kind: &'static str,
     route: Arc<str>,
     version: u64,
+    /// Name of the caller's team; empty where it has none.
+    team: Arc<str>,
     arrived: Instant,
     steps: RefCell<String>,
     /// How long the caller waits, as it says.
@@ -55,6 +58,7 @@
             kind: "none",
             route: Arc::from(""),
             version: 0,
+            team: Arc::from(""),
             arrived,
             steps: RefCell::default(),
             deadline: meta.deadline,
@@ -75,6 +79,13 @@
         self.version = version;
     }
 
+    /// The caller's team.
+    pub(crate) fn team(&mut self, team: Option<&Team>) {
+        if let Some(team) = team {
+            self.team = Arc::clone(&team.name);
+        }
+    }
+
     /// Whether the caller was refused before.
     pub(crate) fn returns(&mut self, returns: bool) {
         self.returns = returns;
@@ -129,11 +140,13 @@
         let took = self.node.now().duration_since(self.arrived);
         self.node.metrics.running.dec();
         self.node.metrics.ended(self.kind, outcome, took);
+        self.node.metrics.team(&self.team, outcome);
         info!(self.node.log, "request";
             "id" => &self.id,
             "kind" => self.kind,
             "route" => &*self.route,
             "version" => self.version,
+            "team" => &*self.team,
             "list_age_ms" => self.node.list_age().map(millis),
             "deadline_ms" => self.deadline.map(millis),
             "returns" => self.returns,
--- a/crates/routing/src/routes.rs
+++ b/crates/routing/src/routes.rs
@@ -9,6 +9,7 @@
 
 use rand::Rng;
 use serde::{Deserialize, Serialize};
+use teaselshunt_teams::Teams;
 
 /// What may be repeated of a route's requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -43,6 +44,10 @@
     pub gap: Option<Duration>,
     /// Most endpoints that one request may be sent to.
     pub attempts: u32,
+    /// Rank of its requests, where 0 is first.
+    pub priority: u8,
+    /// Whether callers need no key.
+    pub public: bool,
     /// Services and their weights.
     pub targets: Vec<(Arc<str>, u32)>,
 }
@@ -130,6 +135,8 @@
     pub version: u64,
     /// Limits for callers.
     pub limits: Limits,
+    /// Who may call routes that are not public; `None` where anybody may.
+    pub teams: Option<Teams>,
     hosts: HashMap<String, Vec<Arc<Route>>>,
     services: HashMap<Arc<str>, Arc<Service>>,
 }
@@ -145,7 +152,13 @@
             routes.sort_by_key(|r| std::cmp::Reverse(r.prefix.len()));
         }
         let services = services.into_iter().map(|s| (Arc::clone(&s.name), Arc::new(s))).collect();
-        Self { version, limits, hosts, services }
+        Self { version, limits, teams: None, hosts, services }
+    }
+
+    /// The same with teams: only their callers, and callers of public routes, are served.
+    #[must_use]
+    pub fn with_teams(self, teams: Option<Teams>) -> Self {
+        Self { teams, ..self }
     }
 
     /// The route with the longest prefix of `path`; `host` may carry a port and any case.
--- a/crates/routing/tests/all/patience.rs
+++ b/crates/routing/tests/all/patience.rs
@@ -21,6 +21,8 @@
         goal: Duration::from_millis(900),
         gap: Some(Duration::from_millis(300)),
         attempts: 2,
+        priority: 1,
+        public: false,
         targets: vec![(Arc::from("model"), 1)],
     }
 }
--- a/crates/routing/tests/all/routes.rs
+++ b/crates/routing/tests/all/routes.rs
@@ -16,6 +16,8 @@
         goal: Duration::from_millis(100),
         gap: None,
         attempts: 1,
+        priority: 1,
+        public: false,
         targets: vec![(Arc::from("a"), 90), (Arc::from("b"), 10)],
     }
 }
--- /dev/null
+++ b/crates/teams/src/key.rs
@@ -0,0 +1,57 @@
+//! Keys that callers show, and the digests by which they are known.
+//!
+//! The text of a key lives only while a request's head or a configuration is read; everything that is kept, told or
+//! compared is a digest. Neither prints anything, so that no log line, error or panic can show a key.
+
+use std::fmt;
+use std::hash::{Hash, Hasher};
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+use subtle::ConstantTimeEq;
+use zeroize::Zeroizing;
+
+/// A caller's key as it was shown; its memory is overwritten when it is dropped.
+pub struct ApiKey(Zeroizing<String>);
+
+impl ApiKey {
+    /// A key with this text.
+    pub fn new(text: String) -> Self {
+        Self(Zeroizing::new(text))
+    }
+
+    /// By what the key is known.
+    pub fn digest(&self) -> KeyDigest {
+        KeyDigest(Sha256::digest(self.0.as_bytes()).into())
+    }
+}
+
+impl fmt::Debug for ApiKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("ApiKey")
+    }
+}
+
+/// SHA-256 of a key. Keys are drawn at random by operators' tools and long, so that a digest without salt tells nothing.
+#[derive(Clone, Copy, Serialize, Deserialize)]
+pub struct KeyDigest([u8; 32]);
+
+impl PartialEq for KeyDigest {
+    fn eq(&self, other: &Self) -> bool {
+        self.0.ct_eq(&other.0).into()
+    }
+}
+
+impl Eq for KeyDigest {}
+
+impl Hash for KeyDigest {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.0.hash(state);
+    }
+}
+
+impl fmt::Debug for KeyDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("KeyDigest")
+    }
+}
--- /dev/null
+++ b/crates/teams/src/quota.rs
@@ -0,0 +1,535 @@
+//! Limits of teams over many instances that agree on nothing.
+//!
+//! Each instance keeps an account for each team that has a limit: a level that refills with the limit's rate up to its
+//! burst, and from which admitted requests are taken. What the instances' accounts have to do with one another is the
+//! [`Way`]:
+//!
+//! - [`Way::Parts`]: nothing. Each instance admits its part of the limit. Never over it, but callers are spread unevenly, so
+//!   that instances refuse callers of teams that are below their limit, and a small team's part may be less than one request.
+//! - [`Way::Shared`]: each instance tells the others what it has admitted, and takes what others tell from its own level.
+//!   What others admit is known one telling late, so that a team that floods goes over its limit by what it asks in that
+//!   time, once; the level falls below zero by as much and makes up for it.
+//!
+//! What must hold is that a team never gets more than its limit and a tolerance in any window, whoever can hear whom.
+//! Three things stand in the way of a shared account:
+//!
+//! - An instance that falls silent may be dead, or cut off and admit as before. Both sides of a cut must add up to one
+//!   limit: what a silent peer may admit, an equal part of the rate, is set aside for as long as it is remembered, and the
+//!   burst shrinks to the part of those that are heard. When it is heard again only what it has admitted beyond that is taken
+//!   from the level. Equal parts, because the two sides must come to the same division without a word.
+//! - An instance that starts knows nothing of what was admitted before. If all start at once, nobody does: the level then
+//!   begins with what the tolerance covers. An instance that has heard no other failure domain since its start may have
+//!   started inside a cut, and takes them to be as large as its own.
+//! - Tellings are lost, doubled and overtake one another. Totals are told and not differences, with the start of the sender
+//!   that they count from.
+//!
+//! Few teams are near their limits. Of the others nothing is told, which keeps tellings small however many teams there are;
+//! [`QUIET`] says how much that hides.
+
+use std::collections::{HashMap, HashSet};
+use std::hash::Hash;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::directory::{Limit, TeamTag};
+
+/// Silence after which a peer counts as cut off: over the longest pause between two tellings. One whose telling was lost is
+/// taken for cut off for a moment, which costs its part of the rate for as long; a late notice of a cut costs a rate.
+const SILENT: Duration = Duration::from_millis(700);
+/// How long a silent peer is remembered. Cuts between failure domains last minutes; longer ones are not held against those
+/// who are left when instances were removed without a word.
+const MEMORY: Duration = Duration::from_mins(10);
+/// Time after the start in which what peers admitted earlier is not taken from a level that began without it.
+const NEWCOMER: Duration = Duration::from_secs(5);
+/// Time for which a change of an account is told again, since tellings are lost.
+const RETELL: Duration = Duration::from_secs(2);
+/// Part of a limit below which a team's use is not told, while the level is over half of the burst. It is what all
+/// instances together may hide from one another: well under any tolerance that a deployment can do without.
+const QUIET: f64 = 0.1;
+/// Most teams that are told of at a time.
+const TELLING_MAX: usize = 64;
+/// Deepest debt, in seconds of the rate. A caller pays for what an instance missed, but not for minutes of it.
+const DEBT: f64 = 3.0;
+/// Looks for silent peers in the time after which one counts as cut off.
+const LOOKS: usize = 4;
+/// Part of what was set aside for silent peers that is left at each look after the last one was heard again.
+const RESERVE_LEFT: f64 = 0.8;
+/// Part of a tolerance that a start of all instances at once may use up.
+/// The rest is for what instances admit before they hear of one another's spending.
+const START_PART: f64 = 0.1;
+/// Time without a look at the accounts after which an instance stood still. What others admitted meanwhile comes at once
+/// then, and without what the accounts would have lost by being full it would be a debt of seconds.
+const STALL: Duration = Duration::from_secs(1);
+/// Longest debt, in seconds of this side's part of the rate, that the beginning of a cut leaves behind. Until the silence is
+/// noticed each side admits the part of the other as well, which the tolerance bears; paying it back would have the smaller
+/// side refuse everybody for seconds.
+const CUT_DEBT: f64 = 1.5;
+/// Longest time after which a refused caller is asked to come back.
+const WAIT_MAX: Duration = Duration::from_secs(10);
+
+/// How the accounts of different instances hang together; the module's head weighs them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Way {
+    /// Each instance has an equal part of each limit.
+    Parts,
+    /// Instances tell one another what they admit.
+    Shared,
+}
+
+/// By how much a team may exceed its limit in a window before a promise is broken.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Tolerance {
+    /// Any span of this length counts.
+    pub window: Duration,
+    /// Part of what the limit allows in a window.
+    pub over: f64,
+    /// Units besides.
+    pub slack: f64,
+}
+
+impl Tolerance {
+    /// None at all.
+    pub const NONE: Self = Self { window: Duration::ZERO, over: 0.0, slack: 0.0 };
+
+    /// Level of an account that does not know what was admitted before.
+    fn at_start(self, limit: Limit) -> f64 {
+        let allowed = limit.rate * self.window.as_secs_f64() + limit.burst;
+        limit.burst.min((allowed * self.over + self.slack) * START_PART)
+    }
+}
+
+/// What a starting instance may assume of the time before.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Start {
+    /// The whole system starts for the first time: nothing was admitted.
+    First,
+    /// Others may have admitted anything.
+    Again,
+}
+
+/// What an instance has admitted of a team since its start.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Spending {
+    /// The team.
+    pub team: TeamTag,
+    /// Units in all, less what was given back.
+    pub total: i64,
+    /// Those of the last seconds, for whoever hears of this team from this instance for the first time.
+    pub recent: u64,
+    /// Level of its account, for whoever begins without knowing what was admitted before.
+    pub level: i64,
+}
+
+/// Why a request is not admitted: the team is at its limit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Shortage {
+    /// Time until the level is enough for the request.
+    pub wait: Duration,
+    /// Time that the rate needs for everything that was refused lately. Callers who are spread over it come back as fast as
+    /// they can be served, and not all at once.
+    pub backlog: Duration,
+}
+
+/// Sum over the last [`Recent::SECONDS`] seconds.
+#[derive(Debug, Clone, Copy, Default)]
+struct Recent {
+    slots: [f64; Self::SECONDS as usize],
+    /// Second of the newest slot.
+    second: u64,
+}
+
+impl Recent {
+    const SECONDS: u64 = 4;
+
+    fn turn(&mut self, now: Duration) {
+        let second = now.as_secs();
+        for passed in (self.second + 1..=second).take(Self::SECONDS as usize) {
+            self.slots[(passed % Self::SECONDS) as usize] = 0.0;
+        }
+        // More than all slots have passed: `take` cleared each of them once.
+        self.second = self.second.max(second);
+    }
+
+    fn add(&mut self, now: Duration, units: f64) {
+        self.turn(now);
+        self.slots[(self.second % Self::SECONDS) as usize] += units;
+    }
+
+    fn sum(&mut self, now: Duration) -> f64 {
+        self.turn(now);
+        self.slots.iter().sum::<f64>().max(0.0)
+    }
+}
+
+/// What is known of a peer's spending of one team.
+#[derive(Debug, Clone, Copy, Default)]
+struct Known {
+    /// Its last total, if it told one in this life.
+    total: Option<i64>,
+    /// Whether it was silent since.
+    away: bool,
+}
+
+#[derive(Debug)]
+struct Account<P> {
+    limit: Limit,
+    /// Units that may be admitted now; below zero after more were admitted than the limit allows.
+    level: f64,
+    /// When the level was last refilled.
+    at: Duration,
+    /// Admitted here since the start, less what was given back.
+    total: i64,
+    admitted: Recent,
+    refused: Recent,
+    changed: Duration,
+    /// Levels at the last looks, the oldest first.
+    levels: [f64; LOOKS],
+    /// Set aside for peers that are silent, all together: callers are spread unevenly among them.
+    reserve: f64,
+    known: HashMap<P, Known>,
+}
+
+impl<P: Eq + Hash> Account<P> {
+    /// Refills for the time since the last time; `part` of the limit is this side's.
+    fn refill(&mut self, now: Duration, part: f64) {
+        let time = now.saturating_sub(self.at);
+        self.at = self.at.max(now);
+        let level = self.level + self.limit.rate * part * time.as_secs_f64();
+        self.level = level.min(self.limit.burst * part);
+    }
+
+    fn take(&mut self, units: f64) {
+        self.level = (self.level - units).max(-DEBT * self.limit.rate);
+    }
+
+    /// A peer tells what it has admitted.
+    fn told(&mut self, peer: P, spending: Spending, newcomer: bool) {
+        let known = self.known.entry(peer).or_default();
+        let more = match known.total.replace(spending.total) {
+            Some(before) => (spending.total - before) as f64,
+            None if newcomer => return self.level = self.level.min(spending.level as f64),
+            None => spending.recent as f64,
+        };
+        let set_aside = if std::mem::take(&mut known.away) { self.reserve.min(more.max(0.0)) } else { 0.0 };
+        self.reserve -= set_aside;
+        self.take(more - set_aside);
+    }
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Peer {
+    /// Drawn at random at each of its starts.
+    life: u64,
+    /// The life before, whose last tellings may come late.
+    former: Option<u64>,
+    /// Number of its last telling.
+    sequence: u64,
+    /// When it was last heard.
+    at: Duration,
+    /// Tag of its failure domain.
+    domain: u32,
+    /// It has said that it ends; nothing is set aside for it.
+    leaving: bool,
+    /// Instances that it remembers itself, with itself.
+    instances: u32,
+    /// Until when reserves for it are accounted for; `None` while it is heard.
+    reserved: Option<Duration>,
+}
+
+/// Accounts of all teams that have a limit, as one instance keeps them. `P` tells peers apart. Times are those since the
+/// machine started, suspended time included: limits go on refilling while an instance stands still.
+#[derive(Debug)]
+pub struct Quotas<P> {
+    way: Way,
+    tolerance: Tolerance,
+    start: Start,
+    begun: Duration,
+    /// When the accounts began without knowing what others had admitted.
+    started: Duration,
+    /// When they were last looked at.
+    looked: Duration,
+    /// Tag of this instance's failure domain.
+    domain: u32,
+    /// Failure domains of the deployment; 0 where that is not known.
+    domains: u32,
+    peers: HashMap<P, Peer>,
+    accounts: HashMap<TeamTag, Account<P>>,
+    /// Part of each limit that this side of a cut has.
+    part: f64,
+    instances: u32,
+}
+
+impl<P: Copy + Eq + Hash> Quotas<P> {
+    /// No accounts yet. `domain` is the tag of this instance's failure domain, `domains` how many the deployment has, 0 where
+    /// that is not known.
+    pub fn new(
+        now: Duration,
+        way: Way,
+        tolerance: Tolerance,
+        start: Start,
+        (domain, domains): (u32, u32),
+    ) -> Self {
+        let (peers, accounts) = (HashMap::new(), HashMap::new());
+        Self {
+            way,
+            tolerance,
+            start,
+            begun: now,
+            started: now,
+            looked: now,
+            domain,
+            domains,
+            peers,
+            accounts,
+            part: 1.0,
+            instances: 1,
+        }
+    }
+
+    /// These limits are in force from now on. A raised burst can be used at once.
+    pub fn set_limits(&mut self, now: Duration, limits: impl IntoIterator<Item = (TeamTag, Limit)>) {
+        let mut before = std::mem::take(&mut self.accounts);
+        let first = before.is_empty();
+        for (team, limit) in limits {
+            let account = match before.remove(&team) {
+                Some(mut account) => {
+                    account.refill(now, self.part);
+                    account.level += (limit.burst - account.limit.burst).max(0.0);
+                    account.limit = limit;
+                    account
+                }
+                None => self.open(now, limit, first),
+            };
+            self.accounts.insert(team, account);
+        }
+    }
+
+    fn open(&self, now: Duration, limit: Limit, first: bool) -> Account<P> {
+        let level = match self.start {
+            Start::Again if first => self.tolerance.at_start(limit),
+            Start::First | Start::Again => limit.burst,
+        };
+        Account {
+            limit,
+            level,
+            at: now,
+            total: 0,
+            admitted: Recent::default(),
+            refused: Recent::default(),
+            changed: Duration::ZERO,
+            levels: [0.0; LOOKS],
+            reserve: 0.0,
+            known: HashMap::new(),
+        }
+    }
+
+    /// Admits a request that costs so many units, if the team's limit allows it. Teams without a limit always do.
+    ///
+    /// # Errors
+    /// The team is at its limit.
+    pub fn admit(&mut self, now: Duration, team: TeamTag, cost: u64) -> Result<(), Shortage> {
+        let Some(account) = self.accounts.get_mut(&team) else { return Ok(()) };
+        account.refill(now, self.part);
+        // A request larger than the burst is admitted when the level is full; the debt keeps the rate.
+        let need = (cost as f64).min(account.limit.burst * self.part);
+        if account.level < need {
+            account.refused.add(now, cost as f64);
+            let rate = (account.limit.rate * self.part).max(f64::MIN_POSITIVE);
+            let refused = account.refused.sum(now) * f64::from(self.instances) * self.part;
+            let (wait, backlog) = ((need - account.level) / rate, refused / rate);
+            return Err(Shortage { wait: bounded(wait), backlog: bounded(backlog) });
+        }
+        account.take(cost as f64);
+        account.total += cost as i64;
+        account.admitted.add(now, cost as f64);
+        account.changed = now;
+        Ok(())
+    }
+
+    /// Gives back what a request was admitted with that surely has not run.
+    pub fn give_back(&mut self, now: Duration, team: TeamTag, cost: u64) {
+        let Some(account) = self.accounts.get_mut(&team) else { return };
+        account.refill(now, self.part);
+        account.level += cost as f64;
+        account.total -= cost as i64;
+        account.admitted.add(now, -(cost as f64));
+        account.changed = now;
+    }
+
+    /// Begins anew, as after a start, if this instance stood still.
+    fn look(&mut self, now: Duration) {
+        let stalled = now.saturating_sub(std::mem::replace(&mut self.looked, now)) > STALL;
+        if !stalled {
+            return;
+        }
+        self.started = now;
+        for account in self.accounts.values_mut() {
+            account.refill(now, self.part);
+            account.level = account.level.min(self.tolerance.at_start(account.limit));
+            account.known.clear();
+        }
+    }
+
+    /// Looks for peers that have fallen silent. To be called several times a second.
+    pub fn tick(&mut self, now: Duration) {
+        self.look(now);
+        self.peers.retain(|_, peer| {
+            let silence = now.saturating_sub(peer.at);
+            silence < if peer.leaving { SILENT } else { MEMORY }
+        });
+        let mut heard = 1_u32;
+        let mut owed = Vec::new();
+        for (&id, peer) in &mut self.peers {
+            if now.saturating_sub(peer.at) <= SILENT {
+                heard += 1;
+                continue;
+            }
+            let from = peer.reserved.replace(now).unwrap_or(peer.at);
+            owed.push((id, now.saturating_sub(from), from == peer.at));
+        }
+        self.instances = self.count_instances(now).max(heard);
+        let each = 1.0 / f64::from(self.instances);
+        let part = match self.way {
+            Way::Parts => each,
+            Way::Shared => f64::from(heard) * each,
+        };
+        for account in self.accounts.values_mut() {
+            account.refill(now, self.part);
+            if owed.is_empty() {
+                // Of those who were silent nobody tells more than the next tellings do.
+                account.reserve *= RESERVE_LEFT;
+            }
+            if self.way == Way::Shared {
+                let floor = account.level.min(-CUT_DEBT * account.limit.rate * part);
+                for &(peer, time, new) in &owed {
+                    let refilled = account.limit.rate * time.as_secs_f64();
+                    let before = if new { account.levels[0].max(0.0) } else { 0.0 };
+                    let units = (before + refilled) * each;
+                    account.reserve += units;
+                    if new {
+                        account.known.entry(peer).or_default().away = true;
+                        // Both sides went on with the whole level, and with the whole rate, until the silence was noticed.
+                        account.level -= units;
+                    }
+                }
+                account.level = account.level.max(floor);
+            }
+            // Shrinks a level that was filled with the part of those who are silent now.
+            account.level = account.level.min(account.limit.burst * part);
+            account.levels.rotate_left(1);
+            account.levels[LOOKS - 1] = account.level;
+        }
+        self.part = part;
+    }
+
+    /// Instances among which limits are divided: all that are remembered here, or by a peer that is heard; and for each
+    /// failure domain of which nothing was heard since the start as many as the others have.
+    fn count_instances(&self, now: Duration) -> u32 {
+        let heard = self.peers.values().filter(|peer| now.saturating_sub(peer.at) <= SILENT);
+        let told = heard.map(|peer| peer.instances).max().unwrap_or(0);
+        let known = self.remembered().max(told);
+        if self.start == Start::First || now.saturating_sub(self.begun) > MEMORY {
+            return known;
+        }
+        let domains: HashSet<u32> =
+            self.peers.values().map(|peer| peer.domain).chain([self.domain]).collect();
+        known.max(self.remembered() * self.domains / domains.len() as u32)
+    }
+
+    /// Instances that are remembered here, with this one.
+    pub fn remembered(&self) -> u32 {
+        self.peers.values().filter(|peer| !peer.leaving).count() as u32 + 1
+    }
+
+    /// A peer was heard. Says whether its telling is new, so that its spending may be taken over.
+    pub fn heard(&mut self, now: Duration, peer: P, hearing: Hearing) -> bool {
+        self.look(now);
+        let Hearing { life, sequence, domain, leaving, instances } = hearing;
+        let before = self.peers.get(&peer).copied();
+        let former = match before {
+            Some(known) if known.life == life && known.sequence >= sequence => return false,
+            Some(known) if known.former == Some(life) => return false,
+            Some(known) if known.life != life => {
+                for account in self.accounts.values_mut() {
+                    account.known.remove(&peer);
+                }
+                Some(known.life)
+            }
+            Some(known) => known.former,
+            None => None,
+        };
+        let heard = Peer { life, former, sequence, at: now, domain, leaving, instances, reserved: None };
+        self.peers.insert(peer, heard);
+        true
+    }
+
+    /// A peer that was [heard](Quotas::heard) tells what it has admitted.
+    pub fn told(&mut self, now: Duration, peer: P, spent: impl IntoIterator<Item = Spending>) {
+        if self.way == Way::Parts {
+            return;
+        }
+        let newcomer = now.saturating_sub(self.started) < NEWCOMER;
+        for spending in spent {
+            if let Some(account) = self.accounts.get_mut(&spending.team) {
+                account.refill(now, self.part);
+                account.told(peer, spending, newcomer);
+            }
+        }
+    }
+
+    /// What others are to be told now.
+    pub fn spending(&mut self, now: Duration) -> Vec<Spending> {
+        if self.way == Way::Parts {
+            return Vec::new();
+        }
+        let everyone = f64::from(self.instances);
+        let news = self.accounts.iter_mut().filter_map(|(&team, account)| {
+            if account.total == 0 || now.saturating_sub(account.changed) > RETELL {
+                return None;
+            }
+            account.refill(now, self.part);
+            let recent = account.admitted.sum(now);
+            let use_of_all = recent * everyone / Recent::SECONDS as f64;
+            let low = account.level < account.limit.burst * self.part / 2.0;
+            let near = low || use_of_all >= account.limit.rate * QUIET;
+            let (total, level) = (account.total, account.level as i64);
+            near.then_some(Spending { team, total, recent: recent as u64, level })
+        });
+        let mut news: Vec<Spending> = news.collect();
+        if news.len() > TELLING_MAX {
+            news.sort_by_key(|spending| std::cmp::Reverse(spending.recent));
+            news.truncate(TELLING_MAX);
+        }
+        news
+    }
+
+    /// Units that may be admitted for a team now; `None` where it has no limit.
+    pub fn level(&self, team: TeamTag) -> Option<f64> {
+        self.accounts.get(&team).map(|account| account.level)
+    }
+
+    /// Part of each limit that is divided among those who are heard; 1 unless some have fallen silent.
+    pub fn part(&self) -> f64 {
+        self.part
+    }
+}
+
+/// What a telling says of its sender.
+#[derive(Debug, Clone, Copy)]
+pub struct Hearing {
+    /// Drawn at random at each of its starts.
+    pub life: u64,
+    /// Grows with each telling of that life.
+    pub sequence: u64,
+    /// Tag of its failure domain.
+    pub domain: u32,
+    /// Whether it is about to end.
+    pub leaving: bool,
+    /// [`Quotas::remembered`] of the sender.
+    pub instances: u32,
+}
+
+fn bounded(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds.clamp(0.0, WAIT_MAX.as_secs_f64()))
+}
