Bench: random plans against the limits of teams

teaselshunt-bench quotas plays floods up to nine times the limit with cuts, kills, freezes, lost, doubled and late tellings, and judges from outside by one account.

--- a/crates/bench/src/commands/mod.rs
+++ b/crates/bench/src/commands/mod.rs
@@ -4,6 +4,7 @@
 mod cost;
 mod plot;
 mod policy;
+mod quotas;
 mod slopes;
 
 use gumdrop::Options;
@@ -29,6 +30,8 @@
     Chaos(chaos::Arguments),
     #[options(help = "measure the routing policy against plain ones")]
     Policy(policy::Arguments),
+    #[options(help = "run random plans against the limits of teams")]
+    Quotas(quotas::Arguments),
     #[options(help = "measure how costs grow with endpoints and instances")]
     Slopes(slopes::Arguments),
     #[options(help = "measure the router's own cost against direct calls")]
@@ -40,6 +43,7 @@
         match self {
             Self::Chaos(arguments) => chaos::run(&arguments),
             Self::Policy(arguments) => policy::run(&arguments),
+            Self::Quotas(arguments) => quotas::run(&arguments),
             Self::Slopes(arguments) => {
                 slopes::run(&arguments);
                 Ok(())
--- /dev/null
+++ b/crates/bench/src/commands/quotas.rs
@@ -0,0 +1,81 @@
+//! `quotas`: random plans against the limits of teams, with each way to keep them.
+
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use gumdrop::Options;
+use quickcheck::{Arbitrary, Gen};
+use teaselshunt_bench::{QuotaOutcome, QuotaPlan};
+use teaselshunt_teams::Way;
+
+use super::CommandError;
+
+/// Size given to the generator; plans bound themselves.
+const SIZE: usize = 100;
+
+#[derive(Debug, Options)]
+pub(crate) struct Arguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "first seed", default = "1")]
+    seed: u64,
+    #[options(help = "number of plans", default = "1000")]
+    cases: u64,
+    #[options(help = "threads", default = "4")]
+    threads: u64,
+    #[options(help = "print the worst plans of the way that stands", default = "3")]
+    worst: usize,
+}
+
+/// A plan's seed and what it showed with each way.
+type Row = (u64, QuotaPlan, [QuotaOutcome; 2]);
+
+const WAYS: [Way; 2] = [Way::Parts, Way::Shared];
+
+pub(crate) fn run(arguments: &Arguments) -> Result<(), CommandError> {
+    let next = AtomicU64::new(arguments.seed);
+    let end = arguments.seed + arguments.cases;
+    let rows = Mutex::new(Vec::<Row>::new());
+    std::thread::scope(|scope| {
+        for _ in 0..arguments.threads.max(1) {
+            scope.spawn(|| {
+                loop {
+                    let seed = next.fetch_add(1, Ordering::Relaxed);
+                    if seed >= end {
+                        return;
+                    }
+                    let plan = QuotaPlan::arbitrary(&mut Gen::from_size_and_seed(SIZE, seed));
+                    let outcomes = WAYS.map(|way| plan.run(way));
+                    rows.lock().expect("no thread panics with the lock").push((seed, plan, outcomes));
+                }
+            });
+        }
+    });
+    let mut rows = rows.into_inner().expect("no thread panics with the lock");
+    rows.sort_by(|a, b| b.2[1].fullest.total_cmp(&a.2[1].fullest));
+    println!("way     plans  over the bound  fullest window  asked below limit and refused  bytes/s a peer");
+    for (index, way) in WAYS.iter().enumerate() {
+        print_way(*way, &rows, index);
+    }
+    for (seed, plan, outcomes) in rows.iter().take(arguments.worst) {
+        println!("seed {seed}: fullest {:.3}: {}", outcomes[1].fullest, serde_json::json!(plan));
+    }
+    let over = rows.iter().filter(|row| row.2[1].is_over()).count();
+    if over == 0 { Ok(()) } else { Err(CommandError::Violations(over)) }
+}
+
+fn print_way(way: Way, rows: &[Row], index: usize) {
+    let outcomes = || rows.iter().map(|row| (&row.1, &row.2[index]));
+    let over = outcomes().filter(|(_, outcome)| outcome.is_over()).count();
+    let fullest = outcomes().map(|(_, outcome)| outcome.fullest).fold(0.0, f64::max);
+    // Teams that ask less than their limit, while nothing else is wrong.
+    let below = outcomes().filter(|(plan, _)| plan.demand < 10 && plan.troubles.is_empty());
+    let (mut asked, mut refused) = (0.0, 0.0);
+    for (_, outcome) in below {
+        asked += outcome.asked;
+        refused += outcome.asked - outcome.admitted;
+    }
+    let bytes: f64 = outcomes().map(|(_, outcome)| outcome.bytes).sum::<f64>() / rows.len().max(1) as f64;
+    let (plans, part) = (rows.len(), refused / f64::max(asked, 1.0));
+    println!("{:7} {plans:5} {over:15} {fullest:15.3} {part:30.4} {bytes:15.0}", format!("{way:?}"));
+}
--- /dev/null
+++ b/crates/bench/src/quotas.rs
@@ -0,0 +1,385 @@
+//! Random plans against the limits of teams: instances in several failure domains, a team whose callers flood, and cuts,
+//! kills, freezes, lost, doubled and late tellings meanwhile.
+//!
+//! A plan is judged from outside, by one account of everything that was admitted: no span of the tolerance's window may hold
+//! more than the limit and the tolerance, and a team that asks for less than its limit, while nothing is cut off, is refused
+//! next to nothing.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use quickcheck::{Arbitrary, Gen};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use serde::Serialize;
+use teaselshunt_teams::{Hearing, Limit, Quotas, Spending, Start, TeamTag, Tolerance, Way};
+
+const TEAM: TeamTag = TeamTag(1);
+const LIMIT: Limit = Limit { rate: 10_000.0, burst: 10_000.0 };
+const TOLERANCE: Tolerance = Tolerance { window: Duration::from_secs(8), over: 0.25, slack: 4_000.0 };
+/// Step of virtual time.
+const STEP: Duration = Duration::from_millis(20);
+/// Pause between two tellings of an instance.
+const BEAT: Duration = Duration::from_millis(100);
+/// Pause between two looks for silent peers.
+const TICK: Duration = Duration::from_millis(200);
+/// Units of a request.
+const COSTS: [u64; 4] = [10, 10, 200, 800];
+/// Time that a started instance needs to read the configuration, before which it serves nobody.
+const READING: Duration = Duration::from_millis(150);
+/// Time before callers come, in which instances hear of one another.
+const CALM: Duration = Duration::from_secs(2);
+
+/// What happens to whom.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+pub enum Mishap {
+    /// One failure domain is cut off from the others.
+    Cut {
+        /// Its number.
+        domain: u8,
+    },
+    /// Instances are killed and start again at the end.
+    Kill {
+        /// Of 8 instances so many.
+        eighths: u8,
+    },
+    /// Machines stand still.
+    Freeze {
+        /// Of 8 instances so many.
+        eighths: u8,
+    },
+}
+
+/// A mishap and when it lasts, in milliseconds after the callers came.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+pub struct Trouble {
+    /// What.
+    pub what: Mishap,
+    /// Its beginning.
+    pub at: u32,
+    /// How long it lasts.
+    pub length: u32,
+}
+
+/// A random run.
+#[derive(Debug, Clone, Serialize)]
+pub struct QuotaPlan {
+    /// From which everything else is drawn.
+    pub seed: u64,
+    /// Instances of each failure domain.
+    pub domains: Vec<u8>,
+    /// What the team asks, in tenths of its limit.
+    pub demand: u8,
+    /// How unevenly callers are spread: 0 alike, more for fewer instances that get most.
+    pub skew: u8,
+    /// Tellings that are lost, in hundredths.
+    pub loss: u8,
+    /// What goes wrong.
+    pub troubles: Vec<Trouble>,
+}
+
+/// What a run showed.
+#[derive(Debug, Clone, Copy, Default, Serialize)]
+pub struct QuotaOutcome {
+    /// Units that callers asked for.
+    pub asked: f64,
+    /// Units that were admitted.
+    pub admitted: f64,
+    /// The fullest window, as a part of what limit and tolerance allow in it.
+    pub fullest: f64,
+    /// Bytes that an instance sends to one peer in a second, about its spending alone.
+    pub bytes: f64,
+}
+
+impl QuotaOutcome {
+    /// Whether more was admitted in some window than limit and tolerance allow.
+    pub fn is_over(&self) -> bool {
+        self.fullest > 1.0
+    }
+}
+
+impl Arbitrary for QuotaPlan {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let domains = (0..u8::arbitrary(g) % 3 + 2).map(|_| u8::arbitrary(g) % 8 + 1).collect::<Vec<_>>();
+        let trouble = |g: &mut Gen| {
+            let eighths = u8::arbitrary(g) % 8 + 1;
+            let what = match u8::arbitrary(g) % 4 {
+                0 | 1 => Mishap::Cut { domain: u8::arbitrary(g) % domains.len() as u8 },
+                2 => Mishap::Kill { eighths },
+                _ => Mishap::Freeze { eighths },
+            };
+            Trouble { what, at: u32::arbitrary(g) % 12_000, length: 500 + u32::arbitrary(g) % 8_000 }
+        };
+        let troubles = (0..u8::arbitrary(g) % 4).map(|_| trouble(g)).collect();
+        Self {
+            seed: u64::arbitrary(g),
+            demand: [5, 9, 20, 50, 90][usize::arbitrary(g) % 5],
+            skew: u8::arbitrary(g) % 4,
+            loss: u8::arbitrary(g) % 11,
+            domains,
+            troubles,
+        }
+    }
+
+    fn shrink(&self) -> Box<dyn Iterator<Item = Self>> {
+        let plan = self.clone();
+        let fewer = (0..plan.troubles.len()).map(move |index| {
+            let mut shorter = plan.clone();
+            shorter.troubles.remove(index);
+            shorter
+        });
+        Box::new(fewer)
+    }
+}
+
+struct Node {
+    quotas: Quotas<usize>,
+    domain: u8,
+    life: u64,
+    sequence: u64,
+    /// Part of the callers that come to it.
+    share: f64,
+    /// What its callers have asked for and not yet sent.
+    due: f64,
+    next_beat: Duration,
+    next_tick: Duration,
+    down: bool,
+    frozen: bool,
+    /// From when on it takes callers.
+    ready: Duration,
+}
+
+struct Telling {
+    at: Duration,
+    from: usize,
+    to: usize,
+    hearing: Hearing,
+    spent: Vec<Spending>,
+}
+
+struct Run<'a> {
+    plan: &'a QuotaPlan,
+    way: Way,
+    rng: SmallRng,
+    now: Duration,
+    nodes: Vec<Node>,
+    on_way: Vec<Telling>,
+    /// Admitted in the window so far, by step.
+    window: VecDeque<(Duration, f64)>,
+    outcome: QuotaOutcome,
+    active: Vec<bool>,
+}
+
+/// When virtual time begins; the instances' machines have been up for a while.
+const BEGIN: Duration = Duration::from_secs(1000);
+
+impl QuotaPlan {
+    /// Plays the plan with a way to keep limits.
+    pub fn run(&self, way: Way) -> QuotaOutcome {
+        const LENGTH: Duration = Duration::from_secs(20);
+        let mut run = Run::new(self, way);
+        while run.now < BEGIN + CALM + LENGTH {
+            run.step();
+        }
+        let tellers = run.nodes.len() as f64;
+        run.outcome.bytes /= (LENGTH + CALM).as_secs_f64() * tellers * (tellers - 1.0).max(1.0);
+        run.outcome
+    }
+}
+
+impl<'a> Run<'a> {
+    fn new(plan: &'a QuotaPlan, way: Way) -> Self {
+        let mut rng = SmallRng::seed_from_u64(plan.seed);
+        let domains = plan.domains.len() as u32;
+        let mut nodes = Vec::new();
+        for (domain, &count) in plan.domains.iter().enumerate() {
+            for _ in 0..count {
+                let weight: f64 = rng.random_range(0.05..1.0);
+                nodes.push(Node {
+                    quotas: opened(BEGIN, way, Start::First, (domain as u32, domains)),
+                    domain: domain as u8,
+                    life: rng.random(),
+                    sequence: 0,
+                    share: weight.powi(i32::from(plan.skew) * 2),
+                    due: 0.0,
+                    next_beat: BEGIN + BEAT.mul_f64(rng.random_range(0.0..1.0)),
+                    next_tick: BEGIN + TICK.mul_f64(rng.random_range(0.0..1.0)),
+                    down: false,
+                    frozen: false,
+                    ready: BEGIN,
+                });
+            }
+        }
+        let all: f64 = nodes.iter().map(|node| node.share).sum();
+        for node in &mut nodes {
+            node.share /= all;
+        }
+        Self {
+            plan,
+            way,
+            rng,
+            now: BEGIN,
+            nodes,
+            on_way: Vec::new(),
+            window: VecDeque::new(),
+            outcome: QuotaOutcome::default(),
+            active: vec![false; plan.troubles.len()],
+        }
+    }
+
+    fn step(&mut self) {
+        self.now += STEP;
+        self.mishaps();
+        self.deliver();
+        for index in 0..self.nodes.len() {
+            let node = &mut self.nodes[index];
+            if node.down || node.frozen {
+                continue;
+            }
+            if self.now >= node.next_tick {
+                node.next_tick = self.now + TICK;
+                node.quotas.tick(self.now);
+            }
+            if self.now >= node.next_beat {
+                node.next_beat = self.now + BEAT;
+                self.tell(index);
+            }
+        }
+        let admitted = self.callers();
+        self.judge(admitted);
+    }
+
+    /// Begins and ends what goes wrong.
+    fn mishaps(&mut self) {
+        let plan = self.plan;
+        for (index, trouble) in plan.troubles.iter().enumerate() {
+            let begin = BEGIN + CALM + Duration::from_millis(u64::from(trouble.at));
+            let end = begin + Duration::from_millis(u64::from(trouble.length));
+            let active = self.now >= begin && self.now < end;
+            if std::mem::replace(&mut self.active[index], active) != active {
+                self.change(trouble.what, active);
+            }
+        }
+    }
+
+    fn change(&mut self, what: Mishap, begins: bool) {
+        let hit = |index: usize, eighths: u8| (index * 5) % 8 < usize::from(eighths);
+        for index in 0..self.nodes.len() {
+            match what {
+                Mishap::Freeze { eighths } if hit(index, eighths) => self.nodes[index].frozen = begins,
+                Mishap::Kill { eighths } if hit(index, eighths) => {
+                    self.nodes[index].down = begins;
+                    if !begins {
+                        self.restart(index);
+                    }
+                }
+                // Cuts are looked up when something is sent.
+                Mishap::Cut { .. } | Mishap::Kill { .. } | Mishap::Freeze { .. } => {}
+            }
+        }
+    }
+
+    fn restart(&mut self, index: usize) {
+        let domains = self.plan.domains.len() as u32;
+        let life = self.rng.random();
+        let node = &mut self.nodes[index];
+        node.quotas = opened(self.now, self.way, Start::Again, (u32::from(node.domain), domains));
+        node.life = life;
+        node.sequence = 0;
+        node.ready = self.now + READING;
+    }
+
+    fn is_cut(&self, a: u8, b: u8) -> bool {
+        let cuts = self.plan.troubles.iter().zip(&self.active).filter(|(_, active)| **active);
+        cuts.into_iter().any(|(trouble, _)| match trouble.what {
+            Mishap::Cut { domain } => (a == domain) != (b == domain),
+            Mishap::Kill { .. } | Mishap::Freeze { .. } => false,
+        })
+    }
+
+    fn tell(&mut self, from: usize) {
+        /// Bytes of one team's spending: tag, three numbers of some millions.
+        const ENTRY: usize = 17;
+        let node = &mut self.nodes[from];
+        node.sequence += 1;
+        let (life, sequence, domain) = (node.life, node.sequence, node.domain);
+        let instances = node.quotas.remembered();
+        let spent = node.quotas.spending(self.now);
+        for to in 0..self.nodes.len() {
+            if to == from {
+                continue;
+            }
+            self.outcome.bytes += (spent.len() * ENTRY) as f64;
+            if self.is_cut(domain, self.nodes[to].domain)
+                || self.rng.random_range(0..100) < u32::from(self.plan.loss)
+            {
+                continue;
+            }
+            let hearing = Hearing { life, sequence, domain: u32::from(domain), leaving: false, instances };
+            // One in twenty comes twice, and one in twenty late.
+            let copies = if self.rng.random_bool(0.05) { 2 } else { 1 };
+            for _ in 0..copies {
+                let delay = if self.rng.random_bool(0.05) { 300 } else { 2 };
+                let at = self.now + Duration::from_millis(delay);
+                self.on_way.push(Telling { at, from, to, hearing, spent: spent.clone() });
+            }
+        }
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let nodes = &mut self.nodes;
+        self.on_way.retain(|telling| {
+            let node = &mut nodes[telling.to];
+            if telling.at > now || node.frozen {
+                return !node.down;
+            }
+            if !node.down && node.quotas.heard(now, telling.from, telling.hearing) {
+                node.quotas.told(now, telling.from, telling.spent.iter().copied());
+            }
+            false
+        });
+    }
+
+    /// Callers ask; units that were admitted.
+    fn callers(&mut self) -> f64 {
+        if self.now < BEGIN + CALM {
+            return 0.0;
+        }
+        let demand = LIMIT.rate * f64::from(self.plan.demand) / 10.0 * STEP.as_secs_f64();
+        let mut admitted = 0.0;
+        for node in &mut self.nodes {
+            node.due += demand * node.share;
+            if node.down || node.frozen || self.now < node.ready {
+                node.due = 0.0;
+            }
+            while node.due > 0.0 {
+                let cost = COSTS[self.rng.random_range(0..COSTS.len())];
+                node.due -= cost as f64;
+                self.outcome.asked += cost as f64;
+                if node.quotas.admit(self.now, TEAM, cost).is_ok() {
+                    admitted += cost as f64;
+                }
+            }
+        }
+        admitted
+    }
+
+    fn judge(&mut self, admitted: f64) {
+        self.outcome.admitted += admitted;
+        self.window.push_back((self.now, admitted));
+        while self.window.front().is_some_and(|(at, _)| *at + TOLERANCE.window < self.now) {
+            self.window.pop_front();
+        }
+        let units: f64 = self.window.iter().map(|(_, units)| units).sum();
+        let limit = LIMIT.rate * TOLERANCE.window.as_secs_f64() + LIMIT.burst;
+        let allowed = limit * (1.0 + TOLERANCE.over) + TOLERANCE.slack;
+        self.outcome.fullest = self.outcome.fullest.max(units / allowed);
+    }
+}
+
+fn opened(now: Duration, way: Way, start: Start, domains: (u32, u32)) -> Quotas<usize> {
+    let mut quotas = Quotas::new(now, way, TOLERANCE, start, domains);
+    quotas.set_limits(now, [(TEAM, LIMIT)]);
+    quotas
+}
--- a/crates/bench/tests/all/main.rs
+++ b/crates/bench/tests/all/main.rs
@@ -6,4 +6,5 @@
 mod found;
 mod keys;
 mod policy;
+mod quotas;
 mod random;
