A store that goes back: revisions mean something within their era only

Cause: the store may come back from a copy some seconds old, and its revisions are given out again. A watch from a revision that exists again, with other content, passed for news, and what had been written at the revisions between was never known; the pages of one list could be of two eras; a telling of the era before counted as confirmation; endpoints that had been seen to leave stood in the copy as ready and were used again, those that had said so as well.

Now the era of each answer is read, whatever its status. A newer one ends what is known of revisions, and the store is read whole; an older one is passed over; tellings carry it. Endpoints that had said that they leave stay left; those whose entry just went are held back for as long as an entry outlives its endpoint. Versions only rise, as before.

Ruled out: taking the era over from a telling (what lies between the eras was told to nobody).

--- a/crates/forward/src/catalog.rs
+++ b/crates/forward/src/catalog.rs
@@ -11,6 +11,9 @@
 //!
 //! A version replaces only a lower one. An endpoint that has left does not come back. What is known stays in use
 //! while the store is away.
+//!
+//! The store may come back from a copy that is some seconds old, in a new [`Era`]. Its revisions then stand for other changes
+//! than before, so that it is read whole again; what was seen meanwhile (versions, endpoints that leave) stays seen.
 
 mod sharing;
 
@@ -23,7 +26,7 @@
 use hyper::StatusCode;
 use rand::Rng;
 use slog::{info, warn};
-use teaselshunt_routing::{Endpoint, Freshness, Listing, Pulse, RouteSet, Source, Stage};
+use teaselshunt_routing::{Endpoint, Era, Freshness, Listing, Passage, Pulse, RouteSet, Source, Stage};
 use teaselshunt_teams::Teams;
 use tokio::sync::{Notify, mpsc};
 
@@ -63,6 +66,9 @@
 const LOST: Duration = Duration::from_millis(2900);
 /// How long after the last failed call an entry that has gone may come back.
 const RETURN: Duration = Duration::from_millis(2300);
+/// How long after the store's return an entry that stands in its copy may outlive its endpoint: over the silence after which
+/// an entry is removed.
+const COPIED: Duration = Duration::from_secs(5);
 /// Part of the time in which a leaving endpoint must get nothing new, for which a lost entry is still in use.
 const DOUBT_PART: f64 = 0.8;
 /// Pages of one list; more than any deployment has.
@@ -78,6 +84,8 @@
     Unreadable(String),
     #[error("too many pages")]
     Pages,
+    #[error("made before the store went back")]
+    Outdated,
 }
 
 /// A reading of the whole store that is in progress.
@@ -97,6 +105,8 @@
     node: Rc<Node>,
     /// Revision up to which changes are known; `None` before the store was read whole.
     revision: Cell<Option<u64>>,
+    /// The era to which `revision` and `reading` belong.
+    era: Cell<Era>,
     reading: RefCell<Reading>,
     started: Instant,
     /// Whether this process orders engines.
@@ -125,6 +135,7 @@
         Self {
             node: Rc::clone(node),
             revision: Cell::new(None),
+            era: Cell::default(),
             reading: RefCell::default(),
             started,
             orders: orders::is_holder(node),
@@ -211,14 +222,34 @@
         time: Duration,
     ) -> Result<(StatusCode, bytes::Bytes), StoreError> {
         let until = self.node.now() + time;
-        let result = self.node.call(self.node.settings.store, call, until).await;
+        let result = self.node.call_in_full(self.node.settings.store, call, until).await;
         let outcome = match &result {
-            Ok((status, _)) if status.is_success() => "ok",
+            Ok((head, _)) if head.status.is_success() => "ok",
             Ok(_) => "refused",
             Err(failure) => failure.text(),
         };
         self.node.metrics.store.with_label_values(&[name, outcome]).inc();
-        result.map_err(StoreError::Exchange)
+        let (head, body) = result.map_err(StoreError::Exchange)?;
+        let era = Era::told(self.node.protocol.read_era(&head.headers));
+        match self.era.get().judge(era) {
+            Passage::Same => self.era.set(self.era.get().later(era)),
+            Passage::Newer => self.renew(era),
+            Passage::Older => return Err(StoreError::Outdated),
+        }
+        Ok((head.status, body))
+    }
+
+    /// The store has come back from a copy. Nothing that is known of revisions holds, and entries of endpoints that
+    /// registered since the copy was made are missing until these write them again.
+    fn renew(&self, era: Era) {
+        warn!(self.node.log, "store went back"; "era" => era.number(), "before" => self.era.get().number(),
+            "revision" => self.revision.get());
+        self.era.set(era);
+        self.revision.set(None);
+        *self.reading.borrow_mut() = Reading::default();
+        let now = self.node.now();
+        self.may_lapse(now + RETURN);
+        self.node.state.borrow_mut().endpoints.recall(now + COPIED);
     }
 
     /// Reads the store whole, page by page. A call that fails ends it for now; it goes on at the page that failed.
@@ -230,8 +261,13 @@
         for _ in 0..PAGES {
             let after = self.reading.borrow().after.clone();
             let asked = self.node.clock.uptime();
+            let era = self.era.get();
             let call = self.node.protocol.list(after.as_deref());
             let (status, body) = self.call("list", call, PAGE).await?;
+            if after.is_some() && era.judge(self.era.get()) == Passage::Newer {
+                // The pages before are of another era.
+                return Ok(());
+            }
             if status != StatusCode::OK {
                 return Err(StoreError::Status(status));
             }
@@ -282,7 +318,12 @@
         let wait = if lost { Duration::ZERO } else { self.usual_wait(source) };
         let asked = self.node.clock.uptime();
         let call = self.node.protocol.watch(revision, wait);
+        let era = self.era.get();
         let (status, body) = self.call("watch", call, wait + SLACK).await?;
+        if era.judge(self.era.get()) == Passage::Newer {
+            // The revision may exist again, with other content: changes after it are not what is missing here.
+            return Ok(());
+        }
         match status {
             StatusCode::OK => {}
             StatusCode::GONE => {
--- a/crates/forward/src/catalog/sharing.rs
+++ b/crates/forward/src/catalog/sharing.rs
@@ -6,7 +6,7 @@
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 use slog::{debug, info, warn};
-use teaselshunt_routing::{Source, Word};
+use teaselshunt_routing::{Era, Passage, Source, Word};
 
 use super::{Catalog, RETURN};
 use crate::protocol::{Batch, News};
@@ -21,6 +21,8 @@
 /// What the store answered, as it is told to peers.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct Telling {
+    /// Era of the store to which the revisions belong.
+    era: Option<u64>,
     /// Revision after which the changes in `news` begin.
     after: u64,
     /// Revision up to which they go.
@@ -84,7 +86,12 @@
     /// A peer of the same failure domain tells what the store answered it.
     pub(crate) fn told(&self, telling: Telling) {
         let Some(known) = self.revision.get() else { return };
-        let Telling { after, revision, age, lapses, news } = telling;
+        let Telling { era, after, revision, age, lapses, news } = telling;
+        match self.era.get().judge(Era::told(era)) {
+            Passage::Same => {}
+            Passage::Newer => return self.ask(),
+            Passage::Older => return,
+        }
         let now = self.node.now();
         self.may_lapse(now + millis(lapses).min(RETURN));
         self.note_absence();
@@ -120,7 +127,11 @@
         let lapses = self.lapses.get().map_or(Duration::ZERO, |until| until.saturating_duration_since(now));
         let news = postcard::to_allocvec(news).ok().filter(|news| news.len() <= TELLING_MAX);
         let (age, lapses) = (told(age), told(lapses));
-        if self.tellings.try_send(Telling { after, revision, age, lapses, news }).is_err() {
+        if self
+            .tellings
+            .try_send(Telling { era: self.era.get().number(), after, revision, age, lapses, news })
+            .is_err()
+        {
             debug!(self.node.log, "a telling was dropped"; "revision" => revision);
         }
     }
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -14,6 +14,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_ENCODING, CONTENT_TYPE, HOST, HeaderMap, HeaderValue};
+use hyper::http::response::Parts;
 use hyper::{Method, Request, Response, StatusCode};
 use rand::rngs::SmallRng;
 use slog::{Logger, info};
@@ -456,6 +457,17 @@
         call: Call,
         until: Instant,
     ) -> Result<(StatusCode, Bytes), Failure> {
+        let (head, body) = self.call_in_full(address, call, until).await?;
+        Ok((head.status, body))
+    }
+
+    /// The same with the whole head of the answer.
+    pub(crate) async fn call_in_full(
+        &self,
+        address: SocketAddr,
+        call: Call,
+        until: Instant,
+    ) -> Result<(Parts, Bytes), Failure> {
         let mut request = Request::new(Full::new(call.body.clone()));
         *request.method_mut() = call.method;
         *request.uri_mut() = call.path.parse().map_err(|_| Failure::Unsent)?;
@@ -466,9 +478,9 @@
             request.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
         }
         let (response, connection) = self.pool.exchange(address, request, until).await?;
-        let status = response.status();
-        let body = self.read(response.into_body(), connection, until).await?;
-        Ok((status, body))
+        let (head, body) = response.into_parts();
+        let body = self.read(body, connection, until).await?;
+        Ok((head, body))
     }
 
     /// Reads a body to its end and keeps the connection.
--- a/crates/forward/src/protocol.rs
+++ b/crates/forward/src/protocol.rs
@@ -161,6 +161,9 @@
     fn list(&self, after: Option<&str>) -> Call;
     /// Waits for changes after a revision.
     fn watch(&self, revision: u64, wait: Duration) -> Call;
+    /// Era of the store as an answer of it tells, whatever its status: it rises each time that the store comes back from a
+    /// copy, and revisions count anew then. `None` on platforms that do not tell.
+    fn read_era(&self, headers: &HeaderMap) -> Option<u64>;
     /// Reads the answer to [`Protocol::list`].
     ///
     /// # Errors
--- a/crates/routing/src/departed.rs
+++ b/crates/routing/src/departed.rs
@@ -1,6 +1,6 @@
 //! Starts of endpoints that have gone, by which an old entry that comes back is told from a new start.
 
-use std::collections::{HashSet, VecDeque};
+use std::collections::{HashMap, VecDeque};
 
 use crate::Life;
 
@@ -11,15 +11,18 @@
 /// Starts of endpoints that were listed and have gone, the latest ones.
 #[derive(Debug, Default)]
 pub(crate) struct Departed {
-    known: HashSet<Life>,
+    /// Whether it had said that it leaves.
+    known: HashMap<Life, bool>,
     order: VecDeque<Life>,
 }
 
 impl Departed {
-    pub(crate) fn insert(&mut self, life: Life) {
-        if !self.known.insert(life.clone()) {
+    pub(crate) fn insert(&mut self, life: Life, leaving: bool) {
+        if let Some(known) = self.known.get_mut(&life) {
+            *known |= leaving;
             return;
         }
+        self.known.insert(life.clone(), leaving);
         self.order.push_back(life);
         if self.order.len() > DEPARTED
             && let Some(oldest) = self.order.pop_front()
@@ -28,7 +31,8 @@
         }
     }
 
-    pub(crate) fn contains(&self, life: &Life) -> bool {
-        self.known.contains(life)
+    /// Whether a start that has gone had said that it leaves; `None` for one that is not known to have gone.
+    pub(crate) fn left(&self, life: &Life) -> Option<bool> {
+        self.known.get(life).copied()
     }
 }
--- a/crates/routing/src/endpoints.rs
+++ b/crates/routing/src/endpoints.rs
@@ -52,6 +52,8 @@
     doubted: Option<Instant>,
     /// Whether its last entry was not its own, or could not be read.
     withdrawn: bool,
+    /// Until when an entry that has come back is taken for one of a copy of the list.
+    recalled: Option<Instant>,
 }
 
 impl Entry {
@@ -66,12 +68,14 @@
             successor: None,
             doubted: None,
             withdrawn: false,
+            recalled: None,
         }
     }
 
     fn is_open(&self, now: Instant) -> bool {
         let ready = self.endpoint.state == EndpointState::Ready && !self.withdrawn;
-        ready && self.doubted.is_none_or(|until| now < until)
+        let recalled = self.recalled.is_some_and(|until| now < until);
+        ready && !recalled && self.doubted.is_none_or(|until| now < until)
     }
 
     /// Whether it is only chosen where there is no other: it is suspect, or a prefill engine that is silent.
@@ -131,19 +135,24 @@
     by_address: HashMap<SocketAddr, EndpointKey>,
     services: HashMap<Arc<str>, Vec<EndpointKey>>,
     departed: Departed,
+    /// Until when entries of endpoints that had gone may be ones of a copy of the list.
+    copied: Option<Instant>,
     ledger: Ledger<SocketAddr>,
 }
 
 impl Endpoints {
     /// Takes an endpoint's entry over.
     ///
-    /// Within one start, an endpoint that has said that it leaves does not come back: an old entry that arrives late would
-    /// otherwise send work to it again. A later start under the same id begins with nothing: its key is another one, so that
+    /// Within one start, an endpoint that has said that it leaves does not come back, not after its entry has gone either: an
+    /// old entry that arrives late, or stands in a copy of the list, would otherwise send work to it again. A later start under the same id begins with nothing: its key is another one, so that
     /// what was begun at the former start cannot go on there by mistake, and entries of the former start are passed over.
     pub fn upsert(&mut self, mut endpoint: Endpoint) -> Listing {
         let Some(&key) = self.by_id.get(&endpoint.id) else {
-            let returns = self.departed.contains(&endpoint.life());
-            self.insert(endpoint, returns);
+            let left = self.departed.left(&endpoint.life());
+            if left == Some(true) {
+                endpoint.state = EndpointState::Leaving;
+            }
+            self.insert(endpoint, left.is_some());
             return Listing::Started;
         };
         let entry = &mut self.arena[key];
@@ -183,7 +192,8 @@
         let (id, service) = (Arc::clone(&endpoint.id), Arc::clone(&endpoint.service));
         let address = endpoint.address;
         let holder = self.by_address.get(&address).copied().filter(|&k| self.arena.contains_key(k));
-        let key = self.arena.insert(Entry::new(endpoint));
+        let recalled = self.copied.filter(|_| returns);
+        let key = self.arena.insert(Entry { recalled, ..Entry::new(endpoint) });
         match holder {
             Some(holder) if returns => self.arena[key].successor = Some(holder),
             Some(former) => self.arena[former].successor = Some(key),
@@ -196,6 +206,14 @@
         self.services.entry(service).or_default().push(key);
     }
 
+    /// The list comes from a copy that is some seconds old: endpoints that have gone since stand in it once more.
+    ///
+    /// They were seen to go, and nothing new may reach them. One that stands in the list longer than an entry outlives its
+    /// endpoint is alive, and is used from `until` on.
+    pub fn recall(&mut self, until: Instant) {
+        self.copied = Some(until);
+    }
+
     /// The entry under an id was overwritten with something that names no endpoint. Nothing new goes there until the
     /// endpoint writes its entry again. Says whether it was in the list.
     pub fn withdraw(&mut self, id: &str) -> bool {
@@ -214,7 +232,8 @@
         if self.by_address.get(&entry.endpoint.address) == Some(&key) {
             self.by_address.remove(&entry.endpoint.address);
         }
-        self.departed.insert(entry.endpoint.life());
+        let leaving = entry.endpoint.state == EndpointState::Leaving;
+        self.departed.insert(entry.endpoint.life(), leaving);
         true
     }
 
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -28,7 +28,7 @@
 pub use endpoint::{Endpoint, EndpointKey, EndpointState, Life, Stage, Verdict};
 pub use endpoints::{Endpoints, Listing, Need};
 pub use ledger::{EngineTag, Ledger, tag};
-pub use news::{Freshness, Pulse, Source, Word};
+pub use news::{Era, Freshness, Passage, Pulse, Source, Word};
 pub use outputs::Outputs;
 pub use pace::Pace;
 pub use patience::{Looks, Patience, way_back};
--- a/crates/routing/src/news.rs
+++ b/crates/routing/src/news.rs
@@ -5,6 +5,10 @@
 //! Nobody chooses the two and nobody has to agree on them: each instance takes those with the lowest addresses of the peers
 //! that it has heard lately. Two views may differ for a moment; then one more reads, or one fewer.
 //!
+//! The store may come back from a copy ([`Era`]). An answer of an older era than the one known is passed over, and one of a
+//! newer era ends what is known of revisions, so that the store is read whole again. A telling of a newer era makes its
+//! hearer ask; it is not believed itself, since what lies between the two eras was told to nobody.
+//!
 //! Nothing that must hold rests on who reads. A telling says up to which revision its sender knows the store and how long
 //! ago the store itself confirmed that. An instance asks the store itself as soon as what it knows has not been confirmed
 //! for [`Freshness::limit`], whatever it was told and whoever is silent, dead, cut off or late. Only the age counts, so that
@@ -62,6 +66,49 @@
     }
 }
 
+/// Eras of the store: each time that it comes back from a copy that is some seconds old a new one begins. What was written
+/// since the copy is gone, and revisions are given out again, so that a revision means something within its era only.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Era(Option<u64>);
+
+/// The era of an answer or a telling, beside the one that is known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Passage {
+    /// The same, or one of them says nothing of it.
+    Same,
+    /// The store has gone back since: what is known of revisions means nothing any more.
+    Newer,
+    /// It was made before the store went back; it says nothing of the present.
+    Older,
+}
+
+impl Era {
+    /// The era that an answer tells, if it does.
+    pub const fn told(number: Option<u64>) -> Self {
+        Self(number)
+    }
+
+    /// Its number, to tell others.
+    pub const fn number(self) -> Option<u64> {
+        self.0
+    }
+
+    /// Judges another era beside this one, which is known.
+    pub fn judge(self, other: Self) -> Passage {
+        match (self.0, other.0) {
+            (Some(known), Some(told)) if told > known => Passage::Newer,
+            (Some(known), Some(told)) if told < known => Passage::Older,
+            (Some(_) | None, Some(_) | None) => Passage::Same,
+        }
+    }
+
+    /// The later of both.
+    #[must_use]
+    pub fn later(self, other: Self) -> Self {
+        Self(self.0.max(other.0))
+    }
+}
+
 /// What a telling means to an instance that hears it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Word {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -20,5 +20,5 @@
 pub use service::{Execution, Service, ServiceFaults};
 pub use site::{
     CRASHING_BODY, SiteEndpoint, SiteFault, SiteInstance, SiteOptions, SiteRun, SiteSettings, Store,
-    StoreMode, event, is_signed, site_configuration, site_request,
+    StoreCopy, StoreMode, event, is_signed, site_configuration, site_request,
 };
--- a/crates/standin/src/site/endpoint.rs
+++ b/crates/standin/src/site/endpoint.rs
@@ -70,6 +70,10 @@
     pub prefill: bool,
     /// The event after which a stream went on.
     pub after: Option<u32>,
+    /// The caller's team, as it was told.
+    pub team: Option<String>,
+    /// A key that was passed on.
+    pub key: Option<String>,
     /// When it began.
     pub at: Instant,
 }
@@ -292,7 +296,15 @@
             if let Some(hold) = asked.header("kv-hold") {
                 inner.holds.remove(hold);
             }
-            inner.runs.push(SiteRun { request: id.clone(), prefill, after, at: Instant::now() });
+            let (team, key) = (asked.header("tenant"), asked.header("authorization"));
+            inner.runs.push(SiteRun {
+                request: id.clone(),
+                prefill,
+                after,
+                team: team.map(str::to_owned),
+                key: key.map(str::to_owned),
+                at: Instant::now(),
+            });
             inner.working += 1;
             Working(self)
         };
--- a/crates/standin/src/site/http.rs
+++ b/crates/standin/src/site/http.rs
@@ -51,8 +51,14 @@
     let mut request = httparse::Request::new(&mut fields);
     let httparse::Status::Complete(head) = request.parse(buffer).ok()? else { return None };
     let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
-    let headers: HashMap<String, String> =
-        request.headers.iter().map(|h| (h.name.to_ascii_lowercase(), text(h.value))).collect();
+    let mut headers = HashMap::<String, String>::new();
+    for field in request.headers.iter() {
+        // A second one of the same name is seen, as the rules of HTTP have it.
+        let all = headers.entry(field.name.to_ascii_lowercase()).or_default();
+        let gap = if all.is_empty() { "" } else { ", " };
+        all.push_str(gap);
+        all.push_str(&text(field.value));
+    }
     let size: usize = headers.get("content-length").and_then(|v| v.parse().ok()).unwrap_or(0);
     let body = buffer.get(head..head + size)?.to_vec();
     let path = request.path?.to_owned();
--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -12,4 +12,4 @@
 pub use configuration::site_configuration;
 pub use endpoint::{CRASHING_BODY, SiteEndpoint, SiteFault, SiteOptions, SiteRun, event};
 pub use instance::{SiteInstance, SiteSettings};
-pub use store::{Store, StoreMode};
+pub use store::{Store, StoreCopy, StoreMode};
--- a/crates/standin/src/site/store.rs
+++ b/crates/standin/src/site/store.rs
@@ -47,6 +47,15 @@
     waits: Vec<u64>,
     /// Whether every second call is refused as one too many.
     crowded: bool,
+    /// Told in all answers; `None` for an older platform.
+    era: Option<u64>,
+}
+
+/// A copy of all that the store holds.
+#[derive(Debug, Clone)]
+pub struct StoreCopy {
+    revision: u64,
+    items: BTreeMap<String, (String, u64)>,
 }
 
 /// The store, served until dropped.
@@ -99,6 +108,28 @@
         inner.changes.clear();
     }
 
+    /// Tells this era from now on.
+    pub fn set_era(&self, era: u64) {
+        lock(&self.inner).era = Some(era);
+    }
+
+    /// A copy of what it holds.
+    pub fn copy(&self) -> StoreCopy {
+        let inner = lock(&self.inner);
+        StoreCopy { revision: inner.revision, items: inner.items.clone() }
+    }
+
+    /// Comes back from a copy: what was written since is gone, its revisions are given out again, and the era rises.
+    pub fn go_back(&self, copy: StoreCopy) {
+        let mut inner = lock(&self.inner);
+        inner.revision = copy.revision;
+        inner.items = copy.items;
+        inner.changes.retain(|(revision, _, _)| *revision <= copy.revision);
+        inner.era = Some(inner.era.unwrap_or(0) + 1);
+        drop(inner);
+        self.changed.send_modify(|n| *n += 1);
+    }
+
     /// Changes how it behaves.
     pub fn set_mode(&self, mode: StoreMode) {
         lock(&self.inner).mode = mode;
@@ -163,42 +194,59 @@
             }
             (inner.mode, refused)
         };
-        if refused {
-            answer(&mut stream, 429, &[], "").await;
-            continue;
-        }
-        match mode {
-            StoreMode::Up => {}
-            StoreMode::Busy => {
-                answer(&mut stream, 503, &[], "").await;
-                continue;
+        let reply = match mode {
+            _ if refused => Reply::empty(429, &lock(&inner)),
+            StoreMode::Up if asked.path.starts_with("/-/kv-watch") => {
+                wait(&asked, &inner, &mut changed).await
             }
+            StoreMode::Up => list(&asked, &lock(&inner)),
+            StoreMode::Busy => Reply::empty(503, &lock(&inner)),
             StoreMode::Silent => std::future::pending().await,
             StoreMode::Closing => return,
-        }
-        let (status, body) = if asked.path.starts_with("/-/kv-watch") {
-            wait(&asked, &inner, &mut changed).await
-        } else {
-            (200, list(&asked, &lock(&inner)))
         };
-        answer(&mut stream, status, &[("content-type", "application/json")], &body.to_string()).await;
+        reply.send(&mut stream).await;
+    }
+}
+
+/// An answer, with the era in which it was made.
+struct Reply {
+    status: u16,
+    body: Value,
+    era: Option<u64>,
+}
+
+impl Reply {
+    fn new(status: u16, body: Value, inner: &Inner) -> Self {
+        Self { status, body, era: inner.era }
+    }
+
+    fn empty(status: u16, inner: &Inner) -> Self {
+        Self::new(status, Value::Null, inner)
+    }
+
+    async fn send(self, stream: &mut TcpStream) {
+        let era = self.era.map(|era| era.to_string());
+        let mut headers = vec![("content-type", "application/json")];
+        headers.extend(era.as_deref().map(|era| ("store-era", era)));
+        answer(stream, self.status, &headers, &self.body.to_string()).await;
     }
 }
 
-fn list(asked: &Asked, inner: &Inner) -> Value {
+fn list(asked: &Asked, inner: &Inner) -> Reply {
     let prefix = asked.query("prefix").unwrap_or_default();
     let after = asked.query("after").unwrap_or_default();
     let fits = |key: &str| key.starts_with(prefix) && key > after;
     let found: Vec<_> = inner.items.iter().filter(|(key, _)| fits(key)).collect();
     let items: Vec<Value> = found.iter().take(PAGE).map(|(k, (v, r))| item(k, v, *r)).collect();
-    json!({ "items": items, "has_more": found.len() > PAGE, "current_rev": inner.revision })
+    let body = json!({ "items": items, "has_more": found.len() > PAGE, "current_rev": inner.revision });
+    Reply::new(200, body, inner)
 }
 
 fn item(key: &str, value: &str, revision: u64) -> Value {
     json!({ "key": key, "value": value, "rev": revision, "create_revision": revision, "lease": 0 })
 }
 
-async fn wait(asked: &Asked, inner: &Mutex<Inner>, changed: &mut watch::Receiver<u64>) -> (u16, Value) {
+async fn wait(asked: &Asked, inner: &Mutex<Inner>, changed: &mut watch::Receiver<u64>) -> Reply {
     let number = |name| asked.query(name).and_then(|v| v.parse::<u64>().ok()).unwrap_or(0);
     let (after, wait) = (number("after"), Duration::from_millis(number("wait_ms")));
     let prefix = asked.query("prefix").unwrap_or_default();
@@ -207,8 +255,8 @@
         changed.mark_unchanged();
         {
             let inner = lock(inner);
-            if after < inner.floor {
-                return (410, json!({}));
+            if after < inner.floor || after > inner.revision {
+                return Reply::empty(410, &inner);
             }
             let news: Vec<Value> = inner
                 .changes
@@ -220,7 +268,7 @@
                 })
                 .collect();
             if !news.is_empty() || tokio::time::Instant::now() >= until {
-                return (200, json!({ "events": news, "current_rev": inner.revision }));
+                return Reply::new(200, json!({ "events": news, "current_rev": inner.revision }), &inner);
             }
         }
         // Whether it was a change or the end of the wait is seen above.
