Keys and limits of teams on the product's own interface too

Cause: a caller named its team itself in OpenAI-Organization, and anybody may; nothing limited a team. A version whose teams have keys (as digests, so that it holds no secret) asks every caller for one (Authorization: Bearer), but for those of public services: 401 otherwise, not run. Endpoints are told the team of the key and never the key. Limits in requests or tokens hold over all instances by the same accounts as on the users' platform; members tell one another what teams near their limits were admitted, in a new message that earlier builds cannot read and pass over. teaselctl team-key makes a key and its digest; status and metrics show each team's limit, what is left and what was admitted by whom.

A limit that is added to a running instance begins full.

--- a/crates/bench/src/quotas.rs
+++ b/crates/bench/src/quotas.rs
@@ -1,7 +1,7 @@
 //! Random plans against the limits of teams: instances in several failure domains, a team whose callers flood, and cuts,
 //! kills, freezes, lost, doubled and late tellings meanwhile.
 //!
-//! A plan is judged from outside, by one account of everything that was admitted: no span of the tolerance's window may hold
+//! A plan is judged from outside, by one account of everything that was admitted: no span of a window's length may hold
 //! more than the limit and the tolerance, and a team that asks for less than its limit, while nothing is cut off, is refused
 //! next to nothing.
 
@@ -12,11 +12,14 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use serde::Serialize;
-use teaselshunt_teams::{Hearing, Limit, Quotas, Spending, Start, TeamTag, Tolerance, Way};
+use teaselshunt_teams::{Hearing, Limit, Quotas, Spending, Start, TeamTag, Way};
 
 const TEAM: TeamTag = TeamTag(1);
 const LIMIT: Limit = Limit { rate: 10_000.0, burst: 10_000.0 };
-const TOLERANCE: Tolerance = Tolerance { window: Duration::from_secs(8), over: 0.25, slack: 4_000.0 };
+/// A span of this length may hold what the limit allows in it, and besides [`OVER`] of it and [`SLACK`] units.
+const WINDOW: Duration = Duration::from_secs(8);
+const OVER: f64 = 0.25;
+const SLACK: f64 = 4_000.0;
 /// Step of virtual time.
 const STEP: Duration = Duration::from_millis(20);
 /// Pause between two tellings of an instance.
@@ -368,18 +371,18 @@
     fn judge(&mut self, admitted: f64) {
         self.outcome.admitted += admitted;
         self.window.push_back((self.now, admitted));
-        while self.window.front().is_some_and(|(at, _)| *at + TOLERANCE.window < self.now) {
+        while self.window.front().is_some_and(|(at, _)| *at + WINDOW < self.now) {
             self.window.pop_front();
         }
         let units: f64 = self.window.iter().map(|(_, units)| units).sum();
-        let limit = LIMIT.rate * TOLERANCE.window.as_secs_f64() + LIMIT.burst;
-        let allowed = limit * (1.0 + TOLERANCE.over) + TOLERANCE.slack;
+        let limit = LIMIT.rate * WINDOW.as_secs_f64() + LIMIT.burst;
+        let allowed = limit * (1.0 + OVER) + SLACK;
         self.outcome.fullest = self.outcome.fullest.max(units / allowed);
     }
 }
 
 fn opened(now: Duration, way: Way, start: Start, domains: (u32, u32)) -> Quotas<usize> {
-    let mut quotas = Quotas::new(now, way, TOLERANCE, start, domains);
+    let mut quotas = Quotas::new(now, way, start, domains);
     quotas.set_limits(now, [(TEAM, LIMIT)]);
     quotas
 }
--- a/crates/bench/src/world/callers.rs
+++ b/crates/bench/src/world/callers.rs
@@ -334,6 +334,7 @@
         if self.asked.call {
             let method = if self.asked.repeatable { "GET" } else { "POST" };
             return Work::Call(Call {
+                team: String::new(),
                 service: self.asked.name.to_owned(),
                 method: method.to_owned(),
                 key,
--- a/crates/core/src/claims.rs
+++ b/crates/core/src/claims.rs
@@ -83,7 +83,7 @@
         match answer {
             ClaimAnswer::Granted => self.granted(now, key, from, out),
             ClaimAnswer::Ran(Some(stored)) => {
-                let request = self.requests.close(key);
+                let request = self.close(now, key);
                 self.counters.replayed += 1;
                 out.push(Effect::Replay { ticket: request.ticket, stored });
             }
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -164,6 +164,8 @@
     pub service: String,
     /// HTTP method, upper case.
     pub method: String,
+    /// Team, empty where the caller gave none.
+    pub team: String,
     /// Idempotency key, if the caller gave one.
     pub key: Option<Keyed>,
     /// By what it is known if it is sent again.
--- a/crates/core/src/flow.rs
+++ b/crates/core/src/flow.rs
@@ -46,6 +46,9 @@
         self.budget = (self.budget + percent).min(BUDGET_MAX);
         out.push(Effect::Accept { ticket, request: opening.id });
         let key = self.requests.open(now, opening);
+        if let Err(refusal) = self.charge(now, key) {
+            return self.refuse(now, key, refusal, out);
+        }
         match self.requests.get(key).key {
             Some(_) => self.claim(now, key, out),
             None => self.admit(now, key, out),
@@ -410,7 +413,7 @@
         self.count_answer(now, key, endpoint);
         self.learn_hold(now, key);
         self.release_decode(now, key, endpoint, out);
-        let request = self.requests.close(key);
+        let request = self.close(now, key);
         self.quarantine.served(now, request.fingerprint);
         self.settle(now, &request, Fate::Ran(stored), out);
         self.pump(now, &request.pool, out);
@@ -430,7 +433,7 @@
         }
         let fate = if request.may_have_run() { Fate::Unknown } else { Fate::NotRun };
         self.withdraw(now, key, out);
-        let request = self.requests.close(key);
+        let request = self.close(now, key);
         self.forgo(now, &request);
         self.settle(now, &request, fate, out);
         self.pump(now, &request.pool, out);
@@ -518,7 +521,7 @@
 
     /// Gives a request its final answer without a result.
     pub(crate) fn refuse(&mut self, now: Instant, key: RequestKey, refusal: Refusal, out: &mut Vec<Effect>) {
-        let request = self.requests.close(key);
+        let request = self.close(now, key);
         let not_run = refusal.kind.answer().outcome == Outcome::NotRun;
         assert!(!(not_run && request.may_have_run()), "{} is called not run, but may have run", request.id);
         self.count_refusal(refusal.kind);
--- a/crates/core/src/instance.rs
+++ b/crates/core/src/instance.rs
@@ -8,6 +8,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use teaselshunt_settings::Policy;
+use teaselshunt_teams::{Quotas, Team};
 
 use crate::claims::Ended;
 use crate::counters::Counters;
@@ -16,6 +17,7 @@
 use crate::fleet::{EndpointView, Fleet, Placement};
 use crate::homes::{Claim, Finding, Homes, Replies};
 use crate::ids::RequestKey;
+use crate::limits::{self, TeamView};
 use crate::members::{Health, MemberView, Members};
 use crate::message::{Heartbeat, Message};
 use crate::orphans::Cancels;
@@ -82,6 +84,8 @@
     pub members: Vec<MemberView>,
     /// Endpoints.
     pub endpoints: Vec<EndpointView>,
+    /// Limits of teams.
+    pub teams: Vec<TeamView>,
     /// Counts since the start.
     pub counters: Counters,
 }
@@ -121,6 +125,12 @@
     /// Requests under which endpoints crash.
     pub(crate) quarantine: Quarantine,
     pub(crate) next_telling: Instant,
+    /// Limits of teams.
+    pub(crate) quotas: Quotas<InstanceId>,
+    /// Teams that have one, by name.
+    pub(crate) limited: HashMap<String, Team>,
+    pub(crate) next_spending: Instant,
+    pub(crate) spending_sequence: u64,
     /// When the process started.
     pub(crate) started: Instant,
     /// Keyed requests that ended lately.
@@ -173,6 +183,10 @@
             losses: Vec::new(),
             quarantine: Quarantine::default(),
             next_telling: now,
+            quotas: limits::quotas(),
+            limited: HashMap::new(),
+            next_spending: now,
+            spending_sequence: 0,
             started: now,
             ended: BTreeMap::new(),
             budget: crate::flow::RETRY * 10,
@@ -248,6 +262,7 @@
             cancels: self.cancels.len(),
             members: self.members.view(),
             endpoints: self.fleet.view(now),
+            teams: self.team_views(),
             counters: self.counters.clone(),
         }
     }
@@ -304,6 +319,7 @@
         self.pools = configuration.pools.iter().map(|p| (PoolId::of(&p.name), p.name.clone())).collect();
         let pools = &self.pools;
         self.slots.retain(|id, _| pools.contains_key(id));
+        self.set_limits(now);
         let policy = &configuration.policy;
         self.homes.set_terms(Duration::from_secs(policy.horizon_s), Duration::from_millis(policy.skew_ms));
         out.push(Effect::Audit(Audit::Accepted { version: configuration.version, source }));
@@ -377,6 +393,7 @@
             Message::Holding { pool, incarnation, sequences } => {
                 self.held_by(now, from, (pool, incarnation), sequences, out);
             }
+            Message::Spending(news) => self.told_spending(now, from, news),
             Message::Handover { records, last } => self.homes.take_over(now, from, records, last),
         }
     }
@@ -511,6 +528,7 @@
             audit_health(self.members.review(now), out);
             self.members.forget(now, self.homes.memory());
             self.fleet.age(now);
+            self.review_limits(now);
         }
         let replies = self.homes.tick(now, &self.members);
         self.send_replies(now, replies, out);
@@ -523,6 +541,7 @@
         self.resend_cancels(now, out);
         self.forget_ended(now);
         self.tell_crashes(now, out);
+        self.tell_spending(now, out);
         self.pump_all(now, out);
         self.end_stop(now, out);
     }
--- /dev/null
+++ b/crates/core/src/limits.rs
@@ -0,0 +1,198 @@
+//! Teams: who holds which key, and how much each may ask of all instances together.
+//!
+//! The accounts are those of the crate `teaselshunt-teams`. Here they hear from members what these admitted, and from the
+//! membership who is alive: heartbeats go to a few neighbours only, so that a member's silence alone says nothing.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use rand::Rng;
+use teaselshunt_settings::{Configuration, TeamUnit};
+use teaselshunt_teams::{Hearing, KeyDigest, Limit, Quotas, Start, Team, TeamTag, Teams, Unit, Way};
+
+use crate::InstanceId;
+use crate::error::{ErrorKind, Refusal};
+use crate::event::Effect;
+use crate::ids::RequestKey;
+use crate::instance::Instance;
+use crate::members::Health;
+use crate::message::{Message, TeamNews};
+use crate::requests::{Kind, Request};
+
+/// Time between two tellings of what teams near their limits were admitted.
+const TELL: Duration = Duration::from_millis(100);
+
+/// What a request's team was charged.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Charge {
+    team: TeamTag,
+    cost: u64,
+}
+
+/// What an operator sees of a team's limit.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TeamView {
+    /// Its name.
+    pub name: String,
+    /// Units a second.
+    pub rate: u32,
+    /// Units at once.
+    pub burst: u32,
+    /// Units that may be admitted now, as this instance sees it; below zero while it makes up for too many.
+    pub level: i64,
+    /// Units that this instance has admitted since its start.
+    pub admitted: i64,
+}
+
+/// Who holds which key in a version.
+#[derive(Debug)]
+pub struct Directory {
+    /// Teams and their keys.
+    pub teams: Teams,
+    /// Services whose callers need none.
+    pub public: HashSet<String>,
+}
+
+/// `None` where no team has a key, and callers name their team themselves.
+fn directory(configuration: &Configuration) -> Option<Directory> {
+    if configuration.teams.iter().all(|team| team.keys.is_empty()) {
+        return None;
+    }
+    let teams = configuration.teams.iter().map(|team| {
+        let keys = team.keys.iter().filter_map(|key| KeyDigest::from_hex(key)).collect();
+        (known(team), keys)
+    });
+    let public = configuration.services.iter().filter(|service| service.public);
+    Some(Directory { teams: Teams::new(teams), public: public.map(|s| s.name.clone()).collect() })
+}
+
+fn known(team: &teaselshunt_settings::Team) -> Team {
+    let unit = match team.limit {
+        Some(limit) if limit.unit == TeamUnit::Tokens => Unit::Tokens { plain: u64::from(limit.plain) },
+        Some(_) | None => Unit::Requests,
+    };
+    let limit = team.limit.map(|l| Limit { rate: f64::from(l.rate), burst: f64::from(l.burst) });
+    Team { name: Arc::from(team.name.as_str()), priority: None, unit, limit }
+}
+
+/// No accounts yet. Nobody tells an instance whether the whole system starts for the first time.
+pub(crate) fn quotas() -> Quotas<InstanceId> {
+    Quotas::new(Duration::ZERO, Way::Shared, Start::Again, (0, 0))
+}
+
+impl Instance {
+    /// Who holds which key in the version in force; `None` where callers name their team themselves.
+    pub fn directory(&self) -> Option<Directory> {
+        directory(self.versions.current()?)
+    }
+
+    /// Time of the accounts.
+    fn account_time(&self, now: Instant) -> Duration {
+        now.duration_since(self.started)
+    }
+
+    /// A version came into force.
+    pub(crate) fn set_limits(&mut self, now: Instant) {
+        let teams: Vec<Team> =
+            self.versions.current().map_or_else(Vec::new, |c| c.teams.iter().map(known).collect());
+        let at = self.account_time(now);
+        self.quotas.set_limits(at, teams.iter().filter_map(|team| Some((team.tag(), team.limit?))));
+        self.limited =
+            teams.into_iter().filter(|team| team.limit.is_some()).map(|t| (t.name.to_string(), t)).collect();
+    }
+
+    /// Charges a request to its team, or says why not.
+    pub(crate) fn charge(&mut self, now: Instant, key: RequestKey) -> Result<(), Refusal> {
+        let request = self.requests.get(key);
+        let Some(team) = self.limited.get(&request.team) else { return Ok(()) };
+        let tokens = match request.kind {
+            Kind::Generate { prompt, limit, .. } => Some(u64::from(prompt) + u64::from(limit)),
+            Kind::Call { .. } => None,
+        };
+        let charge = Charge { team: team.tag(), cost: team.cost(tokens) };
+        let at = self.account_time(now);
+        match self.quotas.admit(at, charge.team, charge.cost) {
+            Ok(()) => {
+                self.requests.get_mut(key).charge = Some(charge);
+                Ok(())
+            }
+            Err(shortage) => {
+                // Spread, so that those who were refused together do not come back together.
+                let wait = shortage.wait + shortage.backlog.mul_f64(self.rng.random_range(0.0..1.0));
+                Err(Refusal::later(ErrorKind::QuotaExceeded, wait))
+            }
+        }
+    }
+
+    /// A request ended. What it was charged is given back if it surely has not run.
+    pub(crate) fn close(&mut self, now: Instant, key: RequestKey) -> Request {
+        let request = self.requests.close(key);
+        if let Some(charge) = request.charge.filter(|_| !request.may_have_run()) {
+            self.quotas.give_back(self.account_time(now), charge.team, charge.cost);
+        }
+        request
+    }
+
+    /// Looks who is alive.
+    pub(crate) fn review_limits(&mut self, now: Instant) {
+        let at = self.account_time(now);
+        self.quotas.expect(self.members.iter().count() as u32 + 1);
+        for (id, member) in self.members.iter() {
+            if matches!(member.health, Health::Alive) {
+                self.quotas.alive(at, id);
+            }
+        }
+        self.quotas.tick(at);
+    }
+
+    /// Tells the others what teams near their limits were admitted.
+    pub(crate) fn tell_spending(&mut self, now: Instant, out: &mut Vec<Effect>) {
+        if now < self.next_spending {
+            return;
+        }
+        self.next_spending = now + TELL;
+        let at = self.account_time(now);
+        let spent = self.quotas.spending(at);
+        if spent.is_empty() {
+            return;
+        }
+        self.spending_sequence += 1;
+        let news = TeamNews {
+            incarnation: self.identity.incarnation,
+            sequence: self.spending_sequence,
+            stopping: self.members.stopping,
+            spent,
+        };
+        let others: Vec<InstanceId> = self.members.iter().map(|(id, _)| id).collect();
+        for to in others {
+            self.deliver(now, to, Message::Spending(news.clone()), out);
+        }
+    }
+
+    /// A member tells what it admitted.
+    pub(crate) fn told_spending(&mut self, now: Instant, from: InstanceId, news: TeamNews) {
+        let TeamNews { incarnation, sequence, stopping, spent } = news;
+        let hearing = Hearing { life: incarnation, sequence, domain: 0, leaving: stopping, instances: 1 };
+        let at = self.account_time(now);
+        if self.quotas.heard(at, from, hearing) {
+            self.quotas.told(at, from, spent);
+        }
+    }
+
+    /// What an operator sees of the limits.
+    pub(crate) fn team_views(&self) -> Vec<TeamView> {
+        let teams = self.versions.current().map(|c| c.teams.as_slice()).unwrap_or_default();
+        let view = |team: &teaselshunt_settings::Team| {
+            let (limit, tag) = (team.limit?, TeamTag::of(&team.name));
+            Some(TeamView {
+                name: team.name.clone(),
+                rate: limit.rate,
+                burst: limit.burst,
+                level: self.quotas.level(tag)? as i64,
+                admitted: self.quotas.admitted(tag)?,
+            })
+        };
+        teams.iter().filter_map(view).collect()
+    }
+}
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
+use teaselshunt_teams::Spending;
 
 use crate::quarantine::CrashReport;
 use crate::{EndpointId, Fingerprint, IdempotencyKey, InstanceId, Listed, PoolId, RequestId, Stored};
@@ -148,6 +149,21 @@
         /// Requests that were answered whole after endpoints had crashed under them.
         served: Vec<Fingerprint>,
     },
+    /// What teams near their limits were admitted.
+    Spending(TeamNews),
+}
+
+/// What a sender has admitted of teams near their limits.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TeamNews {
+    /// Start of the sender, in milliseconds since the Unix epoch.
+    pub incarnation: u64,
+    /// Grows with each of its tellings.
+    pub sequence: u64,
+    /// Whether the sender is stopping.
+    pub stopping: bool,
+    /// The teams.
+    pub spent: Vec<Spending>,
 }
 
 /// What a request needs of its pool.
--- a/crates/core/src/opening.rs
+++ b/crates/core/src/opening.rs
@@ -41,6 +41,7 @@
         let class = configuration.classes.iter().find(|c| c.name == model.class).ok_or(unknown)?;
         let kind = Kind::Generate {
             prompt: work.prompt,
+            limit: work.limit,
             first: Duration::from_millis(class.first_ms),
             gap: Duration::from_millis(class.gap_ms),
             again: work.again,
@@ -74,7 +75,7 @@
             kind,
             pool: service.pool.clone(),
             class: service.name.clone(),
-            team: String::new(),
+            team: self.team(work.team.clone()),
             priority: SERVICE_PRIORITY,
             wait: SERVICE_WAIT,
             key: work.key,
--- a/crates/core/src/requests.rs
+++ b/crates/core/src/requests.rs
@@ -8,6 +8,7 @@
 use slotmap::SlotMap;
 
 use crate::ids::{EndpointKey, RequestKey};
+use crate::limits::Charge;
 use crate::{AttemptId, Fingerprint, InstanceId, Keyed, RequestId, Ticket};
 
 /// Where a request stands.
@@ -42,7 +43,7 @@
 /// What the request needs, from the configuration in force when it arrived.
 #[derive(Debug, Clone)]
 pub(crate) enum Kind {
-    Generate { prompt: u32, first: Duration, gap: Duration, again: bool },
+    Generate { prompt: u32, limit: u32, first: Duration, gap: Duration, again: bool },
     Call { repeatable: bool, timeout: Duration },
 }
 
@@ -66,6 +67,8 @@
     /// Longest wait for a slot.
     pub(crate) wait: Duration,
     pub(crate) key: Option<Keyed>,
+    /// What its team was charged.
+    pub(crate) charge: Option<Charge>,
     pub(crate) fingerprint: Fingerprint,
     pub(crate) arrived: Instant,
     pub(crate) deadline: Instant,
@@ -158,6 +161,7 @@
             priority: opening.priority,
             wait: opening.wait,
             key: opening.key,
+            charge: None,
             fingerprint: opening.fingerprint,
             arrived: now,
             deadline,
--- a/crates/core/tests/all/claims.rs
+++ b/crates/core/tests/all/claims.rs
@@ -57,6 +57,7 @@
         let work = Work::Call(Call {
             service: "fees".to_owned(),
             method: "POST".to_owned(),
+            team: String::new(),
             key: Some(key),
             fingerprint: Fingerprint(number),
             deadline: Duration::from_secs(5),
--- a/crates/ctl/src/commands/mod.rs
+++ b/crates/ctl/src/commands/mod.rs
@@ -6,6 +6,7 @@
 mod keys;
 mod patch;
 mod status;
+mod team_key;
 
 use std::net::SocketAddr;
 
@@ -61,6 +62,8 @@
     Drain(drain::Arguments),
     #[options(help = "make an authority and keys for instances")]
     Keys(keys::Arguments),
+    #[options(help = "make a key of a team, and its digest for the configuration")]
+    TeamKey(team_key::Arguments),
 }
 
 impl Command {
@@ -72,6 +75,10 @@
             Self::Audit(arguments) => audit::run(&arguments).await,
             Self::Drain(arguments) => drain::run(&arguments).await,
             Self::Keys(arguments) => keys::run(&arguments),
+            Self::TeamKey(arguments) => {
+                team_key::run(&arguments);
+                Ok(())
+            }
         }
     }
 }
--- a/crates/ctl/src/commands/status.rs
+++ b/crates/ctl/src/commands/status.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use gumdrop::Options;
-use teaselshunt_wire::status::Status;
+use teaselshunt_wire::status::{Status, TeamStatus};
 
 use super::{Failure, get};
 
@@ -39,6 +39,7 @@
         print_instance(status);
     }
     print_sites(&seen);
+    print_teams(&seen);
     if let Some(site) = &arguments.leaving {
         print_move(&seen, site);
     }
@@ -99,6 +100,28 @@
     }
 }
 
+/// Limits of teams: what all instances admitted together, and which of them how much.
+fn print_teams(seen: &[Status]) {
+    let mut teams: BTreeMap<&str, Vec<(&str, &TeamStatus)>> = BTreeMap::new();
+    for status in seen {
+        for team in &status.teams {
+            teams.entry(&team.name).or_default().push((&status.instance, team));
+        }
+    }
+    for (name, views) in teams {
+        let admitted: i64 = views.iter().map(|(_, team)| team.admitted).sum();
+        let least = views.iter().min_by_key(|(_, team)| team.level);
+        let Some((instance, team)) = least else { continue };
+        println!(
+            "team {name}: limit {} a second, {} at once; {admitted} admitted, least left {} at {instance}",
+            team.rate, team.burst, team.level
+        );
+        for (instance, team) in &views {
+            println!("  {instance}: {} admitted, {} left", team.admitted, team.level);
+        }
+    }
+}
+
 fn print_move(seen: &[Status], site: &str) {
     let versions: BTreeSet<u64> = seen.iter().map(|s| s.version).collect();
     let mut obstacles = Vec::new();
--- a/crates/daemon/src/callers/headers.rs
+++ b/crates/daemon/src/callers/headers.rs
@@ -3,8 +3,10 @@
 use std::time::Duration;
 
 use poem::Request;
-use poem::http::HeaderMap;
-use teaselshunt_core::{ErrorKind, IdempotencyKey, Keyed};
+use poem::http::header::AUTHORIZATION;
+use poem::http::{HeaderMap, HeaderValue};
+use teaselshunt_core::{Directory, ErrorKind, IdempotencyKey, Keyed, Refusal};
+use teaselshunt_teams::{ApiKey, Teams};
 use uuid::Uuid;
 
 use super::answer::Rejection;
@@ -46,9 +48,24 @@
 }
 
 impl Terms {
-    pub(crate) fn read(request: &Request, default: Duration) -> Result<Self, Rejection> {
+    /// Reads the head of a request. `directory` says who holds which key, where callers have keys; callers of a public
+    /// `service` need none.
+    pub(crate) fn read(
+        request: &Request,
+        default: Duration,
+        directory: Option<&Directory>,
+        service: Option<&str>,
+    ) -> Result<Self, Rejection> {
         let headers = request.headers();
-        let team = text(headers, TEAM)?.unwrap_or_default().to_owned();
+        let is_public = |d: &Directory| service.is_some_and(|name| d.public.contains(name));
+        let team = match directory {
+            None => text(headers, TEAM)?.unwrap_or_default().to_owned(),
+            Some(directory) => match holder(headers, &directory.teams) {
+                Some(team) => team,
+                None if is_public(directory) => String::new(),
+                None => return Err(Rejection::of(Refusal::new(ErrorKind::Unauthorized), None)),
+            },
+        };
         let key = match text(headers, IDEMPOTENCY)? {
             Some(key) if key.is_empty() || key.len() > KEY_MAX => {
                 return Err(invalid(IDEMPOTENCY, &format!("1 to {KEY_MAX} characters are allowed")));
@@ -73,6 +90,31 @@
     }
 }
 
+/// The team that holds the key which a caller shows. A request with several keys has none.
+fn holder(headers: &HeaderMap, teams: &Teams) -> Option<String> {
+    const SCHEME: &str = "bearer";
+    let mut values = headers.get_all(AUTHORIZATION).iter();
+    let (value, another) = (values.next()?, values.next());
+    let (scheme, key) = value.to_str().ok()?.trim().split_once(' ')?;
+    if another.is_some() || !scheme.eq_ignore_ascii_case(SCHEME) {
+        return None;
+    }
+    let key = ApiKey::new(key.trim().to_owned());
+    teams.find(key.digest()).map(|team| team.name.to_string())
+}
+
+/// Headers of a service call to pass on, where callers have keys: the endpoint sees the team that holds the key, whatever the
+/// caller wrote, and never the key.
+pub(crate) fn with_team(mut headers: HeaderMap, team: &str) -> HeaderMap {
+    headers.remove(AUTHORIZATION);
+    headers.remove(TEAM);
+    // A name that no header can hold cannot be told; the endpoint then sees none.
+    if let Some(name) = HeaderValue::from_str(team).ok().filter(|_| !team.is_empty()) {
+        headers.insert(TEAM, name);
+    }
+    headers
+}
+
 /// When a key was made, if it is a UUID that tells (RFC 9562, version 7).
 fn born(key: &str) -> Option<u64> {
     let id = Uuid::parse_str(key).ok().filter(|id| id.get_version_num() == 7)?;
--- a/crates/daemon/src/callers/openai.rs
+++ b/crates/daemon/src/callers/openai.rs
@@ -119,7 +119,11 @@
 }
 
 #[handler]
-pub(crate) async fn models(Data(front): Data<&Front>) -> Response {
+pub(crate) async fn models(request: &Request, Data(front): Data<&Front>) -> Response {
+    let directory = front.control.published.directory();
+    if let Err(rejection) = Terms::read(request, front.deadline(), directory.as_deref(), None) {
+        return rejection.into_response();
+    }
     let names = front.control.models().await;
     let entry = |id| ModelEntry { id, object: "model", created: 0, owned_by: "teaselshunt" };
     let list = ModelList { object: "list", data: names.into_iter().map(entry).collect() };
@@ -212,7 +216,8 @@
 ) -> Result<Response, Rejection> {
     let arrived = Instant::now();
     let place = front.place()?;
-    let terms = Terms::read(request, front.deadline())?;
+    let directory = front.control.published.directory();
+    let terms = Terms::read(request, front.deadline(), directory.as_deref(), None)?;
     let body = front.body(body).await?;
     let asked = read(&body)?;
     let fingerprint = Fingerprint::of(&terms.team, "POST", "", request.uri().path(), &body);
--- a/crates/daemon/src/callers/services.rs
+++ b/crates/daemon/src/callers/services.rs
@@ -7,7 +7,7 @@
 
 use super::answer::{REQUEST_ID, Rejection, replayed};
 use super::front::{Front, answered};
-use super::headers::{Terms, end_to_end};
+use super::headers::{Terms, end_to_end, with_team};
 use crate::driver::{CallOutput, CallPlan, start_call};
 
 #[handler]
@@ -28,19 +28,23 @@
     body: Body,
 ) -> Result<Response, Rejection> {
     let _place = front.place()?;
-    let terms = Terms::read(request, front.deadline())?;
+    let directory = front.control.published.directory();
+    let terms = Terms::read(request, front.deadline(), directory.as_deref(), Some(&service))?;
     let body = front.body(body).await?;
     let method = request.method().clone();
     if method == Method::CONNECT {
         return Err(Rejection::new(ErrorKind::Invalid, "method CONNECT is not allowed"));
     }
     let path = with_query(path, request.uri().query());
-    let fingerprint = Fingerprint::of("", method.as_str(), &service, &path, &body);
+    let fingerprint = Fingerprint::of(&terms.team, method.as_str(), &service, &path, &body);
     let (key, deadline) = (terms.key, terms.deadline);
-    let work = Call { service, method: method.to_string(), key, fingerprint, deadline };
+    let mut headers = end_to_end(request.headers());
+    if directory.is_some() {
+        headers = with_team(headers, &terms.team);
+    }
+    let work = Call { service, method: method.to_string(), team: terms.team, key, fingerprint, deadline };
     let session = front.control.open(Work::Call(work));
-    let plan =
-        CallPlan { method, path, headers: end_to_end(request.headers()), body, keyed: terms.key.is_some() };
+    let plan = CallPlan { method, path, headers, body, keyed: terms.key.is_some() };
     let output = start_call(session, front.engines.clone(), plan);
     match output.await {
         Ok(CallOutput::Answered { request, status, headers, body }) => {
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -2,14 +2,14 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, PoisonError, RwLock};
 use std::time::{Duration, Instant};
 
 use slog::{Logger, crit};
 use teaselshunt_core::{
-    AttemptId, Clock, Effect, Event, Identity, Instance, InstanceId, Message, Refusal, RequestId, Snapshot,
-    Stored, Target, Ticket, Work,
+    AttemptId, Clock, Directory, Effect, Event, Identity, Instance, InstanceId, Message, Refusal, RequestId,
+    Snapshot, Stored, Target, Ticket, Work,
 };
 use tokio::sync::{mpsc, oneshot, watch};
 
@@ -75,6 +75,18 @@
     pub(crate) version: AtomicU64,
     /// List revision in use.
     pub(crate) revision: AtomicU64,
+    directory: RwLock<Option<Arc<Directory>>>,
+}
+
+impl Published {
+    /// Who holds which key; `None` where callers name their team themselves.
+    pub(crate) fn directory(&self) -> Option<Arc<Directory>> {
+        self.directory.read().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    fn set_directory(&self, directory: Option<Directory>) {
+        *self.directory.write().unwrap_or_else(PoisonError::into_inner) = directory.map(Arc::new);
+    }
 }
 
 /// A way to the control thread. Cheap to clone.
@@ -308,6 +320,8 @@
         self.trail.write(audit, |id| self.instance.name(id));
         match audit {
             teaselshunt_core::Audit::Accepted { version, .. } => {
+                // Keys first: whoever sees the version must not meet the keys of the one before.
+                self.published.set_directory(self.instance.directory());
                 self.published.version.store(*version, Ordering::Release);
             }
             teaselshunt_core::Audit::List { revision, .. } => {
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -29,6 +29,8 @@
     resumed: IntCounter,
     orphans: IntCounter,
     refused: IntCounterVec,
+    admitted: IntGaugeVec,
+    level: IntGaugeVec,
     answered: IntCounterVec,
     good: IntCounterVec,
     prefilled: IntCounterVec,
@@ -61,6 +63,13 @@
             resumed: counter(r, "streams_resumed_total", "Streams taken up on a new connection.")?,
             orphans: counter(r, "orphans_cancelled_total", "Work of dead instances cancelled at engines.")?,
             refused: counters(r, "requests_refused_total", "Refusals by error code.", &["code"])?,
+            admitted: gauges(
+                r,
+                "team_admitted_units",
+                "Units admitted here for a team with a limit.",
+                &["team"],
+            )?,
+            level: gauges(r, "team_level_units", "Units that a team may be admitted now.", &["team"])?,
             answered: counters(r, "answers_total", "Whole answers.", &["class", "site"])?,
             good: counters(
                 r,
@@ -131,6 +140,17 @@
         self.keys.set(snapshot.keys as i64);
         self.cancels.set(snapshot.cancels as i64);
         self.take_groups(snapshot);
+        self.take_teams(snapshot);
+    }
+
+    /// Teams by their name; operators configure them, so that there are no more than that.
+    fn take_teams(&self, snapshot: &Snapshot) {
+        self.admitted.reset();
+        self.level.reset();
+        for team in &snapshot.teams {
+            self.admitted.with_label_values(&[&team.name]).set(team.admitted);
+            self.level.with_label_values(&[&team.name]).set(team.level);
+        }
     }
 
     fn take_groups(&self, snapshot: &Snapshot) {
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -8,8 +8,8 @@
 use poem::web::{Data, Json, Query};
 use poem::{EndpointExt, IntoResponse, Response, Route, Server, get, handler, post};
 use serde::Deserialize;
-use teaselshunt_core::{Event, Snapshot};
-use teaselshunt_wire::status::{ClassStatus, EndpointStatus, MemberStatus, Status};
+use teaselshunt_core::{Event, Snapshot, TeamView};
+use teaselshunt_wire::status::{ClassStatus, EndpointStatus, MemberStatus, Status, TeamStatus};
 use tokio::net::TcpListener;
 
 use crate::audit::Trail;
@@ -86,6 +86,10 @@
         prefilled: c.prefilled,
         wasted: c.wasted,
     });
+    let teams = snapshot.teams.into_iter().map(|team| {
+        let TeamView { name, rate, burst, level, admitted } = team;
+        TeamStatus { name, rate, burst, level, admitted }
+    });
     let refused = snapshot.counters.refused.into_iter().map(|(code, count)| (code.to_owned(), count));
     Status {
         instance: desk.instance.clone(),
@@ -100,6 +104,7 @@
         members: members.collect(),
         endpoints: endpoints.collect(),
         classes: classes.collect(),
+        teams: teams.collect(),
     }
 }
 
--- a/crates/daemon/tests/all/main.rs
+++ b/crates/daemon/tests/all/main.rs
@@ -13,3 +13,4 @@
 mod silence;
 mod stop;
 mod support;
+mod teams;
--- a/crates/forward/src/settings.rs
+++ b/crates/forward/src/settings.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use teaselshunt_routing::Terms;
-use teaselshunt_teams::Tolerance;
 
 /// Settings of one instance.
 #[derive(Debug, Clone)]
@@ -39,8 +38,6 @@
     pub drain: Duration,
     /// Terms for repeats.
     pub repeats: Terms,
-    /// By how much teams may exceed their limits.
-    pub tolerance: Tolerance,
     /// Failure domains of the deployment; 0 where nothing is said.
     pub domains: u32,
 }
--- a/crates/forward/src/supervisor.rs
+++ b/crates/forward/src/supervisor.rs
@@ -87,7 +87,7 @@
     let ready = listen(settings.ready).await?;
     let start_of_all = if settings.first { Start::First } else { Start::Again };
     let domains = (tag(&settings.domain), settings.domains);
-    let quotas = Quotas::new(SystemClock.uptime(), WAY, settings.tolerance, start_of_all, domains);
+    let quotas = Quotas::new(SystemClock.uptime(), WAY, start_of_all, domains);
     let node = Rc::new(Node {
         state: RefCell::new(State {
             routes: None,
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -1,6 +1,6 @@
 //! Reading a document and naming every mistake in it.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::fmt;
 
 use schemars::{JsonSchema, schema_for};
@@ -9,6 +9,9 @@
 
 use crate::{Configuration, Role, Settings};
 
+/// Hexadecimal digits of a SHA-256 digest.
+const KEY_DIGITS: usize = 64;
+
 /// One mistake in a document.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Mistake {
@@ -88,6 +91,7 @@
         self.unique("endpoints", c.endpoints.iter().map(|e| e.name.as_str()));
         self.unique("services", c.services.iter().map(|s| s.name.as_str()));
         self.unique("teams", c.teams.iter().map(|t| t.name.as_str()));
+        self.team_keys();
         for (i, pool) in c.pools.iter().enumerate() {
             for (j, class) in pool.classes.iter().enumerate() {
                 self.known(&classes, class, &format!("/pools/{i}/classes/{j}"));
@@ -114,6 +118,28 @@
         self.mistakes
     }
 
+    /// Each key is a digest, and belongs to one team: the other one's callers would be taken for the first's.
+    fn team_keys(&mut self) {
+        let mut holders = HashMap::new();
+        for (i, team) in self.configuration.teams.iter().enumerate() {
+            for (j, key) in team.keys.iter().enumerate() {
+                let path = format!("/teams/{i}/keys/{j}");
+                if key.len() != KEY_DIGITS || !key.bytes().all(|b| matches!(b, b'0'..=b'9' | b'a'..=b'f')) {
+                    // What stands here may be the key itself, so that it is not repeated.
+                    self.add(path, format!("not a digest; allowed: {KEY_DIGITS} digits of 0-9 and a-f"));
+                    continue;
+                }
+                let holder = *holders.entry(key.as_str()).or_insert(team.name.as_str());
+                if holder != team.name {
+                    self.add(
+                        path,
+                        format!("team {holder:?} has this key as well; a key belongs to one team"),
+                    );
+                }
+            }
+        }
+    }
+
     fn unique(&mut self, part: &str, names: impl Iterator<Item = &'a str>) -> HashSet<&'a str> {
         let mut seen = HashSet::new();
         for (i, name) in names.enumerate() {
--- a/crates/settings/src/configuration.rs
+++ b/crates/settings/src/configuration.rs
@@ -191,9 +191,15 @@
     /// How long one call may take, in milliseconds.
     #[schemars(range(min = 1, max = 600_000))]
     pub timeout_ms: u64,
+    /// Whether callers need no key.
+    #[serde(default)]
+    pub public: bool,
 }
 
-/// A team of callers, named by the header `OpenAI-Organization`.
+/// A team of callers.
+///
+/// Where no team of a version has keys, callers name their team in the header `OpenAI-Organization`, and anybody may. Where one
+/// has, all callers show a key, but for those of public services.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Team {
@@ -203,6 +209,40 @@
     /// Relative share of a full pool.
     #[schemars(range(min = 1, max = 1000))]
     pub weight: u32,
+    /// SHA-256 of each of its keys, in hexadecimal digits, so that the configuration holds no secret; `teaselctl team-key`
+    /// makes both.
+    #[serde(default)]
+    pub keys: Vec<String>,
+    /// What it may ask of all instances together; absent for no limit.
+    #[serde(default)]
+    pub limit: Option<TeamLimit>,
+}
+
+/// In what a team's limit is counted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum TeamUnit {
+    /// Each request is one.
+    Requests,
+    /// A generation is its prompt tokens and the most tokens that it may make; a service call is `plain` of them.
+    Tokens,
+}
+
+/// What a team may ask of all instances together.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct TeamLimit {
+    /// In what it is counted.
+    pub unit: TeamUnit,
+    /// Units a second.
+    #[schemars(range(min = 1))]
+    pub rate: u32,
+    /// Units at once.
+    #[schemars(range(min = 1))]
+    pub burst: u32,
+    /// Tokens of a service call.
+    #[serde(default)]
+    pub plain: u32,
 }
 
 /// A link of limited rate between two failure domains, for KV transfers in both directions.
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -16,6 +16,6 @@
 pub use check::{Mistake, Mistakes, parse_configuration, parse_settings};
 pub use configuration::{
     Class, Configuration, Domain, Endpoint, EndpointState, Link, Load, Model, Policy, Pool, Role, Service,
-    Site, Team,
+    Site, Team, TeamLimit, TeamUnit,
 };
 pub use settings::{Keys, Limits, Listeners, Seed, Settings};
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -31,6 +31,12 @@
     pub path: String,
     /// Body.
     pub body: String,
+    /// The caller's team, as it was told.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub team: Option<String>,
+    /// A key that was passed on.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub key: Option<String>,
 }
 
 #[derive(Debug, Default)]
@@ -88,7 +94,14 @@
 #[handler]
 async fn call(Data(state): Data<&Arc<State>>, request: &Request, body: String) -> Response {
     let faults = lock(&state.faults).clone();
-    let call = Execution { method: request.method().to_string(), path: request.uri().to_string(), body };
+    let said = |name: &str| request.header(name).map(str::to_owned);
+    let call = Execution {
+        method: request.method().to_string(),
+        path: request.uri().to_string(),
+        body,
+        team: said("openai-organization"),
+        key: said("authorization"),
+    };
     // In a task of its own: a service does not notice that a client is gone.
     let (kept, ran) = (Arc::clone(state), call.clone());
     let work = tokio::spawn(async move {
--- a/crates/teams/src/key.rs
+++ b/crates/teams/src/key.rs
@@ -3,7 +3,7 @@
 //! The text of a key lives only while a request's head or a configuration is read; everything that is kept, told or
 //! compared is a digest. Neither prints anything, so that no log line, error or panic can show a key.
 
-use std::fmt;
+use std::fmt::{self, Write};
 use std::hash::{Hash, Hasher};
 
 use serde::{Deserialize, Serialize};
@@ -36,6 +36,30 @@
 #[derive(Clone, Copy, Serialize, Deserialize)]
 pub struct KeyDigest([u8; 32]);
 
+impl KeyDigest {
+    /// Reads what [`KeyDigest::hex`] writes; `None` for anything else.
+    pub fn from_hex(text: &str) -> Option<Self> {
+        let mut bytes = [0; 32];
+        if text.len() != 2 * bytes.len() || !text.is_ascii() {
+            return None;
+        }
+        for (byte, digits) in bytes.iter_mut().zip(text.as_bytes().chunks(2)) {
+            let digits = std::str::from_utf8(digits).ok()?;
+            *byte = u8::from_str_radix(digits, 16).ok()?;
+        }
+        Some(Self(bytes))
+    }
+
+    /// The digest as hexadecimal digits, for a configuration; it is no secret.
+    pub fn hex(&self) -> String {
+        self.0.iter().fold(String::new(), |mut text, byte| {
+            // Writing to a string does not fail.
+            let _ = write!(text, "{byte:02x}");
+            text
+        })
+    }
+}
+
 impl PartialEq for KeyDigest {
     fn eq(&self, other: &Self) -> bool {
         self.0.ct_eq(&other.0).into()
--- a/crates/teams/src/quota.rs
+++ b/crates/teams/src/quota.rs
@@ -18,7 +18,7 @@
 //!   burst shrinks to the part of those that are heard. When it is heard again only what it has admitted beyond that is taken
 //!   from the level. Equal parts, because the two sides must come to the same division without a word.
 //! - An instance that starts knows nothing of what was admitted before. If all start at once, nobody does: the level then
-//!   begins with what the tolerance covers. An instance that has heard no other failure domain since its start may have
+//!   begins with a part of the burst. An instance that has heard no other failure domain since its start may have
 //!   started inside a cut, and takes them to be as large as its own.
 //! - Tellings are lost, doubled and overtake one another. Totals are told and not differences, with the start of the sender
 //!   that they count from.
@@ -55,9 +55,9 @@
 const LOOKS: usize = 4;
 /// Part of what was set aside for silent peers that is left at each look after the last one was heard again.
 const RESERVE_LEFT: f64 = 0.8;
-/// Part of a tolerance that a start of all instances at once may use up.
-/// The rest is for what instances admit before they hear of one another's spending.
-const START_PART: f64 = 0.1;
+/// Part of its burst that a team may be admitted at once by instances that do not know what it was admitted before: all of
+/// them may have started at the same moment, just after it got the whole.
+const START_PART: f64 = 0.25;
 /// Time without a look at the accounts after which an instance stood still. What others admitted meanwhile comes at once
 /// then, and without what the accounts would have lost by being full it would be a debt of seconds.
 const STALL: Duration = Duration::from_secs(1);
@@ -77,28 +77,6 @@
     Shared,
 }
 
-/// By how much a team may exceed its limit in a window before a promise is broken.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Tolerance {
-    /// Any span of this length counts.
-    pub window: Duration,
-    /// Part of what the limit allows in a window.
-    pub over: f64,
-    /// Units besides.
-    pub slack: f64,
-}
-
-impl Tolerance {
-    /// None at all.
-    pub const NONE: Self = Self { window: Duration::ZERO, over: 0.0, slack: 0.0 };
-
-    /// Level of an account that does not know what was admitted before.
-    fn at_start(self, limit: Limit) -> f64 {
-        let allowed = limit.rate * self.window.as_secs_f64() + limit.burst;
-        limit.burst.min((allowed * self.over + self.slack) * START_PART)
-    }
-}
-
 /// What a starting instance may assume of the time before.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Start {
@@ -109,7 +87,7 @@
 }
 
 /// What an instance has admitted of a team since its start.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Spending {
     /// The team.
     pub team: TeamTag,
@@ -242,9 +220,10 @@
 #[derive(Debug)]
 pub struct Quotas<P> {
     way: Way,
-    tolerance: Tolerance,
     start: Start,
     begun: Duration,
+    /// Instances that are listed, where a list says so.
+    listed: u32,
     /// When the accounts began without knowing what others had admitted.
     started: Duration,
     /// When they were last looked at.
@@ -263,19 +242,13 @@
 impl<P: Copy + Eq + Hash> Quotas<P> {
     /// No accounts yet. `domain` is the tag of this instance's failure domain, `domains` how many the deployment has, 0 where
     /// that is not known.
-    pub fn new(
-        now: Duration,
-        way: Way,
-        tolerance: Tolerance,
-        start: Start,
-        (domain, domains): (u32, u32),
-    ) -> Self {
+    pub fn new(now: Duration, way: Way, start: Start, (domain, domains): (u32, u32)) -> Self {
         let (peers, accounts) = (HashMap::new(), HashMap::new());
         Self {
             way,
-            tolerance,
             start,
             begun: now,
+            listed: 1,
             started: now,
             looked: now,
             domain,
@@ -307,7 +280,7 @@
 
     fn open(&self, now: Duration, limit: Limit, first: bool) -> Account<P> {
         let level = match self.start {
-            Start::Again if first => self.tolerance.at_start(limit),
+            Start::Again if first && now.saturating_sub(self.begun) < NEWCOMER => limit.burst * START_PART,
             Start::First | Start::Again => limit.burst,
         };
         Account {
@@ -366,7 +339,7 @@
         self.started = now;
         for account in self.accounts.values_mut() {
             account.refill(now, self.part);
-            account.level = account.level.min(self.tolerance.at_start(account.limit));
+            account.level = account.level.min(account.limit.burst * START_PART);
             account.known.clear();
         }
     }
@@ -428,7 +401,7 @@
     fn count_instances(&self, now: Duration) -> u32 {
         let heard = self.peers.values().filter(|peer| now.saturating_sub(peer.at) <= SILENT);
         let told = heard.map(|peer| peer.instances).max().unwrap_or(0);
-        let known = self.remembered().max(told);
+        let known = self.remembered().max(told).max(self.listed);
         if self.start == Start::First || now.saturating_sub(self.begun) > MEMORY {
             return known;
         }
@@ -442,6 +415,19 @@
         self.peers.values().filter(|peer| !peer.leaving).count() as u32 + 1
     }
 
+    /// So many instances there are at least, this one included, heard or not.
+    pub fn expect(&mut self, instances: u32) {
+        self.listed = instances;
+    }
+
+    /// A peer is alive, as others say or as it shows by other means than a telling.
+    pub fn alive(&mut self, now: Duration, peer: P) {
+        if let Some(known) = self.peers.get_mut(&peer) {
+            known.at = now;
+            known.reserved = None;
+        }
+    }
+
     /// A peer was heard. Says whether its telling is new, so that its spending may be taken over.
     pub fn heard(&mut self, now: Duration, peer: P, hearing: Hearing) -> bool {
         self.look(now);
@@ -504,6 +490,11 @@
         news
     }
 
+    /// What was admitted here for a team since the start, in units; `None` where it has no limit.
+    pub fn admitted(&self, team: TeamTag) -> Option<i64> {
+        self.accounts.get(&team).map(|account| account.total)
+    }
+
     /// Units that may be admitted for a team now; `None` where it has no limit.
     pub fn level(&self, team: TeamTag) -> Option<f64> {
         self.accounts.get(&team).map(|account| account.level)
--- a/crates/teams/tests/all/quota.rs
+++ b/crates/teams/tests/all/quota.rs
@@ -2,11 +2,10 @@
 
 use std::time::Duration;
 
-use teaselshunt_teams::{Hearing, Limit, Quotas, Spending, Start, TeamTag, Tolerance, Way};
+use teaselshunt_teams::{Hearing, Limit, Quotas, Spending, Start, TeamTag, Way};
 
 const TEAM: TeamTag = TeamTag(7);
 const LIMIT: Limit = Limit { rate: 1000.0, burst: 1000.0 };
-const TOLERANCE: Tolerance = Tolerance { window: Duration::from_secs(8), over: 0.25, slack: 0.0 };
 /// Pause between two tellings.
 const BEAT: Duration = Duration::from_millis(100);
 
@@ -15,7 +14,7 @@
 }
 
 fn quotas(way: Way, start: Start, domains: (u32, u32)) -> Quotas<usize> {
-    let mut quotas = Quotas::new(seconds(100), way, TOLERANCE, start, domains);
+    let mut quotas = Quotas::new(seconds(100), way, start, domains);
     quotas.set_limits(seconds(100), [(TEAM, LIMIT)]);
     quotas
 }
@@ -127,7 +126,7 @@
     fn restart(&mut self, member: usize) {
         let life = self.members[member].life + 1000;
         let Member { side, domain, .. } = self.members[member];
-        let mut fresh = Quotas::new(self.now, Way::Shared, TOLERANCE, Start::Again, (domain, 2));
+        let mut fresh = Quotas::new(self.now, Way::Shared, Start::Again, (domain, 2));
         fresh.set_limits(self.now, [(TEAM, LIMIT)]);
         self.members[member] =
             Member { quotas: fresh, life, sequence: 0, side, domain, down: false, leaving: false };
@@ -271,7 +270,7 @@
 }
 
 /// All instances are killed and start at once while a team floods, at five times its limit. Nobody remembers what it was admitted just before: the
-/// accounts begin with what the tolerance covers, and not with a new burst each time.
+/// accounts begin with a part of the burst, and not with a new one each time.
 #[test]
 fn restarts_of_all_instances_do_not_multiply_the_burst() {
     let mut fleet = Fleet::new(Way::Shared, 6);
--- a/crates/wire/src/status.rs
+++ b/crates/wire/src/status.rs
@@ -32,6 +32,24 @@
     pub endpoints: Vec<EndpointStatus>,
     /// Counts since the start, by class and site.
     pub classes: Vec<ClassStatus>,
+    /// Limits of teams; absent from instances of earlier builds.
+    #[serde(default)]
+    pub teams: Vec<TeamStatus>,
+}
+
+/// A team's limit, as one instance sees it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TeamStatus {
+    /// Name.
+    pub name: String,
+    /// Units a second.
+    pub rate: u32,
+    /// Units at once.
+    pub burst: u32,
+    /// Units that may be admitted now; below zero while the instance makes up for too many.
+    pub level: i64,
+    /// Units that the instance has admitted since its start.
+    pub admitted: i64,
 }
 
 /// Another instance.
