--- a/crates/forward/src/admission.rs
+++ b/crates/forward/src/admission.rs
@@ -15,6 +15,7 @@
 
 use crate::node::Node;
 use crate::protocol::Meta;
+use crate::trace::Trace;
 
 /// The team of a caller with this key; `None` where a route needs none.
 ///
@@ -65,7 +66,12 @@
 }
 
 /// Charges a request to its team, or refuses it because the team is at its limit.
-pub(crate) fn charge(node: &Rc<Node>, team: Option<&Team>, meta: &Meta) -> Result<Charge, Refusal> {
+pub(crate) fn charge(
+    node: &Rc<Node>,
+    team: Option<&Team>,
+    meta: &Meta,
+    trace: &Trace,
+) -> Result<Charge, Refusal> {
     let sends = Cell::new(0);
     let Some(team) = team.filter(|team| team.limit.is_some()) else {
         return Ok(Charge { team: None, cost: 0, sends });
@@ -77,6 +83,8 @@
         Ok(()) => Ok(Charge { team: Some((Rc::clone(node), tag)), cost, sends }),
         Err(shortage) => {
             let part = state.rng.random_range(0.0..1.0);
+            let (level, held) = (state.quotas.level(tag).unwrap_or(0.0), state.quotas.part());
+            trace.step("limit", &team.name, &format!("cost:{cost},left:{level:.0},part:{held:.2}"));
             Err(Refusal::later(ErrorKind::QuotaExceeded, way_back(shortage, part)))
         }
     }
--- a/crates/forward/src/requests.rs
+++ b/crates/forward/src/requests.rs
@@ -66,7 +66,7 @@
     if node.phase() >= if short { Phase::Ending } else { Phase::Refusing } {
         return Err(Refusal::later(ErrorKind::Stopping, ELSEWHERE));
     }
-    let charge = charge(node, team.as_deref(), &meta)?;
+    let charge = charge(node, team.as_deref(), &meta, trace)?;
     let (service, returns) = {
         let state = &mut *node.state.borrow_mut();
         let deadline = meta.deadline.filter(|_| !short);
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -8,7 +8,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use reqwest::{Client, Response};
-use teaselshunt_standin::{CRASHING_BODY, event, is_signed, site_request};
+use teaselshunt_standin::{CRASHING_BODY, CREW, FLOOD, SiteRun, event, is_signed, site_request};
 use tokio::task::JoinSet;
 
 use crate::faults::Plan;
@@ -25,6 +25,12 @@
 const DRAIN: Duration = Duration::from_millis(2500);
 /// Calm time of the store and of all instances' ways to it, before and after which [`DRAIN`] holds.
 const CALM: Duration = Duration::from_secs(3);
+/// Pause of a caller whose team floods.
+const FLOOD_PAUSE: Duration = Duration::from_millis(15);
+/// Span in which a team's limit must hold.
+const WINDOW: Duration = Duration::from_secs(8);
+/// By how much it may be exceeded in it: requests are sent again, wait at engines, and meet restarts and cuts.
+const TOLERANCE: f64 = 1.5;
 /// How long callers wait; several times what a stream takes.
 const DEADLINE_MS: u64 = 5_000;
 /// Events of a stream.
@@ -85,6 +91,7 @@
                 let rng = StdRng::seed_from_u64(seed ^ (index as u64 * 7 + kind.len() as u64));
                 tasks.spawn(caller.clone().ask_for_ever(kind, index, rng));
             }
+            tasks.spawn(caller.clone().flood_for_ever(index));
             tasks.spawn(caller.crash_for_ever(index, StdRng::seed_from_u64(seed ^ (index as u64 * 11))));
         }
         Self { book, counts, tasks: Mutex::new(tasks), timeless }
@@ -118,9 +125,15 @@
             return broken("a request that was refused as not run has run", id);
         }
         drop(book);
+        if let Some(run) = runs.iter().map(|(run, _)| run).find(|run| !is_told_truly(run)) {
+            return broken("an endpoint was told another team than the caller's, or its key", &run.request);
+        }
         if self.timeless {
             return None;
         }
+        if let Some(id) = beyond_limit(&runs) {
+            return broken("a team got more than its limit", &id);
+        }
         let parts = site.parts();
         let calm = parts.instances.iter().map(|s| s.calm).max().unwrap_or_else(Instant::now);
         let late = runs.iter().find(|(run, left)| {
@@ -195,6 +208,23 @@
     }
 }
 
+/// Whether an endpoint was told the team of the caller whose request it ran, and no key.
+fn is_told_truly(run: &SiteRun) -> bool {
+    let team = if run.request.starts_with("flood") { FLOOD } else { CREW };
+    run.team.as_deref() == Some(team.name) && run.key.is_none()
+}
+
+/// The last request of a window in which the flooding team got more than its limit and the tolerance.
+fn beyond_limit(runs: &[(SiteRun, Option<Instant>)]) -> Option<String> {
+    let most = (FLOOD.rate * (WINDOW.as_secs() + 1)) as f64 * TOLERANCE;
+    let flood = runs.iter().map(|(run, _)| run).filter(|run| run.request.starts_with("flood"));
+    let mut flood: Vec<&SiteRun> = flood.collect();
+    flood.sort_by_key(|run| run.at);
+    let mut spans = flood.windows(most as usize + 1);
+    let full = spans.find(|span| span[span.len() - 1].at.duration_since(span[0].at) < WINDOW)?;
+    Some(full[full.len() - 1].request.clone())
+}
+
 fn lock(book: &Mutex<Book>) -> std::sync::MutexGuard<'_, Book> {
     book.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -217,6 +247,14 @@
         }
     }
 
+    /// Asks for far more than its team's limit.
+    async fn flood_for_ever(self, index: usize) {
+        for number in 0_u64.. {
+            self.ask("flood", &format!("flood-{index}-{number}")).await;
+            tokio::time::sleep(FLOOD_PAUSE).await;
+        }
+    }
+
     /// Sends the same request again and again, which crashes each engine that begins to run it.
     async fn crash_for_ever(self, index: usize, mut rng: StdRng) {
         for number in 0_u64.. {
@@ -229,8 +267,14 @@
     async fn ask(&self, kind: &str, id: &str) -> bool {
         self.counts.asked.fetch_add(1, Ordering::Relaxed);
         let crashes = kind == "crash";
-        let path = if crashes { "/stream/".to_owned() } else { format!("/{kind}/") };
+        let path = match kind {
+            "crash" => "/stream/".to_owned(),
+            "flood" => "/safe/".to_owned(),
+            kind => format!("/{kind}/"),
+        };
+        let team = if kind == "flood" { FLOOD } else { CREW };
         let mut request = site_request(&self.client, &self.address, &path, id, DEADLINE_MS);
+        request = request.header("authorization", format!("Token {}", team.key)).header("tenant", "forged");
         if crashes {
             request = request.body(CRASHING_BODY);
         }
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -5,7 +5,9 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use teaselshunt_standin::{SiteEndpoint, SiteInstance, SiteOptions, SiteRun, SiteSettings, Store};
+use teaselshunt_standin::{
+    SiteEndpoint, SiteInstance, SiteOptions, SiteRun, SiteSettings, Store, site_teams,
+};
 use tokio::sync::watch;
 
 use crate::proxy::Proxy;
@@ -141,7 +143,7 @@
     /// Publishes the configuration with the number in force. Each version has a route that no other one has.
     pub(crate) fn publish(&self) {
         let version = self.parts().version;
-        self.store.publish(version);
+        self.store.put("op/config", &site_teams(version));
     }
 
     /// Everything that endpoints ran, ended ones as well, with the time at which each endpoint left.
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -19,6 +19,6 @@
 pub use relay::Relay;
 pub use service::{Execution, Service, ServiceFaults};
 pub use site::{
-    CRASHING_BODY, SiteEndpoint, SiteFault, SiteInstance, SiteOptions, SiteRun, SiteSettings, Store,
-    StoreCopy, StoreMode, event, is_signed, site_configuration, site_request,
+    CRASHING_BODY, CREW, FLOOD, SiteEndpoint, SiteFault, SiteInstance, SiteOptions, SiteRun, SiteSettings,
+    SiteTeam, Store, StoreCopy, StoreMode, event, is_signed, site_configuration, site_request, site_teams,
 };
--- a/crates/standin/src/site/configuration.rs
+++ b/crates/standin/src/site/configuration.rs
@@ -24,3 +24,30 @@
                 "hold_ms": 2000.0 } },
         ], "limits": { "header_bytes": 16384, "body_bytes": 65536, "header_ms": 3000, "idle_ms": 15000 } })
 }
+
+/// A team of [`site_teams`]: its name, the key that its callers show, and the requests a second and at once that it may send.
+#[derive(Debug, Clone, Copy)]
+pub struct SiteTeam {
+    /// Its name.
+    pub name: &'static str,
+    /// Its key.
+    pub key: &'static str,
+    /// Requests a second, and as many at once; 0 for no limit.
+    pub rate: u64,
+}
+
+/// A team without a limit.
+pub const CREW: SiteTeam = SiteTeam { name: "crew", key: "soak-key-crew-7b2ex5wa5xwy", rate: 0 };
+/// A team that asks for far more than its limit.
+pub const FLOOD: SiteTeam = SiteTeam { name: "flood", key: "soak-key-flood-hks8nbk", rate: 20 };
+
+/// The configuration with these two teams: callers of all routes show a key.
+pub fn site_teams(version: u64) -> Value {
+    let team = |team: SiteTeam| {
+        json!({ "name": team.name, "keys": [team.key], "priority": 1, "unit": "requests", "rate_per_s": team.rate,
+            "burst": team.rate })
+    };
+    let mut configuration = site_configuration(version);
+    configuration["tenants"] = json!([team(CREW), team(FLOOD)]);
+    configuration
+}
