--- /dev/null
+++ b/crates/teams/benches/admit.rs
@@ -0,0 +1,91 @@
+//! Cost of the decisions that each request takes: whose key it bears, and whether its team's limit allows it.
+
+#![expect(missing_docs, reason = "criterion's macros make undocumented functions")]
+
+use std::hint::black_box;
+use std::sync::Arc;
+use std::time::Duration;
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use teaselshunt_teams::{
+    ApiKey, Hearing, KeyDigest, Limit, Quotas, Spending, Start, Team, TeamTag, Teams, Unit, Way,
+};
+
+/// Today's teams, and those of the size in two years.
+const TEAMS: [u32; 2] = [16, 790];
+/// Instances of the size in two years.
+const PEERS: u32 = 379;
+
+fn key(number: u32) -> ApiKey {
+    ApiKey::new(format!("key {number} of some forty characters, as usual"))
+}
+
+fn directory(count: u32) -> Teams {
+    Teams::new((0..count).map(|number| {
+        let name = Arc::from(format!("team {number}"));
+        let team = Team { name, priority: None, unit: Unit::Tokens { plain: 200 }, limit: None };
+        (team, vec![key(number).digest()])
+    }))
+}
+
+fn quotas(count: u32) -> Quotas<u32> {
+    let mut quotas = Quotas::new(Duration::ZERO, Way::Shared, Start::First, (0, 5));
+    let limit = Limit { rate: 1e12, burst: 1e12 };
+    quotas.set_limits(Duration::ZERO, (0..count).map(|team| (TeamTag(team), limit)));
+    quotas
+}
+
+fn identify(c: &mut Criterion) {
+    let mut group = c.benchmark_group("find the team of a key");
+    for count in TEAMS {
+        let teams = directory(count);
+        let shown = key(count / 2);
+        group.bench_with_input(BenchmarkId::from_parameter(count), &teams, |b, teams| {
+            b.iter(|| {
+                let digest: KeyDigest = black_box(&shown).digest();
+                teams.find(digest).is_some()
+            });
+        });
+    }
+}
+
+fn admit(c: &mut Criterion) {
+    let mut group = c.benchmark_group("admit a request");
+    for count in TEAMS {
+        let mut quotas = quotas(count);
+        let (mut now, mut team) = (Duration::ZERO, 0);
+        group.bench_function(BenchmarkId::from_parameter(count), |b| {
+            b.iter(|| {
+                now += Duration::from_micros(40);
+                team = (team + 1) % count;
+                quotas.admit(now, TeamTag(team), black_box(5_000)).is_ok()
+            });
+        });
+    }
+}
+
+/// Five teams near their limits, told by each of the others.
+fn hear(c: &mut Criterion) {
+    let mut quotas = quotas(790);
+    let (mut sequence, mut peer) = (0, 0);
+    c.bench_function("hear a telling of five teams, 380 instances", |b| {
+        b.iter(|| {
+            sequence += 1;
+            peer = (peer + 1) % PEERS;
+            let now = Duration::from_micros(sequence * 100);
+            let hearing = Hearing { life: 1, sequence, domain: 0, leaving: false, instances: 380 };
+            if quotas.heard(now, peer, hearing) {
+                let spent = (0..5).map(|team| Spending {
+                    team: TeamTag(team),
+                    total: sequence as i64,
+                    recent: 10,
+                    level: 1000,
+                });
+                quotas.told(now, peer, spent);
+            }
+        });
+    });
+}
+
+criterion_group!(benches, identify, admit, hear);
+criterion_main!(benches);
