Members that have nothing to tell count as heard; the look at silent peers in steps

Cause: on the product's own interface members tell of teams near their limits only, and one that had told nothing did not count among those who are heard: a team whose callers come through one instance got the part of one instance (5 of 10 with one other member). Membership says who is alive, and that counts now. The users' platform was not concerned: instances tell one another there all the time.

--- a/crates/core/src/limits.rs
+++ b/crates/core/src/limits.rs
@@ -140,7 +140,7 @@
         self.quotas.expect(self.members.iter().count() as u32 + 1);
         for (id, member) in self.members.iter() {
             if matches!(member.health, Health::Alive) {
-                self.quotas.alive(at, id);
+                self.quotas.alive(at, id, member.incarnation);
             }
         }
         self.quotas.tick(at);
--- a/crates/teams/src/quota.rs
+++ b/crates/teams/src/quota.rs
@@ -160,6 +160,7 @@
     total: i64,
     admitted: Recent,
     refused: Recent,
+    /// When something was last admitted here, or given back.
     changed: Duration,
     /// Levels at the last looks, the oldest first.
     levels: [f64; LOOKS],
@@ -168,7 +169,7 @@
     known: HashMap<P, Known>,
 }
 
-impl<P: Eq + Hash> Account<P> {
+impl<P: Copy + Eq + Hash> Account<P> {
     /// Refills for the time since the last time; `part` of the limit is this side's.
     fn refill(&mut self, now: Duration, part: f64) {
         let time = now.saturating_sub(self.at);
@@ -177,6 +178,27 @@
         self.level = level.min(self.limit.burst * part);
     }
 
+    /// Sets aside what silent peers may admit, an equal part of the limit `each`; `part` is that of those who are heard.
+    fn set_aside(&mut self, silences: &[Silence<P>], each: f64, part: f64) {
+        if silences.is_empty() {
+            // Of those who were silent nobody tells more than the next tellings do.
+            self.reserve *= RESERVE_LEFT;
+        }
+        let floor = self.level.min(-CUT_DEBT * self.limit.rate * part);
+        for silence in silences {
+            let refilled = self.limit.rate * silence.time.as_secs_f64();
+            let before = if silence.new { self.levels[0].max(0.0) } else { 0.0 };
+            let units = (before + refilled) * each;
+            self.reserve += units;
+            if silence.new {
+                self.known.entry(silence.peer).or_default().away = true;
+                // Both sides went on with the whole level, and with the whole rate, until the silence was noticed.
+                self.level -= units;
+            }
+        }
+        self.level = self.level.max(floor);
+    }
+
     fn take(&mut self, units: f64) {
         self.level = (self.level - units).max(-DEBT * self.limit.rate);
     }
@@ -195,6 +217,16 @@
     }
 }
 
+/// A peer that is silent now.
+#[derive(Debug, Clone, Copy)]
+struct Silence<P> {
+    peer: P,
+    /// Since it was last heard or, once that is accounted for, since the last look.
+    time: Duration,
+    /// Whether this look is the first that finds it silent.
+    new: bool,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Peer {
     /// Drawn at random at each of its starts.
@@ -221,6 +253,7 @@
 pub struct Quotas<P> {
     way: Way,
     start: Start,
+    /// When this process began.
     begun: Duration,
     /// Instances that are listed, where a list says so.
     listed: u32,
@@ -236,6 +269,7 @@
     accounts: HashMap<TeamTag, Account<P>>,
     /// Part of each limit that this side of a cut has.
     part: f64,
+    /// Instances among which limits are divided.
     instances: u32,
 }
 
@@ -351,16 +385,7 @@
             let silence = now.saturating_sub(peer.at);
             silence < if peer.leaving { SILENT } else { MEMORY }
         });
-        let mut heard = 1_u32;
-        let mut owed = Vec::new();
-        for (&id, peer) in &mut self.peers {
-            if now.saturating_sub(peer.at) <= SILENT {
-                heard += 1;
-                continue;
-            }
-            let from = peer.reserved.replace(now).unwrap_or(peer.at);
-            owed.push((id, now.saturating_sub(from), from == peer.at));
-        }
+        let (silences, heard) = self.silences(now);
         self.instances = self.count_instances(now).max(heard);
         let each = 1.0 / f64::from(self.instances);
         let part = match self.way {
@@ -369,24 +394,8 @@
         };
         for account in self.accounts.values_mut() {
             account.refill(now, self.part);
-            if owed.is_empty() {
-                // Of those who were silent nobody tells more than the next tellings do.
-                account.reserve *= RESERVE_LEFT;
-            }
             if self.way == Way::Shared {
-                let floor = account.level.min(-CUT_DEBT * account.limit.rate * part);
-                for &(peer, time, new) in &owed {
-                    let refilled = account.limit.rate * time.as_secs_f64();
-                    let before = if new { account.levels[0].max(0.0) } else { 0.0 };
-                    let units = (before + refilled) * each;
-                    account.reserve += units;
-                    if new {
-                        account.known.entry(peer).or_default().away = true;
-                        // Both sides went on with the whole level, and with the whole rate, until the silence was noticed.
-                        account.level -= units;
-                    }
-                }
-                account.level = account.level.max(floor);
+                account.set_aside(&silences, each, part);
             }
             // Shrinks a level that was filled with the part of those who are silent now.
             account.level = account.level.min(account.limit.burst * part);
@@ -396,6 +405,22 @@
         self.part = part;
     }
 
+    /// Peers that are silent, and how many instances are heard, this one included.
+    fn silences(&mut self, now: Duration) -> (Vec<Silence<P>>, u32) {
+        let mut heard = 1;
+        let mut silences = Vec::new();
+        for (&id, peer) in &mut self.peers {
+            if now.saturating_sub(peer.at) <= SILENT {
+                heard += 1;
+                continue;
+            }
+            let from = peer.reserved.replace(now);
+            let time = now.saturating_sub(from.unwrap_or(peer.at));
+            silences.push(Silence { peer: id, time, new: from.is_none() });
+        }
+        (silences, heard)
+    }
+
     /// Instances among which limits are divided: all that are remembered here, or by a peer that is heard; and for each
     /// failure domain of which nothing was heard since the start as many as the others have.
     fn count_instances(&self, now: Duration) -> u32 {
@@ -420,12 +445,20 @@
         self.listed = instances;
     }
 
-    /// A peer is alive, as others say or as it shows by other means than a telling.
-    pub fn alive(&mut self, now: Duration, peer: P) {
-        if let Some(known) = self.peers.get_mut(&peer) {
-            known.at = now;
-            known.reserved = None;
-        }
+    /// A peer is alive in this life, as others say or as it shows by other means than a telling: most have nothing to tell.
+    pub fn alive(&mut self, now: Duration, peer: P, life: u64) {
+        let known = self.peers.entry(peer).or_insert(Peer {
+            life,
+            former: None,
+            sequence: 0,
+            at: now,
+            domain: self.domain,
+            leaving: false,
+            instances: 1,
+            reserved: None,
+        });
+        known.at = now;
+        known.reserved = None;
     }
 
     /// A peer was heard. Says whether its telling is new, so that its spending may be taken over.
