--- a/crates/routing/src/endpoints.rs
+++ b/crates/routing/src/endpoints.rs
@@ -147,11 +147,12 @@
     /// old entry that arrives late, or stands in a copy of the list, would otherwise send work to it again. A later start under the same id begins with nothing: its key is another one, so that
     /// what was begun at the former start cannot go on there by mistake, and entries of the former start are passed over.
     pub fn upsert(&mut self, mut endpoint: Endpoint) -> Listing {
+        let left = self.departed.left(&endpoint.life());
+        // Without a time of birth it may be another start, which an entry of a copy is told from by its age only.
+        if left == Some(true) && endpoint.born.is_some() {
+            endpoint.state = EndpointState::Leaving;
+        }
         let Some(&key) = self.by_id.get(&endpoint.id) else {
-            let left = self.departed.left(&endpoint.life());
-            if left == Some(true) {
-                endpoint.state = EndpointState::Leaving;
-            }
             self.insert(endpoint, left.is_some());
             return Listing::Started;
         };
@@ -160,7 +161,7 @@
         match (known.born, endpoint.born) {
             (Some(former), Some(later)) if former < later => {
                 self.remove(&endpoint.id);
-                self.insert(endpoint, false);
+                self.insert(endpoint, left.is_some());
                 return Listing::Started;
             }
             (Some(later), Some(former)) if former < later => return Listing::Outdated,
--- a/crates/routing/tests/all/lives.rs
+++ b/crates/routing/tests/all/lives.rs
@@ -1,6 +1,6 @@
 //! Starts of an endpoint under one id, and entries that somebody else wrote.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -188,9 +188,10 @@
     }
 }
 
-/// What may be used, in the plainest way: the newest birth of an id, whether it left, whether its entry is readable.
+/// What may be used, in the plainest way: the newest birth of an id, whether it left, whether its entry is readable; and
+/// births that have left, which do not come back though their entry went and is there again.
 #[derive(Debug, Default)]
-struct Model(HashMap<u8, (u8, bool, bool)>);
+struct Model(HashMap<u8, (u8, bool, bool)>, HashSet<(u8, u8)>);
 
 impl Model {
     fn step(&mut self, step: &Step) {
@@ -199,10 +200,13 @@
                 Some((known, _, _)) if *known > born => {}
                 Some((known, left, readable)) if *known == born => {
                     *left |= leaving;
+                    self.1.extend(leaving.then_some((id, born)));
                     *readable = true;
                 }
                 Some(_) | None => {
-                    self.0.insert(id, (born, leaving, true));
+                    self.1.extend(leaving.then_some((id, born)));
+                    let left = self.1.contains(&(id, born));
+                    self.0.insert(id, (born, left, true));
                 }
             },
             Step::Unreadable { id } => {
