--- a/crates/teams/src/quota.rs
+++ b/crates/teams/src/quota.rs
@@ -24,13 +24,16 @@
 //!   that they count from.
 //!
 //! Few teams are near their limits. Of the others nothing is told, which keeps tellings small however many teams there are;
-//! [`QUIET`] says how much that hides.
+//! `QUIET` says how much that hides.
+
+mod account;
 
 use std::collections::{HashMap, HashSet};
 use std::hash::Hash;
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
+use account::{Account, Silence};
+pub use account::{Shortage, Spending};
 
 use crate::directory::{Limit, TeamTag};
 
@@ -42,31 +45,11 @@
 const MEMORY: Duration = Duration::from_mins(10);
 /// Time after the start in which what peers admitted earlier is not taken from a level that began without it.
 const NEWCOMER: Duration = Duration::from_secs(5);
-/// Time for which a change of an account is told again, since tellings are lost.
-const RETELL: Duration = Duration::from_secs(2);
-/// Part of a limit below which a team's use is not told, while the level is over half of the burst. It is what all
-/// instances together may hide from one another: well under any tolerance that a deployment can do without.
-const QUIET: f64 = 0.1;
 /// Most teams that are told of at a time.
 const TELLING_MAX: usize = 64;
-/// Deepest debt, in seconds of the rate. A caller pays for what an instance missed, but not for minutes of it.
-const DEBT: f64 = 3.0;
-/// Looks for silent peers in the time after which one counts as cut off.
-const LOOKS: usize = 4;
-/// Part of what was set aside for silent peers that is left at each look after the last one was heard again.
-const RESERVE_LEFT: f64 = 0.8;
-/// Part of its burst that a team may be admitted at once by instances that do not know what it was admitted before: all of
-/// them may have started at the same moment, just after it got the whole.
-const START_PART: f64 = 0.25;
 /// Time without a look at the accounts after which an instance stood still. What others admitted meanwhile comes at once
 /// then, and without what the accounts would have lost by being full it would be a debt of seconds.
 const STALL: Duration = Duration::from_secs(1);
-/// Longest debt, in seconds of this side's part of the rate, that the beginning of a cut leaves behind. Until the silence is
-/// noticed each side admits the part of the other as well, which the tolerance bears; paying it back would have the smaller
-/// side refuse everybody for seconds.
-const CUT_DEBT: f64 = 1.5;
-/// Longest time after which a refused caller is asked to come back.
-const WAIT_MAX: Duration = Duration::from_secs(10);
 
 /// How the accounts of different instances hang together; the module's head weighs them.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -86,147 +69,6 @@
     Again,
 }
 
-/// What an instance has admitted of a team since its start.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Spending {
-    /// The team.
-    pub team: TeamTag,
-    /// Units in all, less what was given back.
-    pub total: i64,
-    /// Those of the last seconds, for whoever hears of this team from this instance for the first time.
-    pub recent: u64,
-    /// Level of its account, for whoever begins without knowing what was admitted before.
-    pub level: i64,
-}
-
-/// Why a request is not admitted: the team is at its limit.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Shortage {
-    /// Time until the level is enough for the request.
-    pub wait: Duration,
-    /// Time that the rate needs for everything that was refused lately. Callers who are spread over it come back as fast as
-    /// they can be served, and not all at once.
-    pub backlog: Duration,
-}
-
-/// Sum over the last [`Recent::SECONDS`] seconds.
-#[derive(Debug, Clone, Copy, Default)]
-struct Recent {
-    slots: [f64; Self::SECONDS as usize],
-    /// Second of the newest slot.
-    second: u64,
-}
-
-impl Recent {
-    const SECONDS: u64 = 4;
-
-    fn turn(&mut self, now: Duration) {
-        let second = now.as_secs();
-        for passed in (self.second + 1..=second).take(Self::SECONDS as usize) {
-            self.slots[(passed % Self::SECONDS) as usize] = 0.0;
-        }
-        // More than all slots have passed: `take` cleared each of them once.
-        self.second = self.second.max(second);
-    }
-
-    fn add(&mut self, now: Duration, units: f64) {
-        self.turn(now);
-        self.slots[(self.second % Self::SECONDS) as usize] += units;
-    }
-
-    fn sum(&mut self, now: Duration) -> f64 {
-        self.turn(now);
-        self.slots.iter().sum::<f64>().max(0.0)
-    }
-}
-
-/// What is known of a peer's spending of one team.
-#[derive(Debug, Clone, Copy, Default)]
-struct Known {
-    /// Its last total, if it told one in this life.
-    total: Option<i64>,
-    /// Whether it was silent since.
-    away: bool,
-}
-
-#[derive(Debug)]
-struct Account<P> {
-    limit: Limit,
-    /// Units that may be admitted now; below zero after more were admitted than the limit allows.
-    level: f64,
-    /// When the level was last refilled.
-    at: Duration,
-    /// Admitted here since the start, less what was given back.
-    total: i64,
-    admitted: Recent,
-    refused: Recent,
-    /// When something was last admitted here, or given back.
-    changed: Duration,
-    /// Levels at the last looks, the oldest first.
-    levels: [f64; LOOKS],
-    /// Set aside for peers that are silent, all together: callers are spread unevenly among them.
-    reserve: f64,
-    known: HashMap<P, Known>,
-}
-
-impl<P: Copy + Eq + Hash> Account<P> {
-    /// Refills for the time since the last time; `part` of the limit is this side's.
-    fn refill(&mut self, now: Duration, part: f64) {
-        let time = now.saturating_sub(self.at);
-        self.at = self.at.max(now);
-        let level = self.level + self.limit.rate * part * time.as_secs_f64();
-        self.level = level.min(self.limit.burst * part);
-    }
-
-    /// Sets aside what silent peers may admit, an equal part of the limit `each`; `part` is that of those who are heard.
-    fn set_aside(&mut self, silences: &[Silence<P>], each: f64, part: f64) {
-        if silences.is_empty() {
-            // Of those who were silent nobody tells more than the next tellings do.
-            self.reserve *= RESERVE_LEFT;
-        }
-        let floor = self.level.min(-CUT_DEBT * self.limit.rate * part);
-        for silence in silences {
-            let refilled = self.limit.rate * silence.time.as_secs_f64();
-            let before = if silence.new { self.levels[0].max(0.0) } else { 0.0 };
-            let units = (before + refilled) * each;
-            self.reserve += units;
-            if silence.new {
-                self.known.entry(silence.peer).or_default().away = true;
-                // Both sides went on with the whole level, and with the whole rate, until the silence was noticed.
-                self.level -= units;
-            }
-        }
-        self.level = self.level.max(floor);
-    }
-
-    fn take(&mut self, units: f64) {
-        self.level = (self.level - units).max(-DEBT * self.limit.rate);
-    }
-
-    /// A peer tells what it has admitted.
-    fn told(&mut self, peer: P, spending: Spending, newcomer: bool) {
-        let known = self.known.entry(peer).or_default();
-        let more = match known.total.replace(spending.total) {
-            Some(before) => (spending.total - before) as f64,
-            None if newcomer => return self.level = self.level.min(spending.level as f64),
-            None => spending.recent as f64,
-        };
-        let set_aside = if std::mem::take(&mut known.away) { self.reserve.min(more.max(0.0)) } else { 0.0 };
-        self.reserve -= set_aside;
-        self.take(more - set_aside);
-    }
-}
-
-/// A peer that is silent now.
-#[derive(Debug, Clone, Copy)]
-struct Silence<P> {
-    peer: P,
-    /// Since it was last heard or, once that is accounted for, since the last look.
-    time: Duration,
-    /// Whether this look is the first that finds it silent.
-    new: bool,
-}
-
 #[derive(Debug, Clone, Copy)]
 struct Peer {
     /// Drawn at random at each of its starts.
@@ -302,8 +144,7 @@
             let account = match before.remove(&team) {
                 Some(mut account) => {
                     account.refill(now, self.part);
-                    account.level += (limit.burst - account.limit.burst).max(0.0);
-                    account.limit = limit;
+                    account.change_limit(limit);
                     account
                 }
                 None => self.open(now, limit, first),
@@ -313,22 +154,15 @@
     }
 
     fn open(&self, now: Duration, limit: Limit, first: bool) -> Account<P> {
-        let level = match self.start {
-            Start::Again if first && now.saturating_sub(self.begun) < NEWCOMER => limit.burst * START_PART,
-            Start::First | Start::Again => limit.burst,
+        let knows = match self.start {
+            Start::First => true,
+            Start::Again => !first || now.saturating_sub(self.begun) >= NEWCOMER,
         };
-        Account {
-            limit,
-            level,
-            at: now,
-            total: 0,
-            admitted: Recent::default(),
-            refused: Recent::default(),
-            changed: Duration::ZERO,
-            levels: [0.0; LOOKS],
-            reserve: 0.0,
-            known: HashMap::new(),
+        let mut account = Account::new(now, limit);
+        if !knows {
+            account.begin_anew();
         }
+        account
     }
 
     /// Admits a request that costs so many units, if the team's limit allows it. Teams without a limit always do.
@@ -337,31 +171,16 @@
     /// The team is at its limit.
     pub fn admit(&mut self, now: Duration, team: TeamTag, cost: u64) -> Result<(), Shortage> {
         let Some(account) = self.accounts.get_mut(&team) else { return Ok(()) };
+        let heard = f64::from(self.instances) * self.part;
         account.refill(now, self.part);
-        // A request larger than the burst is admitted when the level is full; the debt keeps the rate.
-        let need = (cost as f64).min(account.limit.burst * self.part);
-        if account.level < need {
-            account.refused.add(now, cost as f64);
-            let rate = (account.limit.rate * self.part).max(f64::MIN_POSITIVE);
-            let refused = account.refused.sum(now) * f64::from(self.instances) * self.part;
-            let (wait, backlog) = ((need - account.level) / rate, refused / rate);
-            return Err(Shortage { wait: bounded(wait), backlog: bounded(backlog) });
-        }
-        account.take(cost as f64);
-        account.total += cost as i64;
-        account.admitted.add(now, cost as f64);
-        account.changed = now;
-        Ok(())
+        account.admit(now, cost as f64, self.part, heard)
     }
 
     /// Gives back what a request was admitted with that surely has not run.
     pub fn give_back(&mut self, now: Duration, team: TeamTag, cost: u64) {
         let Some(account) = self.accounts.get_mut(&team) else { return };
         account.refill(now, self.part);
-        account.level += cost as f64;
-        account.total -= cost as i64;
-        account.admitted.add(now, -(cost as f64));
-        account.changed = now;
+        account.give_back(now, cost as f64);
     }
 
     /// Begins anew, as after a start, if this instance stood still.
@@ -373,8 +192,7 @@
         self.started = now;
         for account in self.accounts.values_mut() {
             account.refill(now, self.part);
-            account.level = account.level.min(account.limit.burst * START_PART);
-            account.known.clear();
+            account.begin_anew();
         }
     }
 
@@ -397,10 +215,7 @@
             if self.way == Way::Shared {
                 account.set_aside(&silences, each, part);
             }
-            // Shrinks a level that was filled with the part of those who are silent now.
-            account.level = account.level.min(account.limit.burst * part);
-            account.levels.rotate_left(1);
-            account.levels[LOOKS - 1] = account.level;
+            account.note_level(part);
         }
         self.part = part;
     }
@@ -471,7 +286,7 @@
             Some(known) if known.former == Some(life) => return false,
             Some(known) if known.life != life => {
                 for account in self.accounts.values_mut() {
-                    account.known.remove(&peer);
+                    account.forget(peer);
                 }
                 Some(known.life)
             }
@@ -502,18 +317,10 @@
         if self.way == Way::Parts {
             return Vec::new();
         }
-        let everyone = f64::from(self.instances);
+        let (part, everyone) = (self.part, f64::from(self.instances));
         let news = self.accounts.iter_mut().filter_map(|(&team, account)| {
-            if account.total == 0 || now.saturating_sub(account.changed) > RETELL {
-                return None;
-            }
-            account.refill(now, self.part);
-            let recent = account.admitted.sum(now);
-            let use_of_all = recent * everyone / Recent::SECONDS as f64;
-            let low = account.level < account.limit.burst * self.part / 2.0;
-            let near = low || use_of_all >= account.limit.rate * QUIET;
-            let (total, level) = (account.total, account.level as i64);
-            near.then_some(Spending { team, total, recent: recent as u64, level })
+            account.refill(now, part);
+            account.news(now, team, part, everyone)
         });
         let mut news: Vec<Spending> = news.collect();
         if news.len() > TELLING_MAX {
@@ -525,12 +332,12 @@
 
     /// What was admitted here for a team since the start, in units; `None` where it has no limit.
     pub fn admitted(&self, team: TeamTag) -> Option<i64> {
-        self.accounts.get(&team).map(|account| account.total)
+        self.accounts.get(&team).map(Account::total)
     }
 
     /// Units that may be admitted for a team now; `None` where it has no limit.
     pub fn level(&self, team: TeamTag) -> Option<f64> {
-        self.accounts.get(&team).map(|account| account.level)
+        self.accounts.get(&team).map(Account::level)
     }
 
     /// Part of each limit that is divided among those who are heard; 1 unless some have fallen silent.
@@ -553,7 +360,3 @@
     /// [`Quotas::remembered`] of the sender.
     pub instances: u32,
 }
-
-fn bounded(seconds: f64) -> Duration {
-    Duration::from_secs_f64(seconds.clamp(0.0, WAIT_MAX.as_secs_f64()))
-}
