--- a/crates/core/src/instance.rs
+++ b/crates/core/src/instance.rs
@@ -8,7 +8,6 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use teaselshunt_settings::Policy;
-use teaselshunt_teams::{Quotas, Team};
 
 use crate::claims::Ended;
 use crate::counters::Counters;
@@ -17,7 +16,7 @@
 use crate::fleet::{EndpointView, Fleet, Placement};
 use crate::homes::{Claim, Finding, Homes, Replies};
 use crate::ids::RequestKey;
-use crate::limits::{self, TeamView};
+use crate::limits::{Limits, TeamView};
 use crate::members::{Health, MemberView, Members};
 use crate::message::{Heartbeat, Message};
 use crate::orphans::Cancels;
@@ -125,12 +124,7 @@
     /// Requests under which endpoints crash.
     pub(crate) quarantine: Quarantine,
     pub(crate) next_telling: Instant,
-    /// Limits of teams.
-    pub(crate) quotas: Quotas<InstanceId>,
-    /// Teams that have one, by name.
-    pub(crate) limited: HashMap<String, Team>,
-    pub(crate) next_spending: Instant,
-    pub(crate) spending_sequence: u64,
+    pub(crate) limits: Limits,
     /// When the process started.
     pub(crate) started: Instant,
     /// Keyed requests that ended lately.
@@ -183,10 +177,7 @@
             losses: Vec::new(),
             quarantine: Quarantine::default(),
             next_telling: now,
-            quotas: limits::quotas(),
-            limited: HashMap::new(),
-            next_spending: now,
-            spending_sequence: 0,
+            limits: Limits::new(now),
             started: now,
             ended: BTreeMap::new(),
             budget: crate::flow::RETRY * 10,
--- a/crates/core/src/limits.rs
+++ b/crates/core/src/limits.rs
@@ -3,7 +3,7 @@
 //! The accounts are those of the crate `teaselshunt-teams`. Here they hear from members what these admitted, and from the
 //! membership who is alive: heartbeats go to a few neighbours only, so that a member's silence alone says nothing.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -76,9 +76,22 @@
     Team { name: Arc::from(team.name.as_str()), priority: None, unit, limit }
 }
 
-/// No accounts yet. Nobody tells an instance whether the whole system starts for the first time.
-pub(crate) fn quotas() -> Quotas<InstanceId> {
-    Quotas::new(Duration::ZERO, Way::Shared, Start::Again, (0, 0))
+/// Limits of teams, as an instance keeps them.
+#[derive(Debug)]
+pub(crate) struct Limits {
+    quotas: Quotas<InstanceId>,
+    /// Teams that have one, by name.
+    teams: HashMap<String, Team>,
+    next_telling: Instant,
+    sequence: u64,
+}
+
+impl Limits {
+    /// No accounts yet. Nobody tells an instance whether the whole system starts for the first time.
+    pub(crate) fn new(now: Instant) -> Self {
+        let quotas = Quotas::new(Duration::ZERO, Way::Shared, Start::Again, (0, 0));
+        Self { quotas, teams: HashMap::new(), next_telling: now, sequence: 0 }
+    }
 }
 
 impl Instance {
@@ -97,22 +110,22 @@
         let teams: Vec<Team> =
             self.versions.current().map_or_else(Vec::new, |c| c.teams.iter().map(known).collect());
         let at = self.account_time(now);
-        self.quotas.set_limits(at, teams.iter().filter_map(|team| Some((team.tag(), team.limit?))));
-        self.limited =
+        self.limits.quotas.set_limits(at, teams.iter().filter_map(|team| Some((team.tag(), team.limit?))));
+        self.limits.teams =
             teams.into_iter().filter(|team| team.limit.is_some()).map(|t| (t.name.to_string(), t)).collect();
     }
 
     /// Charges a request to its team, or says why not.
     pub(crate) fn charge(&mut self, now: Instant, key: RequestKey) -> Result<(), Refusal> {
         let request = self.requests.get(key);
-        let Some(team) = self.limited.get(&request.team) else { return Ok(()) };
+        let Some(team) = self.limits.teams.get(&request.team) else { return Ok(()) };
         let tokens = match request.kind {
             Kind::Generate { prompt, limit, .. } => Some(u64::from(prompt) + u64::from(limit)),
             Kind::Call { .. } => None,
         };
         let charge = Charge { team: team.tag(), cost: team.cost(tokens) };
         let at = self.account_time(now);
-        match self.quotas.admit(at, charge.team, charge.cost) {
+        match self.limits.quotas.admit(at, charge.team, charge.cost) {
             Ok(()) => {
                 self.requests.get_mut(key).charge = Some(charge);
                 Ok(())
@@ -129,7 +142,7 @@
     pub(crate) fn close(&mut self, now: Instant, key: RequestKey) -> Request {
         let request = self.requests.close(key);
         if let Some(charge) = request.charge.filter(|_| !request.may_have_run()) {
-            self.quotas.give_back(self.account_time(now), charge.team, charge.cost);
+            self.limits.quotas.give_back(self.account_time(now), charge.team, charge.cost);
         }
         request
     }
@@ -137,30 +150,30 @@
     /// Looks who is alive.
     pub(crate) fn review_limits(&mut self, now: Instant) {
         let at = self.account_time(now);
-        self.quotas.expect(self.members.iter().count() as u32 + 1);
+        self.limits.quotas.expect(self.members.iter().count() as u32 + 1);
         for (id, member) in self.members.iter() {
             if matches!(member.health, Health::Alive) {
-                self.quotas.alive(at, id, member.incarnation);
+                self.limits.quotas.alive(at, id, member.incarnation);
             }
         }
-        self.quotas.tick(at);
+        self.limits.quotas.tick(at);
     }
 
     /// Tells the others what teams near their limits were admitted.
     pub(crate) fn tell_spending(&mut self, now: Instant, out: &mut Vec<Effect>) {
-        if now < self.next_spending {
+        if now < self.limits.next_telling {
             return;
         }
-        self.next_spending = now + TELL;
+        self.limits.next_telling = now + TELL;
         let at = self.account_time(now);
-        let spent = self.quotas.spending(at);
+        let spent = self.limits.quotas.spending(at);
         if spent.is_empty() {
             return;
         }
-        self.spending_sequence += 1;
+        self.limits.sequence += 1;
         let news = TeamNews {
             incarnation: self.identity.incarnation,
-            sequence: self.spending_sequence,
+            sequence: self.limits.sequence,
             stopping: self.members.stopping,
             spent,
         };
@@ -175,8 +188,8 @@
         let TeamNews { incarnation, sequence, stopping, spent } = news;
         let hearing = Hearing { life: incarnation, sequence, domain: 0, leaving: stopping, instances: 1 };
         let at = self.account_time(now);
-        if self.quotas.heard(at, from, hearing) {
-            self.quotas.told(at, from, spent);
+        if self.limits.quotas.heard(at, from, hearing) {
+            self.limits.quotas.told(at, from, spent);
         }
     }
 
@@ -189,8 +202,8 @@
                 name: team.name.clone(),
                 rate: limit.rate,
                 burst: limit.burst,
-                level: self.quotas.level(tag)? as i64,
-                admitted: self.quotas.admitted(tag)?,
+                level: self.limits.quotas.level(tag)? as i64,
+                admitted: self.limits.quotas.admitted(tag)?,
             })
         };
         teams.iter().filter_map(view).collect()
--- a/crates/core/tests/all/claims.rs
+++ b/crates/core/tests/all/claims.rs
@@ -3,54 +3,16 @@
 use std::time::Duration;
 
 use teaselshunt_core::{
-    Call, ClaimAnswer, Effect, Entry, Event, Fate, Fingerprint, Heartbeat, IdempotencyKey, InstanceId, Keyed,
-    Listed, Message, RequestId, Source, Ticket, Work,
+    Call, ClaimAnswer, Effect, Event, Fate, Fingerprint, IdempotencyKey, InstanceId, Keyed, Message,
+    RequestId, Ticket, Work,
 };
 
-use crate::support::Alone;
-
-const OTHER: &str = "malaga-1";
+use crate::support::{Alone, OTHER, heartbeat, pair};
 
 /// Longer than an asker waits for a home.
 const CLAIM: Duration = Duration::from_millis(1_600);
 
-/// An instance that knows and has heard another one.
-fn pair() -> Alone {
-    let mut alone = Alone::start();
-    let entry = |name: &str, domain: &str, port| Entry {
-        name: name.to_owned(),
-        domain: domain.to_owned(),
-        peers: ([127, 0, 0, 1], port).into(),
-        leaving: false,
-    };
-    let instances = vec![entry("osborne-1", "osborne", 1), entry(OTHER, "malaga", 2)];
-    let list = Listed { revision: 2, instances };
-    let asked = alone.now();
-    alone.step(Event::Listed { list, source: Source::Platform, asked });
-    alone.receive(heartbeat());
-    alone
-}
-
-/// The other instance's.
-fn heartbeat() -> Message {
-    let rumours = Vec::new();
-    let (stamp, incarnation, epoch) = (0, 1, 0);
-    Message::Heartbeat(Heartbeat {
-        stamp,
-        incarnation,
-        epoch,
-        version: 1,
-        revision: 2,
-        stopping: false,
-        rumours,
-    })
-}
-
 impl Alone {
-    fn receive(&mut self, message: Message) -> Vec<Effect> {
-        self.step(Event::Received { from: InstanceId::of(OTHER), message })
-    }
-
     /// A caller books with the `number`th key.
     fn book(&mut self, number: u64) -> Vec<Effect> {
         let key = Keyed { key: key(number), born: None };
--- a/crates/core/tests/all/limits.rs
+++ b/crates/core/tests/all/limits.rs
@@ -2,30 +2,16 @@
 
 use std::time::Duration;
 
-use teaselshunt_core::{
-    Call, Effect, Entry, ErrorKind, Event, Fingerprint, Heartbeat, InstanceId, Listed, Message, Source,
-    Ticket, Work,
-};
+use teaselshunt_core::{Call, Effect, ErrorKind, Event, Fingerprint, Ticket, Work};
 use teaselshunt_settings::{Team, TeamLimit, TeamUnit};
 
-use crate::support::Alone;
-
-const OTHER: &str = "malaga-1";
+use crate::support::{Alone, heartbeat, pair};
 
 /// Lets time pass in which the other member is heard.
 fn pass_with_heartbeats(alone: &mut Alone, seconds: u32) {
     for _ in 0..seconds * 10 {
         alone.pass(Duration::from_millis(100));
-        let beat = Heartbeat {
-            stamp: 0,
-            incarnation: 1,
-            epoch: 0,
-            version: 1,
-            revision: 2,
-            stopping: false,
-            rumours: Vec::new(),
-        };
-        alone.step(Event::Received { from: InstanceId::of(OTHER), message: Message::Heartbeat(beat) });
+        alone.receive(heartbeat());
         alone.step(Event::Tick);
     }
 }
@@ -55,16 +41,7 @@
 /// its whole limit, and not the part of one instance.
 #[test]
 fn a_team_gets_its_whole_limit_through_one_instance() {
-    let mut alone = Alone::start();
-    let entry = |name: &str, domain: &str, port| Entry {
-        name: name.to_owned(),
-        domain: domain.to_owned(),
-        peers: ([127, 0, 0, 1], port).into(),
-        leaving: false,
-    };
-    let instances = vec![entry("osborne-1", "osborne", 1), entry(OTHER, "malaga", 2)];
-    let asked = alone.now();
-    alone.step(Event::Listed { list: Listed { revision: 2, instances }, source: Source::Platform, asked });
+    let mut alone = pair();
     pass_with_heartbeats(&mut alone, 6);
     let limit = TeamLimit { unit: TeamUnit::Requests, rate: 1, burst: 10, plain: 0 };
     let crew = Team { name: "crew".to_owned(), weight: 1, keys: Vec::new(), limit: Some(limit) };
--- a/crates/core/tests/all/support.rs
+++ b/crates/core/tests/all/support.rs
@@ -4,8 +4,8 @@
 use std::time::{Duration, Instant};
 
 use teaselshunt_core::{
-    AttemptId, Effect, EndpointId, Event, Fingerprint, Generate, Identity, Instance, Listed, Offer, Report,
-    Source, Ticket, Work,
+    AttemptId, Effect, EndpointId, Entry, Event, Fingerprint, Generate, Heartbeat, Identity, Instance,
+    InstanceId, Listed, Message, Offer, Report, Source, Ticket, Work,
 };
 use teaselshunt_settings::{Configuration, parse_configuration};
 
@@ -47,6 +47,11 @@
         effects
     }
 
+    /// The other instance of a [`pair`] sends a message.
+    pub(crate) fn receive(&mut self, message: Message) -> Vec<Effect> {
+        self.step(Event::Received { from: InstanceId::of(OTHER), message })
+    }
+
     pub(crate) fn now(&self) -> Instant {
         self.now
     }
@@ -89,6 +94,41 @@
     }
 }
 
+/// Name of the instance that [`pair`] adds.
+pub(crate) const OTHER: &str = "malaga-1";
+
+/// An instance that knows and has heard another one.
+pub(crate) fn pair() -> Alone {
+    let mut alone = Alone::start();
+    let entry = |name: &str, domain: &str, port| Entry {
+        name: name.to_owned(),
+        domain: domain.to_owned(),
+        peers: ([127, 0, 0, 1], port).into(),
+        leaving: false,
+    };
+    let instances = vec![entry("osborne-1", "osborne", 1), entry(OTHER, "malaga", 2)];
+    let list = Listed { revision: 2, instances };
+    let asked = alone.now();
+    alone.step(Event::Listed { list, source: Source::Platform, asked });
+    alone.receive(heartbeat());
+    alone
+}
+
+/// The other instance's.
+pub(crate) fn heartbeat() -> Message {
+    let rumours = Vec::new();
+    let (stamp, incarnation, epoch) = (0, 1, 0);
+    Message::Heartbeat(Heartbeat {
+        stamp,
+        incarnation,
+        epoch,
+        version: 1,
+        revision: 2,
+        stopping: false,
+        rumours,
+    })
+}
+
 /// The prefill among effects.
 pub(crate) fn prefill(effects: &[Effect]) -> Option<AttemptId> {
     effects.iter().find_map(|e| match e {
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -5,9 +5,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use teaselshunt_standin::{
-    SiteEndpoint, SiteInstance, SiteOptions, SiteRun, SiteSettings, Store, site_teams,
-};
+use teaselshunt_standin::{SiteEndpoint, SiteInstance, SiteOptions, SiteRun, SiteSettings, Store};
 use tokio::sync::watch;
 
 use crate::proxy::Proxy;
@@ -143,7 +141,7 @@
     /// Publishes the configuration with the number in force. Each version has a route that no other one has.
     pub(crate) fn publish(&self) {
         let version = self.parts().version;
-        self.store.put("op/config", &site_teams(version));
+        self.store.publish_teams(version);
     }
 
     /// Everything that endpoints ran, ended ones as well, with the time at which each endpoint left.
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -20,5 +20,5 @@
 pub use service::{Execution, Service, ServiceFaults};
 pub use site::{
     CRASHING_BODY, CREW, FLOOD, SiteEndpoint, SiteFault, SiteInstance, SiteOptions, SiteRun, SiteSettings,
-    SiteTeam, Store, StoreCopy, StoreMode, event, is_signed, site_configuration, site_request, site_teams,
+    SiteTeam, Store, StoreCopy, StoreMode, event, is_signed, site_configuration, site_request,
 };
--- a/crates/standin/src/site/configuration.rs
+++ b/crates/standin/src/site/configuration.rs
@@ -42,7 +42,7 @@
 pub const FLOOD: SiteTeam = SiteTeam { name: "flood", key: "soak-key-flood-hks8nbk", rate: 20 };
 
 /// The configuration with these two teams: callers of all routes show a key.
-pub fn site_teams(version: u64) -> Value {
+pub(crate) fn site_teams(version: u64) -> Value {
     let team = |team: SiteTeam| {
         json!({ "name": team.name, "keys": [team.key], "priority": 1, "unit": "requests", "rate_per_s": team.rate,
             "burst": team.rate })
--- a/crates/standin/src/site/store.rs
+++ b/crates/standin/src/site/store.rs
@@ -12,7 +12,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
-use super::configuration::site_configuration;
+use super::configuration::{site_configuration, site_teams};
 use super::http::{Asked, answer, read};
 
 /// How the store behaves.
@@ -29,6 +29,8 @@
     Closing,
 }
 
+/// Key of the configuration in force.
+const CONFIGURATION: &str = "op/config";
 /// Entries of one answer to a list; small, so that tests meet a second page.
 const PAGE: usize = 50;
 
@@ -88,7 +90,12 @@
 
     /// Writes the configuration with this number.
     pub fn publish(&self, version: u64) {
-        self.put("op/config", &site_configuration(version));
+        self.put(CONFIGURATION, &site_configuration(version));
+    }
+
+    /// Writes the configuration with this number and with teams.
+    pub fn publish_teams(&self, version: u64) {
+        self.put(CONFIGURATION, &site_teams(version));
     }
 
     /// Writes a key.
