--- a/crates/standin/src/site/configuration.rs
+++ b/crates/standin/src/site/configuration.rs
@@ -25,7 +25,7 @@
         ], "limits": { "header_bytes": 16384, "body_bytes": 65536, "header_ms": 3000, "idle_ms": 15000 } })
 }
 
-/// A team of [`site_teams`]: its name, the key that its callers show, and the requests a second and at once that it may send.
+/// A team of the configuration with teams: its name, the key that its callers show, and the requests a second and at once that it may send.
 #[derive(Debug, Clone, Copy)]
 pub struct SiteTeam {
     /// Its name.
