--- a/crates/bench/src/commands/chaos.rs
+++ b/crates/bench/src/commands/chaos.rs
@@ -6,7 +6,7 @@
 use quickcheck::{Arbitrary, Gen};
 use teaselshunt_bench::Plan;
 
-use super::CommandError;
+use super::{CommandError, for_seeds};
 
 /// Size given to the generator; plans bound themselves.
 const SIZE: usize = 100;
@@ -32,21 +32,7 @@
 
 pub(crate) fn run(arguments: &Arguments) -> Result<(), CommandError> {
     let sums = Sums::default();
-    let next = AtomicU64::new(arguments.seed);
-    let end = arguments.seed + arguments.cases;
-    std::thread::scope(|scope| {
-        for _ in 0..arguments.threads.max(1) {
-            scope.spawn(|| {
-                loop {
-                    let seed = next.fetch_add(1, Ordering::Relaxed);
-                    if seed >= end {
-                        return;
-                    }
-                    one(seed, &sums);
-                }
-            });
-        }
-    });
+    for_seeds(arguments.seed, arguments.cases, arguments.threads, |seed| one(seed, &sums));
     let violations = sums.violations.load(Ordering::Relaxed);
     println!(
         "{} plans, {} events taken in by instances, {} happenings, {violations} plans with violations",
--- a/crates/bench/src/commands/mod.rs
+++ b/crates/bench/src/commands/mod.rs
@@ -7,6 +7,8 @@
 mod quotas;
 mod slopes;
 
+use std::sync::atomic::{AtomicU64, Ordering};
+
 use gumdrop::Options;
 
 /// Why a command failed.
@@ -52,3 +54,21 @@
         }
     }
 }
+
+/// Does something for each of `count` seeds from `first` on, on so many threads, in no order.
+fn for_seeds(first: u64, count: u64, threads: u64, act: impl Fn(u64) + Sync) {
+    let next = AtomicU64::new(first);
+    std::thread::scope(|scope| {
+        for _ in 0..threads.max(1) {
+            scope.spawn(|| {
+                loop {
+                    let seed = next.fetch_add(1, Ordering::Relaxed);
+                    if seed >= first + count {
+                        return;
+                    }
+                    act(seed);
+                }
+            });
+        }
+    });
+}
--- a/crates/bench/src/commands/quotas.rs
+++ b/crates/bench/src/commands/quotas.rs
@@ -1,14 +1,13 @@
 //! `quotas`: random plans against the limits of teams, with each way to keep them.
 
 use std::sync::Mutex;
-use std::sync::atomic::{AtomicU64, Ordering};
 
 use gumdrop::Options;
 use quickcheck::{Arbitrary, Gen};
 use teaselshunt_bench::{QuotaOutcome, QuotaPlan};
 use teaselshunt_teams::Way;
 
-use super::CommandError;
+use super::{CommandError, for_seeds};
 
 /// Size given to the generator; plans bound themselves.
 const SIZE: usize = 100;
@@ -33,23 +32,11 @@
 const WAYS: [Way; 2] = [Way::Parts, Way::Shared];
 
 pub(crate) fn run(arguments: &Arguments) -> Result<(), CommandError> {
-    let next = AtomicU64::new(arguments.seed);
-    let end = arguments.seed + arguments.cases;
     let rows = Mutex::new(Vec::<Row>::new());
-    std::thread::scope(|scope| {
-        for _ in 0..arguments.threads.max(1) {
-            scope.spawn(|| {
-                loop {
-                    let seed = next.fetch_add(1, Ordering::Relaxed);
-                    if seed >= end {
-                        return;
-                    }
-                    let plan = QuotaPlan::arbitrary(&mut Gen::from_size_and_seed(SIZE, seed));
-                    let outcomes = WAYS.map(|way| plan.run(way));
-                    rows.lock().expect("no thread panics with the lock").push((seed, plan, outcomes));
-                }
-            });
-        }
+    for_seeds(arguments.seed, arguments.cases, arguments.threads, |seed| {
+        let plan = QuotaPlan::arbitrary(&mut Gen::from_size_and_seed(SIZE, seed));
+        let outcomes = WAYS.map(|way| plan.run(way));
+        rows.lock().expect("no thread panics with the lock").push((seed, plan, outcomes));
     });
     let mut rows = rows.into_inner().expect("no thread panics with the lock");
     rows.sort_by(|a, b| b.2[1].fullest.total_cmp(&a.2[1].fullest));
