Keys: the former start of a home counts as one that may have granted

What callers saw: a keyed booking runs, its connection breaks, its home is killed and started again, and the retry runs it a second time. In any fleet that is older than the horizon (15 minutes by default), and at once where an instance is alone in its list.

Cause: a home that has just started takes "nobody else was home in the whole horizon" of the key's runner-up for proof that nobody has granted it. The runner-up says that of others by its former lists; that the asker was home in its former start it neither knows nor says. Alone in its list, a home had no runner-up, asked nobody and granted.

Ruled out: lost settles (the services hang, nothing is settled).

Why this works: without a record, only a start that has used a list without itself may take that word. It was running then, so its former start was home only under lists that the runner-up's former lists name.

--- a/crates/bench/tests/all/keys.rs
+++ b/crates/bench/tests/all/keys.rs
@@ -12,13 +12,18 @@
     Duration::from_millis(ms)
 }
 
+/// Numbers of the services among the endpoints.
+fn services(deployment: &Deployment) -> Vec<usize> {
+    let endpoints = deployment.configuration.endpoints.iter().enumerate();
+    endpoints.filter(|(_, e)| e.role == Role::Service).map(|(i, _)| i).collect()
+}
+
 /// Runs a storm of keyed calls whose services do the work but do not answer from 21 to 40 s, so that every
 /// broken connection leaves a call that ran and a caller that retries.
 fn storm(mut deployment: Deployment, seed: u64, faults: Faults) -> (u64, Vec<String>) {
     deployment.configuration.policy.horizon_s = 60;
     deployment.configuration.policy.skew_ms = 100;
-    let endpoints = deployment.configuration.endpoints.iter().enumerate();
-    let services: Vec<usize> = endpoints.filter(|(_, e)| e.role == Role::Service).map(|(i, _)| i).collect();
+    let services = services(&deployment);
     let mut world = World::new(deployment, Options { seed, ..Options::default() });
     let (from, until) = (at(15_000), at(45_000));
     world.load(Load { long: 0.0, quick: 0.0, calls: 30.0, impatient: 0.0, from, until });
@@ -102,3 +107,31 @@
         cuts.chain(kills).collect()
     });
 }
+
+/// A home that has been up for longer than keys are remembered grants keys and is killed; its next start hears from the
+/// runner-up, which never granted them, that nobody has: the bookings ran a second time.
+#[test]
+fn a_home_restarts_in_a_fleet_that_is_older_than_the_horizon() {
+    for seed in 0..8 {
+        let mut deployment = if seed % 2 == 0 { britasol() } else { pindan() };
+        deployment.configuration.policy.horizon_s = 10;
+        deployment.configuration.policy.skew_ms = 100;
+        let services = services(&deployment);
+        let mut world = World::new(deployment, Options { seed, ..Options::default() });
+        let (from, until) = (at(30_000), at(45_000));
+        world.load(Load { long: 0.0, quick: 0.0, calls: 30.0, impatient: 0.0, from, until });
+        for service in services {
+            world.schedule(at(31_000), Fault::Stall(service));
+            world.schedule(at(40_000), Fault::StallEnd(service));
+        }
+        for n in 0..4 {
+            world.schedule(at(32_000 + n * 1_200), Fault::Kill((seed + n) as usize));
+            world.schedule(at(32_100 + n * 1_200), Fault::Start((seed + n) as usize));
+        }
+        world.run(until);
+        world.settle();
+        let (resent, violations) = (world.tally().resent, &world.tally().violations);
+        assert!(resent > 10, "seed {seed}: only {resent} calls were sent again");
+        assert!(violations.is_empty(), "seed {seed}:\n{}", violations.join("\n"));
+    }
+}
--- a/crates/core/src/homes.rs
+++ b/crates/core/src/homes.rs
@@ -16,9 +16,11 @@
 //!    it has read the list from the platform within [`TENURE`], or every member answered at its very
 //!    revision within [`TENURE`]. A list that left it out is newer than what it could read, and a member that
 //!    has moved on does not answer at the old revision. A frozen home that wakes finds its tenure lapsed.
-//! 5. A home that has just started has lost the records of its former life. It asks the runner-up of the key,
-//!    which would have been home without it, and takes no record for an answer only from one that has been
-//!    here for the whole horizon.
+//! 5. A home that has just started has lost the records of its former life, and knows of no list before its first. It asks
+//!    the runner-up of the key, which would have been home without it and took over the records if the former life stopped
+//!    as planned. That nobody but the runner-up was home for the whole horizon it can say of others, never of the asker: the
+//!    list may have named the asker all the time. So no record is an answer only where the asker had no former life by the
+//!    lists in question, because it has seen one that left it out.
 //!
 //! 6. A key that tells when it was made (a UUID of version 7) needs no inquiry of an earlier home whose last
 //!    possible grant lies before that: after a restart or a change of the list only keys that were made
@@ -66,13 +68,24 @@
     pub(crate) born: Option<u64>,
 }
 
+/// What an instance has to say for a key to be granted, unless it has a record of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Proof {
+    /// That it has not granted the key itself.
+    Whole,
+    /// That nobody has who was home before.
+    Complete,
+    /// Nothing that it could say is enough.
+    Record,
+}
+
 /// A claim that waits for earlier homes.
 #[derive(Debug)]
 struct Inquiry {
     born: Option<u64>,
     claims: Vec<(InstanceId, RequestId)>,
-    /// Earlier homes still to answer; `true` where only a complete answer counts.
-    open: BTreeMap<InstanceId, bool>,
+    /// Instances still to answer.
+    open: BTreeMap<InstanceId, Proof>,
     until: Instant,
 }
 
@@ -220,7 +233,10 @@
             inquiry.claims.push((from, request));
             return replies;
         }
-        let open = self.earlier(now, members, key, born);
+        let Some(open) = self.earlier(now, members, key, born) else {
+            replies.answer(from, key, request, ClaimAnswer::Unknown);
+            return replies;
+        };
         let inquiry = Inquiry { born, claims: vec![(from, request)], open, until: now + INQUIRY };
         for &home in inquiry.open.keys() {
             replies.messages.push((home, Message::Inquire { key, revision, born }));
@@ -230,30 +246,29 @@
         replies
     }
 
-    /// Earlier homes that must be heard before the key may be granted; steps 2 and 5.
+    /// Instances that must be heard before the key may be granted; steps 2 and 5. None if nobody can tell.
     fn earlier(
         &self,
         now: Instant,
         members: &Members,
         key: IdempotencyKey,
         born: Option<u64>,
-    ) -> BTreeMap<InstanceId, bool> {
+    ) -> Option<BTreeMap<InstanceId, Proof>> {
         let mut open = BTreeMap::new();
         for (home, replaced) in members.former_homes(key) {
             if self.made_after(born, replaced) {
                 continue;
             }
             if home != self.me && !self.handed.contains_key(&home) {
-                open.insert(home, false);
+                open.insert(home, Proof::Whole);
             }
         }
-        if now.duration_since(self.started) < self.memory()
-            && !self.made_after(born, self.started)
-            && let Some(home) = members.runner_up(key)
-        {
-            open.insert(home, true);
+        let new = now.duration_since(self.started) < self.memory();
+        if new && !self.made_after(born, self.started) {
+            let proof = if members.joined() { Proof::Complete } else { Proof::Record };
+            open.insert(members.runner_up(key)?, proof);
         }
-        open
+        Some(open)
     }
 
     /// Whether a key is older than anything that is remembered about keys.
@@ -368,7 +383,7 @@
         let Some(inquiry) = self.inquiries.get_mut(&key) else {
             return replies;
         };
-        let Some(&strict) = inquiry.open.get(&from) else {
+        let Some(&proof) = inquiry.open.get(&from) else {
             return replies;
         };
         if revision < members.revision() {
@@ -380,7 +395,12 @@
             replies.messages.push((from, again));
             return replies;
         }
-        if record.is_some() || complete || (whole && !strict) {
+        let proven = match proof {
+            Proof::Whole => whole || complete,
+            Proof::Complete => complete,
+            Proof::Record => false,
+        };
+        if record.is_some() || proven {
             inquiry.open.remove(&from);
         } else {
             // Nobody can tell, now or later within the horizon: the caller hears it at once.
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -124,6 +124,7 @@
     started: Instant,
     next_beat: Instant,
     pub(crate) stopping: bool,
+    joined: bool,
 }
 
 impl Members {
@@ -142,6 +143,7 @@
             started,
             next_beat: started,
             stopping: false,
+            joined: false,
         }
     }
 
@@ -173,6 +175,7 @@
             }
             members.insert(id, member);
         }
+        self.joined |= members.len() == list.instances.len();
         let gone = std::mem::replace(&mut self.others, members);
         let dropped = gone.into_iter().map(|(id, m)| (id, Dropped { at: now, incarnation: m.incarnation }));
         self.dropped.extend(dropped);
@@ -181,6 +184,11 @@
         true
     }
 
+    /// Whether this start has used a list that left it out. Until then the list may name a former start.
+    pub(crate) fn joined(&self) -> bool {
+        self.joined
+    }
+
     /// How long an instance that the list once had has given no sign of life.
     pub(crate) fn dropped_for(&self, now: Instant, id: InstanceId) -> Option<Duration> {
         self.dropped.get(&id).map(|d| now.duration_since(d.at))
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -87,7 +87,8 @@
         /// Whether this process has run since before the key can have been granted, so that no record means no
         /// grant of its own. An instance that was started again remembers nothing of its former life.
         whole: bool,
-        /// Whether besides it was the only home for the whole horizon, so that no record means no grant at all.
+        /// Whether besides no instance but the asker was home in the whole horizon, so that no record means no grant by
+        /// any of them.
         complete: bool,
     },
     /// May I have a slot pair for a request? Asked of the pool's owner, and asked again without harm.
--- a/crates/core/tests/all/claims.rs
+++ b/crates/core/tests/all/claims.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use teaselshunt_core::{
-    Call, ClaimAnswer, Effect, Event, Fate, Fingerprint, IdempotencyKey, InstanceId, Keyed, Message,
-    RequestId, Ticket, Work,
+    Call, ClaimAnswer, Effect, ErrorKind, Event, Fate, Fingerprint, IdempotencyKey, InstanceId, Keyed,
+    Message, RequestId, Ticket, Work,
 };
 
 use crate::support::{Alone, OTHER, heartbeat, pair};
@@ -15,7 +15,12 @@
 impl Alone {
     /// A caller books with the `number`th key.
     fn book(&mut self, number: u64) -> Vec<Effect> {
-        let key = Keyed { key: key(number), born: None };
+        self.book_born(number, None)
+    }
+
+    /// A caller books with the `number`th key, which tells when it was made.
+    fn book_born(&mut self, number: u64, born: Option<u64>) -> Vec<Effect> {
+        let key = Keyed { key: key(number), born };
         let work = Work::Call(Call {
             service: "fees".to_owned(),
             method: "POST".to_owned(),
@@ -76,6 +81,13 @@
     sent.collect()
 }
 
+/// Whether a caller is told that the fate of its key is not known.
+fn refused_as_unknown(effects: &[Effect]) -> bool {
+    let unknown =
+        |e: &Effect| matches!(e, Effect::Refuse { refusal, .. } if refusal.kind == ErrorKind::KeyUnknown);
+    effects.iter().any(unknown)
+}
+
 fn key(number: u64) -> IdempotencyKey {
     IdempotencyKey::of("", &format!("key {number}"))
 }
@@ -156,3 +168,16 @@
     assert!(told.contains(&(holder(2), ClaimAnswer::InUse)), "{told:?}");
     assert!(told.contains(&(holder(1), ClaimAnswer::Granted)), "{told:?}");
 }
+
+/// The only instance of a fleet is started again. It remembers no key that its former start granted, and nobody else can:
+/// a key that may be older than the start must not be granted, or a booking that ran would run again.
+#[test]
+fn an_instance_that_starts_alone_grants_no_key_that_may_be_older() {
+    let mut alone = Alone::only_listed();
+    alone.pass(Duration::from_secs(20));
+    assert!(refused_as_unknown(&alone.book(1)));
+    assert!(refused_as_unknown(&alone.book_born(2, Some(0))));
+    let now_ms = alone.wall();
+    let effects = alone.book_born(3, Some(now_ms));
+    assert!(effects.iter().any(|e| matches!(e, Effect::Call { .. })), "{effects:?}");
+}
--- a/crates/core/tests/all/support.rs
+++ b/crates/core/tests/all/support.rs
@@ -11,26 +11,40 @@
 
 const CONFIGURATION: &str = include_str!("../../../../examples/pindan/configuration.json");
 
+/// Start of the instance in milliseconds since the Unix epoch.
+const INCARNATION: u64 = 1;
+
 /// One instance, its clock, and what it wanted done since the last look.
 pub(crate) struct Alone {
     instance: Instance,
+    started: Instant,
     now: Instant,
     pub(crate) configuration: Configuration,
 }
 
 impl Alone {
     pub(crate) fn start() -> Self {
+        Self::started_with(Vec::new())
+    }
+
+    /// An instance that is the only one in the list, and was so before it started.
+    pub(crate) fn only_listed() -> Self {
+        Self::started_with(vec![entry("osborne-1", "osborne", 1)])
+    }
+
+    /// An instance whose first list has these.
+    fn started_with(instances: Vec<Entry>) -> Self {
         let now = Instant::now();
         let identity = Identity {
             name: "osborne-1".to_owned(),
             domain: "osborne".to_owned(),
             deployment: "pindan".to_owned(),
             address: ([127, 0, 0, 1], 1).into(),
-            incarnation: 1,
+            incarnation: INCARNATION,
         };
         let configuration = parse_configuration(CONFIGURATION).expect("the example checks");
-        let mut alone = Self { instance: Instance::new(now, identity, 1), now, configuration };
-        let list = Listed { revision: 1, instances: Vec::new() };
+        let mut alone = Self { instance: Instance::new(now, identity, 1), started: now, now, configuration };
+        let list = Listed { revision: 1, instances };
         alone.step(Event::Listed { list, source: Source::Platform, asked: now });
         alone.offer();
         for endpoint in alone.configuration.endpoints.clone() {
@@ -56,6 +70,11 @@
         self.now
     }
 
+    /// Milliseconds since the Unix epoch.
+    pub(crate) fn wall(&self) -> u64 {
+        INCARNATION + self.now.duration_since(self.started).as_millis() as u64
+    }
+
     pub(crate) fn pass(&mut self, time: Duration) {
         self.now += time;
     }
@@ -100,12 +119,6 @@
 /// An instance that knows and has heard another one.
 pub(crate) fn pair() -> Alone {
     let mut alone = Alone::start();
-    let entry = |name: &str, domain: &str, port| Entry {
-        name: name.to_owned(),
-        domain: domain.to_owned(),
-        peers: ([127, 0, 0, 1], port).into(),
-        leaving: false,
-    };
     let instances = vec![entry("osborne-1", "osborne", 1), entry(OTHER, "malaga", 2)];
     let list = Listed { revision: 2, instances };
     let asked = alone.now();
@@ -114,6 +127,15 @@
     alone
 }
 
+fn entry(name: &str, domain: &str, port: u16) -> Entry {
+    Entry {
+        name: name.to_owned(),
+        domain: domain.to_owned(),
+        peers: ([127, 0, 0, 1], port).into(),
+        leaving: false,
+    }
+}
+
 /// The other instance's.
 pub(crate) fn heartbeat() -> Message {
     let rumours = Vec::new();
