Keys: a handover is the last word of one start only

What callers saw: a booking that ran is run again when its caller retries after its home stopped as planned, started again before the list had changed, granted it, and was killed.

Cause: who has handed over was kept by name. The list never left the instance out between its two starts, so nothing took the handover back, and the homes that followed did not ask what the second start had granted.

Why this works: the handover bears the start that it speaks for; a later start that is known voids it. Starts are told in every heartbeat and as rumours. Protocol between instances is version 2: those of the version before do not connect.

--- a/crates/bench/tests/all/keys.rs
+++ b/crates/bench/tests/all/keys.rs
@@ -135,3 +135,15 @@
         assert!(violations.is_empty(), "seed {seed}:\n{}", violations.join("\n"));
     }
 }
+
+/// An instance stops as planned, hands its records over and starts again before the list has changed. Its next start grants
+/// keys and is killed. The homes that follow it take the handover for its last word: bookings that the second start granted
+/// ran a second time.
+#[test]
+fn homes_hand_over_come_back_and_are_killed() {
+    holds("came back", |s| {
+        let n = s as usize;
+        let back = (0..2).flat_map(|i| [(18_000, Fault::Stop(n + i)), (19_500, Fault::Start(n + i))]);
+        back.chain((0..4).map(|i| (33_000 + i as u64 * 200, Fault::Kill(n + i)))).collect()
+    });
+}
--- a/crates/core/src/homes.rs
+++ b/crates/core/src/homes.rs
@@ -89,6 +89,13 @@
     until: Instant,
 }
 
+/// The last word of an instance that stopped.
+#[derive(Debug, Clone, Copy)]
+struct Handed {
+    at: Instant,
+    incarnation: u64,
+}
+
 /// What a home knows, and what it is finding out.
 #[derive(Debug)]
 pub(crate) struct Homes {
@@ -106,7 +113,7 @@
     /// Last time the list was read from the platform at the revision in use.
     read: Option<Instant>,
     /// Instances that handed all their records over before they stopped.
-    handed: HashMap<InstanceId, Instant>,
+    handed: HashMap<InstanceId, Handed>,
     /// Whether this instance has handed its records over, and grants nothing any more.
     closed: bool,
 }
@@ -259,7 +266,7 @@
             if self.made_after(born, replaced) {
                 continue;
             }
-            if home != self.me && !self.handed.contains_key(&home) {
+            if home != self.me && !self.handed_over(members, home) {
                 open.insert(home, Proof::Whole);
             }
         }
@@ -271,6 +278,11 @@
         Some(open)
     }
 
+    /// Whether an instance has handed over all that it granted. A later start of it may have granted since.
+    fn handed_over(&self, members: &Members, home: InstanceId) -> bool {
+        self.handed.get(&home).is_some_and(|handed| members.last_start(home) <= handed.incarnation)
+    }
+
     /// Whether a key is older than anything that is remembered about keys.
     fn outdated(&self, now: Instant, born: Option<u64>) -> bool {
         let age = |born| self.wall(now).saturating_sub(born);
@@ -363,7 +375,7 @@
         // instance is not the home any more, and `conclude` checks that.
         let full = now.duration_since(self.started) >= self.memory();
         let former = members.former_homes(key);
-        let complete = full && former.iter().all(|(h, _)| *h == self.me || self.handed.contains_key(h));
+        let complete = full && former.iter().all(|(h, _)| *h == self.me || self.handed_over(members, *h));
         let record = self.entries.get(&key).map(|e| e.record.clone());
         let whole = full || born.is_some_and(|b| b > self.epoch + self.skew.as_millis() as u64);
         Message::Inquired { key, revision: ours, record, whole, complete }
@@ -457,11 +469,12 @@
             self.order.push_back((late, key));
         }
         let memory = self.memory();
-        self.handed.retain(|_, at| now.duration_since(*at) < memory);
+        self.handed.retain(|_, handed| now.duration_since(handed.at) < memory);
     }
 
     /// Records for the homes that follow this instance when it stops.
     pub(crate) fn handover(&mut self, members: &Members) -> Vec<(InstanceId, Message)> {
+        let incarnation = self.epoch;
         self.closed = true;
         let mut parts: BTreeMap<InstanceId, Vec<(IdempotencyKey, Record)>> = BTreeMap::new();
         for (id, _) in members.iter().filter(|(_, m)| !m.leaving) {
@@ -481,9 +494,9 @@
             let mut chunks: Vec<Vec<(IdempotencyKey, Record)>> =
                 records.chunks(HANDOVER).map(<[_]>::to_vec).collect();
             let final_chunk = chunks.pop().unwrap_or_default();
-            messages
-                .extend(chunks.into_iter().map(|records| (home, Message::Handover { records, last: false })));
-            messages.push((home, Message::Handover { records: final_chunk, last: true }));
+            let part = |records, last| (home, Message::Handover { incarnation, records, last });
+            messages.extend(chunks.into_iter().map(|records| part(records, false)));
+            messages.push(part(final_chunk, true));
         }
         messages
     }
@@ -492,7 +505,7 @@
     pub(crate) fn take_over(
         &mut self,
         now: Instant,
-        from: InstanceId,
+        (from, incarnation): (InstanceId, u64),
         records: Vec<(IdempotencyKey, Record)>,
         last: bool,
     ) {
@@ -504,7 +517,7 @@
             }
         }
         if last {
-            self.handed.insert(from, now);
+            self.handed.insert(from, Handed { at: now, incarnation });
         }
     }
 }
--- a/crates/core/src/instance.rs
+++ b/crates/core/src/instance.rs
@@ -385,7 +385,9 @@
                 self.held_by(now, from, (pool, incarnation), sequences, out);
             }
             Message::Spending(news) => self.told_spending(now, from, news),
-            Message::Handover { records, last } => self.homes.take_over(now, from, records, last),
+            Message::Handover { incarnation, records, last } => {
+                self.homes.take_over(now, (from, incarnation), records, last);
+            }
         }
     }
 
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -189,6 +189,13 @@
         self.joined
     }
 
+    /// The latest start of an instance that is known here, in milliseconds since the Unix epoch, or 0.
+    pub(crate) fn last_start(&self, id: InstanceId) -> u64 {
+        let listed = self.others.get(&id).map(|m| m.incarnation);
+        let dropped = self.dropped.get(&id).map(|d| d.incarnation);
+        listed.max(dropped).unwrap_or(0)
+    }
+
     /// How long an instance that the list once had has given no sign of life.
     pub(crate) fn dropped_for(&self, now: Instant, id: InstanceId) -> Option<Duration> {
         self.dropped.get(&id).map(|d| now.duration_since(d.at))
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -138,6 +138,8 @@
     },
     /// Records of an instance that stops, for the homes that follow it.
     Handover {
+        /// Start of the sender, in milliseconds since the Unix epoch.
+        incarnation: u64,
         /// Keys and what became of them.
         records: Vec<(IdempotencyKey, Record)>,
         /// Whether these are the last.
--- a/crates/daemon/src/tls.rs
+++ b/crates/daemon/src/tls.rs
@@ -18,7 +18,7 @@
 /// connection that something on the way has lost track of is replaced after three of them.
 const SILENCE: Duration = Duration::from_secs(3);
 /// Protocol name, so that only peers of this protocol version understand each other.
-const PROTOCOL: &[u8] = b"teaselshunt/1";
+const PROTOCOL: &[u8] = b"teaselshunt/2";
 /// Messages of one peer in flight at once.
 const STREAMS: u32 = 256;
 
