Crashes count against requests whose callers left, too

What callers saw: engines go on crashing, with all streams there, under a request whose callers leave early; it is never refused, and others who ran there are accused in its place.

Cause: when a caller leaves, the instance closes the connection to the endpoint itself and sees no loss. Ruled out: the look at the endpoint (it found the crash by the other request).

Mend: runs whose callers left are remembered for two seconds, and a crash of that start of the endpoint within half a second, seen here or told by a peer, counts against them. Why it is enough: an endpoint stops within that time what nobody waits for. A wrong accusation needs three crashes and is cleared by a whole answer, as for those that were present in any other way. The same fault elsewhere: the product's own interface had it; it has the same rule now.

--- a/crates/core/src/crashes.rs
+++ b/crates/core/src/crashes.rs
@@ -2,7 +2,7 @@
 //!
 //! A broken step does not say that the endpoint has crashed: one answer can be lost, and so can connections. The engine is asked
 //! for its load at once; one that does not answer, or takes no connection from the next request, has crashed, and whatever
-//! was lost there counts against the requests. What follows for them is decided by
+//! was lost there counts against the requests, and against those whose callers left it at about that time. What follows for them is decided by
 //! [`Quarantine`](crate::Quarantine).
 
 use std::time::{Duration, Instant};
@@ -21,6 +21,9 @@
 /// How long after a loss an endpoint that cannot be reached counts as crashed under the lost request. An engine that lives
 /// answers within this, and one that restarts needs longer.
 const LOSS: Duration = Duration::from_secs(2);
+/// How far apart a loss and the moment in which a caller left may be for its request to have been present: an engine stops
+/// within this what was cancelled.
+const PRESENT: Duration = Duration::from_millis(500);
 /// Time that an endpoint needs at least between two crashes, in milliseconds. Two instances that see the same crash name it by
 /// the same period of this length, but for those that lie on its border.
 const RESTART: u64 = 5_000;
@@ -53,16 +56,41 @@
         }
     }
 
+    /// The caller of a request that is at an endpoint has left.
+    pub(crate) fn left(&mut self, now: Instant, key: RequestKey) {
+        let request = self.requests.get(key);
+        let Some(endpoint) = request.phase.endpoint() else { return };
+        let loss =
+            Loss { request: request.fingerprint, endpoint: self.fleet.get(endpoint).target().id, at: now };
+        self.abandoned.retain(|loss| now.duration_since(loss.at) < LOSS);
+        self.abandoned.push(loss);
+    }
+
+    /// Takes out the requests whose callers left an endpoint at about a time.
+    fn present(&mut self, at: Instant, endpoint: impl Fn(EndpointId) -> bool) -> Vec<Loss> {
+        let apart = |other: Instant| at.max(other).duration_since(at.min(other));
+        self.abandoned.extract_if(.., |loss| endpoint(loss.endpoint) && apart(loss.at) < PRESENT).collect()
+    }
+
     /// An endpoint answers, so that it has not crashed.
     pub(crate) fn lives(&mut self, endpoint: EndpointId) {
         self.losses.retain(|loss| loss.endpoint != endpoint);
+        self.abandoned.retain(|loss| loss.endpoint != endpoint);
     }
 
     /// An endpoint cannot be reached.
     pub(crate) fn unreached(&mut self, now: Instant, endpoint: EndpointId, out: &mut Vec<Effect>) {
-        let (lost, rest): (Vec<_>, Vec<_>) = self.losses.drain(..).partition(|l| l.endpoint == endpoint);
+        let (mut lost, rest): (Vec<_>, Vec<_>) = self.losses.drain(..).partition(|l| l.endpoint == endpoint);
         self.losses = rest;
-        for Loss { request, at, .. } in lost.into_iter().filter(|l| now.duration_since(l.at) < LOSS) {
+        if let Some(first) = lost.first().map(|loss| loss.at) {
+            lost.extend(self.present(first, |other| other == endpoint));
+        }
+        self.accuse(now, lost, out);
+    }
+
+    /// Counts a crash against each of these requests.
+    fn accuse(&mut self, now: Instant, lost: Vec<Loss>, out: &mut Vec<Effect>) {
+        for Loss { request, endpoint, at } in lost.into_iter().filter(|l| now.duration_since(l.at) < LOSS) {
             let crash = Crash { request, endpoint: self.start_of(endpoint, at), at };
             self.next_telling = now;
             if self.quarantine.crashed(now, crash) {
@@ -136,9 +164,15 @@
             self.quarantine.told_served(now, request);
         }
         for report in crashes {
-            if self.quarantine.told(now, report.crash(now, self.started)) {
+            let crash = report.crash(now, self.started);
+            if self.quarantine.told(now, crash) {
                 self.enforce(now, report.request, out);
             }
+            let starts: Vec<_> =
+                self.abandoned.iter().map(|l| (l.endpoint, self.start_of(l.endpoint, crash.at))).collect();
+            let ended = |endpoint| starts.contains(&(endpoint, crash.endpoint));
+            let present = self.present(crash.at, ended);
+            self.accuse(now, present, out);
         }
     }
 }
--- a/crates/core/src/flow.rs
+++ b/crates/core/src/flow.rs
@@ -424,6 +424,7 @@
             return;
         };
         self.counters.abandoned += 1;
+        self.left(now, key);
         let request = self.requests.get_mut(key);
         if request.key.is_some() && matches!(request.phase, Phase::Calling { .. }) {
             // The call is out and cannot be taken back. Its answer is awaited for the caller's retry, which
--- a/crates/core/src/instance.rs
+++ b/crates/core/src/instance.rs
@@ -121,6 +121,8 @@
     pub(crate) grants: HashMap<RequestId, InstanceId>,
     /// Requests that endpoints lost a moment ago.
     pub(crate) losses: Vec<Loss>,
+    /// Requests whose callers left while endpoints worked on them, a moment ago.
+    pub(crate) abandoned: Vec<Loss>,
     /// Requests under which endpoints crash.
     pub(crate) quarantine: Quarantine,
     pub(crate) next_telling: Instant,
@@ -175,6 +177,7 @@
             cancels: Cancels::default(),
             grants: HashMap::new(),
             losses: Vec::new(),
+            abandoned: Vec::new(),
             quarantine: Quarantine::default(),
             next_telling: now,
             limits: Limits::new(now),
--- a/crates/core/tests/all/crashes.rs
+++ b/crates/core/tests/all/crashes.rs
@@ -4,7 +4,7 @@
 
 use teaselshunt_core::{
     AttemptId, CrashReport, Effect, EndpointStart, ErrorKind, Event, Fault, Fingerprint, InstanceId, Message,
-    Report, Running, Target,
+    Report, Running, Target, Ticket,
 };
 
 use crate::support::{Alone, prefill};
@@ -104,3 +104,33 @@
     let effects = alone.step(Event::Reported { endpoint: target.id, report });
     assert!(!effects.iter().any(|e| matches!(e, Effect::Cancel { .. })), "{effects:?}");
 }
+
+/// The caller of a request leaves, and a moment later the engine goes down under it. The instance has cancelled it by then and
+/// loses nothing of it, so that only others who ran there were accused.
+#[test]
+fn a_request_whose_caller_left_is_accused_of_the_crash() {
+    let mut alone = Alone::start();
+    let begin = |alone: &mut Alone, ticket, fingerprint| {
+        let effects = alone.ask(ticket, fingerprint);
+        effects.iter().find_map(|e| match e {
+            Effect::Prefill { attempt, target, .. } => Some((*attempt, target.id)),
+            _ => None,
+        })
+    };
+    let mut ticket = 0;
+    for _ in 0..3 {
+        ticket += 1;
+        let (_, engine) = begin(&mut alone, ticket, BAD).expect("there is room");
+        alone.step(Event::CallerGone { ticket: Ticket(ticket) });
+        let witness = loop {
+            ticket += 1;
+            let (attempt, other) = begin(&mut alone, ticket, Fingerprint(ticket)).expect("there is room");
+            if other == engine {
+                break attempt;
+            }
+        };
+        crash(&mut alone, witness);
+        alone.pass(Duration::from_secs(6));
+    }
+    assert_eq!(refused(&alone.ask(ticket + 1, BAD)), Some(ErrorKind::Quarantined));
+}
--- a/crates/forward/src/crashes.rs
+++ b/crates/forward/src/crashes.rs
@@ -4,6 +4,9 @@
 //! A connection that breaks does not say so: an endpoint can lose one answer, and something on the way can reset
 //! connections. But an endpoint that takes no new connection either, right after it lost a request, has ended or is cut
 //! off. One check serves all requests that the endpoint lost meanwhile.
+//!
+//! A request whose caller leaves loses its connection by our own doing, so that its endpoint is not checked. If the endpoint
+//! crashes at about that time, under others that this instance or a peer runs there, the request was present as well.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -21,6 +24,12 @@
 /// Restarts take longer.
 const SETTLE: Duration = Duration::from_millis(50);
 
+/// How far apart a crash and the moment in which a caller left may be for its request to have been present: endpoints stop
+/// within this what nobody waits for.
+const PRESENT: Duration = Duration::from_millis(500);
+/// How long requests whose callers left are remembered: word of a crash from a peer comes within it.
+const MEMORY: Duration = Duration::from_secs(2);
+
 /// A run that an endpoint did not end.
 #[derive(Debug, Clone)]
 pub(crate) struct Loss {
@@ -34,6 +43,10 @@
 }
 
 impl Loss {
+    fn new(node: &Node, job: &Job, begun: Instant) -> Self {
+        Self { request: job.meta.id.clone(), fingerprint: job.fingerprint(), begun, at: node.now() }
+    }
+
     /// For logs: what was asked for, under which id, and how long it had been there.
     fn text(&self) -> String {
         let ran = self.at.duration_since(self.begun).as_millis();
@@ -43,9 +56,8 @@
 
 /// An endpoint lost a request that was sent there at `begun`. Finds out whether it has crashed.
 pub(crate) fn check(node: &Rc<Node>, job: &Job, trace: &Trace, endpoint: EndpointKey, begun: Instant) {
-    let fingerprint = job.fingerprint();
-    trace.fingerprint(fingerprint);
-    let loss = Loss { request: job.meta.id.clone(), fingerprint, begun, at: node.now() };
+    let loss = Loss::new(node, job, begun);
+    trace.fingerprint(loss.fingerprint);
     let mut losses = node.losses.borrow_mut();
     let same = losses.entry(endpoint).or_default();
     same.push(loss);
@@ -54,6 +66,78 @@
     }
 }
 
+/// A run whose caller left, and the endpoint that it was at.
+#[derive(Debug)]
+struct Left {
+    endpoint: EndpointStart,
+    id: Arc<str>,
+    loss: Loss,
+}
+
+/// Runs whose callers left lately.
+#[derive(Debug, Default)]
+pub(crate) struct Abandoned(Vec<Left>);
+
+impl Abandoned {
+    fn insert(&mut self, now: Instant, left: Left) {
+        self.0.retain(|known| now.duration_since(known.loss.at) < MEMORY);
+        self.0.push(left);
+    }
+
+    /// Takes out those that were present when an endpoint crashed.
+    fn take(&mut self, endpoint: EndpointStart, crashed: Instant) -> Vec<Left> {
+        let present = |left: &mut Left| {
+            let at = left.loss.at;
+            left.endpoint == endpoint && at.max(crashed).duration_since(at.min(crashed)) < PRESENT
+        };
+        self.0.extract_if(.., present).collect()
+    }
+}
+
+/// A call to an endpoint. Dropped before it has [ended](Self::ended), its caller has left.
+pub(crate) struct Watch<'a> {
+    node: &'a Node,
+    job: &'a Job,
+    endpoint: EndpointKey,
+    begun: Instant,
+    ended: bool,
+}
+
+impl<'a> Watch<'a> {
+    pub(crate) fn new(node: &'a Node, job: &'a Job, endpoint: EndpointKey) -> Self {
+        Self { node, job, endpoint, begun: node.now(), ended: false }
+    }
+
+    /// The call has its result; says when it began.
+    pub(crate) fn ended(mut self) -> Instant {
+        self.ended = true;
+        self.begun
+    }
+}
+
+impl Drop for Watch<'_> {
+    fn drop(&mut self) {
+        if !self.ended {
+            left(self.node, self.job, self.endpoint, self.begun);
+        }
+    }
+}
+
+/// The caller of a request left while it was at an endpoint since `begun`.
+pub(crate) fn left(node: &Node, job: &Job, endpoint: EndpointKey, begun: Instant) {
+    let Some((_, id, endpoint)) = listed(node, endpoint) else { return };
+    let loss = Loss::new(node, job, begun);
+    node.abandoned.borrow_mut().insert(loss.at, Left { endpoint, id, loss });
+}
+
+/// A peer tells of a crash: requests whose callers left that endpoint here at about that time were present.
+pub(crate) fn told(node: &Node, crash: Crash) {
+    let present = node.abandoned.borrow_mut().take(crash.endpoint, crash.at);
+    let Some(id) = present.first().map(|left| Arc::clone(&left.id)) else { return };
+    let losses = present.into_iter().map(|left| left.loss).collect();
+    accuse(node, &id, crash.endpoint, losses);
+}
+
 async fn conclude(node: Rc<Node>, endpoint: EndpointKey) {
     tokio::time::sleep(SETTLE).await;
     let listed = listed(&node, endpoint);
@@ -61,18 +145,26 @@
         Some((address, ..)) => node.pool.reach(*address).await,
         None => true,
     };
-    let losses = node.losses.borrow_mut().remove(&endpoint).unwrap_or_default();
+    let mut losses = node.losses.borrow_mut().remove(&endpoint).unwrap_or_default();
     let Some((_, id, start)) = listed.filter(|_| !reached) else { return };
+    if let Some(first) = losses.first().map(|loss| loss.at) {
+        losses.extend(node.abandoned.borrow_mut().take(start, first).into_iter().map(|left| left.loss));
+    }
+    accuse(&node, &id, start, losses);
+    node.changed.notify_one();
+}
+
+/// Notes that an endpoint crashed under requests.
+fn accuse(node: &Node, id: &str, endpoint: EndpointStart, losses: Vec<Loss>) {
     let requests: Vec<_> = losses.iter().map(Loss::text).collect();
-    info!(node.log, "endpoint"; "endpoint" => &*id, "state" => "crashed", "under" => requests.join(" "));
+    info!(node.log, "endpoint"; "endpoint" => id, "state" => "crashed", "under" => requests.join(" "));
     let now = node.now();
     for Loss { fingerprint: request, at, .. } in losses {
-        let crash = Crash { request, endpoint: start, at };
+        let crash = Crash { request, endpoint, at };
         if node.state.borrow_mut().quarantine.crashed(now, crash) {
-            log_quarantine(&node, request);
+            log_quarantine(node, request);
         }
     }
-    node.changed.notify_one();
 }
 
 /// Address, id and start of an endpoint that is expected to end what it runs. One that leaves as planned, or has left the
--- a/crates/forward/src/generate.rs
+++ b/crates/forward/src/generate.rs
@@ -18,7 +18,7 @@
 
 use crate::body::AnswerBody;
 use crate::calls::{CALL, tidy};
-use crate::crashes;
+use crate::crashes::{self, Watch};
 use crate::node::{Answer, Job, Node, Slot, StepFailure};
 use crate::protocol::Purpose;
 use crate::refusals::refuse;
@@ -142,8 +142,9 @@
             break;
         }
         let reading = matches!(prompt, Prompt::ByDecode).then(|| node.read_at(room.endpoint));
-        let begun = node.now();
+        let watch = Watch::new(node, job, room.endpoint);
         let result = decode(node, job, &room, &prompt).await;
+        let begun = watch.ended();
         drop(reading);
         if result.as_ref().is_err_and(|failure| failure.may_have_run()) {
             crashes::check(node, job, trace, room.endpoint, begun);
@@ -206,9 +207,10 @@
         }
         tried.push(key);
         let _slot = node.occupy(key, tokens);
-        let begun = node.now();
+        let watch = Watch::new(node, job, key);
         let in_flight = node.state.borrow().endpoints.load(key);
         let result = prefill_at(node, job, key).await;
+        let begun = watch.ended();
         if result.as_ref().is_err_and(|failure| failure.may_have_run()) {
             crashes::check(node, job, trace, key, begun);
         }
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -27,7 +27,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::admission::Charge;
-use crate::crashes::Loss;
+use crate::crashes::{Abandoned, Loss};
 use crate::metrics::Metrics;
 use crate::pool::{Connection, Failure, Pool};
 use crate::protocol::{AnswerMeta, Call, Meta, Protocol, Purpose};
@@ -88,6 +88,8 @@
     pub(crate) connections: Cell<usize>,
     /// Requests that endpoints lost, until it is known whether these have crashed.
     pub(crate) losses: RefCell<HashMap<EndpointKey, Vec<Loss>>>,
+    /// Runs whose callers left a moment ago.
+    pub(crate) abandoned: RefCell<Abandoned>,
 }
 
 /// A caller's request with everything that its steps need.
--- a/crates/forward/src/peers.rs
+++ b/crates/forward/src/peers.rs
@@ -24,7 +24,7 @@
 use tokio::sync::mpsc;
 
 use crate::catalog::{Catalog, Telling};
-use crate::crashes::log_quarantine;
+use crate::crashes::{self, log_quarantine};
 use crate::node::{Node, Phase};
 
 /// Peers named in a datagram.
@@ -212,6 +212,7 @@
             if self.node.state.borrow_mut().quarantine.told(now, crash) {
                 log_quarantine(&self.node, crash.request);
             }
+            crashes::told(&self.node, crash);
         }
     }
 
--- a/crates/forward/src/plain.rs
+++ b/crates/forward/src/plain.rs
@@ -14,7 +14,7 @@
 use teaselshunt_routing::{EndpointKey, Repeat};
 
 use crate::body::AnswerBody;
-use crate::crashes;
+use crate::crashes::{self, Watch};
 use crate::node::{Answer, Job, Node, StepFailure};
 use crate::protocol::Purpose;
 use crate::refusals::refuse;
@@ -182,8 +182,9 @@
 ) -> Result<Outcome, StepFailure> {
     let slot = node.occupy(key, 0);
     let name = node.name(key);
-    let begun = node.now();
+    let watch = Watch::new(node, job, key);
     let result = whole(node, job, key).await;
+    let begun = watch.ended();
     drop(slot);
     if result.as_ref().is_err_and(|failure| failure.may_have_run()) {
         crashes::check(node, job, trace, key, begun);
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -97,7 +97,10 @@
                 node.learn_output(&source.job, trace.events());
                 return trace.end("answered", status);
             }
-            End::CallerGone => return trace.end("caller_gone", status),
+            End::CallerGone => {
+                crashes::left(&node, &source.job, endpoint, begun);
+                return trace.end("caller_gone", status);
+            }
             End::TimedOut => {
                 // The caller may be gone as well; the channel says so by an error that needs no action.
                 let _ = pieces.send(Err(Broken)).await;
--- a/crates/forward/src/supervisor.rs
+++ b/crates/forward/src/supervisor.rs
@@ -111,6 +111,7 @@
         peers: Cell::new(0),
         connections: Cell::new(0),
         losses: RefCell::default(),
+        abandoned: RefCell::default(),
         settings,
     });
     info!(node.log, "started"; "callers" => %node.settings.callers, "store" => %node.settings.store,
