Random plans: requests under which engines crash

No plan in virtual time had a request that crashes engines, so that nothing but fixed tests looked at the quarantine beside kills, freezes and cuts. A plan may now have callers who send one of two such requests: the engine ends as it begins to generate, everything there breaks off, and it takes no connection for four seconds. Checked: of a request that has crashed three engines, no more than three further crashes once everybody can know (three seconds without a fault, no cut, nobody frozen), as the users limit it.

--- a/crates/bench/src/world/faults.rs
+++ b/crates/bench/src/world/faults.rs
@@ -42,6 +42,8 @@
     RefuseEnd(usize),
     /// The connections of a decode engine's streams are lost track of.
     Silence(usize),
+    /// A caller sends one of two requests that crash every engine which begins to generate for them.
+    Deadly(usize),
     /// An operator drains an endpoint by a patch.
     Drain(usize),
     /// An operator takes it back.
@@ -84,6 +86,7 @@
             Fault::Refuse(n) => self.engines[n % endpoints].refusing = true,
             Fault::RefuseEnd(n) => self.engines[n % endpoints].refusing = false,
             Fault::Silence(n) => self.engines[n % endpoints].silence(),
+            Fault::Deadly(n) => self.ask_deadly(n % 2),
             Fault::Drain(n) => self.drain(n % endpoints, true),
             Fault::Undrain(n) => self.drain(n % endpoints, false),
             Fault::Share(share) => self.publish(|c| {
--- a/crates/bench/src/world/mod.rs
+++ b/crates/bench/src/world/mod.rs
@@ -1,6 +1,7 @@
 //! The world: a queue of happenings in virtual time, and what they happen to.
 
 mod callers;
+mod crashes;
 mod deployment;
 mod drivers;
 mod engine;
@@ -16,7 +17,7 @@
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use teaselshunt_core::{EndpointId, Event, InstanceId, Message, Placement, RequestId, Ticket};
+use teaselshunt_core::{EndpointId, Event, Fingerprint, InstanceId, Message, Placement, RequestId, Ticket};
 
 pub use callers::{Asked, Load};
 pub use deployment::{Deployment, britasol, pindan, scaled};
@@ -26,6 +27,7 @@
 pub use tally::{ClassTally, Tally};
 
 use callers::Caller;
+use crashes::Crashes;
 use engine::{Engine, Job};
 use network::Network;
 use node::Node;
@@ -137,6 +139,8 @@
     reached: HashSet<RequestId>,
     /// Requests that were called not run.
     not_run: HashSet<RequestId>,
+    /// Crashes by the request that caused them.
+    crashes: HashMap<Fingerprint, Crashes>,
     /// Endpoints that drain, and since when.
     draining: BTreeMap<usize, Duration>,
     /// When something last broke or healed.
@@ -171,6 +175,7 @@
             callers: Vec::new(),
             reached: HashSet::new(),
             not_run: HashSet::new(),
+            crashes: HashMap::new(),
             draining: BTreeMap::new(),
             disturbed: Duration::ZERO,
             tally: Tally::default(),
