Keys: an inquiry does not outlive its list

What callers saw: a booking that ran is run again in the moment in which the list changes.

Cause: a home that waits for earlier homes of a key, or for its tenure, kept its claims when the list changed and granted by what the former list had it ask for. The head of the module says that it will not, because it is not home any more; it can be home by both.

Why it works: askers repeat their claims at once when they take a list, and four times a second, by the revision that they use.

--- a/crates/core/src/homes.rs
+++ b/crates/core/src/homes.rs
@@ -198,6 +198,8 @@
     pub(crate) fn relisted(&mut self, members: &Members) {
         self.handed.retain(|&id, _| members.get(id).is_none_or(|m| m.leaving));
         self.read = None;
+        // What they ask for was found by the former list. Askers claim again by the new one.
+        self.inquiries.clear();
     }
 
     /// The list was read from the platform and is the one in use.
--- a/crates/core/tests/all/claims.rs
+++ b/crates/core/tests/all/claims.rs
@@ -7,7 +7,7 @@
     Message, RequestId, Ticket, Work,
 };
 
-use crate::support::{Alone, OTHER, heartbeat, pair};
+use crate::support::{Alone, OTHER, heartbeat, heartbeat_at, pair};
 
 /// Longer than an asker waits for a home.
 const CLAIM: Duration = Duration::from_millis(1_600);
@@ -118,6 +118,25 @@
     }
 }
 
+/// A home asks who had a key before, and the list changes meanwhile. What it asked for was found by the former list: the
+/// new one may have made another instance home in between, which was not asked. The answer grants nothing.
+#[test]
+fn an_answer_that_was_asked_for_by_a_former_list_grants_nothing() {
+    let mut alone = pair();
+    let asks = |alone: &mut Alone, number| {
+        let claim = Message::Claim { key: key(number), request: holder(1), revision: 2, born: None };
+        let effects = alone.receive(claim);
+        effects.iter().any(|e| matches!(e, Effect::Send { message: Message::Inquire { .. }, .. }))
+    };
+    let number = (1..100).find(|&n| asks(&mut alone, n)).expect("some key has its home here");
+    alone.relist(3);
+    alone.receive(heartbeat_at(3));
+    let (key, revision) = (key(number), 3);
+    let reply = Message::Inquired { key, revision, record: None, whole: true, complete: true };
+    let told = answers(&alone.receive(reply));
+    assert!(!told.contains(&(holder(1), ClaimAnswer::Granted)), "{told:?}");
+}
+
 /// A booking has run and its caller has the answer, but word of it to the key's home is lost with the connection. The home
 /// asks the holder when somebody else wants the key, and is told again; it would call the key in use for ever.
 #[test]
--- a/crates/core/tests/all/support.rs
+++ b/crates/core/tests/all/support.rs
@@ -66,8 +66,11 @@
         self.step(Event::Received { from: InstanceId::of(OTHER), message })
     }
 
-    pub(crate) fn now(&self) -> Instant {
-        self.now
+    /// A list with the instances of a [`pair`] comes into use.
+    pub(crate) fn relist(&mut self, revision: u64) {
+        let instances = vec![entry("osborne-1", "osborne", 1), entry(OTHER, "malaga", 2)];
+        let list = Listed { revision, instances };
+        self.step(Event::Listed { list, source: Source::Platform, asked: self.now });
     }
 
     /// Milliseconds since the Unix epoch.
@@ -119,10 +122,7 @@
 /// An instance that knows and has heard another one.
 pub(crate) fn pair() -> Alone {
     let mut alone = Alone::start();
-    let instances = vec![entry("osborne-1", "osborne", 1), entry(OTHER, "malaga", 2)];
-    let list = Listed { revision: 2, instances };
-    let asked = alone.now();
-    alone.step(Event::Listed { list, source: Source::Platform, asked });
+    alone.relist(2);
     alone.receive(heartbeat());
     alone
 }
@@ -136,8 +136,13 @@
     }
 }
 
-/// The other instance's.
+/// The other instance's, by the list of a [`pair`].
 pub(crate) fn heartbeat() -> Message {
+    heartbeat_at(2)
+}
+
+/// The other instance's, by a list.
+pub(crate) fn heartbeat_at(revision: u64) -> Message {
     let rumours = Vec::new();
     let (stamp, incarnation, epoch) = (0, 1, 0);
     Message::Heartbeat(Heartbeat {
@@ -145,7 +150,7 @@
         incarnation,
         epoch,
         version: 1,
-        revision: 2,
+        revision,
         listed_ms: 0,
         stopping: false,
         rumours,
