Keys: a home that has missed a list learns who was home by it

What callers saw: a failure domain is cut off and comes back, and bookings that ran meanwhile run again when their callers retry.

Cause: while the domain is cut off the list drops it and other homes grant its keys. If it comes back with the list after that, its instances know the list before and the list after, are home by both, and find nobody to ask. The same for every instance that reads the list after two changes. Ruled out on the way: with the list three seconds after the mend the instances read the list between, and nothing ran twice; that is why random plans had not met it.

Mend: revisions rise by one, so that a greater step shows that a list was missed. For keys that may be older than ten seconds after the first use of the list in use, the home then asks a member of another failure domain that has seen all lists. It names the homes of the key by those, and each is asked, so that callers get the answers of what ran elsewhere. Nobody to name them: "unknown".

--- a/crates/bench/tests/all/keys.rs
+++ b/crates/bench/tests/all/keys.rs
@@ -169,3 +169,19 @@
         assert_eq!((tally.refused, tally.answered), (0, tally.offered), "seed {seed}: refused and answered");
     }
 }
+
+/// A failure domain is cut off, the list drops it, and its keys get other homes, which grant them. The cut ends and the list takes
+/// the domain back: the homes there have never seen the list between, and did not ask who was home by it. Bookings that had
+/// run meanwhile, and whose callers came back, ran a second time.
+#[test]
+fn homes_return_that_missed_a_list() {
+    holds("missed a list", |s| {
+        let (n, sides) = (s as usize, [Side::Platform, Side::Domain(1), Side::Domain(2), Side::Domain(3)]);
+        let cuts = sides.into_iter().map(|side| (10_000, Fault::Cut(Side::Domain(0), side)));
+        // As the domain is back the list changes anyway, because an instance was killed three seconds before.
+        let mends = sides.into_iter().map(|side| (28_000, Fault::Mend(Side::Domain(0), side)));
+        let kills = [(25_000, Fault::Kill(3 + n % 4))].into_iter();
+        let later = (1..4).map(|i| (29_500 + i as u64 * 300, Fault::Kill(3 + (n + i) % 4)));
+        cuts.chain(mends).chain(kills).chain(later).collect()
+    });
+}
--- a/crates/core/src/homes.rs
+++ b/crates/core/src/homes.rs
@@ -18,9 +18,10 @@
 //!    has moved on does not answer at the old revision. A frozen home that wakes finds its tenure lapsed.
 //! 5. A home that has just started has lost the records of its former life, and knows of no list before its first. It asks
 //!    the runner-up of the key, which would have been home without it and took over the records if the former life stopped
-//!    as planned. That nobody but the runner-up was home for the whole horizon it can say of others, never of the asker: the
-//!    list may have named the asker all the time. So no record is an answer only where the asker had no former life by the
-//!    lists in question, because it has seen one that left it out.
+//!    as planned. No record is an answer only where the former life cannot have been home by the list in use, because the
+//!    new one has seen a list that left it out.
+//!    Lists that it has not seen, also after a cut, it learns by their homes: a member that has seen all of them names those
+//!    of the key, and each of them is asked. Revisions rise by one, so that a list that was missed is noticed.
 //!
 //! 6. A key that tells when it was made (a UUID of version 7) needs no inquiry of an earlier home whose last
 //!    possible grant lies before that. The last possible grant
@@ -78,8 +79,8 @@
 enum Proof {
     /// That it has not granted the key itself.
     Whole,
-    /// That nobody has who was home before.
-    Complete,
+    /// Besides, who was home by lists that were never in use here.
+    Witness,
     /// Nothing that it could say is enough.
     Record,
 }
@@ -130,6 +131,7 @@
     pub(crate) record: Option<Record>,
     pub(crate) whole: bool,
     pub(crate) complete: bool,
+    pub(crate) homes: Vec<InstanceId>,
 }
 
 /// Messages to send and answers to give, in order.
@@ -277,9 +279,11 @@
                 open.insert(home, Proof::Whole);
             }
         }
-        let forgotten = !self.remembers(now, members, born);
-        if forgotten || !self.witnessed(now, members, born) {
-            let proof = if forgotten && !members.joined() { Proof::Record } else { Proof::Complete };
+        if !self.witnessed(now, members, born) {
+            open.insert(members.witness(key)?, Proof::Witness);
+        }
+        if !self.remembers(now, members, born) {
+            let proof = if members.joined() { Proof::Witness } else { Proof::Record };
             open.insert(members.runner_up(key)?, proof);
         }
         Some(open)
@@ -391,15 +395,15 @@
             // Two lists under one revision: the platform broke its word. Neither side may grant.
             self.put(now, key, Record::Unknown);
         }
-        // An inquiry under way here could still end in a grant; by the newer list it will not, because this
-        // instance is not the home any more, and `conclude` checks that.
+        // Claims that waited here were dropped with the former list, so that none ends in a grant after this answer.
         let whole = self.remembers(now, members, born);
-        let former = members.former_homes(key);
-        let complete = whole
-            && self.witnessed(now, members, born)
-            && former.iter().all(|(h, _)| *h == self.me || self.handed_over(members, *h));
+        let complete = self.witnessed(now, members, born);
+        let former = members.former_homes(key).into_iter();
+        let may_have = former.filter(|&(_, replaced)| !self.made_after(born, replaced, TENURE));
+        let others = may_have.map(|(home, _)| home).filter(|&home| home != self.me);
+        let homes = others.filter(|&home| !self.handed_over(members, home)).collect();
         let record = self.entries.get(&key).map(|e| e.record.clone());
-        Message::Inquired { key, revision: ours, record, whole, complete }
+        Message::Inquired { key, revision: ours, record, whole, complete, homes }
     }
 
     /// An earlier home answered.
@@ -411,12 +415,12 @@
         key: IdempotencyKey,
         finding: Finding,
     ) -> Replies {
-        let Finding { revision, record, whole, complete } = finding;
+        let Finding { revision, record, whole, complete, homes } = finding;
         let mut replies = Replies::default();
-        let Some(inquiry) = self.inquiries.get_mut(&key) else {
+        let Some(inquiry) = self.inquiries.get(&key) else {
             return replies;
         };
-        let Some(&proof) = inquiry.open.get(&from) else {
+        let (born, Some(&proof)) = (inquiry.born, inquiry.open.get(&from)) else {
             return replies;
         };
         if revision < members.revision() {
@@ -424,21 +428,33 @@
             if let Some(list) = &members.list {
                 replies.messages.push((from, Message::List(list.clone())));
             }
-            let again = Message::Inquire { key, revision: members.revision(), born: inquiry.born };
+            let again = Message::Inquire { key, revision: members.revision(), born };
             replies.messages.push((from, again));
             return replies;
         }
+        let was_home = homes.contains(&self.me) && !self.remembers(now, members, born);
         let proven = match proof {
-            Proof::Whole => whole || complete,
-            Proof::Complete => complete,
+            Proof::Whole => whole,
+            Proof::Witness => whole && complete && !was_home,
             Proof::Record => false,
         };
+        let mut others: Vec<InstanceId> = Vec::new();
+        if proof == Proof::Witness && proven {
+            others.extend(homes.iter().filter(|&&h| h != self.me && !self.handed_over(members, h)));
+        }
+        let Some(inquiry) = self.inquiries.get_mut(&key) else {
+            return replies;
+        };
         if record.is_some() || proven {
             inquiry.open.remove(&from);
         } else {
             // Nobody can tell, now or later within the horizon: the caller hears it at once.
             inquiry.until = now;
         }
+        for home in others {
+            inquiry.open.entry(home).or_insert(Proof::Whole);
+            replies.messages.push((home, Message::Inquire { key, revision: members.revision(), born }));
+        }
         if let Some(record) = record {
             self.put(now, key, record);
             if let Some(inquiry) = self.inquiries.get_mut(&key) {
--- a/crates/core/src/instance.rs
+++ b/crates/core/src/instance.rs
@@ -366,8 +366,8 @@
                 let reply = self.homes.inquire(now, &self.members, key, (revision, born));
                 self.deliver(now, from, reply, out);
             }
-            Message::Inquired { key, revision, record, whole, complete } => {
-                let finding = Finding { revision, record, whole, complete };
+            Message::Inquired { key, revision, record, whole, complete, homes } => {
+                let finding = Finding { revision, record, whole, complete, homes };
                 let replies = self.homes.inquired(now, &self.members, from, key, finding);
                 self.send_replies(now, replies, out);
             }
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -169,7 +169,8 @@
             return false;
         }
         // A list that has this instance at another address may mean another process, whose grants are not known here.
-        self.witnessed = if self.named_elsewhere() { None } else { self.witnessed() };
+        let missed = list.revision != self.revision() + 1;
+        self.witnessed = if missed || self.named_elsewhere() { None } else { self.witnessed() };
         self.listed = Some(now);
         if self.list.is_some() {
             self.former.push_back(Former { homes: self.homes(), replaced: now });
@@ -276,6 +277,14 @@
         highest(key, &homes)
     }
 
+    /// Who is asked of a key's homes by lists that were never in use here: a member of another failure domain, where there is
+    /// one. A cut keeps lists from all members of a domain alike.
+    pub(crate) fn witness(&self, key: IdempotencyKey) -> Option<InstanceId> {
+        let mut homes = self.homes();
+        homes.retain(|&i| self.domain_of(i) != self.domain);
+        highest(key, &homes).or_else(|| self.runner_up(key))
+    }
+
     /// Instances that to this one's knowledge may have been home of a key before the list in use,
     /// with the time at which each lost its place for good.
     pub(crate) fn former_homes(&self, key: IdempotencyKey) -> BTreeMap<InstanceId, Instant> {
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -87,9 +87,10 @@
         /// Whether this process has run since before the key can have been granted, so that no record means no
         /// grant of its own. An instance that was started again remembers nothing of its former life.
         whole: bool,
-        /// Whether besides no instance but the asker was home in the whole horizon, so that no record means no grant by
-        /// any of them.
+        /// Whether the sender knows all lists by which the key can have been granted.
         complete: bool,
+        /// Homes of the key by those lists, but for the sender and those that handed their records over.
+        homes: Vec<InstanceId>,
     },
     /// May I have a slot pair for a request? Asked of the pool's owner, and asked again without harm.
     Reserve(Reserve),
--- a/crates/core/tests/all/claims.rs
+++ b/crates/core/tests/all/claims.rs
@@ -58,7 +58,14 @@
             alone.claim(number, 1);
             // The home asks the one who would be home without it first, which answers that it knows of nothing.
             let (key, revision) = (key(number), 2);
-            let reply = Message::Inquired { key, revision, record: None, whole: true, complete: true };
+            let reply = Message::Inquired {
+                key,
+                revision,
+                record: None,
+                whole: true,
+                complete: true,
+                homes: Vec::new(),
+            };
             answers(&alone.receive(reply)).contains(&(holder(1), ClaimAnswer::Granted))
         };
         (1..100).find(|&n| granted(self, n)).expect("some key has its home here")
@@ -132,7 +139,8 @@
     alone.relist(3);
     alone.receive(heartbeat_at(3));
     let (key, revision) = (key(number), 3);
-    let reply = Message::Inquired { key, revision, record: None, whole: true, complete: true };
+    let homes = Vec::new();
+    let reply = Message::Inquired { key, revision, record: None, whole: true, complete: true, homes };
     let told = answers(&alone.receive(reply));
     assert!(!told.contains(&(holder(1), ClaimAnswer::Granted)), "{told:?}");
 }
