Keys that will never be told about: callers are not told to come back

What callers saw: key_unknown with "come back in two seconds", for the whole horizon, though the home knew from the first claim that nobody would ever be able to tell. Cause: one answer for "not now" (no tenure yet, a silent home) and "not within the horizon" (the key may have been granted by a former start, its fate was lost, it is too old). The second is an answer of its own now, and the refusal bears no Retry-After. Evidence: the test, which got two seconds before. Ruled out: the silent home, which is told about later and keeps its time (same test).

The tests of a lone instance tick now. One that only let time pass counted as just woken, which refuses keys without a date by another rule: what showed with it was a key made before the start, not, as its message says, one without a date.

--- a/crates/core/src/claims.rs
+++ b/crates/core/src/claims.rs
@@ -92,6 +92,7 @@
             ClaimAnswer::Unknown => {
                 self.refuse(now, key, Refusal::later(ErrorKind::KeyUnknown, KEY_RETRY), out);
             }
+            ClaimAnswer::Lost => self.refuse(now, key, Refusal::new(ErrorKind::KeyUnknown), out),
             ClaimAnswer::Revision(theirs) => self.other_list(now, key, from, theirs, out),
         }
     }
--- a/crates/core/src/homes.rs
+++ b/crates/core/src/homes.rs
@@ -93,6 +93,8 @@
     /// Instances still to answer.
     open: BTreeMap<InstanceId, Proof>,
     until: Instant,
+    /// Whether one of them cannot tell, now or later.
+    lost: bool,
 }
 
 /// The last word of an instance that stopped.
@@ -238,7 +240,7 @@
             return replies;
         }
         if self.outdated(now, born) {
-            replies.answer(from, key, request, ClaimAnswer::Unknown);
+            replies.answer(from, key, request, ClaimAnswer::Lost);
             return replies;
         }
         if members.home(key) != Some(self.me) || self.closed {
@@ -250,10 +252,11 @@
             return replies;
         }
         let Some(open) = self.earlier(now, members, key, born) else {
-            replies.answer(from, key, request, ClaimAnswer::Unknown);
+            replies.answer(from, key, request, ClaimAnswer::Lost);
             return replies;
         };
-        let inquiry = Inquiry { born, claims: vec![(from, request)], open, until: now + INQUIRY };
+        let inquiry =
+            Inquiry { born, claims: vec![(from, request)], open, until: now + INQUIRY, lost: false };
         for &home in inquiry.open.keys() {
             replies.messages.push((home, Message::Inquire { key, revision, born }));
         }
@@ -341,8 +344,9 @@
         if !(clear && tenured) && now < inquiry.until {
             return;
         }
-        let claims = self.inquiries.remove(&key).map_or(Vec::new(), |i| i.claims);
         let grant = clear && tenured && members.home(key) == Some(self.me);
+        let refusal = if inquiry.lost { ClaimAnswer::Lost } else { ClaimAnswer::Unknown };
+        let claims = self.inquiries.remove(&key).map_or(Vec::new(), |i| i.claims);
         for (from, request) in claims {
             if let Some(entry) = self.entries.get(&key) {
                 replies.on_record((from, key, request), members, entry);
@@ -352,7 +356,7 @@
                 self.put(now, key, Record::Granted(request));
                 ClaimAnswer::Granted
             } else {
-                ClaimAnswer::Unknown
+                refusal.clone()
             };
             replies.answer(from, key, request, answer);
         }
@@ -450,6 +454,7 @@
         } else {
             // Nobody can tell, now or later within the horizon: the caller hears it at once.
             inquiry.until = now;
+            inquiry.lost = true;
         }
         for home in others {
             inquiry.open.entry(home).or_insert(Proof::Whole);
@@ -572,7 +577,7 @@
             Record::Granted(holder) if gone(members, *holder) => ClaimAnswer::Unknown,
             Record::Granted(_) => ClaimAnswer::InUse,
             Record::Ran(stored) => ClaimAnswer::Ran(stored.clone()),
-            Record::Unknown => ClaimAnswer::Unknown,
+            Record::Unknown => ClaimAnswer::Lost,
         }
     }
 }
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -222,8 +222,10 @@
     InUse,
     /// It ran.
     Ran(Option<Stored>),
-    /// It cannot be told.
+    /// It cannot be told now.
     Unknown,
+    /// It will not be told for as long as the key is good.
+    Lost,
     /// The asker and the home use different lists; this is the home's revision.
     Revision(u64),
 }
--- a/crates/core/tests/all/claims.rs
+++ b/crates/core/tests/all/claims.rs
@@ -4,7 +4,7 @@
 
 use teaselshunt_core::{
     Call, ClaimAnswer, Effect, ErrorKind, Event, Fate, Fingerprint, IdempotencyKey, InstanceId, Keyed,
-    Message, RequestId, Ticket, Work,
+    Message, Refusal, RequestId, Ticket, Work,
 };
 
 use crate::support::{Alone, OTHER, heartbeat, heartbeat_at, pair};
@@ -90,9 +90,15 @@
 
 /// Whether a caller is told that the fate of its key is not known.
 fn refused_as_unknown(effects: &[Effect]) -> bool {
-    let unknown =
-        |e: &Effect| matches!(e, Effect::Refuse { refusal, .. } if refusal.kind == ErrorKind::KeyUnknown);
-    effects.iter().any(unknown)
+    refusal(effects).is_some_and(|refusal| refusal.kind == ErrorKind::KeyUnknown)
+}
+
+/// What a caller is refused with.
+fn refusal(effects: &[Effect]) -> Option<Refusal> {
+    effects.iter().find_map(|effect| match effect {
+        Effect::Refuse { refusal, .. } => Some(*refusal),
+        _ => None,
+    })
 }
 
 fn key(number: u64) -> IdempotencyKey {
@@ -201,7 +207,7 @@
 #[test]
 fn an_instance_that_starts_alone_grants_no_key_that_may_be_older() {
     let mut alone = Alone::only_listed();
-    alone.pass(Duration::from_secs(20));
+    alone.run_for(Duration::from_secs(20));
     assert!(refused_as_unknown(&alone.book(1)));
     assert!(refused_as_unknown(&alone.book_born(2, Some(0))));
     let now_ms = alone.wall();
@@ -216,6 +222,21 @@
     let mut alone = Alone::only_listed();
     let skew = alone.configuration.policy.skew_ms;
     let started = alone.wall();
-    alone.pass(Duration::from_secs(20));
+    alone.run_for(Duration::from_secs(20));
     assert!(refused_as_unknown(&alone.book_born(1, Some(started + skew))));
 }
+
+/// A caller's key may have been granted by a former start of its home, and nobody will ever know. Told to come back in two
+/// seconds, it came back in vain for a quarter of an hour; it must hear that coming back does not help. While the home
+/// only cannot grant yet, it does.
+#[test]
+fn a_caller_whose_key_will_never_be_told_is_not_told_to_come_back() {
+    let mut alone = Alone::only_listed();
+    alone.run_for(Duration::from_secs(20));
+    assert_eq!(refusal(&alone.book(1)), Some(Refusal::new(ErrorKind::KeyUnknown)));
+    let mut alone = pair();
+    alone.claim_elsewhere();
+    alone.pass(CLAIM);
+    let silent = refusal(&alone.step(Event::Tick)).expect("its home is silent");
+    assert!(silent.kind == ErrorKind::KeyUnknown && silent.retry.is_some(), "{silent:?}");
+}
--- a/crates/core/tests/all/support.rs
+++ b/crates/core/tests/all/support.rs
@@ -82,6 +82,15 @@
         self.now += time;
     }
 
+    /// Time passes with ticks, as for a process that runs.
+    pub(crate) fn run_for(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.pass(Instance::TICK);
+            self.step(Event::Tick);
+        }
+    }
+
     fn offer(&mut self) -> Vec<Effect> {
         let configuration = Arc::new(self.configuration.clone());
         let offer = Offer::Valid { configuration, text: Arc::from("") };
