--- a/crates/teams/tests/all/quota.rs
+++ b/crates/teams/tests/all/quota.rs
@@ -123,6 +123,13 @@
         units
     }
 
+    /// Failure domains do not hear one another from now on.
+    fn cut_by_domain(&mut self) {
+        for member in &mut self.members {
+            member.side = member.domain as u8;
+        }
+    }
+
     fn restart(&mut self, member: usize) {
         let life = self.members[member].life + 1000;
         let Member { side, domain, .. } = self.members[member];
@@ -360,3 +367,41 @@
     quotas.told(seconds(118), 1, total(1000 + 8 * 500));
     assert!(quotas.admit(seconds(119), TEAM, 500).is_ok(), "level {:?}", quotas.level(TEAM));
 }
+
+/// All instances of both sides start again inside a cut, so that nobody remembers the other side. Each side takes the failure
+/// domains that it has not heard to be as large as its own: together they must admit one limit and not two.
+#[test]
+fn both_sides_that_start_again_inside_a_cut_keep_to_the_limit() {
+    let mut fleet = Fleet::new(Way::Shared, 4);
+    fleet.cut_by_domain();
+    for member in 0..4 {
+        fleet.restart(member);
+    }
+    let units = flood_after(&mut fleet, seconds(60));
+    assert!(units <= bound(FLOOD), "{units}");
+}
+
+/// A cut between failure domains lasts for more than ten minutes, as one between regions does several times a year. Each
+/// side forgot the other one then and admitted the whole limit.
+#[test]
+fn a_cut_of_over_ten_minutes_keeps_to_the_limit() {
+    let mut fleet = Fleet::new(Way::Shared, 4);
+    fleet.cut_by_domain();
+    let units = flood_after(&mut fleet, seconds(11 * 60));
+    assert!(units <= bound(FLOOD), "{units}");
+}
+
+/// How long a team floods.
+const FLOOD: Duration = seconds(8);
+
+/// Units that a team gets which floods all instances, at nine times its limit, after a quiet time.
+fn flood_after(fleet: &mut Fleet, quiet: Duration) -> u64 {
+    fleet.run(quiet, &[]);
+    let asked: Vec<_> = (0..fleet.members.len()).map(|member| (member, LIMIT.rate * 9.0 / 4.0)).collect();
+    fleet.run(FLOOD, &asked)
+}
+
+/// What a team may get at most in so many seconds: its limit and a quarter of it.
+fn bound(time: Duration) -> u64 {
+    ((rate_for(time) + LIMIT.burst) * 1.25) as u64
+}
