--- a/crates/core/src/crashes.rs
+++ b/crates/core/src/crashes.rs
@@ -2,8 +2,8 @@
 //!
 //! A broken step does not say that the endpoint has crashed: one answer can be lost, and so can connections. The engine is asked
 //! for its load at once; one that does not answer, or takes no connection from the next request, has crashed, and whatever
-//! was lost there counts against the requests, and against those whose callers left it at about that time. What follows for them is decided by
-//! [`Quarantine`](crate::Quarantine).
+//! was lost there counts against the requests, and against those whose callers left it at about that time. What follows
+//! for them is decided by [`Quarantine`](crate::Quarantine).
 
 use std::time::{Duration, Instant};
 
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -89,7 +89,7 @@
         whole: bool,
         /// Whether the sender knows all lists by which the key can have been granted.
         complete: bool,
-        /// Homes of the key by those lists, but for the sender and those that handed their records over.
+        /// Homes of the key by those lists that may have granted it, but for the sender.
         homes: Vec<InstanceId>,
     },
     /// May I have a slot pair for a request? Asked of the pool's owner, and asked again without harm.
