Teams' limits: both sides of a cut of hours keep to the limit

Each side of a cut forgot the other after ten minutes of silence and admitted the whole limit.

Cause: silence alone decided how long a peer is remembered. An instance that was replaced and a failure domain that is cut off look the same for ten minutes, and only the first may be forgotten.

Change: the ten minutes count only while others of the silent peer's domain are heard. Where nobody of it is heard, its part stays set aside until somebody is. Time counts, not the last hearing: at the end of a cut the first instance that is heard would otherwise have all others of its domain forgotten at once (test the_end_of_a_long_cut_keeps_to_the_limit: 16520 units before, and with a memory that looks only at the moment of the last hearing).

Ruled out: a longer time. Cuts last as long as they last.

Its price: a domain that is lost for hours without a word keeps its part of each limit from those who are left.

--- a/crates/teams/src/quota.rs
+++ b/crates/teams/src/quota.rs
@@ -40,9 +40,12 @@
 /// Silence after which a peer counts as cut off: over the longest pause between two tellings. One whose telling was lost is
 /// taken for cut off for a moment, which costs its part of the rate for as long; a late notice of a cut costs a rate.
 const SILENT: Duration = Duration::from_millis(700);
-/// How long a silent peer is remembered. Cuts between failure domains last minutes; longer ones are not held against those
-/// who are left when instances were removed without a word.
+/// How long a silent peer is remembered while others of its failure domain are heard: it was removed or replaced without a
+/// word. Where its whole domain is silent it is remembered until the domain is heard again, since a cut may last for hours
+/// and the other side admits its part all the while.
 const MEMORY: Duration = Duration::from_mins(10);
+/// Time after the start for which failure domains that were not heard yet count as being as large as the own one.
+const ASSUMED: Duration = Duration::from_mins(10);
 /// Time after the start in which what peers admitted earlier is not taken from a level that began without it.
 const NEWCOMER: Duration = Duration::from_secs(5);
 /// Most teams that are told of at a time.
@@ -87,6 +90,14 @@
     instances: u32,
     /// Until when reserves for it are accounted for; `None` while it is heard.
     reserved: Option<Duration>,
+    /// Time for which it has been missed: silent while others of its failure domain are heard.
+    missed: Duration,
+}
+
+impl Peer {
+    fn is_silent(&self, now: Duration) -> bool {
+        now.saturating_sub(self.at) > SILENT
+    }
 }
 
 /// Accounts of all teams that have a limit, as one instance keeps them. `P` tells peers apart. Times are those since the
@@ -103,6 +114,8 @@
     started: Duration,
     /// When they were last looked at.
     looked: Duration,
+    /// When silent peers were last looked for.
+    reviewed: Duration,
     /// Tag of this instance's failure domain.
     domain: u32,
     /// Failure domains of the deployment; 0 where that is not known.
@@ -127,6 +140,7 @@
             listed: 1,
             started: now,
             looked: now,
+            reviewed: now,
             domain,
             domains,
             peers,
@@ -199,10 +213,7 @@
     /// Looks for peers that have fallen silent. To be called several times a second.
     pub fn tick(&mut self, now: Duration) {
         self.look(now);
-        self.peers.retain(|_, peer| {
-            let silence = now.saturating_sub(peer.at);
-            silence < if peer.leaving { SILENT } else { MEMORY }
-        });
+        self.forget_missed(now);
         let (silences, heard) = self.silences(now);
         self.instances = self.count_instances(now).max(heard);
         let each = 1.0 / f64::from(self.instances);
@@ -220,12 +231,28 @@
         self.part = part;
     }
 
+    /// Forgets peers that have left, and those that were missed for long.
+    fn forget_missed(&mut self, now: Duration) {
+        let passed = now.saturating_sub(std::mem::replace(&mut self.reviewed, now));
+        let heard = self.peers.values().filter(|peer| !peer.is_silent(now));
+        let present: HashSet<u32> = heard.map(|peer| peer.domain).collect();
+        self.peers.retain(|_, peer| {
+            if !peer.is_silent(now) {
+                return true;
+            }
+            if present.contains(&peer.domain) {
+                peer.missed += passed;
+            }
+            !peer.leaving && peer.missed < MEMORY
+        });
+    }
+
     /// Peers that are silent, and how many instances are heard, this one included.
     fn silences(&mut self, now: Duration) -> (Vec<Silence<P>>, u32) {
         let mut heard = 1;
         let mut silences = Vec::new();
         for (&id, peer) in &mut self.peers {
-            if now.saturating_sub(peer.at) <= SILENT {
+            if !peer.is_silent(now) {
                 heard += 1;
                 continue;
             }
@@ -239,10 +266,10 @@
     /// Instances among which limits are divided: all that are remembered here, or by a peer that is heard; and for each
     /// failure domain of which nothing was heard since the start as many as the others have.
     fn count_instances(&self, now: Duration) -> u32 {
-        let heard = self.peers.values().filter(|peer| now.saturating_sub(peer.at) <= SILENT);
+        let heard = self.peers.values().filter(|peer| !peer.is_silent(now));
         let told = heard.map(|peer| peer.instances).max().unwrap_or(0);
         let known = self.remembered().max(told).max(self.listed);
-        if self.start == Start::First || now.saturating_sub(self.begun) > MEMORY {
+        if self.start == Start::First || now.saturating_sub(self.begun) > ASSUMED {
             return known;
         }
         let domains: HashSet<u32> =
@@ -271,9 +298,11 @@
             leaving: false,
             instances: 1,
             reserved: None,
+            missed: Duration::ZERO,
         });
         known.at = now;
         known.reserved = None;
+        known.missed = Duration::ZERO;
     }
 
     /// A peer was heard. Says whether its telling is new, so that its spending may be taken over.
@@ -293,7 +322,17 @@
             Some(known) => known.former,
             None => None,
         };
-        let heard = Peer { life, former, sequence, at: now, domain, leaving, instances, reserved: None };
+        let heard = Peer {
+            life,
+            former,
+            sequence,
+            at: now,
+            domain,
+            leaving,
+            instances,
+            reserved: None,
+            missed: Duration::ZERO,
+        };
         self.peers.insert(peer, heard);
         true
     }
--- a/crates/teams/tests/all/quota.rs
+++ b/crates/teams/tests/all/quota.rs
@@ -391,6 +391,32 @@
     assert!(units <= bound(FLOOD), "{units}");
 }
 
+/// A cut of over ten minutes heals. Those who are heard first must not have the others of their failure domain forgotten.
+#[test]
+fn the_end_of_a_long_cut_keeps_to_the_limit() {
+    let mut fleet = Fleet::new(Way::Shared, 8);
+    fleet.cut_by_domain();
+    fleet.run(seconds(11 * 60), &[]);
+    for member in [0, 1] {
+        fleet.members[member].side = 2;
+    }
+    let units = flood_after(&mut fleet, seconds(1));
+    assert!(units <= bound(FLOOD), "{units}");
+}
+
+/// Instances are replaced without a word, again and again. Shares of those that are gone would add up until nobody is
+/// admitted anything.
+#[test]
+fn replaced_instances_leave_no_shares_behind() {
+    let mut fleet = Fleet::new(Way::Shared, 8);
+    for gone in [4, 5, 6, 7] {
+        fleet.members[gone].down = true;
+    }
+    fleet.run(seconds(11 * 60), &[]);
+    let units = fleet.run(FLOOD, &[(0, 3000.0), (1, 3000.0)]) as f64;
+    assert!(units >= rate_for(FLOOD), "{units}");
+}
+
 /// How long a team floods.
 const FLOOD: Duration = seconds(8);
 
