Slow readers: what is held for them is on an account, and ends

Seen, by tests that failed on the code before (platform/tests/all/slow_readers.rs): bodies of requests before an endpoint that does not read or answer piled up without a bound but that of one body; an answer of 16 MB was taken whole into a process that may have 1 MB; an answer that its caller did not read was held for as long as the caller kept the connection; a stream that its caller did not read kept its engine beyond the caller's deadline, since the wait for the caller had no end of its own.

Change: bodies of requests, whole answers and waiting pieces of streams are on one account (routing::Memory), 0.4 of the process's memory. New requests are refused first, at three quarters of it: 429 with Retry-After, not run. An answer that does not fit ends with 502 (its outcome is not known). Whole answers go to the connection in pieces of 16 KB, so that they count until they are written. Of a stream 16 pieces wait; where the account is full the caller must have read all that came before. A stream ends with the caller's deadline, and a connection whose answer is not read is closed ten seconds after that. A relay that is dropped before its end breaks the answer off: a forgotten error used to be a whole answer.

Ruled out: passing whole answers on as they come, which would take from the second try what it needs (the whole answer of the first).

New metric held_bytes.

--- a/crates/forward/src/front.rs
+++ b/crates/forward/src/front.rs
@@ -12,10 +12,11 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use slog::{debug, warn};
+use slog::{debug, info, warn};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+use crate::body::Unread;
 use crate::node::{Node, Phase};
 use crate::requests;
 
@@ -56,7 +57,8 @@
     // Who comes this late gets one answer, which announces the end of the connection.
     let late = node.phase() >= Phase::Closing;
     let idle = if late { LATE } else { idle };
-    let service = service_fn(|request| requests::serve(Rc::clone(&node), request));
+    let unread = Rc::new(Unread::default());
+    let service = service_fn(|request| requests::serve(Rc::clone(&node), request, Rc::clone(&unread)));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle)
@@ -65,16 +67,24 @@
     let mut connection = std::pin::pin!(connection);
     let closing = closing(node.phase.subscribe());
     node.connections.set(node.connections.get() + 1);
-    let result = tokio::select! {
-        result = connection.as_mut() => result,
-        () = closing, if !late => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+    let served = async {
+        tokio::select! {
+            result = connection.as_mut() => result,
+            () = closing, if !late => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
         }
     };
+    let result = tokio::select! {
+        result = served => Some(result),
+        () = unread.overdue() => None,
+    };
     node.connections.set(node.connections.get() - 1);
-    if let Err(error) = result {
-        debug!(node.log, "caller's connection"; "error" => %error);
+    match result {
+        Some(Ok(())) => {}
+        Some(Err(error)) => debug!(node.log, "caller's connection"; "error" => %error),
+        None => info!(node.log, "caller's connection closed"; "cause" => "its answer was not read"),
     }
 }
 
--- a/crates/forward/src/generate.rs
+++ b/crates/forward/src/generate.rs
@@ -9,16 +9,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http_body_util::{Either, Full};
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::header::HeaderValue;
 use teaselshunt_core::{ErrorKind, Refusal};
-use teaselshunt_routing::{EndpointKey, Patience, Repeat, Sends};
+use teaselshunt_routing::{EndpointKey, Held, Patience, Repeat, Sends};
 
 use crate::body::AnswerBody;
 use crate::calls::{CALL, tidy};
 use crate::crashes::{self, Watch};
+use crate::holding::Holding;
 use crate::node::{Answer, Job, Node, Slot, StepFailure};
 use crate::protocol::Purpose;
 use crate::refusals::refuse;
@@ -47,13 +47,14 @@
         return stream::relay(node, Source::generation(job), answer, slot, trace);
     }
     let (mut head, body) = answer.response.into_parts();
-    let Ok(body) = node.read(body, answer.connection, job.until).await else {
+    let mut holding = Holding::new(node, Held::Answer);
+    let Ok(body) = node.read_held(body, answer.connection, job.until, &mut holding).await else {
         return refuse(node, Refusal::new(ErrorKind::EndpointFailed), trace);
     };
     node.served(&job);
     crate::headers::strip(&mut head.headers);
     trace.end("endpoint_error", head.status.as_u16());
-    Response::from_parts(head, Either::Left(Full::new(body)))
+    Response::from_parts(head, AnswerBody::whole(body, Some(holding)))
 }
 
 /// Takes a stream up that broke at engine `broken`, at another one, after the last event that the caller has. That one
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -2,7 +2,7 @@
 //! through a [`Protocol`].
 //!
 //! Modules look down only: `supervisor` starts `front` (listeners), `catalog` (what the platform's store says) and
-//! `orders`; `front` hands requests to `requests`, which calls `plain` or `generate` (with `rooms`); both use `stream`, `node`
+//! `orders`; `front` hands requests to `requests`, which calls `plain` or `generate` (with `rooms`); both use `stream`, `body` with `holding` (what slow readers have not read), `node`
 //! (state, one step at an endpoint) and `pool` (connections). Decisions without input or output are in the crate
 //! `teaselshunt-routing`.
 //!
@@ -25,6 +25,7 @@
 mod front;
 mod generate;
 mod headers;
+mod holding;
 mod logs;
 mod metrics;
 mod node;
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -23,6 +23,7 @@
     pub(crate) version: IntGauge,
     pub(crate) endpoints: IntGauge,
     pub(crate) running: IntGauge,
+    pub(crate) held: IntGauge,
     teams: IntCounterVec,
     /// Teams that have a label of their own.
     labelled: RefCell<HashSet<String>>,
@@ -64,6 +65,7 @@
             version: gauge("configuration_version", "Configuration version in force.")?,
             endpoints: gauge("endpoints", "Endpoints listed.")?,
             running: gauge("requests_in_progress", "Requests in progress.")?,
+            held: gauge("held_bytes", "Bodies held for callers and endpoints that have not read them.")?,
             teams: counter(
                 "team_requests_total",
                 "Requests of teams by how they ended.",
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -10,24 +10,25 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_ENCODING, CONTENT_TYPE, HOST, HeaderMap, HeaderValue};
 use hyper::http::response::Parts;
 use hyper::{Method, Request, Response, StatusCode};
 use rand::rngs::SmallRng;
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use teaselshunt_core::{Clock, ErrorKind, Fingerprint, Quarantine, Refusal};
 use teaselshunt_routing::{
-    Allowances, Budgets, EndpointKey, Endpoints, Need, Outputs, Pace, Route, RouteSet, Sends, Service, Stage,
-    Verdict,
+    Allowances, Budgets, EndpointKey, Endpoints, Memory, Need, Outputs, Pace, Route, RouteSet, Sends,
+    Service, Stage, Verdict,
 };
 use teaselshunt_teams::{Quotas, Team};
 use tokio::sync::{Notify, watch};
 
 use crate::admission::Charge;
 use crate::crashes::{Abandoned, Loss};
+use crate::holding::Holding;
 use crate::metrics::Metrics;
 use crate::pool::{Connection, Failure, Pool};
 use crate::protocol::{AnswerMeta, Call, Meta, Protocol, Purpose};
@@ -65,6 +66,8 @@
     pub(crate) quarantine: Quarantine,
     /// Limits of teams.
     pub(crate) quotas: Quotas<SocketAddr>,
+    /// Bodies that are held for slow readers.
+    pub(crate) memory: Memory,
     /// When the store last answered about endpoints.
     pub(crate) listed: Option<Instant>,
 }
@@ -102,6 +105,8 @@
     /// Without hop-by-hop headers.
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// Room for the body, until the request has ended.
+    pub(crate) _holding: Holding,
     pub(crate) route: Arc<Route>,
     pub(crate) service: Arc<Service>,
     /// The caller's, where callers have keys.
@@ -485,6 +490,33 @@
         Ok((head, body))
     }
 
+    /// Reads a body that is for a caller to its end, as far as there is room, and keeps the connection.
+    pub(crate) async fn read_held(
+        &self,
+        mut body: Incoming,
+        connection: Connection,
+        until: Instant,
+        holding: &mut Holding,
+    ) -> Result<Bytes, Failure> {
+        let mut whole = BytesMut::new();
+        loop {
+            let data = match tokio::time::timeout_at(until.into(), body.frame()).await {
+                Err(_) => return Err(Failure::TimedOut),
+                Ok(Some(Err(_))) => return Err(Failure::Broken),
+                Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
+                Ok(None) => {
+                    self.pool.put(connection);
+                    return Ok(whole.freeze());
+                }
+            };
+            if let Err(error) = holding.grow(data.len()) {
+                warn!(self.log, "an answer is given up"; "error" => %error, "bytes" => whole.len() + data.len());
+                return Err(Failure::Broken);
+            }
+            whole.extend_from_slice(&data);
+        }
+    }
+
     /// Reads a body to its end and keeps the connection.
     pub(crate) async fn read(
         &self,
--- a/crates/forward/src/plain.rs
+++ b/crates/forward/src/plain.rs
@@ -8,13 +8,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{Either, Full};
 use hyper::{Response, StatusCode};
 use teaselshunt_core::{ErrorKind, Refusal};
-use teaselshunt_routing::{EndpointKey, Repeat};
+use teaselshunt_routing::{EndpointKey, Held, Repeat};
 
 use crate::body::AnswerBody;
 use crate::crashes::{self, Watch};
+use crate::holding::Holding;
 use crate::node::{Answer, Job, Node, StepFailure};
 use crate::protocol::Purpose;
 use crate::refusals::refuse;
@@ -32,7 +32,7 @@
 
 /// A whole answer, or the head of a stream.
 enum Outcome {
-    Whole(Response<Bytes>),
+    Whole(Response<Bytes>, Holding),
     Stream(Answer),
 }
 
@@ -45,12 +45,12 @@
         }
     };
     match result {
-        Ok(Outcome::Whole(response)) => {
+        Ok(Outcome::Whole(response, holding)) => {
             let status = response.status().as_u16();
             node.served(&job);
             trace.first();
             trace.end("answered", status);
-            response.map(|body| Either::Left(Full::new(body)))
+            response.map(|body| AnswerBody::whole(body, Some(holding)))
         }
         Ok(Outcome::Stream(answer)) => {
             let slot = node.occupy(answer.endpoint, 0);
@@ -99,7 +99,7 @@
 
 fn is_good(result: &Result<Outcome, StepFailure>) -> bool {
     match result {
-        Ok(Outcome::Whole(response)) => !response.status().is_server_error(),
+        Ok(Outcome::Whole(response, _)) => !response.status().is_server_error(),
         Ok(Outcome::Stream(_)) => true,
         Err(_) => false,
     }
@@ -190,8 +190,8 @@
         crashes::check(node, job, trace, key, begun);
     }
     let text = match &result {
-        Ok(Outcome::Whole(r)) if r.status() == StatusCode::OK => "ok",
-        Ok(Outcome::Whole(r)) => r.status().canonical_reason().unwrap_or("answered"),
+        Ok(Outcome::Whole(r, _)) if r.status() == StatusCode::OK => "ok",
+        Ok(Outcome::Whole(r, _)) => r.status().canonical_reason().unwrap_or("answered"),
         Ok(Outcome::Stream(_)) => "stream",
         Err(failure) => failure.text(),
     };
@@ -205,7 +205,8 @@
         return Ok(Outcome::Stream(answer));
     }
     let (mut head, body) = answer.response.into_parts();
-    let body = node.read(body, answer.connection, job.until).await.map_err(StepFailure::from)?;
+    let mut holding = Holding::new(node, Held::Answer);
+    let body = node.read_held(body, answer.connection, job.until, &mut holding).await?;
     crate::headers::strip(&mut head.headers);
-    Ok(Outcome::Whole(Response::from_parts(head, body)))
+    Ok(Outcome::Whole(Response::from_parts(head, body), holding))
 }
--- a/crates/forward/src/pool.rs
+++ b/crates/forward/src/pool.rs
@@ -32,6 +32,10 @@
 /// answers early, and would take the next request for that rest.
 const REST: usize = 32 * 1024;
 
+/// Largest head of an answer, and most of a body that is read at a time, in bytes: pieces of an answer wait whole for a slow
+/// caller.
+const BUFFER: usize = 32 * 1024;
+
 /// Why an exchange brought no answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Failure {
@@ -178,7 +182,7 @@
     // Small writes go out at once; a failure only costs latency.
     let _ = stream.set_nodelay(true);
     let io = TokioIo::new(stream);
-    let Ok((sender, connection)) = http1::Builder::new().handshake(io).await else {
+    let Ok((sender, connection)) = http1::Builder::new().max_buf_size(BUFFER).handshake(io).await else {
         return Err(Failure::Unsent);
     };
     // How the connection ends is seen by whoever waits for an answer on it.
--- a/crates/forward/src/refusals.rs
+++ b/crates/forward/src/refusals.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{Either, Full};
 use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 use rand::Rng;
@@ -20,7 +19,7 @@
 pub(crate) fn refuse(node: &Node, refusal: Refusal, trace: Trace) -> Response<AnswerBody> {
     let answer = refusal.kind.answer();
     let text = format!("{{\"error\":\"{}\",\"message\":\"{}\"}}\n", answer.code, answer.message);
-    let mut response = Response::new(Either::Left(Full::new(Bytes::from(text))));
+    let mut response = Response::new(AnswerBody::short(Bytes::from(text)));
     *response.status_mut() = StatusCode::from_u16(answer.status).expect("the table has valid statuses");
     response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     if let Some(wait) = refusal.retry {
--- a/crates/forward/src/requests.rs
+++ b/crates/forward/src/requests.rs
@@ -6,21 +6,26 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::{AUTHORIZATION, CONNECTION, HOST, HeaderValue};
 use hyper::{Request, Response};
 use teaselshunt_core::{ErrorKind, Refusal};
-use teaselshunt_routing::{Repeat, Route, RouteSet, Stage};
+use teaselshunt_routing::{Held, Repeat, Route, RouteSet, Stage};
 
 use crate::admission::{charge, identify};
-use crate::body::AnswerBody;
+use crate::body::{AnswerBody, Unread};
+use crate::holding::Holding;
 use crate::node::{Job, Node, Phase};
 use crate::refusals::{ELSEWHERE, refuse};
 use crate::trace::Trace;
 use crate::{generate, headers, plain};
 
+/// When to come back if too much is held for slow readers: others may hold less, and some of it is read by then.
+const HELD: Duration = Duration::from_millis(200);
+/// Time after a caller stopped waiting until which it must have read its answer. Answers are delivered late as well.
+const UNREAD: Duration = Duration::from_secs(10);
 /// Deadline of a request that names none.
 const DEADLINE: Duration = Duration::from_secs(30);
 
@@ -28,12 +33,16 @@
 pub(crate) async fn serve(
     node: Rc<Node>,
     request: Request<Incoming>,
+    unread: Rc<Unread>,
 ) -> Result<Response<AnswerBody>, Infallible> {
     let arrived = node.now();
     let meta = node.protocol.read_request(request.headers());
     let mut trace = Trace::new(&node, &meta, arrived);
     let mut response = match open(&node, request, meta, arrived, &mut trace).await {
-        Ok(job) => run(&node, job, trace).await,
+        Ok(job) => {
+            let until = job.until + UNREAD;
+            run(&node, job, trace).await.map(|body| body.until(&unread, until))
+        }
         Err(refusal) => refuse(&node, refusal, trace),
     };
     if node.phase() > Phase::Serving {
@@ -53,7 +62,8 @@
     let routes = node.state.borrow().routes.clone();
     let (mut head, body) = request.into_parts();
     let key = node.protocol.take_key(&mut head.headers).map(|key| key.digest());
-    let body = read_body(body, routes.as_deref()).await?;
+    let mut holding = Holding::new(node, Held::Request);
+    let body = read_body(body, routes.as_deref(), &mut holding).await?;
     let routes = routes.ok_or(Refusal::later(ErrorKind::NotReady, ELSEWHERE))?;
     let host = head.headers.get(HOST).and_then(|h| h.to_str().ok()).or_else(|| head.uri.host());
     let route = routes
@@ -92,6 +102,7 @@
         path,
         headers,
         body,
+        _holding: holding,
         route: Arc::clone(route),
         service,
         team,
@@ -105,17 +116,31 @@
 
 /// Reads a request's body whole, so that an endpoint never waits for a slow caller, and so that an answer of our own
 /// never meets unread bytes, which would reset the connection under it.
-async fn read_body(body: Incoming, routes: Option<&RouteSet>) -> Result<Bytes, Refusal> {
+async fn read_body(
+    body: Incoming,
+    routes: Option<&RouteSet>,
+    holding: &mut Holding,
+) -> Result<Bytes, Refusal> {
     /// Limits that hold before any version is known.
     const SIZE: usize = 4 << 20;
     const TIME: Duration = Duration::from_secs(3);
     let (size, time) = routes.map_or((SIZE, TIME), |r| (r.limits.body, r.limits.arrival));
-    match tokio::time::timeout(time, Limited::new(body, size).collect()).await {
-        Ok(Ok(whole)) => Ok(whole.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            Err(Refusal::new(ErrorKind::TooLarge))
+    let mut body = Limited::new(body, size);
+    let mut whole = BytesMut::new();
+    let pieces = async {
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|error| {
+                let large = error.is::<LengthLimitError>();
+                Refusal::new(if large { ErrorKind::TooLarge } else { ErrorKind::Invalid })
+            })?;
+            let data = frame.into_data().unwrap_or_default();
+            holding.grow(data.len()).map_err(|_| Refusal::later(ErrorKind::Overloaded, HELD))?;
+            whole.extend_from_slice(&data);
         }
-        Ok(Err(_)) => Err(Refusal::new(ErrorKind::Invalid)),
+        Ok(())
+    };
+    match tokio::time::timeout(time, pieces).await {
+        Ok(result) => result.map(|()| whole.freeze()),
         Err(_) => Err(Refusal::new(ErrorKind::Incomplete)),
     }
 }
--- a/crates/forward/src/settings.rs
+++ b/crates/forward/src/settings.rs
@@ -38,6 +38,8 @@
     pub drain: Duration,
     /// Terms for repeats.
     pub repeats: Terms,
+    /// Memory that the process may take, in bytes.
+    pub memory: u64,
     /// Failure domains of the deployment; 0 where nothing is said.
     pub domains: u32,
 }
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -8,16 +8,16 @@
 use std::time::Instant;
 
 use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, Either};
+use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::Incoming;
 use slog::info;
-use teaselshunt_routing::{Repeat, Verdict};
-use tokio::sync::mpsc;
+use teaselshunt_routing::{Held, Repeat, Verdict};
 
-use crate::body::{AnswerBody, Broken, relay as body_relay};
+use crate::body::{AnswerBody, Pieces, relay as body_relay};
 use crate::crashes;
 use crate::generate;
+use crate::holding::Holding;
 use crate::node::{Answer, Job, Node, Slot};
 use crate::trace::Trace;
 
@@ -42,8 +42,6 @@
     }
 }
 
-type Pieces = mpsc::Sender<Result<Bytes, Broken>>;
-
 /// Pauses between events that callers aim for, after which the engine of a resumable stream counts as silent. Callers
 /// themselves leave after eight; a stream that is taken up elsewhere by then is still of use.
 const STALL: u32 = 4;
@@ -73,7 +71,7 @@
     let run =
         Run { body, connection: answer.connection, endpoint: answer.endpoint, begun: answer.begun, slot };
     tokio::task::spawn_local(pump(Rc::clone(node), source, run, pieces, trace, status));
-    Response::from_parts(head, Either::Right(receiver))
+    Response::from_parts(head, AnswerBody::relay(receiver))
 }
 
 /// One run at one engine.
@@ -95,17 +93,14 @@
             End::Whole => {
                 node.served(&source.job);
                 node.learn_output(&source.job, trace.events());
+                pieces.end();
                 return trace.end("answered", status);
             }
             End::CallerGone => {
                 crashes::left(&node, &source.job, endpoint, begun);
                 return trace.end("caller_gone", status);
             }
-            End::TimedOut => {
-                // The caller may be gone as well; the channel says so by an error that needs no action.
-                let _ = pieces.send(Err(Broken)).await;
-                return trace.end("deadline_passed", status);
-            }
+            End::TimedOut => return trace.end("deadline_passed", status),
             End::Broken => node.learn(endpoint, Verdict::Failed),
         }
         trace.step("stream", &node.name(endpoint), "broken");
@@ -117,7 +112,6 @@
             None
         };
         let Some((answer, slot)) = next else {
-            let _ = pieces.send(Err(Broken)).await;
             return trace.end("broken_stream", status);
         };
         events.partial.clear();
@@ -134,7 +128,7 @@
     pieces: &Pieces,
     events: &mut Events,
     whole_only: bool,
-    node: &Node,
+    node: &Rc<Node>,
     trace: &Trace,
 ) -> End {
     let Run { mut body, connection, mut slot, .. } = run;
@@ -169,8 +163,12 @@
         if data.is_empty() {
             continue;
         }
-        if pieces.send(Ok(data)).await.is_err() {
-            return End::CallerGone;
+        // A caller that reads slowly holds its engine no longer than it waits for.
+        let sent = pieces.send(data, Holding::new(node, Held::Answer));
+        match tokio::time::timeout_at(job.until.into(), sent).await {
+            Ok(Ok(())) => {}
+            Ok(Err(_)) => return End::CallerGone,
+            Err(_) => return End::TimedOut,
         }
     }
 }
--- a/crates/forward/src/supervisor.rs
+++ b/crates/forward/src/supervisor.rs
@@ -11,7 +11,7 @@
 use rand::rngs::SmallRng;
 use slog::{error, info, warn};
 use teaselshunt_core::{Clock, Quarantine, SystemClock};
-use teaselshunt_routing::{Allowances, Budgets, Endpoints, tag};
+use teaselshunt_routing::{Allowances, Budgets, Endpoints, Memory, tag};
 use teaselshunt_teams::{Quotas, Start, Way};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -28,6 +28,9 @@
 
 /// How instances keep to teams' limits.
 const WAY: Way = Way::Shared;
+/// Part of the process's memory for bodies that somebody has not read yet. The rest is for connections, lists and the
+/// allocator's own.
+const HELD_PART: f64 = 0.4;
 /// Pause between two rounds of housekeeping.
 const HOUSEKEEPING: Duration = Duration::from_millis(200);
 /// Time in which a balancer that asks each second and needs two misses has taken the instance out.
@@ -99,6 +102,7 @@
             allowances: Allowances::default(),
             quarantine: Quarantine::default(),
             quotas,
+            memory: Memory::new((settings.memory as f64 * HELD_PART) as u64),
             listed: None,
         }),
         protocol,
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -4,7 +4,7 @@
 //! `routes` is one configuration version; `endpoints` keeps every `endpoint` with the `belief` that results have left, and
 //! chooses among them; `ledger` is what other instances have in flight; `pace` learns how long prefill takes, `outputs` how
 //! many tokens generations make; `allowances` tells callers who come back from new ones; `peers` is who else there is, `news` who reads the
-//! platform's store for the others;
+//! platform's store for the others; `memory` bounds what is held for those who read slowly;
 //! `budget` limits repeats, and `sends` says what those of a generation cost; `stages` decides how many engines prefill and how many decode.
 
 mod allowances;
@@ -14,6 +14,7 @@
 mod endpoint;
 mod endpoints;
 mod ledger;
+mod memory;
 mod news;
 mod outputs;
 mod pace;
@@ -28,6 +29,7 @@
 pub use endpoint::{Endpoint, EndpointKey, EndpointState, Life, Stage, Verdict};
 pub use endpoints::{Endpoints, Listing, Need};
 pub use ledger::{EngineTag, Ledger, tag};
+pub use memory::{Full, Held, Memory};
 pub use news::{Era, Freshness, Passage, Pulse, Source, Word};
 pub use outputs::Outputs;
 pub use pace::Pace;
--- a/crates/routing/tests/all/main.rs
+++ b/crates/routing/tests/all/main.rs
@@ -6,6 +6,7 @@
 mod ledger;
 mod lives;
 mod looks;
+mod memory;
 mod news;
 mod outputs;
 mod patience;
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -10,6 +10,9 @@
 
 use crate::proxy::Proxy;
 
+/// Memory of an instance, in MB.
+const MEMORY_MB: u64 = 96;
+
 /// An endpoint behind its proxy.
 pub(crate) struct Endpoint {
     pub(crate) server: SiteEndpoint,
@@ -91,6 +94,7 @@
             peers: Some(8004),
             store: store.address,
             first: true,
+            memory: MEMORY_MB,
         };
         let process = Some(SiteInstance::start(&self.binary, &settings)?);
         let calm = Instant::now();
--- a/crates/standin/src/site/endpoint.rs
+++ b/crates/standin/src/site/endpoint.rs
@@ -59,6 +59,8 @@
     Cut(u32),
     /// Answers without a length, ending with the connection.
     Unframed,
+    /// Adds so many bytes to each answer, and to each event of a stream.
+    Large(usize),
 }
 
 /// Something that an endpoint ran.
@@ -349,7 +351,8 @@
             }
             return goes_on;
         }
-        let body = format!("answer to {id}");
+        let padding = if let SiteFault::Large(bytes) = fault { ".".repeat(bytes) } else { String::new() };
+        let body = format!("answer to {id}{padding}");
         if fault == SiteFault::Unframed {
             let text = format!("{}\r\n{body}", head(200, &headers));
             let _ = stream.write_all(text.as_bytes()).await;
@@ -380,7 +383,11 @@
                 chunk(stream, &format!("id: {number}\nda")).await;
                 return false;
             }
-            if !chunk(stream, &event(id, number)).await {
+            let padding = match fault {
+                SiteFault::Large(bytes) => format!(": {}\n", ".".repeat(bytes)),
+                _ => String::new(),
+            };
+            if !chunk(stream, &format!("{padding}{}", event(id, number))).await {
                 return false;
             }
             tokio::time::sleep(self.options.gap).await;
--- a/crates/standin/src/site/instance.rs
+++ b/crates/standin/src/site/instance.rs
@@ -30,6 +30,8 @@
     pub store: SocketAddr,
     /// Whether the system starts for the first time.
     pub first: bool,
+    /// Memory that it may take, in MB.
+    pub memory: u64,
 }
 
 impl SiteSettings {
@@ -40,7 +42,7 @@
             "node={}\nzone={}\nlisten.front={}\nlisten.ready={}\nlisten.control={}\nseeds={}\n{peers}\
              first_start={}\nplatform.address={}\nbounds.grace_s=8\nbounds.drain_ms=2000\n\
              bounds.config_ms=2000\nbounds.stable_window_ms=3000\nbounds.budget_ratio=0.2\n\
-             bounds.budget_slack=58\nbounds.budget_window_s=10\n",
+             bounds.budget_slack=58\nbounds.budget_window_s=10\nlimits.memory_mb={}\n",
             self.name,
             self.domain,
             self.callers,
@@ -48,7 +50,8 @@
             self.control,
             seeds.join(","),
             self.first,
-            self.store
+            self.store,
+            self.memory
         )
     }
 }
