Retry budget: reserves of hundreds of instances together stay within the allowance

Cause: a reserve of 1 to 2.5 for each instance, whatever their number.

Change: 0.9 of the allowance is divided among the instances that are known, 2.5 at most. A part of one is a whole one for so many of them, by a draw at the start of each, so that the sum is right at any number (584: 0.99, 1,168: 0.49 of the same allowance).

Ruled out: less for each by a smaller constant, which moves the limit only. An empty reserve for whoever starts: it takes a second try from the callers of a small deployment after each restart, for a sum that is far below the allowance there.

Open: instances that start again begin with a whole reserve beside what their former lives spent in the same window.

--- a/crates/forward/src/peers.rs
+++ b/crates/forward/src/peers.rs
@@ -222,6 +222,7 @@
             info!(self.node.log, "peer"; "address" => %address, "state" => "forgotten");
         }
         self.node.peers.set(self.peers.len());
+        self.node.state.borrow_mut().budgets.share_among(self.peers.len() + 1);
         self.catalog.peers_are(self.own, self.peers.near(now));
         self.sequence += 1;
         let mut targets = self.peers.due(now);
--- a/crates/forward/src/supervisor.rs
+++ b/crates/forward/src/supervisor.rs
@@ -95,7 +95,7 @@
         state: RefCell::new(State {
             routes: None,
             endpoints: Endpoints::default(),
-            budgets: Budgets::new(settings.repeats),
+            budgets: Budgets::new(settings.repeats, rand::random()),
             rng: SmallRng::from_os_rng(),
             paces: HashMap::new(),
             outputs: HashMap::new(),
--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/budget.rs
@@ -2,8 +2,9 @@
 //!
 //! The deployment allows a service, over all instances and in any window, a share of its requests and a fixed
 //! number besides. Each instance spends its own requests' share, of which the sum over all instances is the
-//! share of the whole, and a small fixed reserve. The reserve lets an instance with little traffic retry at
-//! all; it is sized so that the reserves of many instances stay within the fixed number.
+//! share of the whole, and a small reserve. The reserve lets an instance with little traffic retry at all. Where instances
+//! are few it is fixed; where they are many it is an equal part of the fixed number, so that all reserves together stay within
+//! that in a failure that all of them meet at once. A part of one repeat is a whole one for so many of them, drawn at random.
 
 use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
@@ -22,8 +23,12 @@
 
 /// Part of the ratio that is spent; the rest covers requests that are counted elsewhere or later.
 const SHARE: f64 = 0.7;
-/// Instances among which the fixed part is divided; a fleet is assumed to be no larger for each unit of slack.
+/// Part of the fixed number that is divided among the instances that are known to one; others may have started since.
+const DIVIDED: f64 = 0.9;
+/// Part of the fixed number that one instance may have as long as it has heard no other.
 const RESERVE_SHARE: f64 = 0.045;
+/// Largest reserve.
+const RESERVE_MAX: f64 = 2.5;
 
 #[derive(Debug, Default)]
 struct Account {
@@ -36,14 +41,22 @@
 pub struct Budgets {
     terms: Terms,
     reserve: f64,
+    /// Where in a unit this instance rounds up, drawn once from 0 to 1.
+    draw: f64,
     accounts: HashMap<Arc<str>, Account>,
 }
 
 impl Budgets {
-    /// Budgets under the terms given.
-    pub fn new(terms: Terms) -> Self {
-        let reserve = (terms.slack * RESERVE_SHARE).clamp(1.0, 2.5);
-        Self { terms, reserve, accounts: HashMap::new() }
+    /// Budgets under the terms given, of an instance that has heard no other yet; `draw` is random, from 0 to 1.
+    pub fn new(terms: Terms, draw: f64) -> Self {
+        let reserve = (terms.slack * RESERVE_SHARE).clamp(1.0, RESERVE_MAX);
+        Self { terms, reserve, draw, accounts: HashMap::new() }
+    }
+
+    /// So many instances are known, this one included.
+    pub fn share_among(&mut self, instances: usize) {
+        let part = self.terms.slack * DIVIDED / instances.max(1) as f64;
+        self.reserve = if part < RESERVE_MAX { (part + self.draw).floor() } else { RESERVE_MAX };
     }
 
     /// Counts a caller's request to a service.
--- a/crates/routing/tests/all/budget.rs
+++ b/crates/routing/tests/all/budget.rs
@@ -4,12 +4,14 @@
 use std::time::{Duration, Instant};
 
 use quickcheck::quickcheck;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use teaselshunt_routing::{Budgets, Terms};
 
 const WINDOW: Duration = Duration::from_secs(10);
 
 fn budgets(slack: f64) -> Budgets {
-    Budgets::new(Terms { ratio: 0.2, slack, window: WINDOW })
+    Budgets::new(Terms { ratio: 0.2, slack, window: WINDOW }, 0.5)
 }
 
 quickcheck! {
@@ -71,3 +73,29 @@
     assert!(taken <= 2);
     assert!(own.take(start + WINDOW + Duration::from_millis(1), &service));
 }
+
+/// A failure that all instances meet in the same moment: each spends all that it has. Together they stay within what the
+/// deployment allows, however many they are; a reserve of a fixed size each was twice as much among six hundred.
+#[test]
+fn reserves_of_hundreds_together_keep_the_budget() {
+    let mut rng = SmallRng::seed_from_u64(3);
+    for (instances, slack) in
+        [(9, 58.0), (58, 156.0), (195, 430.0), (584, 640.0), (1168, 640.0), (1168, 1280.0)]
+    {
+        let (service, start) = (Arc::from("desk"), Instant::now());
+        let (mut requests, mut repeats) = (0, 0);
+        for _ in 0..instances {
+            let terms = Terms { ratio: 0.2, slack, window: WINDOW };
+            let mut own = Budgets::new(terms, rng.random_range(0.0..1.0));
+            own.share_among(instances);
+            for _ in 0..rng.random_range(0..14) {
+                requests += 1;
+                own.request(start, &service);
+            }
+            repeats += (0..100).take_while(|_| own.take(start, &service)).count();
+        }
+        let allowed = f64::from(requests) * 0.2 + slack;
+        assert!(repeats as f64 <= allowed, "{instances}: {repeats} of {allowed}");
+        assert!(repeats as f64 >= allowed.min(instances as f64) * 0.3, "{instances}: {repeats} of {allowed}");
+    }
+}
--- a/crates/routing/tests/all/sends.rs
+++ b/crates/routing/tests/all/sends.rs
@@ -7,7 +7,7 @@
 
 /// Budgets that pay for two repeats within the window, and no requests that would add to them.
 fn budgets() -> Budgets {
-    Budgets::new(Terms { ratio: 0.0, slack: 50.0, window: Duration::from_secs(10) })
+    Budgets::new(Terms { ratio: 0.0, slack: 50.0, window: Duration::from_secs(10) }, 0.5)
 }
 
 #[test]
