--- a/crates/forward/src/catalog.rs
+++ b/crates/forward/src/catalog.rs
@@ -15,10 +15,12 @@
 //! The store may come back from a copy that is some seconds old, in a new [`Era`]. Its revisions then stand for other changes
 //! than before, so that it is read whole again; what was seen meanwhile (versions, endpoints that leave) stays seen.
 
+mod copies;
 mod sharing;
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -26,7 +28,9 @@
 use hyper::StatusCode;
 use rand::Rng;
 use slog::{info, warn};
-use teaselshunt_routing::{Endpoint, Era, Freshness, Listing, Passage, Pulse, RouteSet, Source, Stage};
+use teaselshunt_routing::{
+    Changes, Endpoint, Era, Freshness, Holders, Listing, Passage, Pulse, RouteSet, Source, Stage,
+};
 use teaselshunt_teams::Teams;
 use tokio::sync::{Notify, mpsc};
 
@@ -34,6 +38,8 @@
 use crate::orders;
 use crate::pool::Failure;
 use crate::protocol::{Batch, Call, News};
+use copies::Copied;
+pub(crate) use copies::serve as give_copies;
 use sharing::Ask;
 pub(crate) use sharing::Telling;
 
@@ -45,14 +51,20 @@
 /// Part of the shortest bound for which a watch waits whose answer others are told. With the pause after a change it stays
 /// under the time for which they believe the last telling, so that they do not ask while their reader is well.
 const READER_WAIT_PART: f64 = 0.25;
-/// Time over which instances spread that ask for an answer too long to be told.
+/// Shortest time for which an instance that misses changes looks for a peer that has them.
 const GAP_SPREAD: Duration = Duration::from_millis(300);
 /// Part of the shortest bound that an instance waits after a change before it asks for the next.
 const COALESCE_PART: f64 = 0.3;
+/// Changes in one answer from which on the next is asked for at once.
+const BULK: usize = 200;
 /// Time after the start in which the instance that orders engines coalesces changes for [`FILLING_COALESCE`] only: endpoints
 /// register then, engines take seconds to change their stage, and traffic is about to begin. The others need no such
 /// haste: it cost each of them some ten calls to the store.
 const FILLING: Duration = Duration::from_secs(4);
+/// Time after the first start of the whole system in which instances hear of one another before they watch the store.
+const SETTLING: Duration = Duration::from_secs(2);
+/// Pause between two looks whether it is over.
+const SETTLE_LOOK: Duration = Duration::from_millis(200);
 /// Half of what endpoints of one heartbeat interval are apart at most.
 const FILLING_COALESCE: Duration = Duration::from_millis(300);
 /// Longest time for a page of the list.
@@ -97,6 +109,19 @@
     after: Option<String>,
     /// Endpoints of the pages so far.
     present: HashSet<Arc<str>>,
+    /// Entries that said something new.
+    changed: usize,
+}
+
+/// What was read of the whole store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Page {
+    /// More pages follow.
+    More,
+    /// It was the last one.
+    Last,
+    /// It is of a later era than the pages before.
+    Outdated,
 }
 
 /// Follows the store for as long as the process runs.
@@ -105,6 +130,14 @@
     node: Rc<Node>,
     /// Revision up to which changes are known; `None` before the store was read whole.
     revision: Cell<Option<u64>>,
+    /// Revision that was known when the store dropped the history behind it.
+    lost: Cell<Option<u64>>,
+    /// Peers that have the whole list.
+    holders: RefCell<Holders<SocketAddr>>,
+    /// Entries that changed lately.
+    changes: RefCell<Changes>,
+    /// Whether what peers told did not add up to their list, so that only a whole copy is of use.
+    diverged: Cell<bool>,
     /// The era to which `revision` and `reading` belong.
     era: Cell<Era>,
     reading: RefCell<Reading>,
@@ -135,6 +168,10 @@
         Self {
             node: Rc::clone(node),
             revision: Cell::new(None),
+            lost: Cell::new(None),
+            holders: RefCell::default(),
+            changes: RefCell::default(),
+            diverged: Cell::new(false),
             era: Cell::default(),
             reading: RefCell::default(),
             started,
@@ -159,6 +196,10 @@
             }
             let result = match (self.revision.get(), self.source.get()) {
                 (None, _) => self.read_all().await,
+                (Some(_), _) if self.settles() => {
+                    tokio::time::sleep(SETTLE_LOOK).await;
+                    continue;
+                }
                 (Some(_), Source::Peers) if self.believes() => {
                     self.wait_for_word().await;
                     continue;
@@ -184,6 +225,16 @@
         }
     }
 
+    /// Whether the whole system has just started, and it is not known here yet who reads the store for this domain.
+    ///
+    /// Endpoints register then, and each instance that took itself for a reader would fetch all of thousands of entries, as
+    /// would all others. Callers come when endpoints are there.
+    fn settles(&self) -> bool {
+        let settings = &self.node.settings;
+        let shares = settings.first && settings.peers.is_some() && !self.orders;
+        shares && self.node.now().duration_since(self.started) < SETTLING
+    }
+
     fn confirmed(&self, at: Duration) {
         let mut freshness = self.freshness.get();
         freshness.confirm(at);
@@ -246,6 +297,8 @@
             "revision" => self.revision.get());
         self.era.set(era);
         self.revision.set(None);
+        self.lost.set(None);
+        *self.changes.borrow_mut() = Changes::default();
         *self.reading.borrow_mut() = Reading::default();
         let now = self.node.now();
         self.may_lapse(now + RETURN);
@@ -254,35 +307,59 @@
 
     /// Reads the store whole, page by page. A call that fails ends it for now; it goes on at the page that failed.
     ///
+    /// The first page holds the configuration, which binds within seconds, and is read by everybody. Where more pages
+    /// follow, a peer may have the rest.
+    ///
     /// When many instances start at once, the store refuses calls beyond its rate. With a new beginning after each
     /// refusal none of them got beyond the first pages, all sent everything to the same few endpoints, and hardly a
     /// caller was served.
     async fn read_all(&self) -> Result<(), StoreError> {
         for _ in 0..PAGES {
-            let after = self.reading.borrow().after.clone();
-            let asked = self.node.clock.uptime();
-            let era = self.era.get();
-            let call = self.node.protocol.list(after.as_deref());
-            let (status, body) = self.call("list", call, PAGE).await?;
-            if after.is_some() && era.judge(self.era.get()) == Passage::Newer {
-                // The pages before are of another era.
-                return Ok(());
-            }
-            if status != StatusCode::OK {
-                return Err(StoreError::Status(status));
-            }
-            let batch = self.node.protocol.read_list(&body).map_err(StoreError::Unreadable)?;
-            if after.is_none() {
-                self.note_absence();
-            }
-            self.answered(asked);
-            if self.take_page(batch) {
-                return Ok(());
+            let first = self.reading.borrow().after.is_none();
+            match self.read_page().await {
+                Ok(Page::Last) => {
+                    self.tell_whole();
+                    return Ok(());
+                }
+                Ok(Page::More) if first => {
+                    self.tell_routes();
+                    if self.copy(self.lost.get(), false).await == Copied::Whole {
+                        return Ok(());
+                    }
+                }
+                Ok(Page::More) => {}
+                Ok(Page::Outdated) => return Ok(()),
+                // Whoever starts while the store is away knows what its peers know.
+                Err(error) if first && self.has_holders() => {
+                    let copied = self.copy(self.lost.get(), true).await;
+                    return if copied == Copied::Whole { Ok(()) } else { Err(error) };
+                }
+                Err(error) => return Err(error),
             }
         }
         Err(StoreError::Pages)
     }
 
+    async fn read_page(&self) -> Result<Page, StoreError> {
+        let after = self.reading.borrow().after.clone();
+        let asked = self.node.clock.uptime();
+        let era = self.era.get();
+        let call = self.node.protocol.list(after.as_deref());
+        let (status, body) = self.call("list", call, PAGE).await?;
+        if after.is_some() && era.judge(self.era.get()) == Passage::Newer {
+            return Ok(Page::Outdated);
+        }
+        if status != StatusCode::OK {
+            return Err(StoreError::Status(status));
+        }
+        let batch = self.node.protocol.read_list(&body).map_err(StoreError::Unreadable)?;
+        if after.is_none() {
+            self.note_absence();
+        }
+        self.answered(asked);
+        Ok(if self.take_page(batch) { Page::Last } else { Page::More })
+    }
+
     /// Takes a page over; says whether it was the last.
     fn take_page(&self, batch: Batch) -> bool {
         let reading = &mut *self.reading.borrow_mut();
@@ -296,12 +373,23 @@
             };
         }
         reading.after.clone_from(&batch.more);
-        self.apply(batch);
+        for news in batch.news {
+            match news {
+                News::Endpoint(endpoint) => {
+                    reading.changed += usize::from(self.apply_endpoint(endpoint, batch.revision));
+                }
+                news => self.apply_news(news, batch.revision),
+            }
+        }
+        self.count_endpoints();
         if reading.after.is_some() {
             return false;
         }
-        self.forget_absent(&std::mem::take(reading).present);
-        self.revision.set(Some(revision));
+        let Reading { present, changed, .. } = std::mem::take(reading);
+        self.forget_absent(&present, revision);
+        self.has_whole(revision);
+        info!(self.node.log, "list"; "from" => "store", "revision" => revision, "endpoints" => present.len(),
+            "changed" => changed);
         true
     }
 
@@ -311,9 +399,8 @@
     async fn watch(&self, revision: u64, lost: bool) -> Result<(), StoreError> {
         let source = self.source.get();
         let ask = self.ask.take();
-        if ask == Ask::Gap {
-            let part = self.node.state.borrow_mut().rng.random_range(0.0..1.0);
-            tokio::time::sleep(GAP_SPREAD.mul_f64(part)).await;
+        if ask == Ask::Gap && self.copy(Some(revision), true).await == Copied::Whole {
+            return Ok(());
         }
         let wait = if lost { Duration::ZERO } else { self.usual_wait(source) };
         let asked = self.node.clock.uptime();
@@ -329,6 +416,7 @@
             StatusCode::GONE => {
                 info!(self.node.log, "history lost"; "revision" => revision);
                 self.revision.set(None);
+                self.lost.set(Some(revision));
                 return Ok(());
             }
             status => return Err(StoreError::Status(status)),
@@ -341,13 +429,14 @@
         let reached = batch.revision.max(revision);
         if reached > known || known == revision {
             self.revision.set(Some(reached));
-            let changed = !batch.news.is_empty();
+            // Where hundreds of changes come at once the store has cut its answer off, and more wait already.
+            let coalesces = (1..BULK).contains(&batch.news.len());
             // Of a gap the others hear from whoever told of what lies behind it.
             if source != Source::Alone && ask != Ask::Gap {
                 self.tell((revision, reached), &batch.news);
             }
             self.apply(batch);
-            if changed && source != Source::Peers {
+            if coalesces && source != Source::Peers {
                 tokio::time::sleep(self.coalescing()).await;
             }
         }
@@ -386,22 +475,36 @@
 
     fn apply(&self, batch: Batch) {
         for news in batch.news {
-            match news {
-                News::Routes(routes) => self.apply_routes(routes),
-                News::Endpoint(endpoint) => self.apply_endpoint(endpoint, batch.revision),
-                News::Gone(id) => self.lose(&id),
-                News::Invalid { key, endpoint, cause } => {
-                    let withdrawn =
-                        endpoint.is_some_and(|id| self.node.state.borrow_mut().endpoints.withdraw(&id));
-                    warn!(self.node.log, "unreadable entry"; "key" => key, "cause" => cause, "withdrawn" => withdrawn);
+            self.apply_news(news, batch.revision);
+        }
+        self.count_endpoints();
+    }
+
+    fn apply_news(&self, news: News, revision: u64) {
+        match news {
+            News::Routes(routes) => self.apply_routes(routes),
+            News::Endpoint(endpoint) => {
+                self.apply_endpoint(endpoint, revision);
+            }
+            News::Gone(id) => self.lose(&id, revision),
+            News::Invalid { key, endpoint, cause } => {
+                let withdraw = |id: &Arc<str>| self.node.state.borrow_mut().endpoints.withdraw(id);
+                let withdrawn = endpoint.as_ref().is_some_and(withdraw);
+                if let Some(id) = endpoint.filter(|_| withdrawn) {
+                    self.changes.borrow_mut().note(revision, id);
                 }
+                warn!(self.node.log, "unreadable entry"; "key" => key, "cause" => cause, "withdrawn" => withdrawn);
             }
         }
+    }
+
+    fn count_endpoints(&self) {
         let count = self.node.state.borrow().endpoints.len();
         self.node.metrics.endpoints.set(count as i64);
     }
 
-    fn apply_endpoint(&self, endpoint: Endpoint, revision: u64) {
+    /// Takes an endpoint's entry over. Says whether it is news.
+    fn apply_endpoint(&self, endpoint: Endpoint, revision: u64) -> bool {
         let (id, state) = (Arc::clone(&endpoint.id), endpoint.state);
         let (service, address) = (Arc::clone(&endpoint.service), endpoint.address);
         let part = endpoint.stage.map(Stage::text);
@@ -420,6 +523,11 @@
             }
             Listing::Known => {}
         }
+        let news = matches!(listing, Listing::Started | Listing::Changed);
+        if listing != Listing::Known {
+            self.changes.borrow_mut().note(revision, id);
+        }
+        news
     }
 
     fn apply_routes(&self, routes: Arc<RouteSet>) {
@@ -437,15 +545,23 @@
         state.routes = Some(routes);
     }
 
-    fn forget_absent(&self, present: &HashSet<Arc<str>>) {
+    /// The list is known whole as of a revision.
+    fn has_whole(&self, revision: u64) {
+        self.revision.set(Some(revision));
+        self.node.state.borrow_mut().whole = true;
+        self.changes.borrow_mut().begin(revision);
+    }
+
+    fn forget_absent(&self, present: &HashSet<Arc<str>>, revision: u64) {
         let absent = self.node.state.borrow().endpoints.absent(present);
         for id in absent {
-            self.lose(&id);
+            self.lose(&id, revision);
         }
     }
 
     /// The entry of an endpoint has gone. Shortly after the store's return that may be a lapse of a live one.
-    fn lose(&self, id: &str) {
+    fn lose(&self, id: &Arc<str>, revision: u64) {
+        self.changes.borrow_mut().note(revision, Arc::clone(id));
         let now = self.node.now();
         let lapsed = self.lapses.get().is_some_and(|until| now < until);
         let mut state = self.node.state.borrow_mut();
@@ -457,6 +573,6 @@
         } else {
             state.endpoints.remove(id);
         }
-        info!(self.node.log, "endpoint"; "endpoint" => id, "state" => if lapsed { "doubted" } else { "gone" });
+        info!(self.node.log, "endpoint"; "endpoint" => &**id, "state" => if lapsed { "doubted" } else { "gone" });
     }
 }
--- /dev/null
+++ b/crates/forward/src/catalog/copies.rs
@@ -0,0 +1,402 @@
+//! Copies of the whole list that instances of a failure domain give one another;
+//! [`teaselshunt_routing::Holders`] says who asks whom, and why.
+//!
+//! An asker that knows the list as of some revision is told what changed since, where that is remembered, with a checksum of
+//! the whole. If its own list then has another one, it asks for the whole list.
+//!
+//! A copy bears the era and revision of its list and the age of what the store last confirmed of it. It names only endpoints that
+//! the list shows plainly: while entries that may have lapsed, or stand in a copy of the store, are still in doubt here, none
+//! is given, since whoever takes it has nothing to tell them by.
+//!
+//! A copy is believed like a telling: on the word of a peer of the same failure domain, which is not authenticated.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::HeaderMap;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+use slog::{debug, info, warn};
+use teaselshunt_routing::{
+    Endpoint, EndpointState, Era, Listing, Passage, RouteSet, Search, Stage, Supply, tag,
+};
+use tokio::net::{TcpListener, TcpStream};
+
+use super::sharing::{millis, told};
+use super::{Catalog, GAP_SPREAD};
+use crate::node::Node;
+use crate::pool::Failure;
+use crate::protocol::Call;
+
+/// Copies that are given at a time; one takes a part of a second on a slow link, and whoever has one gives it on.
+const GIVEN: u32 = 3;
+/// Longest time for a copy to arrive.
+const COPY: Duration = Duration::from_millis(2500);
+/// Pause between two looks for a holder.
+const LOOK: Duration = Duration::from_millis(60);
+/// Part by which instances look longer than the shortest time, at random, so that they do not turn to the store together.
+const SPREAD: f64 = 0.3;
+/// Pause after an incoming connection could not be accepted.
+const ACCEPT: Duration = Duration::from_millis(20);
+/// Idle time of a peer's connection.
+const IDLE: Duration = Duration::from_secs(4);
+
+/// A list as it is told to a peer; endpoints follow in groups.
+#[derive(Debug, Serialize, Deserialize)]
+struct ListCopy {
+    /// [`FORMAT`].
+    format: u8,
+    /// Era of the store.
+    era: Option<u64>,
+    /// Revision that the list shows.
+    revision: u64,
+    /// How long before the answer the store confirmed it, in milliseconds.
+    age: u32,
+    routes: Option<Arc<RouteSet>>,
+    /// Revision after which `groups` and `gone` tell what changed; `None` if `groups` is the whole list.
+    since: Option<u64>,
+    groups: Vec<Group>,
+    /// Ids that are not in the list any more.
+    gone: Vec<Arc<str>>,
+    /// [`Endpoints::checksum`](teaselshunt_routing::Endpoints::checksum) of the list.
+    checksum: u64,
+}
+
+/// Layout of a copy; another one is passed over.
+const FORMAT: u8 = 1;
+
+/// Endpoints that share the longer words of their entries.
+#[derive(Debug, Serialize, Deserialize)]
+struct Group {
+    service: Arc<str>,
+    domain: Arc<str>,
+    endpoints: Vec<Member>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct Member {
+    id: Arc<str>,
+    born: Option<SystemTime>,
+    address: SocketAddr,
+    state: EndpointState,
+    stage: Option<Stage>,
+}
+
+impl Group {
+    fn all(endpoints: Vec<Endpoint>) -> Vec<Self> {
+        let mut groups = Vec::<Self>::new();
+        for endpoint in endpoints {
+            let Endpoint { id, born, service, address, domain, state, stage } = endpoint;
+            let member = Member { id, born, address, state, stage };
+            match groups.iter_mut().find(|group| group.service == service && group.domain == domain) {
+                Some(group) => group.endpoints.push(member),
+                None => groups.push(Self { service, domain, endpoints: vec![member] }),
+            }
+        }
+        groups
+    }
+
+    fn endpoints(self) -> impl Iterator<Item = Endpoint> {
+        let Self { service, domain, endpoints } = self;
+        endpoints.into_iter().map(move |member| Endpoint {
+            id: member.id,
+            born: member.born,
+            service: Arc::clone(&service),
+            address: member.address,
+            domain: Arc::clone(&domain),
+            state: member.state,
+            stage: member.stage,
+        })
+    }
+}
+
+/// Why a peer gave no copy.
+#[derive(Debug, thiserror::Error)]
+enum CopyError {
+    #[error("{}", .0.text())]
+    Exchange(Failure),
+    #[error("status {0}")]
+    Status(StatusCode),
+    #[error("unreadable: {0}")]
+    Unreadable(#[from] postcard::Error),
+    #[error("of no use: revision {0}")]
+    Outdated(u64),
+    #[error("the changes do not add up to the list")]
+    Diverged,
+}
+
+/// How a look for a copy ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Copied {
+    /// The list is known.
+    Whole,
+    /// The store is to be read.
+    Nowhere,
+}
+
+/// Where copies are asked for; tag of the failure domain and revision that is known, or [`WHOLE`], follow.
+const PATH: &str = "/list/";
+/// Asks for the whole list.
+const WHOLE: &str = "-";
+
+impl Catalog {
+    /// Era and revision of the list that this instance can give a copy of.
+    pub(crate) fn holds(&self) -> (Option<u64>, Option<u64>) {
+        let plain = self.node.state.borrow().endpoints.is_plain(self.node.now());
+        (self.era.get().number(), self.revision.get().filter(|_| plain))
+    }
+
+    /// A peer of the same failure domain says up to which revision it has the list.
+    pub(crate) fn holder(&self, peer: SocketAddr, (era, revision): (Option<u64>, Option<u64>)) {
+        self.holders.borrow_mut().told(peer, Era::told(era), revision);
+    }
+
+    /// Whether some peer is known to have the list.
+    pub(super) fn has_holders(&self) -> bool {
+        !self.holders.borrow().is_empty()
+    }
+
+    /// Copies the list from a peer that has a later one than `beyond`. Looks for one for as long as knowledge may go
+    /// unconfirmed; where only a `gap` is to be filled and nobody has it, for a moment.
+    pub(super) async fn copy(&self, beyond: Option<u64>, gap: bool) -> Copied {
+        if self.node.settings.peers.is_none() {
+            return Copied::Nowhere;
+        }
+        let begun = self.node.clock.uptime();
+        let spread = 1.0 + self.node.state.borrow_mut().rng.random_range(0.0..SPREAD);
+        let patience = self.freshness.get().limit().mul_f64(spread);
+        let hope = if gap { GAP_SPREAD.mul_f64(spread) } else { patience };
+        let mut tried = Vec::new();
+        loop {
+            let up = self.node.now().duration_since(self.started);
+            let missing = self.node.clock.uptime().saturating_sub(begun);
+            let search = Search { era: self.era.get(), beyond, tried, missing, patience, hope, up };
+            let step = {
+                let rng = &mut self.node.state.borrow_mut().rng;
+                self.holders.borrow().next(&search, self.source.get(), rng)
+            };
+            tried = search.tried;
+            match step {
+                Supply::Store => return Copied::Nowhere,
+                Supply::Wait => {
+                    tried.clear();
+                    tokio::time::sleep(LOOK).await;
+                }
+                Supply::Peer(peer) => match self.copy_from(peer, beyond).await {
+                    Ok(()) => return Copied::Whole,
+                    Err(error) => {
+                        debug!(self.node.log, "no copy"; "peer" => %peer, "error" => %error);
+                        tried.push(peer);
+                    }
+                },
+            }
+        }
+    }
+
+    async fn copy_from(&self, peer: SocketAddr, beyond: Option<u64>) -> Result<(), CopyError> {
+        let asked = self.node.clock.uptime();
+        let since = self.revision.get().or(self.lost.get()).filter(|_| !self.diverged.get());
+        let since = since.map_or_else(|| WHOLE.to_owned(), |revision| revision.to_string());
+        let path = format!("{PATH}{}/{since}", tag(&self.node.settings.domain));
+        let call = Call { method: Method::GET, path, headers: HeaderMap::new(), body: Bytes::new() };
+        let result = self.node.call(peer, call, self.node.now() + COPY).await;
+        let outcome = match &result {
+            Ok((StatusCode::OK, _)) => "ok",
+            Ok(_) => "refused",
+            Err(failure) => failure.text(),
+        };
+        self.node.metrics.step("copy", outcome);
+        let (status, body) = result.map_err(CopyError::Exchange)?;
+        if status != StatusCode::OK {
+            return Err(CopyError::Status(status));
+        }
+        let copy: ListCopy = postcard::from_bytes(&body)?;
+        let own = self.revision.get().or(self.lost.get());
+        let known = self.revision.get().max(beyond);
+        let same = self.era.get().judge(Era::told(copy.era)) == Passage::Same;
+        if copy.format != FORMAT
+            || !same
+            || known.is_some_and(|known| copy.revision <= known)
+            || (copy.since.is_some() && copy.since != own)
+        {
+            return Err(CopyError::Outdated(copy.revision));
+        }
+        self.take_copy(copy, asked, peer)
+    }
+
+    fn take_copy(&self, copy: ListCopy, asked: Duration, peer: SocketAddr) -> Result<(), CopyError> {
+        let ListCopy { era, revision, age, routes, since, groups, gone, checksum, .. } = copy;
+        self.era.set(self.era.get().later(Era::told(era)));
+        self.note_absence();
+        // Pages that were read before the copy may show endpoints that it does not have yet.
+        let mut present = std::mem::take(&mut *self.reading.borrow_mut()).present;
+        if let Some(routes) = routes {
+            self.apply_routes(routes);
+        }
+        let listed = groups.into_iter().flat_map(Group::endpoints);
+        let mut changed = 0_usize;
+        for endpoint in listed {
+            present.insert(Arc::clone(&endpoint.id));
+            changed += usize::from(self.list_endpoint(endpoint, revision));
+        }
+        if since.is_none() {
+            self.forget_absent(&present, revision);
+        }
+        for id in gone {
+            changed += 1;
+            self.lose(&id, revision);
+        }
+        let diverged = since.is_some() && self.node.state.borrow().endpoints.checksum() != checksum;
+        self.diverged.set(diverged);
+        if diverged {
+            return Err(CopyError::Diverged);
+        }
+        self.has_whole(revision);
+        let age = millis(age);
+        self.confirmed(asked.saturating_sub(age));
+        let now = self.node.now();
+        self.heard.set(self.heard.get().max(now.checked_sub(age).unwrap_or(now)));
+        self.node.state.borrow_mut().listed = Some(now);
+        self.count_endpoints();
+        info!(self.node.log, "list"; "from" => %peer, "revision" => revision, "age_ms" => age.as_millis() as u64,
+            "since" => since, "changed" => changed);
+        Ok(())
+    }
+
+    /// Takes an endpoint of a copy over. The first list of thousands gets one line and not one for each endpoint.
+    fn list_endpoint(&self, endpoint: Endpoint, revision: u64) -> bool {
+        let mut state = self.node.state.borrow_mut();
+        if !state.whole {
+            return state.endpoints.upsert(endpoint) != Listing::Known;
+        }
+        drop(state);
+        self.apply_endpoint(endpoint, revision)
+    }
+
+    /// A copy for a peer that knows the list as of a revision, if there is one to give.
+    fn give(&self, since: Option<u64>) -> Option<Vec<u8>> {
+        let revision = self.revision.get()?;
+        let state = self.node.state.borrow();
+        if !state.endpoints.is_plain(self.node.now()) {
+            return None;
+        }
+        let changed = since.and_then(|since| self.changes.borrow().since(since));
+        let listed = |id: &Arc<str>| state.endpoints.listed_by_id(id).cloned();
+        let (listed, gone) = match &changed {
+            None => (state.endpoints.listed().cloned().collect(), Vec::new()),
+            Some(ids) => {
+                let gone = ids.iter().filter(|id| state.endpoints.listed_by_id(id).is_none());
+                (ids.iter().filter_map(listed).collect(), gone.cloned().collect())
+            }
+        };
+        let copy = ListCopy {
+            format: FORMAT,
+            era: self.era.get().number(),
+            revision,
+            age: told(self.freshness.get().age(self.node.clock.uptime())),
+            routes: state.routes.clone(),
+            since: since.filter(|_| changed.is_some()),
+            groups: Group::all(listed),
+            gone,
+            checksum: state.endpoints.checksum(),
+        };
+        postcard::to_allocvec(&copy).ok()
+    }
+}
+
+/// Gives copies to peers for as long as the process runs.
+pub(crate) async fn serve(catalog: Rc<Catalog>, node: Rc<Node>, port: u16) {
+    let own = SocketAddr::new(node.settings.callers.ip(), port);
+    let listener = match TcpListener::bind(own).await {
+        Ok(listener) => listener,
+        Err(error) => {
+            // Peers read the store, or copy from others.
+            warn!(node.log, "no copies for peers"; "address" => %own, "error" => %error);
+            return;
+        }
+    };
+    let given = Rc::new(Cell::new(0));
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let (catalog, given) = (Rc::clone(&catalog), Rc::clone(&given));
+                tokio::task::spawn_local(connection(catalog, Rc::clone(&node), given, stream));
+            }
+            Err(error) => {
+                warn!(node.log, "accept"; "error" => %error);
+                tokio::time::sleep(ACCEPT).await;
+            }
+        }
+    }
+}
+
+/// A copy on its way; dropping it makes room for another.
+struct Given(Rc<Cell<u32>>);
+
+impl Given {
+    fn begin(given: &Rc<Cell<u32>>) -> Option<Self> {
+        if given.get() >= GIVEN {
+            return None;
+        }
+        given.set(given.get() + 1);
+        Some(Self(Rc::clone(given)))
+    }
+}
+
+impl Drop for Given {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+async fn connection(catalog: Rc<Catalog>, node: Rc<Node>, given: Rc<Cell<u32>>, stream: TcpStream) {
+    // Held until the connection has no more to write.
+    let on_way = Rc::new(Cell::new(None));
+    let service = service_fn(|request: Request<Incoming>| {
+        let answer = answer(&catalog, &node, &request, &given, &on_way);
+        async move { Ok::<_, std::convert::Infallible>(answer) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(IDLE)
+        .keep_alive(false)
+        .serve_connection(TokioIo::new(stream), service);
+    let served = tokio::time::timeout(COPY * 2, connection).await;
+    if !matches!(served, Ok(Ok(()))) {
+        debug!(node.log, "a copy was not taken");
+    }
+}
+
+fn answer(
+    catalog: &Catalog,
+    node: &Node,
+    request: &Request<Incoming>,
+    given: &Rc<Cell<u32>>,
+    on_way: &Cell<Option<Given>>,
+) -> Response<Full<Bytes>> {
+    let asked = request.uri().path().strip_prefix(PATH).and_then(|rest| rest.split_once('/'));
+    let Some((domain, since)) = asked else { return empty(StatusCode::NOT_FOUND) };
+    if domain.parse() != Ok(tag(&node.settings.domain)) {
+        return empty(StatusCode::NOT_FOUND);
+    }
+    let Some(room) = Given::begin(given) else { return empty(StatusCode::TOO_MANY_REQUESTS) };
+    let Some(copy) = catalog.give(since.parse().ok()) else { return empty(StatusCode::SERVICE_UNAVAILABLE) };
+    on_way.set(Some(room));
+    Response::new(Full::new(Bytes::from(copy)))
+}
+
+fn empty(status: StatusCode) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = status;
+    response
+}
--- a/crates/forward/src/catalog/sharing.rs
+++ b/crates/forward/src/catalog/sharing.rs
@@ -1,6 +1,8 @@
 //! News of the store that instances of a failure domain tell one another.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use rand::Rng;
@@ -51,11 +53,12 @@
 
 impl Catalog {
     /// Peers of the same failure domain are those that `near` gives. Called several times a second.
-    pub(crate) fn peers_are(&self, own: SocketAddr, near: impl Iterator<Item = SocketAddr>) {
+    pub(crate) fn peers_are(&self, own: SocketAddr, near: &HashSet<SocketAddr>) {
+        self.holders.borrow_mut().keep(|peer| near.contains(&peer));
         let mut pulse = self.pulse.get();
         pulse.beat(self.node.clock.uptime());
         self.pulse.set(pulse);
-        let source = match Source::of(&own, near) {
+        let source = match Source::of(&own, near.iter().copied()) {
             // Engines are ordered by what the list says now, without the way over a peer.
             Source::Peers if self.orders => Source::Reader,
             source => source,
@@ -84,26 +87,31 @@
     }
 
     /// A peer of the same failure domain tells what the store answered it.
-    pub(crate) fn told(&self, telling: Telling) {
-        let Some(known) = self.revision.get() else { return };
+    pub(crate) fn told(&self, from: SocketAddr, telling: Telling) {
         let Telling { era, after, revision, age, lapses, news } = telling;
         match self.era.get().judge(Era::told(era)) {
             Passage::Same => {}
             Passage::Newer => return self.ask(),
             Passage::Older => return,
         }
+        self.holders.borrow_mut().told(from, Era::told(era), Some(revision));
+        let mut news: Option<Vec<News>> = match news.as_deref().map(postcard::from_bytes).transpose() {
+            Ok(news) => news,
+            Err(error) => {
+                warn!(self.node.log, "unreadable telling"; "revision" => revision, "error" => %error);
+                return self.ask();
+            }
+        };
+        self.take_routes(news.as_mut());
+        let Some(known) = self.revision.get() else { return };
         let now = self.node.now();
         self.may_lapse(now + millis(lapses).min(RETURN));
         self.note_absence();
         match Word::of(known, after, revision, news.is_some()) {
             Word::Confirmed => {}
             Word::Changes => {
-                let Ok(news) = postcard::from_bytes(&news.unwrap_or_default()) else {
-                    warn!(self.node.log, "unreadable telling"; "revision" => revision);
-                    return self.ask();
-                };
                 self.revision.set(Some(revision));
-                self.apply(Batch { news, revision, more: None });
+                self.apply(Batch { news: news.unwrap_or_default(), revision, more: None });
             }
             Word::Gap => return self.ask(),
         }
@@ -113,6 +121,35 @@
         self.node.state.borrow_mut().listed = Some(now);
     }
 
+    /// Applies a configuration at once, whatever else is missing here: a version replaces only a lower one, and binds
+    /// within seconds.
+    fn take_routes(&self, news: Option<&mut Vec<News>>) {
+        let Some(news) = news else { return };
+        news.retain(|piece| {
+            let News::Routes(routes) = piece else { return true };
+            self.apply_routes(Arc::clone(routes));
+            false
+        });
+    }
+
+    /// The first page of a whole list was read: peers are told its configuration before the rest is read.
+    pub(super) fn tell_routes(&self) {
+        let routes = self.node.state.borrow().routes.clone();
+        if let (Source::Reader, Some(lost), Some(routes)) = (self.source.get(), self.lost.get(), routes) {
+            self.tell((lost, lost), &[News::Routes(routes)]);
+        }
+    }
+
+    /// The whole list was read after history was lost: peers hear that it can be had here.
+    pub(super) fn tell_whole(&self) {
+        let Some(revision) = self.revision.get().filter(|_| self.source.get() == Source::Reader) else {
+            return;
+        };
+        if self.lost.take().is_some() {
+            self.tell_news((revision, revision), None);
+        }
+    }
+
     /// The store must be asked for what is missing here.
     fn ask(&self) {
         self.ask.set(Ask::Gap);
@@ -122,10 +159,14 @@
     /// Tells peers what the store answered. One telling that is lost is made good by the next, or by what the peers ask
     /// themselves.
     pub(super) fn tell(&self, (after, revision): (u64, u64), news: &[News]) {
+        let news = postcard::to_allocvec(news).ok().filter(|news| news.len() <= TELLING_MAX);
+        self.tell_news((after, revision), news);
+    }
+
+    fn tell_news(&self, (after, revision): (u64, u64), news: Option<Vec<u8>>) {
         let age = self.freshness.get().age(self.node.clock.uptime());
         let now = self.node.now();
         let lapses = self.lapses.get().map_or(Duration::ZERO, |until| until.saturating_duration_since(now));
-        let news = postcard::to_allocvec(news).ok().filter(|news| news.len() <= TELLING_MAX);
         let (age, lapses) = (told(age), told(lapses));
         if self
             .tellings
@@ -137,11 +178,11 @@
     }
 }
 
-const fn millis(time: u32) -> Duration {
+pub(super) const fn millis(time: u32) -> Duration {
     Duration::from_millis(time as u64)
 }
 
 /// A time as it is told, in milliseconds.
-fn told(time: Duration) -> u32 {
+pub(super) fn told(time: Duration) -> u32 {
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
 }
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -68,6 +68,8 @@
     pub(crate) quotas: Quotas<SocketAddr>,
     /// Bodies that are held for slow readers.
     pub(crate) memory: Memory,
+    /// Whether the whole list was known once.
+    pub(crate) whole: bool,
     /// When the store last answered about endpoints.
     pub(crate) listed: Option<Instant>,
 }
--- a/crates/forward/src/peers.rs
+++ b/crates/forward/src/peers.rs
@@ -9,16 +9,16 @@
 //! send work to the wrong endpoint: tellings are taken from peers of the same failure domain that have been heard, but
 //! nobody proves who it is.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use rand::Rng;
-use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
 use teaselshunt_core::{CrashReport, Fingerprint};
-use teaselshunt_routing::{EngineTag, HEARTBEAT, Peers, tag};
+use teaselshunt_routing::{EngineTag, Peers, tag};
 use teaselshunt_teams::{Hearing, Spending};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
@@ -27,8 +27,6 @@
 use crate::crashes::{self, log_quarantine};
 use crate::node::{Node, Phase};
 
-/// Peers named in a datagram.
-const NAMED: usize = 3;
 /// How long all that keeps requests in quarantine is told after a peer was heard that may not know it; some heartbeats, since
 /// datagrams are lost.
 const NEWCOMER: Duration = Duration::from_secs(2);
@@ -36,7 +34,7 @@
 const LARGEST: usize = 16 * 1024;
 
 /// First byte of each datagram. Another one is of a version that reads differently, and is passed over.
-const VERSION: u8 = 5;
+const VERSION: u8 = 6;
 /// Tellings that wait to be sent; more are dropped, and the next one makes them good.
 pub(crate) const TELLINGS: usize = 16;
 
@@ -79,8 +77,17 @@
     instances: u32,
     /// Whether the sender is about to end.
     leaving: bool,
+    /// Era and revision of the list that it can give a copy of.
+    holds: (Option<u64>, Option<u64>),
+}
+
+/// What stands behind a datagram and is not the same to all.
+#[derive(Debug, Default, Serialize, Deserialize)]
+struct Tail {
     /// Some other peers.
-    peers: Vec<SocketAddr>,
+    named: Vec<SocketAddr>,
+    /// After which time the sender tells something again at the latest, in milliseconds.
+    next: u32,
 }
 
 /// Sends and receives digests for as long as the process runs.
@@ -108,7 +115,7 @@
         own,
         domain,
         seeds,
-        peers: Peers::default(),
+        peers: Peers::new(domain),
         life,
         sequence: 0,
         started,
@@ -116,6 +123,7 @@
     };
     let mut buffer = vec![0; LARGEST];
     let mut next = gossip.node.now();
+    let mut pause = gossip.peers.pause(false);
     loop {
         let node = Rc::clone(&gossip.node);
         tokio::select! {
@@ -125,19 +133,20 @@
                 }
             }
             Some(telling) = tellings.recv() => gossip.tell(&socket, telling).await,
-            () = wait(&node, next) => {
-                gossip.send(&socket).await;
+            () = wait(&node, next, pause) => {
+                let urgent = gossip.send(&socket).await;
+                pause = gossip.peers.pause(urgent);
                 next = node.now() + gossip.peers.pace();
             }
         }
     }
 }
 
-/// Waits until `due` and then for a change, at most for a heartbeat.
-async fn wait(node: &Node, due: Instant) {
+/// Waits until `due` and then for a change, at most for `pause`.
+async fn wait(node: &Node, due: Instant, pause: Duration) {
     tokio::time::sleep_until(due.into()).await;
     // Whether there was a change or the time is over, it is time to send.
-    let _ = tokio::time::timeout_at((due + HEARTBEAT).into(), node.changed.notified()).await;
+    let _ = tokio::time::timeout_at((due + pause).into(), node.changed.notified()).await;
 }
 
 struct Gossip {
@@ -156,24 +165,34 @@
 
 impl Gossip {
     fn receive(&mut self, from: SocketAddr, data: &[u8]) {
-        let Ok(datagram) = postcard::from_bytes::<Datagram>(data) else { return };
+        let Ok((datagram, tail)) = postcard::from_bytes::<(Datagram, Tail)>(data) else { return };
         if datagram.version != VERSION {
             return;
         }
         let near = datagram.domain == self.domain;
         match datagram.content {
-            Content::Digest(digest) => self.receive_digest(from, datagram.domain, digest),
-            Content::Telling(telling) if near && self.peers.contains(from) => self.catalog.told(telling),
+            Content::Digest(digest) => {
+                if near {
+                    self.catalog.holder(from, digest.holds);
+                }
+                self.receive_digest(from, datagram.domain, digest, tail);
+            }
+            Content::Telling(telling) if near && self.peers.contains(from) => {
+                self.catalog.told(from, telling);
+            }
             Content::Telling(_) => {}
         }
     }
 
-    fn receive_digest(&mut self, from: SocketAddr, domain: u32, digest: Digest) {
+    fn receive_digest(&mut self, from: SocketAddr, domain: u32, digest: Digest, tail: Tail) {
         let now = self.node.now();
-        if self.peers.heard(now, from, domain == self.domain) {
+        let next = Duration::from_millis(u64::from(tail.next));
+        if self.peers.heard(now, from, domain, next) {
+            // Whoever starts waits to hear who there is.
+            self.node.changed.notify_one();
             info!(self.node.log, "peer"; "address" => %from, "state" => "known", "peers" => self.peers.len());
         }
-        for peer in digest.peers {
+        for peer in tail.named {
             if peer != self.own && peer.port() == self.own.port() {
                 self.peers.named(now, peer);
             }
@@ -202,6 +221,7 @@
         if ledger.update(now, from, (digest.life, digest.sequence), in_flight) {
             self.newcomer = Some(now);
         }
+        ledger.expects(from, next);
     }
 
     fn receive_crashes(&self, now: Instant, crashes: Vec<CrashReport>, served: Vec<Fingerprint>) {
@@ -216,37 +236,38 @@
         }
     }
 
-    async fn send(&mut self, socket: &UdpSocket) {
+    /// Tells those whose turn it is. Says whether some of it is told for seconds only.
+    async fn send(&mut self, socket: &UdpSocket) -> bool {
         let now = self.node.now();
         for address in self.peers.forget(now) {
             info!(self.node.log, "peer"; "address" => %address, "state" => "forgotten");
         }
         self.node.peers.set(self.peers.len());
         self.node.state.borrow_mut().budgets.share_among(self.peers.len() + 1);
-        self.catalog.peers_are(self.own, self.peers.near(now));
+        self.catalog.peers_are(self.own, &self.peers.near(now).collect());
         self.sequence += 1;
         let mut targets = self.peers.due(now);
         let newcomers = self.newcomer.is_some_and(|at| now.duration_since(at) < NEWCOMER);
         let uptime = self.node.clock.uptime();
         let leaving = self.node.phase() > Phase::Serving;
-        let (in_flight, suspects, reads, news, spending, instances, named) = {
+        let (in_flight, suspects, reads, news, spending, instances) = {
             let state = &mut *self.node.state.borrow_mut();
             let in_flight = state.endpoints.in_flight().into_iter().map(|(tag, t)| (tag.0, t)).collect();
             let suspects = state.endpoints.suspects(now).into_iter().map(|tag| tag.0).collect();
             let reads = state.endpoints.reading().into_iter().map(|tag| tag.0).collect();
             let news = state.quarantine.news(now, newcomers);
-            let named = self.peers.fresh(now).choose_multiple(&mut state.rng, NAMED);
             let spending = state.quotas.spending(uptime);
             let instances = state.quotas.remembered();
-            (in_flight, suspects, reads, news, spending, instances, named)
+            (in_flight, suspects, reads, news, spending, instances)
         };
         // A seed that is not heard may be back.
         let asks = self.node.state.borrow_mut().rng.random_bool(0.2);
         let unheard = self.seeds.iter().filter(|s| **s != self.own && !self.peers.contains(**s));
         targets.extend(unheard.filter(|_| asks || self.peers.is_empty()));
         let Self { life, sequence, .. } = *self;
-        let crashes = news.crashes.into_iter().map(|crash| CrashReport::of(now, crash)).collect();
+        let crashes: Vec<_> = news.crashes.into_iter().map(|crash| CrashReport::of(now, crash)).collect();
         let served = news.served;
+        let urgent = !crashes.is_empty() || !served.is_empty();
         let digest = Digest {
             life,
             sequence,
@@ -258,9 +279,10 @@
             spending,
             instances,
             leaving,
-            peers: named,
+            holds: self.catalog.holds(),
         };
         self.send_to(socket, targets, Content::Digest(digest)).await;
+        urgent
     }
 
     /// Tells peers of the same failure domain what the store answered.
@@ -270,11 +292,26 @@
     }
 
     async fn send_to(&self, socket: &UdpSocket, targets: Vec<SocketAddr>, content: Content) {
+        let is_digest = matches!(content, Content::Digest(_));
         let datagram = Datagram { version: VERSION, domain: self.domain, content };
         let Ok(data) = postcard::to_allocvec(&datagram) else { return };
+        let mut whole = HashMap::new();
         for peer in targets {
+            let domain = self.peers.domain_of(peer);
+            let data = whole.entry(domain).or_insert_with(|| {
+                let tail = if is_digest { self.tail(domain) } else { Tail::default() };
+                postcard::to_extend(&tail, data.clone()).unwrap_or_default()
+            });
             // A datagram that cannot be sent is as good as lost.
-            let _ = socket.send_to(&data, peer).await;
+            let _ = socket.send_to(data, peer).await;
         }
     }
+
+    /// What only the peers of a failure domain are told.
+    fn tail(&self, domain: Option<u32>) -> Tail {
+        let rng = &mut self.node.state.borrow_mut().rng;
+        let named = self.peers.to_name(self.node.now(), domain, rng);
+        let next = u32::try_from(self.peers.turn(domain).as_millis()).unwrap_or(u32::MAX);
+        Tail { named, next }
+    }
 }
--- a/crates/forward/src/supervisor.rs
+++ b/crates/forward/src/supervisor.rs
@@ -18,7 +18,7 @@
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::task::LocalSet;
 
-use crate::catalog::Catalog;
+use crate::catalog::{Catalog, give_copies};
 use crate::metrics::Metrics;
 use crate::node::{Node, Phase, State};
 use crate::pool::Pool;
@@ -103,6 +103,7 @@
             quarantine: Quarantine::default(),
             quotas,
             memory: Memory::new((settings.memory as f64 * HELD_PART) as u64),
+            whole: false,
             listed: None,
         }),
         protocol,
@@ -129,6 +130,7 @@
     let catalog = Rc::new(Catalog::new(&node, sender));
     start(&node, "store", Rc::clone(&catalog).run());
     if let Some(port) = node.settings.peers {
+        start(&node, "copies", give_copies(Rc::clone(&catalog), Rc::clone(&node), port));
         start(&node, "peers", peers::run(catalog, Rc::clone(&node), port, tellings));
     }
     start(&node, "orders", orders::run(Rc::clone(&node)));
--- a/crates/routing/src/endpoints.rs
+++ b/crates/routing/src/endpoints.rs
@@ -137,6 +137,8 @@
     departed: Departed,
     /// Until when entries of endpoints that had gone may be ones of a copy of the list.
     copied: Option<Instant>,
+    /// Until when endpoints are in use, or not, by more than what the list says.
+    uncertain: Option<Instant>,
     ledger: Ledger<SocketAddr>,
 }
 
@@ -213,6 +215,7 @@
     /// endpoint is alive, and is used from `until` on.
     pub fn recall(&mut self, until: Instant) {
         self.copied = Some(until);
+        self.uncertain = self.uncertain.max(Some(until));
     }
 
     /// The entry under an id was overwritten with something that names no endpoint. Nothing new goes there until the
@@ -258,6 +261,7 @@
             self.remove(id);
         } else if entry.doubted.is_none() {
             entry.doubted = Some(until);
+            self.uncertain = self.uncertain.max(Some(until));
         }
     }
 
@@ -276,6 +280,22 @@
         self.by_id.keys().filter(|id| !present.contains(*id)).cloned().collect()
     }
 
+    /// Whether the list alone says which endpoints are in use, so that another instance can go by it.
+    pub fn is_plain(&self, now: Instant) -> bool {
+        self.uncertain.is_none_or(|until| now >= until)
+    }
+
+    /// All that the list shows plainly.
+    pub fn listed(&self) -> impl Iterator<Item = &Endpoint> {
+        self.arena.values().filter(|e| !e.withdrawn && e.doubted.is_none()).map(|e| &e.endpoint)
+    }
+
+    /// A number by which two instances can tell whether they list the same starts of endpoints; equal lists have equal ones.
+    pub fn checksum(&self) -> u64 {
+        let plain = self.arena.values().filter(|e| !e.withdrawn && e.doubted.is_none());
+        plain.fold(0, |sum, entry| sum.wrapping_add((1 << 32) + u64::from(entry.tag.0)))
+    }
+
     /// An endpoint, if it is still listed.
     pub fn get(&self, key: EndpointKey) -> Option<&Endpoint> {
         self.arena.get(key).map(|e| &e.endpoint)
@@ -291,6 +311,12 @@
         self.get(*self.by_id.get(id)?)
     }
 
+    /// The same, if the list shows it plainly.
+    pub fn listed_by_id(&self, id: &str) -> Option<&Endpoint> {
+        let entry = self.arena.get(*self.by_id.get(id)?)?;
+        (!entry.withdrawn && entry.doubted.is_none()).then_some(&entry.endpoint)
+    }
+
     /// An endpoint, if it still takes new work.
     pub fn get_open(&self, now: Instant, key: EndpointKey) -> Option<&Endpoint> {
         self.arena.get(key).filter(|e| e.is_open(now)).map(|e| &e.endpoint)
--- a/crates/routing/src/ledger.rs
+++ b/crates/routing/src/ledger.rs
@@ -8,6 +8,8 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use crate::silence;
+
 /// One start of an engine in the ledger, by a hash; a collision makes a choice worse and no more.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct EngineTag(pub u32);
@@ -32,10 +34,6 @@
     bytes.iter().fold(start, step)
 }
 
-/// Silence after which what an instance had in flight counts as ended: it is dead, frozen or cut off, and engines stop
-/// work whose connection ends.
-const SILENCE: Duration = Duration::from_millis(1500);
-
 /// How long a suspicion counts; instances that still cannot use the endpoint say so again.
 const SUSPICION: Duration = Duration::from_millis(700);
 /// Instances that must say so.
@@ -49,6 +47,9 @@
     /// Life of the sender, and number of its last digest.
     order: (u64, u64),
     heard: Instant,
+    /// Silence after which what it had in flight counts as ended: it is dead, frozen or cut off, and engines stop work whose
+    /// connection ends.
+    silence: Duration,
     tokens: HashMap<EngineTag, u32>,
 }
 
@@ -99,10 +100,18 @@
         for (&tag, &count) in &tokens {
             *self.totals.entry(tag).or_default() += u64::from(count);
         }
-        self.accounts.insert(from, Account { order: (life, sequence), heard: now, tokens });
+        let silence = silence(Duration::ZERO);
+        self.accounts.insert(from, Account { order: (life, sequence), heard: now, silence, tokens });
         begins
     }
 
+    /// An instance says after which time it tells something again at the latest.
+    pub fn expects(&mut self, from: P, next: Duration) {
+        if let Some(account) = self.accounts.get_mut(&from) {
+            account.silence = silence(next);
+        }
+    }
+
     /// An instance says that it could not use an endpoint lately.
     pub fn suspect(&mut self, now: Instant, from: P, tag: EngineTag) {
         self.suspicions.entry(tag).or_default().insert(from, now);
@@ -132,7 +141,7 @@
             !said.is_empty()
         });
         self.reads.retain(|_, at| now.duration_since(*at) < READING);
-        let silent = |a: &Account| now.duration_since(a.heard) > SILENCE;
+        let silent = |a: &Account| now.duration_since(a.heard) > a.silence;
         let gone: Vec<P> = self.accounts.iter().filter(|(_, a)| silent(a)).map(|(&p, _)| p).collect();
         for peer in gone {
             self.drop_account(peer);
--- a/crates/routing/tests/all/main.rs
+++ b/crates/routing/tests/all/main.rs
@@ -2,7 +2,9 @@
 
 mod allowances;
 mod budget;
+mod changes;
 mod endpoints;
+mod holders;
 mod ledger;
 mod lives;
 mod looks;
--- a/crates/routing/tests/all/peers.rs
+++ b/crates/routing/tests/all/peers.rs
@@ -1,5 +1,6 @@
 //! Which other instances there are.
 
+use std::collections::HashSet;
 use std::time::{Duration, Instant};
 
 use teaselshunt_routing::{HEARTBEAT, Peers};
@@ -9,17 +10,17 @@
 #[test]
 fn a_dead_peer_is_not_handed_round() {
     let start = Instant::now();
-    let mut instances = [Peers::default(), Peers::default()];
+    let mut instances = [Peers::new(0), Peers::new(0)];
     for instance in &mut instances {
-        assert!(instance.heard(start, 3, true));
-        assert!(!instance.heard(start, 3, true));
+        assert!(instance.heard(start, 3, 0, Duration::ZERO));
+        assert!(!instance.heard(start, 3, 0, Duration::ZERO));
     }
     let mut forgotten = 0;
     for step in 1..200_u64 {
         let now = start + Duration::from_millis(step * 100);
         for index in 0..2 {
             let named: Vec<i32> = instances[1 - index].fresh(now).collect();
-            instances[index].heard(now, 2 - index as i32, true);
+            instances[index].heard(now, 2 - index as i32, 0, Duration::ZERO);
             // An instance does not take itself for a peer.
             for peer in named.into_iter().filter(|&p| p != index as i32 + 1) {
                 instances[index].named(now, peer);
@@ -35,28 +36,28 @@
 /// and is forgotten if it never answers, without being named on.
 #[test]
 fn a_named_peer_must_be_heard_to_stay() {
-    let (mut peers, start) = (Peers::default(), Instant::now());
+    let (mut peers, start) = (Peers::new(0), Instant::now());
     peers.named(start, 1);
     assert!(peers.contains(1));
     assert_eq!(peers.fresh(start).count(), 0);
     assert!(peers.forget(start + Duration::from_secs(5)).is_empty());
     assert!(peers.is_empty());
     peers.named(start, 2);
-    assert!(peers.heard(start, 2, true), "heard for the first time");
+    assert!(peers.heard(start, 2, 0, Duration::ZERO), "heard for the first time");
     assert_eq!(peers.due(start), [2]);
 }
 
 /// Plays ten seconds in which there is always something new, with so many peers near and far; gives the fewest and the most
 /// tellings of one peer, near and far, and the longest time that one was not told anything.
 fn tellings(near: u32, far: u32) -> ([u32; 2], [u32; 2], Duration) {
-    let (start, mut peers) = (Instant::now(), Peers::default());
+    let (start, mut peers) = (Instant::now(), Peers::new(0));
     let count = near + far;
     let mut told = vec![Vec::new(); count as usize];
     let mut next = start;
     for step in 0..2_000_u32 {
         let now = start + Duration::from_millis(5) * step;
         for peer in 0..count {
-            peers.heard(now, peer, peer < near);
+            peers.heard(now, peer, u32::from(peer >= near), Duration::ZERO);
         }
         if now >= next {
             for peer in peers.due(now) {
@@ -99,3 +100,50 @@
     let (_, _, longest) = tellings(100, 200);
     assert!(longest < Duration::from_millis(700), "{longest:?}");
 }
+
+/// Instances that are told by turns of several seconds are not taken for dead between two of them. With one silence for all
+/// sizes, six hundred of them forgot one another by turns, and each took itself for one that reads the store.
+#[test]
+fn a_peer_that_waits_for_its_turn_is_not_taken_for_dead() {
+    let (start, mut peers) = (Instant::now(), Peers::new(0));
+    for peer in 0..1_200 {
+        peers.heard(start, peer, peer % 6, Duration::ZERO);
+    }
+    let (near, far) = (peers.turn(Some(0)), peers.turn(Some(1)));
+    assert!(near < far, "{near:?} {far:?}");
+    let mut hearer = Peers::new(0);
+    hearer.heard(start, 1, 0, near);
+    hearer.heard(start, 2, 1, far);
+    assert_eq!(hearer.near(start + near * 2).collect::<Vec<_>>(), [1]);
+    assert_eq!(hearer.fresh(start + far * 2).collect::<Vec<_>>(), [2]);
+    assert!(!hearer.forget(start + far * 2).contains(&2));
+}
+
+/// Where there are few, silence is noticed as soon as ever.
+#[test]
+fn a_death_among_few_is_noticed_soon() {
+    let (start, mut peers) = (Instant::now(), Peers::new(0));
+    for peer in 0..8 {
+        peers.heard(start, peer, peer % 4, Duration::ZERO);
+    }
+    let mut hearer = Peers::new(0);
+    hearer.heard(start, 1, 0, peers.turn(Some(1)));
+    let later = start + Duration::from_millis(1_500);
+    assert_eq!(hearer.fresh(later).count(), 0);
+}
+
+/// A crash under a request is told for three seconds. Among twelve hundred instances all have their turn by then; with pauses
+/// between rounds most never heard of it, and let the request crash three more endpoints.
+#[test]
+fn news_that_is_told_for_seconds_reaches_all() {
+    let (start, mut peers) = (Instant::now(), Peers::new(0));
+    for peer in 0..1_200 {
+        peers.heard(start, peer, peer % 6, Duration::from_secs(30));
+    }
+    let (mut told, mut now) = (HashSet::new(), start);
+    while now < start + Duration::from_secs(3) {
+        told.extend(peers.due(now));
+        now += peers.pace() + peers.pause(true);
+    }
+    assert_eq!(told.len(), 1_200);
+}
