Orders: after the whole list, and sixteen at a time

Cause: the list counted as still when it had not grown for half a second, which it has not while its next page is awaited. A fifth was ordered 17 s before the first caller from a list of a sixth of all, the rest when it was next still, beside callers.

Change: nothing is ordered before the whole list was read once; sixteen orders wait for their answers at a time (170 a second one after the other: six seconds at this size, twelve at twice it).

--- a/crates/forward/src/orders.rs
+++ b/crates/forward/src/orders.rs
@@ -9,6 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_util::StreamExt;
 use hyper::StatusCode;
 use slog::info;
 use teaselshunt_routing::{Change, Life, Service, Stage, plan_changes};
@@ -22,6 +23,9 @@
 const STEADY: u32 = 2;
 /// The same after the first orders: endpoints that come back after a cut or a release must not be counted in between.
 const STEADY_SERVING: u32 = 8;
+/// Orders that wait for their answers at a time. Among thousands of engines a thousand are ordered; one after the other that
+/// lasts until callers are there, who then meet engines that change.
+const AT_A_TIME: usize = 16;
 /// Longest time for an order to be answered.
 const CALL: Duration = Duration::from_secs(1);
 
@@ -44,19 +48,26 @@
     let mut serving = false;
     while node.phase() == Phase::Serving {
         tokio::time::sleep(LOOK).await;
-        let count = node.state.borrow().endpoints.len();
-        steady = if count > 0 && count == known { steady + 1 } else { 0 };
+        let (count, whole) = {
+            let state = node.state.borrow();
+            (state.endpoints.len(), state.whole)
+        };
+        steady = if whole && count > 0 && count == known { steady + 1 } else { 0 };
         known = count;
         if steady < if serving { STEADY_SERVING } else { STEADY } {
             continue;
         }
+        let mut orders = Vec::new();
         for change in wanted(&node, &ordered, serving) {
             // An engine is ordered once in its life: an order that got no answer may have been accepted.
             if ordered.insert(change.life.clone(), change.stage).is_none() {
                 fence += 1;
-                give(&node, &change, fence).await;
+                orders.push((change, fence));
             }
         }
+        let node = &node;
+        let give = |(change, fence)| async move { give(node, &change, fence).await };
+        futures_util::stream::iter(orders).for_each_concurrent(AT_A_TIME, give).await;
         serving = true;
     }
 }
