--- a/crates/forward/src/catalog/copies.rs
+++ b/crates/forward/src/catalog/copies.rs
@@ -10,47 +10,31 @@
 //!
 //! A copy is believed like a telling: on the word of a peer of the same failure domain, which is not authenticated.
 
-use std::cell::Cell;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 
 use bytes::Bytes;
-use http_body_util::Full;
-use hyper::body::Incoming;
 use hyper::header::HeaderMap;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper::{Method, StatusCode};
 use rand::Rng;
 use serde::{Deserialize, Serialize};
-use slog::{debug, info, warn};
+use slog::{debug, info};
 use teaselshunt_routing::{
     Endpoint, EndpointState, Era, Listing, Passage, RouteSet, Search, Stage, Supply, tag,
 };
-use tokio::net::{TcpListener, TcpStream};
 
 use super::sharing::{millis, told};
 use super::{Catalog, GAP_SPREAD};
-use crate::node::Node;
 use crate::pool::Failure;
 use crate::protocol::Call;
 
-/// Copies that are given at a time; one takes a part of a second on a slow link, and whoever has one gives it on.
-const GIVEN: u32 = 3;
 /// Longest time for a copy to arrive.
-const COPY: Duration = Duration::from_millis(2500);
+pub(super) const COPY: Duration = Duration::from_millis(2500);
 /// Pause between two looks for a holder.
 const LOOK: Duration = Duration::from_millis(60);
 /// Part by which instances look longer than the shortest time, at random, so that they do not turn to the store together.
 const SPREAD: f64 = 0.3;
-/// Pause after an incoming connection could not be accepted.
-const ACCEPT: Duration = Duration::from_millis(20);
-/// Idle time of a peer's connection.
-const IDLE: Duration = Duration::from_secs(4);
-
 /// A list as it is told to a peer; endpoints follow in groups.
 #[derive(Debug, Serialize, Deserialize)]
 struct ListCopy {
@@ -145,7 +129,7 @@
 }
 
 /// Where copies are asked for; tag of the failure domain and revision that is known, or [`WHOLE`], follow.
-const PATH: &str = "/list/";
+pub(super) const PATH: &str = "/list/";
 /// Asks for the whole list.
 const WHOLE: &str = "-";
 
@@ -284,7 +268,7 @@
     }
 
     /// A copy for a peer that knows the list as of a revision, if there is one to give.
-    fn give(&self, since: Option<u64>) -> Option<Vec<u8>> {
+    pub(super) fn give(&self, since: Option<u64>) -> Option<Vec<u8>> {
         let revision = self.revision.get()?;
         let state = self.node.state.borrow();
         if !state.endpoints.is_plain(self.node.now()) {
@@ -313,90 +297,3 @@
         postcard::to_allocvec(&copy).ok()
     }
 }
-
-/// Gives copies to peers for as long as the process runs.
-pub(crate) async fn serve(catalog: Rc<Catalog>, node: Rc<Node>, port: u16) {
-    let own = SocketAddr::new(node.settings.callers.ip(), port);
-    let listener = match TcpListener::bind(own).await {
-        Ok(listener) => listener,
-        Err(error) => {
-            // Peers read the store, or copy from others.
-            warn!(node.log, "no copies for peers"; "address" => %own, "error" => %error);
-            return;
-        }
-    };
-    let given = Rc::new(Cell::new(0));
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let (catalog, given) = (Rc::clone(&catalog), Rc::clone(&given));
-                tokio::task::spawn_local(connection(catalog, Rc::clone(&node), given, stream));
-            }
-            Err(error) => {
-                warn!(node.log, "accept"; "error" => %error);
-                tokio::time::sleep(ACCEPT).await;
-            }
-        }
-    }
-}
-
-/// A copy on its way; dropping it makes room for another.
-struct Given(Rc<Cell<u32>>);
-
-impl Given {
-    fn begin(given: &Rc<Cell<u32>>) -> Option<Self> {
-        if given.get() >= GIVEN {
-            return None;
-        }
-        given.set(given.get() + 1);
-        Some(Self(Rc::clone(given)))
-    }
-}
-
-impl Drop for Given {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
-async fn connection(catalog: Rc<Catalog>, node: Rc<Node>, given: Rc<Cell<u32>>, stream: TcpStream) {
-    // Held until the connection has no more to write.
-    let on_way = Rc::new(Cell::new(None));
-    let service = service_fn(|request: Request<Incoming>| {
-        let answer = answer(&catalog, &node, &request, &given, &on_way);
-        async move { Ok::<_, std::convert::Infallible>(answer) }
-    });
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(IDLE)
-        .keep_alive(false)
-        .serve_connection(TokioIo::new(stream), service);
-    let served = tokio::time::timeout(COPY * 2, connection).await;
-    if !matches!(served, Ok(Ok(()))) {
-        debug!(node.log, "a copy was not taken");
-    }
-}
-
-fn answer(
-    catalog: &Catalog,
-    node: &Node,
-    request: &Request<Incoming>,
-    given: &Rc<Cell<u32>>,
-    on_way: &Cell<Option<Given>>,
-) -> Response<Full<Bytes>> {
-    let asked = request.uri().path().strip_prefix(PATH).and_then(|rest| rest.split_once('/'));
-    let Some((domain, since)) = asked else { return empty(StatusCode::NOT_FOUND) };
-    if domain.parse() != Ok(tag(&node.settings.domain)) {
-        return empty(StatusCode::NOT_FOUND);
-    }
-    let Some(room) = Given::begin(given) else { return empty(StatusCode::TOO_MANY_REQUESTS) };
-    let Some(copy) = catalog.give(since.parse().ok()) else { return empty(StatusCode::SERVICE_UNAVAILABLE) };
-    on_way.set(Some(room));
-    Response::new(Full::new(Bytes::from(copy)))
-}
-
-fn empty(status: StatusCode) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::default());
-    *response.status_mut() = status;
-    response
-}
