Read again: one piece each for what the change wrote twice

- Reading a body on the account of what is held: requests and answers had a loop each (Holding::collect); the answer's room comes with it.
- Accepting connections: three loops (listen::accept).
The one behind readiness and metrics swallowed failures without a line; it logs them.
- What a peer's word confirms, by tellings and by copies (confirmed_by_peer); how a call for news ended, for two metrics; the revision as of which the list was known last.
- Whether the list shows an endpoint plainly: three conditions, one predicate.
- held_bytes is read from the account when metrics are asked for, and not set at each event of each stream.
- Peers that are due: no second vector; near and far by the one predicate.

--- a/crates/forward/src/catalog.rs
+++ b/crates/forward/src/catalog.rs
@@ -83,6 +83,7 @@
 const COPIED: Duration = Duration::from_secs(5);
 /// Part of the time in which a leaving endpoint must get nothing new, for which a lost entry is still in use.
 const DOUBT_PART: f64 = 0.8;
+
 #[derive(Debug, thiserror::Error)]
 enum StoreError {
     #[error("{}", .0.text())]
@@ -97,6 +98,15 @@
     Outdated,
 }
 
+/// How a call for news ended, for metrics.
+fn outcome(status: Result<StatusCode, &Failure>) -> &'static str {
+    match status {
+        Ok(status) if status.is_success() => "ok",
+        Ok(_) => "refused",
+        Err(failure) => failure.text(),
+    }
+}
+
 /// Follows the store for as long as the process runs.
 #[derive(Debug)]
 pub(crate) struct Catalog {
@@ -247,11 +257,7 @@
     ) -> Result<(StatusCode, bytes::Bytes), StoreError> {
         let until = self.node.now() + time;
         let result = self.node.call_in_full(self.node.settings.store, call, until).await;
-        let outcome = match &result {
-            Ok((head, _)) if head.status.is_success() => "ok",
-            Ok(_) => "refused",
-            Err(failure) => failure.text(),
-        };
+        let outcome = outcome(result.as_ref().map(|(head, _)| head.status));
         self.node.metrics.store.with_label_values(&[name, outcome]).inc();
         let (head, body) = result.map_err(StoreError::Exchange)?;
         let era = Era::told(self.node.protocol.read_era(&head.headers));
--- a/crates/forward/src/catalog/copies.rs
+++ b/crates/forward/src/catalog/copies.rs
@@ -25,7 +25,7 @@
 };
 
 use super::sharing::{millis, told};
-use super::{Catalog, GAP_SPREAD};
+use super::{Catalog, GAP_SPREAD, outcome};
 use crate::pool::Failure;
 use crate::protocol::Call;
 
@@ -35,6 +35,7 @@
 const LOOK: Duration = Duration::from_millis(60);
 /// Part by which instances look longer than the shortest time, at random, so that they do not turn to the store together.
 const SPREAD: f64 = 0.3;
+
 /// A list as it is told to a peer; endpoints follow in groups.
 #[derive(Debug, Serialize, Deserialize)]
 struct ListCopy {
@@ -187,31 +188,30 @@
         }
     }
 
+    /// Revision as of which the list was known last.
+    fn base(&self) -> Option<u64> {
+        self.revision.get().or(self.lost.get())
+    }
+
     async fn copy_from(&self, peer: SocketAddr, beyond: Option<u64>) -> Result<(), CopyError> {
         let asked = self.node.clock.uptime();
-        let since = self.revision.get().or(self.lost.get()).filter(|_| !self.diverged.get());
+        let since = self.base().filter(|_| !self.diverged.get());
         let since = since.map_or_else(|| WHOLE.to_owned(), |revision| revision.to_string());
         let path = format!("{PATH}{}/{since}", tag(&self.node.settings.domain));
         let call = Call { method: Method::GET, path, headers: HeaderMap::new(), body: Bytes::new() };
         let result = self.node.call(peer, call, self.node.now() + COPY).await;
-        let outcome = match &result {
-            Ok((StatusCode::OK, _)) => "ok",
-            Ok(_) => "refused",
-            Err(failure) => failure.text(),
-        };
-        self.node.metrics.step("copy", outcome);
+        self.node.metrics.step("copy", outcome(result.as_ref().map(|(status, _)| *status)));
         let (status, body) = result.map_err(CopyError::Exchange)?;
         if status != StatusCode::OK {
             return Err(CopyError::Status(status));
         }
         let copy: ListCopy = postcard::from_bytes(&body)?;
-        let own = self.revision.get().or(self.lost.get());
         let known = self.revision.get().max(beyond);
         let same = self.era.get().judge(Era::told(copy.era)) == Passage::Same;
         if copy.format != FORMAT
             || !same
             || known.is_some_and(|known| copy.revision <= known)
-            || (copy.since.is_some() && copy.since != own)
+            || (copy.since.is_some() && copy.since != self.base())
         {
             return Err(CopyError::Outdated(copy.revision));
         }
@@ -247,10 +247,7 @@
         }
         self.has_whole(revision);
         let age = millis(age);
-        self.confirmed(asked.saturating_sub(age));
-        let now = self.node.now();
-        self.heard.set(self.heard.get().max(now.checked_sub(age).unwrap_or(now)));
-        self.node.state.borrow_mut().listed = Some(now);
+        self.confirmed_by_peer(asked, age);
         self.count_endpoints();
         info!(self.node.log, "list"; "from" => %peer, "revision" => revision, "age_ms" => age.as_millis() as u64,
             "since" => since, "changed" => changed);
--- a/crates/forward/src/catalog/giving.rs
+++ b/crates/forward/src/catalog/giving.rs
@@ -19,12 +19,11 @@
 
 use super::Catalog;
 use super::copies::{COPY, PATH};
+use crate::listen::accept;
 use crate::node::Node;
 
 /// Copies that are given at a time; one takes a part of a second on a slow link, and whoever has one gives it on.
 const GIVEN: u32 = 3;
-/// Pause after an incoming connection could not be accepted.
-const ACCEPT: Duration = Duration::from_millis(20);
 /// Idle time of a peer's connection.
 const IDLE: Duration = Duration::from_secs(4);
 
@@ -41,16 +40,9 @@
     };
     let given = Rc::new(Cell::new(0));
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let (catalog, given) = (Rc::clone(&catalog), Rc::clone(&given));
-                tokio::task::spawn_local(connection(catalog, Rc::clone(&node), given, stream));
-            }
-            Err(error) => {
-                warn!(node.log, "accept"; "error" => %error);
-                tokio::time::sleep(ACCEPT).await;
-            }
-        }
+        let stream = accept(&node, &listener).await;
+        let (catalog, given) = (Rc::clone(&catalog), Rc::clone(&given));
+        tokio::task::spawn_local(connection(catalog, Rc::clone(&node), given, stream));
     }
 }
 
--- a/crates/forward/src/catalog/sharing.rs
+++ b/crates/forward/src/catalog/sharing.rs
@@ -115,8 +115,13 @@
             }
             Word::Gap => return self.ask(),
         }
-        let age = millis(age);
-        self.confirmed(self.node.clock.uptime().saturating_sub(age));
+        self.confirmed_by_peer(self.node.clock.uptime(), millis(age));
+    }
+
+    /// A peer says that the store confirmed what is known now, so long before it said so at `told`.
+    pub(super) fn confirmed_by_peer(&self, told: Duration, age: Duration) {
+        let now = self.node.now();
+        self.confirmed(told.saturating_sub(age));
         self.heard.set(self.heard.get().max(now.checked_sub(age).unwrap_or(now)));
         self.node.state.borrow_mut().listed = Some(now);
     }
--- a/crates/forward/src/front.rs
+++ b/crates/forward/src/front.rs
@@ -17,6 +17,7 @@
 use tokio::sync::watch;
 
 use crate::body::Unread;
+use crate::listen::accept;
 use crate::node::{Node, Phase};
 use crate::requests;
 
@@ -28,21 +29,12 @@
 const LATE: Duration = Duration::from_millis(500);
 /// Largest head that is read, in bytes, before any version is known; also the least that the library allows.
 const HEAD: usize = 16 * 1024;
-/// Pause after a connection could not be accepted; mostly want of descriptors, which end of connections give back.
-const ACCEPT: Duration = Duration::from_millis(20);
 
 /// Accepts callers for as long as the process runs.
 pub(crate) async fn callers(node: Rc<Node>, listener: TcpListener) {
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::task::spawn_local(connection(Rc::clone(&node), stream));
-            }
-            Err(error) => {
-                warn!(node.log, "accept"; "error" => %error);
-                tokio::time::sleep(ACCEPT).await;
-            }
-        }
+        let stream = accept(&node, &listener).await;
+        tokio::task::spawn_local(connection(Rc::clone(&node), stream));
     }
 }
 
@@ -119,9 +111,12 @@
             return;
         }
     };
-    serve(Rc::clone(&node), listener, move |_| match node.metrics.render() {
-        Ok(text) => page(StatusCode::OK, Bytes::from(text)),
-        Err(error) => page(StatusCode::INTERNAL_SERVER_ERROR, Bytes::from(error.to_string())),
+    serve(Rc::clone(&node), listener, move |_| {
+        node.metrics.held.set(node.state.borrow().memory.held() as i64);
+        match node.metrics.render() {
+            Ok(text) => page(StatusCode::OK, Bytes::from(text)),
+            Err(error) => page(StatusCode::INTERNAL_SERVER_ERROR, Bytes::from(error.to_string())),
+        }
     })
     .await;
 }
@@ -138,10 +133,7 @@
     answer: impl Fn(&Request<Incoming>) -> Response<Full<Bytes>> + Clone + 'static,
 ) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT).await;
-            continue;
-        };
+        let stream = accept(&node, &listener).await;
         let (node, answer) = (Rc::clone(&node), answer.clone());
         tokio::task::spawn_local(async move {
             let service = service_fn(move |request| {
--- a/crates/forward/src/generate.rs
+++ b/crates/forward/src/generate.rs
@@ -13,12 +13,11 @@
 use hyper::StatusCode;
 use hyper::header::HeaderValue;
 use teaselshunt_core::{ErrorKind, Refusal};
-use teaselshunt_routing::{EndpointKey, Held, Patience, Repeat, Sends};
+use teaselshunt_routing::{EndpointKey, Patience, Repeat, Sends};
 
 use crate::body::AnswerBody;
 use crate::calls::{CALL, tidy};
 use crate::crashes::{self, Watch};
-use crate::holding::Holding;
 use crate::node::{Answer, Job, Node, Slot, StepFailure};
 use crate::protocol::Purpose;
 use crate::refusals::refuse;
@@ -47,8 +46,7 @@
         return stream::relay(node, Source::generation(job), answer, slot, trace);
     }
     let (mut head, body) = answer.response.into_parts();
-    let mut holding = Holding::new(node, Held::Answer);
-    let Ok(body) = node.read_held(body, answer.connection, job.until, &mut holding).await else {
+    let Ok((body, holding)) = node.read_held(body, answer.connection, job.until).await else {
         return refuse(node, Refusal::new(ErrorKind::EndpointFailed), trace);
     };
     node.served(&job);
--- a/crates/forward/src/holding.rs
+++ b/crates/forward/src/holding.rs
@@ -2,10 +2,22 @@
 
 use std::rc::Rc;
 
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::Body;
 use teaselshunt_routing::{Full, Held};
 
 use crate::node::Node;
 
+/// Why a body was not read to its end.
+#[derive(Debug)]
+pub(crate) enum CollectError<E> {
+    /// It broke off, or is not as it should be.
+    Body(E),
+    /// There is no room for so many bytes of it.
+    Full(Full, usize),
+}
+
 /// Room for bytes; dropping it gives it back.
 #[derive(Debug)]
 pub(crate) struct Holding {
@@ -26,18 +38,32 @@
     /// There is not enough; what was taken before stays taken.
     pub(crate) fn grow(&mut self, bytes: usize) -> Result<(), Full> {
         let bytes = bytes as u64;
-        let memory = &mut self.node.state.borrow_mut().memory;
-        memory.take(bytes, self.held)?;
+        self.node.state.borrow_mut().memory.take(bytes, self.held)?;
         self.bytes += bytes;
-        self.node.metrics.held.set(memory.held() as i64);
         Ok(())
     }
+
+    /// Reads a body to its end, as far as there is room for it.
+    ///
+    /// # Errors
+    /// The body failed, or there is no room.
+    pub(crate) async fn collect<B>(&mut self, mut body: B) -> Result<Bytes, CollectError<B::Error>>
+    where
+        B: Body<Data = Bytes> + Unpin,
+    {
+        let mut whole = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let data = frame.map_err(CollectError::Body)?.into_data().unwrap_or_default();
+            let bytes = whole.len() + data.len();
+            self.grow(data.len()).map_err(|full| CollectError::Full(full, bytes))?;
+            whole.extend_from_slice(&data);
+        }
+        Ok(whole.freeze())
+    }
 }
 
 impl Drop for Holding {
     fn drop(&mut self) {
-        let memory = &mut self.node.state.borrow_mut().memory;
-        memory.give_back(self.bytes);
-        self.node.metrics.held.set(memory.held() as i64);
+        self.node.state.borrow_mut().memory.give_back(self.bytes);
     }
 }
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -2,9 +2,9 @@
 //! through a [`Protocol`].
 //!
 //! Modules look down only: `supervisor` starts `front` (listeners), `catalog` (what the platform's store says) and
-//! `orders`; `front` hands requests to `requests`, which calls `plain` or `generate` (with `rooms`); both use `stream`, `body` with `holding` (what slow readers have not read), `node`
-//! (state, one step at an endpoint) and `pool` (connections). Decisions without input or output are in the crate
-//! `teaselshunt-routing`.
+//! `orders`; the first two accept by `listen`. `front` hands requests to `requests`, which calls `plain` or `generate`
+//! (with `rooms`); both use `stream`, `body` with `holding` (what slow readers have not read), `node` (state, one step at an
+//! endpoint) and `pool` (connections). Decisions without input or output are in the crate `teaselshunt-routing`.
 //!
 //! Both edges of traffic are `hyper` itself. A framework above it ends a failed stream as if it were whole and hides
 //! whether a request has left, and the promises to callers rest on both.
@@ -26,6 +26,7 @@
 mod generate;
 mod headers;
 mod holding;
+mod listen;
 mod logs;
 mod metrics;
 mod node;
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_ENCODING, CONTENT_TYPE, HOST, HeaderMap, HeaderValue};
@@ -20,7 +20,7 @@
 use slog::{Logger, info, warn};
 use teaselshunt_core::{Clock, ErrorKind, Fingerprint, Quarantine, Refusal};
 use teaselshunt_routing::{
-    Allowances, Budgets, EndpointKey, Endpoints, Memory, Need, Outputs, Pace, Route, RouteSet, Sends,
+    Allowances, Budgets, EndpointKey, Endpoints, Held, Memory, Need, Outputs, Pace, Route, RouteSet, Sends,
     Service, Stage, Verdict,
 };
 use teaselshunt_teams::{Quotas, Team};
@@ -28,7 +28,7 @@
 
 use crate::admission::Charge;
 use crate::crashes::{Abandoned, Loss};
-use crate::holding::Holding;
+use crate::holding::{CollectError, Holding};
 use crate::metrics::Metrics;
 use crate::pool::{Connection, Failure, Pool};
 use crate::protocol::{AnswerMeta, Call, Meta, Protocol, Purpose};
@@ -494,28 +494,23 @@
 
     /// Reads a body that is for a caller to its end, as far as there is room, and keeps the connection.
     pub(crate) async fn read_held(
-        &self,
-        mut body: Incoming,
+        self: &Rc<Self>,
+        body: Incoming,
         connection: Connection,
         until: Instant,
-        holding: &mut Holding,
-    ) -> Result<Bytes, Failure> {
-        let mut whole = BytesMut::new();
-        loop {
-            let data = match tokio::time::timeout_at(until.into(), body.frame()).await {
-                Err(_) => return Err(Failure::TimedOut),
-                Ok(Some(Err(_))) => return Err(Failure::Broken),
-                Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
-                Ok(None) => {
-                    self.pool.put(connection);
-                    return Ok(whole.freeze());
-                }
-            };
-            if let Err(error) = holding.grow(data.len()) {
-                warn!(self.log, "an answer is given up"; "error" => %error, "bytes" => whole.len() + data.len());
-                return Err(Failure::Broken);
+    ) -> Result<(Bytes, Holding), Failure> {
+        let mut holding = Holding::new(self, Held::Answer);
+        match tokio::time::timeout_at(until.into(), holding.collect(body)).await {
+            Ok(Ok(whole)) => {
+                self.pool.put(connection);
+                Ok((whole, holding))
+            }
+            Ok(Err(CollectError::Body(_))) => Err(Failure::Broken),
+            Ok(Err(CollectError::Full(error, bytes))) => {
+                warn!(self.log, "an answer is given up"; "error" => %error, "bytes" => bytes);
+                Err(Failure::Broken)
             }
-            whole.extend_from_slice(&data);
+            Err(_) => Err(Failure::TimedOut),
         }
     }
 
--- a/crates/forward/src/plain.rs
+++ b/crates/forward/src/plain.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use hyper::{Response, StatusCode};
 use teaselshunt_core::{ErrorKind, Refusal};
-use teaselshunt_routing::{EndpointKey, Held, Repeat};
+use teaselshunt_routing::{EndpointKey, Repeat};
 
 use crate::body::AnswerBody;
 use crate::crashes::{self, Watch};
@@ -205,8 +205,7 @@
         return Ok(Outcome::Stream(answer));
     }
     let (mut head, body) = answer.response.into_parts();
-    let mut holding = Holding::new(node, Held::Answer);
-    let body = node.read_held(body, answer.connection, job.until, &mut holding).await?;
+    let (body, holding) = node.read_held(body, answer.connection, job.until).await?;
     crate::headers::strip(&mut head.headers);
     Ok(Outcome::Whole(Response::from_parts(head, body), holding))
 }
--- a/crates/forward/src/requests.rs
+++ b/crates/forward/src/requests.rs
@@ -6,8 +6,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use bytes::Bytes;
+use http_body_util::{LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::{AUTHORIZATION, CONNECTION, HOST, HeaderValue};
 use hyper::{Request, Response};
@@ -16,7 +16,7 @@
 
 use crate::admission::{charge, identify};
 use crate::body::{AnswerBody, Unread};
-use crate::holding::Holding;
+use crate::holding::{CollectError, Holding};
 use crate::node::{Job, Node, Phase};
 use crate::refusals::{ELSEWHERE, refuse};
 use crate::trace::Trace;
@@ -125,22 +125,13 @@
     const SIZE: usize = 4 << 20;
     const TIME: Duration = Duration::from_secs(3);
     let (size, time) = routes.map_or((SIZE, TIME), |r| (r.limits.body, r.limits.arrival));
-    let mut body = Limited::new(body, size);
-    let mut whole = BytesMut::new();
-    let pieces = async {
-        while let Some(frame) = body.frame().await {
-            let frame = frame.map_err(|error| {
-                let large = error.is::<LengthLimitError>();
-                Refusal::new(if large { ErrorKind::TooLarge } else { ErrorKind::Invalid })
-            })?;
-            let data = frame.into_data().unwrap_or_default();
-            holding.grow(data.len()).map_err(|_| Refusal::later(ErrorKind::Overloaded, HELD))?;
-            whole.extend_from_slice(&data);
+    match tokio::time::timeout(time, holding.collect(Limited::new(body, size))).await {
+        Ok(Ok(whole)) => Ok(whole),
+        Ok(Err(CollectError::Body(error))) if error.is::<LengthLimitError>() => {
+            Err(Refusal::new(ErrorKind::TooLarge))
         }
-        Ok(())
-    };
-    match tokio::time::timeout(time, pieces).await {
-        Ok(result) => result.map(|()| whole.freeze()),
+        Ok(Err(CollectError::Body(_))) => Err(Refusal::new(ErrorKind::Invalid)),
+        Ok(Err(CollectError::Full(..))) => Err(Refusal::later(ErrorKind::Overloaded, HELD)),
         Err(_) => Err(Refusal::new(ErrorKind::Incomplete)),
     }
 }
--- a/crates/routing/src/endpoints.rs
+++ b/crates/routing/src/endpoints.rs
@@ -78,6 +78,11 @@
         ready && !recalled && self.doubted.is_none_or(|until| now < until)
     }
 
+    /// Whether the list shows it plainly: its last entry is its own, and has not gone.
+    const fn is_plain(&self) -> bool {
+        !self.withdrawn && self.doubted.is_none()
+    }
+
     /// Whether it is only chosen where there is no other: it is suspect, or a prefill engine that is silent.
     fn is_paused(&self, now: Instant) -> bool {
         let prefills = self.endpoint.stage == Some(Stage::Prefill);
@@ -287,12 +292,12 @@
 
     /// All that the list shows plainly.
     pub fn listed(&self) -> impl Iterator<Item = &Endpoint> {
-        self.arena.values().filter(|e| !e.withdrawn && e.doubted.is_none()).map(|e| &e.endpoint)
+        self.arena.values().filter(|e| e.is_plain()).map(|e| &e.endpoint)
     }
 
     /// A number by which two instances can tell whether they list the same starts of endpoints; equal lists have equal ones.
     pub fn checksum(&self) -> u64 {
-        let plain = self.arena.values().filter(|e| !e.withdrawn && e.doubted.is_none());
+        let plain = self.arena.values().filter(|e| e.is_plain());
         plain.fold(0, |sum, entry| sum.wrapping_add((1 << 32) + u64::from(entry.tag.0)))
     }
 
@@ -314,7 +319,7 @@
     /// The same, if the list shows it plainly.
     pub fn listed_by_id(&self, id: &str) -> Option<&Endpoint> {
         let entry = self.arena.get(*self.by_id.get(id)?)?;
-        (!entry.withdrawn && entry.doubted.is_none()).then_some(&entry.endpoint)
+        entry.is_plain().then_some(&entry.endpoint)
     }
 
     /// An endpoint, if it still takes new work.
--- a/crates/routing/src/peers.rs
+++ b/crates/routing/src/peers.rs
@@ -160,22 +160,16 @@
     /// Peers that are to be told something now, those that have waited longest if there are many.
     pub fn due(&mut self, now: Instant) -> Vec<P> {
         let (near, far) = (self.gap(true), self.gap(false));
-        let gap = |peer: &Peer| if peer.domain == Some(self.domain) { near } else { far };
+        let gap = |peer: &Peer| if self.is_far(peer) { far } else { near };
         let is_due = |peer: &Peer| peer.told.is_none_or(|told| now.duration_since(told) >= gap(peer));
-        let mut due: Vec<(bool, Option<Instant>, P)> = self
-            .known
-            .iter()
-            .filter(|(_, p)| is_due(p))
-            .map(|(&peer, known)| (self.is_far(known), known.told, peer))
-            .collect();
+        let mut due: Vec<P> = self.known.iter().filter(|(_, p)| is_due(p)).map(|(&p, _)| p).collect();
         if due.len() > FANOUT {
-            due.sort_unstable();
-            let near_due = due.iter().filter(|(far, ..)| !far).count();
-            let (near_slots, far_slots) = slots(near_due, due.len() - near_due);
-            due.drain(near_slots..near_due);
+            due.sort_by_cached_key(|&peer| (self.is_far(&self.known[&peer]), self.known[&peer].told, peer));
+            let near = due.partition_point(|peer| !self.is_far(&self.known[peer]));
+            let (near_slots, far_slots) = slots(near, due.len() - near);
+            due.drain(near_slots..near);
             due.truncate(near_slots + far_slots);
         }
-        let due: Vec<P> = due.into_iter().map(|(.., peer)| peer).collect();
         for peer in &due {
             if let Some(known) = self.known.get_mut(peer) {
                 known.told = Some(now);
