Rates of endpoints: one line when one names a rate, another one or none any more; a gauge

No line and no metric said that an answer named a rate, so that the incident's lines could not tell whether it is read at all, kept by each instance alone, or forgotten. Endpoint stand-ins can name one, any text, and count what reaches them, run or not. Nothing is decided by it yet.

--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -43,6 +43,6 @@
 mod supervisor;
 mod trace;
 
-pub use protocol::{AnswerMeta, Batch, Call, Meta, News, Order, Protocol, Purpose};
+pub use protocol::{AnswerMeta, Batch, Call, Meta, NamedRate, News, Order, Protocol, Purpose};
 pub use settings::Settings;
 pub use supervisor::{StartError, run};
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -24,6 +24,7 @@
     pub(crate) endpoints: IntGauge,
     pub(crate) running: IntGauge,
     pub(crate) held: IntGauge,
+    pub(crate) limited: IntGauge,
     teams: IntCounterVec,
     /// Teams that have a label of their own.
     labelled: RefCell<HashSet<String>>,
@@ -66,6 +67,7 @@
             endpoints: gauge("endpoints", "Endpoints listed.")?,
             running: gauge("requests_in_progress", "Requests in progress.")?,
             held: gauge("held_bytes", "Bodies held for callers and endpoints that have not read them.")?,
+            limited: gauge("limited_endpoints", "Endpoints that name a rate they take.")?,
             teams: counter(
                 "team_requests_total",
                 "Requests of teams by how they ended.",
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -20,8 +20,8 @@
 use slog::{Logger, info, warn};
 use teaselshunt_core::{Clock, ErrorKind, Fingerprint, Quarantine, Refusal};
 use teaselshunt_routing::{
-    Allowances, Budgets, EndpointKey, Endpoints, Held, Memory, Need, Outputs, Pace, Route, RouteSet, Sends,
-    Service, Stage, Verdict,
+    Allowances, Budgets, EndpointKey, Endpoints, Held, Memory, Need, Outputs, Pace, RateChange, Route,
+    RouteSet, Sends, Service, Stage, Verdict,
 };
 use teaselshunt_teams::{Quotas, Team};
 use tokio::sync::{Notify, watch};
@@ -31,9 +31,12 @@
 use crate::holding::{CollectError, Holding};
 use crate::metrics::Metrics;
 use crate::pool::{Connection, Failure, Pool};
-use crate::protocol::{AnswerMeta, Call, Meta, Protocol, Purpose};
+use crate::protocol::{AnswerMeta, Call, Meta, NamedRate, Protocol, Purpose};
 use crate::settings::Settings;
 
+/// Shortest time between two reports of rates that cannot be read.
+const RATE_WARNING: Duration = Duration::from_secs(1);
+
 /// How far a planned stop has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Phase {
@@ -95,6 +98,8 @@
     pub(crate) losses: RefCell<HashMap<EndpointKey, Vec<Loss>>>,
     /// Runs whose callers left a moment ago.
     pub(crate) abandoned: RefCell<Abandoned>,
+    /// When a rate that cannot be read was reported last.
+    pub(crate) warned: Cell<Option<Instant>>,
 }
 
 /// A caller's request with everything that its steps need.
@@ -429,7 +434,7 @@
     /// and would give one caller what belongs to another. The id tells; such a connection is not used again.
     fn check(&self, job: &Job, answer: Answer, purpose: Purpose<'_>) -> Result<Answer, StepFailure> {
         let response = &answer.response;
-        let AnswerMeta { id, signed, refused, misdirected, endpoint: answering } =
+        let AnswerMeta { id, signed, refused, misdirected, endpoint: answering, rate } =
             self.protocol.read_answer(response.status(), response.headers());
         if !id.is_empty() && id != job.meta.id {
             return Err(StepFailure::Broken);
@@ -438,6 +443,7 @@
             self.retire_replaced(answer.endpoint, &answering);
             return Err(StepFailure::Misdirected);
         }
+        self.note_rate(answer.endpoint, rate);
         if refused {
             return Err(StepFailure::Refused);
         }
@@ -448,6 +454,44 @@
         Ok(answer)
     }
 
+    /// An answer names the rate that its endpoint takes, or none.
+    pub(crate) fn note_rate(&self, key: EndpointKey, named: NamedRate) {
+        let rate = match named {
+            NamedRate::Limit(rate) => Some(rate),
+            NamedRate::None => None,
+            NamedRate::Invalid => {
+                self.warn_rate(key);
+                None
+            }
+        };
+        let endpoints = &mut self.state.borrow_mut().endpoints;
+        let Some(tag) = endpoints.tag(key) else { return };
+        let change = endpoints.rates().answered(tag, rate);
+        let Some(id) = endpoints.get(key).filter(|_| change.is_some()).map(|e| Arc::clone(&e.id)) else {
+            return;
+        };
+        self.metrics.limited.set(endpoints.rates().len() as i64);
+        match change {
+            Some(RateChange::Limited(rate)) => {
+                info!(self.log, "endpoint"; "endpoint" => &*id, "state" => "limited", "rate" => rate);
+            }
+            Some(RateChange::Ended) => {
+                info!(self.log, "endpoint"; "endpoint" => &*id, "state" => "not_limited");
+            }
+            None => {}
+        }
+    }
+
+    /// Reports a rate that cannot be read, not for each answer.
+    fn warn_rate(&self, key: EndpointKey) {
+        let now = self.now();
+        let silent = |last: Instant| now.duration_since(last) < RATE_WARNING;
+        if !self.warned.get().is_some_and(silent) {
+            self.warned.set(Some(now));
+            warn!(self.log, "an endpoint names a rate that is no number"; "endpoint" => &*self.name(key));
+        }
+    }
+
     /// Another endpoint answered at the address of the one that was meant, which has therefore ended. The list may show
     /// that only seconds later.
     fn retire_replaced(&self, key: EndpointKey, answering: &str) {
--- a/crates/forward/src/protocol.rs
+++ b/crates/forward/src/protocol.rs
@@ -54,6 +54,18 @@
     },
 }
 
+/// What an answer says of the requests a second that its endpoint takes from all instances together.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub enum NamedRate {
+    /// Nothing: the endpoint names no limit now.
+    #[default]
+    None,
+    /// At most so many, not negative.
+    Limit(f64),
+    /// Something that is no number of requests a second.
+    Invalid,
+}
+
 /// What an endpoint's answer says beside status and body.
 #[derive(Debug, Clone, Default)]
 pub struct AnswerMeta {
@@ -67,6 +79,8 @@
     pub misdirected: bool,
     /// Id of the endpoint that answers, where it names itself.
     pub endpoint: String,
+    /// The rate that it takes from all instances together.
+    pub rate: NamedRate,
 }
 
 /// A small call to an endpoint or to the platform.
--- a/crates/forward/src/rooms.rs
+++ b/crates/forward/src/rooms.rs
@@ -107,7 +107,7 @@
         let Some((address, id)) = node.locate(key) else { continue };
         asked += 1;
         let slot = node.occupy(key, tokens);
-        match reserve_at(node, job, address, &id, tokens).await {
+        match reserve_at(node, job, key, (address, &id), tokens).await {
             Ok(hold) => {
                 let node = Rc::clone(node);
                 return Ok(Room { node, endpoint: key, address, hold: Some(hold), slot: Some(slot) });
@@ -158,13 +158,19 @@
 async fn reserve_at(
     node: &Node,
     job: &Job,
-    address: SocketAddr,
-    id: &str,
+    key: EndpointKey,
+    (address, id): (SocketAddr, &str),
     tokens: u64,
 ) -> Result<String, (Verdict, &'static str)> {
     let ttl = job.service.engine.map_or(CALL, |e| e.hold);
     let until = (node.now() + CALL).min(job.until);
-    let answer = node.call(address, node.protocol.reserve(id, tokens, ttl), until).await;
+    let answer = node.call_in_full(address, node.protocol.reserve(id, tokens, ttl), until).await;
+    let answer = answer.map(|(head, body)| {
+        if head.status != StatusCode::MISDIRECTED_REQUEST {
+            node.note_rate(key, node.protocol.read_answer(head.status, &head.headers).rate);
+        }
+        (head.status, body)
+    });
     let hold = match &answer {
         Ok((StatusCode::OK, body)) => node.protocol.read_reserved(body),
         Ok(_) | Err(_) => None,
--- a/crates/forward/src/supervisor.rs
+++ b/crates/forward/src/supervisor.rs
@@ -117,6 +117,7 @@
         connections: Cell::new(0),
         losses: RefCell::default(),
         abandoned: RefCell::default(),
+        warned: Cell::new(None),
         settings,
     });
     info!(node.log, "started"; "callers" => %node.settings.callers, "store" => %node.settings.store,
--- a/crates/routing/src/endpoints.rs
+++ b/crates/routing/src/endpoints.rs
@@ -17,7 +17,7 @@
 
 use crate::belief::Belief;
 use crate::departed::Departed;
-use crate::{Endpoint, EndpointKey, EndpointState, EngineTag, Ledger, Stage, Verdict};
+use crate::{Endpoint, EndpointKey, EndpointState, EngineTag, Ledger, Rates, Stage, Verdict};
 
 /// What another failure domain adds to an endpoint's expected latency: two crossings and their price.
 const DISTANCE: f64 = 0.006;
@@ -145,6 +145,7 @@
     /// Until when endpoints are in use, or not, by more than what the list says.
     uncertain: Option<Instant>,
     ledger: Ledger<SocketAddr>,
+    rates: Rates,
 }
 
 impl Endpoints {
@@ -424,6 +425,11 @@
         &mut self.ledger
     }
 
+    /// Rates that endpoints name.
+    pub fn rates(&mut self) -> &mut Rates {
+        &mut self.rates
+    }
+
     /// Chooses the endpoint with the lowest expected time to answer; paused ones only where there is no other.
     pub fn choose(&self, now: Instant, need: Need<'_>, rng: &mut impl Rng) -> Option<EndpointKey> {
         let mut best: Option<((bool, f64), EndpointKey)> = None;
--- a/crates/standin/src/site/endpoint.rs
+++ b/crates/standin/src/site/endpoint.rs
@@ -92,6 +92,10 @@
     orders: Vec<Value>,
     fault: SiteFault,
     left: bool,
+    /// The `Server-Limit` of its answers.
+    limit: Option<String>,
+    /// Requests that reached it, run or not, and when.
+    arrivals: Vec<Instant>,
 }
 
 /// An endpoint, served until dropped.
@@ -177,6 +181,16 @@
         self.lock().fault = fault;
     }
 
+    /// From now on its answers name a limit in `Server-Limit`, or none; any text, since tests send ones that are no numbers.
+    pub fn name_limit(&self, limit: Option<&str>) {
+        self.lock().limit = limit.map(str::to_owned);
+    }
+
+    /// When requests reached it, whether it ran them or not.
+    pub fn arrivals(&self) -> Vec<Instant> {
+        self.lock().arrivals.clone()
+    }
+
     /// From now on another endpoint has the address.
     pub fn leave(&self) {
         self.lock().left = true;
@@ -249,12 +263,20 @@
         }
         if let Some(answered) = self.control(asked, path) {
             let (status, body) = answered;
-            answer(stream, status, &[("content-type", "application/json")], &body.to_string()).await;
+            let headers = self.with_limit(&[("content-type", "application/json")]);
+            answer(stream, status, &borrowed(&headers), &body.to_string()).await;
             return true;
         }
         self.run(stream, asked).await
     }
 
+    /// Headers of an answer, and the limit if it names one.
+    fn with_limit(&self, headers: &[(&'static str, &str)]) -> Vec<(&'static str, String)> {
+        let own = headers.iter().map(|&(name, value)| (name, value.to_owned()));
+        let limit = self.lock().limit.clone();
+        own.chain(limit.map(|limit| ("server-limit", limit))).collect()
+    }
+
     /// Calls beside requests: reservations, handles, orders.
     fn control(&self, asked: &Asked, path: &str) -> Option<(u16, Value)> {
         let mut inner = self.lock();
@@ -288,9 +310,14 @@
         let id = asked.header("request-id").unwrap_or_default().to_owned();
         let prefill = asked.header("stage") == Some("prefill");
         let after = asked.header("last-event-id").and_then(|v| v.parse().ok());
-        let fault = self.lock().fault;
+        let fault = {
+            let mut inner = self.lock();
+            inner.arrivals.push(Instant::now());
+            inner.fault
+        };
         if fault == SiteFault::Refuse {
-            answer(stream, 503, &[("not-executed", "1"), ("request-id", &id)], "").await;
+            let headers = self.with_limit(&[("not-executed", "1"), ("request-id", &id)]);
+            answer(stream, 503, &borrowed(&headers), "").await;
             return true;
         }
         let _working = {
@@ -326,7 +353,8 @@
             return false;
         }
         let seal = format!("seal-{}", self.options.id);
-        let headers = [("request-id", id.as_str()), ("server-seal", seal.as_str())];
+        let headers = self.with_limit(&[("request-id", id.as_str()), ("server-seal", seal.as_str())]);
+        let headers = borrowed(&headers);
         if prefill {
             let handle = {
                 let mut inner = self.lock();
@@ -396,6 +424,10 @@
     }
 }
 
+fn borrowed<'a>(headers: &'a [(&'static str, String)]) -> Vec<(&'static str, &'a str)> {
+    headers.iter().map(|(name, value)| (*name, value.as_str())).collect()
+}
+
 /// The text of an event, a function of request and number, so that a caller can check that it got its own.
 pub fn event(request: &str, number: u32) -> String {
     format!("id: {number}\ndata: {request} {number}\n\n")
