Rates that endpoints name are kept by all instances together

What callers saw: an endpoint in need got as much as before, so that it could not recover. Endpoints of the plain service that had named 3.4 and 4.2 requests a second got 28 and 32 in 4 s (25 and 30 allowed).

Cause: nobody read what the endpoint said. It is a header like any other, passed on to the caller; the choice knew of room, latency and failures, all of them learned by one instance from its own results. Class of fault: what one endpoint states to one instance holds for all of them together.

Now: an instance tells the others what an endpoint told it, with its age (the newest word counts), and what it has sent there since. Each keeps an account; its level admits a part of the requests in proportion to it, so that hundreds of instances do not all turn to an endpoint that has room. Every send counts (prefill, decode, repeats), a hedge spares such endpoints, what was not sent is given back. Other endpoints take the rest; where all name rates, requests wait while that helps (up to 0.4 of the aim), else they are refused at once and told to come back over the time in which the rates suffice for all who were refused. A rate of nothing is tried now and then.

--- a/crates/bench/src/commands/mod.rs
+++ b/crates/bench/src/commands/mod.rs
@@ -5,6 +5,7 @@
 mod plot;
 mod policy;
 mod quotas;
+mod rates;
 mod slopes;
 
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -34,6 +35,8 @@
     Policy(policy::Arguments),
     #[options(help = "run random plans against the limits of teams")]
     Quotas(quotas::Arguments),
+    #[options(help = "run random plans against the rates that endpoints name")]
+    Rates(rates::Arguments),
     #[options(help = "measure how costs grow with endpoints and instances")]
     Slopes(slopes::Arguments),
     #[options(help = "measure the router's own cost against direct calls")]
@@ -46,6 +49,7 @@
             Self::Chaos(arguments) => chaos::run(&arguments),
             Self::Policy(arguments) => policy::run(&arguments),
             Self::Quotas(arguments) => quotas::run(&arguments),
+            Self::Rates(arguments) => rates::run(&arguments),
             Self::Slopes(arguments) => {
                 slopes::run(&arguments);
                 Ok(())
--- /dev/null
+++ b/crates/bench/src/commands/rates.rs
@@ -0,0 +1,95 @@
+//! `rates`: random plans against the rates that endpoints name, with each way to keep to them.
+
+use std::sync::Mutex;
+
+use gumdrop::Options;
+use quickcheck::{Arbitrary, Gen};
+use teaselshunt_bench::{RateOutcome, RatePlan};
+use teaselshunt_routing::Pacing;
+
+use super::{CommandError, for_seeds};
+
+/// Size given to the generator; plans bound themselves.
+const SIZE: usize = 100;
+
+#[derive(Debug, Options)]
+pub(crate) struct Arguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "first seed", default = "1")]
+    seed: u64,
+    #[options(help = "number of plans", default = "1000")]
+    cases: u64,
+    #[options(help = "threads", default = "4")]
+    threads: u64,
+    #[options(
+        help = "play so many instances in four domains, without mishaps, instead of what the plan says"
+    )]
+    instances: Option<u16>,
+    #[options(help = "so many endpoints, instead of what the plan says")]
+    endpoints: Option<u8>,
+    #[options(help = "a rate in tenths of a request a second, instead of what the plan says")]
+    rate: Option<u16>,
+    #[options(
+        help = "what callers ask, in tenths of what the endpoints take, instead of what the plan says"
+    )]
+    demand: Option<u8>,
+    #[options(help = "print the worst plans of the way that stands", default = "3")]
+    worst: usize,
+}
+
+/// A plan's seed and what it showed with each way.
+type Row = (u64, RatePlan, [RateOutcome; 3]);
+
+const WAYS: [Pacing; 3] = [Pacing::Parts, Pacing::Level, Pacing::Proportional];
+/// Place of the way that stands among these.
+const STANDS: usize = 2;
+
+pub(crate) fn run(arguments: &Arguments) -> Result<(), CommandError> {
+    let rows = Mutex::new(Vec::<Row>::new());
+    for_seeds(arguments.seed, arguments.cases, arguments.threads, |seed| {
+        let plan = plan(arguments, seed);
+        let outcomes = WAYS.map(|pacing| plan.run(pacing));
+        rows.lock().expect("no thread panics with the lock").push((seed, plan, outcomes));
+    });
+    let mut rows = rows.into_inner().expect("no thread panics with the lock");
+    rows.sort_by(|a, b| b.2[STANDS].fullest.total_cmp(&a.2[STANDS].fullest));
+    println!("way           plans   over  fullest window  used above  refused below  entries/s a peer");
+    for (index, pacing) in WAYS.iter().enumerate() {
+        print_way(*pacing, &rows, index);
+    }
+    for (seed, plan, outcomes) in rows.iter().take(arguments.worst) {
+        println!("seed {seed}: fullest {:.3}: {}", outcomes[STANDS].fullest, serde_json::json!(plan));
+    }
+    let over = rows.iter().filter(|row| row.2[STANDS].is_over()).count();
+    if over == 0 { Ok(()) } else { Err(CommandError::Violations(over)) }
+}
+
+fn plan(arguments: &Arguments, seed: u64) -> RatePlan {
+    let mut plan = RatePlan::arbitrary(&mut Gen::from_size_and_seed(SIZE, seed));
+    if let Some(instances) = arguments.instances {
+        plan.domains = (0..4).map(|domain| (instances + domain) / 4).collect();
+        plan.troubles.clear();
+    }
+    plan.endpoints = arguments.endpoints.unwrap_or(plan.endpoints);
+    plan.rate = arguments.rate.unwrap_or(plan.rate);
+    plan.demand = arguments.demand.unwrap_or(plan.demand);
+    plan
+}
+
+/// What is used where callers ask for more than endpoints take, and refused where they ask for less, with nothing wrong.
+fn print_way(pacing: Pacing, rows: &[Row], index: usize) {
+    let outcomes = || rows.iter().map(|row| (&row.1, &row.2[index]));
+    let over = outcomes().filter(|(_, outcome)| outcome.is_over()).count();
+    let fullest = outcomes().map(|(_, outcome)| outcome.fullest).fold(0.0, f64::max);
+    let calm = || outcomes().filter(|(plan, _)| plan.troubles.is_empty() && plan.rate > 0);
+    let above = calm().filter(|(plan, _)| plan.demand > 10);
+    let (sent, takes) = above.fold((0.0, 0.0), |(s, t), (_, o)| (s + o.sent, t + o.takes));
+    let below = calm().filter(|(plan, _)| plan.demand < 10);
+    let (served, asked) = below.fold((0.0, 0.0), |(s, a), (_, o)| (s + o.sent, a + o.asked));
+    let entries: f64 = outcomes().map(|(_, outcome)| outcome.entries).sum::<f64>() / rows.len().max(1) as f64;
+    let (plans, used, refused) =
+        (rows.len(), sent / f64::max(takes, 1.0), 1.0 - served / f64::max(asked, 1.0));
+    let way = format!("{pacing:?}");
+    println!("{way:13} {plans:5} {over:6} {fullest:15.3} {used:11.3} {refused:14.4} {entries:17.2}");
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -11,12 +11,14 @@
 mod plan;
 mod policy;
 mod quotas;
+mod rates;
 mod slopes;
 mod world;
 
 pub use plan::Plan;
 pub use policy::{ClassOutcome, Experiment, Outcome, Policy, Trouble};
 pub use quotas::{Mishap, QuotaOutcome, QuotaPlan, Trouble as QuotaTrouble};
+pub use rates::{RateOutcome, RatePlan};
 pub use slopes::{Decision, Gossip, decision, gossip};
 pub use world::{
     Asked, ClassTally, Deployment, EngineSpeed, Fault, Load, Options, Side, Tally, World, britasol, pindan,
--- a/crates/bench/tests/all/main.rs
+++ b/crates/bench/tests/all/main.rs
@@ -8,3 +8,4 @@
 mod policy;
 mod quotas;
 mod random;
+mod rates;
--- a/crates/forward/src/generate.rs
+++ b/crates/forward/src/generate.rs
@@ -205,10 +205,10 @@
             break;
         }
         tried.push(key);
-        let _slot = node.occupy(key, tokens);
+        let slot = node.occupy(key, tokens);
         let watch = Watch::new(node, job, key);
         let in_flight = node.state.borrow().endpoints.load(key);
-        let result = prefill_at(node, job, key).await;
+        let result = prefill_at(node, job, &slot).await;
         let begun = watch.ended();
         if result.as_ref().is_err_and(|failure| failure.may_have_run()) {
             crashes::check(node, job, trace, key, begun);
@@ -235,10 +235,10 @@
 }
 
 /// Has the prompt read at one engine; gives the handle of its KV cache.
-async fn prefill_at(node: &Node, job: &Job, key: EndpointKey) -> Result<String, StepFailure> {
+async fn prefill_at(node: &Node, job: &Job, slot: &Slot) -> Result<String, StepFailure> {
     let longest = job.service.engine.map_or(CALL, |e| e.hold.mul_f64(PREFILL_PART));
     let until = (node.now() + longest).min(job.until);
-    let answer = node.send(job, key, Purpose::Prefill, until).await?;
+    let answer = node.send(job, slot, Purpose::Prefill, until).await?;
     if answer.response.status() != StatusCode::OK {
         return Err(StepFailure::Broken);
     }
@@ -254,5 +254,6 @@
         }
         Prompt::Read(_) | Prompt::Unread | Prompt::ByDecode => Purpose::Whole { hold },
     };
-    node.send(job, room.endpoint, purpose, node.now() + FIRST).await
+    let slot = room.slot.as_ref().expect("a room has its slot until a run begins");
+    node.send(job, slot, purpose, node.now() + FIRST).await
 }
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -25,6 +25,7 @@
     pub(crate) running: IntGauge,
     pub(crate) held: IntGauge,
     pub(crate) limited: IntGauge,
+    pub(crate) limit_refusals: IntCounterVec,
     teams: IntCounterVec,
     /// Teams that have a label of their own.
     labelled: RefCell<HashSet<String>>,
@@ -68,6 +69,11 @@
             running: gauge("requests_in_progress", "Requests in progress.")?,
             held: gauge("held_bytes", "Bodies held for callers and endpoints that have not read them.")?,
             limited: gauge("limited_endpoints", "Endpoints that name a rate they take.")?,
+            limit_refusals: counter(
+                "limit_refusals_total",
+                "Requests refused because all endpoints name rates.",
+                &["service"],
+            )?,
             teams: counter(
                 "team_requests_total",
                 "Requests of teams by how they ended.",
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -20,8 +20,8 @@
 use slog::{Logger, info, warn};
 use teaselshunt_core::{Clock, ErrorKind, Fingerprint, Quarantine, Refusal};
 use teaselshunt_routing::{
-    Allowances, Budgets, EndpointKey, Endpoints, Held, Memory, Need, Outputs, Pace, RateChange, Route,
-    RouteSet, Sends, Service, Stage, Verdict,
+    Allowances, Budgets, EndpointKey, Endpoints, Held, Memory, Need, Outputs, Pace, Refused, Route, RouteSet,
+    Sends, Service, Stage, Verdict,
 };
 use teaselshunt_teams::{Quotas, Team};
 use tokio::sync::{Notify, watch};
@@ -31,12 +31,10 @@
 use crate::holding::{CollectError, Holding};
 use crate::metrics::Metrics;
 use crate::pool::{Connection, Failure, Pool};
-use crate::protocol::{AnswerMeta, Call, Meta, NamedRate, Protocol, Purpose};
+use crate::protocol::{AnswerMeta, Call, Meta, Protocol, Purpose};
+use crate::rates;
 use crate::settings::Settings;
 
-/// Shortest time between two reports of rates that cannot be read.
-const RATE_WARNING: Duration = Duration::from_secs(1);
-
 /// How far a planned stop has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Phase {
@@ -65,6 +63,8 @@
     pub(crate) outputs: HashMap<Arc<str>, Outputs>,
     /// How long callers of each route wait in all.
     pub(crate) allowances: Allowances,
+    /// Refusals for want of what endpoints take.
+    pub(crate) refused: Refused,
     /// Requests under which endpoints crash.
     pub(crate) quarantine: Quarantine,
     /// Limits of teams.
@@ -200,15 +200,22 @@
     }
 }
 
-/// Work of this instance at an endpoint; dropping it ends the account of it.
+/// Work of this instance at an endpoint, for which one request is sent there; dropping it ends the account of it.
 #[derive(Debug)]
 pub(crate) struct Slot {
     node: Rc<Node>,
     endpoint: EndpointKey,
     tokens: u64,
+    /// Whether the request may have reached the endpoint. Until then it is given back to the endpoint's rate.
+    sent: Cell<bool>,
 }
 
 impl Slot {
+    /// The endpoint.
+    pub(crate) const fn endpoint(&self) -> EndpointKey {
+        self.endpoint
+    }
+
     /// Tokens that are accounted for.
     pub(crate) const fn tokens(&self) -> u64 {
         self.tokens
@@ -227,7 +234,12 @@
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        self.node.state.borrow_mut().endpoints.end(self.endpoint, self.tokens);
+        let now = self.node.now();
+        let endpoints = &mut self.node.state.borrow_mut().endpoints;
+        endpoints.end(self.endpoint, self.tokens);
+        if !self.sent.get() {
+            endpoints.unsend(now, self.endpoint);
+        }
         self.node.changed.notify_one();
     }
 }
@@ -274,7 +286,17 @@
     /// A need of an instance here that has no wishes yet.
     pub(crate) fn need<'a>(&'a self, service: &'a str) -> Need<'a> {
         let domain = &self.settings.domain;
-        Need { service, stage: None, domain, tried: &[], tokens: 0, limit: None, spare: 0, reads: false }
+        Need {
+            service,
+            stage: None,
+            domain,
+            tried: &[],
+            tokens: 0,
+            limit: None,
+            spare: 0,
+            reads: false,
+            hedge: false,
+        }
     }
 
     /// Chooses the engine that reads a prompt of so many tokens.
@@ -292,10 +314,13 @@
         beliefs.endpoints.choose(self.now(), need, &mut beliefs.rng)
     }
 
+    /// Work that is about to be sent to an endpoint begins.
     pub(crate) fn occupy(self: &Rc<Self>, endpoint: EndpointKey, tokens: u64) -> Slot {
-        self.state.borrow_mut().endpoints.begin(self.now(), endpoint, tokens);
+        let (now, endpoints) = (self.now(), &mut self.state.borrow_mut().endpoints);
+        endpoints.begin(now, endpoint, tokens);
+        endpoints.send(now, endpoint);
         self.changed.notify_one();
-        Slot { node: Rc::clone(self), endpoint, tokens }
+        Slot { node: Rc::clone(self), endpoint, tokens, sent: Cell::new(false) }
     }
 
     /// A decode engine begins to read a prompt itself; others are told until the guard is dropped.
@@ -381,11 +406,11 @@
     pub(crate) async fn send(
         &self,
         job: &Job,
-        key: EndpointKey,
+        slot: &Slot,
         purpose: Purpose<'_>,
         until: Instant,
     ) -> Result<Answer, StepFailure> {
-        let begun = self.now();
+        let (begun, key) = (self.now(), slot.endpoint());
         // An endpoint may have begun to leave since it was chosen: a prefill lies between that and the decode.
         let Some((address, id)) = self.locate_open(key) else { return Err(StepFailure::Unsent) };
         let left = job.until.saturating_duration_since(begun);
@@ -394,7 +419,9 @@
         if runs {
             job.charge.send();
         }
+        slot.sent.set(true);
         let result = self.pool.exchange(address, request, until.min(job.until)).await;
+        slot.sent.set(!matches!(result, Err(Failure::Unsent)));
         let step = step_name(purpose);
         let outcome = match result {
             Ok((response, connection)) => {
@@ -443,7 +470,7 @@
             self.retire_replaced(answer.endpoint, &answering);
             return Err(StepFailure::Misdirected);
         }
-        self.note_rate(answer.endpoint, rate);
+        rates::answered(self, answer.endpoint, rate);
         if refused {
             return Err(StepFailure::Refused);
         }
@@ -454,44 +481,6 @@
         Ok(answer)
     }
 
-    /// An answer names the rate that its endpoint takes, or none.
-    pub(crate) fn note_rate(&self, key: EndpointKey, named: NamedRate) {
-        let rate = match named {
-            NamedRate::Limit(rate) => Some(rate),
-            NamedRate::None => None,
-            NamedRate::Invalid => {
-                self.warn_rate(key);
-                None
-            }
-        };
-        let endpoints = &mut self.state.borrow_mut().endpoints;
-        let Some(tag) = endpoints.tag(key) else { return };
-        let change = endpoints.rates().answered(tag, rate);
-        let Some(id) = endpoints.get(key).filter(|_| change.is_some()).map(|e| Arc::clone(&e.id)) else {
-            return;
-        };
-        self.metrics.limited.set(endpoints.rates().len() as i64);
-        match change {
-            Some(RateChange::Limited(rate)) => {
-                info!(self.log, "endpoint"; "endpoint" => &*id, "state" => "limited", "rate" => rate);
-            }
-            Some(RateChange::Ended) => {
-                info!(self.log, "endpoint"; "endpoint" => &*id, "state" => "not_limited");
-            }
-            None => {}
-        }
-    }
-
-    /// Reports a rate that cannot be read, not for each answer.
-    fn warn_rate(&self, key: EndpointKey) {
-        let now = self.now();
-        let silent = |last: Instant| now.duration_since(last) < RATE_WARNING;
-        if !self.warned.get().is_some_and(silent) {
-            self.warned.set(Some(now));
-            warn!(self.log, "an endpoint names a rate that is no number"; "endpoint" => &*self.name(key));
-        }
-    }
-
     /// Another endpoint answered at the address of the one that was meant, which has therefore ended. The list may show
     /// that only seconds later.
     fn retire_replaced(&self, key: EndpointKey, answering: &str) {
--- a/crates/forward/src/peers.rs
+++ b/crates/forward/src/peers.rs
@@ -26,6 +26,7 @@
 use crate::catalog::{Catalog, Telling};
 use crate::crashes::{self, log_quarantine};
 use crate::node::{Node, Phase};
+use crate::rates::{self, RateEntry};
 
 /// How long all that keeps requests in quarantine is told after a peer was heard that may not know it; some heartbeats, since
 /// datagrams are lost.
@@ -34,7 +35,7 @@
 const LARGEST: usize = 16 * 1024;
 
 /// First byte of each datagram. Another one is of a version that reads differently, and is passed over.
-const VERSION: u8 = 6;
+const VERSION: u8 = 7;
 /// Tellings that wait to be sent; more are dropped, and the next one makes them good.
 pub(crate) const TELLINGS: usize = 16;
 
@@ -73,6 +74,8 @@
     served: Vec<Fingerprint>,
     /// What teams near their limits were admitted.
     spending: Vec<Spending>,
+    /// Rates that endpoints name, and what was sent to these.
+    rates: Vec<RateEntry>,
     /// Instances that the sender remembers, with itself.
     instances: u32,
     /// Whether the sender is about to end.
@@ -208,7 +211,8 @@
             leaving: digest.leaving,
             instances: digest.instances,
         };
-        if state.quotas.heard(uptime, from, hearing) {
+        let is_new = state.quotas.heard(uptime, from, hearing);
+        if is_new {
             state.quotas.told(uptime, from, digest.spending);
         }
         let ledger = state.endpoints.ledger();
@@ -222,6 +226,10 @@
             self.newcomer = Some(now);
         }
         ledger.expects(from, next);
+        drop(state);
+        if is_new {
+            rates::told(&self.node, from, digest.life, digest.rates);
+        }
     }
 
     fn receive_crashes(&self, now: Instant, crashes: Vec<CrashReport>, served: Vec<Fingerprint>) {
@@ -277,6 +285,7 @@
             crashes,
             served,
             spending,
+            rates: rates::news(&self.node),
             instances,
             leaving,
             holds: self.catalog.holds(),
--- a/crates/forward/src/plain.rs
+++ b/crates/forward/src/plain.rs
@@ -10,13 +10,14 @@
 use bytes::Bytes;
 use hyper::{Response, StatusCode};
 use teaselshunt_core::{ErrorKind, Refusal};
-use teaselshunt_routing::{EndpointKey, Repeat};
+use teaselshunt_routing::{EndpointKey, Need, Repeat};
 
 use crate::body::AnswerBody;
 use crate::crashes::{self, Watch};
 use crate::holding::Holding;
-use crate::node::{Answer, Job, Node, StepFailure};
+use crate::node::{Answer, Job, Node, Slot, StepFailure};
 use crate::protocol::Purpose;
+use crate::rates;
 use crate::refusals::refuse;
 use crate::stream::{self, Source};
 use crate::trace::Trace;
@@ -33,7 +34,7 @@
 /// A whole answer, or the head of a stream.
 enum Outcome {
     Whole(Response<Bytes>, Holding),
-    Stream(Answer),
+    Stream(Answer, Slot),
 }
 
 /// Serves a request.
@@ -52,10 +53,7 @@
             trace.end("answered", status);
             response.map(|body| AnswerBody::whole(body, Some(holding)))
         }
-        Ok(Outcome::Stream(answer)) => {
-            let slot = node.occupy(answer.endpoint, 0);
-            stream::relay(node, Source::fixed(job), answer, slot, trace)
-        }
+        Ok(Outcome::Stream(answer, slot)) => stream::relay(node, Source::fixed(job), answer, slot, trace),
         Err(refusal) => refuse(node, refusal, trace),
     }
 }
@@ -83,7 +81,12 @@
     }
 
     /// The answer when no further try is allowed.
-    fn spent(&self, node: &Node, job: &Job) -> Refusal {
+    fn spent(&self, node: &Node, job: &Job, trace: &Trace) -> Refusal {
+        if !self.ran
+            && let Some(refusal) = rates::refusal(node, job, trace, None)
+        {
+            return refusal;
+        }
         match (self.ran, self.sent) {
             (true, _) => Refusal::new(uncertain(node, job)),
             (false, 0) => Refusal::later(ErrorKind::NoEndpoint, NO_ENDPOINT),
@@ -100,7 +103,7 @@
 fn is_good(result: &Result<Outcome, StepFailure>) -> bool {
     match result {
         Ok(Outcome::Whole(response, _)) => !response.status().is_server_error(),
-        Ok(Outcome::Stream(_)) => true,
+        Ok(Outcome::Stream(..)) => true,
         Err(_) => false,
     }
 }
@@ -118,7 +121,7 @@
         if repeats && tried.sent >= job.route.attempts {
             break;
         }
-        let Some(key) = node.choose(&job.service.name, &tried.endpoints) else { break };
+        let Some(key) = rates::choose(node, job, &tried.endpoints).await else { break };
         if repeats && !node.may_repeat(&job.service) {
             break;
         }
@@ -126,37 +129,37 @@
         let result = attempt(node, job, key, trace).await;
         tried.count(&result);
         if is_good(&result) || (tried.ran && job.route.repeat != Repeat::Idempotent) {
-            return result.map_err(|_| tried.spent(node, job));
+            return result.map_err(|_| tried.spent(node, job, trace));
         }
         last = result.ok().or(last);
     }
-    last.ok_or_else(|| tried.spent(node, job))
+    last.ok_or_else(|| tried.spent(node, job, trace))
 }
 
 /// Like [`attempts`], with a second try beside the first when that is slow.
 async fn hedged(node: &Rc<Node>, job: &Job, trace: &Trace) -> Result<Outcome, Refusal> {
-    let Some(key) = node.choose(&job.service.name, &[]) else {
-        return Err(Refusal::later(ErrorKind::NoEndpoint, NO_ENDPOINT));
-    };
-    let mut tried = Tried { endpoints: vec![key], ..Tried::default() };
+    let mut tried = Tried::default();
+    let Some(key) = rates::choose(node, job, &[]).await else { return Err(tried.spent(node, job, trace)) };
+    tried.endpoints.push(key);
     let mut first = Box::pin(attempt(node, job, key, trace));
     let wait = job.arrived + job.route.goal.mul_f64(HEDGE);
     if let Ok(result) = tokio::time::timeout_at(wait.into(), &mut first).await {
         tried.count(&result);
         if is_good(&result) {
-            return result.map_err(|_| tried.spent(node, job));
+            return result.map_err(|_| tried.spent(node, job, trace));
         }
         return match (attempts(node, job, trace, tried).await, result) {
             (Err(_), Ok(answer)) => Ok(answer),
             (outcome, _) => outcome,
         };
     }
-    let other = node.choose(&job.service.name, &tried.endpoints);
+    let need = Need { tried: &tried.endpoints, hedge: true, ..node.need(&job.service.name) };
+    let other = node.choose_for(need);
     let repeats = |_: &EndpointKey| node.quarantined(job).is_none() && node.may_repeat(&job.service);
     let Some(other) = other.filter(repeats) else {
         let result = first.await;
         tried.count(&result);
-        return result.map_err(|_| tried.spent(node, job));
+        return result.map_err(|_| tried.spent(node, job, trace));
     };
     trace.step("hedge", "", "begun");
     let mut second = Box::pin(attempt(node, job, other, trace));
@@ -166,11 +169,11 @@
     };
     tried.count(&one);
     if is_good(&one) {
-        return one.map_err(|_| tried.spent(node, job));
+        return one.map_err(|_| tried.spent(node, job, trace));
     }
     let two = if firstly { second.await } else { first.await };
     tried.count(&two);
-    two.or(one).map_err(|_| tried.spent(node, job))
+    two.or(one).map_err(|_| tried.spent(node, job, trace))
 }
 
 /// One try at one endpoint.
@@ -183,26 +186,25 @@
     let slot = node.occupy(key, 0);
     let name = node.name(key);
     let watch = Watch::new(node, job, key);
-    let result = whole(node, job, key).await;
+    let result = whole(node, job, slot).await;
     let begun = watch.ended();
-    drop(slot);
     if result.as_ref().is_err_and(|failure| failure.may_have_run()) {
         crashes::check(node, job, trace, key, begun);
     }
     let text = match &result {
         Ok(Outcome::Whole(r, _)) if r.status() == StatusCode::OK => "ok",
         Ok(Outcome::Whole(r, _)) => r.status().canonical_reason().unwrap_or("answered"),
-        Ok(Outcome::Stream(_)) => "stream",
+        Ok(Outcome::Stream(..)) => "stream",
         Err(failure) => failure.text(),
     };
     trace.step("run", &name, text);
     result
 }
 
-async fn whole(node: &Rc<Node>, job: &Job, key: EndpointKey) -> Result<Outcome, StepFailure> {
-    let answer = node.send(job, key, Purpose::Run, job.until).await?;
+async fn whole(node: &Rc<Node>, job: &Job, slot: Slot) -> Result<Outcome, StepFailure> {
+    let answer = node.send(job, &slot, Purpose::Run, job.until).await?;
     if matches!(job.route.repeat, Repeat::Stream { .. }) && answer.response.status().is_success() {
-        return Ok(Outcome::Stream(answer));
+        return Ok(Outcome::Stream(answer, slot));
     }
     let (mut head, body) = answer.response.into_parts();
     let (body, holding) = node.read_held(body, answer.connection, job.until).await?;
--- a/crates/forward/src/rooms.rs
+++ b/crates/forward/src/rooms.rs
@@ -16,6 +16,7 @@
 use crate::calls::{CALL, tidy};
 use crate::node::{Job, Node, Phase, Slot};
 use crate::pool::Failure;
+use crate::rates;
 use crate::refusals::ELSEWHERE;
 use crate::trace::Trace;
 
@@ -97,7 +98,7 @@
                 want = Want::Open;
                 break;
             }
-            if now >= until {
+            if now >= until || rates::is_pressed(node, job, Some(want.stage())) {
                 break;
             }
             asked += 1;
@@ -130,7 +131,8 @@
         Want::Open => Err(Refusal::later(ErrorKind::NoEndpoint, NO_ENDPOINT)),
         Want::Room | Want::Prefill => {
             let left = job.until.saturating_duration_since(node.now());
-            Err(Refusal::later(ErrorKind::Overloaded, way_back(left)))
+            let full = Refusal::later(ErrorKind::Overloaded, way_back(left));
+            Err(rates::refusal(node, job, trace, Some(want.stage())).unwrap_or(full))
         }
     }
 }
@@ -167,7 +169,7 @@
     let answer = node.call_in_full(address, node.protocol.reserve(id, tokens, ttl), until).await;
     let answer = answer.map(|(head, body)| {
         if head.status != StatusCode::MISDIRECTED_REQUEST {
-            node.note_rate(key, node.protocol.read_answer(head.status, &head.headers).rate);
+            rates::answered(node, key, node.protocol.read_answer(head.status, &head.headers).rate);
         }
         (head.status, body)
     });
@@ -205,6 +207,14 @@
 }
 
 impl Want {
+    /// Stage of the engines of which it was short.
+    const fn stage(self) -> Stage {
+        match self {
+            Self::Prefill => Stage::Prefill,
+            Self::Open | Self::Room | Self::Instance => Stage::Decode,
+        }
+    }
+
     const fn text(self) -> &'static str {
         match self {
             Self::Open => "none_open",
@@ -223,8 +233,11 @@
 fn in_time(node: &Node, job: &Job, patience: Patience) -> bool {
     let prompt = job.meta.prompt;
     let chosen = node.choose_prefill(&job.service.name, &[], prompt);
-    let Some(key) = chosen else { return true };
     let state = node.state.borrow();
+    let Some(key) = chosen else {
+        // Without any prefill engine the decode engine reads the prompt; for ones that name rates it is worth waiting.
+        return state.endpoints.limited_to(node.now(), &job.service.name, Some(Stage::Prefill)).is_none();
+    };
     let pace = state.paces.get(&job.service.name).copied().unwrap_or_default();
     pace.in_time(state.endpoints.load(key), prompt, patience.prefill(&job.route))
 }
--- a/crates/forward/src/supervisor.rs
+++ b/crates/forward/src/supervisor.rs
@@ -11,7 +11,7 @@
 use rand::rngs::SmallRng;
 use slog::{error, info, warn};
 use teaselshunt_core::{Clock, Quarantine, SystemClock};
-use teaselshunt_routing::{Allowances, Budgets, Endpoints, Memory, tag};
+use teaselshunt_routing::{Allowances, Budgets, Endpoints, Memory, Refused, tag};
 use teaselshunt_teams::{Quotas, Start, Way};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -100,6 +100,7 @@
             paces: HashMap::new(),
             outputs: HashMap::new(),
             allowances: Allowances::default(),
+            refused: Refused::default(),
             quarantine: Quarantine::default(),
             quotas,
             memory: Memory::new((settings.memory as f64 * HELD_PART) as u64),
@@ -167,6 +168,7 @@
         node.state.borrow_mut().endpoints.ledger().expire(node.now());
         node.state.borrow_mut().quarantine.expire(node.now());
         node.state.borrow_mut().quotas.tick(node.clock.uptime());
+        share_rates(&node);
         let gone = node.state.borrow_mut().endpoints.expire(node.now());
         for id in gone {
             info!(node.log, "endpoint"; "endpoint" => &*id, "state" => "gone");
@@ -174,6 +176,15 @@
     }
 }
 
+/// Divides the rates that endpoints name with whoever may be on the other side of a cut, as limits of teams are.
+fn share_rates(node: &Node) {
+    let state = &mut *node.state.borrow_mut();
+    let (now, part) = (node.now(), state.quotas.part());
+    state.endpoints.rates().share_among(now, node.peers.get() + 1, part);
+    state.endpoints.expire_rates(now);
+    node.metrics.limited.set(state.endpoints.rates().len() as i64);
+}
+
 /// Idle connections to one endpoint that this instance may keep.
 fn idle_share(node: &Node) -> Option<usize> {
     let state = node.state.borrow();
--- a/crates/routing/src/endpoints.rs
+++ b/crates/routing/src/endpoints.rs
@@ -7,6 +7,7 @@
 //! Invariant: an endpoint that the list calls leaving or gone is never chosen, but for one exception that has a
 //! time limit ([`Endpoints::doubt`]).
 
+use std::cell::RefCell;
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -114,6 +115,48 @@
     /// time, as far as has been heard, and so does an instance: several that take up the streams of a crashed engine in the
     /// same moment have not heard of each other yet.
     pub reads: bool,
+    /// Whether it is for a try beside one that is under way. Endpoints that name a rate are spared these: what they take is
+    /// short, and the first try is still likely to be answered.
+    pub hedge: bool,
+}
+
+/// Endpoints with a rate that a choice looks at. If all looked at all of them, each that has room would get what all callers
+/// ask in the time of a telling.
+const LIMITED_TRIES: usize = 2;
+
+/// How much more of the requests tries endpoints with rates than was found to have room there lately. What callers ask beyond
+/// that is refused without a look, so that the pressure on an endpoint that has room does not grow with what they ask.
+const SURPLUS: f64 = 1.5;
+/// Part of the requests that tries them at least.
+const TRYING_MIN: f64 = 0.05;
+/// Weight of one choice in the share of those that found room.
+const FOUND_WEIGHT: f64 = 0.06;
+
+/// Service and stage of a choice.
+type Kind = (Arc<str>, Option<Stage>);
+
+/// What a candidate is compared by: whether it is only for want of a better one, and its cost.
+type Rank = (bool, f64);
+
+/// Some of the endpoints with a rate that a choice meets, drawn with the same chance for each.
+#[derive(Debug, Default)]
+struct Sample {
+    met: usize,
+    drawn: Vec<(Rank, EndpointKey)>,
+}
+
+impl Sample {
+    fn offer(&mut self, rank: Rank, key: EndpointKey, rng: &mut impl Rng) {
+        self.met += 1;
+        if self.drawn.len() < LIMITED_TRIES {
+            self.drawn.push((rank, key));
+            return;
+        }
+        let place = rng.random_range(0..self.met);
+        if let Some(drawn) = self.drawn.get_mut(place) {
+            *drawn = (rank, key);
+        }
+    }
 }
 
 /// What an entry of the list says beside what was known.
@@ -145,7 +188,9 @@
     /// Until when endpoints are in use, or not, by more than what the list says.
     uncertain: Option<Instant>,
     ledger: Ledger<SocketAddr>,
-    rates: Rates,
+    rates: Rates<SocketAddr>,
+    /// Share of the choices that found room, by service and stage, among those that met no endpoint without a rate.
+    found: RefCell<HashMap<Kind, f64>>,
 }
 
 impl Endpoints {
@@ -242,6 +287,7 @@
         if self.by_address.get(&entry.endpoint.address) == Some(&key) {
             self.by_address.remove(&entry.endpoint.address);
         }
+        self.rates.forget(entry.tag);
         let leaving = entry.endpoint.state == EndpointState::Leaving;
         self.departed.insert(entry.endpoint.life(), leaving);
         true
@@ -312,6 +358,16 @@
         self.arena.get(key).map(|e| e.tag)
     }
 
+    /// Key of the endpoint with this id.
+    pub fn key_of(&self, id: &str) -> Option<EndpointKey> {
+        self.by_id.get(id).copied()
+    }
+
+    /// An endpoint by its tag.
+    pub fn by_tag(&self, tag: EngineTag) -> Option<&Endpoint> {
+        self.arena.values().find(|entry| entry.tag == tag).map(|entry| &entry.endpoint)
+    }
+
     /// An endpoint by its id.
     pub fn by_id(&self, id: &str) -> Option<&Endpoint> {
         self.get(*self.by_id.get(id)?)
@@ -355,6 +411,20 @@
         }
     }
 
+    /// A request is about to go to an endpoint.
+    pub fn send(&mut self, now: Instant, key: EndpointKey) {
+        if let Some(tag) = self.tag(key) {
+            self.rates.take(now, tag);
+        }
+    }
+
+    /// A request that was about to go to an endpoint has not reached it.
+    pub fn unsend(&mut self, now: Instant, key: EndpointKey) {
+        if let Some(tag) = self.tag(key) {
+            self.rates.give_back(now, tag);
+        }
+    }
+
     /// A decode engine begins to read a prompt itself.
     pub fn begin_read(&mut self, key: EndpointKey) {
         if let Some(entry) = self.arena.get_mut(key) {
@@ -425,14 +495,38 @@
         &mut self.ledger
     }
 
+    /// What is left of the service at a stage while no other endpoint takes new work than those that name rates: the sum of
+    /// their rates. `None` if some name none.
+    pub fn limited_to(&self, now: Instant, service: &str, stage: Option<Stage>) -> Option<f64> {
+        if self.rates.is_empty() {
+            return None;
+        }
+        let keys = self.services.get(service)?;
+        let entries = keys.iter().map(|&key| &self.arena[key]);
+        let mut open = entries.filter(|e| e.is_open(now) && e.endpoint.stage == stage).peekable();
+        open.peek()?;
+        open.map(|entry| self.rates.rate(entry.tag)).sum()
+    }
+
+    /// Forgets what endpoints said of their rates that are not listed and silent.
+    pub fn expire_rates(&mut self, now: Instant) {
+        if self.rates.is_empty() {
+            self.found.get_mut().clear();
+            return;
+        }
+        let listed: HashSet<EngineTag> = self.arena.values().map(|entry| entry.tag).collect();
+        self.rates.expire(now, |tag| listed.contains(&tag));
+    }
+
     /// Rates that endpoints name.
-    pub fn rates(&mut self) -> &mut Rates {
+    pub fn rates(&mut self) -> &mut Rates<SocketAddr> {
         &mut self.rates
     }
 
     /// Chooses the endpoint with the lowest expected time to answer; paused ones only where there is no other.
     pub fn choose(&self, now: Instant, need: Need<'_>, rng: &mut impl Rng) -> Option<EndpointKey> {
-        let mut best: Option<((bool, f64), EndpointKey)> = None;
+        let mut best: Option<(Rank, EndpointKey)> = None;
+        let mut limited = Sample::default();
         // Whether an engine is there that could serve, if not now: then one that is not there is no alternative.
         let mut healthy = false;
         if need.reads && self.is_reading() {
@@ -458,15 +552,50 @@
                 continue;
             }
             let rank = (paused, Self::cost(entry, in_flight, now, need, rng));
-            if best.is_none_or(|(least, _)| rank < least) {
+            if self.rates.is_limited(entry.tag) {
+                if !need.hedge {
+                    limited.offer(rank, key, rng);
+                }
+            } else if best.is_none_or(|(least, _)| rank < least) {
                 best = Some((rank, key));
             }
         }
+        if limited.met > 0 {
+            best = self.choose_limited(now, need, best, limited, rng);
+        }
         let (rank, key) = best?;
         let absent = rank.0 && healthy && need.stage == Some(Stage::Decode);
         (!absent).then_some(key)
     }
 
+    /// Compares the best endpoint without a rate, if there is one, to those with rates that have room now.
+    fn choose_limited(
+        &self,
+        now: Instant,
+        need: Need<'_>,
+        mut best: Option<(Rank, EndpointKey)>,
+        limited: Sample,
+        rng: &mut impl Rng,
+    ) -> Option<(Rank, EndpointKey)> {
+        let alone = best.is_none();
+        let kind = (Arc::from(need.service), need.stage);
+        let mut shares = self.found.borrow_mut();
+        let share = shares.get(&kind).copied().unwrap_or(1.0);
+        if !alone || rng.random_bool((share * SURPLUS).clamp(TRYING_MIN, 1.0)) {
+            for (rank, key) in limited.drawn {
+                let better = best.is_none_or(|(least, _)| rank < least);
+                if better && rng.random_bool(self.rates.room(now, self.arena[key].tag)) {
+                    best = Some((rank, key));
+                }
+            }
+        }
+        if alone {
+            let found = f64::from(u8::from(best.is_some()));
+            shares.insert(kind, share + (found - share) * FOUND_WEIGHT);
+        }
+        best
+    }
+
     /// Whether another endpoint that takes new work was listed later at the same address.
     ///
     /// An endpoint that crashed is listed for some heartbeats beside its next start. That one grants room without a look at
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -5,7 +5,8 @@
 //! chooses among them; `ledger` is what other instances have in flight; `pace` learns how long prefill takes, `outputs` how
 //! many tokens generations make; `allowances` tells callers who come back from new ones; `peers` is who else there is, `news` who reads the
 //! platform's store for the others, `holders` who has the whole list and
-//! `changes` what changed in it lately; `rates` keeps to the rates that endpoints name; `memory` bounds what is held for those who read slowly;
+//! `changes` what changed in it lately; `rates` keeps to the rates that endpoints name, and `refused`
+//! counts whom that turns away; `memory` bounds what is held for those who read slowly;
 //! `budget` limits repeats, and `sends` says what those of a generation cost; `stages` decides how many engines prefill and how many decode.
 
 mod allowances;
@@ -24,6 +25,7 @@
 mod patience;
 mod peers;
 mod rates;
+mod refused;
 mod routes;
 mod sends;
 mod stages;
@@ -41,7 +43,8 @@
 pub use pace::Pace;
 pub use patience::{Looks, Patience, way_back};
 pub use peers::{HEARTBEAT, Peers, silence};
-pub use rates::{RateChange, Rates};
+pub use rates::{Pacing, RateChange, RateNews, RateWord, Rates};
+pub use refused::Refused;
 pub use routes::{Engine, Limits, Repeat, Route, RouteSet, Service};
 pub use sends::Sends;
 pub use stages::{Change, plan_changes};
--- a/crates/routing/tests/all/endpoints.rs
+++ b/crates/routing/tests/all/endpoints.rs
@@ -28,6 +28,7 @@
         limit: None,
         spare: 0,
         reads: false,
+        hedge: false,
     }
 }
 
--- a/crates/routing/tests/all/ledger.rs
+++ b/crates/routing/tests/all/ledger.rs
@@ -96,6 +96,7 @@
         limit,
         spare: 0,
         reads: false,
+        hedge: false,
     };
     endpoints.choose(now, need, rng)
 }
@@ -156,6 +157,7 @@
         limit: Some(30_000),
         spare: 4_000,
         reads: false,
+        hedge: false,
     };
     endpoints.ledger().update(now, peer(1), (1, 1), HashMap::from([(tag, 24_000)]));
     assert!(choose(&endpoints, now, Stage::Decode, Some(30_000), &mut rng).is_some());
--- a/crates/routing/tests/all/lives.rs
+++ b/crates/routing/tests/all/lives.rs
@@ -33,6 +33,7 @@
         limit: None,
         spare: 0,
         reads: false,
+        hedge: false,
     };
     endpoints.choose(now, need, &mut rand::rng())
 }
--- a/crates/routing/tests/all/main.rs
+++ b/crates/routing/tests/all/main.rs
@@ -13,6 +13,7 @@
 mod outputs;
 mod patience;
 mod peers;
+mod rates;
 mod reads;
 mod routes;
 mod sends;
--- /dev/null
+++ b/crates/routing/tests/all/rates.rs
@@ -0,0 +1,226 @@
+//! Rates that endpoints name: whose word counts, what is sent, and where requests go instead.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use teaselshunt_routing::{
+    Endpoint, EndpointState, Endpoints, EngineTag, Need, Pacing, RateChange, RateNews, RateWord, Rates,
+    Refused,
+};
+
+const DESK: EngineTag = EngineTag(1);
+
+fn seconds(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds)
+}
+
+fn word(rate: Option<f64>, age: f64) -> RateWord {
+    RateWord { rate, age: seconds(age) }
+}
+
+fn sends(total: u32, recent: u32) -> RateNews {
+    RateNews { endpoint: DESK, word: None, total, recent }
+}
+
+/// Rates of which the endpoint has just named one, and a time some seconds later, when the level is at its highest.
+fn limited(rate: f64) -> (Rates<u8>, Instant) {
+    let (mut rates, now) = (Rates::new(Pacing::Proportional), Instant::now());
+    assert_eq!(rates.answered(now, DESK, Some(rate)), Some(RateChange::Limited(rate)));
+    (rates, now + seconds(20.0))
+}
+
+fn level(rates: &Rates<u8>, now: Instant) -> f64 {
+    rates.level(now, DESK).expect("it names a rate")
+}
+
+/// What an endpoint said a while ago is told late by another instance, after it has told this one something newer.
+#[test]
+fn an_older_word_that_comes_late_takes_nothing_back() {
+    let (mut rates, now) = limited(4.0);
+    rates.answered(now, DESK, Some(2.0));
+    assert_eq!(rates.told_word(now, DESK, word(Some(8.0), 1.0)), None);
+    assert_eq!(rates.told_word(now, DESK, word(None, 1.0)), None);
+    assert_eq!(rates.rate(DESK), Some(2.0));
+    assert_eq!(rates.answered(now, DESK, None), Some(RateChange::Ended));
+    assert_eq!(rates.told_word(now, DESK, word(Some(2.0), 1.0)), None, "it has ended since");
+    assert!(!rates.is_limited(DESK));
+    let later = now + seconds(5.0);
+    assert_eq!(rates.told_word(later, DESK, word(Some(3.0), 1.0)), Some(RateChange::Limited(3.0)));
+}
+
+/// An instance that has not asked an endpoint lately goes by what others were told, and passes on only what it was told
+/// itself: a word that goes round would never grow old.
+#[test]
+fn words_are_passed_on_once() {
+    let (mut rates, now) = (Rates::<u8>::default(), Instant::now() + seconds(60.0));
+    rates.told_word(now, DESK, word(Some(4.0), 0.5));
+    assert!(rates.is_limited(DESK));
+    assert!(rates.news(now).is_empty());
+    rates.answered(now, DESK, Some(4.0));
+    assert_eq!(rates.news(now)[0].word, Some(word(Some(4.0), 0.0)));
+    rates.answered(now, DESK, None);
+    assert_eq!(rates.news(now + seconds(1.0))[0].word, Some(word(None, 1.0)));
+    assert!(rates.news(now + seconds(60.0)).is_empty(), "nothing is told when nobody names a rate");
+}
+
+/// Tellings are lost, come twice, and begin anew with each life of their sender; what it sent counts once.
+#[test]
+fn what_another_instance_sent_counts_once() {
+    let (mut rates, now) = limited(10.0);
+    let full = level(&rates, now);
+    rates.told_sends(now, 7, 1, sends(2, 2));
+    rates.told_sends(now, 7, 1, sends(2, 2));
+    assert!((level(&rates, now) - (full - 2.0)).abs() < 1e-6);
+    rates.told_sends(now, 7, 1, sends(5, 5));
+    assert!((level(&rates, now) - (full - 5.0)).abs() < 1e-6, "a telling between was lost");
+    rates.told_sends(now, 7, 2, sends(1, 1));
+    assert!((level(&rates, now) - (full - 6.0)).abs() < 1e-6, "it has started again");
+    rates.told_sends(now, 8, 1, sends(900, 1));
+    assert!((level(&rates, now) - (full - 7.0)).abs() < 1e-6, "heard first long after it began");
+}
+
+/// A request that never reached the endpoint, and one that was chosen before the endpoint named a rate.
+#[test]
+fn what_did_not_reach_the_endpoint_is_given_back() {
+    let (mut rates, now) = limited(10.0);
+    let full = level(&rates, now);
+    rates.give_back(now, DESK);
+    assert!((level(&rates, now) - full).abs() < 1e-6, "it was never taken");
+    rates.take(now, DESK);
+    rates.give_back(now, DESK);
+    assert!((level(&rates, now) - full).abs() < 1e-6);
+}
+
+/// An endpoint that takes nothing is asked now and then: nobody else would hear that it takes something again.
+#[test]
+fn a_rate_of_nothing_lets_a_request_through_now_and_then() {
+    let (mut rates, now) = limited(0.0);
+    for request in 0..20 {
+        rates.take(now, DESK);
+        assert!(rates.room(now, DESK) < 1.0 || request < 2);
+    }
+    assert!(rates.room(now, DESK) <= 0.0);
+    assert!(rates.room(now + seconds(60.0), DESK) > 0.0);
+    assert!(rates.room(now + seconds(60.0), DESK) <= 1.0);
+}
+
+/// A cut halves what each side may send; a new rate counts from when it is named.
+#[test]
+fn a_part_and_a_new_rate_count_from_now_on() {
+    let (mut rates, now) = limited(10.0);
+    for _ in 0..7 {
+        rates.take(now, DESK);
+    }
+    let before = level(&rates, now);
+    rates.share_among(now, 8, 0.5);
+    assert!((level(&rates, now + seconds(0.1)) - before - 0.5).abs() < 1e-6);
+    rates.answered(now + seconds(0.1), DESK, Some(20.0));
+    assert!((level(&rates, now + seconds(0.2)) - before - 1.5).abs() < 1e-6);
+}
+
+fn listed(id: &str, born: u64) -> Endpoint {
+    Endpoint {
+        id: Arc::from(id),
+        born: Some(std::time::UNIX_EPOCH + Duration::from_secs(born)),
+        service: Arc::from("desk"),
+        address: (EngineTag::of(id, None).0.to_be_bytes(), 1).into(),
+        domain: Arc::from("north"),
+        state: EndpointState::Ready,
+        stage: None,
+    }
+}
+
+const NEED: Need<'static> = Need {
+    service: "desk",
+    stage: None,
+    domain: "north",
+    tried: &[],
+    tokens: 0,
+    limit: None,
+    spare: 0,
+    reads: false,
+    hedge: false,
+};
+
+/// Two endpoints, of which the first names a rate that is used up.
+fn one_used_up(now: Instant) -> Endpoints {
+    let mut endpoints = Endpoints::default();
+    endpoints.upsert(listed("a", 1));
+    endpoints.upsert(listed("b", 1));
+    let key = endpoints.key_of("a").expect("listed");
+    let tag = endpoints.tag(key).expect("listed");
+    endpoints.rates().answered(now, tag, Some(4.0));
+    endpoints
+}
+
+fn chosen(endpoints: &Endpoints, now: Instant, need: Need<'_>) -> HashMap<String, usize> {
+    let (mut rng, mut counts) = (SmallRng::seed_from_u64(1), HashMap::new());
+    for key in (0..400).filter_map(|_| endpoints.choose(now, need, &mut rng)) {
+        *counts.entry(endpoints.get(key).expect("listed").id.to_string()).or_default() += 1;
+    }
+    counts
+}
+
+/// Other endpoints of the service take what one with a rate does not, and a second try beside one under way spares it.
+#[test]
+fn others_take_what_an_endpoint_with_a_rate_does_not() {
+    let now = Instant::now();
+    let endpoints = one_used_up(now);
+    assert_eq!(chosen(&endpoints, now, NEED), HashMap::from([("b".to_owned(), 400)]));
+    assert!(endpoints.limited_to(now, "desk", None).is_none(), "one names none");
+    let later = now + seconds(10.0);
+    assert!(chosen(&endpoints, later, NEED).contains_key("a"), "there is room again");
+    assert!(!chosen(&endpoints, later, Need { hedge: true, ..NEED }).contains_key("a"));
+}
+
+/// A rate goes with the start of the endpoint that named it, and with its entry.
+#[test]
+fn a_rate_ends_with_the_start_that_named_it() {
+    let now = Instant::now();
+    let mut endpoints = one_used_up(now);
+    endpoints.upsert(listed("a", 2));
+    assert!(endpoints.rates().is_empty());
+    let mut endpoints = one_used_up(now);
+    endpoints.remove("a");
+    assert!(endpoints.rates().is_empty());
+}
+
+/// All endpoints of a service name rates and callers ask for ten times their sum. A request that finds no room shall not
+/// press on whichever endpoint has some: most are refused without a look, and the rate is used all the same.
+#[test]
+fn pressure_on_an_endpoint_does_not_grow_with_what_callers_ask() {
+    let mut now = Instant::now();
+    let mut endpoints = one_used_up(now);
+    let keys = ["a", "b"].map(|id| endpoints.key_of(id).expect("listed"));
+    let tags = keys.map(|key| endpoints.tag(key).expect("listed"));
+    let mut rng = SmallRng::seed_from_u64(3);
+    for tag in tags {
+        endpoints.rates().answered(now, tag, Some(4.0));
+    }
+    assert_eq!(endpoints.limited_to(now, "desk", None), Some(8.0));
+    let mut sent = 0;
+    for _ in 0..80 * 20 {
+        now += seconds(1.0 / 80.0);
+        if let Some(key) = endpoints.choose(now, NEED, &mut rng) {
+            endpoints.send(now, key);
+            sent += 1;
+        }
+    }
+    assert!((140..=170).contains(&sent), "{sent} of 160");
+}
+
+/// Callers who are refused are spread over the time in which what endpoints take suffices for all of them.
+#[test]
+fn refused_callers_come_back_as_fast_as_they_can_be_served() {
+    let (mut refused, now, desk) = (Refused::default(), Instant::now(), Arc::from("desk"));
+    assert!(!refused.is_pressed(now, &desk));
+    assert_eq!(refused.refuse(now, &desk, 8.0, 2), seconds(0.25));
+    assert!(refused.is_pressed(now, &desk));
+    assert_eq!(refused.refuse(now, &desk, 8.0, 2), seconds(0.5));
+    assert_eq!(refused.refuse(now + seconds(9.0), &desk, 8.0, 2), seconds(0.25));
+    assert!(refused.refuse(now, &desk, 0.0, 2) <= seconds(10.0));
+    assert!(!refused.is_pressed(now + seconds(11.0), &desk));
+}
--- a/crates/routing/tests/all/reads.rs
+++ b/crates/routing/tests/all/reads.rs
@@ -48,6 +48,7 @@
         limit: Some(33_000),
         spare: 0,
         reads,
+        hedge: false,
     }
 }
 
