Rates in cuts: only instances that are silent alone keep their part; soak: endpoints name rates

A domain that is cut off has its endpoints to itself, and the other domains theirs: the part of each rate that was set aside for the other side served nobody. What a peer may send that is silent while others of its domain are heard is set aside until it is forgotten (test in peers.rs). Until now the part came from the limits of teams, which remember a cut for hours and count 0.7 s as silence: wrong where turns take longer.

--- a/crates/bench/src/rates.rs
+++ b/crates/bench/src/rates.rs
@@ -16,7 +16,7 @@
 use rand::{Rng, SeedableRng};
 use serde::Serialize;
 use teaselshunt_routing::{
-    Endpoint, EndpointKey, EndpointState, Endpoints, EngineTag, Need, Pacing, RateNews, Rates, Verdict,
+    Endpoint, EndpointKey, EndpointState, Endpoints, EngineTag, Need, Pacing, Peers, RateNews, Rates, Verdict,
 };
 
 use crate::quotas::{Mishap, Trouble};
@@ -175,8 +175,9 @@
     /// Requests of its callers that are due.
     due: f64,
     next_beat: Instant,
-    /// When others were heard, and life and number of the telling.
-    heard: HashMap<usize, (Instant, u64, u64)>,
+    peers: Peers<usize>,
+    /// Life and number of the last telling of others.
+    heard: HashMap<usize, (u64, u64)>,
     /// Tellings so far.
     sequence: u64,
     down: bool,
@@ -189,6 +190,9 @@
     at: Instant,
     from: usize,
     to: usize,
+    /// Failure domain of the sender, and after which time it tells something again.
+    domain: u8,
+    next: Duration,
     life: u64,
     sequence: u64,
     news: Rc<Vec<RateNews>>,
@@ -249,6 +253,7 @@
                     share: weight.powi(i32::from(plan.skew) * 2),
                     due: rng.random_range(0.0..1.0),
                     next_beat: now + Duration::from_millis(rng.random_range(0..100)),
+                    peers: Peers::new(domain as u32),
                     heard: HashMap::new(),
                     sequence: 0,
                     down: false,
@@ -327,6 +332,7 @@
                 node.down = begins;
                 node.life = life;
                 node.heard.clear();
+                node.peers = Peers::new(u32::from(node.domain));
                 node.open(self.plan, self.pacing);
             }
             // Cuts are looked up when something is sent.
@@ -349,10 +355,8 @@
         let (now, instances) = (self.now, self.nodes.len());
         let node = &mut self.nodes[from];
         node.next_beat = now + beat * rounds;
-        // One in five is silent in a cut; others are remembered, as far as they were heard.
-        let silence = Duration::from_millis(700).max(beat * rounds * 3);
-        let heard = node.heard.values().filter(|at| now.duration_since(at.0) < silence).count() + 1;
-        let part = heard as f64 / (node.heard.len() + 1) as f64;
+        node.peers.forget(now);
+        let part = node.peers.part(now);
         node.endpoints.rates().share_among(now, instances, part);
         let news = Rc::new(node.endpoints.rates().news(now));
         node.sequence += 1;
@@ -366,8 +370,16 @@
             if lost || self.is_cut(domain, self.nodes[to].domain) {
                 continue;
             }
-            let telling =
-                |delay| Telling { at: now + delay, from, to, life, sequence, news: Rc::clone(&news) };
+            let telling = |delay| Telling {
+                at: now + delay,
+                from,
+                to,
+                domain,
+                next: beat * rounds,
+                life,
+                sequence,
+                news: Rc::clone(&news),
+            };
             // Some come twice, and some late.
             match self.rng.random_range(0..40) {
                 0 => self.late.push_back(telling(LATE)),
@@ -446,10 +458,11 @@
 
     fn told(&mut self, now: Instant, telling: &Telling) {
         let last = self.heard.get(&telling.from);
-        if last.is_some_and(|&(_, life, number)| life == telling.life && number >= telling.sequence) {
+        if last.is_some_and(|&(life, number)| life == telling.life && number >= telling.sequence) {
             return;
         }
-        self.heard.insert(telling.from, (now, telling.life, telling.sequence));
+        self.heard.insert(telling.from, (telling.life, telling.sequence));
+        self.peers.heard(now, telling.from, u32::from(telling.domain), telling.next);
         for news in telling.news.iter() {
             if let Some(word) = news.word {
                 self.endpoints.rates().told_word(now, news.endpoint, word);
--- a/crates/forward/src/peers.rs
+++ b/crates/forward/src/peers.rs
@@ -251,7 +251,12 @@
             info!(self.node.log, "peer"; "address" => %address, "state" => "forgotten");
         }
         self.node.peers.set(self.peers.len());
-        self.node.state.borrow_mut().budgets.share_among(self.peers.len() + 1);
+        {
+            let state = &mut *self.node.state.borrow_mut();
+            let instances = self.peers.len() + 1;
+            state.budgets.share_among(instances);
+            state.endpoints.rates().share_among(now, instances, self.peers.part(now));
+        }
         self.catalog.peers_are(self.own, &self.peers.near(now).collect());
         self.sequence += 1;
         let mut targets = self.peers.due(now);
@@ -275,7 +280,8 @@
         let Self { life, sequence, .. } = *self;
         let crashes: Vec<_> = news.crashes.into_iter().map(|crash| CrashReport::of(now, crash)).collect();
         let served = news.served;
-        let urgent = !crashes.is_empty() || !served.is_empty();
+        let rates = rates::news(&self.node);
+        let urgent = !crashes.is_empty() || !served.is_empty() || !rates.is_empty();
         let digest = Digest {
             life,
             sequence,
@@ -285,7 +291,7 @@
             crashes,
             served,
             spending,
-            rates: rates::news(&self.node),
+            rates,
             instances,
             leaving,
             holds: self.catalog.holds(),
--- a/crates/forward/src/supervisor.rs
+++ b/crates/forward/src/supervisor.rs
@@ -168,7 +168,8 @@
         node.state.borrow_mut().endpoints.ledger().expire(node.now());
         node.state.borrow_mut().quarantine.expire(node.now());
         node.state.borrow_mut().quotas.tick(node.clock.uptime());
-        share_rates(&node);
+        node.state.borrow_mut().endpoints.expire_rates(node.now());
+        node.metrics.limited.set(node.state.borrow_mut().endpoints.rates().len() as i64);
         let gone = node.state.borrow_mut().endpoints.expire(node.now());
         for id in gone {
             info!(node.log, "endpoint"; "endpoint" => &*id, "state" => "gone");
@@ -176,15 +177,6 @@
     }
 }
 
-/// Divides the rates that endpoints name with whoever may be on the other side of a cut, as limits of teams are.
-fn share_rates(node: &Node) {
-    let state = &mut *node.state.borrow_mut();
-    let (now, part) = (node.now(), state.quotas.part());
-    state.endpoints.rates().share_among(now, node.peers.get() + 1, part);
-    state.endpoints.expire_rates(now);
-    node.metrics.limited.set(state.endpoints.rates().len() as i64);
-}
-
 /// Idle connections to one endpoint that this instance may keep.
 fn idle_share(node: &Node) -> Option<usize> {
     let state = node.state.borrow();
--- a/crates/routing/src/peers.rs
+++ b/crates/routing/src/peers.rs
@@ -12,7 +12,7 @@
 //! they have the lowest addresses ([`Source`](crate::Source)). Among hundreds of instances that is how one that starts soon
 //! knows that it does not read itself.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::hash::Hash;
 use std::time::{Duration, Instant};
 
@@ -127,6 +127,19 @@
         self.known.iter().filter(move |(_, peer)| fits(peer)).map(|(&p, _)| p)
     }
 
+    /// The part of what all instances share that is for those that are heard, this one included: peers that are silent while
+    /// others of their failure domain are heard may go on with theirs. A domain that is silent as a whole is cut off, and
+    /// the endpoints in it as well.
+    pub fn part(&self, now: Instant) -> f64 {
+        let (fresh, silent): (Vec<&Peer>, Vec<&Peer>) = (self.known.values().filter(|peer| peer.direct))
+            .partition(|peer| now.duration_since(peer.at) < peer.silence);
+        let present: HashSet<u32> =
+            fresh.iter().filter_map(|peer| peer.domain).chain([self.domain]).collect();
+        let missed = silent.iter().filter(|peer| peer.domain.is_some_and(|domain| present.contains(&domain)));
+        let heard = (fresh.len() + 1) as f64;
+        heard / (heard + missed.count() as f64)
+    }
+
     /// Tag of a peer's failure domain, if it was heard.
     pub fn domain_of(&self, peer: P) -> Option<u32> {
         self.known.get(&peer)?.domain
--- a/crates/routing/tests/all/peers.rs
+++ b/crates/routing/tests/all/peers.rs
@@ -147,3 +147,21 @@
     }
     assert_eq!(told.len(), 1_200);
 }
+
+/// A domain that is silent as a whole is cut off with its endpoints, and its part is used by those that still reach the
+/// others; an instance that is silent alone may go on, and its part is left to it until it is forgotten.
+#[test]
+fn only_instances_that_are_silent_alone_keep_their_part() {
+    let (start, mut peers) = (Instant::now(), Peers::new(0));
+    for peer in 0..8_u8 {
+        peers.heard(start, peer, u32::from(peer % 4), Duration::ZERO);
+    }
+    assert!((peers.part(start) - 1.0).abs() < 1e-9);
+    let later = start + Duration::from_secs(2);
+    for peer in (0..8).filter(|peer| peer % 4 != 1 && *peer != 2) {
+        peers.heard(later, peer, u32::from(peer % 4), Duration::ZERO);
+    }
+    assert!((peers.part(later) - 6.0 / 7.0).abs() < 1e-9, "domain 1 is cut off, one of domain 2 is silent");
+    peers.forget(start + Duration::from_secs(10));
+    assert!((peers.part(later) - 1.0).abs() < 1e-9);
+}
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -42,6 +42,12 @@
 const CRASHES: usize = 3;
 /// Time in which all instances know what one has learned.
 const SETTLED: Duration = Duration::from_secs(3);
+/// Requests a second that plain endpoints name at the end.
+const RATE: f64 = 3.0;
+/// Span in which what they get counts, by how much it may exceed the rate, and by how many requests besides.
+const RATE_WINDOW: Duration = Duration::from_secs(4);
+const RATE_OVER: f64 = 1.5;
+const RATE_SLACK: f64 = 5.0;
 /// Longest time for everything to be served again at the end.
 const RECOVERY: Duration = Duration::from_secs(90);
 
@@ -198,6 +204,37 @@
         Ok(())
     }
 
+    /// Plain endpoints name a rate once everything has healed, and callers ask on. As a promise with a time bound it is not
+    /// checked beside other work.
+    pub(crate) async fn keep_rates(&self, site: &Site) -> Result<(), Broken> {
+        let name = |rate: Option<&str>| {
+            let parts = site.parts();
+            let plain = parts.endpoints.iter().filter(|endpoint| endpoint.server.stage().is_none());
+            plain.for_each(|endpoint| endpoint.server.name_limit(rate));
+        };
+        name(Some(&RATE.to_string()));
+        tokio::time::sleep(SETTLED).await;
+        let from = Instant::now();
+        tokio::time::sleep(RATE_WINDOW * 2).await;
+        name(None);
+        let allowed = (RATE * RATE_WINDOW.as_secs_f64() * RATE_OVER + RATE_SLACK) as usize;
+        let parts = site.parts();
+        let over =
+            parts.endpoints.iter().filter(|endpoint| endpoint.server.stage().is_none()).find(|endpoint| {
+                let arrivals: Vec<_> =
+                    endpoint.server.arrivals().into_iter().filter(|at| *at >= from).collect();
+                arrivals.windows(allowed + 1).any(|span| span[allowed] - span[0] < RATE_WINDOW)
+            });
+        match over {
+            Some(endpoint) if !self.timeless => {
+                let promise =
+                    format!("endpoint {} got more than the rate that it names", endpoint.server.id());
+                Err(Broken { promise, request: None })
+            }
+            Some(_) | None => Ok(()),
+        }
+    }
+
     fn caller(&self, address: &str) -> Caller {
         Caller {
             address: address.to_owned(),
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -2,8 +2,8 @@
 
 use std::time::{Duration, Instant};
 
-use rand::Rng;
 use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 use teaselshunt_standin::{SiteFault, StoreMode};
 
 use crate::proxy::Harm;
@@ -25,6 +25,8 @@
 
 pub(crate) struct Plan {
     rng: StdRng,
+    /// Draws the rates that endpoints name; of its own, so that each seed has the other faults that it always had.
+    rates: StdRng,
     begun: Instant,
     lines: Vec<String>,
     undo: Vec<(Instant, Undo)>,
@@ -34,7 +36,15 @@
 
 impl Plan {
     pub(crate) fn new(rng: StdRng) -> Self {
-        Self { rng, begun: Instant::now(), lines: Vec::new(), undo: Vec::new(), stopped: Instant::now() }
+        let rates = StdRng::seed_from_u64(rng.clone().random());
+        Self {
+            rng,
+            rates,
+            begun: Instant::now(),
+            lines: Vec::new(),
+            undo: Vec::new(),
+            stopped: Instant::now(),
+        }
     }
 
     pub(crate) fn count(&self) -> usize {
@@ -51,6 +61,7 @@
         tokio::time::sleep(Duration::from_millis(pause)).await;
         self.undo_until(site, Instant::now());
         self.bury(site).await;
+        self.name_rates(site);
         match self.rng.random_range(0..12) {
             0 => self.kill(site),
             1 => self.terminate(site),
@@ -72,6 +83,7 @@
         for endpoint in &site.parts().endpoints {
             endpoint.proxy.set(Harm::None);
             endpoint.server.set_fault(SiteFault::None);
+            endpoint.server.name_limit(None);
         }
         self.bury(site).await;
         // Instances that are stopping end first.
@@ -285,6 +297,18 @@
         }
     }
 
+    /// Now and then an endpoint names another rate, something that is none, or none any more.
+    fn name_rates(&mut self, site: &Site) {
+        const RATES: [Option<&str>; 6] = [Some("3.5"), Some("0"), Some("40"), Some("4,0"), Some("NaN"), None];
+        if !self.rates.random_bool(0.1) {
+            return;
+        }
+        let rate = RATES[self.rates.random_range(0..RATES.len())];
+        let index = self.rates.random_range(0..site.parts().endpoints.len());
+        self.note(&format!("endpoint {index} names {rate:?}"));
+        site.parts().endpoints[index].server.name_limit(rate);
+    }
+
     fn configure(&mut self, site: &Site) {
         site.parts().version += 1;
         self.note(&format!("configuration {}", site.parts().version));
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -87,6 +87,9 @@
     if let Err(broken) = callers.crash_again(&site, &mut plan).await {
         return Err(story(seed, &plan, &broken, &site));
     }
+    if let Err(broken) = callers.keep_rates(&site).await {
+        return Err(story(seed, &plan, &broken, &site));
+    }
     Ok(format!("{} faults, {} engines crashed, {}", plan.count(), site.crashed(), callers.summary()))
 }
 
