--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -3,8 +3,9 @@
 //!
 //! Modules look down only: `supervisor` starts `front` (listeners), `catalog` (what the platform's store says) and
 //! `orders`; the first two accept by `listen`. `front` hands requests to `requests`, which calls `plain` or `generate`
-//! (with `rooms`); both use `rates` (what endpoints take), `stream`, `body` with `holding` (what slow readers have not read), `node` (state, one step at an
-//! endpoint) and `pool` (connections). Decisions without input or output are in the crate `teaselshunt-routing`.
+//! (with `rooms`); both use `rates` (what endpoints say that they take), `stream`, `body` with `holding` (what slow readers
+//! have not read), `node` (state, one step at an endpoint) and `pool` (connections). Decisions without input or output are
+//! in the crate `teaselshunt-routing`.
 //!
 //! Both edges of traffic are `hyper` itself. A framework above it ends a failed stream as if it were whole and hides
 //! whether a request has left, and the promises to callers rest on both.
--- a/crates/forward/src/peers.rs
+++ b/crates/forward/src/peers.rs
@@ -255,7 +255,10 @@
             let state = &mut *self.node.state.borrow_mut();
             let instances = self.peers.len() + 1;
             state.budgets.share_among(instances);
-            state.endpoints.rates().share_among(now, instances, self.peers.part(now));
+            let rates = state.endpoints.rates();
+            if !rates.is_empty() {
+                rates.share_among(now, instances, self.peers.part(now));
+            }
         }
         self.catalog.peers_are(self.own, &self.peers.near(now).collect());
         self.sequence += 1;
--- a/crates/forward/src/rates.rs
+++ b/crates/forward/src/rates.rs
@@ -70,8 +70,8 @@
     let now = node.now();
     for news in entries.into_iter().map(RateNews::from) {
         let change = {
-            let rates = &mut *node.state.borrow_mut();
-            let rates = rates.endpoints.rates();
+            let beliefs = &mut *node.state.borrow_mut();
+            let rates = beliefs.endpoints.rates();
             let change = news.word.and_then(|word| rates.told_word(now, news.endpoint, word));
             rates.told_sends(now, from, life, news);
             change
@@ -101,10 +101,10 @@
 
 fn log(node: &Node, endpoint: EngineTag, change: Option<RateChange>, source: &str, age: Duration) {
     let Some(change) = change else { return };
-    let state = &mut *node.state.borrow_mut();
-    let known = state.endpoints.rates().len();
+    let beliefs = &mut *node.state.borrow_mut();
+    let known = beliefs.endpoints.rates().len();
     node.metrics.limited.set(known as i64);
-    let id = state.endpoints.by_tag(endpoint).map_or("not listed", |endpoint| &*endpoint.id);
+    let id = beliefs.endpoints.by_tag(endpoint).map_or("not listed", |endpoint| &*endpoint.id);
     let (state, rate) = match change {
         RateChange::Limited(rate) => ("limited", Some(rate)),
         RateChange::Ended => ("not_limited", None),
@@ -129,8 +129,8 @@
     let until = job.arrived + job.route.goal.mul_f64(WAIT_PART);
     loop {
         let chosen = node.choose(&job.service.name, tried);
-        let helps = pressure(node, job, None).is_some_and(|(_, pressed)| !pressed);
-        if chosen.is_some() || node.now() >= until || !helps {
+        let helps = || pressure(node, job, None).is_some_and(|(_, pressed)| !pressed);
+        if chosen.is_some() || node.now() >= until || !helps() {
             return chosen;
         }
         let part = node.state.borrow_mut().rng.random_range(0.5..1.5);
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -2,12 +2,12 @@
 //! endpoints. No input or output, no clock, randomness passed in.
 //!
 //! `routes` is one configuration version; `endpoints` keeps every `endpoint` with the `belief` that results have left, and
-//! chooses among them; `ledger` is what other instances have in flight; `pace` learns how long prefill takes, `outputs` how
-//! many tokens generations make; `allowances` tells callers who come back from new ones; `peers` is who else there is, `news` who reads the
-//! platform's store for the others, `holders` who has the whole list and
-//! `changes` what changed in it lately; `rates` keeps to the rates that endpoints name, and `refused`
-//! counts whom that turns away; `memory` bounds what is held for those who read slowly;
-//! `budget` limits repeats, and `sends` says what those of a generation cost; `stages` decides how many engines prefill and how many decode.
+//! chooses among them; `ledger` is what other instances have in flight; `rates` keeps to the rates that endpoints name, and
+//! `refused` counts whom that turns away; `pace` learns how long prefill takes, `outputs` how many tokens generations make;
+//! `allowances` tells callers who come back from new ones; `peers` is who else there is, `news` who reads the platform's
+//! store for the others, `holders` who has the whole list and `changes` what changed in it lately; `memory` bounds what is
+//! held for those who read slowly; `budget` limits repeats, and `sends` says what those of a generation cost; `stages`
+//! decides how many engines prefill and how many decode.
 
 mod allowances;
 mod belief;
--- a/crates/routing/src/rates.rs
+++ b/crates/routing/src/rates.rs
@@ -179,8 +179,9 @@
 impl<P: Copy + Eq + Hash> Rates<P> {
     /// So many instances are known, this one included, and `part` of what is divided among all is for those that are heard.
     pub fn share_among(&mut self, now: Instant, instances: usize, part: f64) {
+        let before = self.own_part();
         for account in self.accounts.values_mut() {
-            account.refill(now, self.part);
+            account.refill(now, before);
         }
         self.instances = instances.max(1);
         self.part = part;
@@ -220,7 +221,7 @@
             self.ended.insert(endpoint, (said, false));
             return Some(RateChange::Ended);
         };
-        let kept = rate.clamp(RATE_MIN, RATE_MAX);
+        let (kept, part) = (rate.clamp(RATE_MIN, RATE_MAX), self.own_part());
         let Some(account) = self.accounts.get_mut(&endpoint) else {
             if self.ended.get(&endpoint).is_some_and(|&(ended, _)| ended >= said) {
                 return None;
@@ -235,16 +236,16 @@
         account.said = said;
         let news = (account.rate - kept).abs() > account.rate * CHANGED;
         if news {
-            account.refill(now, self.part);
+            account.refill(now, part);
             account.rate = kept;
-            account.level = account.level.min(burst(kept * self.part));
+            account.level = account.level.min(burst(kept * part));
         }
         news.then_some(RateChange::Limited(rate))
     }
 
     /// Another instance, in this life of it, tells what it has sent to an endpoint.
     pub fn told_sends(&mut self, now: Instant, from: P, life: u64, news: RateNews) {
-        let part = self.part;
+        let part = self.own_part();
         let Some(account) = self.accounts.get_mut(&news.endpoint) else { return };
         let more = match account.known.insert(from, (life, news.total)) {
             Some((before, total)) if before == life && total <= news.total => news.total - total,
@@ -290,12 +291,11 @@
     /// The part of the requests that may go to an endpoint now, from 0 to 1.
     pub fn room(&self, now: Instant, endpoint: EngineTag) -> f64 {
         let Some(account) = self.accounts.get(&endpoint) else { return 1.0 };
+        let part = self.own_part();
+        let level = account.level(now, part);
         match self.pacing {
-            Pacing::Parts | Pacing::Level => f64::from(u8::from(account.level(now, self.own_part()) >= 1.0)),
-            Pacing::Proportional => {
-                let ample = burst(account.rate * self.part) * AMPLE;
-                (account.level(now, self.part) / ample).clamp(0.0, 1.0)
-            }
+            Pacing::Parts | Pacing::Level => f64::from(u8::from(level >= 1.0)),
+            Pacing::Proportional => (level / (burst(account.rate * part) * AMPLE)).clamp(0.0, 1.0),
         }
     }
 
@@ -309,6 +309,7 @@
         self.accounts.get(&endpoint).map(|account| account.level(now, self.own_part()))
     }
 
+    /// The part of each rate that refills the accounts here.
     fn own_part(&self) -> f64 {
         match self.pacing {
             Pacing::Parts => 1.0 / self.instances as f64,
