Store: a gap that a copy has filled needs no call; hundreds that start together wait to hear their domain

Now what is missing has a revision, and is not asked for once that is known. Two tests, both without network.

--- a/crates/forward/src/catalog.rs
+++ b/crates/forward/src/catalog.rs
@@ -30,7 +30,7 @@
 use rand::Rng;
 use slog::{info, warn};
 use teaselshunt_routing::{
-    Changes, Endpoint, Era, Freshness, Holders, Listing, Passage, Pulse, RouteSet, Source, Stage,
+    Ask, Changes, Endpoint, Era, Freshness, Holders, Listing, Passage, Pulse, RouteSet, Source, Stage,
 };
 use teaselshunt_teams::Teams;
 use tokio::sync::{Notify, mpsc};
@@ -42,7 +42,6 @@
 use copies::Copied;
 pub(crate) use giving::give_copies;
 use listing::Reading;
-use sharing::Ask;
 pub(crate) use sharing::Telling;
 
 /// How long a call may take beyond its wait: the store's slowest answers that are still of use.
@@ -63,8 +62,6 @@
 /// register then, engines take seconds to change their stage, and traffic is about to begin. The others need no such
 /// haste: it cost each of them some ten calls to the store.
 const FILLING: Duration = Duration::from_secs(4);
-/// Time after the first start of the whole system in which instances hear of one another before they watch the store.
-const SETTLING: Duration = Duration::from_secs(2);
 /// Pause between two looks whether it is over.
 const SETTLE_LOOK: Duration = Duration::from_millis(200);
 /// Half of what endpoints of one heartbeat interval are apart at most.
@@ -215,7 +212,8 @@
     fn settles(&self) -> bool {
         let settings = &self.node.settings;
         let shares = settings.first && settings.peers.is_some() && !self.orders;
-        shares && self.node.now().duration_since(self.started) < SETTLING
+        let passed = self.node.now().duration_since(self.started);
+        shares && !self.source.get().is_settled(passed, self.node.peers.get())
     }
 
     fn confirmed(&self, at: Duration) {
@@ -290,7 +288,11 @@
     async fn watch(&self, revision: u64, lost: bool) -> Result<(), StoreError> {
         let source = self.source.get();
         let ask = self.ask.take();
-        if ask == Ask::Gap && self.copy(Some(revision), true).await == Copied::Whole {
+        if ask.is_filled(revision) {
+            return Ok(());
+        }
+        let gap = matches!(ask, Ask::Gap(_));
+        if gap && self.copy(Some(revision), true).await == Copied::Whole {
             return Ok(());
         }
         let wait = if lost { Duration::ZERO } else { self.usual_wait(source) };
@@ -323,7 +325,7 @@
             // Where hundreds of changes come at once the store has cut its answer off, and more wait already.
             let coalesces = (1..BULK).contains(&batch.news.len());
             // Of a gap the others hear from whoever told of what lies behind it.
-            if source != Source::Alone && ask != Ask::Gap {
+            if source != Source::Alone && !gap {
                 self.tell((revision, reached), &batch.news);
             }
             self.apply(batch);
--- a/crates/forward/src/catalog/sharing.rs
+++ b/crates/forward/src/catalog/sharing.rs
@@ -8,7 +8,7 @@
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 use slog::{debug, info, warn};
-use teaselshunt_routing::{Era, Passage, Source, Word};
+use teaselshunt_routing::{Ask, Era, Passage, Source, Word};
 
 use super::{Catalog, RETURN};
 use crate::protocol::{Batch, News};
@@ -39,18 +39,6 @@
     news: Option<Vec<u8>>,
 }
 
-/// Whether an instance that goes by its peers must ask the store itself.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub(super) enum Ask {
-    /// Not before what it knows gets too old.
-    #[default]
-    No,
-    /// Nobody has confirmed for long what is known.
-    Due,
-    /// Something between what is known and a telling is missing.
-    Gap,
-}
-
 impl Catalog {
     /// Peers of the same failure domain are those that `near` gives. Called several times a second.
     pub(crate) fn peers_are(&self, own: SocketAddr, near: &HashSet<SocketAddr>) {
@@ -91,7 +79,7 @@
         let Telling { era, after, revision, age, lapses, news } = telling;
         match self.era.get().judge(Era::told(era)) {
             Passage::Same => {}
-            Passage::Newer => return self.ask(),
+            Passage::Newer => return self.ask(u64::MAX),
             Passage::Older => return,
         }
         self.holders.borrow_mut().told(from, Era::told(era), Some(revision));
@@ -99,7 +87,7 @@
             Ok(news) => news,
             Err(error) => {
                 warn!(self.node.log, "unreadable telling"; "revision" => revision, "error" => %error);
-                return self.ask();
+                return self.ask(revision);
             }
         };
         self.take_routes(news.as_mut());
@@ -113,7 +101,7 @@
                 self.revision.set(Some(revision));
                 self.apply(Batch { news: news.unwrap_or_default(), revision, more: None });
             }
-            Word::Gap => return self.ask(),
+            Word::Gap => return self.ask(revision),
         }
         self.confirmed_by_peer(self.node.clock.uptime(), millis(age));
     }
@@ -155,9 +143,9 @@
         }
     }
 
-    /// The store must be asked for what is missing here.
-    fn ask(&self) {
-        self.ask.set(Ask::Gap);
+    /// Something up to a revision is missing here, which a peer or the store must be asked for.
+    fn ask(&self, revision: u64) {
+        self.ask.set(self.ask.get().missing(revision));
         self.woken.notify_one();
     }
 
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -38,7 +38,7 @@
 pub use holders::{Holders, Search, Supply};
 pub use ledger::{EngineTag, Ledger, tag};
 pub use memory::{Full, Held, Memory};
-pub use news::{Era, Freshness, Passage, Pulse, Source, Word};
+pub use news::{Ask, Era, Freshness, Passage, Pulse, Source, Word};
 pub use outputs::Outputs;
 pub use pace::Pace;
 pub use patience::{Looks, Patience, way_back};
--- a/crates/routing/src/news.rs
+++ b/crates/routing/src/news.rs
@@ -23,6 +23,12 @@
 /// Peers of the same domain from which on not everybody reads. With fewer, two that read often make as many calls as all
 /// that read seldom.
 const SHARING: usize = 6;
+/// Time after the first start of the whole system in which instances hear of one another before they watch the store.
+const SETTLING: Duration = Duration::from_secs(2);
+/// The same at most, where an instance has not heard the others of its domain by then.
+const SETTLING_MAX: Duration = Duration::from_secs(5);
+/// Peers of all domains from which on some of the own domain are sure to come.
+const MANY: usize = 4 * SHARING;
 /// Part of the shortest bound after which what is known must be confirmed again. The rest is for the call to the store
 /// itself, which may be slow, and for its repetition.
 const LIMIT_PART: f64 = 0.65;
@@ -56,6 +62,16 @@
         }
     }
 
+    /// Whether an instance that started so long ago, with the whole system, knows by now whether it is a reader; `peers` is how
+    /// many it knows, in any domain.
+    ///
+    /// Hundreds that start together hear of one another through a few of them, which takes seconds. Where few are known there
+    /// are few; where none is, or many of other domains are, those of its own are still to come.
+    pub fn is_settled(self, passed: Duration, peers: usize) -> bool {
+        let few = (1..MANY).contains(&peers);
+        passed >= SETTLING && (self != Self::Alone || few || passed >= SETTLING_MAX)
+    }
+
     /// Name for logs.
     pub const fn text(self) -> &'static str {
         match self {
@@ -134,6 +150,35 @@
     }
 }
 
+/// Whether an instance that goes by its peers must ask for something itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Ask {
+    /// It need not.
+    #[default]
+    No,
+    /// What is known was not confirmed for as long as it may go unconfirmed.
+    Due,
+    /// Something up to this revision is missing.
+    Gap(u64),
+}
+
+impl Ask {
+    /// Something up to a revision is missing, after what is missing already.
+    #[must_use]
+    pub fn missing(self, revision: u64) -> Self {
+        match self {
+            Self::Gap(before) => Self::Gap(before.max(revision)),
+            Self::No | Self::Due => Self::Gap(revision),
+        }
+    }
+
+    /// Whether what was missing is known by now. A copy may have been given while the next telling came, of which the copy
+    /// holds everything already.
+    pub const fn is_filled(self, known: u64) -> bool {
+        matches!(self, Self::Gap(revision) if known >= revision)
+    }
+}
+
 /// When the store last confirmed what is known. Times are since the start of the machine, suspension included.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Freshness {
--- a/crates/routing/tests/all/news.rs
+++ b/crates/routing/tests/all/news.rs
@@ -9,7 +9,7 @@
 use rand::rngs::SmallRng;
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
-use teaselshunt_routing::{Freshness, Pulse, Source, Word};
+use teaselshunt_routing::{Ask, Freshness, Pulse, Source, Word};
 
 const BOUND: Duration = Duration::from_secs(4);
 
@@ -121,3 +121,28 @@
     assert_eq!(freshness.absence(start + Duration::from_secs(1)), Duration::from_secs(1));
     assert_eq!(freshness.absence(start + Duration::from_secs(9)), Duration::ZERO, "the store was away");
 }
+
+/// Hundreds of entries change at once, more than a telling holds, and a copy of all of them is on its way when the next telling
+/// comes, of changes that the copy has already. Everybody asked the store for what was known.
+#[test]
+fn a_gap_that_a_copy_has_filled_needs_no_call() {
+    let ask = Ask::default().missing(6_757).missing(7_043);
+    assert!(!ask.is_filled(6_757));
+    assert!(ask.is_filled(7_043));
+    assert!(!Ask::Due.is_filled(7_043), "what was not confirmed for long is asked for all the same");
+    assert!(!Ask::default().missing(u64::MAX).is_filled(7_043), "revisions of another era say nothing");
+}
+
+/// Hundreds of instances start together. One that has heard nobody after two seconds, or only some of other domains, does not
+/// know yet that others read the store for it, and made up to ten calls of its own. Where few are heard there are few.
+#[test]
+fn an_instance_among_hundreds_waits_to_hear_its_domain() {
+    let seconds = Duration::from_secs;
+    assert!(!Source::Peers.is_settled(seconds(1), 300));
+    assert!(Source::Peers.is_settled(seconds(2), 300));
+    assert!(Source::Reader.is_settled(seconds(2), 12));
+    assert!(Source::Alone.is_settled(seconds(2), 8), "nine instances have nobody to wait for");
+    assert!(!Source::Alone.is_settled(seconds(4), 0));
+    assert!(!Source::Alone.is_settled(seconds(4), 80));
+    assert!(Source::Alone.is_settled(seconds(5), 0), "nobody waits for ever");
+}
