--- a/crates/bench/src/rates.rs
+++ b/crates/bench/src/rates.rs
@@ -422,7 +422,9 @@
         while node.due >= 1.0 {
             node.due -= 1.0;
             self.outcome.asked += f64::from(u8::from(in_force));
-            let Some(key) = node.endpoints.choose(now, need(), &mut self.rng) else { continue };
+            let Some(key) = node.endpoints.choose(now, Need::of(SERVICE, "all"), &mut self.rng) else {
+                continue;
+            };
             let endpoint = node.keys.iter().position(|&k| k == key).expect("it is listed");
             node.endpoints.begin(now, key, 0);
             node.endpoints.rates().take(now, self.tags[endpoint]);
@@ -479,20 +481,6 @@
     }
 }
 
-fn need() -> Need<'static> {
-    Need {
-        service: SERVICE,
-        stage: None,
-        domain: "all",
-        tried: &[],
-        tokens: 0,
-        limit: None,
-        spare: 0,
-        reads: false,
-        hedge: false,
-    }
-}
-
 /// Whether a mishap hits an instance.
 fn is_hit(what: Mishap, number: usize, domain: u8) -> bool {
     match what {
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -285,18 +285,7 @@
 
     /// A need of an instance here that has no wishes yet.
     pub(crate) fn need<'a>(&'a self, service: &'a str) -> Need<'a> {
-        let domain = &self.settings.domain;
-        Need {
-            service,
-            stage: None,
-            domain,
-            tried: &[],
-            tokens: 0,
-            limit: None,
-            spare: 0,
-            reads: false,
-            hedge: false,
-        }
+        Need::of(service, &self.settings.domain)
     }
 
     /// Chooses the engine that reads a prompt of so many tokens.
--- a/crates/routing/src/endpoints.rs
+++ b/crates/routing/src/endpoints.rs
@@ -7,7 +7,8 @@
 //! Invariant: an endpoint that the list calls leaving or gone is never chosen, but for one exception that has a
 //! time limit ([`Endpoints::doubt`]).
 
-use std::cell::RefCell;
+mod limited;
+
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -16,6 +17,7 @@
 use rand::Rng;
 use slotmap::SlotMap;
 
+use self::limited::{Pressure, Sample};
 use crate::belief::Belief;
 use crate::departed::Departed;
 use crate::{Endpoint, EndpointKey, EndpointState, EngineTag, Ledger, Rates, Stage, Verdict};
@@ -120,45 +122,26 @@
     pub hedge: bool,
 }
 
-/// Endpoints with a rate that a choice looks at. If all looked at all of them, each that has room would get what all callers
-/// ask in the time of a telling.
-const LIMITED_TRIES: usize = 2;
-
-/// How much more of the requests tries endpoints with rates than was found to have room there lately. What callers ask beyond
-/// that is refused without a look, so that the pressure on an endpoint that has room does not grow with what they ask.
-const SURPLUS: f64 = 1.5;
-/// Part of the requests that tries them at least.
-const TRYING_MIN: f64 = 0.05;
-/// Weight of one choice in the share of those that found room.
-const FOUND_WEIGHT: f64 = 0.06;
-
-/// Service and stage of a choice.
-type Kind = (Arc<str>, Option<Stage>);
-
-/// What a candidate is compared by: whether it is only for want of a better one, and its cost.
-type Rank = (bool, f64);
-
-/// Some of the endpoints with a rate that a choice meets, drawn with the same chance for each.
-#[derive(Debug, Default)]
-struct Sample {
-    met: usize,
-    drawn: Vec<(Rank, EndpointKey)>,
-}
-
-impl Sample {
-    fn offer(&mut self, rank: Rank, key: EndpointKey, rng: &mut impl Rng) {
-        self.met += 1;
-        if self.drawn.len() < LIMITED_TRIES {
-            self.drawn.push((rank, key));
-            return;
-        }
-        let place = rng.random_range(0..self.met);
-        if let Some(drawn) = self.drawn.get_mut(place) {
-            *drawn = (rank, key);
+impl<'a> Need<'a> {
+    /// Of an instance in a failure domain that has no wishes yet.
+    pub const fn of(service: &'a str, domain: &'a str) -> Self {
+        Self {
+            service,
+            stage: None,
+            domain,
+            tried: &[],
+            tokens: 0,
+            limit: None,
+            spare: 0,
+            reads: false,
+            hedge: false,
         }
     }
 }
 
+/// What a candidate is compared by: whether it is only for want of a better one, and its cost.
+type Rank = (bool, f64);
+
 /// What an entry of the list says beside what was known.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Listing {
@@ -189,8 +172,7 @@
     uncertain: Option<Instant>,
     ledger: Ledger<SocketAddr>,
     rates: Rates<SocketAddr>,
-    /// Share of the choices that found room, by service and stage, among those that met no endpoint without a rate.
-    found: RefCell<HashMap<Kind, f64>>,
+    pressure: Pressure,
 }
 
 impl Endpoints {
@@ -511,7 +493,7 @@
     /// Forgets what endpoints said of their rates that are not listed and silent.
     pub fn expire_rates(&mut self, now: Instant) {
         if self.rates.is_empty() {
-            self.found.get_mut().clear();
+            self.pressure.clear();
             return;
         }
         let listed: HashSet<EngineTag> = self.arena.values().map(|entry| entry.tag).collect();
@@ -560,7 +542,7 @@
                 best = Some((rank, key));
             }
         }
-        if limited.met > 0 {
+        if !limited.is_empty() {
             best = self.choose_limited(now, need, best, limited, rng);
         }
         let (rank, key) = best?;
@@ -578,11 +560,8 @@
         rng: &mut impl Rng,
     ) -> Option<(Rank, EndpointKey)> {
         let alone = best.is_none();
-        let kind = (Arc::from(need.service), need.stage);
-        let mut shares = self.found.borrow_mut();
-        let share = shares.get(&kind).copied().unwrap_or(1.0);
-        if !alone || rng.random_bool((share * SURPLUS).clamp(TRYING_MIN, 1.0)) {
-            for (rank, key) in limited.drawn {
+        if !alone || self.pressure.tries(need.service, need.stage, rng) {
+            for (rank, key) in limited.drawn() {
                 let better = best.is_none_or(|(least, _)| rank < least);
                 if better && rng.random_bool(self.rates.room(now, self.arena[key].tag)) {
                     best = Some((rank, key));
@@ -590,8 +569,7 @@
             }
         }
         if alone {
-            let found = f64::from(u8::from(best.is_some()));
-            shares.insert(kind, share + (found - share) * FOUND_WEIGHT);
+            self.pressure.learn(need.service, need.stage, best.is_some());
         }
         best
     }
--- a/crates/routing/tests/all/rates.rs
+++ b/crates/routing/tests/all/rates.rs
@@ -133,17 +133,7 @@
     }
 }
 
-const NEED: Need<'static> = Need {
-    service: "desk",
-    stage: None,
-    domain: "north",
-    tried: &[],
-    tokens: 0,
-    limit: None,
-    spare: 0,
-    reads: false,
-    hedge: false,
-};
+const NEED: Need<'static> = Need::of("desk", "north");
 
 /// Two endpoints, of which the first names a rate that is used up.
 fn one_used_up(now: Instant) -> Endpoints {
