--- a/crates/bench/src/quotas.rs
+++ b/crates/bench/src/quotas.rs
@@ -64,6 +64,22 @@
     pub length: u32,
 }
 
+impl Trouble {
+    /// Up to three at random, in a deployment of so many failure domains.
+    pub(crate) fn series(g: &mut Gen, domains: u8) -> Vec<Self> {
+        let trouble = |g: &mut Gen| {
+            let eighths = u8::arbitrary(g) % 8 + 1;
+            let what = match u8::arbitrary(g) % 4 {
+                0 | 1 => Mishap::Cut { domain: u8::arbitrary(g) % domains },
+                2 => Mishap::Kill { eighths },
+                _ => Mishap::Freeze { eighths },
+            };
+            Self { what, at: u32::arbitrary(g) % 12_000, length: 500 + u32::arbitrary(g) % 8_000 }
+        };
+        (0..u8::arbitrary(g) % 4).map(|_| trouble(g)).collect()
+    }
+}
+
 /// A random run.
 #[derive(Debug, Clone, Serialize)]
 pub struct QuotaPlan {
@@ -104,16 +120,7 @@
 impl Arbitrary for QuotaPlan {
     fn arbitrary(g: &mut Gen) -> Self {
         let domains = (0..u8::arbitrary(g) % 3 + 2).map(|_| u8::arbitrary(g) % 8 + 1).collect::<Vec<_>>();
-        let trouble = |g: &mut Gen| {
-            let eighths = u8::arbitrary(g) % 8 + 1;
-            let what = match u8::arbitrary(g) % 4 {
-                0 | 1 => Mishap::Cut { domain: u8::arbitrary(g) % domains.len() as u8 },
-                2 => Mishap::Kill { eighths },
-                _ => Mishap::Freeze { eighths },
-            };
-            Trouble { what, at: u32::arbitrary(g) % 12_000, length: 500 + u32::arbitrary(g) % 8_000 }
-        };
-        let troubles = (0..u8::arbitrary(g) % 4).map(|_| trouble(g)).collect();
+        let troubles = Trouble::series(g, domains.len() as u8);
         Self {
             seed: u64::arbitrary(g),
             demand: [5, 9, 20, 50, 90][usize::arbitrary(g) % 5],
--- a/crates/bench/src/rates.rs
+++ b/crates/bench/src/rates.rs
@@ -104,16 +104,7 @@
         let largest = [4, 4, 8, 8, 20, 100][usize::arbitrary(g) % 6];
         let count = usize::arbitrary(g) % 3 + 2;
         let domains: Vec<_> = (0..count).map(|_| u16::arbitrary(g) % largest + 1).collect();
-        let trouble = |g: &mut Gen| {
-            let eighths = u8::arbitrary(g) % 8 + 1;
-            let what = match u8::arbitrary(g) % 4 {
-                0 | 1 => Mishap::Cut { domain: u8::arbitrary(g) % domains.len() as u8 },
-                2 => Mishap::Kill { eighths },
-                _ => Mishap::Freeze { eighths },
-            };
-            Trouble { what, at: u32::arbitrary(g) % 12_000, length: 500 + u32::arbitrary(g) % 8_000 }
-        };
-        let troubles = (0..u8::arbitrary(g) % 4).map(|_| trouble(g)).collect();
+        let troubles = Trouble::series(g, domains.len() as u8);
         Self {
             seed: u64::arbitrary(g),
             endpoints: [1, 2, 4, 6, 20][usize::arbitrary(g) % 5],
