Forward: reads and logs what endpoints state of leaving and retry delays

All responses of endpoints (runs, prefills, reservations, orders) are now read in one place, and a line and a counter say what an endpoint states newly. No decision reads it yet. The stand-in endpoint can state both.

--- a/crates/forward/src/calls.rs
+++ b/crates/forward/src/calls.rs
@@ -14,6 +14,9 @@
 
 /// Releases a resource at an engine, in the background. If the call fails, the engine's own time limit
 /// releases it.
+///
+/// What the response states about its endpoint is not applied: the call names no incarnation, so that a later
+/// one at the same address may respond.
 pub(crate) fn release_in_background(node: &Rc<Node>, address: SocketAddr, call: Call) {
     let node = Rc::clone(node);
     tokio::task::spawn_local(async move {
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -4,7 +4,7 @@
 //! The modules form layers, from the top: `supervisor` starts `listeners`, `catalog` (the contents of the
 //! platform's store) and `orders`; the first two accept connections through `accept`. `listeners` hands
 //! requests to `requests`, which calls `plain` or `generate` (with `reservations`). Both use `rates` (rate
-//! limits that endpoints advertise), `stream`, `body` with `buffering` (bytes that slow callers have not
+//! limits that endpoints advertise), `statements` (what endpoints state about themselves), `stream`, `body` with `buffering` (bytes that slow callers have not
 //! read), `node` (state, one step at an endpoint) and `connection_pool`. Decisions without input or output
 //! are in the crate `teaselshunt-routing`.
 //!
@@ -44,12 +44,13 @@
 mod requests;
 mod reservations;
 mod settings;
+mod statements;
 mod stream;
 mod supervisor;
 mod trace;
 
 pub use protocol::{
-    AdvertisedRate, Batch, Call, Order, Protocol, Purpose, RequestMeta, ResponseMeta, StoreChange,
+    Batch, Call, Order, Protocol, Purpose, RequestMeta, ResponseMeta, Stated, Statements, StoreChange,
 };
 pub use settings::Settings;
 pub use supervisor::{StartError, run};
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -27,6 +27,8 @@
     pub(crate) buffered_bytes: IntGauge,
     pub(crate) limited_endpoints: IntGauge,
     pub(crate) limit_refusals: IntCounterVec,
+    pub(crate) cooling_endpoints: IntGauge,
+    pub(crate) statements: IntCounterVec,
     team_requests: IntCounterVec,
     /// Teams that have a label of their own.
     labelled_teams: RefCell<HashSet<String>>,
@@ -82,6 +84,15 @@
                 "Requests refused because all endpoints name rates.",
                 &["service"],
             )?,
+            cooling_endpoints: gauge(
+                "cooling_endpoints",
+                "Endpoints that asked for no requests for a time.",
+            )?,
+            statements: counter(
+                "statements_total",
+                "Changes that endpoints stated about themselves, by who was told.",
+                &["statement", "source"],
+            )?,
             team_requests: counter(
                 "team_requests_total",
                 "Requests of teams by how they ended.",
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -31,9 +31,9 @@
 use crate::connection_pool::{Connection, ConnectionPool, ExchangeFailure};
 use crate::crashes::{AbandonedRuns, Loss};
 use crate::metrics::Metrics;
-use crate::protocol::{Call, Protocol, Purpose, RequestMeta, ResponseMeta};
-use crate::rates;
+use crate::protocol::{Call, Protocol, Purpose, RequestMeta};
 use crate::settings::Settings;
+use crate::statements;
 
 /// Progress of a graceful shutdown.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -99,8 +99,8 @@
     pub(crate) losses: RefCell<HashMap<EndpointKey, Vec<Loss>>>,
     /// Runs whose callers disconnected recently.
     pub(crate) abandoned: RefCell<AbandonedRuns>,
-    /// When an invalid rate limit was last logged.
-    pub(crate) rate_warned: Cell<Option<Instant>>,
+    /// When an invalid statement of an endpoint was last logged.
+    pub(crate) statement_warned: Cell<Option<Instant>>,
 }
 
 /// A caller's request with everything that its steps need.
@@ -463,20 +463,19 @@
     /// reveals this; such a connection is not reused.
     fn check_response(&self, job: &Job, answer: Answer, purpose: Purpose<'_>) -> Result<Answer, StepFailure> {
         let response = &answer.response;
-        let ResponseMeta { id, signed, refused, misdirected, endpoint: answering, rate } =
-            self.protocol.read_response(response.status(), response.headers());
-        if !id.is_empty() && id != job.meta.id {
+        let meta = self.protocol.read_response(response.status(), response.headers());
+        if !meta.id.is_empty() && meta.id != job.meta.id {
             return Err(StepFailure::Broken);
         }
-        if misdirected {
-            self.mark_replaced(answer.endpoint, &answering);
+        statements::observe(self, answer.endpoint, &meta);
+        if meta.misdirected {
+            self.mark_replaced(answer.endpoint, &meta.endpoint);
             return Err(StepFailure::Misdirected);
         }
-        rates::observe_response(self, answer.endpoint, rate);
-        if refused {
+        if meta.refused {
             return Err(StepFailure::Refused);
         }
-        let genuine = signed || matches!(purpose, Purpose::Prefill);
+        let genuine = meta.signed || matches!(purpose, Purpose::Prefill);
         if !genuine || response.headers().contains_key(CONTENT_ENCODING) {
             return Err(StepFailure::Broken);
         }
@@ -494,6 +493,20 @@
         info!(self.log, "endpoint"; "endpoint" => &*id, "state" => "replaced", "by" => answering);
     }
 
+    /// Makes a small call to an endpoint, reads the complete response, and applies what the endpoint states
+    /// about itself.
+    pub(crate) async fn call_endpoint(
+        &self,
+        key: EndpointKey,
+        address: SocketAddr,
+        call: Call,
+        until: Instant,
+    ) -> Result<(StatusCode, Bytes), ExchangeFailure> {
+        let (head, body) = self.call_with_head(address, call, until).await?;
+        statements::observe(self, key, &self.protocol.read_response(head.status, &head.headers));
+        Ok((head.status, body))
+    }
+
     /// Makes a small call and reads the complete response.
     pub(crate) async fn call(
         &self,
--- a/crates/forward/src/orders.rs
+++ b/crates/forward/src/orders.rs
@@ -96,15 +96,16 @@
 }
 
 async fn send_order(node: &Node, change: &StageChange, fencing_number: u64) {
-    let address = {
+    let (key, address) = {
         let state = node.state.borrow();
-        let Some(endpoint) = state.endpoints.by_id(&change.id) else { return };
-        endpoint.address
+        let Some(key) = state.endpoints.key_of(&change.id) else { return };
+        let Some(endpoint) = state.endpoints.get(key) else { return };
+        (key, endpoint.address)
     };
     let instance = &node.settings.instance;
     let call =
         node.protocol.order(Order { endpoint_id: &change.id, stage: change.stage, instance, fencing_number });
-    let result = node.call(address, call, node.now() + ORDER_TIMEOUT).await;
+    let result = node.call_endpoint(key, address, call, node.now() + ORDER_TIMEOUT).await;
     let outcome = match result {
         Ok((StatusCode::ACCEPTED | StatusCode::OK, _)) => "accepted",
         Ok(_) => "refused",
--- a/crates/forward/src/protocol.rs
+++ b/crates/forward/src/protocol.rs
@@ -55,18 +55,28 @@
     },
 }
 
-/// Rate limit in a response: the requests per second that the endpoint accepts from all instances together.
-#[derive(Debug, Clone, Copy, PartialEq, Default)]
-pub enum AdvertisedRate {
-    /// The endpoint currently advertises no limit.
+/// A value that an endpoint may state about itself in a response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Stated<T> {
+    /// The response does not state it.
     #[default]
-    None,
-    /// Most requests per second; not negative.
-    Limit(f64),
-    /// The value is not a rate.
+    Absent,
+    /// The stated value.
+    Value(T),
+    /// The response states something that is not such a value.
     Invalid,
 }
 
+impl<T> Stated<T> {
+    /// The value; `None` if it is absent or invalid.
+    pub fn value(self) -> Option<T> {
+        match self {
+            Self::Value(value) => Some(value),
+            Self::Absent | Self::Invalid => None,
+        }
+    }
+}
+
 /// Fields from the head of an endpoint's response, besides status and body.
 #[derive(Debug, Clone, Default)]
 pub struct ResponseMeta {
@@ -80,8 +90,19 @@
     pub misdirected: bool,
     /// Id of the responding endpoint; empty if the response does not name it.
     pub endpoint: String,
-    /// The rate limit that the endpoint advertises.
-    pub rate: AdvertisedRate,
+    /// What the endpoint states about itself.
+    pub statements: Statements,
+}
+
+/// What an endpoint states about itself in the head of a response.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Statements {
+    /// Whether the endpoint is shutting down.
+    pub leaving: bool,
+    /// Time for which the endpoint wants no further requests from this instance.
+    pub retry_after: Stated<Duration>,
+    /// Requests per second that the endpoint accepts from all instances together; not negative.
+    pub rate: Stated<f64>,
 }
 
 /// A small request to an endpoint or to the platform.
--- a/crates/forward/src/rates.rs
+++ b/crates/forward/src/rates.rs
@@ -1,21 +1,17 @@
-//! Rate limits that endpoints advertise: limits in responses, reports to and from peers, and refusals because
-//! of limits.
+//! Rate limits that endpoints advertise: reports to and from peers, and refusals because of limits.
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use rand::Rng;
 use serde::{Deserialize, Serialize};
-use slog::{info, warn};
+use slog::info;
 use teaselshunt_core::{ErrorKind, Refusal};
 use teaselshunt_routing::{EndpointKey, EngineTag, RateChange, RateObservation, RateReport, Stage};
 
 use crate::node::{Job, Node};
-use crate::protocol::AdvertisedRate;
 use crate::trace::Trace;
 
-/// Shortest time between two log lines about invalid rates.
-const WARNING_INTERVAL: Duration = Duration::from_secs(1);
 /// Fraction of a route's latency goal for which a request may wait until an endpoint accepts it. The rest is
 /// for the response.
 const WAIT_FRACTION: f64 = 0.4;
@@ -91,26 +87,14 @@
     }
 }
 
-/// Records the rate limit in an endpoint's response, or its absence.
-pub(crate) fn observe_response(node: &Node, key: EndpointKey, advertised: AdvertisedRate) {
-    let rate = match advertised {
-        AdvertisedRate::Limit(rate) => Some(rate),
-        AdvertisedRate::None => None,
-        AdvertisedRate::Invalid => {
-            warn_invalid(node, key);
-            None
-        }
-    };
-    let now = node.now();
-    let (tag, change) = {
-        let endpoints = &mut node.state.borrow_mut().endpoints;
-        let Some(tag) = endpoints.tag(key) else { return };
-        (tag, endpoints.rates().observe_response(now, tag, rate))
-    };
-    log_change(node, tag, change, "answer", Duration::ZERO);
-}
-
-fn log_change(node: &Node, endpoint: EngineTag, change: Option<RateChange>, source: &str, age: Duration) {
+/// Logs what changed in an endpoint's rate limit, and who observed it how long ago.
+pub(crate) fn log_change(
+    node: &Node,
+    endpoint: EngineTag,
+    change: Option<RateChange>,
+    source: &str,
+    age: Duration,
+) {
     let Some(change) = change else { return };
     let node_state = &mut *node.state.borrow_mut();
     let known = node_state.endpoints.rates().len();
@@ -124,16 +108,6 @@
         "age_ms" => age.as_millis() as u64, "limited" => known);
 }
 
-/// Logs an invalid rate; not for every response.
-fn warn_invalid(node: &Node, key: EndpointKey) {
-    let now = node.now();
-    let recent = |last: Instant| now.duration_since(last) < WARNING_INTERVAL;
-    if !node.rate_warned.get().is_some_and(recent) {
-        node.rate_warned.set(Some(now));
-        warn!(node.log, "endpoint advertises an invalid rate limit"; "endpoint" => &*node.id_for_log(key));
-    }
-}
-
 /// Chooses an endpoint of a plain service. If all endpoints are rate-limited and none accepts the request
 /// now, this waits for a short time, as long as waiting can help and the response can still be on time.
 pub(crate) async fn choose(node: &Node, job: &Job, tried: &[EndpointKey]) -> Option<EndpointKey> {
--- a/crates/forward/src/reservations.rs
+++ b/crates/forward/src/reservations.rs
@@ -183,13 +183,7 @@
 ) -> Result<String, (StepOutcome, &'static str)> {
     let ttl = job.service.engine.map_or(CALL_TIMEOUT, |e| e.hold);
     let until = (node.now() + CALL_TIMEOUT).min(job.deadline);
-    let answer = node.call_with_head(address, node.protocol.reserve(id, tokens, ttl), until).await;
-    let answer = answer.map(|(head, body)| {
-        if head.status != StatusCode::MISDIRECTED_REQUEST {
-            rates::observe_response(node, key, node.protocol.read_response(head.status, &head.headers).rate);
-        }
-        (head.status, body)
-    });
+    let answer = node.call_endpoint(key, address, node.protocol.reserve(id, tokens, ttl), until).await;
     let reservation_id = match &answer {
         Ok((StatusCode::OK, body)) => node.protocol.read_reservation(body),
         Ok(_) | Err(_) => None,
--- /dev/null
+++ b/crates/forward/src/statements.rs
@@ -0,0 +1,57 @@
+//! Applies and logs what endpoints state about themselves in responses. All responses of endpoints are read
+//! here, whatever they respond to.
+
+use std::time::{Duration, Instant};
+
+use slog::{info, warn};
+use teaselshunt_routing::{EndpointKey, Statement};
+
+use crate::node::Node;
+use crate::protocol::{ResponseMeta, Stated, Statements};
+use crate::rates;
+
+/// Shortest time between two log lines about invalid statements.
+const WARNING_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Applies what an endpoint states about itself in a response. A response of another endpoint, at the address
+/// where this one was expected, is not about this one.
+pub(crate) fn observe(node: &Node, key: EndpointKey, response: &ResponseMeta) {
+    if response.misdirected {
+        return;
+    }
+    let Statements { leaving, retry_after, rate } = response.statements;
+    if rate == Stated::Invalid {
+        warn_invalid(node, key, "endpoint advertises an invalid rate limit");
+    }
+    if retry_after == Stated::Invalid {
+        warn_invalid(node, key, "endpoint states an invalid retry delay");
+    }
+    let statement = Statement { leaving, cooldown: retry_after.value(), rate: rate.value() };
+    let changes = node.state.borrow_mut().endpoints.observe_statement(node.now(), key, statement);
+    let Some(changes) = changes else { return };
+    if changes.leaves {
+        log_leaving(node, &node.id_for_log(key), "answer");
+    }
+    if let Some(delay) = changes.cooldown {
+        node.metrics.statements.with_label_values(&["cooldown", "answer"]).inc();
+        info!(node.log, "endpoint"; "endpoint" => &*node.id_for_log(key), "state" => "cooldown",
+            "for_s" => delay.as_secs_f64(), "source" => "answer");
+    }
+    rates::log_change(node, changes.endpoint, changes.rate, "answer", Duration::ZERO);
+}
+
+/// Logs that an endpoint is known to leave, and from whom.
+fn log_leaving(node: &Node, id: &str, source: &str) {
+    node.metrics.statements.with_label_values(&["leaving", source]).inc();
+    info!(node.log, "endpoint"; "endpoint" => id, "state" => "leaving", "source" => source);
+}
+
+/// Logs an invalid statement; not for every response.
+fn warn_invalid(node: &Node, key: EndpointKey, message: &str) {
+    let now = node.now();
+    let recent = |last: Instant| now.duration_since(last) < WARNING_INTERVAL;
+    if !node.statement_warned.get().is_some_and(recent) {
+        node.statement_warned.set(Some(now));
+        warn!(node.log, "{}", message; "endpoint" => &*node.id_for_log(key));
+    }
+}
--- a/crates/forward/src/supervisor.rs
+++ b/crates/forward/src/supervisor.rs
@@ -120,7 +120,7 @@
         connections: Cell::new(0),
         losses: RefCell::default(),
         abandoned: RefCell::default(),
-        rate_warned: Cell::new(None),
+        statement_warned: Cell::new(None),
         settings,
     });
     info!(node.log, "started"; "callers" => %node.settings.callers_address, "store" => %node.settings.store_address,
@@ -171,6 +171,11 @@
         node.state.borrow_mut().quarantine.expire(node.now());
         node.state.borrow_mut().quotas.tick(node.clock.uptime());
         node.state.borrow_mut().endpoints.expire_rates(node.now());
+        for id in node.state.borrow_mut().endpoints.expire_cooldowns(node.now()) {
+            info!(node.log, "endpoint"; "endpoint" => &*id, "state" => "cooldown_ended");
+        }
+        let cooling = node.state.borrow().endpoints.cooling_count(node.now());
+        node.metrics.cooling_endpoints.set(cooling as i64);
         node.metrics.limited_endpoints.set(node.state.borrow_mut().endpoints.rates().len() as i64);
         let removed = node.state.borrow_mut().endpoints.remove_unconfirmed(node.now());
         for id in removed {
--- a/crates/routing/src/endpoints.rs
+++ b/crates/routing/src/endpoints.rs
@@ -9,6 +9,7 @@
 //! exception that has a time limit ([`Endpoints::mark_unconfirmed`]).
 
 mod limited;
+mod statements;
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -19,6 +20,8 @@
 use slotmap::SlotMap;
 
 use self::limited::{FoundFraction, Sample};
+pub use self::statements::{Statement, StatementChanges};
+use crate::cooldown::Cooldown;
 use crate::health_estimate::HealthEstimate;
 use crate::removed::Removed;
 use crate::{Endpoint, EndpointKey, EndpointState, EngineTag, Ledger, Rates, Stage, StepOutcome};
@@ -52,6 +55,10 @@
     /// Local prefills that a decode engine runs for this instance now.
     local_prefills: u32,
     health: HealthEstimate,
+    /// Time for which it wants no requests from this instance.
+    cooldown: Cooldown,
+    /// Whether it stated itself that it leaves, and the list doesn't show that yet.
+    announced: bool,
     /// The endpoint that was listed at the same address after this one.
     successor: Option<EndpointKey>,
     /// Until when an unconfirmed endpoint stays in use.
@@ -71,6 +78,8 @@
             tokens: 0,
             local_prefills: 0,
             health: HealthEstimate::default(),
+            cooldown: Cooldown::default(),
+            announced: false,
             successor: None,
             unconfirmed_until: None,
             invalid: false,
@@ -84,6 +93,15 @@
         ready && !stale && self.unconfirmed_until.is_none_or(|until| now < until)
     }
 
+    /// Records that the endpoint stated itself that it leaves. Returns whether that was not known.
+    fn announce_leaving(&mut self) -> bool {
+        if self.announced || self.endpoint.state == EndpointState::Leaving {
+            return false;
+        }
+        self.announced = true;
+        true
+    }
+
     /// Whether the list confirms the endpoint: its last entry is its own, and was not removed.
     const fn is_confirmed(&self) -> bool {
         !self.invalid && self.unconfirmed_until.is_none()
@@ -407,20 +425,6 @@
         }
     }
 
-    /// Charges a request that is about to be sent to the endpoint's rate.
-    pub fn charge_rate(&mut self, now: Instant, key: EndpointKey) {
-        if let Some(tag) = self.tag(key) {
-            self.rates.charge(now, tag);
-        }
-    }
-
-    /// Refunds a request that was charged and has not reached the endpoint.
-    pub fn refund_rate(&mut self, now: Instant, key: EndpointKey) {
-        if let Some(tag) = self.tag(key) {
-            self.rates.refund(now, tag);
-        }
-    }
-
     /// Records that a decode engine begins a local prefill.
     pub fn begin_local_prefill(&mut self, key: EndpointKey) {
         if let Some(entry) = self.arena.get_mut(key) {
@@ -491,34 +495,6 @@
         &mut self.ledger
     }
 
-    /// Sum of the rates of the endpoints of a service and stage that take new work, if all of them advertise
-    /// one. `None` if some advertise none, or there are no such endpoints.
-    pub fn total_rate(&self, now: Instant, service: &str, stage: Option<Stage>) -> Option<f64> {
-        if self.rates.is_empty() {
-            return None;
-        }
-        let keys = self.services.get(service)?;
-        let entries = keys.iter().map(|&key| &self.arena[key]);
-        let mut open = entries.filter(|e| e.is_open(now) && e.endpoint.stage == stage).peekable();
-        open.peek()?;
-        open.map(|entry| self.rates.rate(entry.tag)).sum()
-    }
-
-    /// Removes the rates of endpoints that are not listed and for which no rate was observed for long.
-    pub fn expire_rates(&mut self, now: Instant) {
-        if self.rates.is_empty() {
-            self.found_fraction.clear();
-            return;
-        }
-        let listed: HashSet<EngineTag> = self.arena.values().map(|entry| entry.tag).collect();
-        self.rates.expire(now, |tag| listed.contains(&tag));
-    }
-
-    /// Rates that endpoints advertise.
-    pub fn rates(&mut self) -> &mut Rates<SocketAddr> {
-        &mut self.rates
-    }
-
     /// Chooses the endpoint with the lowest expected time to respond; paused ones only where there is no
     /// other.
     pub fn choose(&self, now: Instant, need: Need<'_>, rng: &mut impl Rng) -> Option<EndpointKey> {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -4,7 +4,8 @@
 //!
 //! - `routes` is one configuration version.
 //! - `endpoints` keeps every `endpoint` with the `health_estimate` that its results have left, and chooses
-//!   among them; `removed` remembers incarnations of endpoints that are no longer listed.
+//!   among them; `removed` remembers incarnations of endpoints that are no longer listed, and `cooldown` is
+//!   the time for which an endpoint wants no requests.
 //! - `ledger` is the work that other instances have in flight.
 //! - `rates` keeps the sends of the instances within the rates that endpoints advertise, and `refusals`
 //!   counts the requests that are refused because of them.
@@ -21,6 +22,7 @@
 
 mod budget;
 mod changes;
+mod cooldown;
 mod endpoint;
 mod endpoints;
 mod health_estimate;
@@ -43,7 +45,7 @@
 pub use budget::{BudgetTerms, Budgets};
 pub use changes::RecentChanges;
 pub use endpoint::{Endpoint, EndpointKey, EndpointState, Incarnation, Stage, StepOutcome};
-pub use endpoints::{Endpoints, Need, UpsertOutcome};
+pub use endpoints::{Endpoints, Need, Statement, StatementChanges, UpsertOutcome};
 pub use ledger::{EngineTag, Ledger, tag};
 pub use memory::{BodyKind, BodyMemory, MemoryFull};
 pub use output_estimate::OutputEstimate;
--- a/crates/standin/src/site/endpoint.rs
+++ b/crates/standin/src/site/endpoint.rs
@@ -47,6 +47,8 @@
     None,
     /// Refuses requests with 503 and `Not-Executed`.
     Refuse,
+    /// Refuses reservations too.
+    RefuseAll,
     /// Accepts requests and never responds.
     Hang,
     /// Runs requests and closes the connection without a response.
@@ -94,10 +96,30 @@
     address_released: bool,
     /// The `Server-Limit` of the endpoint's responses.
     advertised_limit: Option<String>,
-    /// When each request arrived, whether the request ran or not.
-    arrivals: Vec<Instant>,
+    /// Whether the endpoint's responses state that it leaves.
+    leaving: bool,
+    /// The `Retry-After` of the endpoint's refusals.
+    retry_after: Option<String>,
+    /// Whether all responses have the `Retry-After`, and not only refusals.
+    retry_after_always: bool,
+    arrivals: Vec<SiteArrival>,
 }
 
+/// A request that reached an endpoint, whether the request ran or not. Reservations and orders are included.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SiteArrival {
+    /// The caller's request id; empty for a call that is no request of a caller.
+    pub request_id: String,
+    /// Path and query.
+    pub path: String,
+    /// When the request arrived.
+    pub at: Instant,
+}
+
+/// Headers by which an endpoint states something about itself in its responses, besides those of a response to one
+/// request.
+pub const STATEMENT_HEADERS: [&str; 3] = ["server-limit", "server-leaving", "retry-after"];
+
 /// A running endpoint; dropping it stops the endpoint.
 #[derive(Debug)]
 pub struct SiteEndpoint {
@@ -187,8 +209,35 @@
         self.lock().advertised_limit = limit.map(str::to_owned);
     }
 
-    /// When each request arrived, whether the request ran or not.
+    /// Sets whether all further responses state that the endpoint leaves.
+    pub fn announce_leaving(&self, leaving: bool) {
+        self.lock().leaving = leaving;
+    }
+
+    /// Sets the `Retry-After` of further refusals, or removes the header. The delay is a text, since tests send some
+    /// that are not numbers.
+    pub fn set_retry_after(&self, delay: Option<&str>) {
+        self.lock().retry_after = delay.map(str::to_owned);
+    }
+
+    /// Sets whether all further responses have the `Retry-After`, whatever their status.
+    pub fn set_retry_after_always(&self, always: bool) {
+        self.lock().retry_after_always = always;
+    }
+
+    /// When each request of a caller arrived, whether the request ran or not.
     pub fn arrivals(&self) -> Vec<Instant> {
+        let inner = self.lock();
+        inner
+            .arrivals
+            .iter()
+            .filter(|arrival| !arrival.request_id.is_empty())
+            .map(|arrival| arrival.at)
+            .collect()
+    }
+
+    /// Every request that arrived, in order.
+    pub fn arrival_log(&self) -> Vec<SiteArrival> {
         self.lock().arrivals.clone()
     }
 
@@ -264,20 +313,32 @@
             write_response(stream, 421, &[("not-executed", "1")], "").await;
             return true;
         }
+        self.lock().arrivals.push(SiteArrival {
+            request_id: request.header("request-id").unwrap_or_default().to_owned(),
+            path: path.to_owned(),
+            at: Instant::now(),
+        });
         if let Some(response) = self.handle_control(request, path) {
             let (status, body) = response;
-            let headers = self.with_limit(&[("content-type", "application/json")]);
+            let headers = self.with_statements(status, &[("content-type", "application/json")]);
             write_response(stream, status, &as_strs(&headers), &body.to_string()).await;
             return true;
         }
         self.run_request(stream, request).await
     }
 
-    /// Headers of a response, with the rate limit if the endpoint advertises one.
-    fn with_limit(&self, headers: &[(&'static str, &str)]) -> Vec<(&'static str, String)> {
-        let owned = headers.iter().map(|&(name, value)| (name, value.to_owned()));
-        let limit = self.lock().advertised_limit.clone();
-        owned.chain(limit.map(|limit| ("server-limit", limit))).collect()
+    /// Headers of a response, with what the endpoint states about itself.
+    fn with_statements(&self, status: u16, headers: &[(&'static str, &str)]) -> Vec<(&'static str, String)> {
+        let inner = self.lock();
+        let [limit, leaving, retry_after] = STATEMENT_HEADERS;
+        let refuses = matches!(status, 429 | 503) || inner.retry_after_always;
+        let statements = [
+            (limit, inner.advertised_limit.clone()),
+            (leaving, inner.leaving.then(|| "1".to_owned())),
+            (retry_after, inner.retry_after.clone().filter(|_| refuses)),
+        ];
+        let stated = statements.into_iter().filter_map(|(name, value)| Some((name, value?)));
+        headers.iter().map(|&(name, value)| (name, value.to_owned())).chain(stated).collect()
     }
 
     /// Responds to calls of the protocol that run no request: for reservations, handles of KV caches and orders.
@@ -286,7 +347,8 @@
         if path == "/-/hold-take" {
             let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
             let tokens = body["tokens"].as_u64().unwrap_or(0);
-            if inner.reserved + tokens > self.options.reservable_tokens {
+            if inner.fault == SiteFault::RefuseAll || inner.reserved + tokens > self.options.reservable_tokens
+            {
                 return Some((503, json!({})));
             }
             inner.next_id += 1;
@@ -314,13 +376,9 @@
         let id = request.header("request-id").unwrap_or_default().to_owned();
         let prefill = request.header("stage") == Some("prefill");
         let after = request.header("last-event-id").and_then(|v| v.parse().ok());
-        let fault = {
-            let mut inner = self.lock();
-            inner.arrivals.push(Instant::now());
-            inner.fault
-        };
-        if fault == SiteFault::Refuse {
-            let headers = self.with_limit(&[("not-executed", "1"), ("request-id", &id)]);
+        let fault = self.lock().fault;
+        if matches!(fault, SiteFault::Refuse | SiteFault::RefuseAll) {
+            let headers = self.with_statements(503, &[("not-executed", "1"), ("request-id", &id)]);
             write_response(stream, 503, &as_strs(&headers), "").await;
             return true;
         }
@@ -357,7 +415,9 @@
             return false;
         }
         let seal = format!("seal-{}", self.options.id);
-        let headers = self.with_limit(&[("request-id", id.as_str()), ("server-seal", seal.as_str())]);
+        let status = if fault == SiteFault::Fail { 500 } else { 200 };
+        let headers =
+            self.with_statements(status, &[("request-id", id.as_str()), ("server-seal", seal.as_str())]);
         let headers = as_strs(&headers);
         if prefill {
             let handle = {
@@ -372,7 +432,7 @@
             return true;
         }
         if fault == SiteFault::Fail {
-            write_response(stream, 500, &headers, "failed").await;
+            write_response(stream, status, &headers, "failed").await;
             return true;
         }
         if self.options.event_count > 0 {
