DRAIN: an endpoint that states that it leaves gets no new work

Callers saw nothing; the endpoint got requests until the store took its report, 12 s later in the record, though each response said that it leaves. Cause: that an endpoint leaves had one source, its entry in the store.

What an endpoint states itself now makes it Leaving for its incarnation, for good: an entry that is still ready, listed again (also without a start time), or restored changes nothing. A request that was chosen before is withheld after the connection is open, and another endpoint is chosen; that is no failure of the endpoint.

--- a/crates/forward/src/connection_pool.rs
+++ b/crates/forward/src/connection_pool.rs
@@ -43,6 +43,8 @@
 pub(crate) enum ExchangeFailure {
     /// Nothing left this process.
     Unsent,
+    /// Nothing left this process, since the request was not to be sent any more.
+    Withheld,
     /// The request may have arrived; the connection broke or the response was invalid.
     Broken,
     /// The request may have arrived; there was no response in time.
@@ -53,6 +55,7 @@
     pub(crate) const fn text(self) -> &'static str {
         match self {
             Self::Unsent => "unsent",
+            Self::Withheld => "withheld",
             Self::Broken => "broken",
             Self::TimedOut => "timed_out",
         }
@@ -94,7 +97,18 @@
         request: Request<Full<Bytes>>,
         until: Instant,
     ) -> Result<(Response<Incoming>, Connection), ExchangeFailure> {
-        match tokio::time::timeout_at(until.into(), self.send(address, request)).await {
+        self.exchange_if(address, request, until, || true).await
+    }
+
+    /// The same for a request that is only sent if it still may be once there is a connection.
+    pub(crate) async fn exchange_if(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        until: Instant,
+        may_send: impl Fn() -> bool,
+    ) -> Result<(Response<Incoming>, Connection), ExchangeFailure> {
+        match tokio::time::timeout_at(until.into(), self.send(address, request, may_send)).await {
             Ok(result) => result,
             Err(_) => Err(ExchangeFailure::TimedOut),
         }
@@ -104,6 +118,7 @@
         &self,
         address: SocketAddr,
         mut request: Request<Full<Bytes>>,
+        may_send: impl Fn() -> bool,
     ) -> Result<(Response<Incoming>, Connection), ExchangeFailure> {
         let size = hyper::body::Body::size_hint(request.body()).exact().unwrap_or(u64::MAX);
         loop {
@@ -111,6 +126,11 @@
                 Some(connection) => (connection, false),
                 None => (connect(address).await?, true),
             };
+            if !may_send() {
+                connection.reusable = true;
+                self.put(connection);
+                return Err(ExchangeFailure::Withheld);
+            }
             match connection.sender.try_send_request(request).await {
                 Ok(response) => {
                     connection.keep_alive = announced_keep_alive(response.headers());
--- a/crates/forward/src/generate.rs
+++ b/crates/forward/src/generate.rs
@@ -166,7 +166,7 @@
                 return Ok((answer, work));
             }
             // The KV cache is still at the prefill engine; only another decode engine is needed.
-            Err(StepFailure::Unsent) => {}
+            Err(StepFailure::Unsent | StepFailure::Withheld) => {}
             Err(StepFailure::Refused | StepFailure::Misdirected) => {
                 sends.count();
                 prompt = Prompt::LocalPrefill;
@@ -237,7 +237,7 @@
                 }));
             }
             Err(_) if node.now() >= job.deadline => return Err(Refusal::new(ErrorKind::Expired)),
-            Err(StepFailure::Unsent) => {}
+            Err(StepFailure::Unsent | StepFailure::Withheld) => {}
             Err(StepFailure::Refused | StepFailure::Misdirected) => sends.count(),
             Err(StepFailure::Broken | StepFailure::TimedOut) if sends.counted() + 1 < job.route.attempts => {
                 sends.count();
--- a/crates/forward/src/gossip.rs
+++ b/crates/forward/src/gossip.rs
@@ -7,8 +7,8 @@
 //!
 //! Gossip uses plain datagrams and not QUIC: a report is outdated after a moment, a lost report is made up
 //! for by the next report, and the platform provides no keys for a handshake. A forged report can make
-//! choices worse, or have a request refused for a while; it cannot make a request run twice or a refusal
-//! false. A forged store update could send work to the wrong endpoint. Store updates are therefore accepted
+//! choices worse, have a request refused for a while, or take an endpoint out of use until it starts again;
+//! it cannot make a request run twice or a refusal false. A forged store update could send work to the wrong endpoint. Store updates are therefore accepted
 //! only from known peers of the same failure domain, but no peer is authenticated.
 
 use std::collections::HashMap;
@@ -29,6 +29,7 @@
 use crate::crashes::{self, log_quarantine};
 use crate::node::{Node, Phase};
 use crate::rates::{self, RateEntry};
+use crate::statements;
 
 /// How long all crash reports that keep requests in quarantine are sent after a new peer was observed, which
 /// may not know them. This is several gossip intervals, since datagrams are lost.
@@ -37,7 +38,7 @@
 const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
 
 /// First byte of each datagram. Datagrams of other versions have another layout and are ignored.
-const VERSION: u8 = 7;
+const VERSION: u8 = 8;
 /// Store updates that may wait to be sent. Further ones are dropped; the next update makes up for them.
 pub(crate) const UPDATE_QUEUE: usize = 16;
 
@@ -82,6 +83,8 @@
     spending: Vec<TeamSpending>,
     /// Rate limits that endpoints advertise, and the requests sent to these endpoints.
     rates: Vec<RateEntry>,
+    /// Endpoints that stated lately that they leave.
+    leaving_endpoints: Vec<u32>,
     /// Instances that the sender remembers, including itself.
     instances: u32,
     /// Whether the sender is shutting down.
@@ -236,6 +239,8 @@
         drop(state);
         if is_new {
             rates::merge_reports(&self.node, from, report.incarnation, report.rates);
+            let leaving = report.leaving_endpoints.into_iter().map(EngineTag);
+            statements::merge_leaving(&self.node, leaving.collect());
         }
     }
 
@@ -293,7 +298,13 @@
             crash_update.crashes.into_iter().map(|crash| CrashReport::new(now, crash)).collect();
         let served = crash_update.served;
         let rates = rates::reports(&self.node);
-        let urgent = !crashes.is_empty() || !served.is_empty() || !rates.is_empty();
+        let leaving_endpoints: Vec<u32> = {
+            let state = self.node.state.borrow();
+            state.endpoints.leaving_reports(now).into_iter().map(|tag| tag.0).collect()
+        };
+        let is_empty =
+            [crashes.is_empty(), served.is_empty(), rates.is_empty(), leaving_endpoints.is_empty()];
+        let urgent = is_empty.contains(&false);
         let report = Report {
             incarnation,
             sequence,
@@ -304,6 +315,7 @@
             served,
             spending,
             rates,
+            leaving_endpoints,
             instances,
             leaving,
             snapshot_revision: self.catalog.snapshot_revision(),
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -164,6 +164,8 @@
 pub(crate) enum StepFailure {
     /// Nothing reached the endpoint.
     Unsent,
+    /// Nothing was sent, since the endpoint leaves or wants no requests now.
+    Withheld,
     /// The endpoint states that it has not run the request and will not.
     Refused,
     /// Another endpoint has the address, or the endpoint now has another stage. The request has not run.
@@ -183,6 +185,7 @@
     pub(crate) const fn text(self) -> &'static str {
         match self {
             Self::Unsent => "unsent",
+            Self::Withheld => "withheld",
             Self::Refused => "refused",
             Self::Misdirected => "misdirected",
             Self::Broken => "broken",
@@ -195,6 +198,7 @@
     fn from(failure: ExchangeFailure) -> Self {
         match failure {
             ExchangeFailure::Unsent => Self::Unsent,
+            ExchangeFailure::Withheld => Self::Withheld,
             ExchangeFailure::Broken => Self::Broken,
             ExchangeFailure::TimedOut => Self::TimedOut,
         }
@@ -332,10 +336,10 @@
         self.locate(key).map_or_else(|| "gone".into(), |(_, id)| id)
     }
 
-    /// Address and id of an endpoint that still accepts new work.
-    fn locate_open(&self, key: EndpointKey) -> Option<(SocketAddr, Arc<str>)> {
+    /// Address and id of an endpoint, if requests may be sent to it now.
+    pub(crate) fn locate_available(&self, key: EndpointKey) -> Option<(SocketAddr, Arc<str>)> {
         let state = self.state.borrow();
-        state.endpoints.get_open(self.now(), key).map(|e| (e.address, Arc::clone(&e.id)))
+        state.endpoints.get_available(self.now(), key).map(|e| (e.address, Arc::clone(&e.id)))
     }
 
     /// Number of tokens that a generation is expected to produce.
@@ -407,7 +411,7 @@
     ) -> Result<Answer, StepFailure> {
         let (sent_at, key) = (self.now(), work.endpoint());
         // The endpoint may have begun to drain since it was chosen: a prefill takes place before the decode.
-        let Some((address, id)) = self.locate_open(key) else { return Err(StepFailure::Unsent) };
+        let Some((address, id)) = self.locate_available(key) else { return Err(StepFailure::Withheld) };
         let remaining = job.deadline.saturating_duration_since(sent_at);
         let request = self.request(job, &id, purpose, remaining);
         let runs = !matches!(purpose, Purpose::Prefill);
@@ -415,8 +419,9 @@
             job.charge.record_send();
         }
         work.sent.set(true);
-        let result = self.pool.exchange(address, request, until.min(job.deadline)).await;
-        work.sent.set(!matches!(result, Err(ExchangeFailure::Unsent)));
+        let may_send = || self.locate_available(key).is_some();
+        let result = self.pool.exchange_if(address, request, until.min(job.deadline), may_send).await;
+        work.sent.set(!matches!(result, Err(ExchangeFailure::Unsent | ExchangeFailure::Withheld)));
         let step = step_name(purpose);
         let outcome = match result {
             Ok((response, connection)) => {
@@ -428,16 +433,23 @@
         if runs && outcome.as_ref().is_err_and(|failure| !failure.may_have_run()) {
             job.charge.undo_send();
         }
-        let step_outcome = match &outcome {
-            Ok(Answer { response, .. }) if response.status().is_server_error() => StepOutcome::ErrorResponse,
+        if let Some(step_outcome) = self.step_outcome(sent_at, &outcome) {
+            self.observe_step(key, step_outcome);
+        }
+        self.metrics.count_step(step, outcome.as_ref().map_or_else(|f| f.text(), |_| "answered"));
+        outcome
+    }
+
+    /// What a step shows about its endpoint; `None` if nothing was tried.
+    fn step_outcome(&self, sent_at: Instant, outcome: &Result<Answer, StepFailure>) -> Option<StepOutcome> {
+        Some(match outcome {
+            Ok(answer) if answer.response.status().is_server_error() => StepOutcome::ErrorResponse,
             Ok(_) => StepOutcome::Answered(self.now().duration_since(sent_at)),
+            Err(StepFailure::Withheld) => return None,
             Err(StepFailure::Refused) => StepOutcome::Full,
             Err(StepFailure::Unsent | StepFailure::Misdirected) => StepOutcome::Unreachable,
             Err(StepFailure::Broken | StepFailure::TimedOut) => StepOutcome::Failed,
-        };
-        self.observe_step(key, step_outcome);
-        self.metrics.count_step(step, outcome.as_ref().map_or_else(|f| f.text(), |_| "answered"));
-        outcome
+        })
     }
 
     fn request(
--- a/crates/forward/src/plain.rs
+++ b/crates/forward/src/plain.rs
@@ -75,7 +75,7 @@
 impl AttemptLog {
     fn count(&mut self, result: &Result<Outcome, StepFailure>) {
         match result {
-            Err(StepFailure::Unsent) => {}
+            Err(StepFailure::Unsent | StepFailure::Withheld) => {}
             Err(StepFailure::Refused | StepFailure::Misdirected) => self.sent += 1,
             Ok(_) | Err(StepFailure::Broken | StepFailure::TimedOut) => {
                 self.sent += 1;
--- a/crates/forward/src/reservations.rs
+++ b/crates/forward/src/reservations.rs
@@ -107,7 +107,7 @@
             sleep_about(node, backoff.pause()).await;
             continue;
         };
-        let Some((address, id)) = node.locate(key) else { continue };
+        let Some((address, id)) = node.locate_available(key) else { continue };
         polls += 1;
         let work = node.begin_work(key, tokens);
         match reserve_at(node, job, key, (address, &id), tokens).await {
@@ -201,7 +201,9 @@
         }
         Ok((StatusCode::MISDIRECTED_REQUEST, _)) => (StepOutcome::Unreachable, "misdirected"),
         Ok(_) => (StepOutcome::Failed, "failed"),
-        Err(ExchangeFailure::Unsent) => (StepOutcome::Unreachable, ExchangeFailure::Unsent.text()),
+        Err(failure @ (ExchangeFailure::Unsent | ExchangeFailure::Withheld)) => {
+            (StepOutcome::Unreachable, failure.text())
+        }
         Err(failure) => (StepOutcome::Failed, failure.text()),
     }
 }
--- a/crates/forward/src/statements.rs
+++ b/crates/forward/src/statements.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use slog::{info, warn};
-use teaselshunt_routing::{EndpointKey, Statement};
+use teaselshunt_routing::{EndpointKey, EngineTag, Statement};
 
 use crate::node::Node;
 use crate::protocol::{ResponseMeta, Stated, Statements};
@@ -31,6 +31,7 @@
     let Some(changes) = changes else { return };
     if changes.leaves {
         log_leaving(node, &node.id_for_log(key), "answer");
+        node.gossip_wakeup.notify_one();
     }
     if let Some(delay) = changes.cooldown {
         node.metrics.statements.with_label_values(&["cooldown", "answer"]).inc();
@@ -40,6 +41,16 @@
     rates::log_change(node, changes.endpoint, changes.rate, "answer", Duration::ZERO);
 }
 
+/// Merges reports of a peer about endpoints that stated that they leave.
+pub(crate) fn merge_leaving(node: &Node, endpoints: Vec<EngineTag>) {
+    for endpoint in endpoints {
+        let key = node.state.borrow_mut().endpoints.merge_leaving(node.now(), endpoint);
+        if let Some(key) = key {
+            log_leaving(node, &node.id_for_log(key), "peer");
+        }
+    }
+}
+
 /// Logs that an endpoint is known to leave, and from whom.
 fn log_leaving(node: &Node, id: &str, source: &str) {
     node.metrics.statements.with_label_values(&["leaving", source]).inc();
--- a/crates/forward/src/supervisor.rs
+++ b/crates/forward/src/supervisor.rs
@@ -171,7 +171,7 @@
         node.state.borrow_mut().quarantine.expire(node.now());
         node.state.borrow_mut().quotas.tick(node.clock.uptime());
         node.state.borrow_mut().endpoints.expire_rates(node.now());
-        for id in node.state.borrow_mut().endpoints.expire_cooldowns(node.now()) {
+        for id in node.state.borrow_mut().endpoints.expire_statements(node.now()) {
             info!(node.log, "endpoint"; "endpoint" => &*id, "state" => "cooldown_ended");
         }
         let cooling = node.state.borrow().endpoints.cooling_count(node.now());
--- a/crates/routing/src/endpoints.rs
+++ b/crates/routing/src/endpoints.rs
@@ -5,9 +5,12 @@
 //! not used: an endpoint can fail requests while its health checks pass, and serve them while its health
 //! checks fail. Results show what requests meet.
 //!
-//! Invariant: an endpoint that the list shows as leaving or no longer shows is never chosen, with one
-//! exception that has a time limit ([`Endpoints::mark_unconfirmed`]).
+//! Invariants:
+//! - an endpoint that the list shows as leaving or no longer shows is never chosen, with one exception that
+//!   has a time limit ([`Endpoints::mark_unconfirmed`]);
+//! - neither is one that stated itself that it leaves.
 
+mod announcements;
 mod limited;
 mod statements;
 
@@ -19,11 +22,12 @@
 use rand::Rng;
 use slotmap::SlotMap;
 
+use self::announcements::Announcements;
 use self::limited::{FoundFraction, Sample};
 pub use self::statements::{Statement, StatementChanges};
 use crate::cooldown::Cooldown;
 use crate::health_estimate::HealthEstimate;
-use crate::removed::Removed;
+use crate::removed::{Departure, Removed};
 use crate::{Endpoint, EndpointKey, EndpointState, EngineTag, Ledger, Rates, Stage, StepOutcome};
 
 /// Seconds that another failure domain adds to an endpoint's expected latency: two crossings and their cost.
@@ -57,7 +61,7 @@
     health: HealthEstimate,
     /// Time for which it wants no requests from this instance.
     cooldown: Cooldown,
-    /// Whether it stated itself that it leaves, and the list doesn't show that yet.
+    /// Whether it stated itself that it leaves.
     announced: bool,
     /// The endpoint that was listed at the same address after this one.
     successor: Option<EndpointKey>,
@@ -93,13 +97,13 @@
         ready && !stale && self.unconfirmed_until.is_none_or(|until| now < until)
     }
 
-    /// Records that the endpoint stated itself that it leaves. Returns whether that was not known.
-    fn announce_leaving(&mut self) -> bool {
-        if self.announced || self.endpoint.state == EndpointState::Leaving {
-            return false;
+    /// How far the endpoint has come with its end, if its entry is removed now.
+    fn departure(&self) -> Departure {
+        match self.endpoint.state {
+            EndpointState::Leaving if self.announced => Departure::Stated,
+            EndpointState::Leaving => Departure::Listed,
+            EndpointState::Ready => Departure::Unannounced,
         }
-        self.announced = true;
-        true
     }
 
     /// Whether the list confirms the endpoint: its last entry is its own, and was not removed.
@@ -194,6 +198,7 @@
     restored_until: Option<Instant>,
     /// Until when the list alone doesn't determine which endpoints are in use.
     uncertain_until: Option<Instant>,
+    announcements: Announcements,
     ledger: Ledger<SocketAddr>,
     rates: Rates<SocketAddr>,
     found_fraction: FoundFraction,
@@ -208,14 +213,25 @@
     /// work that began at the previous incarnation can't continue there by mistake, and entries of the
     /// previous incarnation are ignored.
     pub fn upsert(&mut self, mut endpoint: Endpoint) -> UpsertOutcome {
-        let was_leaving = self.removed.was_leaving(&endpoint.incarnation());
-        // Without a start time the entry may belong to another incarnation, and only time tells it from an
-        // entry of a restored list (`stale_until`).
-        if was_leaving == Some(true) && endpoint.born.is_some() {
+        let departure = self.removed.departure(&endpoint.incarnation());
+        let tag = EngineTag::of(&endpoint.id, endpoint.born);
+        if endpoint.state == EndpointState::Leaving {
+            self.announcements.remove(tag);
+        }
+        // An entry without a start time that the list showed as leaving may belong to another incarnation,
+        // and only time tells it from an entry of a restored list (`stale_until`).
+        let stays_away = match departure {
+            Some(Departure::Stated) => true,
+            Some(Departure::Listed) => endpoint.born.is_some(),
+            Some(Departure::Unannounced) | None => false,
+        };
+        let announced = departure == Some(Departure::Stated) || self.announcements.contains(tag);
+        if stays_away || announced {
             endpoint.state = EndpointState::Leaving;
         }
         let Some(&key) = self.by_id.get(&endpoint.id) else {
-            self.insert(endpoint, was_leaving.is_some());
+            let key = self.insert(endpoint, departure.is_some());
+            self.arena[key].announced = announced;
             return UpsertOutcome::Started;
         };
         let entry = &mut self.arena[key];
@@ -223,7 +239,8 @@
         match (known.born, endpoint.born) {
             (Some(previous), Some(next)) if previous < next => {
                 self.remove(&endpoint.id);
-                self.insert(endpoint, was_leaving.is_some());
+                let key = self.insert(endpoint, departure.is_some());
+                self.arena[key].announced = announced;
                 return UpsertOutcome::Started;
             }
             (Some(next), Some(previous)) if previous < next => return UpsertOutcome::Outdated,
@@ -237,8 +254,10 @@
             endpoint.state = EndpointState::Leaving;
         }
         if known.service != endpoint.service || known.address != endpoint.address {
+            let announced = entry.announced;
             self.remove(&endpoint.id);
-            self.insert(endpoint, false);
+            let key = self.insert(endpoint, false);
+            self.arena[key].announced = announced;
             return UpsertOutcome::Changed;
         }
         let changed = entry.invalid || *known != endpoint;
@@ -252,7 +271,7 @@
     /// Adds an incarnation of an endpoint. If it is `relisted` it was listed and removed before: its entry
     /// lapsed and was written again, or is an old one that was written late. If another endpoint was listed
     /// at the address since then, the address belongs to that endpoint.
-    fn insert(&mut self, endpoint: Endpoint, relisted: bool) {
+    fn insert(&mut self, endpoint: Endpoint, relisted: bool) -> EndpointKey {
         let (id, service) = (Arc::clone(&endpoint.id), Arc::clone(&endpoint.service));
         let address = endpoint.address;
         let occupant = self.by_address.get(&address).copied().filter(|&k| self.arena.contains_key(k));
@@ -268,6 +287,7 @@
         }
         self.by_id.insert(id, key);
         self.services.entry(service).or_default().push(key);
+        key
     }
 
     /// Notes that the list was restored from a backup that is some seconds old, and shows endpoints again
@@ -299,8 +319,8 @@
             self.by_address.remove(&entry.endpoint.address);
         }
         self.rates.remove(entry.tag);
-        let leaving = entry.endpoint.state == EndpointState::Leaving;
-        self.removed.insert(entry.endpoint.incarnation(), leaving);
+        self.announcements.remove(entry.tag);
+        self.removed.insert(entry.endpoint.incarnation(), entry.departure());
         true
     }
 
@@ -393,8 +413,8 @@
         entry.is_confirmed().then_some(&entry.endpoint)
     }
 
-    /// An endpoint, if it still takes new work.
-    pub fn get_open(&self, now: Instant, key: EndpointKey) -> Option<&Endpoint> {
+    /// An endpoint, if requests may be sent to it now.
+    pub fn get_available(&self, now: Instant, key: EndpointKey) -> Option<&Endpoint> {
         self.arena.get(key).filter(|e| e.is_open(now)).map(|e| &e.endpoint)
     }
 
--- a/crates/routing/src/endpoints/statements.rs
+++ b/crates/routing/src/endpoints/statements.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use super::Endpoints;
-use crate::{EndpointKey, EngineTag, RateChange, Rates, Stage};
+use crate::{EndpointKey, EndpointState, EngineTag, RateChange, Rates, Stage};
 
 /// What an endpoint states about itself in one response.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
@@ -46,19 +46,54 @@
     ) -> Option<StatementChanges> {
         let entry = self.arena.get_mut(key)?;
         let endpoint = entry.tag;
-        let leaves = statement.leaving && entry.announce_leaving();
         let cooldown = statement.cooldown.filter(|&delay| entry.cooldown.extend(now, delay));
+        let leaves = statement.leaving && self.announce_leaving(now, key);
         let rate = self.rates.observe_response(now, endpoint, statement.rate);
         Some(StatementChanges { endpoint, leaves, cooldown, rate })
     }
 
-    /// How many endpoints are in a cooldown that they asked for.
+    /// Records that an endpoint stated itself that it leaves. Returns whether that was not known.
+    fn announce_leaving(&mut self, now: Instant, key: EndpointKey) -> bool {
+        let Some(entry) = self.arena.get_mut(key).filter(|entry| !entry.announced) else { return false };
+        entry.announced = true;
+        let is_new = entry.endpoint.state == EndpointState::Ready;
+        if is_new {
+            entry.endpoint.state = EndpointState::Leaving;
+            self.announcements.insert(now, entry.tag);
+        }
+        is_new
+    }
+
+    /// Merges the report of another instance that an endpoint stated that it leaves. Returns the endpoint if
+    /// that was not known.
+    pub fn merge_leaving(&mut self, now: Instant, endpoint: EngineTag) -> Option<EndpointKey> {
+        if self.announcements.contains(endpoint) {
+            return None;
+        }
+        let Some((key, _)) = self.arena.iter().find(|(_, entry)| entry.tag == endpoint) else {
+            self.announcements.insert(now, endpoint);
+            return None;
+        };
+        self.announce_leaving(now, key).then_some(key)
+    }
+
+    /// Endpoints of which others are to be told now that they leave.
+    pub fn leaving_reports(&self, now: Instant) -> Vec<EngineTag> {
+        self.announcements.reports(now)
+    }
+
+    /// How many endpoints have stated that they want no requests now.
     pub fn cooling_count(&self, now: Instant) -> usize {
         self.arena.values().filter(|entry| entry.cooldown.end(now).is_some()).count()
     }
 
-    /// Ends cooldowns whose time is over, and returns the ids of their endpoints.
-    pub fn expire_cooldowns(&mut self, now: Instant) -> Vec<Arc<str>> {
+    /// Removes what endpoints stated and what no longer counts. Returns the ids of the endpoints whose
+    /// cooldown is over.
+    pub fn expire_statements(&mut self, now: Instant) -> Vec<Arc<str>> {
+        if !self.announcements.is_empty() {
+            let listed: HashSet<EngineTag> = self.arena.values().map(|entry| entry.tag).collect();
+            self.announcements.expire(now, |tag| listed.contains(&tag));
+        }
         let entries = self.arena.values_mut();
         let over = entries.filter_map(|e| e.cooldown.expire(now).then(|| Arc::clone(&e.endpoint.id)));
         over.collect()
--- a/crates/routing/src/removed.rs
+++ b/crates/routing/src/removed.rs
@@ -9,21 +9,32 @@
 /// still be written.
 const CAPACITY: usize = 1024;
 
+/// How far an incarnation had come with its end when its entry was removed. The variants are in the order of
+/// certainty.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Departure {
+    /// Nothing showed that it was leaving.
+    Unannounced,
+    /// The list showed it as leaving.
+    Listed,
+    /// It stated itself that it was leaving.
+    Stated,
+}
+
 /// The latest incarnations of endpoints that were listed and removed.
 #[derive(Debug, Default)]
 pub(crate) struct Removed {
-    /// Whether each incarnation was leaving before its removal.
-    known: HashMap<Incarnation, bool>,
+    known: HashMap<Incarnation, Departure>,
     order: VecDeque<Incarnation>,
 }
 
 impl Removed {
-    pub(crate) fn insert(&mut self, incarnation: Incarnation, leaving: bool) {
+    pub(crate) fn insert(&mut self, incarnation: Incarnation, departure: Departure) {
         if let Some(known) = self.known.get_mut(&incarnation) {
-            *known |= leaving;
+            *known = departure.max(*known);
             return;
         }
-        self.known.insert(incarnation.clone(), leaving);
+        self.known.insert(incarnation.clone(), departure);
         self.order.push_back(incarnation);
         if self.order.len() > CAPACITY
             && let Some(oldest) = self.order.pop_front()
@@ -32,8 +43,8 @@
         }
     }
 
-    /// Whether a removed incarnation was leaving before its removal; `None` if its removal is not known.
-    pub(crate) fn was_leaving(&self, incarnation: &Incarnation) -> Option<bool> {
+    /// How a removed incarnation departed; `None` if its removal is not known.
+    pub(crate) fn departure(&self, incarnation: &Incarnation) -> Option<Departure> {
         self.known.get(incarnation).copied()
     }
 }
--- a/crates/routing/tests/all/incarnations.rs
+++ b/crates/routing/tests/all/incarnations.rs
@@ -70,7 +70,7 @@
     endpoints.upsert(Endpoint { address: ([10, 0, 0, 2], 80).into(), ..decoder("a", 2) });
     let key = choose(&endpoints, now).expect("it is back");
     assert_ne!(key, previous);
-    assert!(endpoints.get_open(now, previous).is_none());
+    assert!(endpoints.get_available(now, previous).is_none());
     assert_eq!(endpoints.load(key), 0);
     assert!(endpoints.suspects(now).is_empty());
     assert!(endpoints.in_flight().is_empty());
