BUDGET: an endpoint that states a retry delay gets no requests for that time

Cause: nobody read the delay; a refusal kept an endpoint from being chosen for an estimate of 60 to 960 ms.

The stated delay and the estimate are one cooldown now, apart from health: it is no failure and costs no retry budget. The longest statement counts, at most a minute. An order, a reservation or a decode is withheld as well. Where all open endpoints of a service and stage are in a cooldown, callers are refused at once and told to come back when the first is over, never before; a request whose deadline bears the rest waits. After a cooldown the endpoint's share grows from a tenth to the whole in half a second.

--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -28,6 +28,7 @@
     pub(crate) limited_endpoints: IntGauge,
     pub(crate) limit_refusals: IntCounterVec,
     pub(crate) cooling_endpoints: IntGauge,
+    pub(crate) cooldown_refusals: IntCounterVec,
     pub(crate) statements: IntCounterVec,
     team_requests: IntCounterVec,
     /// Teams that have a label of their own.
@@ -88,6 +89,11 @@
                 "cooling_endpoints",
                 "Endpoints that asked for no requests for a time.",
             )?,
+            cooldown_refusals: counter(
+                "cooldown_refusals_total",
+                "Requests refused because all endpoints asked for no requests for a time.",
+                &["service"],
+            )?,
             statements: counter(
                 "statements_total",
                 "Changes that endpoints stated about themselves, by who was told.",
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -433,7 +433,7 @@
         if runs && outcome.as_ref().is_err_and(|failure| !failure.may_have_run()) {
             job.charge.undo_send();
         }
-        if let Some(step_outcome) = self.step_outcome(sent_at, &outcome) {
+        if let Some(step_outcome) = self.step_outcome(key, sent_at, &outcome) {
             self.observe_step(key, step_outcome);
         }
         self.metrics.count_step(step, outcome.as_ref().map_or_else(|f| f.text(), |_| "answered"));
@@ -441,8 +441,18 @@
     }
 
     /// What a step shows about its endpoint; `None` if nothing was tried.
-    fn step_outcome(&self, sent_at: Instant, outcome: &Result<Answer, StepFailure>) -> Option<StepOutcome> {
+    fn step_outcome(
+        &self,
+        key: EndpointKey,
+        sent_at: Instant,
+        outcome: &Result<Answer, StepFailure>,
+    ) -> Option<StepOutcome> {
+        let is_cooling = || self.state.borrow().endpoints.is_cooling(self.now(), key);
         Some(match outcome {
+            // A refusal of the endpoint's own that states a delay is no failure.
+            Ok(answer) if answer.response.status() == StatusCode::SERVICE_UNAVAILABLE && is_cooling() => {
+                StepOutcome::Full
+            }
             Ok(answer) if answer.response.status().is_server_error() => StepOutcome::ErrorResponse,
             Ok(_) => StepOutcome::Answered(self.now().duration_since(sent_at)),
             Err(StepFailure::Withheld) => return None,
--- a/crates/forward/src/orders.rs
+++ b/crates/forward/src/orders.rs
@@ -92,14 +92,17 @@
         let memory = service.engine.map_or(0, |e| e.tokens);
         plan_stage_changes(open, |incarnation| ordered.get(incarnation).copied(), serving, memory)
     };
-    engines.flat_map(|service| plan(service)).collect()
+    let is_cooling = |change: &StageChange| {
+        state.endpoints.key_of(&change.id).is_some_and(|key| state.endpoints.is_cooling(now, key))
+    };
+    engines.flat_map(|service| plan(service)).filter(|change| !is_cooling(change)).collect()
 }
 
 async fn send_order(node: &Node, change: &StageChange, fencing_number: u64) {
     let (key, address) = {
         let state = node.state.borrow();
         let Some(key) = state.endpoints.key_of(&change.id) else { return };
-        let Some(endpoint) = state.endpoints.get(key) else { return };
+        let Some(endpoint) = state.endpoints.get_available(node.now(), key) else { return };
         (key, endpoint.address)
     };
     let instance = &node.settings.instance;
--- a/crates/forward/src/plain.rs
+++ b/crates/forward/src/plain.rs
@@ -20,6 +20,7 @@
 use crate::protocol::Purpose;
 use crate::rates;
 use crate::refusals::refuse;
+use crate::statements;
 use crate::stream::{self, StreamJob};
 use crate::trace::Trace;
 
@@ -87,7 +88,8 @@
     /// The refusal when no further attempt is allowed.
     fn exhausted_refusal(&self, node: &Node, job: &Job, trace: &Trace) -> Refusal {
         if !self.may_have_run
-            && let Some(refusal) = rates::refusal(node, job, trace, None)
+            && let Some(refusal) =
+                statements::refusal(node, job, trace, None).or_else(|| rates::refusal(node, job, trace, None))
         {
             return refusal;
         }
--- a/crates/forward/src/rates.rs
+++ b/crates/forward/src/rates.rs
@@ -10,6 +10,7 @@
 use teaselshunt_routing::{EndpointKey, EngineTag, RateChange, RateObservation, RateReport, Stage};
 
 use crate::node::{Job, Node};
+use crate::statements;
 use crate::trace::Trace;
 
 /// Fraction of a route's latency goal for which a request may wait until an endpoint accepts it. The rest is
@@ -108,13 +109,17 @@
         "age_ms" => age.as_millis() as u64, "limited" => known);
 }
 
-/// Chooses an endpoint of a plain service. If all endpoints are rate-limited and none accepts the request
-/// now, this waits for a short time, as long as waiting can help and the response can still be on time.
+/// Chooses an endpoint of a plain service. If all endpoints are rate-limited or want no requests for a time,
+/// and none accepts the request now, this waits for a short time, as long as waiting can help and the
+/// response can still be on time.
 pub(crate) async fn choose(node: &Node, job: &Job, tried: &[EndpointKey]) -> Option<EndpointKey> {
     let until = job.arrived + job.route.goal.mul_f64(WAIT_FRACTION);
     loop {
         let chosen = node.choose(&job.service.name, tried);
-        let waiting_helps = || limit_state(node, job, None).is_some_and(|(_, overloaded)| !overloaded);
+        let waiting_helps = || {
+            limit_state(node, job, None).is_some_and(|(_, overloaded)| !overloaded)
+                || statements::first_available(node, job, None).is_some_and(|first| first < until)
+        };
         if chosen.is_some() || node.now() >= until || !waiting_helps() {
             return chosen;
         }
--- a/crates/forward/src/refusals.rs
+++ b/crates/forward/src/refusals.rs
@@ -1,5 +1,6 @@
 //! Final responses to refused requests.
 
+use std::ops::Range;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -15,6 +16,15 @@
 /// `Retry-After` delay if the instance is stopping or not ready: nearly none, since other instances serve.
 pub(crate) const OTHER_INSTANCE_RETRY: Duration = Duration::from_millis(50);
 
+/// Range of the factor by which `Retry-After` delays are randomized, so that callers that were refused
+/// together do not retry together.
+const RETRY_SPREAD: Range<f64> = 0.75..1.25;
+
+/// The `Retry-After` delay of a refusal whose caller must not retry before `delay` is over.
+pub(crate) fn not_before(delay: Duration) -> Duration {
+    delay.div_f64(RETRY_SPREAD.start)
+}
+
 /// Turns a refusal into the final response.
 pub(crate) fn refuse(node: &Node, refusal: Refusal, trace: Trace) -> Response<ResponseBody> {
     let answer = refusal.kind.answer();
@@ -23,8 +33,7 @@
     *response.status_mut() = StatusCode::from_u16(answer.status).expect("the table has valid statuses");
     response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     if let Some(wait) = refusal.retry_after {
-        // The delay is randomized so that callers that were refused together do not retry together.
-        let delay = wait.mul_f64(node.state.borrow_mut().rng.random_range(0.75..1.25));
+        let delay = wait.mul_f64(node.state.borrow_mut().rng.random_range(RETRY_SPREAD));
         let seconds = HeaderValue::from_str(&format!("{:.3}", delay.as_secs_f64()));
         response.headers_mut().insert(RETRY_AFTER, seconds.expect("a number is a header value"));
     }
--- a/crates/forward/src/reservations.rs
+++ b/crates/forward/src/reservations.rs
@@ -19,6 +19,7 @@
 use crate::node::{InFlightWork, Job, Node, Phase};
 use crate::rates;
 use crate::refusals::OTHER_INSTANCE_RETRY;
+use crate::statements;
 use crate::trace::Trace;
 
 /// `Retry-After` delay if no engine is reachable.
@@ -100,7 +101,9 @@
                 shortage = Shortage::DecodeEngine;
                 break;
             }
-            if now >= until || rates::is_overloaded(node, job, Some(shortage.stage())) {
+            let first = statements::first_available(node, job, Some(shortage.stage()));
+            let all_cooling = first.is_some_and(|first| first >= until);
+            if now >= until || all_cooling || rates::is_overloaded(node, job, Some(shortage.stage())) {
                 break;
             }
             polls += 1;
@@ -141,7 +144,9 @@
         Shortage::Capacity | Shortage::PrefillEngine => {
             let left = job.deadline.saturating_duration_since(node.now());
             let full = Refusal::retryable(ErrorKind::Overloaded, retry_delay(left));
-            Err(rates::refusal(node, job, trace, Some(shortage.stage())).unwrap_or(full))
+            let stage = Some(shortage.stage());
+            let refusal = statements::refusal(node, job, trace, stage);
+            Err(refusal.or_else(|| rates::refusal(node, job, trace, stage)).unwrap_or(full))
         }
     }
 }
--- a/crates/forward/src/statements.rs
+++ b/crates/forward/src/statements.rs
@@ -4,11 +4,14 @@
 use std::time::{Duration, Instant};
 
 use slog::{info, warn};
-use teaselshunt_routing::{EndpointKey, EngineTag, Statement};
+use teaselshunt_core::{ErrorKind, Refusal};
+use teaselshunt_routing::{EndpointKey, EngineTag, Stage, Statement};
 
-use crate::node::Node;
+use crate::node::{Job, Node};
 use crate::protocol::{ResponseMeta, Stated, Statements};
 use crate::rates;
+use crate::refusals::not_before;
+use crate::trace::Trace;
 
 /// Shortest time between two log lines about invalid statements.
 const WARNING_INTERVAL: Duration = Duration::from_secs(1);
@@ -51,6 +54,21 @@
     }
 }
 
+/// When the first endpoint of the job's service and of a stage takes requests again, if all that take new
+/// work want none now.
+pub(crate) fn first_available(node: &Node, job: &Job, stage: Option<Stage>) -> Option<Instant> {
+    node.state.borrow().endpoints.first_available(node.now(), &job.service.name, stage)
+}
+
+/// The refusal of a request for which all endpoints of a stage want no requests now.
+pub(crate) fn refusal(node: &Node, job: &Job, trace: &Trace, stage: Option<Stage>) -> Option<Refusal> {
+    let wait = first_available(node, job, stage)?.duration_since(node.now());
+    let service = &job.service.name;
+    node.metrics.cooldown_refusals.with_label_values(&[service]).inc();
+    trace.record_step("cooldown", service, &format!("back_in:{:.1}s", wait.as_secs_f64()));
+    Some(Refusal::retryable(ErrorKind::Overloaded, not_before(wait)))
+}
+
 /// Logs that an endpoint is known to leave, and from whom.
 fn log_leaving(node: &Node, id: &str, source: &str) {
     node.metrics.statements.with_label_values(&["leaving", source]).inc();
--- a/crates/routing/src/endpoints.rs
+++ b/crates/routing/src/endpoints.rs
@@ -8,7 +8,7 @@
 //! Invariants:
 //! - an endpoint that the list shows as leaving or no longer shows is never chosen, with one exception that
 //!   has a time limit ([`Endpoints::mark_unconfirmed`]);
-//! - neither is one that stated itself that it leaves.
+//! - neither is one that stated itself that it leaves, or that it wants no requests now.
 
 mod announcements;
 mod limited;
@@ -59,7 +59,6 @@
     /// Local prefills that a decode engine runs for this instance now.
     local_prefills: u32,
     health: HealthEstimate,
-    /// Time for which it wants no requests from this instance.
     cooldown: Cooldown,
     /// Whether it stated itself that it leaves.
     announced: bool,
@@ -97,6 +96,12 @@
         ready && !stale && self.unconfirmed_until.is_none_or(|until| now < until)
     }
 
+    /// Whether requests may be sent to the endpoint: it takes new work, and it has not stated that it wants
+    /// none now.
+    fn is_available(&self, now: Instant) -> bool {
+        self.is_open(now) && self.cooldown.stated_end(now).is_none()
+    }
+
     /// How far the endpoint has come with its end, if its entry is removed now.
     fn departure(&self) -> Departure {
         match self.endpoint.state {
@@ -415,7 +420,7 @@
 
     /// An endpoint, if requests may be sent to it now.
     pub fn get_available(&self, now: Instant, key: EndpointKey) -> Option<&Endpoint> {
-        self.arena.get(key).filter(|e| e.is_open(now)).map(|e| &e.endpoint)
+        self.arena.get(key).filter(|e| e.is_available(now)).map(|e| &e.endpoint)
     }
 
     /// How many endpoints are listed.
@@ -490,8 +495,12 @@
     /// Learns from the outcome of a step. Returns whether a pause of the endpoint began or ended.
     pub fn learn(&mut self, now: Instant, key: EndpointKey, outcome: StepOutcome) -> bool {
         let Some(entry) = self.arena.get_mut(key) else { return false };
-        let decodes = entry.endpoint.stage == Some(Stage::Decode);
-        entry.health.learn(now, outcome, decodes)
+        match outcome {
+            StepOutcome::Full => entry.cooldown.refused(now, entry.endpoint.stage == Some(Stage::Decode)),
+            StepOutcome::Answered(_) => entry.cooldown.accepted(),
+            StepOutcome::ErrorResponse | StepOutcome::Failed | StepOutcome::Unreachable => {}
+        }
+        entry.health.learn(now, outcome)
     }
 
     /// Tokens that this instance has in flight, by engine.
@@ -535,7 +544,8 @@
             let paused =
                 entry.is_paused(now) || self.is_replaced(entry) || self.ledger.is_suspected(now, entry.tag);
             healthy |= !paused;
-            if entry.health.is_full(now) {
+            let share = entry.cooldown.admitted_share(now);
+            if share <= 0.0 || (share < 1.0 && !rng.random_bool(share)) {
                 continue;
             }
             if need.local_prefill && self.ledger.has_local_prefill(now, entry.tag) {
--- a/crates/routing/src/endpoints/statements.rs
+++ b/crates/routing/src/endpoints/statements.rs
@@ -82,9 +82,24 @@
         self.announcements.reports(now)
     }
 
+    /// When the first endpoint of a service and stage takes requests again, if all that take new work have
+    /// stated that they want none now.
+    pub fn first_available(&self, now: Instant, service: &str, stage: Option<Stage>) -> Option<Instant> {
+        let keys = self.services.get(service)?;
+        let entries = keys.iter().map(|&key| &self.arena[key]);
+        let open = entries.filter(|e| e.is_open(now) && e.endpoint.stage == stage);
+        let ends: Option<Vec<Instant>> = open.map(|e| e.cooldown.stated_end(now)).collect();
+        ends?.into_iter().min()
+    }
+
+    /// Whether an endpoint has stated that it wants no requests now.
+    pub fn is_cooling(&self, now: Instant, key: EndpointKey) -> bool {
+        self.arena.get(key).is_some_and(|entry| entry.cooldown.stated_end(now).is_some())
+    }
+
     /// How many endpoints have stated that they want no requests now.
     pub fn cooling_count(&self, now: Instant) -> usize {
-        self.arena.values().filter(|entry| entry.cooldown.end(now).is_some()).count()
+        self.arena.values().filter(|entry| entry.cooldown.stated_end(now).is_some()).count()
     }
 
     /// Removes what endpoints stated and what no longer counts. Returns the ids of the endpoints whose
@@ -121,7 +136,7 @@
         }
         let keys = self.services.get(service)?;
         let entries = keys.iter().map(|&key| &self.arena[key]);
-        let mut open = entries.filter(|e| e.is_open(now) && e.endpoint.stage == stage).peekable();
+        let mut open = entries.filter(|e| e.is_available(now) && e.endpoint.stage == stage).peekable();
         open.peek()?;
         open.map(|entry| self.rates.rate(entry.tag)).sum()
     }
--- a/crates/routing/src/health_estimate.rs
+++ b/crates/routing/src/health_estimate.rs
@@ -16,17 +16,6 @@
 const PAUSE_MAX: Duration = Duration::from_secs(2);
 /// Time for which an endpoint that has ended is reported to others; the list shows the end by then.
 const ENDED_PAUSE: Duration = Duration::from_secs(10);
-/// Time for which a refusal for lack of capacity keeps an endpoint from being asked again; doubles with each
-/// further refusal in a row. An engine that changes its stage refuses everything for seconds while it has
-/// nothing in flight, and would otherwise attract all requests.
-const FULL_MIN: Duration = Duration::from_millis(60);
-/// Refusals in a row of a decode engine from which the time doubles. Capacity there becomes free at any
-/// moment, and one refusal says little about the next. But memory can be taken by work that no instance
-/// counts, such as that of a frozen instance, and then all waiting requests would ask all such engines over
-/// and over.
-const FULL_DOUBLING_REFUSALS: u32 = 4;
-/// Longest time for which such a refusal keeps an endpoint from being asked again.
-const FULL_MAX: Duration = Duration::from_millis(960);
 /// Time without any response after which an engine with work of this instance counts as unresponsive: several
 /// times what a prefill or a small call takes at an engine that is not overloaded.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1200);
@@ -52,8 +41,6 @@
 pub(crate) struct HealthEstimate {
     failures: u32,
     paused_until: Option<Instant>,
-    full_until: Option<Instant>,
-    refusals: u32,
     /// Since when work is in progress there without any response.
     unanswered_since: Option<Instant>,
     latency: f64,
@@ -68,8 +55,6 @@
         Self {
             failures: 0,
             paused_until: None,
-            full_until: None,
-            refusals: 0,
             unanswered_since: None,
             latency: INITIAL_LATENCY,
             latency_at: None,
@@ -130,18 +115,12 @@
         self.unanswered_since.is_some_and(|since| now.duration_since(since) > RESPONSE_TIMEOUT)
     }
 
-    /// Whether the endpoint refused for lack of capacity a moment ago.
-    pub(crate) fn is_full(&self, now: Instant) -> bool {
-        self.full_until.is_some_and(|until| now < until)
-    }
-
-    /// Learns from the outcome of a step; `decodes` is true for a decode engine. Returns whether a pause of
-    /// the endpoint began or ended.
+    /// Learns from the outcome of a step. Returns whether a pause of the endpoint began or ended.
     ///
     /// Without the pause every request would find out by its own timeout that an endpoint is dead, and
     /// callers would see a run of slow responses. The pause is short and ends by itself, so that an
     /// unnecessary pause costs little.
-    pub(crate) fn learn(&mut self, now: Instant, outcome: StepOutcome, decodes: bool) -> bool {
+    pub(crate) fn learn(&mut self, now: Instant, outcome: StepOutcome) -> bool {
         if matches!(outcome, StepOutcome::Answered(_) | StepOutcome::Full) && self.unanswered_since.is_some()
         {
             self.unanswered_since = Some(now);
@@ -157,7 +136,7 @@
                 self.answered(now, latency)
             }
             StepOutcome::Full => {
-                self.refused(now, decodes);
+                self.failures = 0;
                 self.paused_until.take().is_some()
             }
             StepOutcome::Failed => {
@@ -174,19 +153,9 @@
         self.latency = expected + (latency.as_secs_f64() - expected) * LATENCY_WEIGHT;
         self.latency_at = Some(now);
         self.failures = 0;
-        self.full_until = None;
-        self.refusals = 0;
         self.paused_until.take().is_some()
     }
 
-    fn refused(&mut self, now: Instant, decodes: bool) {
-        let doublings =
-            if decodes { self.refusals.saturating_sub(FULL_DOUBLING_REFUSALS - 1) } else { self.refusals };
-        self.full_until = Some(now + (FULL_MIN * 2_u32.pow(doublings.min(4))).min(FULL_MAX));
-        self.refusals = self.refusals.saturating_add(1);
-        self.failures = 0;
-    }
-
     /// Records the number of failures in a row, and pauses the endpoint if they are enough.
     fn fail(&mut self, now: Instant, failures: u32) -> bool {
         self.failures = failures;
