Routing: tests of statements without network; a cooldown outlives its entry

Entries that are read again, lapse and come back, are restored or invalid; new incarnations; reports of peers; older responses; the end of a cooldown; 300 random plans. The plans found one fault: an endpoint whose entry lapsed and came back within its cooldown got requests again, since the cooldown went with the entry. What is remembered of a removed incarnation holds it now.

--- a/crates/routing/src/cooldown.rs
+++ b/crates/routing/src/cooldown.rs
@@ -32,7 +32,7 @@
 const FULL_MAX: Duration = Duration::from_millis(960);
 
 /// The latest cooldown of an endpoint.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct Cooldown {
     /// End of the cooldown that the endpoint stated.
     stated: Option<Instant>,
--- a/crates/routing/src/endpoints.rs
+++ b/crates/routing/src/endpoints.rs
@@ -27,7 +27,7 @@
 pub use self::statements::{Statement, StatementChanges};
 use crate::cooldown::Cooldown;
 use crate::health_estimate::HealthEstimate;
-use crate::removed::{Departure, Removed};
+use crate::removed::{Departure, Removed, RemovedEntry};
 use crate::{Endpoint, EndpointKey, EndpointState, EngineTag, Ledger, Rates, Stage, StepOutcome};
 
 /// Seconds that another failure domain adds to an endpoint's expected latency: two crossings and their cost.
@@ -218,7 +218,7 @@
     /// work that began at the previous incarnation can't continue there by mistake, and entries of the
     /// previous incarnation are ignored.
     pub fn upsert(&mut self, mut endpoint: Endpoint) -> UpsertOutcome {
-        let departure = self.removed.departure(&endpoint.incarnation());
+        let departure = self.removed.get(&endpoint.incarnation()).map(|entry| entry.departure);
         let tag = EngineTag::of(&endpoint.id, endpoint.born);
         if endpoint.state == EndpointState::Leaving {
             self.announcements.remove(tag);
@@ -235,8 +235,7 @@
             endpoint.state = EndpointState::Leaving;
         }
         let Some(&key) = self.by_id.get(&endpoint.id) else {
-            let key = self.insert(endpoint, departure.is_some());
-            self.arena[key].announced = announced;
+            self.insert_again(endpoint, departure.is_some(), announced);
             return UpsertOutcome::Started;
         };
         let entry = &mut self.arena[key];
@@ -244,8 +243,7 @@
         match (known.born, endpoint.born) {
             (Some(previous), Some(next)) if previous < next => {
                 self.remove(&endpoint.id);
-                let key = self.insert(endpoint, departure.is_some());
-                self.arena[key].announced = announced;
+                self.insert_again(endpoint, departure.is_some(), announced);
                 return UpsertOutcome::Started;
             }
             (Some(next), Some(previous)) if previous < next => return UpsertOutcome::Outdated,
@@ -261,8 +259,7 @@
         if known.service != endpoint.service || known.address != endpoint.address {
             let announced = entry.announced;
             self.remove(&endpoint.id);
-            let key = self.insert(endpoint, false);
-            self.arena[key].announced = announced;
+            self.insert_again(endpoint, false, announced);
             return UpsertOutcome::Changed;
         }
         let changed = entry.invalid || *known != endpoint;
@@ -273,6 +270,16 @@
         if changed { UpsertOutcome::Changed } else { UpsertOutcome::Unchanged }
     }
 
+    /// Adds an incarnation of an endpoint, with what is known of its statements; `announced` if it stated that
+    /// it leaves.
+    fn insert_again(&mut self, endpoint: Endpoint, relisted: bool, announced: bool) {
+        let known = self.removed.get(&endpoint.incarnation()).map(|entry| entry.cooldown.clone());
+        let key = self.insert(endpoint, relisted);
+        let entry = &mut self.arena[key];
+        entry.announced = announced;
+        entry.cooldown = known.unwrap_or_default();
+    }
+
     /// Adds an incarnation of an endpoint. If it is `relisted` it was listed and removed before: its entry
     /// lapsed and was written again, or is an old one that was written late. If another endpoint was listed
     /// at the address since then, the address belongs to that endpoint.
@@ -325,7 +332,8 @@
         }
         self.rates.remove(entry.tag);
         self.announcements.remove(entry.tag);
-        self.removed.insert(entry.endpoint.incarnation(), entry.departure());
+        let (incarnation, departure) = (entry.endpoint.incarnation(), entry.departure());
+        self.removed.insert(incarnation, RemovedEntry { departure, cooldown: entry.cooldown });
         true
     }
 
--- a/crates/routing/src/removed.rs
+++ b/crates/routing/src/removed.rs
@@ -4,6 +4,7 @@
 use std::collections::{HashMap, VecDeque};
 
 use crate::Incarnation;
+use crate::cooldown::Cooldown;
 
 /// Removed incarnations that are remembered, more than are removed in the minutes in which an old entry may
 /// still be written.
@@ -21,20 +22,28 @@
     Stated,
 }
 
+/// What is remembered of a removed incarnation, which may be listed again.
+#[derive(Debug, Clone)]
+pub(crate) struct RemovedEntry {
+    pub(crate) departure: Departure,
+    pub(crate) cooldown: Cooldown,
+}
+
 /// The latest incarnations of endpoints that were listed and removed.
 #[derive(Debug, Default)]
 pub(crate) struct Removed {
-    known: HashMap<Incarnation, Departure>,
+    known: HashMap<Incarnation, RemovedEntry>,
     order: VecDeque<Incarnation>,
 }
 
 impl Removed {
-    pub(crate) fn insert(&mut self, incarnation: Incarnation, departure: Departure) {
+    pub(crate) fn insert(&mut self, incarnation: Incarnation, mut entry: RemovedEntry) {
         if let Some(known) = self.known.get_mut(&incarnation) {
-            *known = departure.max(*known);
+            entry.departure = entry.departure.max(known.departure);
+            *known = entry;
             return;
         }
-        self.known.insert(incarnation.clone(), departure);
+        self.known.insert(incarnation.clone(), entry);
         self.order.push_back(incarnation);
         if self.order.len() > CAPACITY
             && let Some(oldest) = self.order.pop_front()
@@ -43,8 +52,8 @@
         }
     }
 
-    /// How a removed incarnation departed; `None` if its removal is not known.
-    pub(crate) fn departure(&self, incarnation: &Incarnation) -> Option<Departure> {
-        self.known.get(incarnation).copied()
+    /// What is remembered of a removed incarnation; `None` if its removal is not known.
+    pub(crate) fn get(&self, incarnation: &Incarnation) -> Option<&RemovedEntry> {
+        self.known.get(incarnation)
     }
 }
--- a/crates/routing/tests/all/main.rs
+++ b/crates/routing/tests/all/main.rs
@@ -16,5 +16,6 @@
 mod sends;
 mod snapshot_sources;
 mod stages;
+mod statements;
 mod store_updates;
 mod wait_policy;
