Rates: a refund after a report is no restart of the sender

A refund lowers the sender's total. The receiver took the lower total for a new incarnation and charged all recent sends again. The highest total of an incarnation counts; what was charged for a refunded request stays charged. The test failed before.

--- a/crates/routing/src/rates.rs
+++ b/crates/routing/src/rates.rs
@@ -265,10 +265,14 @@
     pub fn merge_sends(&mut self, now: Instant, from: P, incarnation: u64, report: RateReport) {
         let share = self.own_share();
         let Some(bucket) = self.buckets.get_mut(&report.endpoint) else { return };
-        let added = match bucket.others.insert(from, (incarnation, report.total)) {
-            Some((before, total)) if before == incarnation && total <= report.total => report.total - total,
-            Some(_) | None => report.recent.min(report.total),
+        // A refund lowers the total of an incarnation; what was charged for it here stays charged.
+        let known = bucket.others.get(&from).filter(|(before, _)| *before == incarnation).map(|&(_, t)| t);
+        let added = match known {
+            Some(total) => report.total.saturating_sub(total),
+            None => report.recent.min(report.total),
         };
+        let total = known.map_or(report.total, |total| total.max(report.total));
+        bucket.others.insert(from, (incarnation, total));
         if self.pacing != Pacing::Parts && added > 0 {
             bucket.refill(now, share);
             bucket.charge(f64::from(added));
--- a/crates/routing/tests/all/rates.rs
+++ b/crates/routing/tests/all/rates.rs
@@ -231,3 +231,25 @@
     assert!(refused.record(now, &desk, 0.0, 2) <= seconds(10.0));
     assert!(!refused.is_overloaded(now + seconds(11.0), &desk));
 }
+
+/// Guards against sends that count twice: a refunded request lowers the total that another instance has
+/// received, and was taken for a restart of the sender, whose recent sends were charged again.
+#[test]
+fn a_refund_after_a_report_is_no_restart() {
+    let (mut sender, now) = limited(4.0);
+    let (mut receiver, _) = limited(4.0);
+    for _ in 0..3 {
+        sender.charge(now, DESK);
+    }
+    receiver.merge_sends(now, 1, 7, sender.reports(now)[0]);
+    let known = level(&receiver, now);
+    sender.refund(now, DESK);
+    receiver.merge_sends(now, 1, 7, sender.reports(now)[0]);
+    assert!((level(&receiver, now) - known).abs() < 1e-9);
+    sender.charge(now, DESK);
+    receiver.merge_sends(now, 1, 7, sender.reports(now)[0]);
+    assert!((level(&receiver, now) - known).abs() < 1e-9, "the refunded request had been charged");
+    sender.charge(now, DESK);
+    receiver.merge_sends(now, 1, 7, sender.reports(now)[0]);
+    assert!((level(&receiver, now) - known + 1.0).abs() < 1e-9);
+}
