Core: an older load report does not end that an engine leaves

The same cause on the product's own interface: an engine that answers that it leaves was open again with the next load report, which lags, and got new work. A report clears the statement only if it is certainly newer (reports are at most 5 s old).

Routing: announcements of endpoints that are not listed are not passed on, a cooldown that becomes longer is logged once, one name each for the headers and the statement.

--- a/crates/core/src/endpoints.rs
+++ b/crates/core/src/endpoints.rs
@@ -88,8 +88,8 @@
     pub(crate) slots: u32,
     /// The configuration marks the endpoint as draining.
     draining: bool,
-    /// The endpoint itself states that it is leaving.
-    leaving: bool,
+    /// When the endpoint itself last stated that it is leaving.
+    leaving: Option<Instant>,
     /// The endpoint is not in the configuration any more; kept while work of this instance runs there.
     removed: bool,
     own: u32,
@@ -112,7 +112,7 @@
     }
 
     fn is_leaving(&self) -> bool {
-        self.draining || self.leaving || self.removed
+        self.draining || self.leaving.is_some() || self.removed
     }
 
     fn usable(&self, now: Instant) -> bool {
@@ -163,7 +163,7 @@
             if entry.address != endpoint.address {
                 // A new address means another process under the same name; the state of the old process does
                 // not apply to it.
-                entry.leaving = false;
+                entry.leaving = None;
                 entry.consecutive_failures = 0;
                 entry.paused_until = None;
                 entry.unanswered_polls = 0;
@@ -199,7 +199,7 @@
             role: Role::Service,
             slots: 0,
             draining: false,
-            leaving: false,
+            leaving: None,
             removed: false,
             own: 0,
             others: 0,
@@ -436,7 +436,13 @@
         entry.others = others as u32;
         entry.reported_requests = report.running.len() as u32;
         entry.reported_at = Some(now);
-        entry.leaving = report.leaving;
+        // Reports lag: one that shows no leaving may be from before the endpoint stated it.
+        let is_newer = |stated: Instant| now.duration_since(stated) > REPORT_AGE_MAX;
+        if report.leaving {
+            entry.leaving = Some(now);
+        } else if entry.leaving.is_some_and(is_newer) {
+            entry.leaving = None;
+        }
         std::mem::take(&mut entry.unanswered_polls) >= UNANSWERED_POLLS_MAX
     }
 
@@ -463,8 +469,8 @@
     }
 
     /// Records that the endpoint itself is leaving.
-    pub(crate) fn observe_leaving(&mut self, key: EndpointKey) {
-        self.endpoints[key].leaving = true;
+    pub(crate) fn observe_leaving(&mut self, now: Instant, key: EndpointKey) {
+        self.endpoints[key].leaving = Some(now);
     }
 
     /// Records a successful step. Returns whether the endpoint had been paused.
--- a/crates/core/src/failures.rs
+++ b/crates/core/src/failures.rs
@@ -239,7 +239,7 @@
             self.endpoint_unreachable(now, id, out);
         }
         match failure {
-            StepFailure::Leaving => self.endpoints.observe_leaving(endpoint),
+            StepFailure::Leaving => self.endpoints.observe_leaving(now, endpoint),
             StepFailure::NotSent | StepFailure::Broken | StepFailure::TimedOut | StepFailure::Stalled => {
                 if self.endpoints.observe_failure(now, endpoint) {
                     let name = self.endpoints.get(endpoint).name.clone();
--- a/crates/core/tests/all/steps.rs
+++ b/crates/core/tests/all/steps.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use teaselshunt_core::{Effect, EndpointId, ErrorKind, Event, Outcome, StepFailure, Ticket};
+use teaselshunt_core::{
+    Effect, EndpointId, EngineLoad, ErrorKind, Event, Fingerprint, Outcome, StepFailure, Ticket,
+};
 use teaselshunt_settings::EndpointState;
 
 use crate::support::{SingleInstance, import, prefill};
@@ -113,3 +115,32 @@
     instance.pass(Duration::from_millis(600));
     assert_eq!(cancelled(&instance.step(Event::Tick)), None);
 }
+
+/// Guards against work for an engine that answered that it is leaving: a load report from before that answer,
+/// which arrives after it, made the engine look open again.
+#[test]
+fn an_older_report_does_not_end_that_an_engine_leaves() {
+    let mut instance = SingleInstance::start();
+    let target = |effects: &[Effect]| {
+        effects.iter().find_map(|e| match e {
+            Effect::Prefill { target, .. } => Some(target.id),
+            _ => None,
+        })
+    };
+    let effects = instance.ask(1, Fingerprint(1));
+    let (attempt, leaving) =
+        (prefill(&effects).expect("a slot is free"), target(&effects).expect("an engine"));
+    instance.step(Event::Failed { attempt, failure: StepFailure::Leaving, offset: 0 });
+    let report = |instance: &mut SingleInstance| {
+        instance.step(Event::Reported { endpoint: leaving, report: EngineLoad::default() });
+    };
+    report(&mut instance);
+    let used = |instance: &mut SingleInstance, tickets: std::ops::Range<u64>| {
+        tickets.into_iter().any(|n| target(&instance.ask(n, Fingerprint(n))) == Some(leaving))
+    };
+    assert!(!used(&mut instance, 2..8));
+    // A report that is certainly newer comes from a process that has started again at the address.
+    instance.pass(Duration::from_secs(6));
+    report(&mut instance);
+    assert!(used(&mut instance, 8..14));
+}
--- a/crates/forward/src/gossip.rs
+++ b/crates/forward/src/gossip.rs
@@ -8,8 +8,9 @@
 //! Gossip uses plain datagrams and not QUIC: a report is outdated after a moment, a lost report is made up
 //! for by the next report, and the platform provides no keys for a handshake. A forged report can make
 //! choices worse, have a request refused for a while, or take an endpoint out of use until it starts again;
-//! it cannot make a request run twice or a refusal false. A forged store update could send work to the wrong endpoint. Store updates are therefore accepted
-//! only from known peers of the same failure domain, but no peer is authenticated.
+//! it cannot make a request run twice or a refusal false. A forged store update could send work to the wrong
+//! endpoint. Store updates are therefore accepted only from known peers of the same failure domain, but no
+//! peer is authenticated.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -302,9 +303,8 @@
             let state = self.node.state.borrow();
             state.endpoints.leaving_reports(now).into_iter().map(|tag| tag.0).collect()
         };
-        let is_empty =
-            [crashes.is_empty(), served.is_empty(), rates.is_empty(), leaving_endpoints.is_empty()];
-        let urgent = is_empty.contains(&false);
+        let urgent =
+            !crashes.is_empty() || !served.is_empty() || !rates.is_empty() || !leaving_endpoints.is_empty();
         let report = Report {
             incarnation,
             sequence,
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -4,9 +4,9 @@
 //! The modules form layers, from the top: `supervisor` starts `listeners`, `catalog` (the contents of the
 //! platform's store) and `orders`; the first two accept connections through `accept`. `listeners` hands
 //! requests to `requests`, which calls `plain` or `generate` (with `reservations`). Both use `rates` (rate
-//! limits that endpoints advertise), `statements` (what endpoints state about themselves), `stream`, `body` with `buffering` (bytes that slow callers have not
-//! read), `node` (state, one step at an endpoint) and `connection_pool`. Decisions without input or output
-//! are in the crate `teaselshunt-routing`.
+//! limits that endpoints advertise), `statements` (what endpoints state about themselves), `stream`, `body` with
+//! `buffering` (bytes that slow callers have not read), `node` (state, one step at an endpoint) and
+//! `connection_pool`. Decisions without input or output are in the crate `teaselshunt-routing`.
 //!
 //! Connections of callers and of endpoints use `hyper` directly. A framework above it ends a failed stream as
 //! if the stream were complete and hides whether a request has left the process; the guarantees to callers
@@ -50,7 +50,7 @@
 mod trace;
 
 pub use protocol::{
-    Batch, Call, Order, Protocol, Purpose, RequestMeta, ResponseMeta, Stated, Statements, StoreChange,
+    Batch, Call, Order, Protocol, Purpose, RequestMeta, ResponseMeta, Stated, StatementHeaders, StoreChange,
 };
 pub use settings::Settings;
 pub use supervisor::{StartError, run};
--- a/crates/forward/src/protocol.rs
+++ b/crates/forward/src/protocol.rs
@@ -91,12 +91,12 @@
     /// Id of the responding endpoint; empty if the response does not name it.
     pub endpoint: String,
     /// What the endpoint states about itself.
-    pub statements: Statements,
+    pub statements: StatementHeaders,
 }
 
 /// What an endpoint states about itself in the head of a response.
 #[derive(Debug, Clone, Copy, Default)]
-pub struct Statements {
+pub struct StatementHeaders {
     /// Whether the endpoint is shutting down.
     pub leaving: bool,
     /// Time for which the endpoint wants no further requests from this instance.
--- a/crates/forward/src/statements.rs
+++ b/crates/forward/src/statements.rs
@@ -8,7 +8,7 @@
 use teaselshunt_routing::{EndpointKey, EngineTag, Stage, Statement};
 
 use crate::node::{Job, Node};
-use crate::protocol::{ResponseMeta, Stated, Statements};
+use crate::protocol::{ResponseMeta, Stated, StatementHeaders};
 use crate::rates;
 use crate::refusals::not_before;
 use crate::trace::Trace;
@@ -22,7 +22,7 @@
     if response.misdirected {
         return;
     }
-    let Statements { leaving, retry_after, rate } = response.statements;
+    let StatementHeaders { leaving, retry_after, rate } = response.statements;
     if rate == Stated::Invalid {
         warn_invalid(node, key, "endpoint advertises an invalid rate limit");
     }
--- a/crates/routing/src/cooldown.rs
+++ b/crates/routing/src/cooldown.rs
@@ -43,14 +43,14 @@
 }
 
 impl Cooldown {
-    /// Applies a delay that the endpoint stated in a refusal. Returns whether the cooldown ends later now.
+    /// Applies a delay that the endpoint stated in a refusal. Returns whether a cooldown begins.
     pub(crate) fn extend(&mut self, now: Instant, delay: Duration) -> bool {
-        let until = now + delay.min(COOLDOWN_MAX);
-        if delay.is_zero() || self.stated.is_some_and(|known| until <= known) {
+        if delay.is_zero() {
             return false;
         }
-        self.stated = Some(until);
-        true
+        let begins = self.stated_end(now).is_none();
+        self.stated = self.stated.max(Some(now + delay.min(COOLDOWN_MAX)));
+        begins
     }
 
     /// Records a refusal; `decodes` is true for a decode engine.
--- a/crates/routing/src/endpoints.rs
+++ b/crates/routing/src/endpoints.rs
@@ -223,19 +223,15 @@
         if endpoint.state == EndpointState::Leaving {
             self.announcements.remove(tag);
         }
-        // An entry without a start time that the list showed as leaving may belong to another incarnation,
-        // and only time tells it from an entry of a restored list (`stale_until`).
-        let stays_away = match departure {
-            Some(Departure::Stated) => true,
-            Some(Departure::Listed) => endpoint.born.is_some(),
-            Some(Departure::Unannounced) | None => false,
-        };
+        // Where the list showed an entry without a start time as leaving, a later one may belong to another
+        // incarnation, and only time tells it from an entry of a restored list (`stale_until`).
+        let was_leaving = departure == Some(Departure::Listed) && endpoint.born.is_some();
         let announced = departure == Some(Departure::Stated) || self.announcements.contains(tag);
-        if stays_away || announced {
+        if was_leaving || announced {
             endpoint.state = EndpointState::Leaving;
         }
         let Some(&key) = self.by_id.get(&endpoint.id) else {
-            self.insert_again(endpoint, departure.is_some(), announced);
+            self.insert_known(endpoint, departure.is_some(), announced);
             return UpsertOutcome::Started;
         };
         let entry = &mut self.arena[key];
@@ -243,7 +239,7 @@
         match (known.born, endpoint.born) {
             (Some(previous), Some(next)) if previous < next => {
                 self.remove(&endpoint.id);
-                self.insert_again(endpoint, departure.is_some(), announced);
+                self.insert_known(endpoint, departure.is_some(), announced);
                 return UpsertOutcome::Started;
             }
             (Some(next), Some(previous)) if previous < next => return UpsertOutcome::Outdated,
@@ -259,7 +255,7 @@
         if known.service != endpoint.service || known.address != endpoint.address {
             let announced = entry.announced;
             self.remove(&endpoint.id);
-            self.insert_again(endpoint, false, announced);
+            self.insert_known(endpoint, false, announced);
             return UpsertOutcome::Changed;
         }
         let changed = entry.invalid || *known != endpoint;
@@ -270,9 +266,9 @@
         if changed { UpsertOutcome::Changed } else { UpsertOutcome::Unchanged }
     }
 
-    /// Adds an incarnation of an endpoint, with what is known of its statements; `announced` if it stated that
-    /// it leaves.
-    fn insert_again(&mut self, endpoint: Endpoint, relisted: bool, announced: bool) {
+    /// Adds an incarnation of an endpoint, with the cooldown that it may have had before it was removed;
+    /// `announced` if it stated that it leaves.
+    fn insert_known(&mut self, endpoint: Endpoint, relisted: bool, announced: bool) {
         let known = self.removed.get(&endpoint.incarnation()).map(|entry| entry.cooldown.clone());
         let key = self.insert(endpoint, relisted);
         let entry = &mut self.arena[key];
--- a/crates/routing/src/endpoints/statements.rs
+++ b/crates/routing/src/endpoints/statements.rs
@@ -5,10 +5,12 @@
 //! unavailable.
 
 use std::collections::HashSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use super::Endpoints;
+use super::announcements::Listing;
 use crate::{EndpointKey, EndpointState, EngineTag, RateChange, Rates, Stage};
 
 /// What an endpoint states about itself in one response.
@@ -29,7 +31,7 @@
     pub endpoint: EngineTag,
     /// Whether it was not known to leave.
     pub leaves: bool,
-    /// Its cooldown, if a new one begins or the known one becomes longer.
+    /// Its cooldown, if one begins.
     pub cooldown: Option<Duration>,
     /// What changes in its rate.
     pub rate: Option<RateChange>,
@@ -59,7 +61,7 @@
         let is_new = entry.endpoint.state == EndpointState::Ready;
         if is_new {
             entry.endpoint.state = EndpointState::Leaving;
-            self.announcements.insert(now, entry.tag);
+            self.announcements.insert(now, entry.tag, Listing::Listed);
         }
         is_new
     }
@@ -71,7 +73,7 @@
             return None;
         }
         let Some((key, _)) = self.arena.iter().find(|(_, entry)| entry.tag == endpoint) else {
-            self.announcements.insert(now, endpoint);
+            self.announcements.insert(now, endpoint, Listing::Unlisted);
             return None;
         };
         self.announce_leaving(now, key).then_some(key)
@@ -152,7 +154,7 @@
     }
 
     /// Rates that endpoints advertise.
-    pub fn rates(&mut self) -> &mut Rates<std::net::SocketAddr> {
+    pub fn rates(&mut self) -> &mut Rates<SocketAddr> {
         &mut self.rates
     }
 }
--- a/crates/routing/tests/all/statements.rs
+++ b/crates/routing/tests/all/statements.rs
@@ -156,7 +156,7 @@
     endpoints.learn(at(0.2), key, StepOutcome::Answered(Duration::from_millis(200)));
     assert!(!is_used(&endpoints, at(2.9), "a"));
     assert!(endpoints.get_available(at(2.9), key).is_none());
-    assert_eq!(state_cooldown(&mut endpoints, at(0.3), "a", delay), Some(delay));
+    assert_eq!(state_cooldown(&mut endpoints, at(0.3), "a", delay), None, "it is longer now");
     assert!(!is_used(&endpoints, at(3.2), "a"));
     endpoints.remove("a");
     endpoints.upsert(endpoint("a", None));
