--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -14,6 +14,7 @@
 
 use crate::faults::Plan;
 use crate::site::Site;
+use crate::statements::{self, Announcements};
 
 /// A violation of a guarantee.
 #[derive(Debug, Clone)]
@@ -60,6 +61,7 @@
     /// Ids of non-idempotent requests that were refused as not run.
     refused: Vec<String>,
     violations: Vec<Violation>,
+    announcements: Announcements,
 }
 
 #[derive(Debug, Default)]
@@ -134,6 +136,7 @@
         if let Some(id) = records.refused.iter().find(|id| counts.contains_key(id.as_str())) {
             return violation("a request that was refused as not run has run", id);
         }
+        let late = records.announcements.late_run(&site.parts());
         drop(records);
         if let Some(run) = runs.iter().map(|(run, _)| run).find(|run| !has_correct_team(run)) {
             return violation("an endpoint got a wrong team or a caller's key", &run.request_id);
@@ -141,6 +144,15 @@
         if self.timeless {
             return None;
         }
+        if let Some(id) = late {
+            return violation(
+                "an instance that had passed on that an endpoint leaves sent it a request",
+                &id,
+            );
+        }
+        if let Some(id) = statements::request_in_cooldown(&site.parts()) {
+            return violation("an instance sent requests to an endpoint in its cooldown", &id);
+        }
         if let Some(id) = beyond_limit(&runs) {
             return violation("a team exceeded its limit", &id);
         }
@@ -320,6 +332,7 @@
         }
         // A broken connection proves nothing about the request.
         let Ok(response) = request.send().await else { return false };
+        lock(&self.records).announcements.record(id, response.headers());
         match response.status().as_u16() {
             200 => self.check_response(kind, id, response).await,
             408 | 421 | 429 | 503 => {
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -28,6 +28,8 @@
     /// Draws the rates that endpoints advertise. It is separate from `rng`, so that the rates do not change the other
     /// faults of a seed.
     rates: StdRng,
+    /// The same for what endpoints state of their end and of cooldowns.
+    statements: StdRng,
     start: Instant,
     log: Vec<String>,
     /// Ends of the current faults, with their times.
@@ -39,7 +41,9 @@
 impl Plan {
     pub(crate) fn new(rng: StdRng) -> Self {
         let rates = StdRng::seed_from_u64(rng.clone().random());
-        Self { rng, rates, start: Instant::now(), log: Vec::new(), undo: Vec::new(), stopped: Instant::now() }
+        let statements = StdRng::seed_from_u64(rates.clone().random());
+        let now = Instant::now();
+        Self { rng, rates, statements, start: now, log: Vec::new(), undo: Vec::new(), stopped: now }
     }
 
     pub(crate) fn count(&self) -> usize {
@@ -57,6 +61,7 @@
         self.undo_due(site, Instant::now());
         self.replace_crashed(site).await;
         self.change_rate(site);
+        self.change_retry_delay(site);
         match self.rng.random_range(0..12) {
             0 => self.kill_instance(site),
             1 => self.terminate_instance(site),
@@ -79,6 +84,10 @@
             endpoint.proxy.set(Impairment::None);
             endpoint.server.set_fault(SiteFault::None);
             endpoint.server.advertise_limit(None);
+            endpoint.server.set_retry_after(None);
+        }
+        for endpoint in &site.parts().ended {
+            site.store.remove(&store_key(&endpoint.server));
         }
         self.replace_crashed(site).await;
         // Waits until every graceful shutdown is complete.
@@ -107,6 +116,7 @@
                 Undo::Continue(index) => {
                     let mut parts = site.parts();
                     parts.instances[index].undisturbed_since = Instant::now();
+                    parts.instances[index].running_since = Instant::now();
                     if let Some(process) = &mut parts.instances[index].process {
                         // The process may have ended meanwhile.
                         let _ = process.signal("-CONT");
@@ -267,14 +277,25 @@
         self.replace_at(site, index, announced).await;
     }
 
+    /// Draws how an endpoint that leaves states it itself: not at all, as well as its entry, or while its entry stays
+    /// ready.
+    fn draw_statement(&mut self) -> (bool, bool) {
+        let states = self.statements.random_bool(0.6);
+        (states, states && self.statements.random_bool(0.5))
+    }
+
     async fn replace_at(&mut self, site: &Site, index: usize, announced: bool) {
+        let (states, stays_ready) = if announced { self.draw_statement() } else { (false, false) };
         let stage = {
             let mut parts = site.parts();
             let mut leaving = parts.endpoints.swap_remove(index);
-            leaving.left = Some(Instant::now());
+            leaving.left = (!stays_ready).then(Instant::now);
+            leaving.server.announce_leaving(states);
             leaving.proxy.set(Impairment::None);
             leaving.server.set_fault(SiteFault::None);
-            if announced {
+            if stays_ready {
+                // The store has not taken the endpoint's report yet.
+            } else if announced {
                 let entry = leaving.server.entry(leaving.proxy.address, "draining");
                 site.store.put(&store_key(&leaving.server), &entry);
             } else {
@@ -286,7 +307,12 @@
         };
         self.log(&format!(
             "endpoint {index} leaves {}",
-            if announced { "with a word" } else { "without a word" }
+            match (announced, states, stays_ready) {
+                (false, ..) => "without a word",
+                (true, false, _) => "with a word",
+                (true, true, false) => "with a word, also in its responses",
+                (true, true, true) => "with a word in its responses only",
+            }
         ));
         if let Err(error) = site.add_endpoint(stage).await {
             self.log(&format!("no new endpoint: {error}"));
@@ -305,6 +331,18 @@
         site.parts().endpoints[index].server.advertise_limit(rate);
     }
 
+    /// Now and then an endpoint begins or ceases to state a retry delay in its refusals.
+    fn change_retry_delay(&mut self, site: &Site) {
+        const DELAYS: [Option<&str>; 5] = [Some("1.5"), Some("3"), Some("0.2"), Some("soon"), None];
+        if !self.statements.random_bool(0.2) {
+            return;
+        }
+        let delay = DELAYS[self.statements.random_range(0..DELAYS.len())];
+        let index = self.statements.random_range(0..site.parts().endpoints.len());
+        self.log(&format!("endpoint {index} states retry delay {delay:?}"));
+        site.parts().endpoints[index].server.set_retry_after(delay);
+    }
+
     fn publish_configuration(&mut self, site: &Site) {
         site.parts().version += 1;
         self.log(&format!("configuration {}", site.parts().version));
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -10,6 +10,7 @@
 mod faults;
 mod proxy;
 mod site;
+mod statements;
 
 use std::process::ExitCode;
 use std::time::Duration;
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -1,8 +1,8 @@
 //! A loopback proxy that impairs the connections through it.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::time::Duration;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -30,6 +30,8 @@
 pub(crate) struct Proxy {
     pub(crate) address: SocketAddr,
     impairment: Arc<watch::Sender<Impairment>>,
+    /// When the impairment last began or ended.
+    changed: Mutex<Instant>,
     task: JoinHandle<()>,
 }
 
@@ -40,11 +42,18 @@
         let address = listener.local_addr()?;
         let impairment = Arc::new(watch::Sender::new(Impairment::None));
         let task = tokio::spawn(accept(listener, target, Arc::clone(&impairment), crash));
-        Ok(Self { address, impairment, task })
+        Ok(Self { address, impairment, changed: Mutex::new(Instant::now()), task })
     }
 
     pub(crate) fn set(&self, impairment: Impairment) {
         self.impairment.send_replace(impairment);
+        *self.changed.lock().unwrap_or_else(PoisonError::into_inner) = Instant::now();
+    }
+
+    /// Since when the connections have not been impaired; `None` if they are impaired now.
+    pub(crate) fn clear_since(&self) -> Option<Instant> {
+        let is_clear = matches!(*self.impairment.borrow(), Impairment::None);
+        is_clear.then(|| *self.changed.lock().unwrap_or_else(PoisonError::into_inner))
     }
 }
 
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -17,7 +17,8 @@
 pub(crate) struct Endpoint {
     pub(crate) server: SiteEndpoint,
     pub(crate) proxy: Proxy,
-    /// When the endpoint's entry was set to draining or was removed.
+    /// When the endpoint's entry was set to draining or was removed; `None` for one that leaves while its entry is
+    /// ready.
     pub(crate) left: Option<Instant>,
 }
 
@@ -30,6 +31,8 @@
     previous: Vec<SiteInstance>,
     /// Number of the present incarnation.
     pub(crate) incarnation: u64,
+    /// When the process was started or continued.
+    pub(crate) running_since: Instant,
     /// Since when no fault has affected the process or its link to the store.
     pub(crate) undisturbed_since: Instant,
 }
@@ -104,6 +107,7 @@
             process,
             previous: Vec::new(),
             incarnation: 1,
+            running_since: undisturbed_since,
             undisturbed_since,
         });
         Ok(())
@@ -116,6 +120,7 @@
         slot.settings.first_start = false;
         slot.incarnation += 1;
         slot.undisturbed_since = Instant::now();
+        slot.running_since = Instant::now();
         if let Some(previous) = slot.process.take() {
             slot.previous.push(previous);
         }
--- /dev/null
+++ b/crates/soak/src/statements.rs
@@ -0,0 +1,78 @@
+//! Checks that an instance keeps to what an endpoint stated to it: that the endpoint leaves, and for how long it wants
+//! no requests. A start or a freeze of the instance since then excuses it.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use reqwest::header::HeaderMap;
+
+use crate::site::{InstanceSlot, Parts};
+
+/// Time in which an instance must have stopped to use an endpoint after it passed on that the endpoint leaves.
+const DRAIN_TIME: Duration = Duration::from_secs(2);
+/// Time after a refusal in which requests that were sent before may still arrive.
+const IN_FLIGHT_TIME: Duration = Duration::from_millis(500);
+/// Requests of one instance that may reach an endpoint in the rest of a cooldown.
+const COOLDOWN_REQUESTS_MAX: usize = 2;
+
+/// Index of the instance that a caller sent a request to.
+fn instance_of(request_id: &str) -> Option<usize> {
+    request_id.split('-').nth(1)?.parse().ok()
+}
+
+/// When each instance first passed on a response in which an endpoint states that it leaves, by instance and id of the
+/// endpoint.
+#[derive(Debug, Default)]
+pub(crate) struct Announcements(HashMap<(usize, String), Instant>);
+
+impl Announcements {
+    /// Records the response that a caller got.
+    pub(crate) fn record(&mut self, request_id: &str, headers: &HeaderMap) {
+        let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+        let leaving = text("server-leaving").is_some();
+        let endpoint = text("server-seal").and_then(|seal| seal.strip_prefix("seal-"));
+        if let (true, Some(index), Some(endpoint)) = (leaving, instance_of(request_id), endpoint) {
+            self.0.entry((index, endpoint.to_owned())).or_insert_with(Instant::now);
+        }
+    }
+
+    /// A request that an instance sent to an endpoint too long after it had passed on that the endpoint leaves.
+    pub(crate) fn late_run(&self, parts: &Parts) -> Option<String> {
+        let endpoints = parts.endpoints.iter().chain(&parts.ended);
+        endpoints
+            .flat_map(|e| e.server.executions().into_iter().map(|run| (e.server.id().to_owned(), run)))
+            .find_map(|(endpoint, run)| {
+                let index = instance_of(&run.request_id)?;
+                let passed = *self.0.get(&(index, endpoint))?;
+                let late =
+                    run.started_at > passed + DRAIN_TIME && ran_since(parts.instances.get(index)?, passed);
+                late.then_some(run.request_id)
+            })
+    }
+}
+
+/// Whether the process of an instance has run without a break since then.
+fn ran_since(instance: &InstanceSlot, since: Instant) -> bool {
+    instance.process.is_some() && instance.running_since < since
+}
+
+/// A request that is one too many in a cooldown.
+pub(crate) fn request_in_cooldown(parts: &Parts) -> Option<String> {
+    parts.endpoints.iter().chain(&parts.ended).find_map(|endpoint| {
+        let clear_since = endpoint.proxy.clear_since()?;
+        let log = endpoint.server.arrival_log();
+        let refusals = log.iter().enumerate().filter_map(|(position, refused)| {
+            let seconds = refused.retry_after.as_deref()?.parse::<f64>().ok()?;
+            let index = instance_of(&refused.request_id)?;
+            let told = refused.at > clear_since + IN_FLIGHT_TIME;
+            (told && ran_since(parts.instances.get(index)?, refused.at)).then_some((position, index, seconds))
+        });
+        refusals.into_iter().find_map(|(position, index, seconds)| {
+            let begun = log[position].at;
+            let end = begun + Duration::from_secs_f64(seconds);
+            let within = log[position..].iter().filter(|a| a.at > begun + IN_FLIGHT_TIME && a.at < end);
+            let sent = within.filter(|a| instance_of(&a.request_id) == Some(index));
+            sent.map(|a| a.request_id.clone()).nth(COOLDOWN_REQUESTS_MAX)
+        })
+    })
+}
--- a/crates/standin/src/site/endpoint.rs
+++ b/crates/standin/src/site/endpoint.rs
@@ -114,12 +114,10 @@
     pub path: String,
     /// When the request arrived.
     pub at: Instant,
+    /// The delay that the endpoint stated when it refused the request.
+    pub retry_after: Option<String>,
 }
 
-/// Headers by which an endpoint states something about itself in its responses, besides those of a response to one
-/// request.
-pub const STATEMENT_HEADERS: [&str; 3] = ["server-limit", "server-leaving", "retry-after"];
-
 /// A running endpoint; dropping it stops the endpoint.
 #[derive(Debug)]
 pub struct SiteEndpoint {
@@ -313,29 +311,33 @@
             write_response(stream, 421, &[("not-executed", "1")], "").await;
             return true;
         }
-        self.lock().arrivals.push(SiteArrival {
-            request_id: request.header("request-id").unwrap_or_default().to_owned(),
-            path: path.to_owned(),
-            at: Instant::now(),
-        });
+        let arrival = {
+            let mut inner = self.lock();
+            inner.arrivals.push(SiteArrival {
+                request_id: request.header("request-id").unwrap_or_default().to_owned(),
+                path: path.to_owned(),
+                at: Instant::now(),
+                retry_after: None,
+            });
+            inner.arrivals.len() - 1
+        };
         if let Some(response) = self.handle_control(request, path) {
             let (status, body) = response;
             let headers = self.with_statements(status, &[("content-type", "application/json")]);
             write_response(stream, status, &as_strs(&headers), &body.to_string()).await;
             return true;
         }
-        self.run_request(stream, request).await
+        self.run_request(stream, request, arrival).await
     }
 
     /// Headers of a response, with what the endpoint states about itself.
     fn with_statements(&self, status: u16, headers: &[(&'static str, &str)]) -> Vec<(&'static str, String)> {
         let inner = self.lock();
-        let [limit, leaving, retry_after] = STATEMENT_HEADERS;
         let refuses = matches!(status, 429 | 503) || inner.retry_after_always;
         let statements = [
-            (limit, inner.advertised_limit.clone()),
-            (leaving, inner.leaving.then(|| "1".to_owned())),
-            (retry_after, inner.retry_after.clone().filter(|_| refuses)),
+            ("server-limit", inner.advertised_limit.clone()),
+            ("server-leaving", inner.leaving.then(|| "1".to_owned())),
+            ("retry-after", inner.retry_after.clone().filter(|_| refuses)),
         ];
         let stated = statements.into_iter().filter_map(|(name, value)| Some((name, value?)));
         headers.iter().map(|&(name, value)| (name, value.to_owned())).chain(stated).collect()
@@ -371,13 +373,19 @@
         None
     }
 
-    /// Runs a request with its faults, and returns whether the connection stays open.
-    async fn run_request(&self, stream: &mut TcpStream, request: &Request) -> bool {
+    /// Runs a request with its faults, and returns whether the connection stays open. `arrival` is its index among
+    /// the arrivals.
+    async fn run_request(&self, stream: &mut TcpStream, request: &Request, arrival: usize) -> bool {
         let id = request.header("request-id").unwrap_or_default().to_owned();
         let prefill = request.header("stage") == Some("prefill");
         let after = request.header("last-event-id").and_then(|v| v.parse().ok());
         let fault = self.lock().fault;
         if matches!(fault, SiteFault::Refuse | SiteFault::RefuseAll) {
+            {
+                let mut inner = self.lock();
+                let delay = inner.retry_after.clone();
+                inner.arrivals[arrival].retry_after = delay;
+            }
             let headers = self.with_statements(503, &[("not-executed", "1"), ("request-id", &id)]);
             write_response(stream, 503, &as_strs(&headers), "").await;
             return true;
--- a/crates/standin/src/site/http.rs
+++ b/crates/standin/src/site/http.rs
@@ -78,10 +78,24 @@
     let _ = stream.write_all(text.as_bytes()).await;
 }
 
+/// Names of the headers that the stand-ins send besides those that frame a body. docs/design/endpoint-statements.md
+/// says where each is read.
+pub const RESPONSE_HEADERS: [&str; 8] = [
+    "content-type",
+    "not-executed",
+    "request-id",
+    "retry-after",
+    "server-leaving",
+    "server-limit",
+    "server-seal",
+    "store-era",
+];
+
 /// Status line and headers, without the empty line that ends them.
 pub(crate) fn response_head(status: u16, headers: &[(&str, &str)]) -> String {
     let mut text = format!("HTTP/1.1 {status} Status\r\n");
     for (name, value) in headers {
+        assert!(RESPONSE_HEADERS.contains(name), "{name} is not among the headers of the stand-ins");
         let _ = write!(text, "{name}: {value}\r\n");
     }
     text
--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -11,8 +11,8 @@
 pub use caller::{is_signed, site_request};
 pub use configuration::{FLOODING_TEAM, SiteTeam, UNLIMITED_TEAM, site_configuration};
 pub use endpoint::{
-    CRASHING_BODY, STATEMENT_HEADERS, SiteArrival, SiteEndpoint, SiteExecution, SiteFault, SiteOptions,
-    event_text,
+    CRASHING_BODY, SiteArrival, SiteEndpoint, SiteExecution, SiteFault, SiteOptions, event_text,
 };
+pub use http::RESPONSE_HEADERS;
 pub use instance::{SiteInstance, SiteSettings};
 pub use store::{Store, StoreBackup, StoreMode};
