Core: one cooldown for both paths; Retry-After on the product's own interface

The cooldown moved from routing to core, which both paths use. All engines of a step, or all of a service, in a cooldown: refused at once with the time until the first is back. Two tests of the core and one with processes fail without the record of the delay.

--- a/crates/bench/src/world/engine.rs
+++ b/crates/bench/src/world/engine.rs
@@ -269,7 +269,7 @@
     fn receive_prefill(&mut self, endpoint: usize, sent_step: &SentStep, tokens: u32, priority: u8) {
         let engine = &mut self.engines[endpoint];
         if engine.refusing || engine.queue.len() >= QUEUE_LENGTH_MAX {
-            return self.fail(endpoint, sent_step, StepFailure::Busy);
+            return self.fail(endpoint, sent_step, StepFailure::Busy { retry_after: None });
         }
         engine.prefill_number += 1;
         engine.queue.insert(
@@ -328,7 +328,7 @@
     ) {
         let engine = &mut self.engines[endpoint];
         if engine.refusing || engine.used_slots.len() >= engine.slot_count {
-            return self.fail(endpoint, &sent_step, StepFailure::Busy);
+            return self.fail(endpoint, &sent_step, StepFailure::Busy { retry_after: None });
         }
         engine.used_slots.insert(sent_step.attempt, SlotUse::Incoming);
         self.check_new_work(endpoint, &sent_step);
@@ -504,7 +504,11 @@
         if self.engines[endpoint].stalled {
             return;
         }
-        self.reply(endpoint, sent_step, Event::Called { attempt: sent_step.attempt, stored: Some(stored) });
+        self.reply(
+            endpoint,
+            sent_step,
+            Event::Called { attempt: sent_step.attempt, retry_after: None, stored: Some(stored) },
+        );
     }
 
     /// Ends the stall of an engine, which then continues its work.
--- a/crates/routing/src/cooldown.rs
+++ b/crates/core/src/cooldown.rs
@@ -12,6 +12,8 @@
 
 use std::time::{Duration, Instant};
 
+use rand::Rng;
+
 /// Longest stated cooldown. After a mistaken statement of hours the endpoint is tried again in this time; one
 /// that means hours gets a request or two from each instance this often.
 const COOLDOWN_MAX: Duration = Duration::from_mins(1);
@@ -31,9 +33,9 @@
 /// Longest estimated time.
 const FULL_MAX: Duration = Duration::from_millis(960);
 
-/// The latest cooldown of an endpoint.
+/// The latest cooldown of one endpoint, as one instance knows it.
 #[derive(Debug, Clone, Default)]
-pub(crate) struct Cooldown {
+pub struct Cooldown {
     /// End of the cooldown that the endpoint stated.
     stated: Option<Instant>,
     /// End of the estimated cooldown.
@@ -44,7 +46,7 @@
 
 impl Cooldown {
     /// Applies a delay that the endpoint stated in a refusal. Returns whether a cooldown begins.
-    pub(crate) fn extend(&mut self, now: Instant, delay: Duration) -> bool {
+    pub fn extend(&mut self, now: Instant, delay: Duration) -> bool {
         if delay.is_zero() {
             return false;
         }
@@ -54,7 +56,7 @@
     }
 
     /// Records a refusal; `decodes` is true for a decode engine.
-    pub(crate) fn refused(&mut self, now: Instant, decodes: bool) {
+    pub fn refused(&mut self, now: Instant, decodes: bool) {
         let doublings =
             if decodes { self.refusals.saturating_sub(FULL_DOUBLING_REFUSALS - 1) } else { self.refusals };
         self.estimated = Some(now + (FULL_MIN * 2_u32.pow(doublings.min(4))).min(FULL_MAX));
@@ -63,18 +65,18 @@
 
     /// Records that the endpoint accepted a request. What it stated still counts: it accepted a request from
     /// before the cooldown.
-    pub(crate) fn accepted(&mut self) {
+    pub fn accepted(&mut self) {
         self.estimated = None;
         self.refusals = 0;
     }
 
     /// End of the stated cooldown, if it is in force.
-    pub(crate) fn stated_end(&self, now: Instant) -> Option<Instant> {
+    pub fn stated_end(&self, now: Instant) -> Option<Instant> {
         self.stated.filter(|&until| now < until)
     }
 
     /// The share of the requests that the endpoint may get now, from 0 to 1.
-    pub(crate) fn admitted_share(&self, now: Instant) -> f64 {
+    fn admitted_share(&self, now: Instant) -> f64 {
         if self.stated_end(now).is_some() || self.estimated.is_some_and(|until| now < until) {
             return 0.0;
         }
@@ -83,9 +85,15 @@
         (elapsed / RAMP_TIME.as_secs_f64()).clamp(RAMP_START, 1.0)
     }
 
+    /// Draws whether a request may be sent to the endpoint now.
+    pub fn admits(&self, now: Instant, rng: &mut impl Rng) -> bool {
+        let share = self.admitted_share(now);
+        share >= 1.0 || (share > 0.0 && rng.random_bool(share))
+    }
+
     /// Forgets a stated cooldown after which the endpoint has its full share again. Returns whether there was
     /// one.
-    pub(crate) fn expire(&mut self, now: Instant) -> bool {
+    pub fn expire(&mut self, now: Instant) -> bool {
         let over = self.stated.is_some_and(|until| now >= until + RAMP_TIME);
         if over {
             self.stated = None;
--- a/crates/core/src/endpoints.rs
+++ b/crates/core/src/endpoints.rs
@@ -14,6 +14,7 @@
 use slotmap::SlotMap;
 use teaselshunt_settings::{Configuration, EndpointState, Role};
 
+use crate::cooldown::Cooldown;
 use crate::event::{EngineLoad, Target};
 use crate::ids::EndpointKey;
 use crate::slots::Usage;
@@ -101,6 +102,7 @@
     reported_at: Option<Instant>,
     consecutive_failures: u32,
     paused_until: Option<Instant>,
+    cooldown: Cooldown,
     /// Polls since the last report. Separate from `consecutive_failures`: reports must not clear the failures
     /// of an engine that answers polls but does no work.
     unanswered_polls: u32,
@@ -116,6 +118,11 @@
     }
 
     fn usable(&self, now: Instant) -> bool {
+        self.is_in_service(now) && self.cooldown.stated_end(now).is_none()
+    }
+
+    /// Whether the endpoint takes new work, now or after its cooldown.
+    fn is_in_service(&self, now: Instant) -> bool {
         let reachable = self.unanswered_polls < UNANSWERED_POLLS_MAX
             && self.paused_until.is_none_or(|until| now >= until);
         !self.is_leaving() && reachable
@@ -166,6 +173,7 @@
                 entry.leaving = None;
                 entry.consecutive_failures = 0;
                 entry.paused_until = None;
+                entry.cooldown = Cooldown::default();
                 entry.unanswered_polls = 0;
                 entry.reported_at = None;
                 entry.others = 0;
@@ -208,6 +216,7 @@
             reported_at: None,
             consecutive_failures: 0,
             paused_until: None,
+            cooldown: Cooldown::default(),
             unanswered_polls: 0,
         });
         self.by_id.insert(id, key);
@@ -274,6 +283,15 @@
         self.group(pool, role).iter().any(|&k| self.is_open(now, &self.endpoints[k]))
     }
 
+    /// When the first endpoint of this pool and role takes work again, if all that would take some have stated
+    /// that they want no requests now.
+    pub(crate) fn first_available(&self, now: Instant, pool: &str, role: Role) -> Option<Instant> {
+        let entries = self.group(pool, role).iter().map(|&k| &self.endpoints[k]);
+        let in_service = entries.filter(|e| e.is_in_service(now) && self.share(&e.site) > 0);
+        let ends: Option<Vec<Instant>> = in_service.map(|e| e.cooldown.stated_end(now)).collect();
+        ends?.into_iter().min()
+    }
+
     /// Slots of the endpoints of this pool and role that take new work.
     pub(crate) fn capacity(&self, now: Instant, pool: &str, role: Role) -> u32 {
         let open =
@@ -371,8 +389,9 @@
                 u64::from(entry.load()) * 100 < u64::from(entry.slots) * u64::from(need.max_load_percent);
             self.is_open(now, entry) && has_free_slots && !need.tried.contains(k)
         };
-        let fitting: Vec<EndpointKey> =
+        let mut fitting: Vec<EndpointKey> =
             self.group(need.pool, need.role).iter().copied().filter(fits).collect();
+        fitting.retain(|&k| self.endpoints[k].cooldown.admits(now, rng));
         let site = self.draw_site(&fitting, rng)?;
         let within: Vec<EndpointKey> =
             fitting.into_iter().filter(|&k| self.endpoints[k].site == site).collect();
@@ -473,6 +492,12 @@
         self.endpoints[key].leaving = Some(now);
     }
 
+    /// Records for how long the endpoint wants no requests from this instance. Returns whether a cooldown
+    /// begins.
+    pub(crate) fn observe_cooldown(&mut self, now: Instant, key: EndpointKey, delay: Duration) -> bool {
+        self.endpoints[key].cooldown.extend(now, delay)
+    }
+
     /// Records a successful step. Returns whether the endpoint had been paused.
     pub(crate) fn observe_success(&mut self, key: EndpointKey) -> bool {
         let entry = &mut self.endpoints[key];
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -58,6 +58,8 @@
     Called {
         /// The attempt.
         attempt: AttemptId,
+        /// Time for which the service wants no further requests from this instance, if it stated one.
+        retry_after: Option<Duration>,
         /// The response, if it is small enough to be stored for its idempotency key.
         stored: Option<StoredResponse>,
     },
@@ -181,7 +183,10 @@
     /// No connection was made, so nothing was sent.
     NotSent,
     /// The endpoint answered that it is full and has not started the step.
-    Busy,
+    Busy {
+        /// Time for which it wants no further requests from this instance, if it stated one.
+        retry_after: Option<Duration>,
+    },
     /// The endpoint answered that it is leaving and has not started the step.
     Leaving,
     /// The endpoint answered that it does not hold the KV cache or the request any more.
@@ -200,7 +205,7 @@
     /// Whether the endpoint provably did not start the step.
     pub const fn not_started(self) -> bool {
         match self {
-            Self::NotSent | Self::Busy | Self::Leaving => true,
+            Self::NotSent | Self::Busy { .. } | Self::Leaving => true,
             Self::Evicted | Self::Rejected | Self::Broken | Self::TimedOut | Self::Stalled => false,
         }
     }
@@ -457,6 +462,13 @@
         /// Whether the endpoint is reachable.
         reachable: bool,
     },
+    /// An endpoint refused a step and wants no requests from this instance for a while.
+    Cooldown {
+        /// Name of the endpoint.
+        endpoint: String,
+        /// How long.
+        delay: Duration,
+    },
     /// Endpoints crash under a request, which is not sent to any endpoint for a while.
     Quarantined {
         /// The request.
--- a/crates/core/src/failures.rs
+++ b/crates/core/src/failures.rs
@@ -3,7 +3,7 @@
 //! Each reaction follows from what the failure proves. Only a step that was not started leaves the outcome
 //! "not run" possible. A non-idempotent call is sent again only after such a step.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use teaselshunt_settings::Role;
 
@@ -246,7 +246,25 @@
                     out.push(Effect::Audit(Audit::Endpoint { endpoint: name, reachable: false }));
                 }
             }
-            StepFailure::Busy | StepFailure::Evicted | StepFailure::Rejected => {}
+            StepFailure::Busy { retry_after } => self.observe_cooldown(now, endpoint, retry_after, out),
+            StepFailure::Evicted | StepFailure::Rejected => {}
+        }
+    }
+
+    /// Records for how long an endpoint wants no requests, if it stated that. Requests that wait for its pool
+    /// are refused if no other endpoint takes them.
+    pub(crate) fn observe_cooldown(
+        &mut self,
+        now: Instant,
+        endpoint: EndpointKey,
+        retry_after: Option<Duration>,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(delay) = retry_after else { return };
+        if self.endpoints.observe_cooldown(now, endpoint, delay) {
+            let name = self.endpoints.get(endpoint).name.clone();
+            out.push(Effect::Audit(Audit::Cooldown { endpoint: name, delay }));
+            self.refuse_unservable(now, out);
         }
     }
 }
--- a/crates/core/src/instance.rs
+++ b/crates/core/src/instance.rs
@@ -225,7 +225,9 @@
             Event::Imported { attempt } => self.imported(attempt, out),
             Event::Advanced { attempt, offset } => self.advanced(now, attempt, offset),
             Event::Finished { attempt, offset, stored } => self.finished(now, attempt, offset, stored, out),
-            Event::Called { attempt, stored } => self.called(now, attempt, stored, out),
+            Event::Called { attempt, retry_after, stored } => {
+                self.called(now, attempt, retry_after, stored, out);
+            }
             Event::Failed { attempt, failure, offset } => {
                 self.step_failed(now, attempt, failure, offset, out);
             }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -22,6 +22,7 @@
 
 mod claims;
 mod clock;
+mod cooldown;
 mod counters;
 mod crashes;
 mod endpoints;
@@ -47,6 +48,7 @@
 mod versions;
 
 pub use clock::{Clock, ManualClock, SystemClock};
+pub use cooldown::Cooldown;
 pub use counters::{ClassCounters, Counters};
 pub use endpoints::{EndpointTable, EndpointView, Placement};
 pub use error::{Answer, ErrorKind, Outcome, Refusal};
--- a/crates/core/src/lifecycle.rs
+++ b/crates/core/src/lifecycle.rs
@@ -73,15 +73,21 @@
 
     /// Whether each step of a request has an endpoint that takes new work, full or not.
     pub(crate) fn has_endpoints(&self, now: Instant, request: &Request) -> bool {
-        let roles: &[Role] = match request.kind {
-            Kind::Generate { .. } => &[Role::Prefill, Role::Decode],
-            Kind::Call { .. } => &[Role::Service],
-        };
-        roles.iter().all(|&r| self.endpoints.has_open(now, &request.pool, r))
+        steps_of(&request.kind).iter().all(|&r| self.endpoints.has_open(now, &request.pool, r))
+    }
+
+    /// When a request can be served again, if all endpoints of one of its steps have stated that they want no
+    /// requests now.
+    fn first_available(&self, now: Instant, request: &Request) -> Option<Instant> {
+        let roles = steps_of(&request.kind).iter();
+        roles.filter_map(|&role| self.endpoints.first_available(now, &request.pool, role)).max()
     }
 
     /// Why a request of which nothing ran gets no slot, with a `Retry-After` delay.
     pub(crate) fn no_slot_refusal(&self, now: Instant, request: &Request) -> Refusal {
+        if let Some(first) = self.first_available(now, request) {
+            return Refusal::retryable(ErrorKind::Overloaded, first.duration_since(now));
+        }
         if !self.has_endpoints(now, request) {
             return Refusal::retryable(ErrorKind::NoEndpoint, RETRY_ELSEWHERE_AFTER);
         }
@@ -397,6 +403,7 @@
         &mut self,
         now: Instant,
         attempt: AttemptId,
+        retry_after: Option<Duration>,
         stored: Option<StoredResponse>,
         out: &mut Vec<Effect>,
     ) {
@@ -406,6 +413,7 @@
         let Phase::Calling { endpoint } = self.requests.get(key).phase else {
             return;
         };
+        self.observe_cooldown(now, endpoint, retry_after, out);
         self.complete(now, key, endpoint, stored, out);
     }
 
@@ -578,6 +586,14 @@
     }
 }
 
+/// Roles of the endpoints that the steps of a request need.
+fn steps_of(kind: &Kind) -> &'static [Role] {
+    match kind {
+        Kind::Generate { .. } => &[Role::Prefill, Role::Decode],
+        Kind::Call { .. } => &[Role::Service],
+    }
+}
+
 fn slot_role(kind: &Kind) -> Role {
     match kind {
         Kind::Generate { .. } => Role::Decode,
--- a/crates/core/tests/all/claims.rs
+++ b/crates/core/tests/all/claims.rs
@@ -171,7 +171,7 @@
     let attempt = attempt.expect("the call is sent to a service");
     assert_eq!(settled(&instance.receive(granted())), None, "the request still runs");
     let ran = Some(ClaimOutcome::Ran(None));
-    assert_eq!(settled(&instance.step(Event::Called { attempt, stored: None })), ran);
+    assert_eq!(settled(&instance.step(Event::Called { attempt, retry_after: None, stored: None })), ran);
     assert_eq!(settled(&instance.receive(granted())), ran);
 }
 
--- a/crates/core/tests/all/steps.rs
+++ b/crates/core/tests/all/steps.rs
@@ -121,12 +121,6 @@
 #[test]
 fn an_older_report_does_not_end_that_an_engine_leaves() {
     let mut instance = SingleInstance::start();
-    let target = |effects: &[Effect]| {
-        effects.iter().find_map(|e| match e {
-            Effect::Prefill { target, .. } => Some(target.id),
-            _ => None,
-        })
-    };
     let effects = instance.ask(1, Fingerprint(1));
     let (attempt, leaving) =
         (prefill(&effects).expect("a slot is free"), target(&effects).expect("an engine"));
@@ -144,3 +138,58 @@
     report(&mut instance);
     assert!(used(&mut instance, 8..14));
 }
+
+/// The engine that the next step goes to.
+fn target(effects: &[Effect]) -> Option<EndpointId> {
+    effects.iter().find_map(|e| match e {
+        Effect::Prefill { target, .. } => Some(target.id),
+        _ => None,
+    })
+}
+
+/// Guards against steps at an engine that answered that it is busy and how long it wants no more.
+#[test]
+fn a_busy_engine_gets_no_steps_in_its_cooldown() {
+    const DELAY: Duration = Duration::from_secs(3);
+    let mut instance = SingleInstance::start();
+    let effects = instance.ask(1, Fingerprint(1));
+    let (attempt, busy) = (prefill(&effects).expect("a slot is free"), target(&effects).expect("an engine"));
+    let failure = StepFailure::Busy { retry_after: Some(DELAY) };
+    assert_ne!(target(&instance.step(Event::Failed { attempt, failure, offset: 0 })), Some(busy));
+    let used = |instance: &mut SingleInstance, tickets: std::ops::Range<u64>| {
+        tickets.into_iter().any(|n| target(&instance.ask(n, Fingerprint(n))) == Some(busy))
+    };
+    assert!(!used(&mut instance, 2..6));
+    instance.pass(Duration::from_millis(2_999));
+    assert!(!used(&mut instance, 6..10));
+    instance.pass(Duration::from_secs(1));
+    assert!(used(&mut instance, 10..16));
+}
+
+/// Guards against requests that wait in vain while all engines that could prefill them want no requests: they
+/// are refused at once, and told when the first engine is back.
+#[test]
+fn requests_are_refused_while_all_engines_of_a_step_cool_down() {
+    const DELAY: Duration = Duration::from_secs(3);
+    let mut instance = SingleInstance::start();
+    let refusal = |effects: &[Effect]| {
+        effects.iter().find_map(|e| match e {
+            Effect::Refuse { refusal, .. } => Some(*refusal),
+            _ => None,
+        })
+    };
+    let last = (1..50).find_map(|ticket| {
+        let mut effects = instance.ask(ticket, Fingerprint(ticket));
+        while let Some(attempt) = prefill(&effects) {
+            let failure = StepFailure::Busy { retry_after: Some(DELAY) };
+            effects = instance.step(Event::Failed { attempt, failure, offset: 0 });
+        }
+        refusal(&effects).filter(|refusal| refusal.kind == ErrorKind::Overloaded)
+    });
+    assert_eq!(last.expect("all engines cool down").retry_after, Some(DELAY));
+    instance.pass(Duration::from_secs(1));
+    let effects = instance.ask(100, Fingerprint(100));
+    assert_eq!(refusal(&effects).and_then(|r| r.retry_after), Some(Duration::from_secs(2)));
+    instance.pass(DELAY);
+    assert!(prefill(&instance.ask(101, Fingerprint(101))).is_some());
+}
--- a/crates/daemon/src/audit.rs
+++ b/crates/daemon/src/audit.rs
@@ -103,6 +103,12 @@
                 line.subject = Some(endpoint.clone());
                 line.state = Some(if *reachable { "reachable" } else { "unreachable" });
             }
+            Audit::Cooldown { endpoint, delay } => {
+                line.change = "endpoint";
+                line.subject = Some(endpoint.clone());
+                line.state = Some("cooldown");
+                line.cause = Some(format!("it wants no requests for {:.1} s", delay.as_secs_f64()));
+            }
             Audit::Quarantined { request } => {
                 line.change = "quarantine";
                 line.subject = Some(request.to_string());
--- a/crates/daemon/src/driver/call.rs
+++ b/crates/daemon/src/driver/call.rs
@@ -9,7 +9,7 @@
 use tokio::sync::oneshot;
 
 use crate::control::{Command, Session};
-use crate::engines::{Engines, dispatch};
+use crate::engines::{Engines, dispatch, retry_after};
 
 /// Largest response of a service.
 const MAX_RESPONSE_BYTES: usize = 64 << 20;
@@ -117,7 +117,8 @@
         match result {
             Ok((status, headers, body)) => {
                 let stored = stored_response(status, &headers, &body);
-                self.session.send(Event::Called { attempt, stored });
+                let retry_after = retry_after(status, &headers);
+                self.session.send(Event::Called { attempt, retry_after, stored });
                 Some(CallOutput::Answered { request: self.request, status, headers, body })
             }
             Err(failure) => {
--- a/crates/daemon/src/engines.rs
+++ b/crates/daemon/src/engines.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use reqwest::header::{HeaderMap, RETRY_AFTER};
 use reqwest::{Client, RequestBuilder, Response, StatusCode};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -130,11 +131,12 @@
 /// did not start the step; a status without this body may come from a proxy on the way.
 async fn step_failure(response: Response) -> StepFailure {
     let status = response.status();
+    let retry_after = retry_after(status, response.headers());
     let Ok(EngineError { error }) = read_json(response).await else {
         return StepFailure::Broken;
     };
     match (status, error) {
-        (StatusCode::TOO_MANY_REQUESTS, EngineFault::Busy) => StepFailure::Busy,
+        (StatusCode::TOO_MANY_REQUESTS, EngineFault::Busy) => StepFailure::Busy { retry_after },
         (StatusCode::SERVICE_UNAVAILABLE, EngineFault::Leaving) => StepFailure::Leaving,
         (_, EngineFault::Evicted) => StepFailure::Evicted,
         (_, EngineFault::Rejected) => StepFailure::Rejected,
@@ -142,6 +144,15 @@
     }
 }
 
+/// Time for which an endpoint that refuses wants no further requests, from its `Retry-After`. What is not a
+/// number of seconds counts as absent, like a date: the clocks of two machines may differ.
+pub(crate) fn retry_after(status: StatusCode, headers: &HeaderMap) -> Option<Duration> {
+    let refuses = matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS);
+    let text = headers.get(RETRY_AFTER).filter(|_| refuses)?.to_str().ok()?;
+    let seconds: f64 = text.trim().parse().ok()?;
+    Duration::try_from_secs_f64(seconds).ok()
+}
+
 async fn read_json<T: DeserializeOwned>(response: Response) -> Result<T, StepFailure> {
     match response.json().await {
         Ok(value) => Ok(value),
--- a/crates/daemon/tests/all/path.rs
+++ b/crates/daemon/tests/all/path.rs
@@ -1,9 +1,9 @@
 //! Single requests from the caller to the response, through separate processes.
 
 use serde_json::{Value, json};
-use teaselshunt_standin::generated_text;
+use teaselshunt_standin::{ServiceFaults, generated_text};
 
-use crate::support::{Fleet, streamed_text};
+use crate::support::{Fleet, streamed_text, until};
 
 #[tokio::test(flavor = "multi_thread")]
 async fn completions_are_exact_with_and_without_streaming() {
@@ -80,3 +80,28 @@
         assert_eq!(response.status(), 404);
     }
 }
+
+/// Guards against calls to a service that refused one and stated how long it wants no more: its refusal is
+/// passed on, and later callers are refused at once and told when to come back.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_service_gets_no_calls_in_its_cooldown() {
+    const DELAY_SECONDS: u32 = 3;
+    let fleet = Fleet::start(1).await;
+    let daemons = fleet.start_daemons().await;
+    let daemon = &daemons[0];
+    assert_eq!(fleet.booking(daemon, "first").send().await.unwrap().status(), 200);
+    fleet.service.set_faults(ServiceFaults { retry_after: Some(DELAY_SECONDS), ..ServiceFaults::default() });
+    let passed_on = fleet.booking(daemon, "second").send().await.unwrap();
+    assert_eq!(passed_on.status(), 503);
+    assert_eq!(passed_on.headers()["retry-after"], DELAY_SECONDS.to_string().as_str());
+    // The service would serve the next call.
+    fleet.service.set_faults(ServiceFaults::default());
+    let refused = fleet.booking(daemon, "third").send().await.unwrap();
+    assert_eq!(refused.headers()["x-teaselshunt-outcome"], "not-run");
+    assert!(refused.headers().contains_key("retry-after"));
+    assert_eq!(fleet.executions("third"), 0);
+    until("the cooldown is over", || async {
+        fleet.booking(daemon, "last").send().await.unwrap().status() == 200
+    })
+    .await;
+}
--- a/crates/routing/src/endpoints.rs
+++ b/crates/routing/src/endpoints.rs
@@ -21,11 +21,11 @@
 
 use rand::Rng;
 use slotmap::SlotMap;
+use teaselshunt_core::Cooldown;
 
 use self::announcements::Announcements;
 use self::limited::{FoundFraction, Sample};
 pub use self::statements::{Statement, StatementChanges};
-use crate::cooldown::Cooldown;
 use crate::health_estimate::HealthEstimate;
 use crate::removed::{Departure, Removed, RemovedEntry};
 use crate::{Endpoint, EndpointKey, EndpointState, EngineTag, Ledger, Rates, Stage, StepOutcome};
@@ -548,8 +548,7 @@
             let paused =
                 entry.is_paused(now) || self.is_replaced(entry) || self.ledger.is_suspected(now, entry.tag);
             healthy |= !paused;
-            let share = entry.cooldown.admitted_share(now);
-            if share <= 0.0 || (share < 1.0 && !rng.random_bool(share)) {
+            if !entry.cooldown.admits(now, rng) {
                 continue;
             }
             if need.local_prefill && self.ledger.has_local_prefill(now, entry.tag) {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -4,8 +4,8 @@
 //!
 //! - `routes` is one configuration version.
 //! - `endpoints` keeps every `endpoint` with the `health_estimate` that its results have left, and chooses
-//!   among them; `removed` remembers incarnations of endpoints that are no longer listed, and `cooldown` is
-//!   the time for which an endpoint wants no requests.
+//!   among them; `removed` remembers incarnations of endpoints that are no longer listed. How long an
+//!   endpoint that refused gets no requests is decided by [`Cooldown`](teaselshunt_core::Cooldown).
 //! - `ledger` is the work that other instances have in flight.
 //! - `rates` keeps the sends of the instances within the rates that endpoints advertise, and `refusals`
 //!   counts the requests that are refused because of them.
@@ -22,7 +22,6 @@
 
 mod budget;
 mod changes;
-mod cooldown;
 mod endpoint;
 mod endpoints;
 mod health_estimate;
--- a/crates/routing/src/removed.rs
+++ b/crates/routing/src/removed.rs
@@ -3,8 +3,9 @@
 
 use std::collections::{HashMap, VecDeque};
 
+use teaselshunt_core::Cooldown;
+
 use crate::Incarnation;
-use crate::cooldown::Cooldown;
 
 /// Removed incarnations that are remembered, more than are removed in the minutes in which an old entry may
 /// still be written.
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -20,6 +20,8 @@
     pub drop: bool,
     /// Time that a call takes, in milliseconds.
     pub slow_ms: u64,
+    /// Calls do not run and get a 503 with this `Retry-After`, in seconds.
+    pub retry_after: Option<u32>,
 }
 
 /// A call that ran.
@@ -102,6 +104,10 @@
         team: header("openai-organization"),
         key: header("authorization"),
     };
+    if let Some(seconds) = faults.retry_after {
+        let status = poem::http::StatusCode::SERVICE_UNAVAILABLE;
+        return status.with_header(poem::http::header::RETRY_AFTER, seconds).into_response();
+    }
     // The call runs in a task of its own, since a service does not notice that its client has disconnected.
     let (shared, execution) = (Arc::clone(state), call.clone());
     let work = tokio::spawn(async move {
