Forward: requests wait for their share at the end of a cooldown

While a sole endpoint's share grows after a cooldown, callers whom the draw left out were refused at once although the endpoint was back. They now wait and draw again, for as long as they can still be on time, like requests that wait for a rate.

--- a/crates/core/src/cooldown.rs
+++ b/crates/core/src/cooldown.rs
@@ -85,6 +85,12 @@
         (elapsed / RAMP_TIME.as_secs_f64()).clamp(RAMP_START, 1.0)
     }
 
+    /// From when on requests are admitted, while not all of them are: the end of the stated cooldown, or now
+    /// while the share grows.
+    pub fn admits_from(&self, now: Instant) -> Option<Instant> {
+        self.stated.filter(|&until| now < until + RAMP_TIME).map(|until| until.max(now))
+    }
+
     /// Draws whether a request may be sent to the endpoint now.
     pub fn admits(&self, now: Instant, rng: &mut impl Rng) -> bool {
         let share = self.admitted_share(now);
--- a/crates/forward/src/statements.rs
+++ b/crates/forward/src/statements.rs
@@ -13,6 +13,8 @@
 use crate::refusals::not_before;
 use crate::trace::Trace;
 
+/// Shortest `Retry-After` delay while endpoints take only a share of the requests after a cooldown.
+const RETRY_DELAY_MIN: Duration = Duration::from_millis(150);
 /// Shortest time between two log lines about invalid statements.
 const WARNING_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -62,7 +64,7 @@
 
 /// The refusal of a request for which all endpoints of a stage want no requests now.
 pub(crate) fn refusal(node: &Node, job: &Job, trace: &Trace, stage: Option<Stage>) -> Option<Refusal> {
-    let wait = first_available(node, job, stage)?.duration_since(node.now());
+    let wait = first_available(node, job, stage)?.duration_since(node.now()).max(RETRY_DELAY_MIN);
     let service = &job.service.name;
     node.metrics.cooldown_refusals.with_label_values(&[service]).inc();
     trace.record_step("cooldown", service, &format!("back_in:{:.1}s", wait.as_secs_f64()));
--- a/crates/routing/src/endpoints/statements.rs
+++ b/crates/routing/src/endpoints/statements.rs
@@ -85,12 +85,12 @@
     }
 
     /// When the first endpoint of a service and stage takes requests again, if all that take new work have
-    /// stated that they want none now.
+    /// stated that they want none now. It is now while the first one gets a share of the requests after that.
     pub fn first_available(&self, now: Instant, service: &str, stage: Option<Stage>) -> Option<Instant> {
         let keys = self.services.get(service)?;
         let entries = keys.iter().map(|&key| &self.arena[key]);
         let open = entries.filter(|e| e.is_open(now) && e.endpoint.stage == stage);
-        let ends: Option<Vec<Instant>> = open.map(|e| e.cooldown.stated_end(now)).collect();
+        let ends: Option<Vec<Instant>> = open.map(|e| e.cooldown.admits_from(now)).collect();
         ends?.into_iter().min()
     }
 
--- a/crates/routing/tests/all/statements.rs
+++ b/crates/routing/tests/all/statements.rs
@@ -207,6 +207,9 @@
     assert_eq!(first(&endpoints), None, "c takes requests");
     state_leaving(&mut endpoints, now, "c");
     assert_eq!(first(&endpoints), Some(now + Duration::from_secs(2)));
+    let (back, full) = (now + Duration::from_millis(2_100), now + Duration::from_millis(2_500));
+    assert_eq!(endpoints.first_available(back, "desk", None), Some(back), "b gets a share");
+    assert_eq!(endpoints.first_available(full, "desk", None), None, "b takes all requests");
     state_leaving(&mut endpoints, now, "a");
     state_leaving(&mut endpoints, now, "b");
     assert_eq!(first(&endpoints), None, "none comes back");
