--- a/crates/core/src/lifecycle.rs
+++ b/crates/core/src/lifecycle.rs
@@ -73,13 +73,13 @@
 
     /// Whether each step of a request has an endpoint that takes new work, full or not.
     pub(crate) fn has_endpoints(&self, now: Instant, request: &Request) -> bool {
-        steps_of(&request.kind).iter().all(|&r| self.endpoints.has_open(now, &request.pool, r))
+        request.kind.roles().iter().all(|&r| self.endpoints.has_open(now, &request.pool, r))
     }
 
     /// When a request can be served again, if all endpoints of one of its steps have stated that they want no
     /// requests now.
     fn first_available(&self, now: Instant, request: &Request) -> Option<Instant> {
-        let roles = steps_of(&request.kind).iter();
+        let roles = request.kind.roles().iter();
         roles.filter_map(|&role| self.endpoints.first_available(now, &request.pool, role)).max()
     }
 
@@ -141,7 +141,7 @@
     /// requests of this pool hold a slot, divided by the slots.
     pub(crate) fn expected_wait(&self, now: Instant, request: &Request) -> Duration {
         let ahead = self.queues.get(&request.pool).map_or(0, |q| q.ahead(request.priority));
-        let slots = self.endpoints.capacity(now, &request.pool, slot_role(&request.kind)).max(1);
+        let slots = self.endpoints.capacity(now, &request.pool, request.kind.slot_role()).max(1);
         let held = self.slot_hold_times.get(&request.pool).copied().unwrap_or_default();
         held * (ahead as u32) / slots
     }
@@ -586,21 +586,6 @@
     }
 }
 
-/// Roles of the endpoints that the steps of a request need.
-fn steps_of(kind: &Kind) -> &'static [Role] {
-    match kind {
-        Kind::Generate { .. } => &[Role::Prefill, Role::Decode],
-        Kind::Call { .. } => &[Role::Service],
-    }
-}
-
-fn slot_role(kind: &Kind) -> Role {
-    match kind {
-        Kind::Generate { .. } => Role::Decode,
-        Kind::Call { .. } => Role::Service,
-    }
-}
-
 /// Weight of a team. All callers that the configuration does not name are one team of weight 1.
 pub(crate) fn team_weight(teams: &[Team], name: &str) -> u32 {
     teams.iter().find(|t| t.name == name).map_or(1, |t| t.weight)
--- a/crates/core/src/requests.rs
+++ b/crates/core/src/requests.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use slotmap::SlotMap;
+use teaselshunt_settings::Role;
 
 use crate::ids::{EndpointKey, RequestKey};
 use crate::limits::Charge;
@@ -56,6 +57,24 @@
     },
 }
 
+impl Kind {
+    /// Roles of the endpoints that the steps of a request need.
+    pub(crate) const fn roles(&self) -> &'static [Role] {
+        match self {
+            Self::Generate { .. } => &[Role::Prefill, Role::Decode],
+            Self::Call { .. } => &[Role::Service],
+        }
+    }
+
+    /// Role of the endpoint whose slot a request holds for most of its time.
+    pub(crate) const fn slot_role(&self) -> Role {
+        match self {
+            Self::Generate { .. } => Role::Decode,
+            Self::Call { .. } => Role::Service,
+        }
+    }
+}
+
 /// KV cache that a prefill engine holds for a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Cache {
--- a/crates/routing/src/endpoints/limited.rs
+++ b/crates/routing/src/endpoints/limited.rs
@@ -9,7 +9,7 @@
 
 use rand::Rng;
 
-use super::Rank;
+use super::choice::Rank;
 use crate::{EndpointKey, Stage};
 
 /// Rate-limited endpoints that a choice considers.
