--- a/crates/routing/src/endpoints.rs
+++ b/crates/routing/src/endpoints.rs
@@ -1,9 +1,9 @@
 //! What one instance knows of every endpoint, and the choice among them.
 //!
-//! This knowledge has three sources: the platform's list (which endpoints there are, and which are leaving),
-//! the instance's own results (latency, failures, refusals) and its own work in progress. Health checks are
-//! not used: an endpoint can fail requests while its health checks pass, and serve them while its health
-//! checks fail. Results show what requests meet.
+//! This knowledge has four sources: the platform's list (which endpoints there are, and which are leaving),
+//! what endpoints state about themselves in responses, the instance's own results (latency, failures,
+//! refusals) and its own work in progress. Health checks are not used: an endpoint can fail requests while
+//! its health checks pass, and serve them while its health checks fail. Results show what requests meet.
 //!
 //! Invariants:
 //! - an endpoint that the list shows as leaving or no longer shows is never chosen, with one exception that
