Homes: a home with as many records as it can keep goes on

Callers saw an instance of the product's own interface that answered nothing any more. Cause: above the size limit of the stored responses a record was queued again, at a time ahead of now, with its size but for the response. From 524,289 unexpired records on, some 570 new keys a second at one home, nothing could be dropped any more and the loop did not end, and with it the control thread.

Responses are counted and dropped by themselves, and the removal ends.

--- a/crates/core/src/claims.rs
+++ b/crates/core/src/claims.rs
@@ -99,6 +99,10 @@
                 self.refuse(now, key, Refusal::retryable(ErrorKind::KeyUnknown, KEY_RETRY_AFTER), out);
             }
             ClaimAnswer::Lost => self.refuse(now, key, Refusal::new(ErrorKind::KeyUnknown), out),
+            ClaimAnswer::Full { retry_ms } => {
+                let delay = Duration::from_millis(retry_ms).max(KEY_RETRY_AFTER);
+                self.refuse(now, key, Refusal::retryable(ErrorKind::KeyLimit, delay), out);
+            }
             ClaimAnswer::Revision(theirs) => self.resolve_list_mismatch(now, key, from, theirs, out),
         }
     }
--- a/crates/core/src/error.rs
+++ b/crates/core/src/error.rs
@@ -67,6 +67,8 @@
     KeyUsed,
     /// Whether a request with the same idempotency key ran is unknown.
     KeyUnknown,
+    /// The home of the idempotency key keeps too many records to grant another key.
+    KeyLimit,
     /// Internal error of this program.
     Internal,
 }
@@ -98,7 +100,7 @@
 
 impl ErrorKind {
     /// Every kind, in the order of the table.
-    pub const ALL: [Self; 21] = [
+    pub const ALL: [Self; 22] = [
         Self::Invalid,
         Self::UnknownModel,
         Self::UnknownService,
@@ -119,6 +121,7 @@
         Self::KeyInUse,
         Self::KeyUsed,
         Self::KeyUnknown,
+        Self::KeyLimit,
         Self::Internal,
     ];
 
@@ -149,6 +152,7 @@
             Self::KeyInUse       => row(409, CALLER, "key_in_use",         Unknown, "a request with this idempotency key is in progress"),
             Self::KeyUsed        => row(409, CALLER, "key_used",           Unknown, "a request with this idempotency key ran; its answer is not kept"),
             Self::KeyUnknown     => row(503, SERVER, "key_unknown",        Unknown, "whether a request with this idempotency key ran cannot be told"),
+            Self::KeyLimit       => row(503, SERVER, "key_limit",          NotRun,  "too many idempotency keys are kept to grant another one"),
             Self::Internal       => row(500, SERVER, "internal",           Unknown, "a fault of the router"),
         }
     }
--- a/crates/core/src/homes.rs
+++ b/crates/core/src/homes.rs
@@ -47,9 +47,12 @@
 //! between the check of its grant and the write to the endpoint, and a list of which more than half of the
 //! members are replaced during one network partition.
 
+mod records;
+
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
+use self::records::{Entry, Records};
 use crate::members::{Health, Members};
 use crate::message::{ClaimAnswer, ClaimOutcome, KeyRecord, Message};
 use crate::{IdempotencyKey, InstanceId, RequestId};
@@ -58,18 +61,9 @@
 pub(crate) const GRANT_LEASE: Duration = Duration::from_secs(10);
 /// How long a home waits for other instances before it answers "unknown".
 const INQUIRY_TIMEOUT: Duration = Duration::from_millis(700);
-/// Total size of the stored responses of all keys. Above this limit the oldest responses are dropped; the
-/// records that the requests ran are kept.
-const STORED_RESPONSE_BYTES_MAX: usize = 32 << 20;
 /// Records in one handover message.
 const HANDOVER_RECORDS_MAX: usize = 256;
 
-#[derive(Debug)]
-struct Entry {
-    record: KeyRecord,
-    at: Instant,
-}
-
 /// A received claim.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Claim {
@@ -122,9 +116,7 @@
     horizon: Duration,
     /// How far a caller's clock may be ahead.
     skew: Duration,
-    entries: HashMap<IdempotencyKey, Entry>,
-    by_age: std::collections::VecDeque<(Instant, IdempotencyKey)>,
-    record_bytes: usize,
+    records: Records,
     inquiries: BTreeMap<IdempotencyKey, Inquiry>,
     /// Start of the last read from the platform that returned the current revision.
     list_read: Option<Instant>,
@@ -184,9 +176,7 @@
             started_ms,
             horizon,
             skew: Duration::ZERO,
-            entries: HashMap::new(),
-            by_age: std::collections::VecDeque::new(),
-            record_bytes: 0,
+            records: Records::default(),
             inquiries: BTreeMap::new(),
             list_read: None,
             handovers: HashMap::new(),
@@ -201,7 +191,7 @@
 
     /// Number of keys with a record.
     pub(crate) fn len(&self) -> usize {
-        self.entries.len()
+        self.records.len()
     }
 
     /// Discards what was learned under the previous list.
@@ -246,7 +236,7 @@
             replies.answer(from, key, request, ClaimAnswer::Revision(members.revision()));
             return replies;
         }
-        if let Some(entry) = self.entries.get(&key) {
+        if let Some(entry) = self.records.get(key) {
             replies.answer_from_record((from, key, request), members, entry);
             return replies;
         }
@@ -262,6 +252,10 @@
             inquiry.claims.push((from, request));
             return replies;
         }
+        if let Some(wait) = self.records.full_for(now, self.retention()) {
+            replies.answer(from, key, request, ClaimAnswer::Full { retry_ms: wait.as_millis() as u64 });
+            return replies;
+        }
         let Some(pending) = self.instances_to_ask(now, members, key, born) else {
             replies.answer(from, key, request, ClaimAnswer::Lost);
             return replies;
@@ -380,12 +374,12 @@
         let refusal = if inquiry.unanswerable { ClaimAnswer::Lost } else { ClaimAnswer::Unknown };
         let claims = self.inquiries.remove(&key).map_or(Vec::new(), |i| i.claims);
         for (from, request) in claims {
-            if let Some(entry) = self.entries.get(&key) {
+            if let Some(entry) = self.records.get(key) {
                 replies.answer_from_record((from, key, request), members, entry);
                 continue;
             }
             let answer = if grant {
-                self.insert_record(now, key, KeyRecord::Granted(request));
+                self.records.insert(now, key, KeyRecord::Granted(request));
                 ClaimAnswer::Granted
             } else {
                 refusal.clone()
@@ -394,14 +388,6 @@
         }
     }
 
-    fn insert_record(&mut self, now: Instant, key: IdempotencyKey, record: KeyRecord) {
-        self.record_bytes += record_bytes(&record);
-        if let Some(old) = self.entries.insert(key, Entry { record, at: now }) {
-            self.record_bytes -= record_bytes(&old.record);
-        }
-        self.by_age.push_back((now, key));
-    }
-
     /// Stores the outcome of a granted request.
     pub(crate) fn settle(
         &mut self,
@@ -410,17 +396,14 @@
         request: RequestId,
         outcome: ClaimOutcome,
     ) {
-        let held = self.entries.get(&key).is_some_and(|e| e.record == KeyRecord::Granted(request));
+        let held = self.records.get(key).is_some_and(|e| e.record == KeyRecord::Granted(request));
         if !held {
             return;
         }
         match outcome {
-            ClaimOutcome::NotRun => {
-                let entry = self.entries.remove(&key);
-                self.record_bytes -= entry.map_or(0, |e| record_bytes(&e.record));
-            }
-            ClaimOutcome::Ran(stored) => self.insert_record(now, key, KeyRecord::Ran(stored)),
-            ClaimOutcome::Unknown => self.insert_record(now, key, KeyRecord::Unknown),
+            ClaimOutcome::NotRun => self.records.remove(key),
+            ClaimOutcome::Ran(stored) => self.records.insert(now, key, KeyRecord::Ran(stored)),
+            ClaimOutcome::Unknown => self.records.insert(now, key, KeyRecord::Unknown),
         }
     }
 
@@ -436,7 +419,7 @@
         if ours == revision && members.home(key) == Some(self.me) {
             // Two different lists have the same revision, which the platform guarantees not to happen.
             // Neither home may grant the key.
-            self.insert_record(now, key, KeyRecord::Unknown);
+            self.records.insert(now, key, KeyRecord::Unknown);
         }
         // Claims that waited here were dropped with the previous list, so that none of them is granted after
         // this answer.
@@ -447,7 +430,7 @@
             previous.filter(|&(_, replaced_at)| !self.created_after(born, replaced_at, GRANT_LEASE));
         let others = may_have.map(|(home, _)| home).filter(|&home| home != self.me);
         let homes = others.filter(|&home| !self.handed_over(members, home)).collect();
-        let record = self.entries.get(&key).map(|e| e.record.clone());
+        let record = self.records.get(key).map(|e| e.record.clone());
         Message::Inquired { key, revision: ours, record, own_grants_known, lists_known, homes }
     }
 
@@ -503,7 +486,7 @@
             replies.messages.push((home, Message::Inquire { key, revision: members.revision(), born }));
         }
         if let Some(record) = record {
-            self.insert_record(now, key, record);
+            self.records.insert(now, key, record);
             if let Some(inquiry) = self.inquiries.get_mut(&key) {
                 inquiry.deadline = now;
             }
@@ -529,30 +512,8 @@
     }
 
     fn expire_records(&mut self, now: Instant) {
-        while let Some(&(at, key)) = self.by_age.front() {
-            let expired = now.duration_since(at) > self.retention();
-            if !expired && self.record_bytes <= STORED_RESPONSE_BYTES_MAX {
-                break;
-            }
-            self.by_age.pop_front();
-            let Some(entry) = self.entries.get_mut(&key).filter(|e| e.at == at) else {
-                continue;
-            };
-            self.record_bytes -= record_bytes(&entry.record);
-            if expired {
-                self.entries.remove(&key);
-                continue;
-            }
-            // Above the size limit: drop the response and keep the record that the request ran.
-            if let KeyRecord::Ran(stored) = &mut entry.record {
-                *stored = None;
-            }
-            self.record_bytes += record_bytes(&entry.record);
-            let requeued_at = at + self.horizon;
-            entry.at = requeued_at;
-            self.by_age.push_back((requeued_at, key));
-        }
         let retention = self.retention();
+        self.records.expire(now, retention);
         self.handovers.retain(|_, handover| now.duration_since(handover.at) < retention);
     }
 
@@ -565,14 +526,12 @@
         for (id, _) in members.iter().filter(|(_, m)| !m.leaving) {
             records_by_home.insert(id, Vec::new());
         }
-        // Sorted by key, so that the same state results in the same messages.
-        let mut keys: Vec<IdempotencyKey> = self.entries.keys().copied().collect();
-        keys.sort_unstable();
-        for key in keys {
+        for key in self.records.sorted_keys() {
+            let Some(entry) = self.records.get(key) else { continue };
             let Some(home) = members.runner_up(key) else {
                 continue;
             };
-            records_by_home.entry(home).or_default().push((key, self.entries[&key].record.clone()));
+            records_by_home.entry(home).or_default().push((key, entry.record.clone()));
         }
         let mut messages = Vec::new();
         for (home, records) in records_by_home {
@@ -597,8 +556,8 @@
         for (key, record) in records {
             // A grant that is still unsettled will not be settled later. It stays a grant, and
             // `Entry::answer` answers "unknown" once the process of its holder has ended.
-            if !self.entries.contains_key(&key) {
-                self.insert_record(now, key, record);
+            if self.records.get(key).is_none() {
+                self.records.insert(now, key, record);
             }
         }
         if last {
@@ -632,10 +591,3 @@
         .get(holder.instance)
         .is_some_and(|m| m.incarnation > holder.incarnation || matches!(m.health, Health::Dead(_)))
 }
-
-fn record_bytes(record: &KeyRecord) -> usize {
-    match record {
-        KeyRecord::Ran(Some(stored)) => stored.body.len() + stored.content_type.len() + 64,
-        KeyRecord::Ran(None) | KeyRecord::Granted(_) | KeyRecord::Unknown => 64,
-    }
-}
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -238,6 +238,11 @@
     Lost,
     /// The requesting instance and the home use different lists; this is the home's revision.
     Revision(u64),
+    /// The home keeps too many records to grant another key.
+    Full {
+        /// Time until its oldest record expires, in milliseconds.
+        retry_ms: u64,
+    },
 }
 
 /// State of an instance, with health updates about others.
--- a/crates/core/tests/all/claims.rs
+++ b/crates/core/tests/all/claims.rs
@@ -4,7 +4,7 @@
 
 use teaselshunt_core::{
     Call, CallerKey, ClaimAnswer, ClaimOutcome, Effect, ErrorKind, Event, Fingerprint, IdempotencyKey,
-    InstanceId, Message, Refusal, RequestId, Ticket, Work,
+    InstanceId, KeyRecord, Message, Refusal, RequestId, Ticket, Work,
 };
 
 use crate::support::{OTHER, SingleInstance, heartbeat, heartbeat_at, pair};
@@ -250,3 +250,32 @@
     let unanswered = refusal(&instance.step(Event::Tick)).expect("its home does not answer");
     assert!(unanswered.kind == ErrorKind::KeyUnknown && unanswered.retry_after.is_some(), "{unanswered:?}");
 }
+
+/// Records that an instance keeps at most before it grants no further key.
+const RECORDS_MAX: u64 = 512 << 10;
+
+/// Guards against a home that stops for ever: with as many unexpired records as take the size limit of the
+/// stored responses, the removal of old records did not end, and with it the only thread of the instance. The
+/// home grants no new key then, says when to come back, and forgets none of those that ran.
+#[test]
+fn a_home_with_as_many_records_as_it_can_keep_goes_on() {
+    let (done, ended) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        let mut instance = pair();
+        let records = (0..=RECORDS_MAX).map(|n| (key(1_000 + n), KeyRecord::Ran(None))).collect();
+        instance.receive(Message::Handover { incarnation: 1, records, last: true });
+        instance.step(Event::Tick);
+        let known = instance.claim(1_000, 1);
+        let new: Vec<ClaimAnswer> =
+            (1..40).flat_map(|n| instance.claim(n, 1)).map(|(_, answer)| answer).collect();
+        instance.pass(Duration::from_hours(1));
+        instance.step(Event::Tick);
+        let later = instance.claim(1_000, 2);
+        done.send((known, new, later)).expect("the test waits");
+    });
+    let (known, new, later) = ended.recv_timeout(Duration::from_mins(2)).expect("a tick ends");
+    assert_eq!(known, [(holder(1), ClaimAnswer::Ran(None))]);
+    assert!(new.iter().any(|answer| matches!(answer, ClaimAnswer::Full { retry_ms } if *retry_ms > 0)));
+    assert!(!new.contains(&ClaimAnswer::Granted));
+    assert_ne!(later, [(holder(2), ClaimAnswer::Ran(None))], "it has expired");
+}
