--- a/crates/core/src/homes/records.rs
+++ b/crates/core/src/homes/records.rs
@@ -72,13 +72,13 @@
 
     /// Removes records that are older than `retention`, and the oldest responses above the size limit.
     pub(super) fn expire(&mut self, now: Instant, retention: Duration) {
-        while let Some(&(at, key)) = self.by_age.front().filter(|(at, _)| now.duration_since(*at) > retention)
-        {
-            self.by_age.pop_front();
+        let is_old = |(at, _): &(Instant, IdempotencyKey)| now.duration_since(*at) > retention;
+        while let Some((at, key)) = self.by_age.pop_front_if(|pair| is_old(pair)) {
             if self.entries.get(&key).is_some_and(|entry| entry.at == at) {
                 self.remove(key);
             }
         }
+        while self.responses.pop_front_if(|pair| is_old(pair)).is_some() {}
         while self.response_bytes > RESPONSE_BYTES_MAX
             && let Some((at, key)) = self.responses.pop_front()
         {
