Soak: engines that crash after the last fault are replaced too

Cause, in the soak: the callers of requests that crash engines go on until the check of the recovery begins, up to 9 s after crashed engines were replaced for the last time, and one request may crash three engines, which is all decode engines there are.

Engines are replaced until the end, as during the run; the check and its 90 s are as they were.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -168,7 +168,9 @@
 
     /// After all faults have ended, every instance must serve every kind of request again, and no endpoint may still
     /// run requests.
-    pub(crate) async fn verify_recovery(&self, site: &Site) -> Result<(), Violation> {
+    ///
+    /// Requests of callers that were in progress may still crash engines. As during the run, others take their place.
+    pub(crate) async fn verify_recovery(&self, site: &Site, plan: &mut Plan) -> Result<(), Violation> {
         self.tasks.lock().unwrap_or_else(PoisonError::into_inner).abort_all();
         let end = Instant::now() + RECOVERY_TIME;
         let addresses: Vec<String> =
@@ -183,9 +185,14 @@
                     .await
                 {
                     if Instant::now() > end {
-                        let message = format!("{address} does not serve {kind} after all faults ended");
+                        let crashed =
+                            site.parts().endpoints.iter().filter(|e| e.server.has_crashed()).count();
+                        let message = format!(
+                            "{address} does not serve {kind} after all faults ended; {crashed} endpoints have crashed"
+                        );
                         return Err(Violation { message, request_id: Some(format!("{kind}-end-{address}")) });
                     }
+                    plan.replace_crashed(site).await;
                     tokio::time::sleep(Duration::from_millis(200)).await;
                 }
             }
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -93,6 +93,7 @@
         // Waits until every graceful shutdown is complete.
         while self.stopped.elapsed() < SHUTDOWN_TIME {
             self.restart_ended(site);
+            self.replace_crashed(site).await;
             tokio::time::sleep(Duration::from_millis(50)).await;
         }
         self.restart_ended(site);
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -83,7 +83,7 @@
         }
     }
     plan.heal(&site).await;
-    if let Err(violation) = callers.verify_recovery(&site).await {
+    if let Err(violation) = callers.verify_recovery(&site, &mut plan).await {
         return Err(failure_report(seed, &plan, &violation, &site));
     }
     if let Err(violation) = callers.verify_quarantine(&site, &mut plan).await {
