--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -5,8 +5,9 @@
 //! platform's store) and `orders`; the first two accept connections through `accept`. `listeners` hands
 //! requests to `requests`, which calls `plain` or `generate` (with `reservations`). Both use `rates` (rate
 //! limits that endpoints advertise), `statements` (what endpoints state about themselves), `stream`, `body` with
-//! `buffering` (bytes that slow callers have not read), `node` (state, one step at an endpoint) and
-//! `connection_pool`. Decisions without input or output are in the crate `teaselshunt-routing`.
+//! `buffering` (bytes that slow callers have not read), `node` (state, one step at an endpoint), `in_flight`
+//! (accounts of work in progress) and `connection_pool`. Decisions without input or output are in the crate
+//! `teaselshunt-routing`.
 //!
 //! Connections of callers and of endpoints use `hyper` directly. A framework above it ends a failed stream as
 //! if the stream were complete and hides whether a request has left the process; the guarantees to callers
@@ -32,6 +33,7 @@
 mod generate;
 mod gossip;
 mod headers;
+mod in_flight;
 mod listeners;
 mod logs;
 mod metrics;
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -30,6 +30,7 @@
 use crate::buffering::{BufferedBytes, CollectError};
 use crate::connection_pool::{Connection, ConnectionPool, ExchangeFailure};
 use crate::crashes::{AbandonedRuns, Loss};
+use crate::in_flight::InFlightWork;
 use crate::metrics::Metrics;
 use crate::protocol::{Call, Protocol, Purpose, RequestMeta};
 use crate::settings::Settings;
@@ -205,64 +206,6 @@
     }
 }
 
-/// Accounting of one request's work at an endpoint. Dropping it removes the work from the account.
-#[derive(Debug)]
-pub(crate) struct InFlightWork {
-    node: Rc<Node>,
-    endpoint: EndpointKey,
-    tokens: u64,
-    /// Whether the request may have reached the endpoint. Until then dropping it also refunds the endpoint's
-    /// rate limit.
-    sent: Cell<bool>,
-}
-
-impl InFlightWork {
-    pub(crate) const fn endpoint(&self) -> EndpointKey {
-        self.endpoint
-    }
-
-    /// Tokens that are accounted for.
-    pub(crate) const fn tokens(&self) -> u64 {
-        self.tokens
-    }
-
-    /// Raises the accounted tokens to `tokens` in total, if that is more than so far.
-    pub(crate) fn grow(&mut self, tokens: u64) {
-        let more = tokens.saturating_sub(self.tokens);
-        if more > 0 {
-            self.node.state.borrow_mut().endpoints.add_tokens(self.endpoint, more);
-            self.tokens = tokens;
-            self.node.gossip_wakeup.notify_one();
-        }
-    }
-}
-
-impl Drop for InFlightWork {
-    fn drop(&mut self) {
-        let now = self.node.now();
-        let endpoints = &mut self.node.state.borrow_mut().endpoints;
-        endpoints.end(self.endpoint, self.tokens);
-        if !self.sent.get() {
-            endpoints.refund_rate(now, self.endpoint);
-        }
-        self.node.gossip_wakeup.notify_one();
-    }
-}
-
-/// A local prefill that is in progress at a decode engine. Dropping it ends the local prefill in the account.
-#[derive(Debug)]
-pub(crate) struct LocalPrefill {
-    node: Rc<Node>,
-    endpoint: EndpointKey,
-}
-
-impl Drop for LocalPrefill {
-    fn drop(&mut self) {
-        self.node.state.borrow_mut().endpoints.end_local_prefill(self.endpoint);
-        self.node.gossip_wakeup.notify_one();
-    }
-}
-
 impl Node {
     pub(crate) fn now(&self) -> Instant {
         self.clock.now()
@@ -308,23 +251,6 @@
         state.endpoints.choose(self.now(), need, &mut state.rng)
     }
 
-    /// Begins to account for work that is about to be sent to an endpoint.
-    pub(crate) fn begin_work(self: &Rc<Self>, endpoint: EndpointKey, tokens: u64) -> InFlightWork {
-        let (now, endpoints) = (self.now(), &mut self.state.borrow_mut().endpoints);
-        endpoints.begin(now, endpoint, tokens);
-        endpoints.charge_rate(now, endpoint);
-        self.gossip_wakeup.notify_one();
-        InFlightWork { node: Rc::clone(self), endpoint, tokens, sent: Cell::new(false) }
-    }
-
-    /// Records that a decode engine begins a local prefill. Reports to peers include it until the guard is
-    /// dropped.
-    pub(crate) fn begin_local_prefill(self: &Rc<Self>, endpoint: EndpointKey) -> LocalPrefill {
-        self.state.borrow_mut().endpoints.begin_local_prefill(endpoint);
-        self.gossip_wakeup.notify_one();
-        LocalPrefill { node: Rc::clone(self), endpoint }
-    }
-
     /// Address and id of an endpoint that is still listed.
     pub(crate) fn locate(&self, key: EndpointKey) -> Option<(SocketAddr, Arc<str>)> {
         let state = self.state.borrow();
--- a/crates/forward/src/reservations.rs
+++ b/crates/forward/src/reservations.rs
@@ -16,7 +16,8 @@
 
 use crate::calls::{CALL_TIMEOUT, release_in_background};
 use crate::connection_pool::ExchangeFailure;
-use crate::node::{InFlightWork, Job, Node, Phase};
+use crate::in_flight::InFlightWork;
+use crate::node::{Job, Node, Phase};
 use crate::rates;
 use crate::refusals::OTHER_INSTANCE_RETRY;
 use crate::statements;
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -18,7 +18,8 @@
 use crate::buffering::BufferedBytes;
 use crate::crashes;
 use crate::generate;
-use crate::node::{Answer, InFlightWork, Job, Node};
+use crate::in_flight::InFlightWork;
+use crate::node::{Answer, Job, Node};
 use crate::trace::Trace;
 
 /// The request of a stream, and how often the stream may resume at another engine.
--- a/crates/soak/src/statements.rs
+++ b/crates/soak/src/statements.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use reqwest::header::HeaderMap;
+use teaselshunt_standin::leaving_endpoint;
 
 use crate::site::{InstanceSlot, Parts};
 
@@ -28,10 +29,7 @@
 impl Announcements {
     /// Records the response that a caller got.
     pub(crate) fn record(&mut self, request_id: &str, headers: &HeaderMap) {
-        let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
-        let leaving = text("server-leaving").is_some();
-        let endpoint = text("server-seal").and_then(|seal| seal.strip_prefix("seal-"));
-        if let (true, Some(index), Some(endpoint)) = (leaving, instance_of(request_id), endpoint) {
+        if let (Some(index), Some(endpoint)) = (instance_of(request_id), leaving_endpoint(headers)) {
             self.0.entry((index, endpoint.to_owned())).or_insert_with(Instant::now);
         }
     }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -22,5 +22,5 @@
 pub use site::{
     CRASHING_BODY, FLOODING_TEAM, RESPONSE_HEADERS, SiteArrival, SiteEndpoint, SiteExecution, SiteFault,
     SiteInstance, SiteOptions, SiteSettings, SiteTeam, Store, StoreBackup, StoreMode, UNLIMITED_TEAM,
-    event_text, is_signed, site_configuration, site_request,
+    event_text, is_signed, leaving_endpoint, site_configuration, site_request,
 };
--- a/crates/standin/src/site/caller.rs
+++ b/crates/standin/src/site/caller.rs
@@ -16,6 +16,12 @@
     request.header("token-count", "100,10").body("question")
 }
 
+/// Id of the endpoint that states in a response that it leaves.
+pub fn leaving_endpoint(headers: &HeaderMap) -> Option<&str> {
+    let seal = headers.get("server-seal").filter(|_| headers.contains_key("server-leaving"))?;
+    seal.to_str().ok()?.strip_prefix("seal-")
+}
+
 /// Whether a response has its endpoint's signature.
 pub fn is_signed(headers: &HeaderMap) -> bool {
     headers.contains_key("server-seal")
--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -8,7 +8,7 @@
 mod instance;
 mod store;
 
-pub use caller::{is_signed, site_request};
+pub use caller::{is_signed, leaving_endpoint, site_request};
 pub use configuration::{FLOODING_TEAM, SiteTeam, UNLIMITED_TEAM, site_configuration};
 pub use endpoint::{
     CRASHING_BODY, SiteArrival, SiteEndpoint, SiteExecution, SiteFault, SiteOptions, event_text,
