Forward: an error response of an endpoint does not clear a request of crashes

The lines show 13 engines in 12 s crashed under one fingerprint, each attributed, and no quarantine. Cause: an engine with the fault Fail had answered the request with a 500 at the start, which counted as a complete response; that clears a request for a minute, at all instances. Only responses without a server error clear now.

Soak: a crashed engine's entry stays listed for 0.5 s after the faults, as on the platform; instances can't tell a crash once the entry is gone. The bounds are as they were.

--- a/crates/forward/src/generate.rs
+++ b/crates/forward/src/generate.rs
@@ -52,7 +52,7 @@
     let Ok((body, buffered)) = node.read_buffered(body, answer.connection, job.deadline).await else {
         return refuse(node, Refusal::new(ErrorKind::EndpointFailed), trace);
     };
-    node.observe_success(&job);
+    node.observe_response(&job, head.status);
     crate::headers::strip(&mut head.headers);
     trace.end("endpoint_error", head.status.as_u16());
     Response::from_parts(head, ResponseBody::complete(body, Some(buffered)))
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -311,9 +311,12 @@
         Some(Refusal::retryable(ErrorKind::Quarantined, until.duration_since(now)))
     }
 
-    /// Records that an endpoint completed its response to a request.
-    pub(crate) fn observe_success(&self, job: &Job) {
-        self.state.borrow_mut().quarantine.observe_success(self.now(), job.fingerprint());
+    /// Records that an endpoint completed its response to a request. A response with an error of the
+    /// endpoint's own shows nothing about the request: the endpoint may not have begun to run it.
+    pub(crate) fn observe_response(&self, job: &Job, status: StatusCode) {
+        if !status.is_server_error() {
+            self.state.borrow_mut().quarantine.observe_success(self.now(), job.fingerprint());
+        }
     }
 
     /// Takes a second attempt from the service's retry budget.
--- a/crates/forward/src/plain.rs
+++ b/crates/forward/src/plain.rs
@@ -51,10 +51,10 @@
     };
     match result {
         Ok(Outcome::Complete(response, buffered)) => {
-            let status = response.status().as_u16();
-            node.observe_success(&job);
+            let status = response.status();
+            node.observe_response(&job, status);
             trace.record_head();
-            trace.end("answered", status);
+            trace.end("answered", status.as_u16());
             response.map(|body| ResponseBody::complete(body, Some(buffered)))
         }
         Ok(Outcome::Stream(answer, work)) => {
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -9,8 +9,8 @@
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
-use hyper::Response;
 use hyper::body::Incoming;
+use hyper::{Response, StatusCode};
 use slog::info;
 use teaselshunt_routing::{BodyKind, Repeat, StepOutcome};
 
@@ -99,7 +99,7 @@
         let end = relay_run(&stream_job.job, run, &pieces, &mut events, complete_only, &node, &trace).await;
         match end {
             RunEnd::Complete => {
-                node.observe_success(&stream_job.job);
+                node.observe_response(&stream_job.job, StatusCode::OK);
                 node.observe_output(&stream_job.job, trace.events());
                 pieces.end();
                 return trace.end("answered", status);
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -192,7 +192,7 @@
                         );
                         return Err(Violation { message, request_id: Some(format!("{kind}-end-{address}")) });
                     }
-                    plan.replace_crashed(site).await;
+                    plan.replace_lapsed(site).await;
                     tokio::time::sleep(Duration::from_millis(200)).await;
                 }
             }
@@ -214,12 +214,12 @@
             site.parts().instances.iter().map(|s| s.settings.caller_address.to_string()).collect();
         for (number, address) in addresses.iter().cycle().take(MAX_CRASHES).enumerate() {
             self.caller(address).send("crash", &format!("crash-first-{number}")).await;
-            plan.replace_crashed(site).await;
+            plan.replace_lapsed(site).await;
         }
         tokio::time::sleep(GOSSIP_TIME).await;
         for (number, address) in addresses.iter().enumerate() {
             self.caller(address).send("crash", &format!("crash-last-{number}")).await;
-            plan.replace_crashed(site).await;
+            plan.replace_lapsed(site).await;
         }
         let more = site.crash_count() - before;
         if more > MAX_CRASHES {
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -12,6 +12,9 @@
 /// Longest duration of a graceful shutdown, with some slack.
 const SHUTDOWN_TIME: Duration = Duration::from_secs(9);
 
+/// Time for which the entry of a crashed endpoint stays listed, where that matters.
+const ENTRY_LIFETIME: Duration = Duration::from_millis(500);
+
 /// The end of a fault. The plan prints the names of the variants.
 #[derive(Debug, Clone, Copy)]
 enum Undo {
@@ -93,7 +96,7 @@
         // Waits until every graceful shutdown is complete.
         while self.stopped.elapsed() < SHUTDOWN_TIME {
             self.restart_ended(site);
-            self.replace_crashed(site).await;
+            self.replace_lapsed(site).await;
             tokio::time::sleep(Duration::from_millis(50)).await;
         }
         self.restart_ended(site);
@@ -271,6 +274,15 @@
         }
     }
 
+    /// The same, after the time for which the entry of a crashed endpoint stays listed. Instances check in this time
+    /// whether an endpoint that lost a request has crashed; they can't tell once its entry is gone.
+    pub(crate) async fn replace_lapsed(&mut self, site: &Site) {
+        if site.parts().endpoints.iter().any(|e| e.server.has_crashed()) {
+            tokio::time::sleep(ENTRY_LIFETIME).await;
+            self.replace_crashed(site).await;
+        }
+    }
+
     /// An endpoint leaves, announced as draining or not, and another endpoint of its stage takes its place.
     async fn replace_endpoint(&mut self, site: &Site) {
         let index = self.random_endpoint(site);
