Responses: one place follows how each body ends, for logs and metrics

An operator who is asked about a short response finds 'answered' in the request's line, whether the endpoint framed the response by a length, by chunks or by nothing, and whether its last event was cut.

Every response of an endpoint or of the platform is now read by a ResponseReader, which keeps the body together with its connection and asks teaselshunt-completeness how it ended: complete, unknown, or truncated, and by which sign. The steps run and stream name framing and end unless a framed response is complete; response_ends_total counts both. No decision reads the verdict yet: what was passed on before still is.

--- /dev/null
+++ b/crates/completeness/tests/all/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the verdict on responses.
+
+mod events;
+mod framing;
+mod monitor;
--- a/crates/forward/src/buffering.rs
+++ b/crates/forward/src/buffering.rs
@@ -1,6 +1,7 @@
 //! Bytes that are buffered for callers and endpoints, accounted in the instance's
 //! [`BodyMemory`](teaselshunt_routing::BodyMemory).
 
+use std::convert::Infallible;
 use std::rc::Rc;
 
 use bytes::{Bytes, BytesMut};
@@ -9,6 +10,7 @@
 use teaselshunt_routing::{BodyKind, MemoryFull};
 
 use crate::node::Node;
+use crate::response_reader::{Piece, ResponseEnd, ResponseReader};
 
 /// Why a body was not read to its end.
 #[derive(Debug)]
@@ -61,6 +63,26 @@
         }
         Ok(complete.freeze())
     }
+
+    /// Reads the body of a response to its end, as far as there is memory for it.
+    ///
+    /// # Errors
+    /// There is not enough memory.
+    pub(crate) async fn collect_response(
+        &mut self,
+        body: &mut ResponseReader,
+    ) -> Result<(Bytes, ResponseEnd), CollectError<Infallible>> {
+        let mut complete = BytesMut::new();
+        loop {
+            let data = match body.next().await {
+                Piece::Data(data, _) => data,
+                Piece::End(end) => return Ok((complete.freeze(), end)),
+            };
+            let bytes = complete.len() + data.len();
+            self.grow(data.len()).map_err(|full| CollectError::Full(full, bytes))?;
+            complete.extend_from_slice(&data);
+        }
+    }
 }
 
 impl Drop for BufferedBytes {
--- a/crates/forward/src/connection_pool.rs
+++ b/crates/forward/src/connection_pool.rs
@@ -15,11 +15,15 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{CONNECTION, HeaderMap};
+use hyper::http::response::Parts;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use teaselshunt_completeness::BodyMonitor;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
+use crate::response_reader::ResponseReader;
+
 /// Longest time to open a connection: about a hundred round trips, and shorter than the time after which a
 /// lost SYN packet is retransmitted.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
@@ -96,7 +100,7 @@
         address: SocketAddr,
         request: Request<Full<Bytes>>,
         until: Instant,
-    ) -> Result<(Response<Incoming>, Connection), ExchangeFailure> {
+    ) -> Result<(Parts, ResponseReader), ExchangeFailure> {
         self.exchange_if(address, request, until, || true).await
     }
 
@@ -107,7 +111,7 @@
         request: Request<Full<Bytes>>,
         until: Instant,
         may_send: impl Fn() -> bool,
-    ) -> Result<(Response<Incoming>, Connection), ExchangeFailure> {
+    ) -> Result<(Parts, ResponseReader), ExchangeFailure> {
         match tokio::time::timeout_at(until.into(), self.send(address, request, may_send)).await {
             Ok(result) => result,
             Err(_) => Err(ExchangeFailure::TimedOut),
@@ -119,8 +123,9 @@
         address: SocketAddr,
         mut request: Request<Full<Bytes>>,
         may_send: impl Fn() -> bool,
-    ) -> Result<(Response<Incoming>, Connection), ExchangeFailure> {
+    ) -> Result<(Parts, ResponseReader), ExchangeFailure> {
         let size = hyper::body::Body::size_hint(request.body()).exact().unwrap_or(u64::MAX);
+        let method = request.method().clone();
         loop {
             let (mut connection, is_new) = match self.take(address) {
                 Some(connection) => (connection, false),
@@ -135,7 +140,9 @@
                 Ok(response) => {
                     connection.keep_alive = announced_keep_alive(response.headers());
                     connection.reusable = size <= MAX_REUSE_BODY_BYTES as u64 && may_reuse(&response);
-                    return Ok((response, connection));
+                    let (head, body) = response.into_parts();
+                    let monitor = BodyMonitor::new(&method, head.status, &head.headers);
+                    return Ok((head, ResponseReader::new(body, connection, monitor)));
                 }
                 Err(mut error) => match error.take_message() {
                     // The connection was closed before anything was written to it.
--- a/crates/forward/src/generate.rs
+++ b/crates/forward/src/generate.rs
@@ -52,11 +52,11 @@
             Ok(started) => started,
             Err(refusal) => return refuse(node, refusal, trace),
         };
-    if answer.response.status().is_success() {
+    if answer.head.status.is_success() {
         return stream::relay(node, StreamJob::generation(job), answer, work, trace);
     }
-    let (mut head, body) = answer.response.into_parts();
-    let Ok((body, buffered)) = node.read_buffered(body, answer.connection, job.deadline).await else {
+    let mut head = answer.head;
+    let Ok((body, buffered, _)) = node.read_buffered(answer.body, job.deadline).await else {
         return refuse(node, Refusal::new(ErrorKind::EndpointFailed), trace);
     };
     node.observe_response(&job, head.status);
@@ -82,7 +82,7 @@
     let wait_policy = WaitPolicy::for_resume(node.now(), job.deadline);
     let (answer, work) =
         start_generation(node, job, trace, wait_policy, Prompt::LocalPrefill, vec![broken]).await.ok()?;
-    if answer.response.status() != StatusCode::OK {
+    if answer.head.status != StatusCode::OK {
         return None;
     }
     waste::count(node, trace, WasteCause::Resumed, job.prompt_tokens());
@@ -191,7 +191,7 @@
                 reserved.id = None;
                 if let Prompt::Prefilled(cache) = &mut prompt {
                     cache.handle = None;
-                    if answer.response.status().is_success() {
+                    if answer.head.status.is_success() {
                         cache.prompt.mark_not_wasted();
                     } else {
                         cache.prompt.mark_wasted(WasteCause::EngineError);
@@ -297,10 +297,10 @@
     let timeout = job.service.engine.map_or(CALL_TIMEOUT, |e| e.hold.mul_f64(PREFILL_FRACTION));
     let until = (node.now() + timeout).min(job.deadline);
     let answer = node.send(job, work, Purpose::Prefill, until).await?;
-    if answer.response.status() != StatusCode::OK {
+    if answer.head.status != StatusCode::OK {
         return Err(StepFailure::Broken);
     }
-    let body = node.read(answer.response.into_body(), answer.connection, until).await?;
+    let body = node.read(answer.body, until).await?;
     node.protocol.read_kv_handle(&body).ok_or(StepFailure::Broken)
 }
 
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -7,7 +7,8 @@
 //! (admission to services that lack capacity), `rates` (rate limits that endpoints advertise), `statements`
 //! (what endpoints state about themselves), `stream`, `body` with `buffering` (bytes that slow callers have
 //! not read), `node` (state, one step at an endpoint), `in_flight` (accounts of work in progress) and
-//! `connection_pool`. Decisions without input or output are in the crate `teaselshunt-routing`.
+//! `connection_pool` with `response_reader`. Decisions without input or output are in the crates
+//! `teaselshunt-routing` and `teaselshunt-completeness` (whether a response is complete).
 //!
 //! Connections of callers and of endpoints use `hyper` directly. A framework above it ends a failed stream as
 //! if the stream were complete and hides whether a request has left the process; the guarantees to callers
@@ -48,6 +49,7 @@
 mod refusals;
 mod requests;
 mod reservations;
+mod response_reader;
 mod settings;
 mod statements;
 mod stream;
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -8,6 +8,8 @@
     Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry, TextEncoder,
 };
 
+use crate::response_reader::ResponseEnd;
+
 /// Upper bounds of the buckets, in seconds: from a plain service's usual response time to the longest
 /// deadline.
 const BUCKETS: [f64; 11] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.9, 1.5, 3.0, 7.0, 14.0];
@@ -36,6 +38,7 @@
     pub(crate) failing_engines: IntGauge,
     pub(crate) slow_engines: IntGauge,
     pub(crate) wasted_prefill: IntCounterVec,
+    response_ends: IntCounterVec,
     team_requests: IntCounterVec,
     /// Teams that have a label of their own.
     labelled_teams: RefCell<HashSet<String>>,
@@ -133,6 +136,11 @@
                 "Prompt tokens prefilled whose result no response used, by cause.",
                 &["cause"],
             )?,
+            response_ends: counter(
+                "response_ends_total",
+                "Responses of endpoints and of the platform, by framing and by how they ended.",
+                &["framing", "end"],
+            )?,
             team_requests: counter(
                 "team_requests_total",
                 "Requests of teams by how they ended.",
@@ -159,6 +167,10 @@
         self.steps.with_label_values(&[step, outcome]).inc();
     }
 
+    pub(crate) fn count_response_end(&self, end: ResponseEnd) {
+        self.response_ends.with_label_values(&[end.framing.text(), end.completeness.text()]).inc();
+    }
+
     /// Counts a finished request of a team; `team` is empty for a caller without a team.
     pub(crate) fn count_team_request(&self, team: &str, outcome: &str) {
         if team.is_empty() {
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -10,14 +10,14 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use bytes::{Bytes, BytesMut};
+use http_body_util::Full;
 use hyper::header::{CONTENT_ENCODING, CONTENT_TYPE, HOST, HeaderMap, HeaderValue};
 use hyper::http::response::Parts;
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{Method, Request, StatusCode};
 use rand::rngs::SmallRng;
 use slog::{Logger, info, warn};
+use teaselshunt_completeness::{Completeness, Truncation};
 use teaselshunt_core::{Clock, ErrorKind, Fingerprint, Quarantine, Refusal};
 use teaselshunt_routing::{
     Admission, Advances, BodyKind, BodyMemory, Budgets, EndpointKey, Endpoints, Need, OutputEstimate,
@@ -29,13 +29,14 @@
 
 use crate::admission::Charge;
 use crate::buffering::{BufferedBytes, CollectError};
-use crate::connection_pool::{Connection, ConnectionPool, ExchangeFailure};
+use crate::connection_pool::{ConnectionPool, ExchangeFailure};
 use crate::crashes::{AbandonedRuns, Loss};
 use crate::in_flight::InFlightWork;
 use crate::load;
 use crate::metrics::Metrics;
 use crate::protocol::{Call, Protocol, Purpose, RequestMeta};
 use crate::queue::PendingSearch;
+use crate::response_reader::{Piece, ResponseEnd, ResponseReader};
 use crate::settings::Settings;
 use crate::statements;
 
@@ -193,8 +194,8 @@
 /// An endpoint's response whose body is not read yet.
 #[derive(Debug)]
 pub(crate) struct Answer {
-    pub(crate) response: Response<Incoming>,
-    pub(crate) connection: Connection,
+    pub(crate) head: Parts,
+    pub(crate) body: ResponseReader,
     pub(crate) endpoint: EndpointKey,
     /// When the request was sent to the endpoint.
     pub(crate) sent_at: Instant,
@@ -397,8 +398,8 @@
         work.sent.set(!matches!(result, Err(ExchangeFailure::Unsent | ExchangeFailure::Withheld)));
         let step = step_name(purpose);
         let outcome = match result {
-            Ok((response, connection)) => {
-                let answer = Answer { response, connection, endpoint: key, sent_at };
+            Ok((head, body)) => {
+                let answer = Answer { head, body, endpoint: key, sent_at };
                 self.check_response(job, answer, purpose)
             }
             Err(failure) => Err(failure.into()),
@@ -424,10 +425,10 @@
         let is_cooling = || self.state.borrow().endpoints.is_cooling(self.now(), key);
         Some(match outcome {
             // A refusal of the endpoint's own that states a delay is no failure.
-            Ok(answer) if answer.response.status() == StatusCode::SERVICE_UNAVAILABLE && is_cooling() => {
+            Ok(answer) if answer.head.status == StatusCode::SERVICE_UNAVAILABLE && is_cooling() => {
                 StepOutcome::Full
             }
-            Ok(answer) if answer.response.status().is_server_error() => StepOutcome::ErrorResponse,
+            Ok(answer) if answer.head.status.is_server_error() => StepOutcome::ErrorResponse,
             Ok(_) => StepOutcome::Answered(self.now().duration_since(sent_at)),
             Err(StepFailure::Withheld) => return None,
             Err(StepFailure::Refused) => StepOutcome::Full,
@@ -459,8 +460,8 @@
     /// request's response is expected, and would give one caller another caller's data. The request id
     /// reveals this; such a connection is not reused.
     fn check_response(&self, job: &Job, answer: Answer, purpose: Purpose<'_>) -> Result<Answer, StepFailure> {
-        let response = &answer.response;
-        let meta = self.protocol.read_response(response.status(), response.headers());
+        let head = &answer.head;
+        let meta = self.protocol.read_response(head.status, &head.headers);
         if !meta.id.is_empty() && meta.id != job.meta.id {
             return Err(StepFailure::Broken);
         }
@@ -473,7 +474,7 @@
             return Err(StepFailure::Refused);
         }
         let genuine = meta.signed || matches!(purpose, Purpose::Prefill);
-        if !genuine || response.headers().contains_key(CONTENT_ENCODING) {
+        if !genuine || head.headers.contains_key(CONTENT_ENCODING) {
             return Err(StepFailure::Broken);
         }
         Ok(answer)
@@ -531,50 +532,65 @@
         if !call.body.is_empty() {
             request.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
         }
-        let (response, connection) = self.pool.exchange(address, request, until).await?;
-        let (head, body) = response.into_parts();
-        let body = self.read(body, connection, until).await?;
+        let (head, body) = self.pool.exchange(address, request, until).await?;
+        let body = self.read(body, until).await?;
         Ok((head, body))
     }
 
     /// Reads a body for a caller to its end, as far as there is buffer memory, and keeps the connection.
     pub(crate) async fn read_buffered(
         self: &Rc<Self>,
-        body: Incoming,
-        connection: Connection,
+        mut body: ResponseReader,
         until: Instant,
-    ) -> Result<(Bytes, BufferedBytes), ExchangeFailure> {
+    ) -> Result<(Bytes, BufferedBytes, ResponseEnd), (ExchangeFailure, Option<ResponseEnd>)> {
         let mut buffered = BufferedBytes::new(self, BodyKind::Response);
-        match tokio::time::timeout_at(until.into(), buffered.collect(body)).await {
-            Ok(Ok(body)) => {
-                self.pool.put(connection);
-                Ok((body, buffered))
+        match tokio::time::timeout_at(until.into(), buffered.collect_response(&mut body)).await {
+            Ok(Ok((complete, end))) => {
+                self.finish(body, end).map_err(|failure| (failure, Some(end)))?;
+                Ok((complete, buffered, end))
             }
-            Ok(Err(CollectError::Body(_))) => Err(ExchangeFailure::Broken),
+            Ok(Err(CollectError::Body(infallible))) => match infallible {},
             Ok(Err(CollectError::Full(error, bytes))) => {
                 warn!(self.log, "response abandoned, buffer memory is full"; "error" => %error, "bytes" => bytes);
-                Err(ExchangeFailure::Broken)
+                Err((ExchangeFailure::Broken, None))
             }
-            Err(_) => Err(ExchangeFailure::TimedOut),
+            Err(_) => Err((ExchangeFailure::TimedOut, None)),
         }
     }
 
     /// Reads a body to its end and keeps the connection.
     pub(crate) async fn read(
         &self,
-        body: Incoming,
-        connection: Connection,
+        mut body: ResponseReader,
         until: Instant,
     ) -> Result<Bytes, ExchangeFailure> {
-        match tokio::time::timeout_at(until.into(), body.collect()).await {
-            Ok(Ok(body)) => {
-                self.pool.put(connection);
-                Ok(body.to_bytes())
+        let read = async {
+            let mut complete = BytesMut::new();
+            loop {
+                match body.next().await {
+                    Piece::Data(data, _) => complete.extend_from_slice(&data),
+                    Piece::End(end) => return (complete.freeze(), end),
+                }
+            }
+        };
+        match tokio::time::timeout_at(until.into(), read).await {
+            Ok((complete, end)) => {
+                self.finish(body, end)?;
+                Ok(complete)
             }
-            Ok(Err(_)) => Err(ExchangeFailure::Broken),
             Err(_) => Err(ExchangeFailure::TimedOut),
         }
     }
+
+    /// Counts how a response ended, and keeps its connection.
+    pub(crate) fn finish(&self, body: ResponseReader, end: ResponseEnd) -> Result<(), ExchangeFailure> {
+        self.metrics.count_response_end(end);
+        if matches!(end.completeness, Completeness::Truncated(Truncation::Connection | Truncation::Length)) {
+            return Err(ExchangeFailure::Broken);
+        }
+        self.pool.put(body.into_connection());
+        Ok(())
+    }
 }
 
 const fn step_name(purpose: Purpose<'_>) -> &'static str {
--- a/crates/forward/src/plain.rs
+++ b/crates/forward/src/plain.rs
@@ -22,6 +22,7 @@
 use crate::protocol::Purpose;
 use crate::rates;
 use crate::refusals::refuse;
+use crate::response_reader::ResponseEnd;
 use crate::statements;
 use crate::stream::{self, StreamJob};
 use crate::trace::Trace;
@@ -232,7 +233,8 @@
     load::record_call(node, job);
     let id = node.id_for_log(key);
     let guard = CallGuard::new(node, job, key);
-    let result = send_and_read(node, job, work).await;
+    let mut end = None;
+    let result = send_and_read(node, job, work, &mut end).await;
     let sent_at = guard.ended();
     if result.as_ref().is_err_and(|failure| failure.may_have_run()) {
         crashes::check_endpoint(node, job, trace, key, sent_at);
@@ -243,17 +245,27 @@
         Ok(Outcome::Stream(..)) => "stream",
         Err(failure) => failure.text(),
     };
-    trace.record_step("run", &id, text);
+    let end = end.map_or_else(String::new, |end| end.to_string());
+    trace.record_step("run", &id, &format!("{text}{end}"));
     result
 }
 
-async fn send_and_read(node: &Rc<Node>, job: &Job, work: InFlightWork) -> Result<Outcome, StepFailure> {
+/// Sends the request, and reads the response unless it is a stream. `end` is set to how the response ended, also
+/// where that is a failure.
+async fn send_and_read(
+    node: &Rc<Node>,
+    job: &Job,
+    work: InFlightWork,
+    end: &mut Option<ResponseEnd>,
+) -> Result<Outcome, StepFailure> {
     let answer = node.send(job, &work, Purpose::Run, job.deadline).await?;
-    if matches!(job.route.repeat, Repeat::Stream { .. }) && answer.response.status().is_success() {
+    if matches!(job.route.repeat, Repeat::Stream { .. }) && answer.head.status.is_success() {
         return Ok(Outcome::Stream(answer, work));
     }
-    let (mut head, body) = answer.response.into_parts();
-    let (body, buffered) = node.read_buffered(body, answer.connection, job.deadline).await?;
+    let mut head = answer.head;
+    let read = node.read_buffered(answer.body, job.deadline).await;
+    *end = read.as_ref().map_or_else(|(_, end)| *end, |(.., end)| Some(*end));
+    let (body, buffered, _) = read.map_err(|(failure, _)| failure)?;
     crate::headers::strip(&mut head.headers);
     Ok(Outcome::Complete(Response::from_parts(head, body), buffered))
 }
--- /dev/null
+++ b/crates/forward/src/response_reader.rs
@@ -0,0 +1,78 @@
+//! Reads the body of a response from an endpoint or the platform, and finds out how it ended.
+
+use std::fmt::{self, Display, Formatter};
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use teaselshunt_completeness::{BodyEnd, BodyMonitor, Completeness, Framing, Scan};
+
+use crate::connection_pool::Connection;
+
+/// A body that is not read to its end, with its connection.
+#[derive(Debug)]
+pub(crate) struct ResponseReader {
+    body: Incoming,
+    connection: Connection,
+    monitor: BodyMonitor,
+}
+
+/// Bytes of a body, or its end.
+#[derive(Debug)]
+pub(crate) enum Piece {
+    Data(Bytes, Scan),
+    End(ResponseEnd),
+}
+
+/// How a response ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct ResponseEnd {
+    pub(crate) framing: Framing,
+    pub(crate) completeness: Completeness,
+}
+
+/// Suffix of a step's outcome in logs; empty for a response that is complete by its framing.
+impl Display for ResponseEnd {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        if self.framing.marks_end() && self.completeness == Completeness::Complete {
+            return Ok(());
+        }
+        write!(f, "({},{})", self.framing.text(), self.completeness.text())
+    }
+}
+
+impl ResponseReader {
+    pub(crate) fn new(body: Incoming, connection: Connection, monitor: BodyMonitor) -> Self {
+        Self { body, connection, monitor }
+    }
+
+    /// Takes the body for a stream of events, whatever the response says of its type.
+    pub(crate) fn expect_events(&mut self) {
+        self.monitor.expect_events();
+    }
+
+    /// Waits for the next bytes or the end.
+    pub(crate) async fn next(&mut self) -> Piece {
+        loop {
+            let end = match self.body.frame().await {
+                Some(Ok(frame)) => match frame.into_data() {
+                    Ok(data) => {
+                        let scan = self.monitor.push(&data);
+                        return Piece::Data(data, scan);
+                    }
+                    // Trailers.
+                    Err(_) => continue,
+                },
+                Some(Err(_)) => BodyEnd::Failed,
+                None => BodyEnd::Ended,
+            };
+            let (framing, completeness) = (self.monitor.framing(), self.monitor.completeness(end));
+            return Piece::End(ResponseEnd { framing, completeness });
+        }
+    }
+
+    /// The connection, after the end of the body.
+    pub(crate) fn into_connection(self) -> Connection {
+        self.connection
+    }
+}
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -8,11 +8,9 @@
 use std::time::Instant;
 
 use bytes::{Bytes, BytesMut};
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use hyper::{Response, StatusCode};
 use slog::info;
-use teaselshunt_routing::{BodyKind, Repeat, StepOutcome};
+use teaselshunt_routing::{BodyKind, EndpointKey, Repeat, StepOutcome};
 
 use crate::body::{PieceSender, ResponseBody, relay_channel};
 use crate::buffering::BufferedBytes;
@@ -22,6 +20,7 @@
 use crate::load;
 use crate::node::{Answer, Job, Node};
 use crate::pace::StreamTimer;
+use crate::response_reader::{Piece, ResponseEnd, ResponseReader};
 use crate::trace::Trace;
 
 /// The request of a stream, and how often the stream may resume at another engine.
@@ -52,12 +51,19 @@
 /// How one run of a stream ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum RunEnd {
-    Complete,
-    Broken,
+    Complete(ResponseEnd),
+    Broken(ResponseEnd),
+    Stalled,
     TimedOut,
     CallerDisconnected,
 }
 
+impl RunEnd {
+    fn is_broken(self) -> bool {
+        matches!(self, Self::Broken(..) | Self::Stalled)
+    }
+}
+
 /// Responds with the head of a stream and relays the events in a separate task.
 pub(crate) fn relay(
     node: &Rc<Node>,
@@ -67,21 +73,19 @@
     trace: Trace,
 ) -> Response<ResponseBody> {
     trace.record_head();
-    let (mut head, body) = answer.response.into_parts();
+    let mut head = answer.head;
     crate::headers::strip(&mut head.headers);
     let status = head.status.as_u16();
     let (pieces, receiver) = relay_channel();
-    let run =
-        Run { body, connection: answer.connection, endpoint: answer.endpoint, sent_at: answer.sent_at, work };
+    let run = Run { body: answer.body, endpoint: answer.endpoint, sent_at: answer.sent_at, work };
     tokio::task::spawn_local(relay_runs(Rc::clone(node), stream_job, run, pieces, trace, status));
     Response::from_parts(head, ResponseBody::relay(receiver))
 }
 
 /// One run at one engine.
 struct Run {
-    body: Incoming,
-    connection: crate::connection_pool::Connection,
-    endpoint: teaselshunt_routing::EndpointKey,
+    body: ResponseReader,
+    endpoint: EndpointKey,
     sent_at: Instant,
     work: InFlightWork,
 }
@@ -101,11 +105,15 @@
         let Run { endpoint, sent_at, .. } = run;
         let mut relay = Relay { pieces: &pieces, events: &mut events, complete_only, timer: timer.as_mut() };
         let end = relay_run(&stream_job.job, run, &mut relay, &node, &trace).await;
-        if let Some(timer) = timer.take().filter(|_| end != RunEnd::Broken) {
+        if let Some(timer) = timer.take().filter(|_| !end.is_broken()) {
             timer.finish(&node, endpoint);
         }
         match end {
-            RunEnd::Complete => {
+            RunEnd::Complete(response_end) => {
+                let text = response_end.to_string();
+                if !text.is_empty() {
+                    trace.record_step("stream", &node.id_for_log(endpoint), &format!("ended{text}"));
+                }
                 node.observe_response(&stream_job.job, StatusCode::OK);
                 node.observe_output(&stream_job.job, trace.events());
                 pieces.end();
@@ -116,12 +124,16 @@
                 return trace.end("caller_gone", status);
             }
             RunEnd::TimedOut => return trace.end("deadline_passed", status),
-            RunEnd::Broken => {
+            RunEnd::Broken(..) | RunEnd::Stalled => {
                 node.observe_step(endpoint, StepOutcome::Failed);
                 load::observe_result(&node, &stream_job.job, endpoint, StepOutcome::Failed);
             }
         }
-        trace.record_step("stream", &node.id_for_log(endpoint), "broken");
+        let text = match end {
+            RunEnd::Broken(response_end) => format!("broken{response_end}"),
+            _ => "broken(stalled)".to_owned(),
+        };
+        trace.record_step("stream", &node.id_for_log(endpoint), &text);
         crashes::check_endpoint(&node, &stream_job.job, &trace, endpoint, sent_at);
         let next = if stream_job.resumes_left > 0 && events.last_id.is_some() {
             stream_job.resumes_left -= 1;
@@ -134,14 +146,7 @@
         };
         events.partial.clear();
         info!(node.log, "stream resumed at another engine"; "id" => &stream_job.job.meta.id, "after" => events.last_id.as_deref());
-        let (_, body) = answer.response.into_parts();
-        run = Run {
-            body,
-            connection: answer.connection,
-            endpoint: answer.endpoint,
-            sent_at: answer.sent_at,
-            work,
-        };
+        run = Run { body: answer.body, endpoint: answer.endpoint, sent_at: answer.sent_at, work };
     }
 }
 
@@ -155,33 +160,31 @@
 }
 
 async fn relay_run(job: &Job, run: Run, relay: &mut Relay<'_>, node: &Rc<Node>, trace: &Trace) -> RunEnd {
-    let Run { mut body, connection, mut work, .. } = run;
+    let Run { mut body, mut work, .. } = run;
+    body.expect_events();
     let Relay { pieces, events, complete_only, timer } = relay;
     let complete_only = *complete_only;
     loop {
         let stall = job.route.gap.filter(|_| complete_only).map(|gap| node.now() + gap * STALL_GAPS);
         let wait = stall.map_or(job.deadline, |at| at.min(job.deadline));
-        let frame = tokio::select! {
+        let piece = tokio::select! {
             biased;
             () = pieces.closed() => return RunEnd::CallerDisconnected,
-            frame = tokio::time::timeout_at(wait.into(), body.frame()) => frame,
+            piece = tokio::time::timeout_at(wait.into(), body.next()) => piece,
         };
-        let data = match frame {
-            Err(_) if node.now() < job.deadline => return RunEnd::Broken,
+        let (data, ended) = match piece {
+            Err(_) if node.now() < job.deadline => return RunEnd::Stalled,
             Err(_) => return RunEnd::TimedOut,
-            Ok(Some(Err(_))) => return RunEnd::Broken,
-            Ok(None) if complete_only && !events.partial.is_empty() => return RunEnd::Broken,
-            Ok(None) => {
-                node.pool.put(connection);
+            Ok(Piece::Data(data, scan)) => (data, scan.events),
+            Ok(Piece::End(end)) => {
+                let is_cut = node.finish(body, end).is_err();
+                if is_cut || (complete_only && !events.partial.is_empty()) {
+                    return RunEnd::Broken(end);
+                }
                 drop(work);
-                return RunEnd::Complete;
+                return RunEnd::Complete(end);
             }
-            Ok(Some(Ok(frame))) => match frame.into_data() {
-                Ok(data) => data,
-                Err(_) => continue,
-            },
         };
-        let ended = events.count(&data);
         trace.record_events(ended);
         let received = node.now();
         if let Some(timer) = timer {
@@ -227,21 +230,9 @@
 pub(crate) struct Events {
     pub(crate) partial: BytesMut,
     pub(crate) last_id: Option<String>,
-    /// Whether the bytes so far end with a newline.
-    line_ended: bool,
 }
 
 impl Events {
-    /// Counts the events that end in these bytes; an event ends with an empty line.
-    fn count(&mut self, data: &[u8]) -> u32 {
-        let mut count = 0;
-        for &byte in data {
-            count += u32::from(byte == b'\n' && self.line_ended);
-            self.line_ended = byte == b'\n';
-        }
-        count
-    }
-
     /// Appends bytes and returns the events that are now complete.
     pub(crate) fn take_complete(&mut self, data: &[u8]) -> Bytes {
         self.partial.extend_from_slice(data);
