--- a/crates/daemon/tests/all/main.rs
+++ b/crates/daemon/tests/all/main.rs
@@ -11,6 +11,7 @@
 mod keys;
 mod path;
 mod peers;
+mod responses;
 mod stalled_streams;
 mod stop;
 mod support;
--- /dev/null
+++ b/crates/daemon/tests/all/responses.rs
@@ -0,0 +1,79 @@
+//! Responses of services that end with their connection, whole or cut short.
+
+use serde_json::Value;
+use teaselshunt_standin::{ServiceFaults, Unframed};
+
+use crate::support::Fleet;
+
+fn unframed(media_type: &str, cut: Option<usize>) -> ServiceFaults {
+    let unframed = Unframed { media_type: media_type.to_owned(), cut };
+    ServiceFaults { unframed: Some(unframed), ..ServiceFaults::default() }
+}
+
+/// Guards against a booking whose response was cut short and that its caller takes for confirmed.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_truncated_json_response_is_no_success() {
+    let fleet = Fleet::start(1).await;
+    let daemon = fleet.start_daemon(0).await;
+    fleet.service.set_faults(unframed("application/json", Some(10)));
+    let response = fleet.booking(&daemon, "cut").send().await.unwrap();
+    assert_eq!(response.status(), 502);
+    assert_eq!(response.headers()["x-teaselshunt-outcome"], "unknown");
+    assert_eq!(fleet.executions("cut"), 1);
+}
+
+/// Guards against a truncated response that is kept for an idempotency key and given to each retry.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_truncated_response_is_not_kept_for_its_key() {
+    let fleet = Fleet::start(1).await;
+    let daemon = fleet.start_daemon(0).await;
+    fleet.wait_until_keys_granted(&daemon).await;
+    let key = uuid::Uuid::now_v7().to_string();
+    let booking = || fleet.booking(&daemon, "cut").header("Idempotency-Key", &key);
+    fleet.service.set_faults(unframed("application/json", Some(10)));
+    assert!(!booking().send().await.unwrap().status().is_success());
+    fleet.service.set_faults(ServiceFaults::default());
+    assert!(!booking().send().await.unwrap().status().is_success());
+    assert_eq!(fleet.executions("cut"), 1);
+}
+
+/// Guards against a response that claims to be complete although nothing shows that it is, also to a retry with its
+/// key. The booking still runs once.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_response_that_ends_with_its_connection_is_not_framed() {
+    let fleet = Fleet::start(1).await;
+    let daemon = fleet.start_daemon(0).await;
+    fleet.wait_until_keys_granted(&daemon).await;
+    let key = uuid::Uuid::now_v7().to_string();
+    let booking = || fleet.booking(&daemon, "text").header("Idempotency-Key", &key);
+    fleet.service.set_faults(unframed("text/plain", None));
+    let response = booking().send().await.unwrap();
+    assert_eq!(response.status(), 200);
+    for name in ["content-length", "transfer-encoding"] {
+        assert!(!response.headers().contains_key(name), "{name}");
+    }
+    let reply: Value = response.json().await.unwrap();
+    assert_eq!(reply["call"]["body"], "text");
+    let retried = booking().send().await.unwrap();
+    let is_framed = retried.headers().contains_key("content-length");
+    assert!(!(retried.status().is_success() && is_framed), "{retried:?}");
+    assert_eq!(fleet.executions("text"), 1);
+}
+
+/// Guards against a complete JSON response that is not kept for its key because it ended with its connection.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_json_document_that_ends_with_its_connection_is_complete() {
+    let fleet = Fleet::start(1).await;
+    let daemon = fleet.start_daemon(0).await;
+    fleet.wait_until_keys_granted(&daemon).await;
+    let key = uuid::Uuid::now_v7().to_string();
+    fleet.service.set_faults(unframed("application/json", None));
+    for _ in 0..2 {
+        let response = fleet.booking(&daemon, "whole").header("Idempotency-Key", &key).send().await.unwrap();
+        assert_eq!(response.status(), 200);
+        assert!(response.headers().contains_key("content-length"));
+        let reply: Value = response.json().await.unwrap();
+        assert_eq!(reply["call"]["body"], "whole");
+    }
+    assert_eq!(fleet.executions("whole"), 1);
+}
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -4,7 +4,7 @@
 
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use teaselshunt_standin::{SiteFault, StoreMode};
+use teaselshunt_standin::{SiteBody, SiteFault, SiteFraming, StoreMode};
 
 use crate::proxy::Impairment;
 use crate::site::{Site, store_key};
@@ -268,7 +268,7 @@
             SiteFault::Extra,
             SiteFault::Fail,
             SiteFault::Cut(self.rng.random_range(0..15)),
-            SiteFault::Unframed,
+            SiteFault::Body(SiteBody::whole(SiteFraming::Close)),
         ];
         let (index, fault) = (self.random_endpoint(site), faults[self.rng.random_range(0..faults.len())]);
         self.log(&format!("endpoint {index}: {fault:?}"));
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -18,9 +18,10 @@
 pub use engine::{Engine, EngineOptions, Faults};
 pub use platform::Platform;
 pub use relay::Relay;
-pub use service::{Execution, Service, ServiceFaults};
+pub use service::{Execution, Service, ServiceFaults, Unframed};
 pub use site::{
-    CRASHING_BODY, FLOODING_TEAM, RESPONSE_HEADERS, RIVAL_TEAM, SiteArrival, SiteEndpoint, SiteExecution,
-    SiteFault, SiteInstance, SiteOptions, SiteSettings, SiteTeam, Store, StoreBackup, StoreMode,
-    UNLIMITED_TEAM, event_text, is_signed, leaving_endpoint, site_configuration, site_request,
+    CRASHING_BODY, FLOODING_TEAM, RESPONSE_HEADERS, RIVAL_TEAM, SiteArrival, SiteBody, SiteCut, SiteEndpoint,
+    SiteExecution, SiteFault, SiteFraming, SiteInstance, SiteOptions, SiteSettings, SiteTeam, Store,
+    StoreBackup, StoreMode, UNLIMITED_TEAM, event_text, is_signed, leaving_endpoint, site_configuration,
+    site_request,
 };
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -22,6 +22,18 @@
     pub slow_ms: u64,
     /// Calls do not run and get a 503 with this `Retry-After`, in seconds.
     pub retry_after: Option<u32>,
+    /// Calls run, and their responses have neither a length nor chunks and end with the connection.
+    pub unframed: Option<Unframed>,
+}
+
+/// Responses without a length and without chunks.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Unframed {
+    /// Number of bytes after which the body ends.
+    pub cut: Option<usize>,
+    /// `Content-Type` of the response.
+    pub media_type: String,
 }
 
 /// A call that ran.
@@ -125,7 +137,23 @@
     if faults.drop {
         return crate::server::truncated_response();
     }
-    Json(Booking { number, call }).into_response()
+    let booking = Booking { number, call };
+    if let Some(unframed) = faults.unframed {
+        return unframed_response(&unframed, &booking);
+    }
+    Json(booking).into_response()
+}
+
+/// A response that ends with its connection: the HTTP library frames no response of the version HTTP/1.0 whose length
+/// it does not know.
+fn unframed_response(unframed: &Unframed, booking: &Booking) -> Response {
+    let mut body = serde_json::to_vec(booking).expect("a booking is JSON");
+    body.truncate(unframed.cut.unwrap_or(body.len()));
+    let body = futures_util::stream::once(async move { Ok::<_, std::io::Error>(body) });
+    Response::builder()
+        .version(poem::http::Version::HTTP_10)
+        .content_type(&unframed.media_type)
+        .body(poem::Body::from_bytes_stream(body))
 }
 
 #[handler]
--- a/crates/standin/src/site/endpoint.rs
+++ b/crates/standin/src/site/endpoint.rs
@@ -13,6 +13,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
+use super::body::{SiteBody, SiteFraming};
 use super::capacity::{Entry, Places, Reservations};
 use super::http::{Request, read_request, response_head, write_chunk, write_response};
 
@@ -68,8 +69,10 @@
     Fail,
     /// Truncates streams after this many events, in the middle of the next event.
     Cut(u32),
-    /// Sends responses without a length, which end with the connection.
-    Unframed,
+    /// Sends the bodies of responses like this.
+    Body(SiteBody),
+    /// Sends this text in place of a response; `{id}` stands for the request's id. The connection stays open.
+    Text(&'static str),
     /// Adds this many bytes to each response, and to each event of a stream.
     Large(usize),
 }
@@ -307,6 +310,8 @@
             _ = crashed.wait_for(|crashed| *crashed) => return,
             accepted = listener.accept() => {
                 let Ok((stream, _)) = accepted else { return };
+                // Without delay a reset loses no events that were written before; a failure only costs latency.
+                let _ = stream.set_nodelay(true);
                 let shared = Arc::clone(&shared);
                 connections.spawn(async move { shared.serve(stream).await });
             }
@@ -352,8 +357,7 @@
         if let Some(response) = self.handle_control(request, path) {
             let (status, body) = response;
             let headers = self.with_statements(status, &[("content-type", "application/json")]);
-            write_response(stream, status, &as_strs(&headers), &body.to_string()).await;
-            return true;
+            return self.write_body(stream, status, &as_strs(&headers), body.to_string()).await;
         }
         self.run_request(stream, request, arrival).await
     }
@@ -459,6 +463,9 @@
         if fault == SiteFault::Lose {
             return false;
         }
+        if let SiteFault::Text(text) = fault {
+            return stream.write_all(text.replace("{id}", &id).as_bytes()).await.is_ok();
+        }
         let seal = format!("seal-{}", self.options.id);
         let status = if fault == SiteFault::Fail { 500 } else { 200 };
         let headers =
@@ -473,8 +480,7 @@
                 handle
             };
             let body = json!({ "handle": handle, "tokens": 1, "version": 1 }).to_string();
-            write_response(stream, 200, &headers, &body).await;
-            return true;
+            return self.write_body(stream, 200, &headers, body).await;
         }
         if fault == SiteFault::Fail {
             write_response(stream, status, &headers, "failed").await;
@@ -490,16 +496,27 @@
         }
         let padding = if let SiteFault::Large(bytes) = fault { ".".repeat(bytes) } else { String::new() };
         let body = format!("answer to {id}{padding}");
-        if fault == SiteFault::Unframed {
-            let text = format!("{}\r\n{body}", response_head(200, &headers));
-            let _ = stream.write_all(text.as_bytes()).await;
-            return false;
-        }
-        write_response(stream, 200, &headers, &body).await;
         if fault == SiteFault::Extra {
             write_response(stream, 200, &headers, &body).await;
         }
-        true
+        self.write_body(stream, 200, &headers, body).await
+    }
+
+    /// Writes a response with this body, framed and cut short as the endpoint's fault says, and returns whether
+    /// the connection stays open.
+    async fn write_body(
+        &self,
+        stream: &mut TcpStream,
+        status: u16,
+        headers: &[(&str, &str)],
+        body: String,
+    ) -> bool {
+        let fault = self.lock().fault;
+        let style = match fault {
+            SiteFault::Body(style) => style,
+            _ => SiteBody::whole(SiteFraming::Length),
+        };
+        style.write(stream, status, headers, &[body], Duration::ZERO).await
     }
 
     /// Writes the events of a stream, and returns whether the connection stays open.
@@ -511,8 +528,15 @@
         after: u32,
         fault: SiteFault,
     ) -> bool {
-        let mut text = response_head(200, headers);
-        text.push_str("content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n");
+        let headers: Vec<_> =
+            headers.iter().copied().chain([("content-type", "text/event-stream")]).collect();
+        if let SiteFault::Body(style) = fault {
+            let events = after + 1..=self.options.event_count;
+            let events: Vec<String> = events.map(|number| event_text(id, number)).collect();
+            return style.write(stream, 200, &headers, &events, self.options.event_gap).await;
+        }
+        let mut text = response_head(200, &headers);
+        text.push_str("transfer-encoding: chunked\r\n\r\n");
         if stream.write_all(text.as_bytes()).await.is_err() {
             return false;
         }
--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -1,6 +1,7 @@
 //! Small stand-ins for the users' platform and endpoints, as far as tests and the soak need them: a store that the
 //! system only reads, plain services, and engines that prefill or decode.
 
+mod body;
 mod caller;
 mod capacity;
 mod configuration;
@@ -9,6 +10,7 @@
 mod instance;
 mod store;
 
+pub use body::{SiteBody, SiteCut, SiteFraming};
 pub use caller::{is_signed, leaving_endpoint, site_request};
 pub use configuration::{FLOODING_TEAM, RIVAL_TEAM, SiteTeam, UNLIMITED_TEAM, site_configuration};
 pub use endpoint::{
