Responses: what ends inside an event or a JSON document is truncated, for all readers

Cause: the relay took every end of a body that the HTTP library reported without an error for the end of the stream. It looked for the rest of an event only where the stream could still resume, to leave the rest out; a stream that cannot resume ended as complete. A response without a length and without chunks ends with its connection, so that the library reports no error when the engine crashes. The plain readers asked nobody either.

Node::finish decides by the verdict alone: truncated by connection, length, event or JSON document is a failure for streams, plain responses and the system's own calls, and such a connection is not kept.

--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -17,7 +17,7 @@
 use hyper::{Method, Request, StatusCode};
 use rand::rngs::SmallRng;
 use slog::{Logger, info, warn};
-use teaselshunt_completeness::{Completeness, Truncation};
+use teaselshunt_completeness::Completeness;
 use teaselshunt_core::{Clock, ErrorKind, Fingerprint, Quarantine, Refusal};
 use teaselshunt_routing::{
     Admission, Advances, BodyKind, BodyMemory, Budgets, EndpointKey, Endpoints, Need, OutputEstimate,
@@ -583,13 +583,18 @@
     }
 
     /// Counts how a response ended, and keeps its connection.
+    ///
+    /// # Errors
+    /// The response is truncated.
     pub(crate) fn finish(&self, body: ResponseReader, end: ResponseEnd) -> Result<(), ExchangeFailure> {
         self.metrics.count_response_end(end);
-        if matches!(end.completeness, Completeness::Truncated(Truncation::Connection | Truncation::Length)) {
-            return Err(ExchangeFailure::Broken);
+        match end.completeness {
+            Completeness::Complete | Completeness::Unknown => {
+                self.pool.put(body.into_connection());
+                Ok(())
+            }
+            Completeness::Truncated(_) => Err(ExchangeFailure::Broken),
         }
-        self.pool.put(body.into_connection());
-        Ok(())
     }
 }
 
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -177,8 +177,7 @@
             Err(_) => return RunEnd::TimedOut,
             Ok(Piece::Data(data, scan)) => (data, scan.events),
             Ok(Piece::End(end)) => {
-                let is_cut = node.finish(body, end).is_err();
-                if is_cut || (complete_only && !events.partial.is_empty()) {
+                if node.finish(body, end).is_err() {
                     return RunEnd::Broken(end);
                 }
                 drop(work);
