Streams: events of resumable streams end at any end of line

A caller of a resumable route whose engine ends lines with a carriage return, alone or before a line feed, got nothing until the end of the stream and then a broken response: the relay passes complete events on and looked for two line feeds.

The relay now splits where the scanner that decides on completeness finds boundaries, and reads ids at any end of line.

--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -172,10 +172,10 @@
             () = pieces.closed() => return RunEnd::CallerDisconnected,
             piece = tokio::time::timeout_at(wait.into(), body.next()) => piece,
         };
-        let (data, ended) = match piece {
+        let (data, scan) = match piece {
             Err(_) if node.now() < job.deadline => return RunEnd::Stalled,
             Err(_) => return RunEnd::TimedOut,
-            Ok(Piece::Data(data, scan)) => (data, scan.events),
+            Ok(Piece::Data(data, scan)) => (data, scan),
             Ok(Piece::End(end)) => {
                 if node.finish(body, end).is_err() {
                     return RunEnd::Broken(end);
@@ -184,17 +184,17 @@
                 return RunEnd::Complete(end);
             }
         };
-        trace.record_events(ended);
+        trace.record_events(scan.events);
         let received = node.now();
         if let Some(timer) = timer {
-            timer.record(received, ended);
+            timer.record(received, scan.events);
         }
         if let Some(produced) =
             node.tokens_for_events(job, trace.events()).filter(|_| job.service.engine.is_some())
         {
             account_growth(&mut work, job, produced);
         }
-        let data = if complete_only { events.take_complete(&data) } else { data };
+        let data = if complete_only { events.take_complete(data, scan.boundary) } else { data };
         if data.is_empty() {
             continue;
         }
@@ -227,20 +227,29 @@
 /// Splits a stream into complete events and remembers the id of the last one.
 #[derive(Debug, Default)]
 pub(crate) struct Events {
-    pub(crate) partial: BytesMut,
+    /// Bytes of an event whose end has not arrived.
+    partial: BytesMut,
     pub(crate) last_id: Option<String>,
 }
 
 impl Events {
-    /// Appends bytes and returns the events that are now complete.
-    pub(crate) fn take_complete(&mut self, data: &[u8]) -> Bytes {
-        self.partial.extend_from_slice(data);
-        let Some(end) = self.partial.windows(2).rposition(|w| w == b"\n\n") else {
+    /// Appends bytes and returns those of the events that are now complete. `boundary` is the offset in `data`
+    /// after the last of them.
+    fn take_complete(&mut self, mut data: Bytes, boundary: Option<usize>) -> Bytes {
+        let Some(boundary) = boundary else {
+            self.partial.extend_from_slice(&data);
             return Bytes::new();
         };
-        let complete = self.partial.split_to(end + 2).freeze();
+        let rest = data.split_off(boundary);
+        let complete = if self.partial.is_empty() {
+            data
+        } else {
+            self.partial.extend_from_slice(&data);
+            self.partial.split().freeze()
+        };
+        self.partial.extend_from_slice(&rest);
         let text = String::from_utf8_lossy(&complete);
-        if let Some(id) = text.lines().rev().find_map(|line| line.strip_prefix("id:")) {
+        if let Some(id) = text.rsplit(['\n', '\r']).find_map(|line| line.strip_prefix("id:")) {
             self.last_id = Some(id.trim().to_owned());
         }
         complete
