Responses: the HTTP version of an endpoint's connection is not passed on

An endpoint that answers with HTTP/1.0 had its version in the response to the caller, who then does not reuse the connection and, for a stream, sees it end with the connection. The version belongs to the endpoint's connection, like the headers that are removed.

--- a/crates/forward/src/generate.rs
+++ b/crates/forward/src/generate.rs
@@ -60,7 +60,7 @@
         return refuse(node, Refusal::new(ErrorKind::EndpointFailed), trace);
     };
     node.observe_response(&job, head.status);
-    crate::headers::strip(&mut head.headers);
+    crate::headers::prepare_response(&mut head);
     trace.end("endpoint_error", head.status.as_u16());
     Response::from_parts(head, ResponseBody::complete(body, Some(buffered)))
 }
--- a/crates/forward/src/headers.rs
+++ b/crates/forward/src/headers.rs
@@ -1,6 +1,8 @@
-//! Removes hop-by-hop headers.
+//! Prepares the heads of requests and responses for the next connection.
 
+use hyper::Version;
 use hyper::header::{CONNECTION, HeaderMap, HeaderName};
+use hyper::http::response::Parts;
 
 /// Headers that are never forwarded (RFC 9110, section 7.6.1), and the length, which is set again.
 const HOP_BY_HOP: [&str; 8] = [
@@ -31,3 +33,10 @@
         headers.remove(name);
     }
 }
+
+/// Prepares the head of an endpoint's response for the caller.
+pub(crate) fn prepare_response(head: &mut Parts) {
+    strip(&mut head.headers);
+    // The version is that of the endpoint's connection.
+    head.version = Version::HTTP_11;
+}
--- a/crates/forward/src/plain.rs
+++ b/crates/forward/src/plain.rs
@@ -266,6 +266,6 @@
     let read = node.read_buffered(answer.body, job.deadline).await;
     *end = read.as_ref().map_or_else(|(_, end)| *end, |(.., end)| Some(*end));
     let (body, buffered, _) = read.map_err(|(failure, _)| failure)?;
-    crate::headers::strip(&mut head.headers);
+    crate::headers::prepare_response(&mut head);
     Ok(Outcome::Complete(Response::from_parts(head, body), buffered))
 }
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -74,7 +74,7 @@
 ) -> Response<ResponseBody> {
     trace.record_head();
     let mut head = answer.head;
-    crate::headers::strip(&mut head.headers);
+    crate::headers::prepare_response(&mut head);
     let status = head.status.as_u16();
     let (pieces, receiver) = relay_channel();
     let run = Run { body: answer.body, endpoint: answer.endpoint, sent_at: answer.sent_at, work };
