Responses: one without a marked end is reset if it cannot be completed

A caller of HTTP/1.0 has no chunks: its stream ends with the connection, whole or broken. The relay ends a broken stream without an end mark, and the connection was closed just as after a whole one, so that the caller took the part for the answer. The same holds where a caller does not read to the end in time.

A connection whose current response has no end mark is reset unless the response has ended. CallerStream does so when it is dropped, whichever path ends the connection: a body that failed, a caller that does not read, a task that ends.

--- a/crates/forward/src/body.rs
+++ b/crates/forward/src/body.rs
@@ -2,8 +2,12 @@
 //!
 //! A caller may read slowly or not at all. A complete response is passed to its connection in pieces, so that
 //! its bytes stay accounted until nearly all are written. A limited number of pieces of a stream may wait;
-//! until one is taken, the endpoint is not read any further. [`ReadDeadline`] closes connections whose
+//! until one is taken, the endpoint is not read any further. [`CallerConnection`] closes connections whose
 //! callers do not read their response until long after their deadline.
+//!
+//! A response that cannot be completed must not look complete. One with chunks or a length ends without its end
+//! mark; one whose end only the connection shows, like each stream to a caller of HTTP/1.0, has its connection
+//! reset.
 
 use std::cell::Cell;
 use std::pin::Pin;
@@ -12,6 +16,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use hyper::Version;
 use hyper::body::{Body, Frame, SizeHint};
 use tokio::sync::{Notify, mpsc};
 
@@ -27,7 +32,9 @@
 #[derive(Debug)]
 pub(crate) struct ResponseBody {
     content: Content,
-    read_deadline: Option<Rc<ReadDeadline>>,
+    /// Whether the end of the body is marked.
+    framed: bool,
+    connection: Option<Rc<CallerConnection>>,
 }
 
 #[derive(Debug)]
@@ -44,32 +51,42 @@
 
     /// A body that is complete.
     pub(crate) fn complete(rest: Bytes, buffered: Option<BufferedBytes>) -> Self {
-        Self { content: Content::Complete(Complete { rest, _buffered: buffered }), read_deadline: None }
+        let content = Content::Complete(Complete { rest, _buffered: buffered });
+        Self { content, framed: true, connection: None }
     }
 
     /// A body that arrives in pieces.
     pub(crate) fn relay(relay: Relay) -> Self {
-        Self { content: Content::Relay(relay), read_deadline: None }
+        Self { content: Content::Relay(relay), framed: true, connection: None }
     }
 
-    /// Closes the connection if the body is not read by `until`. A complete body of at most one piece has no
-    /// such limit.
+    /// Sends the body on a connection to a caller of this HTTP version. Closes the connection if the body is not
+    /// read by `until`; a complete body of at most one piece has no such limit.
     #[must_use]
-    pub(crate) fn with_read_deadline(mut self, read_deadline: &Rc<ReadDeadline>, until: Instant) -> Self {
+    pub(crate) fn send_on(
+        mut self,
+        connection: &Rc<CallerConnection>,
+        version: Version,
+        until: Instant,
+    ) -> Self {
         let short =
             matches!(&self.content, Content::Complete(complete) if complete.rest.len() <= PIECE_BYTES);
         if !short {
-            read_deadline.set(until);
-            self.read_deadline = Some(Rc::clone(read_deadline));
+            connection.set_read_deadline(until);
+        }
+        if version < Version::HTTP_11 && matches!(self.content, Content::Relay(_)) {
+            self.framed = false;
         }
+        connection.reset.set(!self.framed);
+        self.connection = Some(Rc::clone(connection));
         self
     }
 }
 
 impl Drop for ResponseBody {
     fn drop(&mut self) {
-        if let Some(read_deadline) = self.read_deadline.take() {
-            read_deadline.clear();
+        if let Some(connection) = self.connection.take() {
+            connection.clear_read_deadline();
         }
     }
 }
@@ -82,10 +99,14 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
-        match &mut self.content {
-            Content::Complete(complete) => Poll::Ready(complete.next().map(|piece| Ok(Frame::data(piece)))),
-            Content::Relay(relay) => relay.poll(context).map(|piece| piece.map(|r| r.map(Frame::data))),
+        let piece = match &mut self.content {
+            Content::Complete(complete) => return Poll::Ready(complete.next().map(|p| Ok(Frame::data(p)))),
+            Content::Relay(relay) => std::task::ready!(relay.poll(context)),
+        };
+        if let (None, Some(connection)) = (&piece, &self.connection) {
+            connection.reset.set(false);
         }
+        Poll::Ready(piece.map(|piece| piece.map(Frame::data)))
     }
 
     fn is_end_stream(&self) -> bool {
@@ -185,24 +206,33 @@
     (PieceSender { sender, complete: Rc::clone(&complete) }, Relay { pieces, complete })
 }
 
-/// Time until which the caller of a connection must read the current response.
+/// What the current response requires of its connection.
 #[derive(Debug, Default)]
-pub(crate) struct ReadDeadline {
+pub(crate) struct CallerConnection {
+    /// Time until which the caller must read the response.
     until: Cell<Option<Instant>>,
     started: Notify,
+    /// Whether the connection must be reset if it ends now, since a close would look like the end of the response.
+    reset: Cell<bool>,
 }
 
-impl ReadDeadline {
-    fn set(&self, until: Instant) {
+impl CallerConnection {
+    fn set_read_deadline(&self, until: Instant) {
         self.until.set(Some(until));
         self.started.notify_one();
     }
 
-    fn clear(&self) {
+    fn clear_read_deadline(&self) {
         self.until.set(None);
     }
 
-    /// Waits until a response was not read in time.
+    /// Whether the connection must be reset if it ends now.
+    pub(crate) fn must_reset(&self) -> bool {
+        self.reset.get()
+    }
+
+    /// Waits until a response was not read in time. The connection must be reset then: bytes of the response may
+    /// not have been sent.
     pub(crate) async fn overdue(&self) {
         loop {
             let Some(until) = self.until.get() else {
@@ -211,6 +241,7 @@
             };
             tokio::time::sleep_until(until.into()).await;
             if self.until.get() == Some(until) {
+                self.reset.set(true);
                 return;
             }
         }
--- /dev/null
+++ b/crates/forward/src/caller_stream.rs
@@ -0,0 +1,74 @@
+//! Connections of callers, which can be reset.
+
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+use crate::body::CallerConnection;
+
+/// A connection of a caller. Dropping it resets the connection if the last response requires that, and closes
+/// it otherwise.
+#[derive(Debug)]
+pub(crate) struct CallerStream {
+    stream: TcpStream,
+    connection: Rc<CallerConnection>,
+}
+
+impl CallerStream {
+    pub(crate) fn new(stream: TcpStream, connection: Rc<CallerConnection>) -> Self {
+        Self { stream, connection }
+    }
+}
+
+impl Drop for CallerStream {
+    fn drop(&mut self) {
+        if self.connection.must_reset() {
+            // A failure means that the connection has ended already.
+            let _ = self.stream.set_zero_linger();
+        }
+    }
+}
+
+impl AsyncRead for CallerStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(context, buffer)
+    }
+}
+
+impl AsyncWrite for CallerStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        data: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, data)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        data: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(context, data)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -2,7 +2,8 @@
 //! this crate to a platform.
 //!
 //! The modules form layers, from the top: `supervisor` starts `listeners`, `catalog` (the contents of the
-//! platform's store) and `orders`; the first two accept connections through `accept`. `listeners` hands
+//! platform's store) and `orders`; the first two accept connections through `accept`, those of callers as
+//! `caller_stream`. `listeners` hands
 //! requests to `requests`, which calls `plain` or `generate` (with `reservations`, `queue` and `waste`). Both use `load`
 //! (admission to services that lack capacity), `rates` (rate limits that endpoints advertise), `statements`
 //! (what endpoints state about themselves), `stream`, `body` with `buffering` (bytes that slow callers have
@@ -27,6 +28,7 @@
 mod admission;
 mod body;
 mod buffering;
+mod caller_stream;
 mod calls;
 mod catalog;
 mod connection_pool;
--- a/crates/forward/src/listeners.rs
+++ b/crates/forward/src/listeners.rs
@@ -17,7 +17,8 @@
 use tokio::sync::watch;
 
 use crate::accept::accept;
-use crate::body::ReadDeadline;
+use crate::body::CallerConnection;
+use crate::caller_stream::CallerStream;
 use crate::node::{Node, Phase};
 use crate::requests;
 
@@ -52,8 +53,9 @@
     // A caller that connects this late gets one response, which announces that the connection closes.
     let late = node.phase() >= Phase::Closing;
     let idle = if late { LATE_REQUEST_TIMEOUT } else { idle };
-    let read_deadline = Rc::new(ReadDeadline::default());
-    let service = service_fn(|request| requests::serve(Rc::clone(&node), request, Rc::clone(&read_deadline)));
+    let state = Rc::new(CallerConnection::default());
+    let service = service_fn(|request| requests::serve(Rc::clone(&node), request, Rc::clone(&state)));
+    let stream = CallerStream::new(stream, Rc::clone(&state));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle)
@@ -73,7 +75,7 @@
     };
     let result = tokio::select! {
         result = served => Some(result),
-        () = read_deadline.overdue() => None,
+        () = state.overdue() => None,
     };
     node.connections.set(node.connections.get() - 1);
     match result {
--- a/crates/forward/src/requests.rs
+++ b/crates/forward/src/requests.rs
@@ -15,7 +15,7 @@
 use teaselshunt_routing::{BodyKind, Repeat, Route, RouteSet};
 
 use crate::admission::{charge, identify};
-use crate::body::{ReadDeadline, ResponseBody};
+use crate::body::{CallerConnection, ResponseBody};
 use crate::buffering::{BufferedBytes, CollectError};
 use crate::node::{Job, Node, Phase};
 use crate::refusals::{OTHER_INSTANCE_RETRY, refuse};
@@ -35,15 +35,15 @@
 pub(crate) async fn serve(
     node: Rc<Node>,
     request: Request<Incoming>,
-    read_deadline: Rc<ReadDeadline>,
+    connection: Rc<CallerConnection>,
 ) -> Result<Response<ResponseBody>, Infallible> {
-    let arrived = node.now();
+    let (arrived, version) = (node.now(), request.version());
     let meta = node.protocol.read_request(request.headers());
     let mut trace = Trace::new(&node, &meta, arrived);
     let mut response = match admit(&node, request, meta, arrived, &mut trace).await {
         Ok(job) => {
             let until = job.deadline + READ_TIMEOUT;
-            run(&node, job, trace).await.map(|body| body.with_read_deadline(&read_deadline, until))
+            run(&node, job, trace).await.map(|body| body.send_on(&connection, version, until))
         }
         Err(refusal) => refuse(&node, refusal, trace),
     };
