Responses: an unknown end is passed on as unknown

A response without a length and without chunks ends with its connection, whether its endpoint was done or crashed between two events or in the middle of a plain body. Its caller got chunks with an end mark, or a length that was met: a claim that nobody had made.

Ways that were weighed. Breaking the response off, or running the request again where it may: callers of whole responses would be made to repeat what is done, and a booking cannot be repeated. Holding the response until another sign says that the endpoint lives: a sign about the process, none about the response. Passing the framing on as it was: the caller knows as much as the instance does, whole responses arrive whole, and only its connection is not used again. The last one is built. The HTTP library leaves out chunks only in responses of the version HTTP/1.0.

A stream has the framing of its first run. One that resumed, and whose last run ends without a sign, is broken off (end_unknown): its caller may go on after the last event. A broken stream without framing is reset. What may be truncated is not learned from: neither output lengths nor that a request does not crash its engines.

--- a/crates/forward/src/body.rs
+++ b/crates/forward/src/body.rs
@@ -5,6 +5,10 @@
 //! until one is taken, the endpoint is not read any further. [`CallerConnection`] closes connections whose
 //! callers do not read their response until long after their deadline.
 //!
+//! A response claims no more than its endpoint's: if nothing but the end of a connection showed that the
+//! endpoint's response was complete, the response to the caller has neither a length nor chunks either, and ends
+//! with its connection.
+//!
 //! A response that cannot be completed must not look complete. One with chunks or a length ends without its end
 //! mark; one whose end only the connection shows, like each stream to a caller of HTTP/1.0, has its connection
 //! reset.
@@ -16,11 +20,14 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use hyper::Version;
 use hyper::body::{Body, Frame, SizeHint};
+use hyper::http::response::Parts;
+use hyper::{Response, Version};
+use teaselshunt_completeness::{Completeness, Framing};
 use tokio::sync::{Notify, mpsc};
 
 use crate::buffering::BufferedBytes;
+use crate::headers::prepare_response;
 
 /// The response cannot be completed. The caller's connection is closed so that the response does not look
 /// complete.
@@ -46,18 +53,18 @@
 impl ResponseBody {
     /// A short body that is not accounted in the buffer memory.
     pub(crate) fn short(bytes: Bytes) -> Self {
-        Self::complete(bytes, None)
+        Self::complete(bytes, None, true)
     }
 
     /// A body that is complete.
-    pub(crate) fn complete(rest: Bytes, buffered: Option<BufferedBytes>) -> Self {
+    fn complete(rest: Bytes, buffered: Option<BufferedBytes>, framed: bool) -> Self {
         let content = Content::Complete(Complete { rest, _buffered: buffered });
-        Self { content, framed: true, connection: None }
+        Self { content, framed, connection: None }
     }
 
     /// A body that arrives in pieces.
-    pub(crate) fn relay(relay: Relay) -> Self {
-        Self { content: Content::Relay(relay), framed: true, connection: None }
+    fn relay(relay: Relay, framed: bool) -> Self {
+        Self { content: Content::Relay(relay), framed, connection: None }
     }
 
     /// Sends the body on a connection to a caller of this HTTP version. Closes the connection if the body is not
@@ -100,7 +107,7 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
         let piece = match &mut self.content {
-            Content::Complete(complete) => return Poll::Ready(complete.next().map(|p| Ok(Frame::data(p)))),
+            Content::Complete(complete) => complete.next().map(Ok),
             Content::Relay(relay) => std::task::ready!(relay.poll(context)),
         };
         if let (None, Some(connection)) = (&piece, &self.connection) {
@@ -110,17 +117,38 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(&self.content, Content::Complete(complete) if complete.rest.is_empty())
+        // Without a length an empty body is one too, whose end only the connection shows.
+        self.framed && matches!(&self.content, Content::Complete(complete) if complete.rest.is_empty())
     }
 
     fn size_hint(&self) -> SizeHint {
         match &self.content {
-            Content::Complete(complete) => SizeHint::with_exact(complete.rest.len() as u64),
-            Content::Relay(_) => SizeHint::default(),
+            Content::Complete(complete) if self.framed => SizeHint::with_exact(complete.rest.len() as u64),
+            Content::Complete(_) | Content::Relay(_) => SizeHint::default(),
         }
     }
 }
 
+/// The response to a caller whose body was received to its end.
+pub(crate) fn buffered_response(
+    mut head: Parts,
+    body: Bytes,
+    buffered: BufferedBytes,
+    completeness: Completeness,
+) -> Response<ResponseBody> {
+    let framed = completeness == Completeness::Complete;
+    prepare_response(&mut head, framed);
+    Response::from_parts(head, ResponseBody::complete(body, Some(buffered), framed))
+}
+
+/// The response to a caller whose body arrives in pieces. Its end is marked if `framing` marks that of the
+/// endpoint's response.
+pub(crate) fn relayed_response(mut head: Parts, relay: Relay, framing: Framing) -> Response<ResponseBody> {
+    let framed = framing.marks_end();
+    prepare_response(&mut head, framed);
+    Response::from_parts(head, ResponseBody::relay(relay, framed))
+}
+
 /// Bytes that are passed to the connection at a time.
 const PIECE_BYTES: usize = 16 * 1024;
 
--- a/crates/forward/src/generate.rs
+++ b/crates/forward/src/generate.rs
@@ -15,7 +15,7 @@
 use teaselshunt_core::{ErrorKind, Refusal};
 use teaselshunt_routing::{EndpointKey, Repeat, Sends, WaitPolicy};
 
-use crate::body::ResponseBody;
+use crate::body::{ResponseBody, buffered_response};
 use crate::calls::{CALL_TIMEOUT, release_in_background};
 use crate::crashes::{self, CallGuard};
 use crate::in_flight::InFlightWork;
@@ -52,17 +52,17 @@
             Ok(started) => started,
             Err(refusal) => return refuse(node, refusal, trace),
         };
-    if answer.head.status.is_success() {
+    if answer.is_stream() {
         return stream::relay(node, StreamJob::generation(job), answer, work, trace);
     }
-    let mut head = answer.head;
-    let Ok((body, buffered, _)) = node.read_buffered(answer.body, job.deadline).await else {
+    let head = answer.head;
+    let Ok((body, buffered, end)) = node.read_buffered(answer.body, job.deadline).await else {
         return refuse(node, Refusal::new(ErrorKind::EndpointFailed), trace);
     };
-    node.observe_response(&job, head.status);
-    crate::headers::prepare_response(&mut head);
-    trace.end("endpoint_error", head.status.as_u16());
-    Response::from_parts(head, ResponseBody::complete(body, Some(buffered)))
+    node.observe_response(&job, head.status, end.completeness);
+    let outcome = if head.status.is_success() { "answered" } else { "endpoint_error" };
+    trace.end(outcome, head.status.as_u16());
+    buffered_response(head, body, buffered, end.completeness)
 }
 
 /// Resumes a stream that broke at engine `broken` at another engine, after the last event that the caller
--- a/crates/forward/src/headers.rs
+++ b/crates/forward/src/headers.rs
@@ -1,7 +1,7 @@
 //! Prepares the heads of requests and responses for the next connection.
 
 use hyper::Version;
-use hyper::header::{CONNECTION, HeaderMap, HeaderName};
+use hyper::header::{CONNECTION, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::response::Parts;
 
 /// Headers that are never forwarded (RFC 9110, section 7.6.1), and the length, which is set again.
@@ -34,9 +34,14 @@
     }
 }
 
-/// Prepares the head of an endpoint's response for the caller.
-pub(crate) fn prepare_response(head: &mut Parts) {
+/// Prepares the head of an endpoint's response for the caller. The body must be framed, or not, as `framed` says.
+pub(crate) fn prepare_response(head: &mut Parts, framed: bool) {
     strip(&mut head.headers);
-    // The version is that of the endpoint's connection.
-    head.version = Version::HTTP_11;
+    if framed {
+        head.version = Version::HTTP_11;
+    } else {
+        // The library sends chunks in any later version.
+        head.version = Version::HTTP_10;
+        head.headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    }
 }
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -17,7 +17,7 @@
 use hyper::{Method, Request, StatusCode};
 use rand::rngs::SmallRng;
 use slog::{Logger, info, warn};
-use teaselshunt_completeness::Completeness;
+use teaselshunt_completeness::{Completeness, Framing};
 use teaselshunt_core::{Clock, ErrorKind, Fingerprint, Quarantine, Refusal};
 use teaselshunt_routing::{
     Admission, Advances, BodyKind, BodyMemory, Budgets, EndpointKey, Endpoints, Need, OutputEstimate,
@@ -201,6 +201,13 @@
     pub(crate) sent_at: Instant,
 }
 
+impl Answer {
+    /// Whether the response is a success whose body is passed on while it arrives, where the route has streams.
+    pub(crate) fn is_stream(&self) -> bool {
+        self.head.status.is_success() && self.body.framing() != Framing::Empty
+    }
+}
+
 /// Why a step failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum StepFailure {
@@ -357,9 +364,10 @@
     }
 
     /// Records that an endpoint completed its response to a request. A response with an error of the
-    /// endpoint's own shows nothing about the request: the endpoint may not have begun to run it.
-    pub(crate) fn observe_response(&self, job: &Job, status: StatusCode) {
-        if !status.is_server_error() {
+    /// endpoint's own shows nothing about the request: the endpoint may not have begun to run it. Nor does one that
+    /// may be truncated.
+    pub(crate) fn observe_response(&self, job: &Job, status: StatusCode, completeness: Completeness) {
+        if !status.is_server_error() && completeness == Completeness::Complete {
             self.state.borrow_mut().quarantine.observe_success(self.now(), job.fingerprint());
         }
     }
--- a/crates/forward/src/plain.rs
+++ b/crates/forward/src/plain.rs
@@ -9,11 +9,13 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use hyper::http::response::Parts;
 use hyper::{Response, StatusCode};
+use teaselshunt_completeness::Completeness;
 use teaselshunt_core::{ErrorKind, Refusal};
 use teaselshunt_routing::{EndpointKey, Need, Repeat};
 
-use crate::body::ResponseBody;
+use crate::body::{ResponseBody, buffered_response};
 use crate::buffering::BufferedBytes;
 use crate::crashes::{self, CallGuard};
 use crate::in_flight::InFlightWork;
@@ -37,9 +39,9 @@
 /// `Retry-After` delay if every endpoint is full: some service times.
 const ALL_FULL_RETRY: Duration = Duration::from_millis(150);
 
-/// A complete response, or the head of a stream.
+/// A response that was received to its end, or the head of a stream.
 enum Outcome {
-    Complete(Response<Bytes>, BufferedBytes),
+    Complete(Parts, Bytes, BufferedBytes, Completeness),
     Stream(Answer, InFlightWork),
 }
 
@@ -55,12 +57,11 @@
         }
     };
     match result {
-        Ok(Outcome::Complete(response, buffered)) => {
-            let status = response.status();
-            node.observe_response(&job, status);
+        Ok(Outcome::Complete(head, body, buffered, completeness)) => {
+            node.observe_response(&job, head.status, completeness);
             trace.record_head();
-            trace.end("answered", status.as_u16());
-            response.map(|body| ResponseBody::complete(body, Some(buffered)))
+            trace.end("answered", head.status.as_u16());
+            buffered_response(head, body, buffered, completeness)
         }
         Ok(Outcome::Stream(answer, work)) => {
             stream::relay(node, StreamJob::not_resumable(job), answer, work, trace)
@@ -130,7 +131,7 @@
 
 fn is_good(result: &Result<Outcome, StepFailure>) -> bool {
     match result {
-        Ok(Outcome::Complete(response, _)) => !response.status().is_server_error(),
+        Ok(Outcome::Complete(head, ..)) => !head.status.is_server_error(),
         Ok(Outcome::Stream(..)) => true,
         Err(_) => false,
     }
@@ -240,8 +241,8 @@
         crashes::check_endpoint(node, job, trace, key, sent_at);
     }
     let text = match &result {
-        Ok(Outcome::Complete(r, _)) if r.status() == StatusCode::OK => "ok",
-        Ok(Outcome::Complete(r, _)) => r.status().canonical_reason().unwrap_or("answered"),
+        Ok(Outcome::Complete(head, ..)) if head.status == StatusCode::OK => "ok",
+        Ok(Outcome::Complete(head, ..)) => head.status.canonical_reason().unwrap_or("answered"),
         Ok(Outcome::Stream(..)) => "stream",
         Err(failure) => failure.text(),
     };
@@ -259,13 +260,11 @@
     end: &mut Option<ResponseEnd>,
 ) -> Result<Outcome, StepFailure> {
     let answer = node.send(job, &work, Purpose::Run, job.deadline).await?;
-    if matches!(job.route.repeat, Repeat::Stream { .. }) && answer.head.status.is_success() {
+    if matches!(job.route.repeat, Repeat::Stream { .. }) && answer.is_stream() {
         return Ok(Outcome::Stream(answer, work));
     }
-    let mut head = answer.head;
     let read = node.read_buffered(answer.body, job.deadline).await;
     *end = read.as_ref().map_or_else(|(_, end)| *end, |(.., end)| Some(*end));
-    let (body, buffered, _) = read.map_err(|(failure, _)| failure)?;
-    crate::headers::prepare_response(&mut head);
-    Ok(Outcome::Complete(Response::from_parts(head, body), buffered))
+    let (body, buffered, end) = read.map_err(|(failure, _)| failure)?;
+    Ok(Outcome::Complete(answer.head, body, buffered, end.completeness))
 }
--- a/crates/forward/src/response_reader.rs
+++ b/crates/forward/src/response_reader.rs
@@ -46,6 +46,10 @@
         Self { body, connection, monitor }
     }
 
+    pub(crate) fn framing(&self) -> Framing {
+        self.monitor.framing()
+    }
+
     /// Takes the body for a stream of events, whatever the response says of its type.
     pub(crate) fn expect_events(&mut self) {
         self.monitor.expect_events();
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -10,9 +10,10 @@
 use bytes::{Bytes, BytesMut};
 use hyper::{Response, StatusCode};
 use slog::info;
+use teaselshunt_completeness::Completeness;
 use teaselshunt_routing::{BodyKind, EndpointKey, Repeat, StepOutcome};
 
-use crate::body::{PieceSender, ResponseBody, relay_channel};
+use crate::body::{PieceSender, ResponseBody, relay_channel, relayed_response};
 use crate::buffering::BufferedBytes;
 use crate::crashes;
 use crate::generate;
@@ -73,13 +74,11 @@
     trace: Trace,
 ) -> Response<ResponseBody> {
     trace.record_head();
-    let mut head = answer.head;
-    crate::headers::prepare_response(&mut head);
-    let status = head.status.as_u16();
+    let (status, framing) = (answer.head.status.as_u16(), answer.body.framing());
     let (pieces, receiver) = relay_channel();
     let run = Run { body: answer.body, endpoint: answer.endpoint, sent_at: answer.sent_at, work };
     tokio::task::spawn_local(relay_runs(Rc::clone(node), stream_job, run, pieces, trace, status));
-    Response::from_parts(head, ResponseBody::relay(receiver))
+    relayed_response(answer.head, receiver, framing)
 }
 
 /// One run at one engine.
@@ -98,6 +97,7 @@
     trace: Trace,
     status: u16,
 ) {
+    let framing = run.body.framing();
     let mut events = Events::default();
     let complete_only = stream_job.resumes_left > 0;
     let mut timer = Some(StreamTimer::default());
@@ -114,8 +114,16 @@
                 if !text.is_empty() {
                     trace.record_step("stream", &node.id_for_log(endpoint), &format!("ended{text}"));
                 }
-                node.observe_response(&stream_job.job, StatusCode::OK);
-                node.observe_output(&stream_job.job, trace.events());
+                let is_known = response_end.completeness == Completeness::Complete;
+                node.observe_response(&stream_job.job, StatusCode::OK, response_end.completeness);
+                if is_known {
+                    node.observe_output(&stream_job.job, trace.events());
+                }
+                if framing.marks_end() && !is_known {
+                    // The end of the caller's response would claim more than is known. A resumable stream may
+                    // resume after its last event.
+                    return trace.end("end_unknown", status);
+                }
                 pieces.end();
                 return trace.end("answered", status);
             }
