Results of endpoints: a response counts once it has ended

An endpoint that truncates each of its responses stayed in use for ever: the head of a response counted as an answer, and what became of the body counted nowhere for plain services and for prefills. A stream that broke counted twice among the results of all instances, as answered and as failed, so that an engine that breaks off all its streams seemed to fail half of them.

A response is counted when it was read or could not be: what its head shows, or one failure if it is truncated or does not end in time. A stream shows at its head that its engine responds; its result counts at its end, once. A response that the instance itself has no memory for is not held against its endpoint.

--- a/crates/forward/src/generate.rs
+++ b/crates/forward/src/generate.rs
@@ -56,7 +56,9 @@
         return stream::relay(node, StreamJob::generation(job), answer, work, trace);
     }
     let head = answer.head;
-    let Ok((body, buffered, end)) = node.read_buffered(answer.body, job.deadline).await else {
+    let read = node.read_buffered(answer.body, job.deadline).await;
+    node.observe_read(&job, answer.endpoint, answer.outcome, &read);
+    let Ok((body, buffered, end)) = read else {
         return refuse(node, Refusal::new(ErrorKind::EndpointFailed), trace);
     };
     node.observe_response(&job, head.status, end.completeness);
@@ -83,6 +85,7 @@
     let (answer, work) =
         start_generation(node, job, trace, wait_policy, Prompt::LocalPrefill, vec![broken]).await.ok()?;
     if answer.head.status != StatusCode::OK {
+        node.observe_outcome(job, answer.endpoint, answer.outcome);
         return None;
     }
     waste::count(node, trace, WasteCause::Resumed, job.prompt_tokens());
@@ -298,9 +301,12 @@
     let until = (node.now() + timeout).min(job.deadline);
     let answer = node.send(job, work, Purpose::Prefill, until).await?;
     if answer.head.status != StatusCode::OK {
+        node.observe_outcome(job, answer.endpoint, answer.outcome);
         return Err(StepFailure::Broken);
     }
-    let body = node.read(answer.body, until).await?;
+    let read = node.read(answer.body, until).await;
+    node.observe_read(job, answer.endpoint, answer.outcome, &read);
+    let body = read?;
     node.protocol.read_kv_handle(&body).ok_or(StepFailure::Broken)
 }
 
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -36,7 +36,7 @@
 use crate::metrics::Metrics;
 use crate::protocol::{Call, Protocol, Purpose, RequestMeta};
 use crate::queue::PendingSearch;
-use crate::response_reader::{Piece, ResponseEnd, ResponseReader};
+use crate::response_reader::{Piece, ReadFailure, ResponseEnd, ResponseReader};
 use crate::settings::Settings;
 use crate::statements;
 
@@ -199,6 +199,8 @@
     pub(crate) endpoint: EndpointKey,
     /// When the request was sent to the endpoint.
     pub(crate) sent_at: Instant,
+    /// What the head shows about the endpoint. It counts once the response has ended.
+    pub(crate) outcome: StepOutcome,
 }
 
 impl Answer {
@@ -231,6 +233,16 @@
         matches!(self, Self::Broken | Self::TimedOut)
     }
 
+    /// What the failure shows about its endpoint; `None` if nothing was tried.
+    const fn outcome(self) -> Option<StepOutcome> {
+        match self {
+            Self::Withheld => None,
+            Self::Refused => Some(StepOutcome::Full),
+            Self::Unsent | Self::Misdirected => Some(StepOutcome::Unreachable),
+            Self::Broken | Self::TimedOut => Some(StepOutcome::Failed),
+        }
+    }
+
     pub(crate) const fn text(self) -> &'static str {
         match self {
             Self::Unsent => "unsent",
@@ -243,6 +255,12 @@
     }
 }
 
+impl From<ReadFailure> for StepFailure {
+    fn from(failure: ReadFailure) -> Self {
+        ExchangeFailure::from(failure).into()
+    }
+}
+
 impl From<ExchangeFailure> for StepFailure {
     fn from(failure: ExchangeFailure) -> Self {
         match failure {
@@ -383,7 +401,30 @@
         sends.may_send(self.now(), job.route.attempts, &job.service.name, budgets)
     }
 
-    /// Sends a request to an endpoint and checks the head of the response.
+    /// Counts the result of a request at an endpoint.
+    pub(crate) fn observe_outcome(&self, job: &Job, key: EndpointKey, outcome: StepOutcome) {
+        self.observe_step(key, outcome);
+        load::observe_result(self, job, key, outcome);
+    }
+
+    /// Counts the result of a request whose response was read, or was not: one that is truncated is a failure,
+    /// whatever its head says.
+    pub(crate) fn observe_read<T>(
+        &self,
+        job: &Job,
+        key: EndpointKey,
+        head: StepOutcome,
+        read: &Result<T, ReadFailure>,
+    ) {
+        let outcome = match read {
+            Ok(_) | Err(ReadFailure::MemoryFull) => head,
+            Err(ReadFailure::Truncated(_) | ReadFailure::TimedOut) => StepOutcome::Failed,
+        };
+        self.observe_outcome(job, key, outcome);
+    }
+
+    /// Sends a request to an endpoint and checks the head of the response. A failure is counted as the result of
+    /// the request; what an answer shows is left to who reads it.
     pub(crate) async fn send(
         &self,
         job: &Job,
@@ -407,7 +448,8 @@
         let step = step_name(purpose);
         let outcome = match result {
             Ok((head, body)) => {
-                let answer = Answer { head, body, endpoint: key, sent_at };
+                let outcome = StepOutcome::Answered(self.now().duration_since(sent_at));
+                let answer = Answer { head, body, endpoint: key, sent_at, outcome };
                 self.check_response(job, answer, purpose)
             }
             Err(failure) => Err(failure.into()),
@@ -415,34 +457,23 @@
         if runs && outcome.as_ref().is_err_and(|failure| !failure.may_have_run()) {
             job.charge.undo_send();
         }
-        if let Some(step_outcome) = self.step_outcome(key, sent_at, &outcome) {
-            self.observe_step(key, step_outcome);
-            load::observe_result(self, job, key, step_outcome);
+        let step_outcome = outcome.as_ref().err().and_then(|failure| failure.outcome());
+        if let Some(step_outcome) = step_outcome {
+            self.observe_outcome(job, key, step_outcome);
         }
         self.metrics.count_step(step, outcome.as_ref().map_or_else(|f| f.text(), |_| "answered"));
         outcome
     }
 
-    /// What a step shows about its endpoint; `None` if nothing was tried.
-    fn step_outcome(
-        &self,
-        key: EndpointKey,
-        sent_at: Instant,
-        outcome: &Result<Answer, StepFailure>,
-    ) -> Option<StepOutcome> {
+    /// What the head of a response shows about its endpoint.
+    fn head_outcome(&self, key: EndpointKey, status: StatusCode, latency: Duration) -> StepOutcome {
         let is_cooling = || self.state.borrow().endpoints.is_cooling(self.now(), key);
-        Some(match outcome {
+        match status {
             // A refusal of the endpoint's own that states a delay is no failure.
-            Ok(answer) if answer.head.status == StatusCode::SERVICE_UNAVAILABLE && is_cooling() => {
-                StepOutcome::Full
-            }
-            Ok(answer) if answer.head.status.is_server_error() => StepOutcome::ErrorResponse,
-            Ok(_) => StepOutcome::Answered(self.now().duration_since(sent_at)),
-            Err(StepFailure::Withheld) => return None,
-            Err(StepFailure::Refused) => StepOutcome::Full,
-            Err(StepFailure::Unsent | StepFailure::Misdirected) => StepOutcome::Unreachable,
-            Err(StepFailure::Broken | StepFailure::TimedOut) => StepOutcome::Failed,
-        })
+            StatusCode::SERVICE_UNAVAILABLE if is_cooling() => StepOutcome::Full,
+            status if status.is_server_error() => StepOutcome::ErrorResponse,
+            _ => StepOutcome::Answered(latency),
+        }
     }
 
     fn request(
@@ -467,7 +498,12 @@
     /// An endpoint may respond twice to one request. The second response then arrives where the next
     /// request's response is expected, and would give one caller another caller's data. The request id
     /// reveals this; such a connection is not reused.
-    fn check_response(&self, job: &Job, answer: Answer, purpose: Purpose<'_>) -> Result<Answer, StepFailure> {
+    fn check_response(
+        &self,
+        job: &Job,
+        mut answer: Answer,
+        purpose: Purpose<'_>,
+    ) -> Result<Answer, StepFailure> {
         let head = &answer.head;
         let meta = self.protocol.read_response(head.status, &head.headers);
         if !meta.id.is_empty() && meta.id != job.meta.id {
@@ -485,6 +521,8 @@
         if !genuine || head.headers.contains_key(CONTENT_ENCODING) {
             return Err(StepFailure::Broken);
         }
+        let latency = self.now().duration_since(answer.sent_at);
+        answer.outcome = self.head_outcome(answer.endpoint, answer.head.status, latency);
         Ok(answer)
     }
 
@@ -550,28 +588,24 @@
         self: &Rc<Self>,
         mut body: ResponseReader,
         until: Instant,
-    ) -> Result<(Bytes, BufferedBytes, ResponseEnd), (ExchangeFailure, Option<ResponseEnd>)> {
+    ) -> Result<(Bytes, BufferedBytes, ResponseEnd), ReadFailure> {
         let mut buffered = BufferedBytes::new(self, BodyKind::Response);
         match tokio::time::timeout_at(until.into(), buffered.collect_response(&mut body)).await {
             Ok(Ok((complete, end))) => {
-                self.finish(body, end).map_err(|failure| (failure, Some(end)))?;
+                self.finish(body, end)?;
                 Ok((complete, buffered, end))
             }
             Ok(Err(CollectError::Body(infallible))) => match infallible {},
             Ok(Err(CollectError::Full(error, bytes))) => {
                 warn!(self.log, "response abandoned, buffer memory is full"; "error" => %error, "bytes" => bytes);
-                Err((ExchangeFailure::Broken, None))
+                Err(ReadFailure::MemoryFull)
             }
-            Err(_) => Err((ExchangeFailure::TimedOut, None)),
+            Err(_) => Err(ReadFailure::TimedOut),
         }
     }
 
     /// Reads a body to its end and keeps the connection.
-    pub(crate) async fn read(
-        &self,
-        mut body: ResponseReader,
-        until: Instant,
-    ) -> Result<Bytes, ExchangeFailure> {
+    pub(crate) async fn read(&self, mut body: ResponseReader, until: Instant) -> Result<Bytes, ReadFailure> {
         let read = async {
             let mut complete = BytesMut::new();
             loop {
@@ -586,7 +620,7 @@
                 self.finish(body, end)?;
                 Ok(complete)
             }
-            Err(_) => Err(ExchangeFailure::TimedOut),
+            Err(_) => Err(ReadFailure::TimedOut),
         }
     }
 
@@ -594,14 +628,14 @@
     ///
     /// # Errors
     /// The response is truncated.
-    pub(crate) fn finish(&self, body: ResponseReader, end: ResponseEnd) -> Result<(), ExchangeFailure> {
+    pub(crate) fn finish(&self, body: ResponseReader, end: ResponseEnd) -> Result<(), ReadFailure> {
         self.metrics.count_response_end(end);
         match end.completeness {
             Completeness::Complete | Completeness::Unknown => {
                 self.pool.put(body.into_connection());
                 Ok(())
             }
-            Completeness::Truncated(_) => Err(ExchangeFailure::Broken),
+            Completeness::Truncated(_) => Err(ReadFailure::Truncated(end)),
         }
     }
 }
--- a/crates/forward/src/plain.rs
+++ b/crates/forward/src/plain.rs
@@ -42,7 +42,7 @@
 /// A response that was received to its end, or the head of a stream.
 enum Outcome {
     Complete(Parts, Bytes, BufferedBytes, Completeness),
-    Stream(Answer, InFlightWork),
+    Stream(Box<Answer>, InFlightWork),
 }
 
 /// Serves a request.
@@ -64,7 +64,7 @@
             buffered_response(head, body, buffered, completeness)
         }
         Ok(Outcome::Stream(answer, work)) => {
-            stream::relay(node, StreamJob::not_resumable(job), answer, work, trace)
+            stream::relay(node, StreamJob::not_resumable(job), *answer, work, trace)
         }
         Err(refusal) => refuse(node, refusal, trace),
     }
@@ -261,10 +261,11 @@
 ) -> Result<Outcome, StepFailure> {
     let answer = node.send(job, &work, Purpose::Run, job.deadline).await?;
     if matches!(job.route.repeat, Repeat::Stream { .. }) && answer.is_stream() {
-        return Ok(Outcome::Stream(answer, work));
+        return Ok(Outcome::Stream(Box::new(answer), work));
     }
     let read = node.read_buffered(answer.body, job.deadline).await;
-    *end = read.as_ref().map_or_else(|(_, end)| *end, |(.., end)| Some(*end));
-    let (body, buffered, end) = read.map_err(|(failure, _)| failure)?;
+    node.observe_read(job, answer.endpoint, answer.outcome, &read);
+    *end = read.as_ref().map_or_else(|failure| failure.end(), |(.., end)| Some(*end));
+    let (body, buffered, end) = read?;
     Ok(Outcome::Complete(answer.head, body, buffered, end.completeness))
 }
--- a/crates/forward/src/response_reader.rs
+++ b/crates/forward/src/response_reader.rs
@@ -7,7 +7,7 @@
 use hyper::body::Incoming;
 use teaselshunt_completeness::{BodyEnd, BodyMonitor, Completeness, Framing, Scan};
 
-use crate::connection_pool::Connection;
+use crate::connection_pool::{Connection, ExchangeFailure};
 
 /// A body that is not read to its end, with its connection.
 #[derive(Debug)]
@@ -31,6 +31,36 @@
     pub(crate) completeness: Completeness,
 }
 
+/// Why a body could not be read to its end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ReadFailure {
+    /// The response is truncated.
+    Truncated(ResponseEnd),
+    /// It did not end in time.
+    TimedOut,
+    /// The instance has no memory for it.
+    MemoryFull,
+}
+
+impl ReadFailure {
+    /// How the response ended, if it did.
+    pub(crate) fn end(self) -> Option<ResponseEnd> {
+        match self {
+            Self::Truncated(end) => Some(end),
+            Self::TimedOut | Self::MemoryFull => None,
+        }
+    }
+}
+
+impl From<ReadFailure> for ExchangeFailure {
+    fn from(failure: ReadFailure) -> Self {
+        match failure {
+            ReadFailure::Truncated(_) | ReadFailure::MemoryFull => Self::Broken,
+            ReadFailure::TimedOut => Self::TimedOut,
+        }
+    }
+}
+
 /// Suffix of a step's outcome in logs; empty for a response that is complete by its framing.
 impl Display for ResponseEnd {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -8,6 +8,7 @@
 use std::time::Instant;
 
 use bytes::{Bytes, BytesMut};
+use hyper::http::response::Parts;
 use hyper::{Response, StatusCode};
 use slog::info;
 use teaselshunt_completeness::Completeness;
@@ -76,9 +77,9 @@
     trace.record_head();
     let (status, framing) = (answer.head.status.as_u16(), answer.body.framing());
     let (pieces, receiver) = relay_channel();
-    let run = Run { body: answer.body, endpoint: answer.endpoint, sent_at: answer.sent_at, work };
+    let (head, run) = Run::begin(node, answer, work);
     tokio::task::spawn_local(relay_runs(Rc::clone(node), stream_job, run, pieces, trace, status));
-    relayed_response(answer.head, receiver, framing)
+    relayed_response(head, receiver, framing)
 }
 
 /// One run at one engine.
@@ -86,9 +87,20 @@
     body: ResponseReader,
     endpoint: EndpointKey,
     sent_at: Instant,
+    /// What the head of the response shows about the endpoint.
+    outcome: StepOutcome,
     work: InFlightWork,
 }
 
+impl Run {
+    /// The head shows that the endpoint responds. Its result counts at the end of the run.
+    fn begin(node: &Node, answer: Answer, work: InFlightWork) -> (Parts, Self) {
+        let Answer { head, body, endpoint, sent_at, outcome } = answer;
+        node.observe_step(endpoint, outcome);
+        (head, Self { body, endpoint, sent_at, outcome, work })
+    }
+}
+
 async fn relay_runs(
     node: Rc<Node>,
     mut stream_job: StreamJob,
@@ -102,12 +114,17 @@
     let complete_only = stream_job.resumes_left > 0;
     let mut timer = Some(StreamTimer::default());
     loop {
-        let Run { endpoint, sent_at, .. } = run;
+        let Run { endpoint, sent_at, outcome, .. } = run;
         let mut relay = Relay { pieces: &pieces, events: &mut events, complete_only, timer: timer.as_mut() };
         let end = relay_run(&stream_job.job, run, &mut relay, &node, &trace).await;
         if let Some(timer) = timer.take().filter(|_| !end.is_broken()) {
             timer.finish(&node, endpoint);
         }
+        if end.is_broken() {
+            node.observe_outcome(&stream_job.job, endpoint, StepOutcome::Failed);
+        } else {
+            load::observe_result(&node, &stream_job.job, endpoint, outcome);
+        }
         match end {
             RunEnd::Complete(response_end) => {
                 let text = response_end.to_string();
@@ -132,16 +149,11 @@
                 return trace.end("caller_gone", status);
             }
             RunEnd::TimedOut => return trace.end("deadline_passed", status),
-            RunEnd::Broken(..) | RunEnd::Stalled => {
-                node.observe_step(endpoint, StepOutcome::Failed);
-                load::observe_result(&node, &stream_job.job, endpoint, StepOutcome::Failed);
+            RunEnd::Broken(response_end) => {
+                trace.record_step("stream", &node.id_for_log(endpoint), &format!("broken{response_end}"));
             }
+            RunEnd::Stalled => trace.record_step("stream", &node.id_for_log(endpoint), "broken(stalled)"),
         }
-        let text = match end {
-            RunEnd::Broken(response_end) => format!("broken{response_end}"),
-            _ => "broken(stalled)".to_owned(),
-        };
-        trace.record_step("stream", &node.id_for_log(endpoint), &text);
         crashes::check_endpoint(&node, &stream_job.job, &trace, endpoint, sent_at);
         let next = if stream_job.resumes_left > 0 && events.last_id.is_some() {
             stream_job.resumes_left -= 1;
@@ -154,7 +166,7 @@
         };
         events.partial.clear();
         info!(node.log, "stream resumed at another engine"; "id" => &stream_job.job.meta.id, "after" => events.last_id.as_deref());
-        run = Run { body: answer.body, endpoint: answer.endpoint, sent_at: answer.sent_at, work };
+        (_, run) = Run::begin(&node, answer, work);
     }
 }
 
