Responses: a change of protocol that nobody asked for is no response

An endpoint that responds with 101 had it passed on to its caller, whose connection then speaks no HTTP any more. It is a broken response now.

--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -518,7 +518,9 @@
             return Err(StepFailure::Refused);
         }
         let genuine = meta.signed || matches!(purpose, Purpose::Prefill);
-        if !genuine || head.headers.contains_key(CONTENT_ENCODING) {
+        // A change of protocol that nobody asked for has no end.
+        let is_final = !head.status.is_informational();
+        if !genuine || !is_final || head.headers.contains_key(CONTENT_ENCODING) {
             return Err(StepFailure::Broken);
         }
         let latency = self.now().duration_since(answer.sent_at);
