Own interface: a service's response that was cut short is no success and is not kept

A booking whose response was cut reached its caller as confirmed, and where it had an idempotency key, each of its retries.

The reader asks BodyMonitor: what is truncated is a broken call (502, outcome unknown, not sent again where it may run once); a JSON document that is closed is complete; what is left has no end mark for the caller either and is not kept for its key, so that a retry learns that the call ran and that its response is not stored.

--- a/crates/daemon/src/callers/services.rs
+++ b/crates/daemon/src/callers/services.rs
@@ -1,6 +1,6 @@
 //! Plain services: any method and body under `/services/NAME/`.
 
-use poem::http::Method;
+use poem::http::{Method, Version};
 use poem::web::{Data, Path};
 use poem::{Body, Request, Response, handler};
 use teaselshunt_core::{Call, ErrorKind, Fingerprint, RequestId, Work};
@@ -8,7 +8,7 @@
 use super::answer::{REQUEST_ID, RefusalResponse, replay_response};
 use super::front::{CallerApi, respond};
 use super::headers::{RequestHeaders, end_to_end, with_verified_team};
-use crate::driver::{CallOutput, CallRequest, start_call};
+use crate::driver::{CallOutput, CallRequest, ServiceResponse, start_call};
 
 #[handler]
 pub(crate) async fn call(
@@ -49,10 +49,8 @@
     let call_request = CallRequest { method, path, headers, body, keyed: request_headers.key.is_some() };
     let output = start_call(session, api.engines.clone(), call_request);
     match output.await {
-        Ok(CallOutput::Answered { request, status, headers, body }) => {
-            let mut response = Response::builder().status(status).body(body);
-            *response.headers_mut() = end_to_end(&headers);
-            Ok(with_request_id(response, request))
+        Ok(CallOutput::Answered { request, response }) => {
+            Ok(with_request_id(caller_response(response), request))
         }
         Ok(CallOutput::Refused { request, refusal }) => Err(RefusalResponse::of(refusal, request)),
         Ok(CallOutput::Replayed { request, stored }) => Ok(replay_response(stored, request)),
@@ -60,6 +58,23 @@
     }
 }
 
+/// The response to the caller. Its end is marked only if that of the service's was.
+fn caller_response(response: ServiceResponse) -> Response {
+    let ServiceResponse { status, headers, body, is_complete } = response;
+    let headers = end_to_end(&headers);
+    if is_complete {
+        let mut response = Response::builder().status(status).body(body);
+        *response.headers_mut() = headers;
+        return response;
+    }
+    let body = futures_util::stream::once(async move { Ok::<_, std::io::Error>(body) });
+    let mut response = Response::builder().status(status).body(Body::from_bytes_stream(body));
+    *response.headers_mut() = headers;
+    // The library leaves out chunks in this version only.
+    response.set_version(Version::HTTP_10);
+    response
+}
+
 fn with_query(path: String, query: Option<&str>) -> String {
     match query {
         Some(query) => format!("{path}?{query}"),
--- a/crates/daemon/src/driver/call.rs
+++ b/crates/daemon/src/driver/call.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use reqwest::header::HeaderMap;
 use reqwest::{Method, Response, StatusCode};
+use teaselshunt_completeness::{BodyEnd, BodyMonitor, Completeness};
 use teaselshunt_core::{AttemptId, Event, Refusal, RequestId, StepFailure, StoredResponse, Target};
 use tokio::sync::oneshot;
 
@@ -33,10 +34,21 @@
     pub(crate) keyed: bool,
 }
 
+/// A service's response, received to its end.
+#[derive(Debug)]
+pub(crate) struct ServiceResponse {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    /// Whether the response is known to be complete. If not, only the end of its connection showed that it had
+    /// ended.
+    pub(crate) is_complete: bool,
+}
+
 /// Response to the caller.
 #[derive(Debug)]
 pub(crate) enum CallOutput {
-    Answered { request: Option<RequestId>, status: StatusCode, headers: HeaderMap, body: Bytes },
+    Answered { request: Option<RequestId>, response: ServiceResponse },
     Refused { request: Option<RequestId>, refusal: Refusal },
     Replayed { request: Option<RequestId>, stored: StoredResponse },
 }
@@ -115,11 +127,11 @@
             }
         };
         match result {
-            Ok((status, headers, body)) => {
-                let stored = stored_response(status, &headers, &body);
-                let retry_after = retry_after(status, &headers);
+            Ok(response) => {
+                let stored = stored_response(&response);
+                let retry_after = retry_after(response.status, &response.headers);
                 self.session.send(Event::Called { attempt, retry_after, stored });
-                Some(CallOutput::Answered { request: self.request, status, headers, body })
+                Some(CallOutput::Answered { request: self.request, response })
             }
             Err(failure) => {
                 self.session.send(Event::Failed { attempt, failure, offset: 0 });
@@ -135,7 +147,7 @@
         target: Target,
         timeout: Duration,
         issued: Instant,
-    ) -> Result<(StatusCode, HeaderMap, Bytes), StepFailure> {
+    ) -> Result<ServiceResponse, StepFailure> {
         let url = format!("http://{}/{}", target.address, self.call.path);
         let call = self
             .engines
@@ -148,28 +160,38 @@
             return Err(StepFailure::NotSent);
         }
         let response = dispatch(call).await?;
-        let (status, headers) = (response.status(), response.headers().clone());
-        let body = read_body(response).await?;
-        Ok((status, headers, body))
+        read_response(&self.call.method, response).await
     }
 }
 
-async fn read_body(mut response: Response) -> Result<Bytes, StepFailure> {
+async fn read_response(method: &Method, mut response: Response) -> Result<ServiceResponse, StepFailure> {
+    let (status, headers) = (response.status(), response.headers().clone());
+    let mut monitor = BodyMonitor::new(method, status, &headers);
     let mut body = Vec::new();
-    loop {
+    let end = loop {
         match response.chunk().await {
             Ok(Some(chunk)) if body.len() + chunk.len() <= MAX_RESPONSE_BYTES => {
+                monitor.push(&chunk);
                 body.extend_from_slice(&chunk);
             }
-            Ok(None) => return Ok(Bytes::from(body)),
+            Ok(Some(_)) => return Err(StepFailure::Broken),
+            Ok(None) => break BodyEnd::Ended,
             Err(error) if error.is_timeout() => return Err(StepFailure::TimedOut),
-            Ok(Some(_)) | Err(_) => return Err(StepFailure::Broken),
+            Err(_) => break BodyEnd::Failed,
         }
-    }
+    };
+    let is_complete = match monitor.completeness(end) {
+        Completeness::Complete => true,
+        Completeness::Unknown => false,
+        Completeness::Truncated(_) => return Err(StepFailure::Broken),
+    };
+    Ok(ServiceResponse { status, headers, body: Bytes::from(body), is_complete })
 }
 
-fn stored_response(status: StatusCode, headers: &HeaderMap, body: &Bytes) -> Option<StoredResponse> {
-    if body.len() > StoredResponse::MAX_BODY_BYTES {
+/// The response to keep for retries with its idempotency key. One that may be truncated is not kept.
+fn stored_response(response: &ServiceResponse) -> Option<StoredResponse> {
+    let ServiceResponse { status, headers, body, is_complete } = response;
+    if !is_complete || body.len() > StoredResponse::MAX_BODY_BYTES {
         return None;
     }
     let content_type = headers.get(reqwest::header::CONTENT_TYPE).and_then(|v| v.to_str().ok());
--- a/crates/daemon/src/driver/mod.rs
+++ b/crates/daemon/src/driver/mod.rs
@@ -10,5 +10,5 @@
 mod generate;
 mod sse;
 
-pub(crate) use call::{CallOutput, CallRequest, start_call};
+pub(crate) use call::{CallOutput, CallRequest, ServiceResponse, start_call};
 pub(crate) use generate::{Generation, Output, Render, Token, start_generation};
