Own interface: a stream that fails ends without the end mark of its response

A caller whose stream no engine completes got the error as an event and then the last chunk, as after a complete one: the HTTP server ends a body that fails as if it were complete (it polls the connection once more after the error). Whoever does not look for [DONE] took the part for the answer.

The response aborts its connection before it fails: the acceptor keeps a handle for each open connection, and a connection that is aborted takes no further bytes. What was written before, the error among it, is delivered. The test fails before (the response ends without an error) and passes now.

--- a/crates/daemon/src/acceptor.rs
+++ b/crates/daemon/src/acceptor.rs
@@ -1,8 +1,14 @@
-//! Accepts callers' connections up to a limit.
+//! Accepts callers' connections up to a limit, and ends those whose response cannot be completed.
+//!
+//! The HTTP server ends a body that fails in the same way as one that is complete. A response that fails therefore
+//! [aborts](AbortHandle::abort) its connection first, which then takes no end mark.
 
+use std::collections::HashMap;
 use std::io;
+use std::net::SocketAddr;
 use std::pin::Pin;
-use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -17,6 +23,36 @@
 /// delay the accept loop would spin at full speed until a descriptor is closed.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// The callers' connections that are open, by the caller's address.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct OpenConnections(Arc<Mutex<HashMap<SocketAddr, AbortHandle>>>);
+
+impl OpenConnections {
+    /// The handle of the connection from an address; one without effect if there is none.
+    pub(crate) fn handle(&self, caller: Option<&SocketAddr>) -> AbortHandle {
+        caller.and_then(|caller| self.lock().get(caller).cloned()).unwrap_or_default()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, AbortHandle>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Ends a connection in the middle of its response.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct AbortHandle(Arc<AtomicBool>);
+
+impl AbortHandle {
+    /// Makes all further writes fail. Bytes that were written before are delivered.
+    pub(crate) fn abort(&self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+
+    fn is_aborted(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
 /// Accepts connections, and closes connections over the limit immediately.
 ///
 /// Without a limit, ten thousand idle connections would use up the file descriptors that requests need for
@@ -26,11 +62,12 @@
     listener: TcpListener,
     /// One permit for each connection that may be open.
     permits: Arc<Semaphore>,
+    open: OpenConnections,
 }
 
 impl BoundedAcceptor {
-    pub(crate) fn new(listener: TcpListener, connections: usize) -> Self {
-        Self { listener, permits: Arc::new(Semaphore::new(connections)) }
+    pub(crate) fn new(listener: TcpListener, connections: usize, open: OpenConnections) -> Self {
+        Self { listener, permits: Arc::new(Semaphore::new(connections)), open }
     }
 }
 
@@ -54,7 +91,9 @@
             let (Ok(local), Ok(())) = (stream.local_addr(), stream.set_nodelay(true)) else {
                 continue;
             };
-            let connection = Connection { stream, _permit: permit };
+            let abort = AbortHandle::default();
+            self.open.lock().insert(remote, abort.clone());
+            let connection = Connection { stream, remote, abort, open: self.open.clone(), _permit: permit };
             return Ok((connection, LocalAddr(local.into()), RemoteAddr(remote.into()), Scheme::HTTP));
         }
     }
@@ -64,9 +103,22 @@
 #[derive(Debug)]
 pub(crate) struct Connection {
     stream: TcpStream,
+    remote: SocketAddr,
+    abort: AbortHandle,
+    open: OpenConnections,
     _permit: OwnedSemaphorePermit,
 }
 
+impl Drop for Connection {
+    fn drop(&mut self) {
+        let mut open = self.open.lock();
+        // The caller may have used its port for another connection since.
+        if open.get(&self.remote).is_some_and(|abort| Arc::ptr_eq(&abort.0, &self.abort.0)) {
+            open.remove(&self.remote);
+        }
+    }
+}
+
 impl AsyncRead for Connection {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -79,6 +131,9 @@
 
 impl AsyncWrite for Connection {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        if self.abort.is_aborted() {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
+        }
         Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
--- a/crates/daemon/src/callers/front.rs
+++ b/crates/daemon/src/callers/front.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use poem::error::ReadBodyError;
-use poem::{Body, EndpointExt, Response, Route, Server, get, post};
+use poem::{Body, EndpointExt, Request, Response, Route, Server, get, post};
 use teaselshunt_core::{ErrorKind, Refusal};
 use teaselshunt_settings::Limits;
 use tokio::net::TcpListener;
@@ -13,7 +13,7 @@
 
 use super::answer::RefusalResponse;
 use super::{openai, services};
-use crate::acceptor::BoundedAcceptor;
+use crate::acceptor::{AbortHandle, BoundedAcceptor, OpenConnections};
 use crate::control::Control;
 use crate::engines::Engines;
 use crate::metrics::Metrics;
@@ -32,12 +32,14 @@
     pub(crate) metrics: Arc<Metrics>,
     /// One permit for each request that may be in progress.
     permits: Arc<Semaphore>,
+    connections: OpenConnections,
 }
 
 impl CallerApi {
     pub(crate) fn new(control: Control, engines: Engines, limits: Limits, metrics: Arc<Metrics>) -> Self {
         let permits = Arc::new(Semaphore::new(limits.requests));
-        Self { control, engines, limits, metrics, permits }
+        let connections = OpenConnections::default();
+        Self { control, engines, limits, metrics, permits, connections }
     }
 
     /// Acquires a permit for a request in progress.
@@ -48,6 +50,11 @@
         })
     }
 
+    /// Ends the connection of a request in the middle of the response.
+    pub(crate) fn abort_handle(&self, request: &Request) -> AbortHandle {
+        self.connections.handle(request.remote_addr().as_socket_addr())
+    }
+
     pub(crate) fn default_deadline(&self) -> Duration {
         Duration::from_millis(self.limits.deadline_ms)
     }
@@ -73,7 +80,7 @@
 /// Serves callers until `api.control` has stopped, then lets open connections end.
 pub(crate) async fn serve(listener: TcpListener, api: CallerApi) -> std::io::Result<()> {
     let idle = Duration::from_millis(api.limits.idle_ms);
-    let acceptor = BoundedAcceptor::new(listener, api.limits.connections);
+    let acceptor = BoundedAcceptor::new(listener, api.limits.connections, api.connections.clone());
     let control = api.control.clone();
     let route = Route::new()
         .at("/v1/completions", post(openai::complete))
--- a/crates/daemon/src/callers/openai.rs
+++ b/crates/daemon/src/callers/openai.rs
@@ -13,6 +13,7 @@
 use super::answer::{REQUEST_ID, RefusalResponse, replay_response};
 use super::front::{CallerApi, respond};
 use super::headers::RequestHeaders;
+use crate::acceptor::AbortHandle;
 use crate::audit::now_ms;
 use crate::driver::{Generation, Output, Render, Token, start_generation};
 use crate::metrics::LatencyRecorder;
@@ -242,7 +243,9 @@
     let mut output = start_generation(session, api.engines.clone(), generation);
     let first = first_output(&mut output).await?;
     let latency = api.metrics.latency_recorder(&template.model, arrived);
-    let response = PendingResponse { template, request: first.request, output, _permit: permit, latency };
+    let abort = api.abort_handle(request);
+    let response =
+        PendingResponse { template, request: first.request, output, _permit: permit, latency, abort };
     match first.output {
         Output::Refused(refusal) => Err(RefusalResponse::of(refusal, first.request)),
         Output::Replayed(stored) => Ok(replay_response(stored, first.request)),
@@ -285,6 +288,7 @@
     /// Held until the end of the response. A stream continues after its handler has returned.
     _permit: OwnedSemaphorePermit,
     latency: LatencyRecorder,
+    abort: AbortHandle,
 }
 
 impl PendingResponse {
@@ -319,8 +323,9 @@
 
     fn stream(self, first: Vec<Token>) -> Response {
         let id = self.id();
+        let state = StreamState::Running;
         let events =
-            EventStream { id: id.clone(), response: self, pending: Some(Output::Tokens(first)), done: false };
+            EventStream { id: id.clone(), response: self, pending: Some(Output::Tokens(first)), state };
         let body = Body::from_bytes_stream(stream::unfold(events, EventStream::next));
         Response::builder()
             .content_type("text/event-stream")
@@ -335,13 +340,31 @@
     id: String,
     response: PendingResponse,
     pending: Option<Output>,
-    done: bool,
+    state: StreamState,
+}
+
+/// Progress of a streamed response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum StreamState {
+    Running,
+    /// The last event was sent.
+    Complete,
+    /// The response cannot be completed.
+    Failed,
 }
 
 impl EventStream {
     async fn next(mut self) -> Option<(std::io::Result<Vec<u8>>, Self)> {
-        if self.done {
-            return None;
+        match self.state {
+            StreamState::Running => {}
+            StreamState::Complete => return None,
+            StreamState::Failed => {
+                // The server writes what it has before it asks for more.
+                tokio::task::yield_now().await;
+                self.response.abort.abort();
+                self.state = StreamState::Complete;
+                return Some((Err(std::io::Error::other("the response cannot be completed")), self));
+            }
         }
         let output = match self.pending.take() {
             Some(output) => Some(output),
@@ -352,28 +375,23 @@
             Some(Output::Tokens(tokens)) => self.push_tokens(&tokens, &mut chunk),
             Some(Output::Refused(refusal)) => {
                 // The status line has been sent, so the error is sent as an event of the stream, without the
-                // end mark: a client that waits for `[DONE]` never takes this for a complete response.
+                // end mark of the events and without that of the response.
                 let refusal = RefusalResponse::of(refusal, self.response.request);
                 push_event(&mut chunk, &refusal.body());
-                self.done = true;
+                self.state = StreamState::Failed;
             }
-            _ => return Some((Err(std::io::Error::other("the driver ended")), self.ended())),
+            _ => self.state = StreamState::Failed,
         }
         Some((Ok(chunk), self))
     }
 
-    fn ended(mut self) -> Self {
-        self.done = true;
-        self
-    }
-
     fn push_tokens(&mut self, tokens: &[Token], chunk: &mut Vec<u8>) {
         self.response.latency.record_batch(tokens.len());
         for token in tokens {
             self.response.template.push_chunk(chunk, &self.id, &token.text, token.finish.as_deref());
             if token.finish.is_some() {
                 chunk.extend_from_slice(b"data: [DONE]\n\n");
-                self.done = true;
+                self.state = StreamState::Complete;
             }
         }
     }
--- a/crates/daemon/tests/all/responses.rs
+++ b/crates/daemon/tests/all/responses.rs
@@ -1,7 +1,10 @@
-//! Responses of services that end with their connection, whole or cut short.
+//! Responses that end with their connection, whole or cut short.
+
+use std::time::Duration;
 
 use serde_json::Value;
-use teaselshunt_standin::{ServiceFaults, Unframed};
+use teaselshunt_settings::Role;
+use teaselshunt_standin::{EngineOptions, Faults, ServiceFaults, Unframed};
 
 use crate::support::Fleet;
 
@@ -77,3 +80,27 @@
     }
     assert_eq!(fleet.executions("whole"), 1);
 }
+
+/// Guards against a stream that no engine completes and whose response ends like a complete one, for a caller that does
+/// not look for the last event.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_no_engine_completes_is_not_framed_as_complete() {
+    let options = EngineOptions { token_gap: Duration::from_millis(30), ..EngineOptions::fast(Role::Decode) };
+    let fleet = Fleet::start_with(1, options).await;
+    let daemon = fleet.start_daemon(0).await;
+    let mut response = fleet.completion(&daemon, "Log", true).send().await.unwrap();
+    for engine in fleet.prefill.iter().chain(&fleet.decode) {
+        engine.set_faults(Faults { drop: true, ..Faults::default() });
+    }
+    let mut received = Vec::new();
+    let ended = loop {
+        match response.chunk().await {
+            Ok(Some(chunk)) => received.extend_from_slice(&chunk),
+            Ok(None) => break true,
+            Err(_) => break false,
+        }
+    };
+    let text = String::from_utf8(received).unwrap();
+    assert!(text.contains("\"error\""), "the caller learns why: {text}");
+    assert!(!ended, "the response ends like a complete one");
+}
