Streams: a resumable stream that breaks before its first event begins again elsewhere

A caller whose engine broke off before the end of the first event lost the stream, although the route allows a second engine and nothing had reached the caller: a stream could only resume after an event. It now begins at the other engine without Last-Event-Id; a caller that resumes a stream itself keeps its own. Attempts and the retry budget bound it as before.

--- a/crates/forward/src/generate.rs
+++ b/crates/forward/src/generate.rs
@@ -25,7 +25,7 @@
 use crate::protocol::Purpose;
 use crate::refusals::refuse;
 use crate::reservations::{CapacitySearch, PromptState, Reservation, reserve};
-use crate::stream::{self, Events, StreamJob};
+use crate::stream::{self, ResumePoint, StreamJob};
 use crate::trace::Trace;
 use crate::waste::{self, PrefilledPrompt, WasteCause};
 
@@ -67,20 +67,26 @@
     buffered_response(head, body, buffered, end.completeness)
 }
 
-/// Resumes a stream that broke at engine `broken` at another engine, after the last event that the caller
-/// has. The other engine prefills the prompt itself: a second prefill would count as another attempt.
+/// Resumes a stream that broke at engine `broken` at another engine. The other engine prefills the prompt itself:
+/// a second prefill would count as another attempt.
 pub(crate) async fn resume(
     node: &Rc<Node>,
     job: &mut Job,
-    events: &Events,
+    resume_point: ResumePoint<'_>,
     broken: EndpointKey,
     trace: &Trace,
 ) -> Option<(Answer, InFlightWork)> {
-    let last_event_id = HeaderValue::from_str(events.last_id.as_deref()?).ok()?;
+    let last_event_id = match resume_point {
+        // A caller that resumes a stream itself says after which event.
+        ResumePoint::Start => None,
+        ResumePoint::After(id) => Some(HeaderValue::from_str(id).ok()?),
+    };
     if node.quarantined(job).is_some() || !node.take_attempt(&job.service) {
         return None;
     }
-    job.headers.insert("last-event-id", last_event_id);
+    if let Some(id) = last_event_id {
+        job.headers.insert("last-event-id", id);
+    }
     let wait_policy = WaitPolicy::for_resume(node.now(), job.deadline);
     let (answer, work) =
         start_generation(node, job, trace, wait_policy, Prompt::LocalPrefill, vec![broken]).await.ok()?;
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -1,7 +1,8 @@
 //! Relays streams of events from an endpoint to a caller.
 //!
 //! A stream that breaks closes the caller's connection without an end mark, so that the stream does not look
-//! complete. A resumable stream resumes at another engine after the last event that the caller has. Only
+//! complete. A resumable stream resumes at another engine after the last event that the caller has, or begins
+//! again there if the caller has nothing of it. Only
 //! complete events of a resumable stream are relayed, since an engine may stop in the middle of one.
 
 use std::rc::Rc;
@@ -155,11 +156,12 @@
             RunEnd::Stalled => trace.record_step("stream", &node.id_for_log(endpoint), "broken(stalled)"),
         }
         crashes::check_endpoint(&node, &stream_job.job, &trace, endpoint, sent_at);
-        let next = if stream_job.resumes_left > 0 && events.last_id.is_some() {
-            stream_job.resumes_left -= 1;
-            generate::resume(&node, &mut stream_job.job, &events, endpoint, &trace).await
-        } else {
-            None
+        let next = match events.resume_point() {
+            Some(resume_point) if stream_job.resumes_left > 0 => {
+                stream_job.resumes_left -= 1;
+                generate::resume(&node, &mut stream_job.job, resume_point, endpoint, &trace).await
+            }
+            _ => None,
         };
         let Some((answer, work)) = next else {
             return trace.end("broken_stream", status);
@@ -249,10 +251,30 @@
 pub(crate) struct Events {
     /// Bytes of an event whose end has not arrived.
     partial: BytesMut,
-    pub(crate) last_id: Option<String>,
+    last_id: Option<String>,
+    /// Whether anything was relayed.
+    relayed: bool,
+}
+
+/// Where another engine takes over a stream.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum ResumePoint<'a> {
+    /// At the begin, since the caller has nothing.
+    Start,
+    /// After the event with this id.
+    After(&'a str),
 }
 
 impl Events {
+    /// Where the stream can resume; `None` if the caller has events without ids.
+    fn resume_point(&self) -> Option<ResumePoint<'_>> {
+        match &self.last_id {
+            Some(id) => Some(ResumePoint::After(id)),
+            None if self.relayed => None,
+            None => Some(ResumePoint::Start),
+        }
+    }
+
     /// Appends bytes and returns those of the events that are now complete. `boundary` is the offset in `data`
     /// after the last of them.
     fn take_complete(&mut self, mut data: Bytes, boundary: Option<usize>) -> Bytes {
@@ -268,6 +290,7 @@
             self.partial.split().freeze()
         };
         self.partial.extend_from_slice(&rest);
+        self.relayed = true;
         let text = String::from_utf8_lossy(&complete);
         if let Some(id) = text.rsplit(['\n', '\r']).find_map(|line| line.strip_prefix("id:")) {
             self.last_id = Some(id.trim().to_owned());
