Soak: endpoints frame and cut their bodies in each way

An endpoint with this fault sends bodies with a length, in chunks or with neither, whole or cut short by a close or a reset. Callers check that what is framed as complete is complete, and that the rest is the begin of their own response. It never marks a cut body as complete, which nobody could tell.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -533,8 +533,11 @@
         if !is_signed(response.headers()) {
             self.report(id, "a response lacks its endpoint's signature".to_owned());
         }
+        // Without framing, the end of a response claims nothing.
+        let framed =
+            ["content-length", "transfer-encoding"].iter().any(|name| response.headers().contains_key(*name));
         let mut text = Vec::new();
-        let complete = loop {
+        let ended = loop {
             match response.chunk().await {
                 Ok(Some(chunk)) => text.extend_from_slice(&chunk),
                 Ok(None) => break true,
@@ -547,8 +550,12 @@
         } else {
             format!("answer to {id}")
         };
-        if complete && text != expected {
-            self.report(id, format!("a complete response is not that of its request: {text:?}"));
+        let complete = ended && text == expected;
+        if ended && framed && !complete {
+            self.report(
+                id,
+                format!("a response that is framed as complete is not that of its request: {text:?}"),
+            );
         } else if !expected.starts_with(&text) {
             self.report(id, format!("a response has missing, repeated or foreign parts: {text:?}"));
         }
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -4,7 +4,7 @@
 
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use teaselshunt_standin::{SiteBody, SiteFault, SiteFraming, StoreMode};
+use teaselshunt_standin::{SiteBody, SiteCut, SiteFault, SiteFraming, StoreMode};
 
 use crate::proxy::Impairment;
 use crate::site::{Site, store_key};
@@ -36,6 +36,8 @@
     statements: StdRng,
     /// The same for overloads and for the paces of plain endpoints.
     loads: StdRng,
+    /// The same for how endpoints frame and cut their bodies.
+    bodies: StdRng,
     start: Instant,
     log: Vec<String>,
     /// Ends of the current faults, with their times.
@@ -49,8 +51,9 @@
         let rates = StdRng::seed_from_u64(rng.clone().random());
         let statements = StdRng::seed_from_u64(rates.clone().random());
         let loads = StdRng::seed_from_u64(statements.clone().random());
-        let now = Instant::now();
-        Self { rng, rates, statements, loads, start: now, log: Vec::new(), undo: Vec::new(), stopped: now }
+        let bodies = StdRng::seed_from_u64(loads.clone().random());
+        let (log, undo, now) = (Vec::new(), Vec::new(), Instant::now());
+        Self { rng, rates, statements, loads, bodies, start: now, log, undo, stopped: now }
     }
 
     pub(crate) fn count(&self) -> usize {
@@ -268,7 +271,7 @@
             SiteFault::Extra,
             SiteFault::Fail,
             SiteFault::Cut(self.rng.random_range(0..15)),
-            SiteFault::Body(SiteBody::whole(SiteFraming::Close)),
+            SiteFault::Body(draw_body(&mut self.bodies)),
         ];
         let (index, fault) = (self.random_endpoint(site), faults[self.rng.random_range(0..faults.len())]);
         self.log(&format!("endpoint {index}: {fault:?}"));
@@ -418,3 +421,15 @@
         let _ = process.signal(name);
     }
 }
+
+/// Draws how an endpoint frames its bodies, and where it cuts them short. It never marks a body that is cut as complete:
+/// no caller could tell that from a complete one.
+fn draw_body(rng: &mut StdRng) -> SiteBody {
+    let framings = [SiteFraming::Length, SiteFraming::Chunked, SiteFraming::Close, SiteFraming::Close];
+    let cut = if rng.random_bool(0.5) { SiteCut::Close } else { SiteCut::Reset };
+    SiteBody {
+        framing: framings[rng.random_range(0..framings.len())],
+        cut: rng.random_bool(0.6).then(|| (rng.random_range(0..400), cut)),
+        old_version: false,
+    }
+}
