--- a/crates/completeness/src/monitor.rs
+++ b/crates/completeness/src/monitor.rs
@@ -63,11 +63,13 @@
 }
 
 impl Content {
-    fn of(headers: &HeaderMap) -> Self {
+    fn of(framing: Framing, headers: &HeaderMap) -> Self {
         let value = headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok()).unwrap_or_default();
         let media_type = value.split(';').next().unwrap_or_default().trim().to_ascii_lowercase();
         if media_type == "text/event-stream" {
             Self::Events(EventScanner::default())
+        } else if framing.marks_end() {
+            Self::Opaque
         } else if media_type == "application/json" || media_type.ends_with("+json") {
             Self::Json(JsonScanner::default())
         } else {
@@ -88,7 +90,8 @@
 impl BodyMonitor {
     /// Begins with the head of the response to a request with this method.
     pub fn new(method: &Method, status: StatusCode, headers: &HeaderMap) -> Self {
-        Self { framing: Framing::of(method, status, headers), received: 0, content: Content::of(headers) }
+        let framing = Framing::of(method, status, headers);
+        Self { framing, received: 0, content: Content::of(framing, headers) }
     }
 
     /// How the end of the body is marked.
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -606,7 +606,8 @@
         }
     }
 
-    /// Reads a body to its end and keeps the connection.
+    /// Reads a body to its end and keeps the connection. An unknown end is no failure: what is used of
+    /// the body is parsed, and no parser accepts one that is cut short.
     pub(crate) async fn read(&self, mut body: ResponseReader, until: Instant) -> Result<Bytes, ReadFailure> {
         let read = async {
             let mut complete = BytesMut::new();
