--- a/crates/forward/src/body.rs
+++ b/crates/forward/src/body.rs
@@ -29,13 +29,12 @@
 use crate::buffering::BufferedBytes;
 use crate::headers::prepare_response;
 
-/// The response cannot be completed. The caller's connection is closed so that the response does not look
-/// complete.
+/// The response cannot be completed. The caller's connection ends so that the response does not look complete.
 #[derive(Debug, Clone, Copy, thiserror::Error)]
 #[error("the response was truncated")]
 pub(crate) struct Truncated;
 
-/// A body, with the time until which its caller must read it.
+/// The body of a response to a caller.
 #[derive(Debug)]
 pub(crate) struct ResponseBody {
     content: Content,
@@ -46,19 +45,19 @@
 
 #[derive(Debug)]
 enum Content {
-    Complete(Complete),
+    Buffered(Buffered),
     Relay(Relay),
 }
 
 impl ResponseBody {
     /// A short body that is not accounted in the buffer memory.
     pub(crate) fn short(bytes: Bytes) -> Self {
-        Self::complete(bytes, None, true)
+        Self::buffered(bytes, None, true)
     }
 
-    /// A body that is complete.
-    fn complete(rest: Bytes, buffered: Option<BufferedBytes>, framed: bool) -> Self {
-        let content = Content::Complete(Complete { rest, _buffered: buffered });
+    /// A body that was received to its end.
+    fn buffered(rest: Bytes, memory: Option<BufferedBytes>, framed: bool) -> Self {
+        let content = Content::Buffered(Buffered { rest, _memory: memory });
         Self { content, framed, connection: None }
     }
 
@@ -77,7 +76,7 @@
         until: Instant,
     ) -> Self {
         let short =
-            matches!(&self.content, Content::Complete(complete) if complete.rest.len() <= PIECE_BYTES);
+            matches!(&self.content, Content::Buffered(buffered) if buffered.rest.len() <= PIECE_BYTES);
         if !short {
             connection.set_read_deadline(until);
         }
@@ -107,7 +106,7 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
         let piece = match &mut self.content {
-            Content::Complete(complete) => complete.next().map(Ok),
+            Content::Buffered(buffered) => buffered.next().map(Ok),
             Content::Relay(relay) => std::task::ready!(relay.poll(context)),
         };
         if let (None, Some(connection)) = (&piece, &self.connection) {
@@ -118,13 +117,13 @@
 
     fn is_end_stream(&self) -> bool {
         // Without a length an empty body is one too, whose end only the connection shows.
-        self.framed && matches!(&self.content, Content::Complete(complete) if complete.rest.is_empty())
+        self.framed && matches!(&self.content, Content::Buffered(buffered) if buffered.rest.is_empty())
     }
 
     fn size_hint(&self) -> SizeHint {
         match &self.content {
-            Content::Complete(complete) if self.framed => SizeHint::with_exact(complete.rest.len() as u64),
-            Content::Complete(_) | Content::Relay(_) => SizeHint::default(),
+            Content::Buffered(buffered) if self.framed => SizeHint::with_exact(buffered.rest.len() as u64),
+            Content::Buffered(_) | Content::Relay(_) => SizeHint::default(),
         }
     }
 }
@@ -133,12 +132,12 @@
 pub(crate) fn buffered_response(
     mut head: Parts,
     body: Bytes,
-    buffered: BufferedBytes,
+    memory: BufferedBytes,
     completeness: Completeness,
 ) -> Response<ResponseBody> {
     let framed = completeness == Completeness::Complete;
     prepare_response(&mut head, framed);
-    Response::from_parts(head, ResponseBody::complete(body, Some(buffered), framed))
+    Response::from_parts(head, ResponseBody::buffered(body, Some(memory), framed))
 }
 
 /// The response to a caller whose body arrives in pieces. Its end is marked if `framing` marks that of the
@@ -152,14 +151,14 @@
 /// Bytes that are passed to the connection at a time.
 const PIECE_BYTES: usize = 16 * 1024;
 
-/// A body that is complete.
+/// A body that was received to its end.
 #[derive(Debug)]
-struct Complete {
+struct Buffered {
     rest: Bytes,
-    _buffered: Option<BufferedBytes>,
+    _memory: Option<BufferedBytes>,
 }
 
-impl Complete {
+impl Buffered {
     fn next(&mut self) -> Option<Bytes> {
         if self.rest.is_empty() {
             return None;
--- a/crates/forward/src/calls.rs
+++ b/crates/forward/src/calls.rs
@@ -1,13 +1,24 @@
-//! Small calls to engines.
+//! Small calls to endpoints and to the platform, and responses that are read to their end.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use slog::debug;
+use bytes::{Bytes, BytesMut};
+use http_body_util::Full;
+use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
+use hyper::http::response::Parts;
+use hyper::{Request, StatusCode};
+use slog::{debug, warn};
+use teaselshunt_completeness::Completeness;
+use teaselshunt_routing::{BodyKind, EndpointKey};
 
+use crate::buffering::{BufferedBytes, CollectError};
+use crate::connection_pool::ExchangeFailure;
 use crate::node::Node;
 use crate::protocol::Call;
+use crate::response_reader::{Piece, ReadFailure, ResponseEnd, ResponseReader};
+use crate::statements;
 
 /// Longest time for a small call to an engine: many round trips.
 pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(200);
@@ -26,3 +37,103 @@
         }
     });
 }
+
+impl Node {
+    /// Makes a small call to an endpoint, reads the complete response, and applies what the endpoint states
+    /// about itself.
+    pub(crate) async fn call_endpoint(
+        &self,
+        key: EndpointKey,
+        address: SocketAddr,
+        call: Call,
+        until: Instant,
+    ) -> Result<(StatusCode, Bytes), ExchangeFailure> {
+        let (head, body) = self.call_with_head(address, call, until).await?;
+        statements::observe(self, key, &self.protocol.read_response(head.status, &head.headers));
+        Ok((head.status, body))
+    }
+
+    /// Makes a small call and reads the complete response.
+    pub(crate) async fn call(
+        &self,
+        address: SocketAddr,
+        call: Call,
+        until: Instant,
+    ) -> Result<(StatusCode, Bytes), ExchangeFailure> {
+        let (head, body) = self.call_with_head(address, call, until).await?;
+        Ok((head.status, body))
+    }
+
+    /// Like [`Self::call`], with the complete head of the response.
+    pub(crate) async fn call_with_head(
+        &self,
+        address: SocketAddr,
+        call: Call,
+        until: Instant,
+    ) -> Result<(Parts, Bytes), ExchangeFailure> {
+        let mut request = Request::new(Full::new(call.body.clone()));
+        *request.method_mut() = call.method;
+        *request.uri_mut() = call.path.parse().map_err(|_| ExchangeFailure::Unsent)?;
+        *request.headers_mut() = call.headers;
+        let host = HeaderValue::from_str(&address.to_string()).expect("an address is a header value");
+        request.headers_mut().insert(HOST, host);
+        if !call.body.is_empty() {
+            request.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        }
+        let (head, body) = self.pool.exchange(address, request, until).await?;
+        let body = self.read(body, until).await?;
+        Ok((head, body))
+    }
+
+    /// Reads a body for a caller to its end, as far as there is buffer memory, and keeps the connection.
+    pub(crate) async fn read_buffered(
+        self: &Rc<Self>,
+        mut body: ResponseReader,
+        until: Instant,
+    ) -> Result<(Bytes, BufferedBytes, ResponseEnd), ReadFailure> {
+        let mut buffered = BufferedBytes::new(self, BodyKind::Response);
+        match tokio::time::timeout_at(until.into(), buffered.collect_response(&mut body)).await {
+            Ok(Ok((complete, end))) => {
+                self.finish(body, end);
+                end.or_truncated()?;
+                Ok((complete, buffered, end))
+            }
+            Ok(Err(CollectError::Body(infallible))) => match infallible {},
+            Ok(Err(CollectError::Full(error, bytes))) => {
+                warn!(self.log, "response abandoned, buffer memory is full"; "error" => %error, "bytes" => bytes);
+                Err(ReadFailure::MemoryFull)
+            }
+            Err(_) => Err(ReadFailure::TimedOut),
+        }
+    }
+
+    /// Reads a body to its end and keeps the connection. An unknown end is no failure: what is used of
+    /// the body is parsed, and no parser accepts one that is cut short.
+    pub(crate) async fn read(&self, mut body: ResponseReader, until: Instant) -> Result<Bytes, ReadFailure> {
+        let read = async {
+            let mut complete = BytesMut::new();
+            loop {
+                match body.next().await {
+                    Piece::Data(data, _) => complete.extend_from_slice(&data),
+                    Piece::End(end) => return (complete.freeze(), end),
+                }
+            }
+        };
+        match tokio::time::timeout_at(until.into(), read).await {
+            Ok((complete, end)) => {
+                self.finish(body, end);
+                end.or_truncated()?;
+                Ok(complete)
+            }
+            Err(_) => Err(ReadFailure::TimedOut),
+        }
+    }
+
+    /// Counts how a response ended, and keeps the connection of a complete one.
+    pub(crate) fn finish(&self, body: ResponseReader, end: ResponseEnd) {
+        self.metrics.count_response_end(end);
+        if end.completeness == Completeness::Complete {
+            self.pool.put(body.into_connection());
+        }
+    }
+}
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -6,37 +6,35 @@
 use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::Full;
-use hyper::header::{CONTENT_ENCODING, CONTENT_TYPE, HOST, HeaderMap, HeaderValue};
+use hyper::header::{CONTENT_ENCODING, HOST, HeaderMap};
 use hyper::http::response::Parts;
 use hyper::{Method, Request, StatusCode};
 use rand::rngs::SmallRng;
-use slog::{Logger, info, warn};
+use slog::{Logger, info};
 use teaselshunt_completeness::{Completeness, Framing};
 use teaselshunt_core::{Clock, ErrorKind, Fingerprint, Quarantine, Refusal};
 use teaselshunt_routing::{
-    Admission, Advances, BodyKind, BodyMemory, Budgets, EndpointKey, Endpoints, Need, OutputEstimate,
-    PrefillEstimate, Priority, Refusals, RetryDetector, Returns, Route, RouteSet, Sends, Service, Stage,
-    StepOutcome, Waiters,
+    Admission, Advances, BodyMemory, Budgets, EndpointKey, Endpoints, Need, OutputEstimate, PrefillEstimate,
+    Priority, Refusals, RetryDetector, Returns, Route, RouteSet, Sends, Service, Stage, StepOutcome, Waiters,
 };
 use teaselshunt_teams::{Quotas, Team};
 use tokio::sync::{Notify, watch};
 
 use crate::admission::Charge;
-use crate::buffering::{BufferedBytes, CollectError};
+use crate::buffering::BufferedBytes;
 use crate::connection_pool::{ConnectionPool, ExchangeFailure};
 use crate::crashes::{AbandonedRuns, Loss};
 use crate::in_flight::InFlightWork;
 use crate::load;
 use crate::metrics::Metrics;
-use crate::protocol::{Call, Protocol, Purpose, RequestMeta};
+use crate::protocol::{Protocol, Purpose, RequestMeta};
 use crate::queue::PendingSearch;
-use crate::response_reader::{Piece, ReadFailure, ResponseEnd, ResponseReader};
+use crate::response_reader::{ReadFailure, ResponseReader};
 use crate::settings::Settings;
 use crate::statements;
 
@@ -447,18 +445,16 @@
         work.sent.set(!matches!(result, Err(ExchangeFailure::Unsent | ExchangeFailure::Withheld)));
         let step = step_name(purpose);
         let outcome = match result {
-            Ok((head, body)) => {
-                let outcome = StepOutcome::Answered(self.now().duration_since(sent_at));
-                let answer = Answer { head, body, endpoint: key, sent_at, outcome };
-                self.check_response(job, answer, purpose)
-            }
+            Ok((head, body)) => self.check_response(job, key, &head, purpose).map(|()| {
+                let outcome = self.head_outcome(key, head.status, self.now().duration_since(sent_at));
+                Answer { head, body, endpoint: key, sent_at, outcome }
+            }),
             Err(failure) => Err(failure.into()),
         };
         if runs && outcome.as_ref().is_err_and(|failure| !failure.may_have_run()) {
             job.charge.undo_send();
         }
-        let step_outcome = outcome.as_ref().err().and_then(|failure| failure.outcome());
-        if let Some(step_outcome) = step_outcome {
+        if let Some(step_outcome) = outcome.as_ref().err().and_then(|failure| failure.outcome()) {
             self.observe_outcome(job, key, step_outcome);
         }
         self.metrics.count_step(step, outcome.as_ref().map_or_else(|f| f.text(), |_| "answered"));
@@ -501,17 +497,17 @@
     fn check_response(
         &self,
         job: &Job,
-        mut answer: Answer,
+        key: EndpointKey,
+        head: &Parts,
         purpose: Purpose<'_>,
-    ) -> Result<Answer, StepFailure> {
-        let head = &answer.head;
+    ) -> Result<(), StepFailure> {
         let meta = self.protocol.read_response(head.status, &head.headers);
         if !meta.id.is_empty() && meta.id != job.meta.id {
             return Err(StepFailure::Broken);
         }
-        statements::observe(self, answer.endpoint, &meta);
+        statements::observe(self, key, &meta);
         if meta.misdirected {
-            self.mark_replaced(answer.endpoint, &meta.endpoint);
+            self.mark_replaced(key, &meta.endpoint);
             return Err(StepFailure::Misdirected);
         }
         if meta.refused {
@@ -523,9 +519,7 @@
         if !genuine || !is_final || head.headers.contains_key(CONTENT_ENCODING) {
             return Err(StepFailure::Broken);
         }
-        let latency = self.now().duration_since(answer.sent_at);
-        answer.outcome = self.head_outcome(answer.endpoint, answer.head.status, latency);
-        Ok(answer)
+        Ok(())
     }
 
     /// Retires an endpoint at whose address another endpoint responded: the intended endpoint has ended. The
@@ -538,109 +532,6 @@
         self.state.borrow_mut().endpoints.mark_ended(self.now(), key);
         info!(self.log, "endpoint"; "endpoint" => &*id, "state" => "replaced", "by" => answering);
     }
-
-    /// Makes a small call to an endpoint, reads the complete response, and applies what the endpoint states
-    /// about itself.
-    pub(crate) async fn call_endpoint(
-        &self,
-        key: EndpointKey,
-        address: SocketAddr,
-        call: Call,
-        until: Instant,
-    ) -> Result<(StatusCode, Bytes), ExchangeFailure> {
-        let (head, body) = self.call_with_head(address, call, until).await?;
-        statements::observe(self, key, &self.protocol.read_response(head.status, &head.headers));
-        Ok((head.status, body))
-    }
-
-    /// Makes a small call and reads the complete response.
-    pub(crate) async fn call(
-        &self,
-        address: SocketAddr,
-        call: Call,
-        until: Instant,
-    ) -> Result<(StatusCode, Bytes), ExchangeFailure> {
-        let (head, body) = self.call_with_head(address, call, until).await?;
-        Ok((head.status, body))
-    }
-
-    /// Like [`Self::call`], with the complete head of the response.
-    pub(crate) async fn call_with_head(
-        &self,
-        address: SocketAddr,
-        call: Call,
-        until: Instant,
-    ) -> Result<(Parts, Bytes), ExchangeFailure> {
-        let mut request = Request::new(Full::new(call.body.clone()));
-        *request.method_mut() = call.method;
-        *request.uri_mut() = call.path.parse().map_err(|_| ExchangeFailure::Unsent)?;
-        *request.headers_mut() = call.headers;
-        let host = HeaderValue::from_str(&address.to_string()).expect("an address is a header value");
-        request.headers_mut().insert(HOST, host);
-        if !call.body.is_empty() {
-            request.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-        }
-        let (head, body) = self.pool.exchange(address, request, until).await?;
-        let body = self.read(body, until).await?;
-        Ok((head, body))
-    }
-
-    /// Reads a body for a caller to its end, as far as there is buffer memory, and keeps the connection.
-    pub(crate) async fn read_buffered(
-        self: &Rc<Self>,
-        mut body: ResponseReader,
-        until: Instant,
-    ) -> Result<(Bytes, BufferedBytes, ResponseEnd), ReadFailure> {
-        let mut buffered = BufferedBytes::new(self, BodyKind::Response);
-        match tokio::time::timeout_at(until.into(), buffered.collect_response(&mut body)).await {
-            Ok(Ok((complete, end))) => {
-                self.finish(body, end)?;
-                Ok((complete, buffered, end))
-            }
-            Ok(Err(CollectError::Body(infallible))) => match infallible {},
-            Ok(Err(CollectError::Full(error, bytes))) => {
-                warn!(self.log, "response abandoned, buffer memory is full"; "error" => %error, "bytes" => bytes);
-                Err(ReadFailure::MemoryFull)
-            }
-            Err(_) => Err(ReadFailure::TimedOut),
-        }
-    }
-
-    /// Reads a body to its end and keeps the connection. An unknown end is no failure: what is used of
-    /// the body is parsed, and no parser accepts one that is cut short.
-    pub(crate) async fn read(&self, mut body: ResponseReader, until: Instant) -> Result<Bytes, ReadFailure> {
-        let read = async {
-            let mut complete = BytesMut::new();
-            loop {
-                match body.next().await {
-                    Piece::Data(data, _) => complete.extend_from_slice(&data),
-                    Piece::End(end) => return (complete.freeze(), end),
-                }
-            }
-        };
-        match tokio::time::timeout_at(until.into(), read).await {
-            Ok((complete, end)) => {
-                self.finish(body, end)?;
-                Ok(complete)
-            }
-            Err(_) => Err(ReadFailure::TimedOut),
-        }
-    }
-
-    /// Counts how a response ended, and keeps its connection.
-    ///
-    /// # Errors
-    /// The response is truncated.
-    pub(crate) fn finish(&self, body: ResponseReader, end: ResponseEnd) -> Result<(), ReadFailure> {
-        self.metrics.count_response_end(end);
-        match end.completeness {
-            Completeness::Complete | Completeness::Unknown => {
-                self.pool.put(body.into_connection());
-                Ok(())
-            }
-            Completeness::Truncated(_) => Err(ReadFailure::Truncated(end)),
-        }
-    }
 }
 
 const fn step_name(purpose: Purpose<'_>) -> &'static str {
--- a/crates/forward/src/response_reader.rs
+++ b/crates/forward/src/response_reader.rs
@@ -61,10 +61,26 @@
     }
 }
 
-/// Suffix of a step's outcome in logs; empty for a response that is complete by its framing.
+impl ResponseEnd {
+    /// # Errors
+    /// The response is truncated.
+    pub(crate) fn or_truncated(self) -> Result<(), ReadFailure> {
+        match self.completeness {
+            Completeness::Complete | Completeness::Unknown => Ok(()),
+            Completeness::Truncated(_) => Err(ReadFailure::Truncated(self)),
+        }
+    }
+
+    /// Whether the response is complete, and its framing marked its end.
+    pub(crate) fn is_usual(self) -> bool {
+        self.framing.marks_end() && self.completeness == Completeness::Complete
+    }
+}
+
+/// Suffix of a step's outcome in logs; empty for the usual end.
 impl Display for ResponseEnd {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
-        if self.framing.marks_end() && self.completeness == Completeness::Complete {
+        if self.is_usual() {
             return Ok(());
         }
         write!(f, "({},{})", self.framing.text(), self.completeness.text())
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -2,8 +2,11 @@
 //!
 //! A stream that breaks closes the caller's connection without an end mark, so that the stream does not look
 //! complete. A resumable stream resumes at another engine after the last event that the caller has, or begins
-//! again there if the caller has nothing of it. Only
-//! complete events of a resumable stream are relayed, since an engine may stop in the middle of one.
+//! again there if the caller has nothing of it. Only complete events of a resumable stream are relayed, since an
+//! engine may stop in the middle of one.
+//!
+//! The end of the caller's response is marked only where that of the first run's is, and only if the last run is
+//! known to be complete.
 
 use std::rc::Rc;
 use std::time::Instant;
@@ -54,16 +57,33 @@
 /// How one run of a stream ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum RunEnd {
-    Complete(ResponseEnd),
-    Broken(ResponseEnd),
+    /// The response ended.
+    Ended(ResponseEnd),
+    /// No event arrived for too long.
     Stalled,
+    /// The caller's deadline has passed.
     TimedOut,
     CallerDisconnected,
 }
 
 impl RunEnd {
+    /// Whether the engine failed the stream.
     fn is_broken(self) -> bool {
-        matches!(self, Self::Broken(..) | Self::Stalled)
+        match self {
+            Self::Ended(end) => matches!(end.completeness, Completeness::Truncated(_)),
+            Self::Stalled => true,
+            Self::TimedOut | Self::CallerDisconnected => false,
+        }
+    }
+
+    /// Outcome of the step in logs; `None` for the usual ones.
+    fn step_text(self) -> Option<String> {
+        match self {
+            Self::Ended(end) if self.is_broken() => Some(format!("broken{end}")),
+            Self::Ended(end) if !end.is_usual() => Some(format!("ended{end}")),
+            Self::Stalled => Some("broken(stalled)".to_owned()),
+            Self::Ended(_) | Self::TimedOut | Self::CallerDisconnected => None,
+        }
     }
 }
 
@@ -110,7 +130,7 @@
     trace: Trace,
     status: u16,
 ) {
-    let framing = run.body.framing();
+    let framed = run.body.framing().marks_end();
     let mut events = Events::default();
     let complete_only = stream_job.resumes_left > 0;
     let mut timer = Some(StreamTimer::default());
@@ -126,20 +146,18 @@
         } else {
             load::observe_result(&node, &stream_job.job, endpoint, outcome);
         }
+        if let Some(text) = end.step_text() {
+            trace.record_step("stream", &node.id_for_log(endpoint), &text);
+        }
         match end {
-            RunEnd::Complete(response_end) => {
-                let text = response_end.to_string();
-                if !text.is_empty() {
-                    trace.record_step("stream", &node.id_for_log(endpoint), &format!("ended{text}"));
-                }
-                let is_known = response_end.completeness == Completeness::Complete;
-                node.observe_response(&stream_job.job, StatusCode::OK, response_end.completeness);
-                if is_known {
+            _ if end.is_broken() => {}
+            RunEnd::Ended(response_end) => {
+                let is_complete = response_end.completeness == Completeness::Complete;
+                if is_complete {
+                    node.observe_response(&stream_job.job, StatusCode::OK, response_end.completeness);
                     node.observe_output(&stream_job.job, trace.events());
-                }
-                if framing.marks_end() && !is_known {
-                    // The end of the caller's response would claim more than is known. A resumable stream may
-                    // resume after its last event.
+                } else if framed {
+                    // The caller of a resumable stream may resume it after its last event.
                     return trace.end("end_unknown", status);
                 }
                 pieces.end();
@@ -150,10 +168,7 @@
                 return trace.end("caller_gone", status);
             }
             RunEnd::TimedOut => return trace.end("deadline_passed", status),
-            RunEnd::Broken(response_end) => {
-                trace.record_step("stream", &node.id_for_log(endpoint), &format!("broken{response_end}"));
-            }
-            RunEnd::Stalled => trace.record_step("stream", &node.id_for_log(endpoint), "broken(stalled)"),
+            RunEnd::Stalled => {}
         }
         crashes::check_endpoint(&node, &stream_job.job, &trace, endpoint, sent_at);
         let next = match events.resume_point() {
@@ -199,11 +214,8 @@
             Err(_) => return RunEnd::TimedOut,
             Ok(Piece::Data(data, scan)) => (data, scan),
             Ok(Piece::End(end)) => {
-                if node.finish(body, end).is_err() {
-                    return RunEnd::Broken(end);
-                }
-                drop(work);
-                return RunEnd::Complete(end);
+                node.finish(body, end);
+                return RunEnd::Ended(end);
             }
         };
         trace.record_events(scan.events);
