--- a/crates/forward/src/body.rs
+++ b/crates/forward/src/body.rs
@@ -27,6 +27,7 @@
 use tokio::sync::{Notify, mpsc};
 
 use crate::buffering::BufferedBytes;
+use crate::calls::BufferedBody;
 use crate::headers::prepare_response;
 
 /// The response cannot be completed. The caller's connection ends so that the response does not look complete.
@@ -129,15 +130,11 @@
 }
 
 /// The response to a caller whose body was received to its end.
-pub(crate) fn buffered_response(
-    mut head: Parts,
-    body: Bytes,
-    memory: BufferedBytes,
-    completeness: Completeness,
-) -> Response<ResponseBody> {
-    let framed = completeness == Completeness::Complete;
+pub(crate) fn buffered_response(mut head: Parts, body: BufferedBody) -> Response<ResponseBody> {
+    let BufferedBody { bytes, memory, end } = body;
+    let framed = end.completeness == Completeness::Complete;
     prepare_response(&mut head, framed);
-    Response::from_parts(head, ResponseBody::buffered(body, Some(memory), framed))
+    Response::from_parts(head, ResponseBody::buffered(bytes, Some(memory), framed))
 }
 
 /// The response to a caller whose body arrives in pieces. Its end is marked if `framing` marks that of the
--- a/crates/forward/src/calls.rs
+++ b/crates/forward/src/calls.rs
@@ -38,6 +38,15 @@
     });
 }
 
+/// A body that was received to its end.
+#[derive(Debug)]
+pub(crate) struct BufferedBody {
+    pub(crate) bytes: Bytes,
+    /// Buffer memory of the body.
+    pub(crate) memory: BufferedBytes,
+    pub(crate) end: ResponseEnd,
+}
+
 impl Node {
     /// Makes a small call to an endpoint, reads the complete response, and applies what the endpoint states
     /// about itself.
@@ -90,13 +99,13 @@
         self: &Rc<Self>,
         mut body: ResponseReader,
         until: Instant,
-    ) -> Result<(Bytes, BufferedBytes, ResponseEnd), ReadFailure> {
-        let mut buffered = BufferedBytes::new(self, BodyKind::Response);
-        match tokio::time::timeout_at(until.into(), buffered.collect_response(&mut body)).await {
-            Ok(Ok((complete, end))) => {
+    ) -> Result<BufferedBody, ReadFailure> {
+        let mut memory = BufferedBytes::new(self, BodyKind::Response);
+        match tokio::time::timeout_at(until.into(), memory.collect_response(&mut body)).await {
+            Ok(Ok((bytes, end))) => {
                 self.finish(body, end);
                 end.or_truncated()?;
-                Ok((complete, buffered, end))
+                Ok(BufferedBody { bytes, memory, end })
             }
             Ok(Err(CollectError::Body(infallible))) => match infallible {},
             Ok(Err(CollectError::Full(error, bytes))) => {
--- a/crates/forward/src/generate.rs
+++ b/crates/forward/src/generate.rs
@@ -58,13 +58,13 @@
     let head = answer.head;
     let read = node.read_buffered(answer.body, job.deadline).await;
     node.observe_read(&job, answer.endpoint, answer.outcome, &read);
-    let Ok((body, buffered, end)) = read else {
+    let Ok(body) = read else {
         return refuse(node, Refusal::new(ErrorKind::EndpointFailed), trace);
     };
-    node.observe_response(&job, head.status, end.completeness);
+    node.observe_response(&job, head.status, body.end.completeness);
     let outcome = if head.status.is_success() { "answered" } else { "endpoint_error" };
     trace.end(outcome, head.status.as_u16());
-    buffered_response(head, body, buffered, end.completeness)
+    buffered_response(head, body)
 }
 
 /// Resumes a stream that broke at engine `broken` at another engine. The other engine prefills the prompt itself:
--- a/crates/forward/src/plain.rs
+++ b/crates/forward/src/plain.rs
@@ -8,15 +8,13 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use hyper::http::response::Parts;
 use hyper::{Response, StatusCode};
-use teaselshunt_completeness::Completeness;
 use teaselshunt_core::{ErrorKind, Refusal};
 use teaselshunt_routing::{EndpointKey, Need, Repeat};
 
 use crate::body::{ResponseBody, buffered_response};
-use crate::buffering::BufferedBytes;
+use crate::calls::BufferedBody;
 use crate::crashes::{self, CallGuard};
 use crate::in_flight::InFlightWork;
 use crate::load;
@@ -41,7 +39,7 @@
 
 /// A response that was received to its end, or the head of a stream.
 enum Outcome {
-    Complete(Parts, Bytes, BufferedBytes, Completeness),
+    Buffered(Parts, BufferedBody),
     Stream(Box<Answer>, InFlightWork),
 }
 
@@ -57,11 +55,11 @@
         }
     };
     match result {
-        Ok(Outcome::Complete(head, body, buffered, completeness)) => {
-            node.observe_response(&job, head.status, completeness);
+        Ok(Outcome::Buffered(head, body)) => {
+            node.observe_response(&job, head.status, body.end.completeness);
             trace.record_head();
             trace.end("answered", head.status.as_u16());
-            buffered_response(head, body, buffered, completeness)
+            buffered_response(head, body)
         }
         Ok(Outcome::Stream(answer, work)) => {
             stream::relay(node, StreamJob::not_resumable(job), *answer, work, trace)
@@ -131,7 +129,7 @@
 
 fn is_good(result: &Result<Outcome, StepFailure>) -> bool {
     match result {
-        Ok(Outcome::Complete(head, ..)) => !head.status.is_server_error(),
+        Ok(Outcome::Buffered(head, _)) => !head.status.is_server_error(),
         Ok(Outcome::Stream(..)) => true,
         Err(_) => false,
     }
@@ -241,8 +239,8 @@
         crashes::check_endpoint(node, job, trace, key, sent_at);
     }
     let text = match &result {
-        Ok(Outcome::Complete(head, ..)) if head.status == StatusCode::OK => "ok",
-        Ok(Outcome::Complete(head, ..)) => head.status.canonical_reason().unwrap_or("answered"),
+        Ok(Outcome::Buffered(head, _)) if head.status == StatusCode::OK => "ok",
+        Ok(Outcome::Buffered(head, _)) => head.status.canonical_reason().unwrap_or("answered"),
         Ok(Outcome::Stream(..)) => "stream",
         Err(failure) => failure.text(),
     };
@@ -265,7 +263,6 @@
     }
     let read = node.read_buffered(answer.body, job.deadline).await;
     node.observe_read(job, answer.endpoint, answer.outcome, &read);
-    *end = read.as_ref().map_or_else(|failure| failure.end(), |(.., end)| Some(*end));
-    let (body, buffered, end) = read?;
-    Ok(Outcome::Complete(answer.head, body, buffered, end.completeness))
+    *end = read.as_ref().map_or_else(|failure| failure.end(), |body| Some(body.end));
+    Ok(Outcome::Buffered(answer.head, read?))
 }
