--- a/crates/daemon/src/callers/openai.rs
+++ b/crates/daemon/src/callers/openai.rs
@@ -347,22 +347,21 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum StreamState {
     Running,
-    /// The last event was sent.
-    Complete,
-    /// The response cannot be completed.
+    /// The response cannot be completed, and what was written of it must be sent.
     Failed,
+    Ended,
 }
 
 impl EventStream {
     async fn next(mut self) -> Option<(std::io::Result<Vec<u8>>, Self)> {
         match self.state {
             StreamState::Running => {}
-            StreamState::Complete => return None,
+            StreamState::Ended => return None,
             StreamState::Failed => {
                 // The server writes what it has before it asks for more.
                 tokio::task::yield_now().await;
                 self.response.abort.abort();
-                self.state = StreamState::Complete;
+                self.state = StreamState::Ended;
                 return Some((Err(std::io::Error::other("the response cannot be completed")), self));
             }
         }
@@ -391,7 +390,7 @@
             self.response.template.push_chunk(chunk, &self.id, &token.text, token.finish.as_deref());
             if token.finish.is_some() {
                 chunk.extend_from_slice(b"data: [DONE]\n\n");
-                self.state = StreamState::Complete;
+                self.state = StreamState::Ended;
             }
         }
     }
