--- a/crates/daemon/src/callers/services.rs
+++ b/crates/daemon/src/callers/services.rs
@@ -1,5 +1,7 @@
 //! Plain services: any method and body under `/services/NAME/`.
 
+use std::sync::Arc;
+
 use poem::http::{Method, Version};
 use poem::web::{Data, Path};
 use poem::{Body, Request, Response, handler};
@@ -47,7 +49,7 @@
         Call { service, method: method.to_string(), team: request_headers.team, key, fingerprint, deadline };
     let session = api.control.open_session(Work::Call(work));
     let call_request = CallRequest { method, path, headers, body, keyed: request_headers.key.is_some() };
-    let output = start_call(session, api.engines.clone(), call_request);
+    let output = start_call(session, api.engines.clone(), Arc::clone(&api.metrics), call_request);
     match output.await {
         Ok(CallOutput::Answered { request, response }) => {
             Ok(with_request_id(caller_response(response), request))
--- a/crates/daemon/src/driver/call.rs
+++ b/crates/daemon/src/driver/call.rs
@@ -1,5 +1,6 @@
 //! Driver of a call to a plain service.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -11,6 +12,7 @@
 
 use crate::control::{Command, Session};
 use crate::engines::{Engines, dispatch, retry_after};
+use crate::metrics::Metrics;
 
 /// Largest response of a service.
 const MAX_RESPONSE_BYTES: usize = 64 << 20;
@@ -57,10 +59,11 @@
 pub(crate) fn start_call(
     session: Session,
     engines: Engines,
+    metrics: Arc<Metrics>,
     call: CallRequest,
 ) -> oneshot::Receiver<CallOutput> {
     let (output, receiver) = oneshot::channel();
-    let driver = Driver { session, engines, call, request: None };
+    let driver = Driver { session, engines, metrics, call, request: None };
     tokio::spawn(driver.run(output));
     receiver
 }
@@ -68,6 +71,7 @@
 struct Driver {
     session: Session,
     engines: Engines,
+    metrics: Arc<Metrics>,
     call: CallRequest,
     request: Option<RequestId>,
 }
@@ -160,11 +164,15 @@
             return Err(StepFailure::NotSent);
         }
         let response = dispatch(call).await?;
-        read_response(&self.call.method, response).await
+        read_response(&self.call.method, response, &self.metrics).await
     }
 }
 
-async fn read_response(method: &Method, mut response: Response) -> Result<ServiceResponse, StepFailure> {
+async fn read_response(
+    method: &Method,
+    mut response: Response,
+    metrics: &Metrics,
+) -> Result<ServiceResponse, StepFailure> {
     let (status, headers) = (response.status(), response.headers().clone());
     let mut monitor = BodyMonitor::new(method, status, &headers);
     let mut body = Vec::new();
@@ -180,7 +188,9 @@
             Err(_) => break BodyEnd::Failed,
         }
     };
-    let is_complete = match monitor.completeness(end) {
+    let completeness = monitor.completeness(end);
+    metrics.count_response_end(monitor.framing(), completeness);
+    let is_complete = match completeness {
         Completeness::Complete => true,
         Completeness::Unknown => false,
         Completeness::Truncated(_) => return Err(StepFailure::Broken),
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -6,6 +6,7 @@
     Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
     TextEncoder,
 };
+use teaselshunt_completeness::{Completeness, Framing};
 use teaselshunt_core::InstanceView;
 
 /// Upper bounds of the buckets of the time to the first token, in seconds. The target of 1.1 s is one of
@@ -31,6 +32,7 @@
     resumed: IntCounter,
     orphans: IntCounter,
     refused: IntCounterVec,
+    response_ends: IntCounterVec,
     admitted: IntGaugeVec,
     level: IntGaugeVec,
     answered: IntCounterVec,
@@ -75,6 +77,12 @@
             resumed: counter(r, "streams_resumed_total", "Streams taken up on a new connection.")?,
             orphans: counter(r, "orphans_cancelled_total", "Work of dead instances cancelled at engines.")?,
             refused: counters(r, "requests_refused_total", "Refusals by error code.", &["code"])?,
+            response_ends: counters(
+                r,
+                "response_ends_total",
+                "Responses of services, by framing and by how they ended.",
+                &["framing", "end"],
+            )?,
             admitted: gauges(
                 r,
                 "team_admitted_units",
@@ -120,6 +128,11 @@
         }
     }
 
+    /// Counts a service's response that has ended.
+    pub(crate) fn count_response_end(&self, framing: Framing, completeness: Completeness) {
+        self.response_ends.with_label_values(&[framing.text(), completeness.text()]).inc();
+    }
+
     /// Renders the metrics in the text format, with the counters of a view.
     pub(crate) fn render(&self, view: &InstanceView) -> Result<Vec<u8>, prometheus::Error> {
         self.update(view);
--- a/crates/daemon/tests/all/responses.rs
+++ b/crates/daemon/tests/all/responses.rs
@@ -23,6 +23,9 @@
     assert_eq!(response.status(), 502);
     assert_eq!(response.headers()["x-teaselshunt-outcome"], "unknown");
     assert_eq!(fleet.executions("cut"), 1);
+    let metrics = fleet.client.get(format!("http://{}/metrics", daemon.operators)).send().await.unwrap();
+    let counted = "teaselshunt_response_ends_total{end=\"json\",framing=\"close\"} 1";
+    assert!(metrics.text().await.unwrap().contains(counted));
 }
 
 /// Guards against a truncated response that is kept for an idempotency key and given to each retry.
