Links to endpoints: their failures and silence are observed, in a log line and two gauges

Links follows what the instance's own connections show; nothing is decided by it yet. teaselshunt_doubtful_links, teaselshunt_suspected_endpoints, and a line 'links' when an instance begins or ceases to doubt its own links.

--- a/crates/forward/src/calls.rs
+++ b/crates/forward/src/calls.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
@@ -17,6 +18,7 @@
 use crate::connection_pool::ExchangeFailure;
 use crate::node::Node;
 use crate::protocol::Call;
+use crate::reach::Destination;
 use crate::response_reader::{Piece, ReadFailure, ResponseEnd, ResponseReader};
 use crate::statements;
 
@@ -89,11 +91,17 @@
         if !call.body.is_empty() {
             request.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
         }
-        let (head, body) = self.pool.exchange(address, request, until).await?;
+        let (head, body) = self.pool.exchange(&self.destination(address), request, until).await?;
         let body = self.read(body, until).await?;
         Ok((head, body))
     }
 
+    /// The endpoint that is listed at an address, or the platform or a peer.
+    fn destination(&self, address: SocketAddr) -> Destination {
+        let endpoint = self.state.borrow().endpoints.at_address(address).map(|e| Arc::clone(&e.id));
+        Destination { address, endpoint }
+    }
+
     /// Reads a body for a caller to its end, as far as there is buffer memory, and keeps the connection.
     pub(crate) async fn read_buffered(
         self: &Rc<Self>,
--- a/crates/forward/src/connection_pool.rs
+++ b/crates/forward/src/connection_pool.rs
@@ -8,6 +8,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -22,6 +23,7 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
+use crate::reach::{Destination, Reach};
 use crate::response_reader::ResponseReader;
 
 /// Longest time to open a connection: about a hundred round trips, and shorter than the time after which a
@@ -72,11 +74,23 @@
     sender: SendRequest<Full<Bytes>>,
     task: JoinHandle<()>,
     address: SocketAddr,
+    /// Set for a connection to an endpoint.
+    reach: Option<Rc<Reach>>,
+    opened: Instant,
     keep_alive: Duration,
     idle_since: Instant,
     reusable: bool,
 }
 
+impl Connection {
+    /// Records that bytes of a response arrived.
+    pub(crate) fn record_bytes(&self) {
+        if let Some(reach) = &self.reach {
+            reach.record_bytes(self.address, self.opened);
+        }
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         // Ends the task that owns the socket, so that the endpoint sees at once that the request is
@@ -91,28 +105,29 @@
     idle: RefCell<HashMap<SocketAddr, Vec<Connection>>>,
     /// Most idle connections to one address, if fewer than [`MAX_IDLE`].
     max_idle: Cell<Option<usize>>,
+    reach: Rc<Reach>,
 }
 
 impl ConnectionPool {
     /// Sends a request and waits for the head of the response.
     pub(crate) async fn exchange(
         &self,
-        address: SocketAddr,
+        destination: &Destination,
         request: Request<Full<Bytes>>,
         until: Instant,
     ) -> Result<(Parts, ResponseReader), ExchangeFailure> {
-        self.exchange_if(address, request, until, || true).await
+        self.exchange_if(destination, request, until, || true).await
     }
 
     /// The same for a request that is only sent if it still may be once there is a connection.
     pub(crate) async fn exchange_if(
         &self,
-        address: SocketAddr,
+        destination: &Destination,
         request: Request<Full<Bytes>>,
         until: Instant,
         may_send: impl Fn() -> bool,
     ) -> Result<(Parts, ResponseReader), ExchangeFailure> {
-        match tokio::time::timeout_at(until.into(), self.send(address, request, may_send)).await {
+        match tokio::time::timeout_at(until.into(), self.send(destination, request, may_send)).await {
             Ok(result) => result,
             Err(_) => Err(ExchangeFailure::TimedOut),
         }
@@ -120,24 +135,28 @@
 
     async fn send(
         &self,
-        address: SocketAddr,
+        destination: &Destination,
         mut request: Request<Full<Bytes>>,
         may_send: impl Fn() -> bool,
     ) -> Result<(Parts, ResponseReader), ExchangeFailure> {
         let size = hyper::body::Body::size_hint(request.body()).exact().unwrap_or(u64::MAX);
         let method = request.method().clone();
         loop {
-            let (mut connection, is_new) = match self.take(address) {
+            let (mut connection, is_new) = match self.take(destination.address) {
                 Some(connection) => (connection, false),
-                None => (connect(address).await?, true),
+                None => (self.connect(destination).await?, true),
             };
             if !may_send() {
                 connection.reusable = true;
                 self.put(connection);
                 return Err(ExchangeFailure::Withheld);
             }
+            if connection.reach.is_some() {
+                self.reach.record_send(destination.address);
+            }
             match connection.sender.try_send_request(request).await {
                 Ok(response) => {
+                    connection.record_bytes();
                     connection.keep_alive = announced_keep_alive(response.headers());
                     connection.reusable = size <= MAX_REUSE_BODY_BYTES as u64 && may_reuse(&response);
                     let (head, body) = response.into_parts();
@@ -148,7 +167,12 @@
                     // The connection was closed before anything was written to it.
                     Some(unsent) if !is_new => request = unsent,
                     Some(_) => return Err(ExchangeFailure::Unsent),
-                    None => return Err(ExchangeFailure::Broken),
+                    None => {
+                        if connection.reach.is_some() {
+                            self.reach.record_failure(destination.address);
+                        }
+                        return Err(ExchangeFailure::Broken);
+                    }
                 },
             }
         }
@@ -156,13 +180,27 @@
 
     /// Whether a new connection can be opened now. The connection is kept, since new connections are costly
     /// for endpoints.
-    pub(crate) async fn can_connect(&self, address: SocketAddr) -> bool {
-        let Ok(mut connection) = connect(address).await else { return false };
+    pub(crate) async fn can_connect(&self, destination: &Destination) -> bool {
+        let Ok(mut connection) = self.connect(destination).await else { return false };
         connection.reusable = true;
         self.put(connection);
         true
     }
 
+    async fn connect(&self, destination: &Destination) -> Result<Connection, ExchangeFailure> {
+        let reach = destination.endpoint.as_ref().map(|_| Rc::clone(&self.reach));
+        let result = connect(destination.address, reach).await;
+        if result.is_err() && destination.endpoint.is_some() {
+            self.reach.record_failure(destination.address);
+        }
+        result
+    }
+
+    /// What is known of the links to endpoints.
+    pub(crate) fn reach(&self) -> &Rc<Reach> {
+        &self.reach
+    }
+
     fn take(&self, address: SocketAddr) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&address)?;
@@ -205,7 +243,7 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Result<Connection, ExchangeFailure> {
+async fn connect(address: SocketAddr, reach: Option<Rc<Reach>>) -> Result<Connection, ExchangeFailure> {
     let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
     let Ok(Ok(stream)) = connecting.await else {
         return Err(ExchangeFailure::Unsent);
@@ -225,6 +263,8 @@
         sender,
         task,
         address,
+        reach,
+        opened: Instant::now(),
         keep_alive: DEFAULT_KEEP_ALIVE,
         idle_since: Instant::now(),
         reusable: false,
--- a/crates/forward/src/crashes.rs
+++ b/crates/forward/src/crashes.rs
@@ -19,6 +19,7 @@
 use teaselshunt_routing::{EndpointKey, EndpointState};
 
 use crate::node::{Job, Node};
+use crate::reach::Destination;
 use crate::trace::Trace;
 
 /// Time between a loss and the check: a process that exits closes its connections and its listener one after
@@ -151,7 +152,9 @@
     tokio::time::sleep(CHECK_DELAY).await;
     let live = live_endpoint(&node, endpoint);
     let is_reachable = match &live {
-        Some((address, ..)) => node.pool.can_connect(*address).await,
+        Some((address, id, _)) => {
+            node.pool.can_connect(&Destination::endpoint(*address, Arc::clone(id))).await
+        }
         None => true,
     };
     let mut losses = node.losses.borrow_mut().remove(&endpoint).unwrap_or_default();
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -48,6 +48,7 @@
 mod protocol;
 mod queue;
 mod rates;
+mod reach;
 mod refusals;
 mod requests;
 mod reservations;
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -38,6 +38,8 @@
     pub(crate) failing_engines: IntGauge,
     pub(crate) slow_engines: IntGauge,
     pub(crate) wasted_prefill: IntCounterVec,
+    pub(crate) doubtful_links: IntGauge,
+    pub(crate) suspected_endpoints: IntGauge,
     response_ends: IntCounterVec,
     team_requests: IntCounterVec,
     /// Teams that have a label of their own.
@@ -136,6 +138,14 @@
                 "Prompt tokens prefilled whose result no response used, by cause.",
                 &["cause"],
             )?,
+            doubtful_links: gauge(
+                "doubtful_links",
+                "Endpoints to which connections failed or were silent since they last sent a byte.",
+            )?,
+            suspected_endpoints: gauge(
+                "suspected_endpoints",
+                "Endpoints avoided because peers report that they cannot use them.",
+            )?,
             response_ends: counter(
                 "response_ends_total",
                 "Responses of endpoints and of the platform, by framing and by how they ended.",
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -34,6 +34,7 @@
 use crate::metrics::Metrics;
 use crate::protocol::{Protocol, Purpose, RequestMeta};
 use crate::queue::PendingSearch;
+use crate::reach::Destination;
 use crate::response_reader::{ReadFailure, ResponseReader};
 use crate::settings::Settings;
 use crate::statements;
@@ -441,7 +442,8 @@
         }
         work.sent.set(true);
         let may_send = || self.locate_available(key).is_some();
-        let result = self.pool.exchange_if(address, request, until.min(job.deadline), may_send).await;
+        let destination = Destination::endpoint(address, id);
+        let result = self.pool.exchange_if(&destination, request, until.min(job.deadline), may_send).await;
         work.sent.set(!matches!(result, Err(ExchangeFailure::Unsent | ExchangeFailure::Withheld)));
         let step = step_name(purpose);
         let outcome = match result {
--- a/crates/forward/src/response_reader.rs
+++ b/crates/forward/src/response_reader.rs
@@ -107,6 +107,7 @@
             let end = match self.body.frame().await {
                 Some(Ok(frame)) => match frame.into_data() {
                     Ok(data) => {
+                        self.connection.record_bytes();
                         let scan = self.monitor.push(&data);
                         return Piece::Data(data, scan);
                     }
--- a/crates/forward/src/supervisor.rs
+++ b/crates/forward/src/supervisor.rs
@@ -26,7 +26,7 @@
 use crate::node::{Node, Phase, State};
 use crate::protocol::Protocol;
 use crate::settings::Settings;
-use crate::{gossip, listeners, load, logs, orders, pace, queue};
+use crate::{gossip, listeners, load, logs, orders, pace, queue, reach};
 
 /// How instances divide teams' rate limits.
 const QUOTA_MODE: QuotaMode = QuotaMode::Shared;
@@ -178,6 +178,7 @@
 }
 
 async fn maintenance(node: Rc<Node>) {
+    let mut in_doubt = false;
     for run in (0_u32..=u32::MAX).cycle() {
         tokio::time::sleep(MAINTENANCE_INTERVAL).await;
         node.pool.close_expired();
@@ -187,6 +188,7 @@
         node.state.borrow_mut().quotas.tick(node.clock.uptime());
         node.state.borrow_mut().endpoints.expire_rates(node.now());
         load::maintain(&node);
+        in_doubt = reach::observe(&node, in_doubt);
         if run.is_multiple_of(PACE_RUNS) {
             pace::maintain(&node);
         }
@@ -197,6 +199,7 @@
             let endpoints = &node.state.borrow().endpoints;
             node.metrics.cooling_endpoints.set(endpoints.cooling_count(node.now()) as i64);
             node.metrics.slow_engines.set(endpoints.slow_count() as i64);
+            node.metrics.suspected_endpoints.set(endpoints.suspected_count(node.now()) as i64);
         }
         node.metrics.limited_endpoints.set(node.state.borrow_mut().endpoints.rates().len() as i64);
         let removed = node.state.borrow_mut().endpoints.remove_unconfirmed(node.now());
--- a/crates/routing/src/endpoints.rs
+++ b/crates/routing/src/endpoints.rs
@@ -450,6 +450,11 @@
         self.by_id.get(id).copied()
     }
 
+    /// The endpoint that has an address.
+    pub fn at_address(&self, address: SocketAddr) -> Option<&Endpoint> {
+        self.get(*self.by_address.get(&address)?.last()?)
+    }
+
     /// An endpoint by its tag.
     pub fn by_tag(&self, tag: EngineTag) -> Option<&Endpoint> {
         self.get(self.by_tag.get(tag)?)
@@ -471,6 +476,11 @@
         self.arena.get(key).filter(|e| e.is_available(now)).map(|e| &e.endpoint)
     }
 
+    /// Number of endpoints that enough peers report as suspect.
+    pub fn suspected_count(&self, now: Instant) -> usize {
+        self.ledger.suspected_count(now)
+    }
+
     /// How many endpoints are listed.
     pub fn len(&self) -> usize {
         self.arena.len()
--- a/crates/routing/src/ledger.rs
+++ b/crates/routing/src/ledger.rs
@@ -190,6 +190,11 @@
         })
     }
 
+    /// Number of endpoints that enough instances could not use lately.
+    pub(crate) fn suspected_count(&self, now: Instant) -> usize {
+        self.suspicions.keys().filter(|&&tag| self.is_suspected(now, tag)).count()
+    }
+
     /// Removes expired reports and unresponsive instances.
     pub fn expire(&mut self, now: Instant) {
         self.suspicions.retain(|_, reports| {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -23,6 +23,7 @@
 //! - `peers` is the other instances, `store_updates` determines which of them read the platform's store for
 //!   the others, `snapshot_sources` which of them have the complete list of endpoints, and `changes` what
 //!   changed in the list lately.
+//! - `links` tells endpoints that are down from those that only this instance has lost.
 //! - `memory` bounds the bodies that are held for slow readers.
 //! - `budget` limits second attempts, and `sends` charges those of a generation.
 //! - `stages` decides how many engines prefill and how many decode.
@@ -38,6 +39,7 @@
 mod health_estimate;
 mod late_prompts;
 mod ledger;
+mod links;
 mod memory;
 mod observations;
 mod output_estimate;
@@ -71,6 +73,7 @@
 pub use freed::FreedCapacity;
 pub use late_prompts::LatePrompts;
 pub use ledger::{EngineTag, Ledger, LedgerChange, tag};
+pub use links::{CheckResult, LinkChange, Links, Path};
 pub use memory::{BodyKind, BodyMemory, MemoryFull};
 pub use observations::{Observation, Observations, ResultReport, Results, SLOW_GOAL_FRACTION};
 pub use output_estimate::OutputEstimate;
--- /dev/null
+++ b/crates/routing/src/links.rs
@@ -0,0 +1,322 @@
+//! Whether this instance reaches the endpoints directly, by what its own connections show.
+//!
+//! An endpoint that does not answer may have ended, be silent for a moment, or be well and only cut off from this
+//! instance. What tells them apart is a check: the endpoint is asked directly and, if it does not answer, through a
+//! peer. Only an endpoint that answers through a peer and not directly counts as lost to this instance. Whatever
+//! arrives over a direct connection that was opened later ends that at once.
+//!
+//! Invariants:
+//! - a link is lost only while nothing has arrived over a connection that was opened after the loss;
+//! - an endpoint is unreachable only after [`FAILED_CHECKS`] checks in a row that no path answered, and is still asked
+//!   directly as long as any other link works, so that one that is silent for a moment stays in use;
+//! - what is not used any more is forgotten, so that the number of links is bounded by the endpoints in use.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use rand::Rng;
+
+/// Time without a byte from any endpoint, while a request waits, after which the link of that request is checked.
+const SILENCE: Duration = Duration::from_millis(400);
+/// The same for a link that is silent while others are not: prompts of other requests may be before one.
+const LINK_SILENCE: Duration = Duration::from_millis(1500);
+/// Shortest time between two checks of a link, doubled with each check that reached nothing.
+const CHECK_PAUSE_MIN: Duration = Duration::from_millis(250);
+/// Longest time between two checks of a link that nothing reaches.
+const CHECK_PAUSE_MAX: Duration = Duration::from_secs(1);
+/// Time between two checks whether a lost link is back, while all links are lost.
+const RETURN_PAUSE: Duration = Duration::from_millis(500);
+/// The same while some links work: the others are probably back as well.
+const RETURN_PAUSE_PARTIAL: Duration = Duration::from_millis(50);
+/// Checks that reached nothing before an endpoint counts as unreachable.
+const FAILED_CHECKS: u32 = 2;
+/// Lost links, with nothing heard directly, from which all links count as lost.
+const LOST_QUORUM: usize = 2;
+/// Time after which a link that is not used is forgotten.
+const RETENTION: Duration = Duration::from_secs(10);
+/// Age up to which a failure of a link says something about the others.
+const FAILURE_AGE: Duration = Duration::from_secs(3);
+/// Checks that start at a time.
+const CHECKS_MAX: usize = 4;
+
+/// How requests reach an endpoint now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Path {
+    /// Over a connection of this instance's own.
+    Direct,
+    /// Through a peer.
+    Tunnel,
+    /// Not at all: nothing reaches any endpoint.
+    None,
+}
+
+/// What a check of a link has found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CheckResult {
+    /// The endpoint answered directly.
+    Direct,
+    /// The endpoint answered through a peer only.
+    Tunnel,
+    /// The endpoint did not answer, and a peer that reaches others could not reach it either, or there was no peer to ask.
+    Neither,
+}
+
+/// A change of what is known about a link.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LinkChange {
+    /// Only peers reach the endpoint.
+    Lost,
+    /// Nothing reaches the endpoint.
+    Unreachable,
+    /// The endpoint is reached directly again.
+    Restored,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+enum State {
+    #[default]
+    Direct,
+    Lost,
+    Unreachable,
+}
+
+#[derive(Debug, Default)]
+struct Link {
+    state: State,
+    /// When the link was lost.
+    lost: Option<Instant>,
+    used: Option<Instant>,
+    /// Since when a request waits for a first byte.
+    waiting: Option<Instant>,
+    /// Connections that failed since the last byte, and when the last one did.
+    failures: u32,
+    failed: Option<Instant>,
+    /// Checks in a row that reached nothing.
+    failed_checks: u32,
+    /// When the next check may start.
+    next_check: Option<Instant>,
+}
+
+impl Link {
+    fn lose(&mut self, now: Instant) {
+        self.state = State::Lost;
+        self.lost = Some(now);
+    }
+
+    fn may_check(&self, now: Instant) -> bool {
+        self.next_check.is_none_or(|at| at <= now)
+    }
+}
+
+/// Links to the endpoints that are in use.
+#[derive(Debug, Default)]
+pub struct Links {
+    links: HashMap<SocketAddr, Link>,
+    /// When the last byte arrived directly from any endpoint.
+    heard: Option<Instant>,
+    /// When a link last failed.
+    failed: Option<Instant>,
+    /// Since when all links count as lost.
+    cut_since: Option<Instant>,
+    /// When the next check of a lost link may start.
+    next_return: Option<Instant>,
+}
+
+impl Links {
+    /// How a request reaches the endpoint at this address.
+    pub fn path(&mut self, now: Instant, endpoint: SocketAddr) -> Path {
+        let (cut, isolated) = (self.cut_since, self.is_isolated(now));
+        let link = self.links.entry(endpoint).or_default();
+        link.used = Some(now);
+        if let (Some(since), State::Direct) = (cut, link.state) {
+            link.lose(since);
+        }
+        match link.state {
+            State::Direct => Path::Direct,
+            State::Lost => Path::Tunnel,
+            State::Unreachable if isolated => Path::None,
+            State::Unreachable => Path::Direct,
+        }
+    }
+
+    /// Whether the link to an endpoint is lost.
+    pub fn is_lost(&self, endpoint: SocketAddr) -> bool {
+        match self.links.get(&endpoint).map(|link| link.state) {
+            Some(State::Lost) => true,
+            Some(State::Unreachable) => false,
+            Some(State::Direct) | None => self.is_cut_off(),
+        }
+    }
+
+    /// Records that a request was sent over a direct connection.
+    pub fn record_send(&mut self, now: Instant, endpoint: SocketAddr) {
+        let link = self.links.entry(endpoint).or_default();
+        link.used = Some(now);
+        link.waiting.get_or_insert(now);
+    }
+
+    /// Records that bytes arrived over a direct connection that was opened at `opened`. Returns whether the link is
+    /// restored by that. A connection that is older than the loss may live on while new ones fail.
+    pub fn record_bytes(&mut self, now: Instant, endpoint: SocketAddr, opened: Instant) -> bool {
+        self.heard = Some(now);
+        let Some(link) = self.links.get_mut(&endpoint) else { return false };
+        link.waiting = None;
+        if link.lost.is_some_and(|lost| opened < lost) {
+            return false;
+        }
+        link.failures = 0;
+        link.failed_checks = 0;
+        link.lost = None;
+        let restored = link.state != State::Direct;
+        link.state = State::Direct;
+        if restored && self.cut_since.take().is_some() {
+            // The others are checked one after the other, and used through peers until then.
+            self.next_return = Some(now);
+        }
+        restored
+    }
+
+    /// Records that a direct connection could not be opened, or broke before its response began.
+    pub fn record_failure(&mut self, now: Instant, endpoint: SocketAddr) {
+        self.failed = Some(now);
+        let link = self.links.entry(endpoint).or_default();
+        link.used = Some(now);
+        link.failures += 1;
+        link.failed = Some(now);
+    }
+
+    /// Whether a peer may be asked now for a way to an endpoint that cannot be reached directly.
+    pub fn may_ask_peer(&self, now: Instant, endpoint: SocketAddr) -> bool {
+        self.links.get(&endpoint).is_none_or(|link| link.failed_checks == 0 || link.may_check(now))
+    }
+
+    /// Records the result of a check, or of an attempt to connect that counts as one.
+    pub fn record_check(
+        &mut self,
+        now: Instant,
+        endpoint: SocketAddr,
+        result: CheckResult,
+    ) -> Option<LinkChange> {
+        match result {
+            CheckResult::Direct => self.record_bytes(now, endpoint, now).then_some(LinkChange::Restored),
+            CheckResult::Tunnel => self.record_tunnel(now, endpoint),
+            CheckResult::Neither => self.record_failed_check(now, endpoint),
+        }
+    }
+
+    /// A peer reached an endpoint that did not answer directly.
+    fn record_tunnel(&mut self, now: Instant, endpoint: SocketAddr) -> Option<LinkChange> {
+        let link = self.links.entry(endpoint).or_default();
+        link.waiting = None;
+        link.failures = 0;
+        link.failed_checks = 0;
+        let is_new = link.state != State::Lost;
+        link.lose(now);
+        let silent = self.heard.is_none_or(|heard| now.duration_since(heard) >= SILENCE);
+        let all_known = self.links.values().all(|link| link.state == State::Lost);
+        if self.cut_since.is_none() && (self.lost_count() >= LOST_QUORUM && silent || all_known) {
+            self.cut_since = Some(now);
+        }
+        is_new.then_some(LinkChange::Lost)
+    }
+
+    fn record_failed_check(&mut self, now: Instant, endpoint: SocketAddr) -> Option<LinkChange> {
+        let link = self.links.entry(endpoint).or_default();
+        let doublings = link.failed_checks.min(8);
+        link.next_check = Some(now + (CHECK_PAUSE_MIN * 2_u32.pow(doublings)).min(CHECK_PAUSE_MAX));
+        link.failed_checks += 1;
+        if link.failed_checks < FAILED_CHECKS || link.state == State::Unreachable {
+            return None;
+        }
+        link.state = State::Unreachable;
+        Some(LinkChange::Unreachable)
+    }
+
+    /// Links to check now: those that may be lost, those that nothing reached, and now and then one that is lost.
+    pub fn due_checks(&mut self, now: Instant, rng: &mut impl Rng) -> Vec<SocketAddr> {
+        let age = |at: Option<Instant>| at.map(|at| now.duration_since(at));
+        self.links.retain(|_, link| age(link.used).is_some_and(|age| age < RETENTION));
+        if self.links.is_empty() {
+            self.cut_since = None;
+        }
+        let all_silent = age(self.heard).is_none_or(|age| age >= SILENCE);
+        let is_doubtful = |link: &Link| match link.state {
+            State::Unreachable => true,
+            State::Lost => false,
+            State::Direct => {
+                let waited = age(link.waiting).unwrap_or_default();
+                // One failure beside answers of other endpoints is usual: endpoints close idle connections.
+                let is_usual =
+                    link.failed.is_none_or(|failed| self.heard.is_some_and(|heard| heard > failed));
+                let failed = link.failures > 1 || (link.failures == 1 && !is_usual);
+                failed || waited >= LINK_SILENCE || (waited >= SILENCE && all_silent)
+            }
+        };
+        let doubtful = self.links.iter().filter(|(_, link)| is_doubtful(link) && link.may_check(now));
+        let mut due: Vec<SocketAddr> = doubtful.map(|(&endpoint, _)| endpoint).take(CHECKS_MAX).collect();
+        due.extend(self.due_return(now, rng));
+        for endpoint in &due {
+            if let Some(link) = self.links.get_mut(endpoint) {
+                link.next_check = Some(now + CHECK_PAUSE_MIN);
+            }
+        }
+        due
+    }
+
+    /// A lost link to check for its return.
+    fn due_return(&mut self, now: Instant, rng: &mut impl Rng) -> Option<SocketAddr> {
+        if self.next_return.is_some_and(|at| now < at) {
+            return None;
+        }
+        let lost = self.links.iter().filter(|(_, link)| link.state == State::Lost && link.may_check(now));
+        let lost: Vec<SocketAddr> = lost.map(|(&endpoint, _)| endpoint).collect();
+        if lost.is_empty() {
+            return None;
+        }
+        let pause = if self.cut_since.is_some() { RETURN_PAUSE } else { RETURN_PAUSE_PARTIAL };
+        // Instances that lost their links together must not all ask in the same moment.
+        self.next_return = Some(now + pause.mul_f64(rng.random_range(0.75..1.25)));
+        Some(lost[rng.random_range(0..lost.len())])
+    }
+
+    /// Whether all links count as lost.
+    pub fn is_cut_off(&self) -> bool {
+        self.cut_since.is_some()
+    }
+
+    /// Whether nothing reaches any endpoint that is in use.
+    pub fn is_isolated(&self, now: Instant) -> bool {
+        let silent = self.heard.is_none_or(|heard| now.duration_since(heard) >= SILENCE);
+        silent && !self.links.is_empty() && self.links.values().all(|link| link.state == State::Unreachable)
+    }
+
+    /// Whether this instance's failures say nothing about endpoints: links failed or are silent, and no byte has arrived
+    /// directly since.
+    pub fn is_in_doubt(&self, now: Instant) -> bool {
+        let unheard_since = |at: Instant| self.heard.is_none_or(|heard| heard < at);
+        let failed = self.failed.is_some_and(|at| now.duration_since(at) < FAILURE_AGE && unheard_since(at));
+        let is_silent = |since: Instant| now.duration_since(since) >= SILENCE && unheard_since(since);
+        let mut waiting = self.links.values().filter_map(|link| link.waiting);
+        self.is_cut_off() || failed || waiting.any(is_silent)
+    }
+
+    /// Number of links that failed, or are silent while a request waits, since a byte last arrived over them.
+    pub fn doubtful_count(&self, now: Instant) -> usize {
+        let is_doubtful = |link: &&Link| {
+            let silent = link.waiting.is_some_and(|since| now.duration_since(since) >= SILENCE);
+            link.failures > 0 || silent
+        };
+        self.links.values().filter(is_doubtful).count()
+    }
+
+    /// Number of lost links.
+    pub fn lost_count(&self) -> usize {
+        self.links.values().filter(|link| link.state == State::Lost).count()
+    }
+
+    /// Number of endpoints that nothing reaches.
+    pub fn unreachable_count(&self) -> usize {
+        self.links.values().filter(|link| link.state == State::Unreachable).count()
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -20,8 +20,8 @@
 pub use relay::Relay;
 pub use service::{Execution, Service, ServiceFaults, Unframed};
 pub use site::{
-    CRASHING_BODY, FLOODING_TEAM, RESPONSE_HEADERS, RIVAL_TEAM, SiteArrival, SiteBody, SiteCut, SiteEndpoint,
-    SiteExecution, SiteFault, SiteFraming, SiteInstance, SiteOptions, SiteSettings, SiteTeam, Store,
-    StoreBackup, StoreMode, UNLIMITED_TEAM, event_text, is_signed, leaving_endpoint, site_configuration,
-    site_request,
+    CRASHING_BODY, FLOODING_TEAM, LinkMode, RESPONSE_HEADERS, RIVAL_TEAM, SiteArrival, SiteBody, SiteCut,
+    SiteEndpoint, SiteExecution, SiteFault, SiteFraming, SiteInstance, SiteLink, SiteOptions, SiteSettings,
+    SiteTeam, Store, StoreBackup, StoreMode, UNLIMITED_TEAM, event_text, is_signed, leaving_endpoint,
+    site_configuration, site_request,
 };
--- a/crates/standin/src/site/endpoint.rs
+++ b/crates/standin/src/site/endpoint.rs
@@ -375,7 +375,7 @@
         headers.iter().map(|&(name, value)| (name, value.to_owned())).chain(stated).collect()
     }
 
-    /// Responds to calls of the protocol that run no request: for reservations, handles of KV caches and orders.
+    /// Responds to calls of the protocol that run no request: for reports, reservations, handles of KV caches and orders.
     fn handle_control(&self, request: &Request, path: &str) -> Option<(u16, Value)> {
         let mut inner = self.lock();
         if path == "/-/hold-take" {
@@ -399,6 +399,9 @@
             inner.handles.remove(handle);
             return Some((200, json!({})));
         }
+        if path == "/-/report" {
+            return Some((200, json!({ "in_flight": inner.active_requests })));
+        }
         if path == "/-/order" {
             inner.orders.push(serde_json::from_slice(&request.body).unwrap_or_default());
             return Some((202, json!({})));
--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -8,6 +8,7 @@
 mod endpoint;
 mod http;
 mod instance;
+mod link;
 mod store;
 
 pub use body::{SiteBody, SiteCut, SiteFraming};
@@ -18,4 +19,5 @@
 };
 pub use http::RESPONSE_HEADERS;
 pub use instance::{SiteInstance, SiteSettings};
+pub use link::{LinkMode, SiteLink};
 pub use store::{Store, StoreBackup, StoreMode};
