--- a/crates/forward/src/calls.rs
+++ b/crates/forward/src/calls.rs
@@ -15,7 +15,7 @@
 use teaselshunt_routing::{BodyKind, EndpointKey};
 
 use crate::buffering::{BufferedBytes, CollectError};
-use crate::connection_pool::ExchangeFailure;
+use crate::connection_pool::{Connection, ExchangeFailure};
 use crate::node::Node;
 use crate::protocol::Call;
 use crate::reach::Destination;
@@ -40,6 +40,20 @@
     });
 }
 
+/// The request of a small call to a server at an address.
+fn request(address: SocketAddr, call: Call) -> Result<Request<Full<Bytes>>, ExchangeFailure> {
+    let mut request = Request::new(Full::new(call.body.clone()));
+    *request.method_mut() = call.method;
+    *request.uri_mut() = call.path.parse().map_err(|_| ExchangeFailure::Unsent)?;
+    *request.headers_mut() = call.headers;
+    let host = HeaderValue::from_str(&address.to_string()).expect("an address is a header value");
+    request.headers_mut().insert(HOST, host);
+    if !call.body.is_empty() {
+        request.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    }
+    Ok(request)
+}
+
 /// A body that was received to its end.
 #[derive(Debug)]
 pub(crate) struct BufferedBody {
@@ -82,20 +96,26 @@
         call: Call,
         until: Instant,
     ) -> Result<(Parts, Bytes), ExchangeFailure> {
-        let mut request = Request::new(Full::new(call.body.clone()));
-        *request.method_mut() = call.method;
-        *request.uri_mut() = call.path.parse().map_err(|_| ExchangeFailure::Unsent)?;
-        *request.headers_mut() = call.headers;
-        let host = HeaderValue::from_str(&address.to_string()).expect("an address is a header value");
-        request.headers_mut().insert(HOST, host);
-        if !call.body.is_empty() {
-            request.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-        }
+        let request = request(address, call)?;
         let (head, body) = self.pool.exchange(&self.destination(address), request, until).await?;
         let body = self.read(body, until).await?;
         Ok((head, body))
     }
 
+    /// Makes a small call over this connection, and reads the complete response.
+    pub(crate) async fn call_over(
+        &self,
+        connection: Connection,
+        address: SocketAddr,
+        call: Call,
+        until: Instant,
+    ) -> Result<(), ExchangeFailure> {
+        let request = request(address, call)?;
+        let (_, body) = self.pool.exchange_over(connection, request, until).await?;
+        self.read(body, until).await?;
+        Ok(())
+    }
+
     /// The endpoint that is listed at an address, or the platform or a peer.
     fn destination(&self, address: SocketAddr) -> Destination {
         let endpoint = self.state.borrow().endpoints.at_address(address).map(|e| Arc::clone(&e.id));
--- a/crates/forward/src/catalog.rs
+++ b/crates/forward/src/catalog.rs
@@ -46,8 +46,9 @@
 use crate::protocol::{Batch, Call, StoreChange};
 use crate::queue;
 use listing::ListProgress;
-pub(crate) use snapshot_server::serve_snapshots;
+pub(crate) use snapshot_server::{CurrentTransfer, SnapshotServer};
 use snapshots::SearchResult;
+pub(crate) use snapshots::TRANSFER_TIMEOUT;
 pub(crate) use store_updates::StoreUpdate;
 
 /// Time that a call may take beyond its wait: the slowest responses of the store that are still useful.
--- a/crates/forward/src/catalog/snapshots.rs
+++ b/crates/forward/src/catalog/snapshots.rs
@@ -34,7 +34,7 @@
 use crate::protocol::Call;
 
 /// Longest time to receive a snapshot.
-pub(super) const TRANSFER_TIMEOUT: Duration = Duration::from_millis(2500);
+pub(crate) const TRANSFER_TIMEOUT: Duration = Duration::from_millis(2500);
 /// Interval at which an instance polls for a snapshot source.
 const POLL_INTERVAL: Duration = Duration::from_millis(60);
 /// Largest random fraction by which instances search longer than the shortest time, so that they do not turn
--- a/crates/forward/src/connection_pool.rs
+++ b/crates/forward/src/connection_pool.rs
@@ -1,5 +1,7 @@
 //! Connections to endpoints and to the platform, and one exchange over a connection.
 //!
+//! A connection to an endpoint is direct or leads through a peer, as [`Reach`] decides.
+//!
 //! Connections are kept and reused, the most recently used first, because a new connection is costly for an
 //! endpoint. A connection is kept only after a complete response that allows reuse. An exchange distinguishes
 //! requests that provably never left this process, which may be sent again whatever their class, from those
@@ -20,11 +22,14 @@
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use teaselshunt_completeness::BodyMonitor;
-use tokio::net::TcpStream;
+use teaselshunt_routing::{CheckResult, Path};
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::task::JoinHandle;
 
 use crate::reach::{Destination, Reach};
 use crate::response_reader::ResponseReader;
+use crate::sockets;
+use crate::tunnels::{self, TunnelFailure};
 
 /// Longest time to open a connection: about a hundred round trips, and shorter than the time after which a
 /// lost SYN packet is retransmitted.
@@ -68,13 +73,32 @@
     }
 }
 
+/// Over which way a connection leads.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Via {
+    Direct,
+    /// Through a tunnel that this peer opened.
+    Peer(SocketAddr),
+}
+
+/// Whether an endpoint can be reached.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Reachability {
+    Reachable,
+    /// This instance cannot reach it, and neither can a peer, if there is one to ask.
+    Unreachable,
+    /// This instance cannot reach it, and no peer can tell.
+    Unknown,
+}
+
 /// An open connection without a request in progress. Dropping it closes the connection.
 #[derive(Debug)]
 pub(crate) struct Connection {
     sender: SendRequest<Full<Bytes>>,
     task: JoinHandle<()>,
     address: SocketAddr,
-    /// Set for a connection to an endpoint.
+    via: Via,
+    /// Set for a direct connection to an endpoint.
     reach: Option<Rc<Reach>>,
     opened: Instant,
     keep_alive: Duration,
@@ -83,6 +107,10 @@
 }
 
 impl Connection {
+    pub(crate) const fn via(&self) -> Via {
+        self.via
+    }
+
     /// Records that bytes of a response arrived.
     pub(crate) fn record_bytes(&self) {
         if let Some(reach) = &self.reach {
@@ -99,6 +127,19 @@
     }
 }
 
+/// Under which conditions a request is sent.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct SendCondition<F> {
+    /// Whether the request may still be sent once there is a connection.
+    pub(crate) may_send: F,
+    /// Whether the request may be sent again, so that it need not wait for a response over a lost link.
+    pub(crate) repeatable: bool,
+}
+
+impl SendCondition<fn() -> bool> {
+    const ALWAYS: Self = Self { may_send: || true, repeatable: false };
+}
+
 /// Idle connections by address.
 #[derive(Debug, Default)]
 pub(crate) struct ConnectionPool {
@@ -116,7 +157,8 @@
         request: Request<Full<Bytes>>,
         until: Instant,
     ) -> Result<(Parts, ResponseReader), ExchangeFailure> {
-        self.exchange_if(destination, request, until, || true).await
+        let exchange = self.send(destination, request, SendCondition::ALWAYS);
+        tokio::time::timeout_at(until.into(), exchange).await.unwrap_or(Err(ExchangeFailure::TimedOut))
     }
 
     /// The same for a request that is only sent if it still may be once there is a connection.
@@ -125,10 +167,23 @@
         destination: &Destination,
         request: Request<Full<Bytes>>,
         until: Instant,
-        may_send: impl Fn() -> bool,
+        condition: SendCondition<impl Fn() -> bool>,
+    ) -> Result<(Parts, ResponseReader), ExchangeFailure> {
+        let exchange = self.send(destination, request, condition);
+        tokio::time::timeout_at(until.into(), exchange).await.unwrap_or(Err(ExchangeFailure::TimedOut))
+    }
+
+    /// Sends a request over this connection, and waits for the head of the response.
+    pub(crate) async fn exchange_over(
+        &self,
+        connection: Connection,
+        request: Request<Full<Bytes>>,
+        until: Instant,
     ) -> Result<(Parts, ResponseReader), ExchangeFailure> {
-        match tokio::time::timeout_at(until.into(), self.send(destination, request, may_send)).await {
-            Ok(result) => result,
+        let exchange = self.send_over(connection, request, false);
+        match tokio::time::timeout_at(until.into(), exchange).await {
+            Ok(Ok(response)) => Ok(response),
+            Ok(Err((failure, _))) => Err(failure),
             Err(_) => Err(ExchangeFailure::TimedOut),
         }
     }
@@ -137,76 +192,176 @@
         &self,
         destination: &Destination,
         mut request: Request<Full<Bytes>>,
-        may_send: impl Fn() -> bool,
+        condition: SendCondition<impl Fn() -> bool>,
     ) -> Result<(Parts, ResponseReader), ExchangeFailure> {
-        let size = hyper::body::Body::size_hint(request.body()).exact().unwrap_or(u64::MAX);
-        let method = request.method().clone();
         loop {
-            let (mut connection, is_new) = match self.take(destination.address) {
+            let path = match destination.endpoint {
+                Some(_) => self.reach.path(destination.address),
+                None => Path::Direct,
+            };
+            let (mut connection, is_new) = match self.take(destination.address, path) {
                 Some(connection) => (connection, false),
-                None => (self.connect(destination).await?, true),
+                None => (self.connect(destination, path).await?, true),
             };
-            if !may_send() {
+            if !(condition.may_send)() {
                 connection.reusable = true;
                 self.put(connection);
                 return Err(ExchangeFailure::Withheld);
             }
-            if connection.reach.is_some() {
-                self.reach.record_send(destination.address);
+            match self.send_over(connection, request, condition.repeatable).await {
+                Ok(response) => return Ok(response),
+                // The connection was closed before anything was written to it.
+                Err((_, Some(unsent))) if !is_new => request = unsent,
+                Err((failure, _)) => return Err(failure),
             }
-            match connection.sender.try_send_request(request).await {
-                Ok(response) => {
-                    connection.record_bytes();
-                    connection.keep_alive = announced_keep_alive(response.headers());
-                    connection.reusable = size <= MAX_REUSE_BODY_BYTES as u64 && may_reuse(&response);
-                    let (head, body) = response.into_parts();
-                    let monitor = BodyMonitor::new(&method, head.status, &head.headers);
-                    return Ok((head, ResponseReader::new(body, connection, monitor)));
-                }
-                Err(mut error) => match error.take_message() {
-                    // The connection was closed before anything was written to it.
-                    Some(unsent) if !is_new => request = unsent,
-                    Some(_) => return Err(ExchangeFailure::Unsent),
-                    None => {
-                        if connection.reach.is_some() {
-                            self.reach.record_failure(destination.address);
-                        }
-                        return Err(ExchangeFailure::Broken);
+        }
+    }
+
+    /// Sends a request over a connection. A request that was not written is returned with the failure.
+    async fn send_over(
+        &self,
+        mut connection: Connection,
+        request: Request<Full<Bytes>>,
+        repeatable: bool,
+    ) -> Result<(Parts, ResponseReader), (ExchangeFailure, Option<Request<Full<Bytes>>>)> {
+        let size = hyper::body::Body::size_hint(request.body()).exact().unwrap_or(u64::MAX);
+        let method = request.method().clone();
+        let reach = connection.reach.clone();
+        if let Some(reach) = &reach {
+            reach.record_send(connection.address);
+        }
+        let address = connection.address;
+        let until_lost = async {
+            match &reach {
+                Some(reach) if repeatable => reach.until_lost(address).await,
+                _ => std::future::pending().await,
+            }
+        };
+        let result = tokio::select! {
+            result = connection.sender.try_send_request(request) => result,
+            () = until_lost => return Err((ExchangeFailure::Broken, None)),
+        };
+        match result {
+            Ok(response) => {
+                connection.record_bytes();
+                connection.keep_alive = announced_keep_alive(response.headers());
+                connection.reusable = size <= MAX_REUSE_BODY_BYTES as u64 && may_reuse(&response);
+                let (head, body) = response.into_parts();
+                let monitor = BodyMonitor::new(&method, head.status, &head.headers);
+                Ok((head, ResponseReader::new(body, connection, monitor)))
+            }
+            Err(mut error) => match error.take_message() {
+                Some(unsent) => Err((ExchangeFailure::Unsent, Some(unsent))),
+                None => {
+                    if let Some(reach) = &reach {
+                        reach.record_failure(address);
                     }
-                },
+                    Err((ExchangeFailure::Broken, None))
+                }
+            },
+        }
+    }
+
+    /// Finds out whether an endpoint can be reached, and keeps the connection that shows it, since new connections are
+    /// costly for endpoints.
+    pub(crate) async fn reachability(&self, destination: &Destination) -> Reachability {
+        let connection = match self.connect_directly(destination).await {
+            Ok(connection) => Ok(connection),
+            Err(_) => self.connect_by_tunnel(destination).await,
+        };
+        match connection {
+            Ok(mut connection) => {
+                connection.reusable = true;
+                self.put(connection);
+                Reachability::Reachable
+            }
+            Err(TunnelFailure::Unreachable) => Reachability::Unreachable,
+            Err(TunnelFailure::NoPeer) if self.reach.peers().is_any_usable(Instant::now()) => {
+                Reachability::Unknown
             }
+            Err(TunnelFailure::NoPeer) => Reachability::Unreachable,
         }
     }
 
-    /// Whether a new connection can be opened now. The connection is kept, since new connections are costly
-    /// for endpoints.
-    pub(crate) async fn can_connect(&self, destination: &Destination) -> bool {
-        let Ok(mut connection) = self.connect(destination).await else { return false };
-        connection.reusable = true;
-        self.put(connection);
-        true
+    /// Opens a connection over a path, or else over the other one.
+    async fn connect(&self, destination: &Destination, path: Path) -> Result<Connection, ExchangeFailure> {
+        match path {
+            Path::None => Err(ExchangeFailure::Unsent),
+            Path::Direct => match self.connect_directly(destination).await {
+                Err(_) if destination.endpoint.is_some() && self.reach.may_ask_peer(destination.address) => {
+                    self.connect_by_tunnel(destination).await.map_err(|_| ExchangeFailure::Unsent)
+                }
+                result => result,
+            },
+            Path::Tunnel => match self.connect_by_tunnel(destination).await {
+                Err(_) => self.connect_directly(destination).await,
+                result => result.map_err(|_| ExchangeFailure::Unsent),
+            },
+        }
     }
 
-    async fn connect(&self, destination: &Destination) -> Result<Connection, ExchangeFailure> {
+    /// Opens a connection of this instance's own.
+    pub(crate) async fn connect_directly(
+        &self,
+        destination: &Destination,
+    ) -> Result<Connection, ExchangeFailure> {
         let reach = destination.endpoint.as_ref().map(|_| Rc::clone(&self.reach));
-        let result = connect(destination.address, reach).await;
-        if result.is_err() && destination.endpoint.is_some() {
-            self.reach.record_failure(destination.address);
+        let connecting = tokio::time::timeout(CONNECT_TIMEOUT, sockets::connect(destination.address));
+        if let Ok(Ok(stream)) = connecting.await {
+            return shake_hands(stream, destination.address, Via::Direct, reach).await;
+        }
+        if let Some(reach) = reach {
+            reach.record_failure(destination.address);
         }
-        result
+        Err(ExchangeFailure::Unsent)
     }
 
-    /// What is known of the links to endpoints.
+    /// Opens a connection through any peer. It counts as a check of the endpoint's link.
+    async fn connect_by_tunnel(&self, destination: &Destination) -> Result<Connection, TunnelFailure> {
+        let endpoint = destination.endpoint.as_deref().ok_or(TunnelFailure::NoPeer)?;
+        match tunnels::open(&self.reach, endpoint).await {
+            Ok(stream) => {
+                self.reach.record_check(destination.address, CheckResult::Tunnel);
+                let via = Via::Peer(stream.peer());
+                let connection = shake_hands(stream, destination.address, via, None).await;
+                connection.map_err(|_| TunnelFailure::NoPeer)
+            }
+            Err(failure) => {
+                self.reach.record_check(destination.address, CheckResult::Neither);
+                Err(failure)
+            }
+        }
+    }
+
+    /// Opens a connection through this peer.
+    pub(crate) async fn connect_through(
+        &self,
+        destination: &Destination,
+        peer: SocketAddr,
+    ) -> Result<Connection, ExchangeFailure> {
+        let endpoint = destination.endpoint.as_deref().ok_or(ExchangeFailure::Unsent)?;
+        let opened = tunnels::open_through(&self.reach, endpoint, peer).await;
+        let stream = opened.map_err(|_| ExchangeFailure::Unsent)?;
+        shake_hands(stream, destination.address, Via::Peer(peer), None).await
+    }
+
+    /// What is known of the ways to endpoints.
     pub(crate) fn reach(&self) -> &Rc<Reach> {
         &self.reach
     }
 
-    fn take(&self, address: SocketAddr) -> Option<Connection> {
+    /// An idle connection over this path. Those over the other one are closed: the link was lost or is back.
+    fn take(&self, address: SocketAddr, path: Path) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&address)?;
         while let Some(connection) = connections.pop() {
             let is_fresh = connection.idle_since.elapsed() < connection.keep_alive;
-            if is_fresh && connection.sender.is_ready() && !connection.sender.is_closed() {
+            let fits = match (connection.via, path) {
+                (Via::Direct, Path::Direct) => true,
+                (Via::Peer(peer), Path::Tunnel) => self.reach.peers().is_usable(Instant::now(), peer),
+                (Via::Direct | Via::Peer(_), _) => false,
+            };
+            if fits && is_fresh && connection.sender.is_ready() && !connection.sender.is_closed() {
                 return Some(connection);
             }
         }
@@ -243,13 +398,13 @@
     }
 }
 
-async fn connect(address: SocketAddr, reach: Option<Rc<Reach>>) -> Result<Connection, ExchangeFailure> {
-    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
-    let Ok(Ok(stream)) = connecting.await else {
-        return Err(ExchangeFailure::Unsent);
-    };
-    // Sends small writes without delay; a failure only costs latency.
-    let _ = stream.set_nodelay(true);
+/// Begins to speak HTTP on a stream.
+async fn shake_hands(
+    stream: impl AsyncRead + AsyncWrite + Unpin + 'static,
+    address: SocketAddr,
+    via: Via,
+    reach: Option<Rc<Reach>>,
+) -> Result<Connection, ExchangeFailure> {
     let io = TokioIo::new(stream);
     let Ok((sender, connection)) = http1::Builder::new().max_buf_size(BUFFER_BYTES).handshake(io).await
     else {
@@ -263,6 +418,7 @@
         sender,
         task,
         address,
+        via,
         reach,
         opened: Instant::now(),
         keep_alive: DEFAULT_KEEP_ALIVE,
--- a/crates/forward/src/crashes.rs
+++ b/crates/forward/src/crashes.rs
@@ -3,7 +3,7 @@
 //!
 //! A broken connection alone proves nothing: an endpoint can lose one response, and the network can reset
 //! connections. But an endpoint that also refuses a new connection, right after it lost a request, has ended
-//! or is partitioned. One check covers all requests that the endpoint lost meanwhile.
+//! or is partitioned. If a peer reaches it, only this instance has lost its link to it. One check covers all requests that the endpoint lost meanwhile.
 //!
 //! If a caller disconnects, this instance itself closes the connection to the endpoint, so that the endpoint
 //! is not checked. If the endpoint crashes at about that time, under other requests that this instance or a
@@ -18,6 +18,7 @@
 use teaselshunt_core::{Crash, EndpointIncarnation, Fingerprint};
 use teaselshunt_routing::{EndpointKey, EndpointState};
 
+use crate::connection_pool::Reachability;
 use crate::node::{Job, Node};
 use crate::reach::Destination;
 use crate::trace::Trace;
@@ -151,14 +152,16 @@
 async fn finish_check(node: Rc<Node>, endpoint: EndpointKey) {
     tokio::time::sleep(CHECK_DELAY).await;
     let live = live_endpoint(&node, endpoint);
-    let is_reachable = match &live {
+    let reachability = match &live {
         Some((address, id, _)) => {
-            node.pool.can_connect(&Destination::endpoint(*address, Arc::clone(id))).await
+            node.pool.reachability(&Destination::endpoint(*address, Arc::clone(id))).await
         }
-        None => true,
+        None => Reachability::Reachable,
     };
     let mut losses = node.losses.borrow_mut().remove(&endpoint).unwrap_or_default();
-    let Some((_, id, incarnation)) = live.filter(|_| !is_reachable) else { return };
+    let Some((_, id, incarnation)) = live.filter(|_| reachability == Reachability::Unreachable) else {
+        return;
+    };
     if let Some(first) = losses.first().map(|loss| loss.at) {
         losses.extend(
             node.abandoned.borrow_mut().take_present(incarnation, first).into_iter().map(|run| run.loss),
--- a/crates/forward/src/generate.rs
+++ b/crates/forward/src/generate.rs
@@ -193,8 +193,11 @@
         if result.as_ref().is_err_and(|failure| failure.may_have_run()) {
             crashes::check_endpoint(node, job, trace, reserved.endpoint, sent_at);
         }
-        let text = result.as_ref().map_or_else(|f| f.text(), |_| "answered");
-        trace.record_step("decode", &node.id_for_log(reserved.endpoint), text);
+        let text = match &result {
+            Ok(answer) => format!("answered{}", answer.via_text()),
+            Err(failure) => failure.text().to_owned(),
+        };
+        trace.record_step("decode", &node.id_for_log(reserved.endpoint), &text);
         match result {
             Ok(answer) => {
                 reserved.id = None;
--- a/crates/forward/src/gossip.rs
+++ b/crates/forward/src/gossip.rs
@@ -32,6 +32,7 @@
 use crate::node::{Node, Phase};
 use crate::queue;
 use crate::rates::{self, RateEntry};
+use crate::reach;
 use crate::statements;
 
 /// How long all crash reports that keep requests in quarantine are sent after a new peer was observed, which
@@ -111,6 +112,13 @@
     load: Option<LoadReport>,
 }
 
+/// End of a datagram. Builds that do not know it ignore it, and it is missing in their datagrams.
+#[derive(Debug, Default, Serialize, Deserialize)]
+struct Extension {
+    /// Whether the sender opens tunnels to endpoints.
+    takes_tunnels: bool,
+}
+
 /// Sends and receives gossip until the process ends.
 pub(crate) async fn run(
     catalog: Rc<Catalog>,
@@ -186,7 +194,9 @@
 
 impl Gossip {
     fn receive(&mut self, from: SocketAddr, data: &[u8]) {
-        let Ok((datagram, trailer)) = postcard::from_bytes::<(Datagram, Trailer)>(data) else { return };
+        let Ok(((datagram, trailer), rest)) = postcard::take_from_bytes::<(Datagram, Trailer)>(data) else {
+            return;
+        };
         if datagram.version != VERSION {
             return;
         }
@@ -196,6 +206,12 @@
                 if same_domain {
                     self.catalog.observe_snapshot_source(from, report.snapshot_revision);
                 }
+                let extension: Extension = postcard::from_bytes(rest).unwrap_or_default();
+                let lifetime =
+                    failure_timeout(plausible_interval(Duration::from_millis(trailer.next.into())));
+                let takes_tunnels = extension.takes_tunnels && !report.leaving;
+                let now = self.node.now();
+                self.node.pool.reach().peers().observe(now, from, takes_tunnels, same_domain, lifetime);
                 self.receive_report(from, datagram.domain, *report, trailer);
             }
             Content::StoreUpdate(update) if same_domain && self.peers.contains(from) => {
@@ -304,11 +320,14 @@
         let has_new_peer = self.new_peer_at.is_some_and(|at| now.duration_since(at) < NEW_PEER_WINDOW);
         let uptime = self.node.clock.uptime();
         let leaving = self.node.phase() > Phase::Serving;
+        let is_sound = self.node.pool.reach().is_sound(now);
         let (in_flight, suspects, local_prefills, crash_update, spending, instances) = {
             let state = &mut *self.node.state.borrow_mut();
             let work = state.endpoints.own_work(now);
             let in_flight = work.tokens.into_iter().map(|(tag, tokens)| (tag.0, tokens)).collect();
-            let suspects = work.suspects.into_iter().map(|tag| tag.0).collect();
+            // What this instance cannot reach says nothing about endpoints while it doubts its own links.
+            let suspects =
+                if is_sound { work.suspects.into_iter().map(|tag| tag.0).collect() } else { Vec::new() };
             let local_prefills = work.local_prefills.into_iter().map(|tag| tag.0).collect();
             let crash_update = state.quarantine.update(now, has_new_peer);
             let spending = state.quotas.team_spending(uptime);
@@ -360,12 +379,13 @@
         let datagram = Datagram { version: VERSION, domain: self.domain, content };
         let Ok(data) = postcard::to_allocvec(&datagram) else { return };
         let load = if is_report { load::report(&self.node) } else { LoadReport::default() };
+        let extension = Extension { takes_tunnels: is_report && reach::takes_tunnels(&self.node) };
         let mut encoded = HashMap::new();
         for peer in targets {
             let domain = self.peers.domain_of(peer);
             let data = encoded.entry(domain).or_insert_with(|| {
                 let trailer = if is_report { self.trailer(domain, &load) } else { Trailer::default() };
-                postcard::to_extend(&trailer, data.clone()).unwrap_or_default()
+                postcard::to_extend(&(trailer, &extension), data.clone()).unwrap_or_default()
             });
             // A datagram that cannot be sent is treated like a lost one.
             let _ = socket.send_to(data, peer).await;
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -8,7 +8,9 @@
 //! (admission to services that lack capacity), `rates` (rate limits that endpoints advertise), `statements`
 //! (what endpoints state about themselves), `stream`, `body` with `buffering` (bytes that slow callers have
 //! not read), `node` (state, one step at an endpoint), `in_flight` (accounts of work in progress) and
-//! `connection_pool` with `response_reader`. Decisions without input or output are in the crates
+//! `connection_pool` with `response_reader`, `reach` (over which way a connection to an endpoint leads), `tunnels`
+//! (connections through a peer) and `sockets`. `peer_listener` serves peers: snapshots of `catalog`, and tunnels by
+//! `tunnel_listener`. Decisions without input or output are in the crates
 //! `teaselshunt-routing` and `teaselshunt-completeness` (whether a response is complete).
 //!
 //! Connections of callers and of endpoints use `hyper` directly. A framework above it ends a failed stream as
@@ -44,6 +46,7 @@
 mod node;
 mod orders;
 mod pace;
+mod peer_listener;
 mod plain;
 mod protocol;
 mod queue;
@@ -54,10 +57,13 @@
 mod reservations;
 mod response_reader;
 mod settings;
+mod sockets;
 mod statements;
 mod stream;
 mod supervisor;
 mod trace;
+mod tunnel_listener;
+mod tunnels;
 mod waste;
 
 pub use protocol::{
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -40,6 +40,9 @@
     pub(crate) wasted_prefill: IntCounterVec,
     pub(crate) doubtful_links: IntGauge,
     pub(crate) suspected_endpoints: IntGauge,
+    pub(crate) lost_links: IntGauge,
+    pub(crate) unreachable_endpoints: IntGauge,
+    pub(crate) open_tunnels: IntGauge,
     response_ends: IntCounterVec,
     team_requests: IntCounterVec,
     /// Teams that have a label of their own.
@@ -146,6 +149,12 @@
                 "suspected_endpoints",
                 "Endpoints avoided because peers report that they cannot use them.",
             )?,
+            lost_links: gauge("lost_links", "Endpoints that only peers reach.")?,
+            unreachable_endpoints: gauge(
+                "unreachable_endpoints",
+                "Endpoints that neither this instance nor a peer reaches.",
+            )?,
+            open_tunnels: gauge("open_tunnels", "Tunnels to endpoints that this instance keeps for peers.")?,
             response_ends: counter(
                 "response_ends_total",
                 "Responses of endpoints and of the platform, by framing and by how they ended.",
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -20,14 +20,15 @@
 use teaselshunt_core::{Clock, ErrorKind, Fingerprint, Quarantine, Refusal};
 use teaselshunt_routing::{
     Admission, Advances, BodyMemory, Budgets, EndpointKey, Endpoints, Need, OutputEstimate, PrefillEstimate,
-    Priority, Refusals, RetryDetector, Returns, Route, RouteSet, Sends, Service, Stage, StepOutcome, Waiters,
+    Priority, Refusals, Repeat, RetryDetector, Returns, Route, RouteSet, Sends, Service, Stage, StepOutcome,
+    Waiters,
 };
 use teaselshunt_teams::{Quotas, Team};
 use tokio::sync::{Notify, watch};
 
 use crate::admission::Charge;
 use crate::buffering::BufferedBytes;
-use crate::connection_pool::{ConnectionPool, ExchangeFailure};
+use crate::connection_pool::{ConnectionPool, ExchangeFailure, SendCondition, Via};
 use crate::crashes::{AbandonedRuns, Loss};
 use crate::in_flight::InFlightWork;
 use crate::load;
@@ -111,6 +112,8 @@
     pub(crate) peer_count: Cell<usize>,
     /// Open connections of callers.
     pub(crate) connections: Cell<usize>,
+    /// Open tunnels of peers.
+    pub(crate) tunnels: Cell<usize>,
     /// Requests that endpoints lost, until it is known whether the endpoints have crashed.
     pub(crate) losses: RefCell<HashMap<EndpointKey, Vec<Loss>>>,
     /// Runs whose callers disconnected recently.
@@ -175,6 +178,12 @@
         tokens.min(memory).min(u32::MAX.into())
     }
 
+    /// Whether a step may be made again while nothing is known of its outcome.
+    fn is_repeatable(&self, purpose: Purpose<'_>) -> bool {
+        let is_prefill = matches!(purpose, Purpose::Prefill);
+        is_prefill || matches!(self.route.repeat, Repeat::Idempotent | Repeat::Stream { resumable: true })
+    }
+
     /// Identifies the request if it is sent again.
     pub(crate) fn fingerprint(&self) -> Fingerprint {
         *self.fingerprint.get_or_init(|| {
@@ -203,6 +212,14 @@
 }
 
 impl Answer {
+    /// The peer through which the response comes, for logs.
+    pub(crate) fn via_text(&self) -> String {
+        match self.body.via() {
+            Via::Direct => String::new(),
+            Via::Peer(peer) => format!("(via {})", peer.ip()),
+        }
+    }
+
     /// Whether the response is a success whose body is passed on while it arrives, where the route has streams.
     pub(crate) fn is_stream(&self) -> bool {
         self.head.status.is_success() && self.body.framing() != Framing::Empty
@@ -442,8 +459,9 @@
         }
         work.sent.set(true);
         let may_send = || self.locate_available(key).is_some();
+        let condition = SendCondition { may_send, repeatable: job.is_repeatable(purpose) };
         let destination = Destination::endpoint(address, id);
-        let result = self.pool.exchange_if(&destination, request, until.min(job.deadline), may_send).await;
+        let result = self.pool.exchange_if(&destination, request, until.min(job.deadline), condition).await;
         work.sent.set(!matches!(result, Err(ExchangeFailure::Unsent | ExchangeFailure::Withheld)));
         let step = step_name(purpose);
         let outcome = match result {
--- a/crates/forward/src/plain.rs
+++ b/crates/forward/src/plain.rs
@@ -232,8 +232,8 @@
     load::record_call(node, job);
     let id = node.id_for_log(key);
     let guard = CallGuard::new(node, job, key);
-    let mut end = None;
-    let result = send_and_read(node, job, work, &mut end).await;
+    let (mut end, mut via) = (None, String::new());
+    let result = send_and_read(node, job, work, &mut end, &mut via).await;
     let sent_at = guard.ended();
     if result.as_ref().is_err_and(|failure| failure.may_have_run()) {
         crashes::check_endpoint(node, job, trace, key, sent_at);
@@ -245,19 +245,21 @@
         Err(failure) => failure.text(),
     };
     let end = end.map_or_else(String::new, |end| end.to_string());
-    trace.record_step("run", &id, &format!("{text}{end}"));
+    trace.record_step("run", &id, &format!("{text}{end}{via}"));
     result
 }
 
 /// Sends the request, and reads the response unless it is a stream. `end` is set to how the response ended, also
-/// where that is a failure.
+/// where that is a failure, and `via` to the peer through which it came.
 async fn send_and_read(
     node: &Rc<Node>,
     job: &Job,
     work: InFlightWork,
     end: &mut Option<ResponseEnd>,
+    via: &mut String,
 ) -> Result<Outcome, StepFailure> {
     let answer = node.send(job, &work, Purpose::Run, job.deadline).await?;
+    *via = answer.via_text();
     if matches!(job.route.repeat, Repeat::Stream { .. }) && answer.is_stream() {
         return Ok(Outcome::Stream(Box::new(answer), work));
     }
--- a/crates/forward/src/protocol.rs
+++ b/crates/forward/src/protocol.rs
@@ -195,6 +195,8 @@
     fn read_kv_handle(&self, body: &[u8]) -> Option<String>;
     /// Frees a KV cache.
     fn free_kv_cache(&self, handle: &str) -> Call;
+    /// Asks the endpoint with the id `endpoint_id` for its report. Any response shows that the endpoint is reached.
+    fn report(&self, endpoint_id: &str) -> Call;
     /// Orders an engine to take a stage.
     fn order(&self, order: Order<'_>) -> Call;
     /// Lists the store's entries, from the key after `after`.
--- a/crates/forward/src/reach.rs
+++ b/crates/forward/src/reach.rs
@@ -1,14 +1,33 @@
-//! How this instance reaches endpoints: its own links, and what was found out about them.
+//! How this instance reaches endpoints: over its own links, or through peers.
+//!
+//! [`Links`] decides which way a connection to an endpoint takes, and [`TunnelPeers`] through which peer. This module
+//! keeps both for the connection pool, and runs the checks that tell a lost link from an endpoint that is down.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell, RefMut};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use slog::info;
-use teaselshunt_routing::Links;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use slog::{debug, info};
+use teaselshunt_routing::{CheckResult, LinkChange, Links, Path, TunnelPeers};
+use tokio::sync::Notify;
 
-use crate::node::Node;
+use crate::connection_pool::Connection;
+use crate::node::{Node, Phase};
+
+/// Longest time for an endpoint's answer to a check over a direct connection.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(200);
+/// The same through a peer.
+const TUNNEL_CHECK_TIMEOUT: Duration = Duration::from_millis(300);
+/// Peers that a check asks at a time.
+const CHECK_PEERS: usize = 3;
+/// Failing links from which an instance that has heard nothing since does not vouch for what it cannot reach.
+const DOUBTFUL_MIN: usize = 2;
 
 /// Where a request goes.
 #[derive(Debug, Clone)]
@@ -25,13 +44,39 @@
     }
 }
 
-/// Knowledge of the links to endpoints.
-#[derive(Debug, Default)]
+/// What is known of the ways to endpoints.
+#[derive(Debug)]
 pub(crate) struct Reach {
     links: RefCell<Links>,
+    peers: RefCell<TunnelPeers<SocketAddr>>,
+    rng: RefCell<SmallRng>,
+    /// Changes of links that are not logged yet.
+    changes: RefCell<Vec<(SocketAddr, LinkChange)>>,
+    /// Notified when a link is lost.
+    lost: Notify,
+    /// Number of lost links in the last log line.
+    logged: Cell<usize>,
+}
+
+impl Default for Reach {
+    fn default() -> Self {
+        Self {
+            links: RefCell::default(),
+            peers: RefCell::default(),
+            rng: RefCell::new(SmallRng::from_os_rng()),
+            changes: RefCell::default(),
+            lost: Notify::new(),
+            logged: Cell::new(0),
+        }
+    }
 }
 
 impl Reach {
+    /// How a request reaches an endpoint now.
+    pub(crate) fn path(&self, endpoint: SocketAddr) -> Path {
+        self.links.borrow_mut().path(Instant::now(), endpoint)
+    }
+
     /// Records that a request was sent to an endpoint over a direct connection.
     pub(crate) fn record_send(&self, endpoint: SocketAddr) {
         self.links.borrow_mut().record_send(Instant::now(), endpoint);
@@ -39,7 +84,9 @@
 
     /// Records that bytes of an endpoint arrived over a direct connection that was opened at `opened`.
     pub(crate) fn record_bytes(&self, endpoint: SocketAddr, opened: Instant) {
-        self.links.borrow_mut().record_bytes(Instant::now(), endpoint, opened);
+        if self.links.borrow_mut().record_bytes(Instant::now(), endpoint, opened) {
+            self.changes.borrow_mut().push((endpoint, LinkChange::Restored));
+        }
     }
 
     /// Records that a direct connection could not be opened, or broke before its response began.
@@ -47,20 +94,169 @@
         self.links.borrow_mut().record_failure(Instant::now(), endpoint);
     }
 
-    pub(crate) fn links(&self) -> std::cell::Ref<'_, Links> {
-        self.links.borrow()
+    /// Records the result of a check, or of an attempt to connect that counts as one.
+    pub(crate) fn record_check(&self, endpoint: SocketAddr, result: CheckResult) {
+        let change = self.links.borrow_mut().record_check(Instant::now(), endpoint, result);
+        if let Some(change) = change {
+            self.changes.borrow_mut().push((endpoint, change));
+        }
+        if change == Some(LinkChange::Lost) {
+            self.lost.notify_waiters();
+        }
+    }
+
+    /// Waits until the link to an endpoint is lost.
+    pub(crate) async fn until_lost(&self, endpoint: SocketAddr) {
+        loop {
+            let lost = self.lost.notified();
+            if self.links.borrow().is_lost(endpoint) {
+                return;
+            }
+            lost.await;
+        }
+    }
+
+    /// Whether a peer may be asked now for a way to an endpoint.
+    pub(crate) fn may_ask_peer(&self, endpoint: SocketAddr) -> bool {
+        self.links.borrow().may_ask_peer(Instant::now(), endpoint)
+    }
+
+    /// Chooses a peer that is none of `tried`.
+    pub(crate) fn choose_peer(&self, tried: &[SocketAddr]) -> Option<SocketAddr> {
+        self.peers.borrow().choose(Instant::now(), tried, &mut *self.rng.borrow_mut())
+    }
+
+    /// Peers that take tunnels.
+    pub(crate) fn peers(&self) -> RefMut<'_, TunnelPeers<SocketAddr>> {
+        self.peers.borrow_mut()
+    }
+
+    /// Whether nothing reaches any endpoint, so that a request can be refused at once.
+    pub(crate) fn is_isolated(&self, now: Instant) -> bool {
+        self.links.borrow().is_isolated(now)
+    }
+
+    /// Whether what this instance cannot reach says something about endpoints.
+    pub(crate) fn is_sound(&self, now: Instant) -> bool {
+        let links = self.links.borrow();
+        let doubt = links.is_in_doubt(now) && links.doubtful_count(now) >= DOUBTFUL_MIN;
+        !links.is_cut_off() && !doubt
     }
 }
 
-/// Logs when this instance begins or ceases to doubt its own links, and updates the gauge. Returns whether it doubts
-/// them now.
-pub(crate) fn observe(node: &Node, was_in_doubt: bool) -> bool {
-    let (now, links) = (node.now(), node.pool.reach().links());
-    let (in_doubt, doubtful) = (links.is_in_doubt(now), links.doubtful_count(now));
+/// Whether this instance opens tunnels for peers.
+pub(crate) fn takes_tunnels(node: &Node) -> bool {
+    node.phase() == Phase::Serving && node.is_ready() && node.pool.reach().is_sound(node.now())
+}
+
+/// Starts the checks that are due, logs what changed, and updates the gauges. Returns whether this instance doubts its
+/// links.
+pub(crate) fn maintain(node: &Rc<Node>, was_in_doubt: bool) -> bool {
+    let (now, reach) = (node.now(), node.pool.reach());
+    reach.peers.borrow_mut().expire(now);
+    let due = reach.links.borrow_mut().due_checks(now, &mut *reach.rng.borrow_mut());
+    for endpoint in due {
+        tokio::task::spawn_local(check(Rc::clone(node), endpoint));
+    }
+    for (address, change) in reach.changes.take() {
+        apply_change(node, address, change);
+    }
+    let links = reach.links.borrow();
+    let (in_doubt, doubtful, lost) = (links.is_in_doubt(now), links.doubtful_count(now), links.lost_count());
     node.metrics.doubtful_links.set(doubtful as i64);
-    if in_doubt != was_in_doubt {
-        let state = if in_doubt { "in_doubt" } else { "sound" };
-        info!(node.log, "links"; "state" => state, "doubtful" => doubtful);
+    node.metrics.lost_links.set(lost as i64);
+    node.metrics.unreachable_endpoints.set(links.unreachable_count() as i64);
+    if in_doubt != was_in_doubt || reach.logged.replace(lost) != lost {
+        info!(node.log, "links"; "in_doubt" => in_doubt, "doubtful" => doubtful, "lost" => lost,
+            "cut_off" => links.is_cut_off());
     }
     in_doubt
 }
+
+/// Logs a change of a link. Results at its endpoint showed something about the link, and are forgotten.
+fn apply_change(node: &Node, address: SocketAddr, change: LinkChange) {
+    let state = match change {
+        LinkChange::Lost => "lost",
+        LinkChange::Unreachable => "unreachable",
+        LinkChange::Restored => "restored",
+    };
+    let state_of_node = &mut *node.state.borrow_mut();
+    let id = state_of_node.endpoints.at_address(address).map(|endpoint| Arc::clone(&endpoint.id));
+    info!(node.log, "link"; "endpoint" => id.as_deref(), "address" => %address, "state" => state);
+    if change != LinkChange::Unreachable {
+        state_of_node.endpoints.forget_results(address);
+    }
+}
+
+/// Finds out whether an endpoint answers directly, or else through a peer.
+async fn check(node: Rc<Node>, address: SocketAddr) {
+    let id = node.state.borrow().endpoints.at_address(address).map(|endpoint| Arc::clone(&endpoint.id));
+    let reach = node.pool.reach();
+    let Some(id) = id else {
+        reach.links.borrow_mut().forget(address);
+        return;
+    };
+    let destination = Destination::endpoint(address, id);
+    let was_lost = reach.links.borrow().is_lost(address);
+    let until = node.now() + CHECK_TIMEOUT;
+    let connecting = tokio::time::timeout_at(until.into(), node.pool.connect_directly(&destination));
+    if let Ok(Ok(connection)) = connecting.await
+        && answers(&node, &destination, connection, until).await
+    {
+        node.metrics.count_step("check", "direct");
+        return reach.record_check(address, CheckResult::Direct);
+    }
+    if was_lost {
+        node.metrics.count_step("check", "lost");
+        return;
+    }
+    let result = if check_through_peers(&node, &destination).await {
+        CheckResult::Tunnel
+    } else {
+        CheckResult::Neither
+    };
+    node.metrics.count_step("check", if result == CheckResult::Tunnel { "tunnel" } else { "neither" });
+    reach.record_check(address, result);
+}
+
+/// Whether an endpoint answers through any of some peers.
+async fn check_through_peers(node: &Rc<Node>, destination: &Destination) -> bool {
+    let reach = node.pool.reach();
+    let mut peers = Vec::new();
+    while peers.len() < CHECK_PEERS
+        && let Some(peer) = reach.choose_peer(&peers)
+    {
+        peers.push(peer);
+    }
+    let until = node.now() + TUNNEL_CHECK_TIMEOUT;
+    let mut asked: FuturesUnordered<_> = peers
+        .into_iter()
+        .map(|peer| async move {
+            let connecting =
+                tokio::time::timeout_at(until.into(), node.pool.connect_through(destination, peer));
+            let Ok(Ok(connection)) = connecting.await else { return false };
+            let answered = answers(node, destination, connection, until).await;
+            if !answered {
+                reach.peers().record_failure(node.now(), peer);
+            }
+            answered
+        })
+        .collect();
+    while let Some(answered) = asked.next().await {
+        if answered {
+            return true;
+        }
+    }
+    false
+}
+
+/// Whether an endpoint answers a small call over a connection, whatever it answers.
+async fn answers(node: &Node, destination: &Destination, connection: Connection, until: Instant) -> bool {
+    let id = destination.endpoint.as_deref().unwrap_or_default();
+    let call = node.protocol.report(id);
+    let result = node.call_over(connection, destination.address, call, until).await;
+    if let Err(failure) = &result {
+        debug!(node.log, "check of a link failed"; "endpoint" => id, "failure" => failure.text());
+    }
+    result.is_ok()
+}
--- a/crates/forward/src/requests.rs
+++ b/crates/forward/src/requests.rs
@@ -25,6 +25,8 @@
 /// `Retry-After` delay if the buffer memory is full: the retry may reach another instance, which may buffer
 /// less, and callers will have read some of the buffered bytes by then.
 const BUFFERS_FULL_RETRY: Duration = Duration::from_millis(200);
+/// `Retry-After` delay if nothing reaches any endpoint. The retry may reach another instance.
+const UNREACHABLE_RETRY: Duration = Duration::from_millis(300);
 /// Time after the caller's deadline within which the caller must have read its response. Responses are still
 /// delivered after the deadline.
 const READ_TIMEOUT: Duration = Duration::from_secs(10);
@@ -150,6 +152,10 @@
         trace.set_fingerprint(job.fingerprint());
         return refuse(node, refusal, trace);
     }
+    if node.pool.reach().is_isolated(node.now()) {
+        trace.record_step("reach", "any", "unreachable");
+        return refuse(node, Refusal::retryable(ErrorKind::NoEndpoint, UNREACHABLE_RETRY), trace);
+    }
     job.promised = load::redeem(node, &job, &trace);
     let is_staged = job.service.engine.is_some() && reservations::has_open_decode_engine(node, &job);
     if is_staged { generate::run(node, job, trace).await } else { plain::run(node, job, trace).await }
--- a/crates/forward/src/response_reader.rs
+++ b/crates/forward/src/response_reader.rs
@@ -7,7 +7,7 @@
 use hyper::body::Incoming;
 use teaselshunt_completeness::{BodyEnd, BodyMonitor, Completeness, Framing, Scan};
 
-use crate::connection_pool::{Connection, ExchangeFailure};
+use crate::connection_pool::{Connection, ExchangeFailure, Via};
 
 /// A body that is not read to its end, with its connection.
 #[derive(Debug)]
@@ -92,6 +92,10 @@
         Self { body, connection, monitor }
     }
 
+    pub(crate) const fn via(&self) -> Via {
+        self.connection.via()
+    }
+
     pub(crate) fn framing(&self) -> Framing {
         self.monitor.framing()
     }
--- /dev/null
+++ b/crates/forward/src/sockets.rs
@@ -0,0 +1,27 @@
+//! Options of the sockets that this process opens to endpoints, peers and the platform.
+//!
+//! A connection whose other end has vanished without a word carries no sign of it. Keep-alive probes and a limit on
+//! unacknowledged bytes end it; where both are set, the limit decides when probes give up.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::TcpStream;
+
+/// Time without a byte before the first probe, and between probes.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+/// Longest time that bytes and probes may stay unacknowledged: some lost packets in a row.
+const ACKNOWLEDGE_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Opens a connection.
+pub(crate) async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+    let stream = TcpStream::connect(address).await?;
+    // Sends small writes without delay; a failure only costs latency.
+    let _ = stream.set_nodelay(true);
+    let socket = SockRef::from(&stream);
+    socket.set_tcp_keepalive(&TcpKeepalive::new().with_time(PROBE_INTERVAL).with_interval(PROBE_INTERVAL))?;
+    socket.set_tcp_user_timeout(Some(ACKNOWLEDGE_TIMEOUT))?;
+    Ok(stream)
+}
--- a/crates/forward/src/supervisor.rs
+++ b/crates/forward/src/supervisor.rs
@@ -20,13 +20,13 @@
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::task::LocalSet;
 
-use crate::catalog::{Catalog, serve_snapshots};
+use crate::catalog::Catalog;
 use crate::connection_pool::ConnectionPool;
 use crate::metrics::Metrics;
 use crate::node::{Node, Phase, State};
 use crate::protocol::Protocol;
 use crate::settings::Settings;
-use crate::{gossip, listeners, load, logs, orders, pace, queue, reach};
+use crate::{gossip, listeners, load, logs, orders, pace, peer_listener, queue, reach};
 
 /// How instances divide teams' rate limits.
 const QUOTA_MODE: QuotaMode = QuotaMode::Shared;
@@ -131,6 +131,7 @@
         queue_wakeup: Notify::new(),
         peer_count: Cell::new(0),
         connections: Cell::new(0),
+        tunnels: Cell::new(0),
         losses: RefCell::default(),
         abandoned: RefCell::default(),
         statement_warned: Cell::new(None),
@@ -148,7 +149,7 @@
     let catalog = Rc::new(Catalog::new(&node, sender));
     spawn(&node, "store", Rc::clone(&catalog).run());
     if let Some(port) = node.settings.gossip_port {
-        spawn(&node, "copies", serve_snapshots(Rc::clone(&catalog), Rc::clone(&node), port));
+        spawn(&node, "copies", peer_listener::serve(Rc::clone(&catalog), Rc::clone(&node), port));
         spawn(&node, "peers", gossip::run(catalog, Rc::clone(&node), port, updates));
     }
     spawn(&node, "queues", queue::run(Rc::clone(&node)));
@@ -188,7 +189,7 @@
         node.state.borrow_mut().quotas.tick(node.clock.uptime());
         node.state.borrow_mut().endpoints.expire_rates(node.now());
         load::maintain(&node);
-        in_doubt = reach::observe(&node, in_doubt);
+        in_doubt = reach::maintain(&node, in_doubt);
         if run.is_multiple_of(PACE_RUNS) {
             pace::maintain(&node);
         }
@@ -254,7 +255,8 @@
             phase = next;
             node.phase.send_replace(phase);
         }
-        let idle = node.connections.get() == 0 && node.metrics.running.get() == 0;
+        let unused = node.connections.get() == 0 && node.tunnels.get() == 0;
+        let idle = unused && node.metrics.running.get() == 0;
         if idle && phase >= Phase::Closing {
             break;
         }
--- a/crates/routing/src/endpoints.rs
+++ b/crates/routing/src/endpoints.rs
@@ -455,6 +455,14 @@
         self.get(*self.by_address.get(&address)?.last()?)
     }
 
+    /// Forgets what results have shown of the endpoint at an address: they were those of the way to it.
+    pub fn forget_results(&mut self, address: SocketAddr) {
+        let key = self.by_address.get(&address).and_then(|occupants| occupants.last());
+        if let Some(entry) = key.and_then(|key| self.arena.get_mut(*key)) {
+            entry.health = HealthEstimate::default();
+        }
+    }
+
     /// An endpoint by its tag.
     pub fn by_tag(&self, tag: EngineTag) -> Option<&Endpoint> {
         self.get(self.by_tag.get(tag)?)
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -23,7 +23,8 @@
 //! - `peers` is the other instances, `store_updates` determines which of them read the platform's store for
 //!   the others, `snapshot_sources` which of them have the complete list of endpoints, and `changes` what
 //!   changed in the list lately.
-//! - `links` tells endpoints that are down from those that only this instance has lost.
+//! - `links` tells endpoints that are down from those that only this instance has lost, and `tunnel_peers` chooses
+//!   the peer through which the latter are reached.
 //! - `memory` bounds the bodies that are held for slow readers.
 //! - `budget` limits second attempts, and `sends` charges those of a generation.
 //! - `stages` decides how many engines prefill and how many decode.
@@ -57,6 +58,7 @@
 mod snapshot_sources;
 mod stages;
 mod store_updates;
+mod tunnel_peers;
 mod wait_policy;
 mod waiting;
 mod windows;
@@ -92,5 +94,6 @@
 pub use snapshot_sources::{SnapshotSearch, SnapshotSources, SnapshotStep};
 pub use stages::{StageChange, plan_stage_changes};
 pub use store_updates::{Era, EraOrder, FreezeDetector, Freshness, ReadNeed, UpdateEffect, UpdateSource};
+pub use tunnel_peers::TunnelPeers;
 pub use wait_policy::{Backoff, WaitPolicy, retry_delay};
 pub use waiting::{Fit, Obstacle, Room, SERVE_INTERVAL, WaiterKey, Waiters, Waiting};
--- a/crates/routing/src/links.rs
+++ b/crates/routing/src/links.rs
@@ -104,6 +104,13 @@
         self.lost = Some(now);
     }
 
+    /// Counts as lost with all others since `cut`.
+    fn join_cut(&mut self, cut: Option<Instant>) {
+        if let (Some(since), State::Direct) = (cut, self.state) {
+            self.lose(since);
+        }
+    }
+
     fn may_check(&self, now: Instant) -> bool {
         self.next_check.is_none_or(|at| at <= now)
     }
@@ -129,9 +136,7 @@
         let (cut, isolated) = (self.cut_since, self.is_isolated(now));
         let link = self.links.entry(endpoint).or_default();
         link.used = Some(now);
-        if let (Some(since), State::Direct) = (cut, link.state) {
-            link.lose(since);
-        }
+        link.join_cut(cut);
         match link.state {
             State::Direct => Path::Direct,
             State::Lost => Path::Tunnel,
@@ -160,8 +165,10 @@
     /// restored by that. A connection that is older than the loss may live on while new ones fail.
     pub fn record_bytes(&mut self, now: Instant, endpoint: SocketAddr, opened: Instant) -> bool {
         self.heard = Some(now);
-        let Some(link) = self.links.get_mut(&endpoint) else { return false };
+        let cut = self.cut_since;
+        let link = self.links.entry(endpoint).or_default();
         link.waiting = None;
+        link.join_cut(cut);
         if link.lost.is_some_and(|lost| opened < lost) {
             return false;
         }
@@ -280,6 +287,11 @@
         Some(lost[rng.random_range(0..lost.len())])
     }
 
+    /// Forgets the link to an address that no endpoint has any more.
+    pub fn forget(&mut self, endpoint: SocketAddr) {
+        self.links.remove(&endpoint);
+    }
+
     /// Whether all links count as lost.
     pub fn is_cut_off(&self) -> bool {
         self.cut_since.is_some()
@@ -294,7 +306,7 @@
     /// Whether this instance's failures say nothing about endpoints: links failed or are silent, and no byte has arrived
     /// directly since.
     pub fn is_in_doubt(&self, now: Instant) -> bool {
-        let unheard_since = |at: Instant| self.heard.is_none_or(|heard| heard < at);
+        let unheard_since = |at: Instant| self.heard.is_none_or(|heard| heard <= at);
         let failed = self.failed.is_some_and(|at| now.duration_since(at) < FAILURE_AGE && unheard_since(at));
         let is_silent = |since: Instant| now.duration_since(since) >= SILENCE && unheard_since(since);
         let mut waiting = self.links.values().filter_map(|link| link.waiting);
--- /dev/null
+++ b/crates/routing/tests/all/links.rs
@@ -0,0 +1,231 @@
+//! Links of an instance to endpoints: what is lost, what is only silent, and what is found to be back.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use quickcheck::quickcheck;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use teaselshunt_routing::{CheckResult, LinkChange, Links, Path};
+
+fn endpoint(number: u16) -> SocketAddr {
+    ([127, 0, 0, 1], number).into()
+}
+
+fn millis(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn rng() -> SmallRng {
+    SmallRng::seed_from_u64(1)
+}
+
+/// Links to some endpoints that have all answered.
+fn sound(now: Instant, count: u16) -> Links {
+    let mut links = Links::default();
+    for number in 0..count {
+        links.path(now, endpoint(number));
+        links.record_send(now, endpoint(number));
+        links.record_bytes(now, endpoint(number), now);
+    }
+    links
+}
+
+/// Links that are all lost since `now`.
+fn cut_off(now: Instant, count: u16) -> Links {
+    let mut links = sound(now.checked_sub(millis(1000)).expect("a time in the past"), count);
+    for number in 0..2 {
+        links.record_failure(now, endpoint(number));
+        assert_eq!(links.record_check(now, endpoint(number), CheckResult::Tunnel), Some(LinkChange::Lost));
+    }
+    assert!(links.is_cut_off());
+    links
+}
+
+/// Guards against checks of endpoints that close an idle connection, as endpoints do.
+#[test]
+fn one_failure_beside_other_answers_is_not_checked() {
+    let now = Instant::now();
+    let mut links = sound(now, 2);
+    links.record_failure(now, endpoint(0));
+    links.record_bytes(now + millis(1), endpoint(1), now);
+    assert_eq!(links.due_checks(now + millis(2), &mut rng()), []);
+    links.record_failure(now + millis(3), endpoint(0));
+    assert_eq!(links.due_checks(now + millis(4), &mut rng()), [endpoint(0)]);
+}
+
+/// Guards against requests that wait for seconds behind a link that went silent.
+#[test]
+fn a_link_that_is_silent_with_all_others_is_checked() {
+    let now = Instant::now();
+    let mut links = sound(now, 2);
+    links.record_send(now, endpoint(0));
+    assert_eq!(links.due_checks(now + millis(300), &mut rng()), []);
+    assert_eq!(links.due_checks(now + millis(500), &mut rng()), [endpoint(0)]);
+    assert!(links.is_in_doubt(now + millis(500)));
+}
+
+/// Guards against checks of endpoints at which prompts of other requests come first.
+#[test]
+fn a_link_that_is_silent_beside_others_is_checked_later() {
+    let now = Instant::now();
+    let mut links = sound(now, 2);
+    links.record_send(now, endpoint(0));
+    for step in 1..=14 {
+        links.record_bytes(now + millis(step * 100), endpoint(1), now);
+        assert_eq!(links.due_checks(now + millis(step * 100), &mut rng()), []);
+    }
+    links.record_bytes(now + millis(1500), endpoint(1), now);
+    assert_eq!(links.due_checks(now + millis(1600), &mut rng()), [endpoint(0)]);
+}
+
+/// Guards against a failed request for each endpoint before all are reached through peers.
+#[test]
+fn two_lost_links_and_silence_mean_that_all_are_lost() {
+    let now = Instant::now();
+    let mut links = cut_off(now, 5);
+    for number in 0..6 {
+        assert_eq!(links.path(now, endpoint(number)), Path::Tunnel);
+    }
+}
+
+/// Guards against tunnels to all endpoints where only the links to some are lost.
+#[test]
+fn lost_links_beside_others_that_work_are_lost_alone() {
+    let now = Instant::now();
+    let mut links = sound(now, 5);
+    for number in 0..3 {
+        links.record_bytes(now + millis(1), endpoint(4), now);
+        links.record_check(now + millis(1), endpoint(number), CheckResult::Tunnel);
+    }
+    assert!(!links.is_cut_off());
+    assert_eq!(links.path(now + millis(2), endpoint(3)), Path::Direct);
+    assert_eq!(links.path(now + millis(2), endpoint(2)), Path::Tunnel);
+}
+
+/// Guards against new connections that fail one after the other because old ones live on.
+#[test]
+fn bytes_over_an_old_connection_do_not_restore_a_link() {
+    let now = Instant::now();
+    let mut links = cut_off(now, 2);
+    assert!(!links.record_bytes(now + millis(5), endpoint(0), now.checked_sub(millis(500)).expect("a time")));
+    assert_eq!(links.path(now + millis(5), endpoint(0)), Path::Tunnel);
+    assert!(links.record_bytes(now + millis(6), endpoint(0), now + millis(5)));
+    assert_eq!(links.path(now + millis(6), endpoint(0)), Path::Direct);
+}
+
+/// Guards against requests over links that are still lost when the first one is back.
+#[test]
+fn links_are_restored_one_by_one() {
+    let now = Instant::now();
+    let mut links = cut_off(now, 40);
+    for number in 0..40 {
+        links.path(now, endpoint(number));
+    }
+    let mut at = now + millis(1000);
+    links.record_check(at, endpoint(0), CheckResult::Direct);
+    assert!(!links.is_cut_off());
+    assert_eq!(links.lost_count(), 39);
+    let mut rng = rng();
+    while links.lost_count() > 0 {
+        at += millis(100);
+        for due in links.due_checks(at, &mut rng) {
+            links.record_check(at, due, CheckResult::Direct);
+        }
+        assert!(at - now < millis(6000), "{} links are still lost", links.lost_count());
+    }
+}
+
+/// Guards against an instance that asks all endpoints again and again while it is cut off.
+#[test]
+fn a_cut_off_instance_checks_one_link_at_a_time() {
+    let now = Instant::now();
+    let mut links = cut_off(now, 600);
+    let (mut checks, mut rng) = (0, rng());
+    for step in 1..=100 {
+        let at = now + millis(step * 100);
+        for number in 0..600 {
+            links.path(at, endpoint(number));
+        }
+        checks += links.due_checks(at, &mut rng).len();
+    }
+    assert!((10..=28).contains(&checks), "{checks} checks in 10 s");
+}
+
+/// Guards against refusals because an endpoint is silent for a moment.
+#[test]
+fn an_endpoint_that_one_check_does_not_reach_stays_in_use() {
+    let now = Instant::now();
+    let mut links = sound(now, 1);
+    links.record_failure(now + millis(500), endpoint(0));
+    assert_eq!(links.record_check(now + millis(500), endpoint(0), CheckResult::Neither), None);
+    assert_eq!(links.path(now + millis(600), endpoint(0)), Path::Direct);
+    let change = links.record_check(now + millis(800), endpoint(0), CheckResult::Neither);
+    assert_eq!(change, Some(LinkChange::Unreachable));
+    assert!(links.is_isolated(now + millis(800)));
+    assert_eq!(links.path(now + millis(800), endpoint(0)), Path::None);
+    links.record_check(now + millis(900), endpoint(0), CheckResult::Direct);
+    assert_eq!(links.path(now + millis(900), endpoint(0)), Path::Direct);
+}
+
+/// Guards against refusals while another endpoint works.
+#[test]
+fn unreachable_endpoints_beside_others_are_still_asked() {
+    let now = Instant::now();
+    let mut links = sound(now, 2);
+    for _ in 0..2 {
+        links.record_check(now + millis(500), endpoint(0), CheckResult::Neither);
+    }
+    assert!(!links.is_isolated(now + millis(500)));
+    assert_eq!(links.path(now + millis(500), endpoint(0)), Path::Direct);
+}
+
+/// Guards against memory that grows with all endpoints that there ever were.
+#[test]
+fn links_that_are_not_used_are_forgotten() {
+    let now = Instant::now();
+    let mut links = cut_off(now, 20);
+    assert_eq!(links.due_checks(now + millis(11_000), &mut rng()), []);
+    assert_eq!(links.lost_count(), 0);
+    assert!(!links.is_cut_off());
+}
+
+quickcheck! {
+    /// Whatever happens in whatever order, a link is lost only if a peer reached its endpoint, or that of two others, and
+    /// nothing has arrived over a new connection since.
+    fn links_are_lost_only_on_the_evidence_of_a_peer(steps: Vec<(u8, u8, u16)>) -> bool {
+        let (mut links, mut now) = (Links::default(), Instant::now());
+        let (mut reached, mut rng) = (0, rng());
+        for (kind, number, pause) in steps {
+            now += millis(u64::from(pause % 700));
+            let address = endpoint(u16::from(number % 4));
+            match kind % 6 {
+                0 => links.record_send(now, address),
+                1 => links.record_failure(now, address),
+                2 => {
+                    links.record_bytes(now, address, now);
+                    if links.path(now, address) != Path::Direct {
+                        return false;
+                    }
+                }
+                3 => {
+                    reached += 1;
+                    links.record_check(now, address, CheckResult::Tunnel);
+                    if links.path(now, address) != Path::Tunnel {
+                        return false;
+                    }
+                }
+                4 => {
+                    links.record_check(now, address, CheckResult::Neither);
+                }
+                _ => {
+                    links.due_checks(now, &mut rng);
+                }
+            }
+            if reached == 0 && links.path(now, address) == Path::Tunnel {
+                return false;
+            }
+        }
+        true
+    }
+}
