Links: an endpoint that is down is told from one that nothing reaches, service by service; orders never pass through peers

A quiet instance whose only recently used endpoint had crashed counted as isolated and refused all requests. It now refuses those of a service only if nothing answers and all, or three, of the service's endpoints were found unreachable, and lets one try each 0.25 s. A lost link is never used directly before a check has found it to work: its connections may open and stay silent. Peers are asked about an endpoint that they could not reach only while the instance doubts its own links. Orders to engines go directly or not at all.

--- a/crates/forward/src/calls.rs
+++ b/crates/forward/src/calls.rs
@@ -73,7 +73,22 @@
         call: Call,
         until: Instant,
     ) -> Result<(StatusCode, Bytes), ExchangeFailure> {
-        let (head, body) = self.call_with_head(address, call, until).await?;
+        let destination = self.destination(address);
+        let (head, body) = self.exchange_call(&destination, call, until).await?;
+        statements::observe(self, key, &self.protocol.read_response(head.status, &head.headers));
+        Ok((head.status, body))
+    }
+
+    /// The same for a call that endpoints must get from this instance itself, and not through a peer.
+    pub(crate) async fn call_endpoint_directly(
+        &self,
+        key: EndpointKey,
+        address: SocketAddr,
+        call: Call,
+        until: Instant,
+    ) -> Result<(StatusCode, Bytes), ExchangeFailure> {
+        let destination = Destination { address, endpoint: None };
+        let (head, body) = self.exchange_call(&destination, call, until).await?;
         statements::observe(self, key, &self.protocol.read_response(head.status, &head.headers));
         Ok((head.status, body))
     }
@@ -96,8 +111,17 @@
         call: Call,
         until: Instant,
     ) -> Result<(Parts, Bytes), ExchangeFailure> {
-        let request = request(address, call)?;
-        let (head, body) = self.pool.exchange(&self.destination(address), request, until).await?;
+        self.exchange_call(&self.destination(address), call, until).await
+    }
+
+    async fn exchange_call(
+        &self,
+        destination: &Destination,
+        call: Call,
+        until: Instant,
+    ) -> Result<(Parts, Bytes), ExchangeFailure> {
+        let request = request(destination.address, call)?;
+        let (head, body) = self.pool.exchange(destination, request, until).await?;
         let body = self.read(body, until).await?;
         Ok((head, body))
     }
--- a/crates/forward/src/connection_pool.rs
+++ b/crates/forward/src/connection_pool.rs
@@ -250,15 +250,15 @@
                 let monitor = BodyMonitor::new(&method, head.status, &head.headers);
                 Ok((head, ResponseReader::new(body, connection, monitor)))
             }
-            Err(mut error) => match error.take_message() {
-                Some(unsent) => Err((ExchangeFailure::Unsent, Some(unsent))),
-                None => {
-                    if let Some(reach) = &reach {
-                        reach.record_failure(address);
-                    }
-                    Err((ExchangeFailure::Broken, None))
+            Err(mut error) => {
+                if let Some(unsent) = error.take_message() {
+                    return Err((ExchangeFailure::Unsent, Some(unsent)));
                 }
-            },
+                if let Some(reach) = &reach {
+                    reach.record_failure(address);
+                }
+                Err((ExchangeFailure::Broken, None))
+            }
         }
     }
 
@@ -275,15 +275,15 @@
                 self.put(connection);
                 Reachability::Reachable
             }
-            Err(TunnelFailure::Unreachable) => Reachability::Unreachable,
             Err(TunnelFailure::NoPeer) if self.reach.peers().is_any_usable(Instant::now()) => {
                 Reachability::Unknown
             }
-            Err(TunnelFailure::NoPeer) => Reachability::Unreachable,
+            Err(TunnelFailure::Unreachable | TunnelFailure::NoPeer) => Reachability::Unreachable,
         }
     }
 
-    /// Opens a connection over a path, or else over the other one.
+    /// Opens a connection. One that cannot be opened directly leads through a peer. There is no way back from a lost
+    /// link to a direct connection: it may open and stay silent, and a check finds out when the link works again.
     async fn connect(&self, destination: &Destination, path: Path) -> Result<Connection, ExchangeFailure> {
         match path {
             Path::None => Err(ExchangeFailure::Unsent),
@@ -293,10 +293,7 @@
                 }
                 result => result,
             },
-            Path::Tunnel => match self.connect_by_tunnel(destination).await {
-                Err(_) => self.connect_directly(destination).await,
-                result => result.map_err(|_| ExchangeFailure::Unsent),
-            },
+            Path::Tunnel => self.connect_by_tunnel(destination).await.map_err(|_| ExchangeFailure::Unsent),
         }
     }
 
@@ -326,6 +323,9 @@
                 let connection = shake_hands(stream, destination.address, via, None).await;
                 connection.map_err(|_| TunnelFailure::NoPeer)
             }
+            Err(TunnelFailure::NoPeer) if self.reach.is_lost(destination.address) => {
+                Err(TunnelFailure::NoPeer)
+            }
             Err(failure) => {
                 self.reach.record_check(destination.address, CheckResult::Neither);
                 Err(failure)
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -38,11 +38,7 @@
     pub(crate) failing_engines: IntGauge,
     pub(crate) slow_engines: IntGauge,
     pub(crate) wasted_prefill: IntCounterVec,
-    pub(crate) doubtful_links: IntGauge,
-    pub(crate) suspected_endpoints: IntGauge,
-    pub(crate) lost_links: IntGauge,
-    pub(crate) unreachable_endpoints: IntGauge,
-    pub(crate) open_tunnels: IntGauge,
+    pub(crate) links: LinkMetrics,
     response_ends: IntCounterVec,
     team_requests: IntCounterVec,
     /// Teams that have a label of their own.
@@ -52,6 +48,39 @@
     labelled_queues: RefCell<HashSet<(String, String)>>,
 }
 
+/// Gauges of the ways to endpoints.
+#[derive(Debug)]
+pub(crate) struct LinkMetrics {
+    pub(crate) doubtful: IntGauge,
+    pub(crate) lost: IntGauge,
+    pub(crate) unreachable: IntGauge,
+    pub(crate) suspected: IntGauge,
+    pub(crate) tunnels: IntGauge,
+}
+
+impl LinkMetrics {
+    fn new(
+        gauge: &impl Fn(&str, &str) -> Result<IntGauge, prometheus::Error>,
+    ) -> Result<Self, prometheus::Error> {
+        Ok(Self {
+            doubtful: gauge(
+                "doubtful_links",
+                "Endpoints to which connections failed or were silent since they last sent a byte.",
+            )?,
+            lost: gauge("lost_links", "Endpoints that only peers reach.")?,
+            unreachable: gauge(
+                "unreachable_endpoints",
+                "Endpoints that neither this instance nor a peer reaches.",
+            )?,
+            suspected: gauge(
+                "suspected_endpoints",
+                "Endpoints avoided because peers report that they cannot use them.",
+            )?,
+            tunnels: gauge("open_tunnels", "Tunnels to endpoints that this instance keeps for peers.")?,
+        })
+    }
+}
+
 /// Most teams that have a label of their own; all others share [`OTHERS`]. Each label costs several time
 /// series for as long as the process runs.
 const TEAM_LABELS: usize = 64;
@@ -141,20 +170,7 @@
                 "Prompt tokens prefilled whose result no response used, by cause.",
                 &["cause"],
             )?,
-            doubtful_links: gauge(
-                "doubtful_links",
-                "Endpoints to which connections failed or were silent since they last sent a byte.",
-            )?,
-            suspected_endpoints: gauge(
-                "suspected_endpoints",
-                "Endpoints avoided because peers report that they cannot use them.",
-            )?,
-            lost_links: gauge("lost_links", "Endpoints that only peers reach.")?,
-            unreachable_endpoints: gauge(
-                "unreachable_endpoints",
-                "Endpoints that neither this instance nor a peer reaches.",
-            )?,
-            open_tunnels: gauge("open_tunnels", "Tunnels to endpoints that this instance keeps for peers.")?,
+            links: LinkMetrics::new(&gauge)?,
             response_ends: counter(
                 "response_ends_total",
                 "Responses of endpoints and of the platform, by framing and by how they ended.",
--- a/crates/forward/src/orders.rs
+++ b/crates/forward/src/orders.rs
@@ -108,7 +108,8 @@
     let instance = &node.settings.instance;
     let call =
         node.protocol.order(Order { endpoint_id: &change.id, stage: change.stage, instance, fencing_number });
-    let result = node.call_endpoint(key, address, call, node.now() + ORDER_TIMEOUT).await;
+    // Engines take the orders of two instances for those of two that contend.
+    let result = node.call_endpoint_directly(key, address, call, node.now() + ORDER_TIMEOUT).await;
     let outcome = match result {
         Ok((StatusCode::ACCEPTED | StatusCode::OK, _)) => "accepted",
         Ok(_) => "refused",
--- a/crates/forward/src/reach.rs
+++ b/crates/forward/src/reach.rs
@@ -116,6 +116,11 @@
         }
     }
 
+    /// Whether the link to an endpoint is lost.
+    pub(crate) fn is_lost(&self, endpoint: SocketAddr) -> bool {
+        self.links.borrow().is_lost(endpoint)
+    }
+
     /// Whether a peer may be asked now for a way to an endpoint.
     pub(crate) fn may_ask_peer(&self, endpoint: SocketAddr) -> bool {
         self.links.borrow().may_ask_peer(Instant::now(), endpoint)
@@ -131,9 +136,9 @@
         self.peers.borrow_mut()
     }
 
-    /// Whether nothing reaches any endpoint, so that a request can be refused at once.
-    pub(crate) fn is_isolated(&self, now: Instant) -> bool {
-        self.links.borrow().is_isolated(now)
+    /// Whether a request that needs one of these endpoints is to be refused at once, since nothing reaches any.
+    pub(crate) fn refuses(&self, now: Instant, endpoints: impl Iterator<Item = SocketAddr>) -> bool {
+        self.links.borrow_mut().refuses(now, endpoints)
     }
 
     /// Whether what this instance cannot reach says something about endpoints.
@@ -163,9 +168,9 @@
     }
     let links = reach.links.borrow();
     let (in_doubt, doubtful, lost) = (links.is_in_doubt(now), links.doubtful_count(now), links.lost_count());
-    node.metrics.doubtful_links.set(doubtful as i64);
-    node.metrics.lost_links.set(lost as i64);
-    node.metrics.unreachable_endpoints.set(links.unreachable_count() as i64);
+    node.metrics.links.doubtful.set(doubtful as i64);
+    node.metrics.links.lost.set(lost as i64);
+    node.metrics.links.unreachable.set(links.unreachable_count() as i64);
     if in_doubt != was_in_doubt || reach.logged.replace(lost) != lost {
         info!(node.log, "links"; "in_doubt" => in_doubt, "doubtful" => doubtful, "lost" => lost,
             "cut_off" => links.is_cut_off());
@@ -197,7 +202,8 @@
         return;
     };
     let destination = Destination::endpoint(address, id);
-    let was_lost = reach.links.borrow().is_lost(address);
+    let asks_peers = reach.links.borrow().asks_peers(node.now(), address);
+    let was_lost = reach.is_lost(address);
     let until = node.now() + CHECK_TIMEOUT;
     let connecting = tokio::time::timeout_at(until.into(), node.pool.connect_directly(&destination));
     if let Ok(Ok(connection)) = connecting.await
@@ -207,14 +213,12 @@
         return reach.record_check(address, CheckResult::Direct);
     }
     if was_lost {
+        // It is known that peers reach the endpoint.
         node.metrics.count_step("check", "lost");
         return;
     }
-    let result = if check_through_peers(&node, &destination).await {
-        CheckResult::Tunnel
-    } else {
-        CheckResult::Neither
-    };
+    let through_peer = asks_peers && check_through_peers(&node, &destination).await;
+    let result = if through_peer { CheckResult::Tunnel } else { CheckResult::Neither };
     node.metrics.count_step("check", if result == CheckResult::Tunnel { "tunnel" } else { "neither" });
     reach.record_check(address, result);
 }
--- a/crates/forward/src/requests.rs
+++ b/crates/forward/src/requests.rs
@@ -152,7 +152,7 @@
         trace.set_fingerprint(job.fingerprint());
         return refuse(node, refusal, trace);
     }
-    if node.pool.reach().is_isolated(node.now()) {
+    if is_unreachable(node, &job) {
         trace.record_step("reach", "any", "unreachable");
         return refuse(node, Refusal::retryable(ErrorKind::NoEndpoint, UNREACHABLE_RETRY), trace);
     }
@@ -161,6 +161,13 @@
     if is_staged { generate::run(node, job, trace).await } else { plain::run(node, job, trace).await }
 }
 
+/// Whether nothing reaches any endpoint of the request's service.
+fn is_unreachable(node: &Node, job: &Job) -> bool {
+    let (now, state) = (node.now(), node.state.borrow());
+    let endpoints = state.endpoints.open(now, &job.service.name);
+    node.pool.reach().refuses(now, endpoints.map(|endpoint| endpoint.address))
+}
+
 /// Kind of a route, for logs and metrics.
 pub(crate) fn route_kind(route: &Route) -> &'static str {
     match route.repeat {
--- a/crates/forward/src/sockets.rs
+++ b/crates/forward/src/sockets.rs
@@ -18,10 +18,12 @@
 /// Opens a connection.
 pub(crate) async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
     let stream = TcpStream::connect(address).await?;
-    // Sends small writes without delay; a failure only costs latency.
-    let _ = stream.set_nodelay(true);
     let socket = SockRef::from(&stream);
-    socket.set_tcp_keepalive(&TcpKeepalive::new().with_time(PROBE_INTERVAL).with_interval(PROBE_INTERVAL))?;
-    socket.set_tcp_user_timeout(Some(ACKNOWLEDGE_TIMEOUT))?;
+    let probes = TcpKeepalive::new().with_time(PROBE_INTERVAL).with_interval(PROBE_INTERVAL);
+    // Small writes are sent without delay. A connection without an option still works: it is slower, or its end is
+    // noticed later.
+    let _ = socket.set_tcp_nodelay(true);
+    let _ = socket.set_tcp_keepalive(&probes);
+    let _ = socket.set_tcp_user_timeout(Some(ACKNOWLEDGE_TIMEOUT));
     Ok(stream)
 }
--- a/crates/forward/src/supervisor.rs
+++ b/crates/forward/src/supervisor.rs
@@ -200,7 +200,7 @@
             let endpoints = &node.state.borrow().endpoints;
             node.metrics.cooling_endpoints.set(endpoints.cooling_count(node.now()) as i64);
             node.metrics.slow_engines.set(endpoints.slow_count() as i64);
-            node.metrics.suspected_endpoints.set(endpoints.suspected_count(node.now()) as i64);
+            node.metrics.links.suspected.set(endpoints.suspected_count(node.now()) as i64);
         }
         node.metrics.limited_endpoints.set(node.state.borrow_mut().endpoints.rates().len() as i64);
         let removed = node.state.borrow_mut().endpoints.remove_unconfirmed(node.now());
--- a/crates/forward/src/tunnel_listener.rs
+++ b/crates/forward/src/tunnel_listener.rs
@@ -77,7 +77,7 @@
             return None;
         }
         tunnels.set(tunnels.get() + 1);
-        node.metrics.open_tunnels.set(tunnels.get() as i64);
+        node.metrics.links.tunnels.set(tunnels.get() as i64);
         Some(Self(Rc::clone(node)))
     }
 }
@@ -85,7 +85,7 @@
 impl Drop for OpenTunnel {
     fn drop(&mut self) {
         self.0.tunnels.set(self.0.tunnels.get() - 1);
-        self.0.metrics.open_tunnels.set(self.0.tunnels.get() as i64);
+        self.0.metrics.links.tunnels.set(self.0.tunnels.get() as i64);
     }
 }
 
--- a/crates/routing/src/links.rs
+++ b/crates/routing/src/links.rs
@@ -33,6 +33,11 @@
 const FAILED_CHECKS: u32 = 2;
 /// Lost links, with nothing heard directly, from which all links count as lost.
 const LOST_QUORUM: usize = 2;
+/// Unreachable endpoints of a service, with nothing heard directly, from which its requests are refused although others of
+/// its endpoints were not tried.
+const UNREACHABLE_QUORUM: u32 = 3;
+/// Time between two requests that try one of those.
+const TRIAL_PAUSE: Duration = Duration::from_millis(250);
 /// Time after which a link that is not used is forgotten.
 const RETENTION: Duration = Duration::from_secs(10);
 /// Age up to which a failure of a link says something about the others.
@@ -119,7 +124,7 @@
 /// Links to the endpoints that are in use.
 #[derive(Debug, Default)]
 pub struct Links {
-    links: HashMap<SocketAddr, Link>,
+    known: HashMap<SocketAddr, Link>,
     /// When the last byte arrived directly from any endpoint.
     heard: Option<Instant>,
     /// When a link last failed.
@@ -128,26 +133,27 @@
     cut_since: Option<Instant>,
     /// When the next check of a lost link may start.
     next_return: Option<Instant>,
+    /// When the next request may try an endpoint although nothing was reached.
+    next_trial: Option<Instant>,
 }
 
 impl Links {
     /// How a request reaches the endpoint at this address.
     pub fn path(&mut self, now: Instant, endpoint: SocketAddr) -> Path {
         let (cut, isolated) = (self.cut_since, self.is_isolated(now));
-        let link = self.links.entry(endpoint).or_default();
+        let link = self.known.entry(endpoint).or_default();
         link.used = Some(now);
         link.join_cut(cut);
         match link.state {
-            State::Direct => Path::Direct,
             State::Lost => Path::Tunnel,
             State::Unreachable if isolated => Path::None,
-            State::Unreachable => Path::Direct,
+            State::Direct | State::Unreachable => Path::Direct,
         }
     }
 
     /// Whether the link to an endpoint is lost.
     pub fn is_lost(&self, endpoint: SocketAddr) -> bool {
-        match self.links.get(&endpoint).map(|link| link.state) {
+        match self.known.get(&endpoint).map(|link| link.state) {
             Some(State::Lost) => true,
             Some(State::Unreachable) => false,
             Some(State::Direct) | None => self.is_cut_off(),
@@ -156,7 +162,7 @@
 
     /// Records that a request was sent over a direct connection.
     pub fn record_send(&mut self, now: Instant, endpoint: SocketAddr) {
-        let link = self.links.entry(endpoint).or_default();
+        let link = self.known.entry(endpoint).or_default();
         link.used = Some(now);
         link.waiting.get_or_insert(now);
     }
@@ -166,7 +172,7 @@
     pub fn record_bytes(&mut self, now: Instant, endpoint: SocketAddr, opened: Instant) -> bool {
         self.heard = Some(now);
         let cut = self.cut_since;
-        let link = self.links.entry(endpoint).or_default();
+        let link = self.known.entry(endpoint).or_default();
         link.waiting = None;
         link.join_cut(cut);
         if link.lost.is_some_and(|lost| opened < lost) {
@@ -187,7 +193,7 @@
     /// Records that a direct connection could not be opened, or broke before its response began.
     pub fn record_failure(&mut self, now: Instant, endpoint: SocketAddr) {
         self.failed = Some(now);
-        let link = self.links.entry(endpoint).or_default();
+        let link = self.known.entry(endpoint).or_default();
         link.used = Some(now);
         link.failures += 1;
         link.failed = Some(now);
@@ -195,7 +201,7 @@
 
     /// Whether a peer may be asked now for a way to an endpoint that cannot be reached directly.
     pub fn may_ask_peer(&self, now: Instant, endpoint: SocketAddr) -> bool {
-        self.links.get(&endpoint).is_none_or(|link| link.failed_checks == 0 || link.may_check(now))
+        self.known.get(&endpoint).is_none_or(|link| link.failed_checks == 0 || link.may_check(now))
     }
 
     /// Records the result of a check, or of an attempt to connect that counts as one.
@@ -214,14 +220,14 @@
 
     /// A peer reached an endpoint that did not answer directly.
     fn record_tunnel(&mut self, now: Instant, endpoint: SocketAddr) -> Option<LinkChange> {
-        let link = self.links.entry(endpoint).or_default();
+        let link = self.known.entry(endpoint).or_default();
         link.waiting = None;
         link.failures = 0;
         link.failed_checks = 0;
         let is_new = link.state != State::Lost;
         link.lose(now);
         let silent = self.heard.is_none_or(|heard| now.duration_since(heard) >= SILENCE);
-        let all_known = self.links.values().all(|link| link.state == State::Lost);
+        let all_known = self.known.values().all(|link| link.state == State::Lost);
         if self.cut_since.is_none() && (self.lost_count() >= LOST_QUORUM && silent || all_known) {
             self.cut_since = Some(now);
         }
@@ -229,7 +235,7 @@
     }
 
     fn record_failed_check(&mut self, now: Instant, endpoint: SocketAddr) -> Option<LinkChange> {
-        let link = self.links.entry(endpoint).or_default();
+        let link = self.known.entry(endpoint).or_default();
         let doublings = link.failed_checks.min(8);
         link.next_check = Some(now + (CHECK_PAUSE_MIN * 2_u32.pow(doublings)).min(CHECK_PAUSE_MAX));
         link.failed_checks += 1;
@@ -243,8 +249,8 @@
     /// Links to check now: those that may be lost, those that nothing reached, and now and then one that is lost.
     pub fn due_checks(&mut self, now: Instant, rng: &mut impl Rng) -> Vec<SocketAddr> {
         let age = |at: Option<Instant>| at.map(|at| now.duration_since(at));
-        self.links.retain(|_, link| age(link.used).is_some_and(|age| age < RETENTION));
-        if self.links.is_empty() {
+        self.known.retain(|_, link| age(link.used).is_some_and(|age| age < RETENTION));
+        if self.known.is_empty() {
             self.cut_since = None;
         }
         let all_silent = age(self.heard).is_none_or(|age| age >= SILENCE);
@@ -260,11 +266,11 @@
                 failed || waited >= LINK_SILENCE || (waited >= SILENCE && all_silent)
             }
         };
-        let doubtful = self.links.iter().filter(|(_, link)| is_doubtful(link) && link.may_check(now));
+        let doubtful = self.known.iter().filter(|(_, link)| is_doubtful(link) && link.may_check(now));
         let mut due: Vec<SocketAddr> = doubtful.map(|(&endpoint, _)| endpoint).take(CHECKS_MAX).collect();
         due.extend(self.due_return(now, rng));
         for endpoint in &due {
-            if let Some(link) = self.links.get_mut(endpoint) {
+            if let Some(link) = self.known.get_mut(endpoint) {
                 link.next_check = Some(now + CHECK_PAUSE_MIN);
             }
         }
@@ -276,7 +282,7 @@
         if self.next_return.is_some_and(|at| now < at) {
             return None;
         }
-        let lost = self.links.iter().filter(|(_, link)| link.state == State::Lost && link.may_check(now));
+        let lost = self.known.iter().filter(|(_, link)| link.state == State::Lost && link.may_check(now));
         let lost: Vec<SocketAddr> = lost.map(|(&endpoint, _)| endpoint).collect();
         if lost.is_empty() {
             return None;
@@ -289,7 +295,7 @@
 
     /// Forgets the link to an address that no endpoint has any more.
     pub fn forget(&mut self, endpoint: SocketAddr) {
-        self.links.remove(&endpoint);
+        self.known.remove(&endpoint);
     }
 
     /// Whether all links count as lost.
@@ -297,10 +303,39 @@
         self.cut_since.is_some()
     }
 
+    /// Whether a check of a link that does not answer asks peers too. An endpoint that they could not reach either is down,
+    /// unless this instance's links fail.
+    pub fn asks_peers(&self, now: Instant, endpoint: SocketAddr) -> bool {
+        let is_down = self.known.get(&endpoint).is_some_and(|link| link.state == State::Unreachable);
+        !is_down || self.is_in_doubt(now) || self.is_isolated(now)
+    }
+
+    /// Whether a request that needs one of these endpoints is to be refused at once, since nothing reaches any endpoint. Now
+    /// and then one is not refused, as long as some of many endpoints were not tried.
+    pub fn refuses(&mut self, now: Instant, endpoints: impl Iterator<Item = SocketAddr>) -> bool {
+        if !self.is_isolated(now) {
+            return false;
+        }
+        let (mut unreachable, mut untried) = (0, 0);
+        for endpoint in endpoints {
+            let is_unreachable =
+                self.known.get(&endpoint).is_some_and(|link| link.state == State::Unreachable);
+            *(if is_unreachable { &mut unreachable } else { &mut untried }) += 1;
+        }
+        if untried == 0 {
+            return unreachable > 0;
+        }
+        if unreachable < UNREACHABLE_QUORUM || self.next_trial.is_none_or(|at| at <= now) {
+            self.next_trial = Some(now + TRIAL_PAUSE);
+            return false;
+        }
+        true
+    }
+
     /// Whether nothing reaches any endpoint that is in use.
     pub fn is_isolated(&self, now: Instant) -> bool {
         let silent = self.heard.is_none_or(|heard| now.duration_since(heard) >= SILENCE);
-        silent && !self.links.is_empty() && self.links.values().all(|link| link.state == State::Unreachable)
+        silent && !self.known.is_empty() && self.known.values().all(|link| link.state == State::Unreachable)
     }
 
     /// Whether this instance's failures say nothing about endpoints: links failed or are silent, and no byte has arrived
@@ -309,7 +344,7 @@
         let unheard_since = |at: Instant| self.heard.is_none_or(|heard| heard <= at);
         let failed = self.failed.is_some_and(|at| now.duration_since(at) < FAILURE_AGE && unheard_since(at));
         let is_silent = |since: Instant| now.duration_since(since) >= SILENCE && unheard_since(since);
-        let mut waiting = self.links.values().filter_map(|link| link.waiting);
+        let mut waiting = self.known.values().filter_map(|link| link.waiting);
         self.is_cut_off() || failed || waiting.any(is_silent)
     }
 
@@ -319,16 +354,16 @@
             let silent = link.waiting.is_some_and(|since| now.duration_since(since) >= SILENCE);
             link.failures > 0 || silent
         };
-        self.links.values().filter(is_doubtful).count()
+        self.known.values().filter(is_doubtful).count()
     }
 
     /// Number of lost links.
     pub fn lost_count(&self) -> usize {
-        self.links.values().filter(|link| link.state == State::Lost).count()
+        self.known.values().filter(|link| link.state == State::Lost).count()
     }
 
     /// Number of endpoints that nothing reaches.
     pub fn unreachable_count(&self) -> usize {
-        self.links.values().filter(|link| link.state == State::Unreachable).count()
+        self.known.values().filter(|link| link.state == State::Unreachable).count()
     }
 }
