Tunnels: peers that vanish, break or have lost one link; two peers must be unable to reach an endpoint

A tunnel whose instance has vanished stayed open at the peer: accepted connections have keep-alive probes as well.

--- a/crates/forward/src/connection_pool.rs
+++ b/crates/forward/src/connection_pool.rs
@@ -254,8 +254,10 @@
                 if let Some(unsent) = error.take_message() {
                     return Err((ExchangeFailure::Unsent, Some(unsent)));
                 }
-                if let Some(reach) = &reach {
-                    reach.record_failure(address);
+                match (connection.via, &reach) {
+                    (Via::Direct, Some(reach)) => reach.record_failure(address),
+                    (Via::Direct, None) => {}
+                    (Via::Peer(peer), _) => self.reach.peers().record_failure(Instant::now(), peer),
                 }
                 Err((ExchangeFailure::Broken, None))
             }
--- a/crates/forward/src/peer_listener.rs
+++ b/crates/forward/src/peer_listener.rs
@@ -16,6 +16,7 @@
 use crate::accept::accept;
 use crate::catalog::{Catalog, CurrentTransfer, SnapshotServer, TRANSFER_TIMEOUT};
 use crate::node::Node;
+use crate::sockets;
 use crate::tunnel_listener;
 use crate::tunnels::TUNNEL_PATH;
 
@@ -36,8 +37,8 @@
     let snapshots = Rc::new(SnapshotServer::new(catalog));
     loop {
         let stream = accept(&node, &listener).await;
-        // Sends small records without delay; a failure only costs latency.
-        let _ = stream.set_nodelay(true);
+        // A tunnel of a peer that has vanished must end.
+        sockets::configure(&stream);
         tokio::task::spawn_local(connection(Rc::clone(&snapshots), Rc::clone(&node), stream));
     }
 }
--- a/crates/forward/src/tunnels.rs
+++ b/crates/forward/src/tunnels.rs
@@ -42,10 +42,13 @@
 /// Peers that are asked for one connection.
 const PEERS_MAX: usize = 3;
 
+/// Peers that must be unable to reach an endpoint, if there are so many: one may have lost its link to just this endpoint.
+const UNREACHABLE_PEERS: usize = 2;
+
 /// Why there is no tunnel.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum TunnelFailure {
-    /// A peer with sound links cannot reach the endpoint either.
+    /// Peers with sound links cannot reach the endpoint either.
     Unreachable,
     /// No peer can tell.
     NoPeer,
@@ -53,16 +56,17 @@
 
 /// Opens a tunnel to an endpoint, through one peer after the other.
 pub(crate) async fn open(reach: &Rc<Reach>, endpoint: &str) -> Result<TunnelStream, TunnelFailure> {
-    let mut tried = Vec::new();
-    while tried.len() < PEERS_MAX {
+    let (mut tried, mut unreachable) = (Vec::new(), 0);
+    while tried.len() < PEERS_MAX && unreachable < UNREACHABLE_PEERS {
         let Some(peer) = reach.choose_peer(&tried) else { break };
         tried.push(peer);
         match open_through(reach, endpoint, peer).await {
+            Ok(stream) => return Ok(stream),
+            Err(TunnelFailure::Unreachable) => unreachable += 1,
             Err(TunnelFailure::NoPeer) => {}
-            result => return result,
         }
     }
-    Err(TunnelFailure::NoPeer)
+    Err(if unreachable > 0 { TunnelFailure::Unreachable } else { TunnelFailure::NoPeer })
 }
 
 /// Opens a tunnel to an endpoint through a peer.
