Tunnels: peers that lost their own links unnoticed; the soak cuts instances off from endpoints

A peer that has heard from no endpoint lately asks the endpoint before it opens a tunnel, what passes through a tunnel counts as evidence of its own link, and a request that waits behind a peer counts against the peer.

Where no peer can tell whether an endpoint is down, the instance's own links decide, so that crashes are found in a quiet system too.

--- a/crates/forward/src/connection_pool.rs
+++ b/crates/forward/src/connection_pool.rs
@@ -34,6 +34,8 @@
 /// Longest time to open a connection: about a hundred round trips, and shorter than the time after which a
 /// lost SYN packet is retransmitted.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+/// Time without a response after which a request through a peer counts against the peer.
+const SILENT_TUNNEL: Duration = Duration::from_millis(150);
 /// How long an idle connection is kept if the server announces no timeout.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(3);
 /// Subtracted from an announced idle timeout, for the transit of the next request.
@@ -140,6 +142,29 @@
     const ALWAYS: Self = Self { may_send: || true, repeatable: false };
 }
 
+/// A request through a peer that has no response yet. Dropped after a while it counts against the peer, whose own links
+/// may be silent.
+struct Unanswered<'a> {
+    reach: &'a Reach,
+    peer: SocketAddr,
+    since: Instant,
+}
+
+impl Unanswered<'_> {
+    /// The response has begun.
+    fn dismiss(self) {
+        std::mem::forget(self);
+    }
+}
+
+impl Drop for Unanswered<'_> {
+    fn drop(&mut self) {
+        if self.since.elapsed() >= SILENT_TUNNEL {
+            self.reach.peers().record_failure(Instant::now(), self.peer);
+        }
+    }
+}
+
 /// Idle connections by address.
 #[derive(Debug, Default)]
 pub(crate) struct ConnectionPool {
@@ -237,12 +262,19 @@
                 _ => std::future::pending().await,
             }
         };
+        let unanswered = match connection.via {
+            Via::Peer(peer) => Some(Unanswered { reach: &self.reach, peer, since: Instant::now() }),
+            Via::Direct => None,
+        };
         let result = tokio::select! {
             result = connection.sender.try_send_request(request) => result,
             () = until_lost => return Err((ExchangeFailure::Broken, None)),
         };
         match result {
             Ok(response) => {
+                if let Some(unanswered) = unanswered {
+                    unanswered.dismiss();
+                }
                 connection.record_bytes();
                 connection.keep_alive = announced_keep_alive(response.headers());
                 connection.reusable = size <= MAX_REUSE_BODY_BYTES as u64 && may_reuse(&response);
--- a/crates/forward/src/crashes.rs
+++ b/crates/forward/src/crashes.rs
@@ -159,9 +159,12 @@
         None => Reachability::Reachable,
     };
     let mut losses = node.losses.borrow_mut().remove(&endpoint).unwrap_or_default();
-    let Some((_, id, incarnation)) = live.filter(|_| reachability == Reachability::Unreachable) else {
-        return;
+    let has_crashed = match reachability {
+        Reachability::Reachable => false,
+        Reachability::Unreachable => true,
+        Reachability::Unknown => node.pool.reach().is_sound(node.now()),
     };
+    let Some((_, id, incarnation)) = live.filter(|_| has_crashed) else { return };
     if let Some(first) = losses.first().map(|loss| loss.at) {
         losses.extend(
             node.abandoned.borrow_mut().take_present(incarnation, first).into_iter().map(|run| run.loss),
--- a/crates/forward/src/reach.rs
+++ b/crates/forward/src/reach.rs
@@ -26,6 +26,8 @@
 const TUNNEL_CHECK_TIMEOUT: Duration = Duration::from_millis(300);
 /// Peers that a check asks at a time.
 const CHECK_PEERS: usize = 3;
+/// Time after which an instance that has heard from no endpoint asks one before it opens a tunnel.
+const HEARD_LATELY: Duration = Duration::from_millis(500);
 /// Failing links from which an instance that has heard nothing since does not vouch for what it cannot reach.
 const DOUBTFUL_MIN: usize = 2;
 
@@ -141,6 +143,11 @@
         self.links.borrow_mut().refuses(now, endpoints)
     }
 
+    /// Whether any endpoint has sent something directly within some request times.
+    pub(crate) fn has_heard_lately(&self, now: Instant) -> bool {
+        self.links.borrow().has_heard_within(now, HEARD_LATELY)
+    }
+
     /// Whether what this instance cannot reach says something about endpoints.
     pub(crate) fn is_sound(&self, now: Instant) -> bool {
         let links = self.links.borrow();
@@ -204,11 +211,7 @@
     let destination = Destination::endpoint(address, id);
     let asks_peers = reach.links.borrow().asks_peers(node.now(), address);
     let was_lost = reach.is_lost(address);
-    let until = node.now() + CHECK_TIMEOUT;
-    let connecting = tokio::time::timeout_at(until.into(), node.pool.connect_directly(&destination));
-    if let Ok(Ok(connection)) = connecting.await
-        && answers(&node, &destination, connection, until).await
-    {
+    if answers_over_own_link(&node, &destination, CHECK_TIMEOUT).await {
         node.metrics.count_step("check", "direct");
         return reach.record_check(address, CheckResult::Direct);
     }
@@ -223,6 +226,20 @@
     reach.record_check(address, result);
 }
 
+/// Whether the endpoint with this id answers this instance itself.
+pub(crate) async fn answers_directly(node: &Node, address: SocketAddr, id: &str, timeout: Duration) -> bool {
+    answers_over_own_link(node, &Destination::endpoint(address, id.into()), timeout).await
+}
+
+async fn answers_over_own_link(node: &Node, destination: &Destination, timeout: Duration) -> bool {
+    let until = node.now() + timeout;
+    let connecting = tokio::time::timeout_at(until.into(), node.pool.connect_directly(destination));
+    match connecting.await {
+        Ok(Ok(connection)) => answers(node, destination, connection, until).await,
+        Ok(Err(_)) | Err(_) => false,
+    }
+}
+
 /// Whether an endpoint answers through any of some peers.
 async fn check_through_peers(node: &Rc<Node>, destination: &Destination) -> bool {
     let reach = node.pool.reach();
--- a/crates/forward/src/tunnel_listener.rs
+++ b/crates/forward/src/tunnel_listener.rs
@@ -7,7 +7,7 @@
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -20,11 +20,14 @@
 use tokio::net::TcpStream;
 
 use crate::node::{Node, Phase};
+use crate::reach::{self, Reach};
 use crate::sockets;
 use crate::tunnels::{RECORD_BYTES_MAX, RECORD_HEAD_BYTES, TUNNEL_PROTOCOL, UNREACHABLE_STATUS};
 
 /// Longest time to connect to an endpoint for a peer.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
+/// Longest time for an endpoint's answer to this instance, where that has heard from none lately.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(80);
 /// Time for the other end to close a tunnel whose endpoint has closed its connection.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Memory of a tunnel: its buffers in this process and in the kernel.
@@ -120,28 +123,42 @@
         state.endpoints.get(key).ok_or(Decline::Unknown)?.address
     };
     let tunnel = OpenTunnel::begin(node).ok_or(Decline::Full)?;
-    let was_sound = node.pool.reach().is_sound(node.now());
-    match tokio::time::timeout(CONNECT_TIMEOUT, sockets::connect(address)).await {
-        Ok(Ok(endpoint)) => Ok((endpoint, tunnel)),
-        Ok(Err(_)) | Err(_) if was_sound => Err(Decline::Unreachable),
-        Ok(Err(_)) | Err(_) => Err(Decline::InDoubt),
+    let reach = node.pool.reach();
+    let was_sound = reach.is_sound(node.now());
+    // An instance without traffic of its own may have lost its links unnoticed.
+    if !reach.has_heard_lately(node.now()) && !reach::answers_directly(node, address, id, CHECK_TIMEOUT).await
+    {
+        return Err(Decline::InDoubt);
     }
+    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, sockets::connect(address));
+    if let Ok(Ok(endpoint)) = connecting.await {
+        return Ok((endpoint, tunnel));
+    }
+    reach.record_failure(address);
+    Err(if was_sound { Decline::Unreachable } else { Decline::InDoubt })
 }
 
 async fn run(request: Request<Incoming>, endpoint: TcpStream, tunnel: OpenTunnel) {
+    let node = &tunnel.0;
     match hyper::upgrade::on(request).await {
-        Ok(upgraded) => join(TokioIo::new(upgraded), endpoint).await,
-        Err(error) => debug!(tunnel.0.log, "tunnel not taken"; "error" => %error),
+        Ok(upgraded) => join(node.pool.reach(), TokioIo::new(upgraded), endpoint).await,
+        Err(error) => debug!(node.log, "tunnel not taken"; "error" => %error),
     }
 }
 
 /// Passes bytes in both directions until either end closes.
-async fn join(peer: impl AsyncRead + AsyncWrite, mut endpoint: TcpStream) {
+async fn join(reach: &Reach, peer: impl AsyncRead + AsyncWrite, mut endpoint: TcpStream) {
+    // A connection that has ended already has no address.
+    let Ok(address) = endpoint.peer_addr() else { return };
     let (mut peer_reader, mut peer_writer) = tokio::io::split(peer);
     let (mut endpoint_reader, mut endpoint_writer) = endpoint.split();
     // An instance closes its end only if it needs nothing more of the endpoint.
-    let mut requests = std::pin::pin!(tokio::io::copy(&mut peer_reader, &mut endpoint_writer));
-    let responses = pass_records(&mut endpoint_reader, &mut peer_writer);
+    let mut requests =
+        std::pin::pin!(pass_requests(&mut peer_reader, &mut endpoint_writer, || reach.record_send(address)));
+    let opened = Instant::now();
+    let responses = pass_records(&mut endpoint_reader, &mut peer_writer, || {
+        reach.record_bytes(address, opened);
+    });
     tokio::select! {
         _ = &mut requests => {}
         ended = responses => {
@@ -153,10 +170,28 @@
     }
 }
 
+/// Passes the bytes of an instance on to the endpoint.
+async fn pass_requests(
+    peer: &mut (impl AsyncRead + Unpin),
+    endpoint: &mut (impl AsyncWrite + Unpin),
+    record: impl Fn(),
+) -> std::io::Result<()> {
+    let mut buffer = vec![0; RECORD_BYTES_MAX];
+    loop {
+        let length = peer.read(&mut buffer).await?;
+        if length == 0 {
+            return Ok(());
+        }
+        record();
+        endpoint.write_all(&buffer[..length]).await?;
+    }
+}
+
 /// Passes the bytes of an endpoint on as records, up to the one that marks the end.
 async fn pass_records(
     endpoint: &mut (impl AsyncRead + Unpin),
     peer: &mut (impl AsyncWrite + Unpin),
+    record_bytes: impl Fn(),
 ) -> std::io::Result<()> {
     let mut record = vec![0; RECORD_HEAD_BYTES + RECORD_BYTES_MAX];
     loop {
@@ -168,5 +203,6 @@
         if length == 0 {
             return Ok(());
         }
+        record_bytes();
     }
 }
--- a/crates/routing/src/links.rs
+++ b/crates/routing/src/links.rs
@@ -343,16 +343,20 @@
     pub fn is_in_doubt(&self, now: Instant) -> bool {
         let unheard_since = |at: Instant| self.heard.is_none_or(|heard| heard <= at);
         let failed = self.failed.is_some_and(|at| now.duration_since(at) < FAILURE_AGE && unheard_since(at));
-        let is_silent = |since: Instant| now.duration_since(since) >= SILENCE && unheard_since(since);
+        let is_silent = |since: Instant| is_recent_silence(now, since) && unheard_since(since);
         let mut waiting = self.known.values().filter_map(|link| link.waiting);
         self.is_cut_off() || failed || waiting.any(is_silent)
     }
 
+    /// Whether anything has arrived directly within this time.
+    pub fn has_heard_within(&self, now: Instant, time: Duration) -> bool {
+        self.heard.is_some_and(|heard| now.duration_since(heard) < time)
+    }
+
     /// Number of links that failed, or are silent while a request waits, since a byte last arrived over them.
     pub fn doubtful_count(&self, now: Instant) -> usize {
         let is_doubtful = |link: &&Link| {
-            let silent = link.waiting.is_some_and(|since| now.duration_since(since) >= SILENCE);
-            link.failures > 0 || silent
+            link.failures > 0 || link.waiting.is_some_and(|since| is_recent_silence(now, since))
         };
         self.known.values().filter(is_doubtful).count()
     }
@@ -367,3 +371,8 @@
         self.known.values().filter(|link| link.state == State::Unreachable).count()
     }
 }
+
+/// Whether a request has waited long enough since then to mean something, and not so long that its caller may have left.
+fn is_recent_silence(now: Instant, since: Instant) -> bool {
+    (SILENCE..FAILURE_AGE).contains(&now.duration_since(since))
+}
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -81,6 +81,15 @@
 /// Standard deviations that are left to chance. Each call is admitted at random, by the fraction that its team gets, so
 /// that the variance of a team's calls is that of a binomial distribution; the share is half of what both teams got.
 const FAIR_DEVIATIONS: f64 = 4.0;
+/// Time for which instances are cut off from endpoints at the end, longer than the calls take.
+const CUT_TIME: Duration = Duration::from_secs(50);
+/// Time after which these instances must serve their callers.
+const CUT_SETTLING: Duration = Duration::from_secs(3);
+/// Pause between the calls of each caller until then.
+const CUT_PAUSE: Duration = Duration::from_millis(200);
+/// First tries at each of them, and the percentage that must be served.
+const CUT_CALLS: usize = 40;
+const CUT_SERVED_PERCENT: usize = 95;
 /// Longest time until all requests are served again at the end.
 const RECOVERY_TIME: Duration = Duration::from_secs(90);
 
@@ -340,6 +349,31 @@
         self.violation(site).map_or(Ok(()), Err)
     }
 
+    /// Instances that are cut off from endpoints, while others are not, must serve their callers like the others.
+    pub(crate) async fn verify_links(&self, site: &Site, plan: &mut Plan) -> Result<(), Violation> {
+        let count = site.parts().instances.len();
+        let cut = plan.cut_some(site, count - 1, CUT_TIME);
+        let calls = self.send_steadily(site, &[("safe", 1), ("stream", 1)], CUT_PAUSE);
+        tokio::time::sleep(CUT_SETTLING).await;
+        drop(calls);
+        let mut tasks = JoinSet::new();
+        for instance in cut {
+            let address = site.parts().instances[instance].settings.caller_address.to_string();
+            let caller = self.caller(&address);
+            tasks.spawn(async move { (instance, caller.count_served(instance).await) });
+        }
+        for (instance, served) in tasks.join_all().await {
+            println!("served by instance {instance}, cut off from endpoints: {served} of {CUT_CALLS}");
+            if !self.timeless && served * 100 < CUT_CALLS * CUT_SERVED_PERCENT {
+                let message =
+                    format!("instance {instance} served {served} of {CUT_CALLS} while it was cut off");
+                return Err(Violation { message, request_id: Some(format!("-{instance}-cut-")) });
+            }
+        }
+        plan.heal(site).await;
+        self.violation(site).map_or(Ok(()), Err)
+    }
+
     /// Sends calls of these kinds, so many of each at a time, to every instance until the result is dropped.
     fn send_steadily(&self, site: &Site, kinds: &[(&'static str, u32)], pause: Duration) -> JoinSet<()> {
         let mut tasks = JoinSet::new();
@@ -466,6 +500,16 @@
         }
     }
 
+    /// Sends first tries one after the other, and counts those that are served.
+    async fn count_served(&self, instance: usize) -> usize {
+        let mut served = 0;
+        for number in 0..CUT_CALLS {
+            let kind = ["once", "safe", "stream", "resume"][number % 4];
+            served += usize::from(self.send(kind, &format!("{kind}-{instance}-cut-{number}")).await);
+        }
+        served
+    }
+
     /// Sends the same request repeatedly, which crashes each engine that starts to run it.
     async fn send_crashing(self, index: usize, mut rng: StdRng) {
         for number in 0_u64.. {
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -7,7 +7,7 @@
 use teaselshunt_standin::{SiteBody, SiteCut, SiteFault, SiteFraming, StoreMode};
 
 use crate::proxy::Impairment;
-use crate::site::{Site, store_key};
+use crate::site::Site;
 
 /// Longest duration of a graceful shutdown, with some slack.
 const SHUTDOWN_TIME: Duration = Duration::from_secs(9);
@@ -25,6 +25,7 @@
     Way(usize),
     Fault(usize),
     Pace(usize),
+    Cut(usize),
 }
 
 pub(crate) struct Plan {
@@ -38,6 +39,8 @@
     loads: StdRng,
     /// The same for how endpoints frame and cut their bodies.
     bodies: StdRng,
+    /// The same for links between instances and endpoints.
+    cuts: StdRng,
     start: Instant,
     log: Vec<String>,
     /// Ends of the current faults, with their times.
@@ -52,8 +55,9 @@
         let statements = StdRng::seed_from_u64(rates.clone().random());
         let loads = StdRng::seed_from_u64(statements.clone().random());
         let bodies = StdRng::seed_from_u64(loads.clone().random());
+        let cuts = StdRng::seed_from_u64(bodies.clone().random());
         let (log, undo, now) = (Vec::new(), Vec::new(), Instant::now());
-        Self { rng, rates, statements, loads, bodies, start: now, log, undo, stopped: now }
+        Self { rng, rates, statements, loads, bodies, cuts, start: now, log, undo, stopped: now }
     }
 
     pub(crate) fn count(&self) -> usize {
@@ -73,6 +77,7 @@
         self.change_rate(site);
         self.change_retry_delay(site);
         self.change_load(site);
+        self.cut_instances(site);
         match self.rng.random_range(0..12) {
             0 => self.kill_instance(site),
             1 => self.terminate_instance(site),
@@ -93,14 +98,14 @@
         site.overload.send_replace(Instant::now());
         // When an endpoint leaves, the last one takes its index, so a fault may have been ended at the wrong endpoint.
         for endpoint in &site.parts().endpoints {
-            endpoint.proxy.set(Impairment::None);
+            endpoint.impair(Impairment::None);
             endpoint.server.set_fault(SiteFault::None);
             endpoint.server.advertise_limit(None);
             endpoint.server.set_retry_after(None);
             endpoint.server.set_pace(1.0);
         }
         for endpoint in &site.parts().ended {
-            site.store.remove(&store_key(&endpoint.server));
+            site.unlist(endpoint);
         }
         self.replace_crashed(site).await;
         // Waits until every graceful shutdown is complete.
@@ -137,7 +142,7 @@
                     }
                 }
                 Undo::Store => {
-                    site.store.set_mode(StoreMode::Up);
+                    site.set_store_mode(StoreMode::Up);
                     site.parts().instances.iter_mut().for_each(|s| s.undisturbed_since = Instant::now());
                 }
                 Undo::StoreWay(index) => {
@@ -147,7 +152,7 @@
                 }
                 Undo::Way(index) => {
                     if let Some(endpoint) = site.parts().endpoints.get(index) {
-                        endpoint.proxy.set(Impairment::None);
+                        endpoint.impair(Impairment::None);
                     }
                 }
                 Undo::Fault(index) => {
@@ -155,6 +160,7 @@
                         endpoint.server.set_fault(SiteFault::None);
                     }
                 }
+                Undo::Cut(index) => site.cut(index, Impairment::None),
                 Undo::Pace(index) => {
                     if let Some(endpoint) = site.parts().endpoints.get(index) {
                         endpoint.server.set_pace(1.0);
@@ -225,12 +231,12 @@
         site.parts().instances.iter_mut().for_each(|s| s.undisturbed_since = Instant::now());
         if self.rng.random_bool(0.3) {
             self.log("the store forgets its history");
-            return site.store.compact_history();
+            return site.compact_history();
         }
         let modes = [StoreMode::Busy, StoreMode::Silent, StoreMode::Closing];
         let mode = modes[self.rng.random_range(0..modes.len())];
         self.log(&format!("the store: {mode:?}"));
-        site.store.set_mode(mode);
+        site.set_store_mode(mode);
         self.schedule_undo(300, 4000, Undo::Store);
     }
 
@@ -259,7 +265,7 @@
     fn impair_endpoint_link(&mut self, site: &Site) {
         let (index, impairment) = (self.random_endpoint(site), self.random_impairment());
         self.log(&format!("way to endpoint {index}: {impairment:?}"));
-        site.parts().endpoints[index].proxy.set(impairment);
+        site.parts().endpoints[index].impair(impairment);
         self.schedule_undo(200, 3000, Undo::Way(index));
     }
 
@@ -319,15 +325,14 @@
             let mut leaving = parts.endpoints.swap_remove(index);
             leaving.left = (!stays_ready).then(Instant::now);
             leaving.server.announce_leaving(states);
-            leaving.proxy.set(Impairment::None);
+            leaving.impair(Impairment::None);
             leaving.server.set_fault(SiteFault::None);
             if stays_ready {
                 // The store has not taken the endpoint's report yet.
             } else if announced {
-                let entry = leaving.server.entry(leaving.proxy.address, "draining");
-                site.store.put(&store_key(&leaving.server), &entry);
+                site.list(&leaving, "draining");
             } else {
-                site.store.remove(&store_key(&leaving.server));
+                site.unlist(&leaving);
             }
             let stage = leaving.server.stage();
             parts.ended.push(leaving);
@@ -383,6 +388,30 @@
         }
     }
 
+    /// Now and then some instances, most or all are cut off from all endpoints.
+    fn cut_instances(&mut self, site: &Site) {
+        if !self.cuts.random_bool(0.06) {
+            return;
+        }
+        let count = site.parts().instances.len();
+        let cut = self.cuts.random_range(1..=count);
+        let time = Duration::from_millis(self.cuts.random_range(500..6_000));
+        self.cut_some(site, cut, time);
+    }
+
+    /// Cuts so many instances off from all endpoints in one way; returns them.
+    pub(crate) fn cut_some(&mut self, site: &Site, count: usize, time: Duration) -> Vec<usize> {
+        const CUTS: [Impairment; 3] = [Impairment::Reset, Impairment::OneWay, Impairment::Silent];
+        let instances = rand::seq::index::sample(&mut self.cuts, site.parts().instances.len(), count);
+        let cut = CUTS[self.cuts.random_range(0..CUTS.len())];
+        for instance in instances.iter() {
+            self.log(&format!("instance {instance} is cut off from endpoints for {time:?}: {cut:?}"));
+            site.cut(instance, cut);
+            self.undo.push((Instant::now() + time, Undo::Cut(instance)));
+        }
+        instances.into_vec()
+    }
+
     fn change_pace(&mut self, site: &Site) {
         let pace = if self.loads.random_bool(0.5) { 4.0 } else { 0.5 };
         let time = Duration::from_millis(self.loads.random_range(1_000..5_000));
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -92,6 +92,9 @@
     if let Err(violation) = callers.verify_fairness(&site, &mut plan).await {
         return Err(failure_report(seed, &plan, &violation, &site));
     }
+    if let Err(violation) = callers.verify_links(&site, &mut plan).await {
+        return Err(failure_report(seed, &plan, &violation, &site));
+    }
     if let Err(violation) = callers.verify_rates(&site).await {
         return Err(failure_report(seed, &plan, &violation, &site));
     }
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -29,6 +29,9 @@
 #[derive(Debug)]
 pub(crate) struct Proxy {
     pub(crate) address: SocketAddr,
+    /// Impairment of the target's network, and that of the link between this proxy's client and the target.
+    own: Mutex<(Impairment, Impairment)>,
+    /// The one of both that is in force.
     impairment: Arc<watch::Sender<Impairment>>,
     /// When the impairment last began or ended.
     changed: Mutex<Instant>,
@@ -42,11 +45,24 @@
         let address = listener.local_addr()?;
         let impairment = Arc::new(watch::Sender::new(Impairment::None));
         let task = tokio::spawn(accept(listener, target, Arc::clone(&impairment), crash));
-        Ok(Self { address, impairment, changed: Mutex::new(Instant::now()), task })
+        Ok(Self { address, own: Mutex::default(), impairment, changed: Mutex::new(Instant::now()), task })
     }
 
+    /// Sets the impairment of the target's network.
     pub(crate) fn set(&self, impairment: Impairment) {
-        self.impairment.send_replace(impairment);
+        self.change(|own| own.0 = impairment);
+    }
+
+    /// Sets the impairment of the link between one client and the target, which goes before that of the network.
+    pub(crate) fn set_link(&self, impairment: Impairment) {
+        self.change(|own| own.1 = impairment);
+    }
+
+    fn change(&self, change: impl FnOnce(&mut (Impairment, Impairment))) {
+        let mut own = self.own.lock().unwrap_or_else(PoisonError::into_inner);
+        change(&mut own);
+        let (network, link) = *own;
+        self.impairment.send_replace(if link == Impairment::None { network } else { link });
         *self.changed.lock().unwrap_or_else(PoisonError::into_inner) = Instant::now();
     }
 
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -5,23 +5,43 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use teaselshunt_standin::{SiteEndpoint, SiteExecution, SiteInstance, SiteOptions, SiteSettings, Store};
+use teaselshunt_standin::{
+    SiteEndpoint, SiteExecution, SiteInstance, SiteOptions, SiteSettings, Store, StoreMode,
+};
 use tokio::sync::watch;
 
-use crate::proxy::Proxy;
+use crate::proxy::{Impairment, Proxy};
 
 /// Memory limit of an instance, in MB.
 const MEMORY_MB: u64 = 96;
 
-/// An endpoint behind its proxy.
+/// An endpoint behind its proxies.
 pub(crate) struct Endpoint {
     pub(crate) server: SiteEndpoint,
-    pub(crate) proxy: Proxy,
+    /// One for each instance.
+    links: Vec<Proxy>,
     /// When the endpoint's entry was set to draining or was removed; `None` for one that leaves while its entry is
     /// ready.
     pub(crate) left: Option<Instant>,
 }
 
+impl Endpoint {
+    /// Impairs the connections of all instances.
+    pub(crate) fn impair(&self, impairment: Impairment) {
+        self.links.iter().for_each(|link| link.set(impairment));
+    }
+
+    /// Impairs the connections of one instance.
+    pub(crate) fn impair_link(&self, instance: usize, impairment: Impairment) {
+        self.links[instance].set_link(impairment);
+    }
+
+    /// Since when no connection has been impaired; `None` if some are impaired now.
+    pub(crate) fn clear_since(&self) -> Option<Instant> {
+        self.links.iter().map(Proxy::clear_since).collect::<Option<Vec<_>>>()?.into_iter().max()
+    }
+}
+
 /// An instance, whose process may be down.
 pub(crate) struct InstanceSlot {
     pub(crate) settings: SiteSettings,
@@ -33,6 +53,8 @@
     pub(crate) incarnation: u64,
     /// When the process was started or continued.
     pub(crate) running_since: Instant,
+    /// Impairment of its links to all endpoints.
+    cut: Impairment,
     /// Since when no fault has affected the process or its link to the store.
     pub(crate) undisturbed_since: Instant,
 }
@@ -48,7 +70,8 @@
 }
 
 pub(crate) struct Site {
-    pub(crate) store: Store,
+    /// What each instance sees of the store: the addresses of its own links to endpoints.
+    stores: Vec<Store>,
     parts: Mutex<Parts>,
     /// Until when callers send bursts.
     pub(crate) overload: watch::Sender<Instant>,
@@ -72,11 +95,14 @@
     pub(crate) async fn start(count: usize) -> std::io::Result<Self> {
         let directory = std::env::current_exe()?;
         let binary = directory.parent().map(|d| d.join("teaselshunt")).unwrap_or_default();
-        let store = Store::start().await?;
+        let mut stores = Vec::new();
+        for _ in 0..count {
+            stores.push(Store::start().await?);
+        }
         let parts =
             Parts { endpoints: Vec::new(), ended: Vec::new(), instances: Vec::new(), version: 1, next_id: 0 };
         let overload = watch::Sender::new(Instant::now());
-        let site = Self { store, parts: Mutex::new(parts), overload, binary };
+        let site = Self { stores, parts: Mutex::new(parts), overload, binary };
         site.publish();
         for stage in STAGES {
             site.add_endpoint(stage).await?;
@@ -93,7 +119,7 @@
 
     async fn add_instance(&self, number: usize) -> std::io::Result<()> {
         // The store does not crash: the sender of this channel is dropped, so the receiver never reports a crash.
-        let store_link = Proxy::start(self.store.address(), watch::channel(false).1).await?;
+        let store_link = Proxy::start(self.stores[number].address(), watch::channel(false).1).await?;
         // Each instance has a loopback address of its own, so that all use the same ports, as on separate machines.
         let id = std::process::id();
         let ip = [127, 60 + (id % 100) as u8, 1 + (id / 100 % 200) as u8, number as u8 + 1];
@@ -121,6 +147,7 @@
             previous: Vec::new(),
             incarnation: 1,
             running_since: undisturbed_since,
+            cut: Impairment::None,
             undisturbed_since,
         });
         Ok(())
@@ -165,16 +192,53 @@
             queue: if is_plain { QUEUE } else { 0 },
         };
         let endpoint = SiteEndpoint::start(options).await?;
-        let proxy = Proxy::start(endpoint.address(), endpoint.crash_signal()).await?;
-        self.store.put(&store_key(&endpoint), &endpoint.entry(proxy.address, "ready"));
-        self.parts().endpoints.push(Endpoint { server: endpoint, proxy, left: None });
+        let mut links = Vec::new();
+        for _ in &self.stores {
+            links.push(Proxy::start(endpoint.address(), endpoint.crash_signal()).await?);
+        }
+        let endpoint = Endpoint { server: endpoint, links, left: None };
+        self.list(&endpoint, "ready");
+        let cuts: Vec<_> = self.parts().instances.iter().map(|slot| slot.cut).collect();
+        for (instance, cut) in cuts.into_iter().enumerate() {
+            endpoint.impair_link(instance, cut);
+        }
+        self.parts().endpoints.push(endpoint);
         Ok(())
     }
 
+    /// Cuts an instance off from all endpoints, or heals its links.
+    pub(crate) fn cut(&self, instance: usize, cut: Impairment) {
+        let mut parts = self.parts();
+        parts.instances[instance].cut = cut;
+        parts.endpoints.iter().for_each(|endpoint| endpoint.impair_link(instance, cut));
+    }
+
+    /// Writes an endpoint's entry.
+    pub(crate) fn list(&self, endpoint: &Endpoint, state: &str) {
+        for (store, link) in self.stores.iter().zip(&endpoint.links) {
+            store.put(&store_key(&endpoint.server), &endpoint.server.entry(link.address, state));
+        }
+    }
+
+    /// Removes an endpoint's entry.
+    pub(crate) fn unlist(&self, endpoint: &Endpoint) {
+        self.stores.iter().for_each(|store| store.remove(&store_key(&endpoint.server)));
+    }
+
+    /// Sets how the store behaves.
+    pub(crate) fn set_store_mode(&self, mode: StoreMode) {
+        self.stores.iter().for_each(|store| store.set_mode(mode));
+    }
+
+    /// Has the store forget its history.
+    pub(crate) fn compact_history(&self) {
+        self.stores.iter().for_each(Store::compact_history);
+    }
+
     /// Publishes the configuration with the current version. Each version has a route that no other version has.
     pub(crate) fn publish(&self) {
         let version = self.parts().version;
-        self.store.publish_with_teams(version);
+        self.stores.iter().for_each(|store| store.publish_with_teams(version));
     }
 
     /// Every request that endpoints ran, including those that have left, with the time at which the endpoint left.
@@ -199,6 +263,6 @@
 }
 
 /// The store's key of an endpoint's entry.
-pub(crate) fn store_key(endpoint: &SiteEndpoint) -> String {
+fn store_key(endpoint: &SiteEndpoint) -> String {
     format!("servers/{}", endpoint.id())
 }
--- a/crates/soak/src/statements.rs
+++ b/crates/soak/src/statements.rs
@@ -63,7 +63,7 @@
 /// A request that is one too many in a cooldown.
 pub(crate) fn request_in_cooldown(parts: &Parts) -> Option<String> {
     parts.endpoints.iter().chain(&parts.ended).find_map(|endpoint| {
-        let clear_since = endpoint.proxy.clear_since()?;
+        let clear_since = endpoint.clear_since()?;
         let log = endpoint.server.arrival_log();
         let refusals = log.iter().enumerate().filter_map(|(position, refused)| {
             let seconds = refused.retry_after.as_deref()?.parse::<f64>().ok()?;
