--- a/crates/forward/src/crashes.rs
+++ b/crates/forward/src/crashes.rs
@@ -20,7 +20,7 @@
 
 use crate::connection_pool::Reachability;
 use crate::node::{Job, Node};
-use crate::reach::Destination;
+use crate::reach::{self, CHECK_TIMEOUT, Destination};
 use crate::trace::Trace;
 
 /// Time between a loss and the check: a process that exits closes its connections and its listener one after
@@ -158,12 +158,14 @@
         }
         None => Reachability::Reachable,
     };
-    let mut losses = node.losses.borrow_mut().remove(&endpoint).unwrap_or_default();
-    let has_crashed = match reachability {
-        Reachability::Reachable => false,
-        Reachability::Unreachable => true,
-        Reachability::Unknown => node.pool.reach().is_sound(node.now()),
+    let has_crashed = match (reachability, &live) {
+        (Reachability::Reachable, _) | (Reachability::Unknown, None) => false,
+        (Reachability::Unreachable, _) => true,
+        (Reachability::Unknown, Some((address, ..))) => {
+            reach::confirms_links(&node, *address, CHECK_TIMEOUT).await
+        }
     };
+    let mut losses = node.losses.borrow_mut().remove(&endpoint).unwrap_or_default();
     let Some((_, id, incarnation)) = live.filter(|_| has_crashed) else { return };
     if let Some(first) = losses.first().map(|loss| loss.at) {
         losses.extend(
--- a/crates/forward/src/reach.rs
+++ b/crates/forward/src/reach.rs
@@ -21,7 +21,7 @@
 use crate::node::{Node, Phase};
 
 /// Longest time for an endpoint's answer to a check over a direct connection.
-const CHECK_TIMEOUT: Duration = Duration::from_millis(200);
+pub(crate) const CHECK_TIMEOUT: Duration = Duration::from_millis(200);
 /// The same through a peer.
 const TUNNEL_CHECK_TIMEOUT: Duration = Duration::from_millis(300);
 /// Peers that a check asks at a time.
@@ -231,6 +231,20 @@
     answers_over_own_link(node, &Destination::endpoint(address, id.into()), timeout).await
 }
 
+/// Whether an endpoint other than the one at this address answers this instance itself, so that the instance's links are
+/// sound. Where there is no other, nothing speaks against them.
+pub(crate) async fn confirms_links(node: &Node, except: SocketAddr, timeout: Duration) -> bool {
+    let other = {
+        let state = &mut *node.state.borrow_mut();
+        let other = state.endpoints.sample_open(node.now(), except, &mut state.rng);
+        other.map(|endpoint| Destination::endpoint(endpoint.address, Arc::clone(&endpoint.id)))
+    };
+    match other {
+        Some(other) => answers_over_own_link(node, &other, timeout).await,
+        None => true,
+    }
+}
+
 async fn answers_over_own_link(node: &Node, destination: &Destination, timeout: Duration) -> bool {
     let until = node.now() + timeout;
     let connecting = tokio::time::timeout_at(until.into(), node.pool.connect_directly(destination));
--- a/crates/forward/src/tunnel_listener.rs
+++ b/crates/forward/src/tunnel_listener.rs
@@ -124,18 +124,19 @@
     };
     let tunnel = OpenTunnel::begin(node).ok_or(Decline::Full)?;
     let reach = node.pool.reach();
-    let was_sound = reach.is_sound(node.now());
+    let mut is_sound = reach.is_sound(node.now());
     // An instance without traffic of its own may have lost its links unnoticed.
     if !reach.has_heard_lately(node.now()) && !reach::answers_directly(node, address, id, CHECK_TIMEOUT).await
     {
-        return Err(Decline::InDoubt);
-    }
-    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, sockets::connect(address));
-    if let Ok(Ok(endpoint)) = connecting.await {
-        return Ok((endpoint, tunnel));
+        is_sound = reach::confirms_links(node, address, CHECK_TIMEOUT).await;
+    } else {
+        let connecting = tokio::time::timeout(CONNECT_TIMEOUT, sockets::connect(address));
+        if let Ok(Ok(endpoint)) = connecting.await {
+            return Ok((endpoint, tunnel));
+        }
+        reach.record_failure(address);
     }
-    reach.record_failure(address);
-    Err(if was_sound { Decline::Unreachable } else { Decline::InDoubt })
+    Err(if is_sound { Decline::Unreachable } else { Decline::InDoubt })
 }
 
 async fn run(request: Request<Incoming>, endpoint: TcpStream, tunnel: OpenTunnel) {
--- a/crates/routing/src/endpoints.rs
+++ b/crates/routing/src/endpoints.rs
@@ -24,6 +24,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use rand::Rng;
+use rand::seq::IteratorRandom;
 use slotmap::SlotMap;
 use teaselshunt_core::Cooldown;
 
@@ -455,6 +457,12 @@
         self.get(*self.by_address.get(&address)?.last()?)
     }
 
+    /// Any endpoint that takes new work, but for the one at this address.
+    pub fn sample_open(&self, now: Instant, except: SocketAddr, rng: &mut impl Rng) -> Option<&Endpoint> {
+        let open = self.arena.values().filter(|entry| entry.is_open(now) && entry.endpoint.address != except);
+        open.choose(rng).map(|entry| &entry.endpoint)
+    }
+
     /// Forgets what results have shown of the endpoint at an address: they were those of the way to it.
     pub fn forget_results(&mut self, address: SocketAddr) {
         let key = self.by_address.get(&address).and_then(|occupants| occupants.last());
