--- a/crates/bench/src/commands/mod.rs
+++ b/crates/bench/src/commands/mod.rs
@@ -3,6 +3,7 @@
 mod chaos;
 mod contention;
 mod cost;
+mod links;
 mod plot;
 mod policy;
 mod quotas;
@@ -47,6 +48,8 @@
     Upkeep(upkeep::Arguments),
     #[options(help = "measure the overhead of the router compared with direct calls")]
     Cost(cost::Arguments),
+    #[options(help = "measure what callers of instances without links to endpoints see")]
+    Links(links::Arguments),
 }
 
 impl Command {
@@ -66,6 +69,7 @@
                 Ok(())
             }
             Self::Cost(arguments) => cost::run(&arguments),
+            Self::Links(arguments) => links::run(&arguments),
         }
     }
 }
