Links: where no instance reaches an endpoint, requests are refused at once; no crash without evidence

Six of six instances with reset connections: 380 of 648 calls were answered 502 from 3 s after the cut on, since a link that was lost in the first moment, when peers still took tunnels, kept the instance from being isolated. A lost link reaches nothing when no peer takes tunnels. Generations are refused when all decode engines are unreachable. And all peers having withdrawn counted as nobody to ask, so that crashes were declared: where no peer can tell, another endpoint has to answer.

--- a/crates/bench/src/commands/links.rs
+++ b/crates/bench/src/commands/links.rs
@@ -1,5 +1,6 @@
 //! Measures what callers of instances without links to endpoints see, on real processes before stand-ins.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -211,10 +212,14 @@
             times.sort_unstable();
             let quantile = |q: f64| times.get((times.len() as f64 * q) as usize).copied().unwrap_or_default();
             let who = if is_cut { "without links" } else { "others" };
-            let mut failed: Vec<_> = group.iter().map(|c| c.status).filter(|s| *s != 200).collect();
-            failed.sort_unstable();
+            let mut failed: BTreeMap<u16, (u32, Duration)> = BTreeMap::new();
+            for call in group.iter().filter(|call| call.status != 200) {
+                let (count, longest) = failed.entry(call.status).or_default();
+                *count += 1;
+                *longest = call.took.max(*longest);
+            }
             println!(
-                "{phase:?} {who}: {served} of {}; plain calls p50 {:.1?} p95 {:.1?}; other statuses {failed:?}",
+                "{phase:?} {who}: {served} of {}; plain calls p50 {:.1?} p95 {:.1?}; other statuses, with count and longest time: {failed:.0?}",
                 group.len(),
                 quantile(0.5),
                 quantile(0.95)
--- a/crates/forward/src/connection_pool.rs
+++ b/crates/forward/src/connection_pool.rs
@@ -87,9 +87,9 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Reachability {
     Reachable,
-    /// This instance cannot reach it, and neither can a peer, if there is one to ask.
+    /// Neither this instance nor a peer can reach it.
     Unreachable,
-    /// This instance cannot reach it, and no peer can tell.
+    /// This instance cannot reach it, and there is no peer that can tell.
     Unknown,
 }
 
@@ -309,10 +309,8 @@
                 self.put(connection);
                 Reachability::Reachable
             }
-            Err(TunnelFailure::NoPeer) if self.reach.peers().is_any_usable(Instant::now()) => {
-                Reachability::Unknown
-            }
-            Err(TunnelFailure::Unreachable | TunnelFailure::NoPeer) => Reachability::Unreachable,
+            Err(TunnelFailure::NoPeer) => Reachability::Unknown,
+            Err(TunnelFailure::Unreachable) => Reachability::Unreachable,
         }
     }
 
--- a/crates/forward/src/reach.rs
+++ b/crates/forward/src/reach.rs
@@ -166,6 +166,8 @@
 pub(crate) fn maintain(node: &Rc<Node>, was_in_doubt: bool) -> bool {
     let (now, reach) = (node.now(), node.pool.reach());
     reach.peers.borrow_mut().expire(now);
+    let has_peers = reach.peers.borrow().is_any_usable(now);
+    reach.links.borrow_mut().set_has_peers(has_peers);
     let due = reach.links.borrow_mut().due_checks(now, &mut *reach.rng.borrow_mut());
     for endpoint in due {
         tokio::task::spawn_local(check(Rc::clone(node), endpoint));
--- a/crates/forward/src/requests.rs
+++ b/crates/forward/src/requests.rs
@@ -12,7 +12,7 @@
 use hyper::header::{AUTHORIZATION, CONNECTION, HOST, HeaderValue};
 use hyper::{Request, Response};
 use teaselshunt_core::{ErrorKind, Refusal};
-use teaselshunt_routing::{BodyKind, Repeat, Route, RouteSet};
+use teaselshunt_routing::{BodyKind, Repeat, Route, RouteSet, Stage};
 
 use crate::admission::{charge, identify};
 use crate::body::{CallerConnection, ResponseBody};
@@ -164,7 +164,10 @@
 /// Whether nothing reaches any endpoint of the request's service.
 fn is_unreachable(node: &Node, job: &Job) -> bool {
     let (now, state) = (node.now(), node.state.borrow());
-    let endpoints = state.endpoints.open(now, &job.service.name);
+    // The first step of a generation needs a decode engine.
+    let first_step = job.service.engine.map(|_| Stage::Decode);
+    let endpoints =
+        state.endpoints.open(now, &job.service.name).filter(|endpoint| endpoint.stage == first_step);
     node.pool.reach().refuses(now, endpoints.map(|endpoint| endpoint.address))
 }
 
--- a/crates/routing/src/links.rs
+++ b/crates/routing/src/links.rs
@@ -133,6 +133,8 @@
     cut_since: Option<Instant>,
     /// When the next check of a lost link may start.
     next_return: Option<Instant>,
+    /// Whether any peer takes tunnels.
+    has_peers: bool,
     /// When the next request may try an endpoint although nothing was reached.
     next_trial: Option<Instant>,
 }
@@ -145,8 +147,10 @@
         link.used = Some(now);
         link.join_cut(cut);
         match link.state {
-            State::Lost => Path::Tunnel,
             State::Unreachable if isolated => Path::None,
+            State::Lost => Path::Tunnel,
+            // A tunnel that cannot be opened is a failure of which nothing was sent.
+            State::Unreachable if cut.is_some() => Path::Tunnel,
             State::Direct | State::Unreachable => Path::Direct,
         }
     }
@@ -318,8 +322,7 @@
         }
         let (mut unreachable, mut untried) = (0, 0);
         for endpoint in endpoints {
-            let is_unreachable =
-                self.known.get(&endpoint).is_some_and(|link| link.state == State::Unreachable);
+            let is_unreachable = self.known.get(&endpoint).is_some_and(|link| link.state != State::Direct);
             *(if is_unreachable { &mut unreachable } else { &mut untried }) += 1;
         }
         if untried == 0 {
@@ -332,10 +335,20 @@
         true
     }
 
-    /// Whether nothing reaches any endpoint that is in use.
+    /// Whether nothing reaches any endpoint that is in use: none answers directly, and no peer reaches one or takes tunnels.
     pub fn is_isolated(&self, now: Instant) -> bool {
         let silent = self.heard.is_none_or(|heard| now.duration_since(heard) >= SILENCE);
-        silent && !self.known.is_empty() && self.known.values().all(|link| link.state == State::Unreachable)
+        let is_reached = |link: &Link| match link.state {
+            State::Direct => true,
+            State::Lost => self.has_peers,
+            State::Unreachable => false,
+        };
+        silent && !self.known.is_empty() && !self.known.values().any(is_reached)
+    }
+
+    /// Sets whether any peer takes tunnels.
+    pub fn set_has_peers(&mut self, has_peers: bool) {
+        self.has_peers = has_peers;
     }
 
     /// Whether this instance's failures say nothing about endpoints: links failed or are silent, and no byte has arrived
