--- a/crates/forward/src/reach.rs
+++ b/crates/forward/src/reach.rs
@@ -28,6 +28,8 @@
 const CHECK_PEERS: usize = 3;
 /// Time after which an instance that has heard from no endpoint asks one before it opens a tunnel.
 const HEARD_LATELY: Duration = Duration::from_millis(500);
+/// Endpoints that are asked whether an instance's links are sound; one may be down as well.
+const CONFIRMING_ENDPOINTS: usize = 4;
 /// Failing links from which an instance that has heard nothing since does not vouch for what it cannot reach.
 const DOUBTFUL_MIN: usize = 2;
 
@@ -233,18 +235,25 @@
     answers_over_own_link(node, &Destination::endpoint(address, id.into()), timeout).await
 }
 
-/// Whether an endpoint other than the one at this address answers this instance itself, so that the instance's links are
-/// sound. Where there is no other, nothing speaks against them.
+/// Whether any of some endpoints other than the one at this address answers this instance itself, so that the instance's
+/// links are sound. Where there is no other, nothing speaks against them.
 pub(crate) async fn confirms_links(node: &Node, except: SocketAddr, timeout: Duration) -> bool {
-    let other = {
+    let others: Vec<_> = {
         let state = &mut *node.state.borrow_mut();
-        let other = state.endpoints.sample_open(node.now(), except, &mut state.rng);
-        other.map(|endpoint| Destination::endpoint(endpoint.address, Arc::clone(&endpoint.id)))
+        let others = state.endpoints.sample_open(node.now(), except, CONFIRMING_ENDPOINTS, &mut state.rng);
+        others.into_iter().map(|e| Destination::endpoint(e.address, Arc::clone(&e.id))).collect()
     };
-    match other {
-        Some(other) => answers_over_own_link(node, &other, timeout).await,
-        None => true,
+    if others.is_empty() {
+        return true;
     }
+    let mut asked: FuturesUnordered<_> =
+        others.iter().map(|other| answers_over_own_link(node, other, timeout)).collect();
+    while let Some(answered) = asked.next().await {
+        if answered {
+            return true;
+        }
+    }
+    false
 }
 
 async fn answers_over_own_link(node: &Node, destination: &Destination, timeout: Duration) -> bool {
--- a/crates/routing/src/endpoints.rs
+++ b/crates/routing/src/endpoints.rs
@@ -457,10 +457,16 @@
         self.get(*self.by_address.get(&address)?.last()?)
     }
 
-    /// Any endpoint that takes new work, but for the one at this address.
-    pub fn sample_open(&self, now: Instant, except: SocketAddr, rng: &mut impl Rng) -> Option<&Endpoint> {
+    /// Some endpoints that take new work, but for the one at this address.
+    pub fn sample_open(
+        &self,
+        now: Instant,
+        except: SocketAddr,
+        count: usize,
+        rng: &mut impl Rng,
+    ) -> Vec<&Endpoint> {
         let open = self.arena.values().filter(|entry| entry.is_open(now) && entry.endpoint.address != except);
-        open.choose(rng).map(|entry| &entry.endpoint)
+        open.map(|entry| &entry.endpoint).choose_multiple(rng, count)
     }
 
     /// Forgets what results have shown of the endpoint at an address: they were those of the way to it.
--- a/crates/routing/src/links.rs
+++ b/crates/routing/src/links.rs
@@ -9,7 +9,8 @@
 //! - a link is lost only while nothing has arrived over a connection that was opened after the loss;
 //! - an endpoint is unreachable only after [`FAILED_CHECKS`] checks in a row that no path answered, and is still asked
 //!   directly as long as any other link works, so that one that is silent for a moment stays in use;
-//! - what is not used any more is forgotten, so that the number of links is bounded by the endpoints in use.
+//! - what is not used any more is forgotten, unless nothing is reached at all, so that the number of links is bounded by
+//!   the endpoints in use.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -253,7 +254,9 @@
     /// Links to check now: those that may be lost, those that nothing reached, and now and then one that is lost.
     pub fn due_checks(&mut self, now: Instant, rng: &mut impl Rng) -> Vec<SocketAddr> {
         let age = |at: Option<Instant>| at.map(|at| now.duration_since(at));
-        self.known.retain(|_, link| age(link.used).is_some_and(|age| age < RETENTION));
+        // While nothing is reached, requests are refused and use no link; what is known must not be found out again.
+        let isolated = self.is_isolated(now);
+        self.known.retain(|_, link| isolated || age(link.used).is_some_and(|age| age < RETENTION));
         if self.known.is_empty() {
             self.cut_since = None;
         }
--- a/crates/routing/tests/all/links.rs
+++ b/crates/routing/tests/all/links.rs
@@ -180,6 +180,18 @@
     assert_eq!(links.path(now + millis(500), endpoint(0)), Path::Direct);
 }
 
+/// Guards against requests that are lost again and again because an instance forgets that nothing is reached.
+#[test]
+fn what_nothing_reaches_is_remembered_while_requests_are_refused() {
+    let now = Instant::now();
+    let mut links = sound(now, 1);
+    for _ in 0..2 {
+        links.record_check(now + millis(500), endpoint(0), CheckResult::Neither);
+    }
+    assert!(!links.due_checks(now + millis(20_000), &mut rng()).is_empty());
+    assert!(links.refuses(now + millis(20_000), [endpoint(0)].into_iter()));
+}
+
 /// Guards against memory that grows with all endpoints that there ever were.
 #[test]
 fn links_that_are_not_used_are_forgotten() {
