--- a/crates/forward/src/crashes.rs
+++ b/crates/forward/src/crashes.rs
@@ -3,7 +3,8 @@
 //!
 //! A broken connection alone proves nothing: an endpoint can lose one response, and the network can reset
 //! connections. But an endpoint that also refuses a new connection, right after it lost a request, has ended
-//! or is partitioned. If a peer reaches it, only this instance has lost its link to it. One check covers all requests that the endpoint lost meanwhile.
+//! or is partitioned. If a peer reaches it, only this instance has lost its link to it. One check covers all
+//! requests that the endpoint lost meanwhile.
 //!
 //! If a caller disconnects, this instance itself closes the connection to the endpoint, so that the endpoint
 //! is not checked. If the endpoint crashes at about that time, under other requests that this instance or a
--- a/crates/forward/src/gossip.rs
+++ b/crates/forward/src/gossip.rs
@@ -209,7 +209,7 @@
                 let extension: Extension = postcard::from_bytes(rest).unwrap_or_default();
                 let lifetime =
                     failure_timeout(plausible_interval(Duration::from_millis(trailer.next.into())));
-                let takes_tunnels = extension.takes_tunnels && !report.leaving;
+                let takes_tunnels = self.node.settings.tunnels && extension.takes_tunnels && !report.leaving;
                 let now = self.node.now();
                 self.node.pool.reach().peers().observe(now, from, takes_tunnels, same_domain, lifetime);
                 self.receive_report(from, datagram.domain, *report, trailer);
--- a/crates/forward/src/reach.rs
+++ b/crates/forward/src/reach.rs
@@ -160,7 +160,8 @@
 
 /// Whether this instance opens tunnels for peers.
 pub(crate) fn takes_tunnels(node: &Node) -> bool {
-    node.phase() == Phase::Serving && node.is_ready() && node.pool.reach().is_sound(node.now())
+    let serves = node.phase() == Phase::Serving && node.is_ready();
+    node.settings.tunnels && serves && node.pool.reach().is_sound(node.now())
 }
 
 /// Starts the checks that are due, logs what changed, and updates the gauges. Returns whether this instance doubts its
--- a/crates/forward/src/settings.rs
+++ b/crates/forward/src/settings.rs
@@ -42,6 +42,8 @@
     pub memory_bytes: u64,
     /// Failure domains of the deployment; 0 if unknown.
     pub domain_count: u32,
+    /// Whether this instance reaches endpoints through peers where its own links fail, and opens tunnels for peers.
+    pub tunnels: bool,
     /// Parts of load control.
     pub load: LoadSwitches,
 }
--- a/crates/forward/src/tunnel_listener.rs
+++ b/crates/forward/src/tunnel_listener.rs
@@ -42,7 +42,7 @@
 enum Decline {
     /// This instance does not list the endpoint.
     Unknown,
-    /// It has as many tunnels as it can carry, or is stopping.
+    /// It has as many tunnels as it can carry, opens none, or is stopping.
     Full,
     /// It cannot reach the endpoint, and its own links may be the cause.
     InDoubt,
@@ -114,7 +114,7 @@
 
 /// Connects to the endpoint.
 async fn open(node: &Rc<Node>, id: &str) -> Result<(TcpStream, OpenTunnel), Decline> {
-    if node.phase() >= Phase::Closing {
+    if !node.settings.tunnels || node.phase() >= Phase::Closing {
         return Err(Decline::Full);
     }
     let address: SocketAddr = {
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -1,5 +1,7 @@
 //! Callers, and the guarantees that they check.
 
+mod verification;
+
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -8,13 +10,11 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use reqwest::{Client, Response};
-use teaselshunt_routing::{Class, Demand, Priority, divide};
 use teaselshunt_standin::{CRASHING_BODY, FLOODING_TEAM, RIVAL_TEAM, SiteTeam, UNLIMITED_TEAM};
 use teaselshunt_standin::{SiteExecution, event_text, is_signed, site_request};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
-use crate::faults::Plan;
 use crate::site::Site;
 use crate::statements::{self, Announcements};
 
@@ -55,43 +55,13 @@
 const EVENT_COUNT: u32 = 20;
 /// Pause before each request that crashes engines, in milliseconds.
 const CRASH_PAUSE_MS: std::ops::Range<u64> = 500..3_000;
-/// Engines that one request may crash after all faults have ended, before all instances know that the request does so.
-/// Instances that were all down at the same moment have lost that knowledge and must learn it again.
-const MAX_CRASHES: usize = 3;
-/// Time in which all instances know what one instance has observed.
-const GOSSIP_TIME: Duration = Duration::from_secs(3);
-/// Requests a second that plain endpoints advertise at the end.
-const RATE_PER_S: f64 = 3.0;
-/// Window in which the requests to these endpoints are counted, the factor by which the count may exceed the rate, and
-/// the requests that are allowed in addition.
-const RATE_WINDOW: Duration = Duration::from_secs(4);
-const RATE_TOLERANCE: f64 = 1.5;
-const RATE_SLACK: f64 = 5.0;
-/// Pause between two calls of each caller while these requests are counted, which ask for several times the rate.
-const RATE_PAUSE: Duration = Duration::from_millis(30);
 /// Ids of the calls of two teams that overload the plain service with equal priority, and how many of each every caller
 /// sends at a time. Four instances get 600 and 200 calls a second, and the plain endpoints serve 300 or fewer.
 const FAIR_CALLS: [(&str, u32); 2] = [("fair", 3), ("rival", 1)];
 const FAIR_PAUSE: Duration = Duration::from_millis(20);
-/// Time until the overload is known to all instances, and the window in which the calls of both teams are counted.
-const FAIR_SETTLING: Duration = Duration::from_secs(2);
-const FAIR_WINDOW: Duration = Duration::from_secs(6);
-/// Part of its fair share that a team must get.
-const FAIR_PART: f64 = 0.9;
-/// Standard deviations that are left to chance. Each call is admitted at random, by the fraction that its team gets, so
-/// that the variance of a team's calls is that of a binomial distribution; the share is half of what both teams got.
-const FAIR_DEVIATIONS: f64 = 4.0;
-/// Time for which instances are cut off from endpoints at the end, longer than the calls take.
-const CUT_TIME: Duration = Duration::from_secs(50);
-/// Time after which these instances must serve their callers.
-const CUT_SETTLING: Duration = Duration::from_secs(3);
-/// Pause between the calls of each caller until then.
-const CUT_PAUSE: Duration = Duration::from_millis(200);
 /// First tries at each of them, and the percentage that must be served.
 const CUT_CALLS: usize = 40;
 const CUT_SERVED_PERCENT: usize = 95;
-/// Longest time until all requests are served again at the end.
-const RECOVERY_TIME: Duration = Duration::from_secs(90);
 
 /// Kinds of requests that may run only once.
 const ONCE: [&str; 7] = ["once", "stream", "crash", "urgent", "background", "fair", "rival"];
@@ -218,162 +188,6 @@
         late_run.and_then(|(run, _)| violation("an endpoint that had left got a request", &run.request_id))
     }
 
-    /// After all faults have ended, every instance must serve every kind of request again, and no endpoint may still
-    /// run requests.
-    ///
-    /// Requests of callers that were in progress may still crash engines. As during the run, others take their place.
-    pub(crate) async fn verify_recovery(&self, site: &Site, plan: &mut Plan) -> Result<(), Violation> {
-        self.tasks.lock().unwrap_or_else(PoisonError::into_inner).abort_all();
-        let end = Instant::now() + RECOVERY_TIME;
-        let addresses: Vec<String> =
-            site.parts().instances.iter().map(|s| s.settings.caller_address.to_string()).collect();
-        let newest = format!("v{}", site.parts().version);
-        for address in &addresses {
-            // The last kind is the route that only the newest configuration has.
-            let kinds =
-                ["once", "safe", "stream", "resume"].into_iter().chain(BURST_KINDS).chain([newest.as_str()]);
-            for kind in kinds {
-                while !self
-                    .caller(address)
-                    .send(kind, &format!("{kind}-end-{address}-{:?}", Instant::now()))
-                    .await
-                {
-                    if Instant::now() > end {
-                        let crashed =
-                            site.parts().endpoints.iter().filter(|e| e.server.has_crashed()).count();
-                        let message = format!(
-                            "{address} does not serve {kind} after all faults ended; {crashed} endpoints have crashed"
-                        );
-                        return Err(Violation { message, request_id: Some(format!("{kind}-end-{address}")) });
-                    }
-                    plan.replace_lapsed(site).await;
-                    tokio::time::sleep(Duration::from_millis(200)).await;
-                }
-            }
-        }
-        while site.parts().endpoints.iter().any(|e| e.server.active_requests() > 0) {
-            if Instant::now() > end {
-                let message = "an endpoint still runs requests of callers that have disconnected".to_owned();
-                return Err(Violation { message, request_id: None });
-            }
-            tokio::time::sleep(Duration::from_millis(200)).await;
-        }
-        self.violation(site).map_or(Ok(()), Err)
-    }
-
-    /// After all faults have ended, a request that crashes engines may crash at most [`MAX_CRASHES`] more.
-    pub(crate) async fn verify_quarantine(&self, site: &Site, plan: &mut Plan) -> Result<(), Violation> {
-        let before = site.crash_count();
-        let addresses: Vec<String> =
-            site.parts().instances.iter().map(|s| s.settings.caller_address.to_string()).collect();
-        for (number, address) in addresses.iter().cycle().take(MAX_CRASHES).enumerate() {
-            self.caller(address).send("crash", &format!("crash-first-{number}")).await;
-            plan.replace_lapsed(site).await;
-        }
-        tokio::time::sleep(GOSSIP_TIME).await;
-        for (number, address) in addresses.iter().enumerate() {
-            self.caller(address).send("crash", &format!("crash-last-{number}")).await;
-            plan.replace_lapsed(site).await;
-        }
-        let more = site.crash_count() - before;
-        if more > MAX_CRASHES {
-            let message = format!("a request crashed {more} engines after all faults had ended");
-            return Err(Violation { message, request_id: Some("crash-last".to_owned()) });
-        }
-        Ok(())
-    }
-
-    /// After all faults have ended, plain endpoints that advertise a rate must get no more requests than the rate
-    /// allows. This guarantee has a time bound, so it is not checked beside other load.
-    pub(crate) async fn verify_rates(&self, site: &Site) -> Result<(), Violation> {
-        let advertise = |rate: Option<&str>| {
-            let parts = site.parts();
-            let plain = parts.endpoints.iter().filter(|e| e.server.stage().is_none());
-            plain.for_each(|e| e.server.advertise_limit(rate));
-        };
-        advertise(Some(&RATE_PER_S.to_string()));
-        let calls = self.send_steadily(site, &[("safe", 1)], RATE_PAUSE);
-        tokio::time::sleep(GOSSIP_TIME).await;
-        let counted_from = Instant::now();
-        tokio::time::sleep(RATE_WINDOW * 2).await;
-        drop(calls);
-        advertise(None);
-        let allowed = (RATE_PER_S * RATE_WINDOW.as_secs_f64() * RATE_TOLERANCE + RATE_SLACK) as usize;
-        let parts = site.parts();
-        let exceeded = parts.endpoints.iter().filter(|e| e.server.stage().is_none()).find(|e| {
-            let arrivals: Vec<_> = e.server.arrivals().into_iter().filter(|at| *at >= counted_from).collect();
-            println!("requests to {} at its advertised rate: {}", e.server.id(), arrivals.len());
-            // Without requests there would be nothing to check.
-            arrivals.is_empty()
-                || arrivals.windows(allowed + 1).any(|span| span[allowed] - span[0] < RATE_WINDOW)
-        });
-        match exceeded {
-            Some(endpoint) if !self.timeless => {
-                let id = endpoint.server.id();
-                let message = format!("endpoint {id} got no requests, or more than its advertised rate");
-                Err(Violation { message, request_id: None })
-            }
-            Some(_) | None => Ok(()),
-        }
-    }
-
-    /// While two teams overload a service with equal priority, and a fault disturbs it, no team may get less than nine
-    /// tenths of its fair share while the other gets more than its own. The capacity is what both got.
-    pub(crate) async fn verify_fairness(&self, site: &Site, plan: &mut Plan) -> Result<(), Violation> {
-        let calls = self.send_steadily(site, &FAIR_CALLS, FAIR_PAUSE);
-        tokio::time::sleep(FAIR_SETTLING).await;
-        plan.disturb_overload(site);
-        lock(&self.records).fair = Default::default();
-        tokio::time::sleep(FAIR_WINDOW).await;
-        let counts = lock(&self.records).fair;
-        drop(calls);
-        plan.heal(site).await;
-        let class = |team| Class { priority: Priority::new(None, 1), team };
-        let demands = [0, 1].map(|team| Demand {
-            class: class(team as u32),
-            weight: 1.0,
-            offered: f64::from(counts[team].0),
-        });
-        let got = counts.map(|(_, complete)| f64::from(complete));
-        let fractions = divide(got[0] + got[1], &demands);
-        let shares = [0, 1].map(|team| demands[team].offered * fractions[team]);
-        let variance: f64 = [0, 1].map(|team| shares[team] * (1.0 - fractions[team])).iter().sum();
-        let least = |share: f64| share * FAIR_PART - FAIR_DEVIATIONS * variance.sqrt() / 2.0;
-        let bounds = shares.map(least);
-        println!("calls and answers of two teams: {counts:?}, fair shares {shares:.0?}, bounds {bounds:.0?}");
-        let is_wronged = |team: usize| got[team] < bounds[team] && got[1 - team] > shares[1 - team];
-        if !self.timeless && (got[0] + got[1] == 0.0 || is_wronged(0) || is_wronged(1)) {
-            let message = format!("a team got too little: {counts:?} (asked, got), bounds {bounds:.0?}");
-            return Err(Violation { message, request_id: None });
-        }
-        self.violation(site).map_or(Ok(()), Err)
-    }
-
-    /// Instances that are cut off from endpoints, while others are not, must serve their callers like the others.
-    pub(crate) async fn verify_links(&self, site: &Site, plan: &mut Plan) -> Result<(), Violation> {
-        let count = site.parts().instances.len();
-        let cut = plan.cut_some(site, count - 1, CUT_TIME);
-        let calls = self.send_steadily(site, &[("safe", 1), ("stream", 1)], CUT_PAUSE);
-        tokio::time::sleep(CUT_SETTLING).await;
-        drop(calls);
-        let mut tasks = JoinSet::new();
-        for instance in cut {
-            let address = site.parts().instances[instance].settings.caller_address.to_string();
-            let caller = self.caller(&address);
-            tasks.spawn(async move { (instance, caller.count_served(instance).await) });
-        }
-        for (instance, served) in tasks.join_all().await {
-            println!("served by instance {instance}, cut off from endpoints: {served} of {CUT_CALLS}");
-            if !self.timeless && served * 100 < CUT_CALLS * CUT_SERVED_PERCENT {
-                let message =
-                    format!("instance {instance} served {served} of {CUT_CALLS} while it was cut off");
-                return Err(Violation { message, request_id: Some(format!("-{instance}-cut-")) });
-            }
-        }
-        plan.heal(site).await;
-        self.violation(site).map_or(Ok(()), Err)
-    }
-
     /// Sends calls of these kinds, so many of each at a time, to every instance until the result is dropped.
     fn send_steadily(&self, site: &Site, kinds: &[(&'static str, u32)], pause: Duration) -> JoinSet<()> {
         let mut tasks = JoinSet::new();
