Store and retry budget: age of the knowledge, source of a version, second attempts by verdict

The hypotheses of the incident could not be told apart: a failed call did not say since when the knowledge was unconfirmed, a configuration line named no source, a refusal of an unknown route named no version, and second attempts were not counted.

--- a/crates/forward/src/catalog.rs
+++ b/crates/forward/src/catalog.rs
@@ -107,6 +107,23 @@
     Outdated,
 }
 
+/// Where a configuration was read.
+#[derive(Debug, Clone, Copy)]
+enum RoutesSource {
+    Store,
+    Peer,
+}
+
+impl RoutesSource {
+    /// Name for logs.
+    const fn text(self) -> &'static str {
+        match self {
+            Self::Store => "store",
+            Self::Peer => "peer",
+        }
+    }
+}
+
 /// Outcome of a call to the store or to a snapshot source, for metrics.
 fn call_outcome(status: Result<StatusCode, &ExchangeFailure>) -> &'static str {
     match status {
@@ -143,6 +160,8 @@
     expiry_window_end: Cell<Option<Instant>>,
     /// Earliest time at which an entry that is found missing now may have been removed.
     missing_since: Cell<Instant>,
+    /// For how long the knowledge had been unconfirmed when the last changes arrived, for logs.
+    unconfirmed_before: Cell<Duration>,
     source: Cell<UpdateSource>,
     freshness: Cell<Freshness>,
     freeze_detector: Cell<FreezeDetector>,
@@ -172,6 +191,7 @@
             last_response: Cell::new(started),
             expiry_window_end: Cell::new(None),
             missing_since: Cell::new(started),
+            unconfirmed_before: Cell::default(),
             source: Cell::default(),
             freshness: Cell::new(Freshness::new(settings.apply_bound.min(settings.drain_bound))),
             freeze_detector: Cell::new(FreezeDetector::new(node.clock.uptime())),
@@ -209,7 +229,7 @@
                 Err(error) => {
                     // One line at the start of an outage, not one for each call.
                     if failures == 0 {
-                        warn!(self.node.log, "store lost"; "error" => %error);
+                        warn!(self.node.log, "store lost"; "error" => %error, "unconfirmed_ms" => self.unconfirmed_ms());
                     }
                     failures += 1;
                     tokio::time::sleep(self.backoff(failures)).await;
@@ -252,11 +272,18 @@
 
     /// Records, before changes are applied, since when a missing entry may have been removed.
     fn record_missing_since(&self) {
-        let age = self.freshness.get().missing_for(self.node.clock.uptime());
+        let uptime = self.node.clock.uptime();
+        self.unconfirmed_before.set(self.freshness.get().age(uptime));
+        let age = self.freshness.get().missing_for(uptime);
         let now = self.node.now();
         self.missing_since.set(now.checked_sub(age).unwrap_or(now));
     }
 
+    /// For how long the knowledge has been unconfirmed, for logs.
+    fn unconfirmed_ms(&self) -> u64 {
+        self.freshness.get().age(self.node.clock.uptime()).as_millis() as u64
+    }
+
     fn backoff(&self, failures: u32) -> Duration {
         let longest = (MIN_BACKOFF * 2_u32.pow(failures.min(5))).min(MAX_BACKOFF);
         longest.mul_f64(self.node.state.borrow_mut().rng.random_range(0.5..1.0))
@@ -390,7 +417,7 @@
 
     fn apply_change(&self, change: StoreChange, revision: u64) {
         match change {
-            StoreChange::Routes(routes) => self.apply_routes(routes),
+            StoreChange::Routes(routes) => self.apply_routes(routes, RoutesSource::Store),
             StoreChange::Endpoint(endpoint) => {
                 self.apply_endpoint(endpoint, revision);
             }
@@ -439,14 +466,15 @@
         is_new
     }
 
-    fn apply_routes(&self, routes: Arc<RouteSet>) {
+    fn apply_routes(&self, routes: Arc<RouteSet>, from: RoutesSource) {
         let mut state = self.node.state.borrow_mut();
         let current = state.routes.as_ref().map_or(0, |r| r.version);
         if routes.version <= current {
             return;
         }
         self.node.metrics.active_version.set(routes.version as i64);
-        info!(self.node.log, "configuration"; "version" => routes.version, "before" => current);
+        info!(self.node.log, "configuration"; "version" => routes.version, "before" => current,
+            "from" => from.text(), "unconfirmed_ms" => self.unconfirmed_before.get().as_millis() as u64);
         for cause in &routes.warnings {
             warn!(self.node.log, "mistake in the configuration"; "version" => routes.version, "cause" => cause);
         }
--- a/crates/forward/src/catalog/snapshots.rs
+++ b/crates/forward/src/catalog/snapshots.rs
@@ -29,7 +29,7 @@
 };
 
 use super::store_updates::{from_millis, to_millis};
-use super::{Catalog, MIN_GAP_SEARCH, call_outcome};
+use super::{Catalog, MIN_GAP_SEARCH, RoutesSource, call_outcome};
 use crate::connection_pool::ExchangeFailure;
 use crate::protocol::Call;
 
@@ -250,7 +250,7 @@
         // Pages that were read before the snapshot may contain endpoints that the snapshot does not have yet.
         let mut present = std::mem::take(&mut *self.list_progress.borrow_mut()).present;
         if let Some(routes) = routes {
-            self.apply_routes(routes);
+            self.apply_routes(routes, RoutesSource::Peer);
         }
         let listed = groups.into_iter().flat_map(EndpointGroup::endpoints);
         let mut changed = 0_usize;
--- a/crates/forward/src/catalog/store_updates.rs
+++ b/crates/forward/src/catalog/store_updates.rs
@@ -10,7 +10,7 @@
 use slog::{debug, info, warn};
 use teaselshunt_routing::{Era, EraOrder, ReadNeed, UpdateEffect, UpdateSource};
 
-use super::{Catalog, ENTRY_RETURN_TIME};
+use super::{Catalog, ENTRY_RETURN_TIME, RoutesSource};
 use crate::protocol::{Batch, StoreChange};
 
 /// Instances rely on the last update for a limited time. Each asks the store before that time ends, earlier
@@ -95,11 +95,11 @@
                     return self.request_revision(revision);
                 }
             };
+        self.record_missing_since();
         self.apply_contained_routes(changes.as_mut());
         let Some(known) = self.revision.get() else { return };
         let now = self.node.now();
         self.extend_expiry_window(now + from_millis(expiry_window).min(ENTRY_RETURN_TIME));
-        self.record_missing_since();
         match UpdateEffect::of(known, after, revision, changes.is_some()) {
             UpdateEffect::Confirmed => {}
             UpdateEffect::Changes => {
@@ -125,7 +125,7 @@
         let Some(changes) = changes else { return };
         changes.retain(|change| {
             let StoreChange::Routes(routes) = change else { return true };
-            self.apply_routes(Arc::clone(routes));
+            self.apply_routes(Arc::clone(routes), RoutesSource::Peer);
             false
         });
     }
--- a/crates/forward/src/listeners.rs
+++ b/crates/forward/src/listeners.rs
@@ -118,6 +118,9 @@
     };
     serve_internal(Rc::clone(&node), listener, move |_| {
         node.metrics.buffered_bytes.set(node.state.borrow().memory.held() as i64);
+        if let Some(age) = node.list_age() {
+            node.metrics.store_age.set(age.as_millis() as i64);
+        }
         match node.metrics.render() {
             Ok(text) => plain_response(StatusCode::OK, Bytes::from(text)),
             Err(error) => plain_response(StatusCode::INTERNAL_SERVER_ERROR, Bytes::from(error.to_string())),
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -408,13 +408,25 @@
 
     /// Takes a second attempt from the service's retry budget.
     pub(crate) fn take_attempt(&self, service: &Service) -> bool {
-        self.state.borrow_mut().budgets.take(self.now(), &service.name)
+        let granted = self.state.borrow_mut().budgets.take(self.now(), &service.name);
+        self.count_second_attempt(&service.name, granted);
+        granted
     }
 
     /// Whether a generation may be sent once more, to be prefilled or to run.
     pub(crate) fn may_send(&self, job: &Job, sends: &mut Sends) -> bool {
+        let before = *sends;
         let budgets = &mut self.state.borrow_mut().budgets;
-        sends.may_send(self.now(), job.route.attempts, &job.service.name, budgets)
+        let granted = sends.may_send(self.now(), job.route.attempts, &job.service.name, budgets);
+        if *sends != before || (!granted && sends.counted() < job.route.attempts) {
+            self.count_second_attempt(&job.service.name, granted);
+        }
+        granted
+    }
+
+    fn count_second_attempt(&self, service: &str, granted: bool) {
+        let outcome = if granted { "granted" } else { "denied" };
+        self.metrics.second_attempts.with_label_values(&[service, outcome]).inc();
     }
 
     /// Counts the result of a request at an endpoint.
--- a/crates/forward/src/requests.rs
+++ b/crates/forward/src/requests.rs
@@ -69,11 +69,12 @@
     let mut buffered = BufferedBytes::new(node, BodyKind::Request);
     let body = read_body(body, routes.as_deref(), &mut buffered).await?;
     let routes = routes.ok_or(Refusal::retryable(ErrorKind::NotReady, OTHER_INSTANCE_RETRY))?;
+    trace.set_version(routes.version);
     let host = head.headers.get(HOST).and_then(|h| h.to_str().ok()).or_else(|| head.uri.host());
     let route = routes
         .find(host.unwrap_or_default(), head.uri.path())
         .ok_or(Refusal::new(ErrorKind::UnknownService))?;
-    trace.set_route(route_kind(route), &route.name, routes.version);
+    trace.set_route(route_kind(route), &route.name);
     let team = identify(&routes, route, key)?;
     trace.set_team(team.as_deref());
     let is_short = !matches!(route.repeat, Repeat::Stream { .. });
--- a/crates/forward/src/trace.rs
+++ b/crates/forward/src/trace.rs
@@ -85,10 +85,14 @@
     }
 
     /// Records the matched route and the version of the configuration.
-    pub(crate) fn set_route(&mut self, kind: &'static str, route: &Arc<str>, version: u64) {
+    /// Sets the version in force, also for a request without a route.
+    pub(crate) fn set_version(&mut self, version: u64) {
+        self.version = version;
+    }
+
+    pub(crate) fn set_route(&mut self, kind: &'static str, route: &Arc<str>) {
         self.kind = kind;
         self.route = Arc::clone(route);
-        self.version = version;
     }
 
     pub(crate) fn set_team(&mut self, team: Option<&Team>) {
--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/budget.rs
@@ -63,6 +63,11 @@
         self.reserve = if share < RESERVE_MAX { (share + self.rounding).floor() } else { RESERVE_MAX };
     }
 
+    /// Second attempts that a service gets in a window without requests.
+    pub const fn reserve(&self) -> f64 {
+        self.reserve
+    }
+
     /// Counts a caller's request to a service.
     pub fn count_request(&mut self, now: Instant, service: &Arc<str>) {
         let account = self.accounts.entry(Arc::clone(service)).or_default();
