--- a/crates/forward/src/gossip.rs
+++ b/crates/forward/src/gossip.rs
@@ -302,7 +302,7 @@
             let state = &mut *self.node.state.borrow_mut();
             let instances = self.peers.len() + 1;
             state.budgets.share_among(instances);
-            self.node.metrics.retry_reserve.set(state.budgets.reserve() as i64);
+            self.node.metrics.retries.reserve.set(state.budgets.reserve() as i64);
             state.returns.share_among(instances);
             let share = self.peers.reachable_share(now);
             let rates = state.endpoints.rates();
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -24,8 +24,7 @@
     pub(crate) steps: IntCounterVec,
     pub(crate) store_calls: IntCounterVec,
     pub(crate) store_age: IntGauge,
-    pub(crate) second_attempts: IntCounterVec,
-    pub(crate) retry_reserve: IntGauge,
+    pub(crate) retries: RetryMetrics,
     pub(crate) active_version: IntGauge,
     pub(crate) endpoints: IntGauge,
     pub(crate) running: IntGauge,
@@ -84,6 +83,29 @@
     }
 }
 
+/// Metrics of the retry budget.
+#[derive(Debug)]
+pub(crate) struct RetryMetrics {
+    pub(crate) second_attempts: IntCounterVec,
+    pub(crate) reserve: IntGauge,
+}
+
+impl RetryMetrics {
+    fn new(
+        gauge: &impl Fn(&str, &str) -> Result<IntGauge, prometheus::Error>,
+        counter: &impl Fn(&str, &str, &[&str]) -> Result<IntCounterVec, prometheus::Error>,
+    ) -> Result<Self, prometheus::Error> {
+        Ok(Self {
+            second_attempts: counter(
+                "second_attempts_total",
+                "Requests to be sent to an endpoint once more, by whether the retry budget allowed it.",
+                &["service", "outcome"],
+            )?,
+            reserve: gauge("retry_reserve", "Second attempts that a service may get here without requests.")?,
+        })
+    }
+}
+
 /// Most teams that have a label of their own; all others share [`OTHERS`]. Each label costs several time
 /// series for as long as the process runs.
 const TEAM_LABELS: usize = 64;
@@ -132,15 +154,7 @@
                 "store_unconfirmed_milliseconds",
                 "Time since the store confirmed what this instance knows.",
             )?,
-            second_attempts: counter(
-                "second_attempts_total",
-                "Requests to be sent to an endpoint once more, by whether the retry budget allowed it.",
-                &["service", "outcome"],
-            )?,
-            retry_reserve: gauge(
-                "retry_reserve",
-                "Second attempts that a service may get here without requests.",
-            )?,
+            retries: RetryMetrics::new(&gauge, &counter)?,
             active_version: gauge("configuration_version", "Configuration version in force.")?,
             endpoints: gauge("endpoints", "Endpoints listed.")?,
             running: gauge("requests_in_progress", "Requests in progress.")?,
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -426,7 +426,7 @@
 
     fn count_second_attempt(&self, service: &str, granted: bool) {
         let outcome = if granted { "granted" } else { "denied" };
-        self.metrics.second_attempts.with_label_values(&[service, outcome]).inc();
+        self.metrics.retries.second_attempts.with_label_values(&[service, outcome]).inc();
     }
 
     /// Counts the result of a request at an endpoint.
