--- a/crates/routing/tests/all/budget.rs
+++ b/crates/routing/tests/all/budget.rs
@@ -104,3 +104,27 @@
         );
     }
 }
+
+/// Guards against starts that hand out reserves anew: most instances are killed and start again several times within a
+/// window, while all endpoints fail, and each life spends what it has.
+#[test]
+fn lives_of_an_instance_together_keep_the_budget() {
+    let mut rng = SmallRng::seed_from_u64(5);
+    for (instances, slack) in [(2, 40.0), (7, 54.0), (24, 40.0), (74, 188.0), (584, 640.0)] {
+        let (service, start) = (Arc::from("desk"), Instant::now());
+        let (mut requests, mut second_attempts) = (0, 0);
+        for life in 0..4 {
+            for _ in 0..instances {
+                let terms = BudgetTerms { ratio: 0.2, slack, window: WINDOW };
+                let mut own = Budgets::new(terms, rng.random_range(0.0..1.0));
+                own.share_among(instances);
+                let at = start + WINDOW.mul_f64(0.2) * life;
+                requests += 1;
+                own.count_request(at, &service);
+                second_attempts += (0..100).take_while(|_| own.take(at, &service)).count();
+            }
+        }
+        let allowed = f64::from(requests) * 0.2 + slack;
+        assert!(second_attempts as f64 <= allowed, "{instances}: {second_attempts} of {allowed}");
+    }
+}
--- a/crates/standin/src/site/store.rs
+++ b/crates/standin/src/site/store.rs
@@ -8,12 +8,13 @@
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
 use serde_json::{Value, json};
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
 use super::configuration::{site_configuration, site_configuration_with_teams};
-use super::http::{Request, read_request, write_response};
+use super::http::{Request, read_request, response_head, write_response};
 
 /// How the store behaves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -27,10 +28,16 @@
     Silent,
     /// The store closes connections.
     Closing,
+    /// The store responds, and responses take [`TRICKLE_TIME`] to arrive.
+    Trickling,
 }
 
 /// Key of the active configuration.
 const CONFIGURATION_KEY: &str = "op/config";
+/// Time from the first to the last byte of a response of a store that is [`StoreMode::Trickling`].
+pub const TRICKLE_TIME: Duration = Duration::from_millis(2500);
+/// Pieces of such a response.
+const TRICKLE_PIECES: usize = 25;
 /// Entries on one page of a list; few, so that lists in tests have a second page.
 const PAGE_ENTRIES: usize = 50;
 
@@ -204,15 +211,16 @@
         };
         let response = match mode {
             _ if refused => StoreResponse::empty(429, &lock(&inner)),
-            StoreMode::Up if request.path.starts_with("/-/kv-watch") => {
+            StoreMode::Up | StoreMode::Trickling if request.path.starts_with("/-/kv-watch") => {
                 answer_watch(&request, &inner, &mut changed).await
             }
-            StoreMode::Up => answer_list(&request, &lock(&inner)),
+            StoreMode::Up | StoreMode::Trickling => answer_list(&request, &lock(&inner)),
             StoreMode::Busy => StoreResponse::empty(503, &lock(&inner)),
             StoreMode::Silent => std::future::pending().await,
             StoreMode::Closing => return,
         };
-        response.send(&mut stream).await;
+        let pieces = if mode == StoreMode::Trickling { TRICKLE_PIECES } else { 1 };
+        response.send(&mut stream, pieces).await;
     }
 }
 
@@ -232,11 +240,24 @@
         Self::new(status, Value::Null, inner)
     }
 
-    async fn send(self, stream: &mut TcpStream) {
+    /// Sends the response in so many pieces.
+    async fn send(self, stream: &mut TcpStream, pieces: usize) {
         let era = self.era.map(|era| era.to_string());
         let mut headers = vec![("content-type", "application/json")];
         headers.extend(era.as_deref().map(|era| ("store-era", era)));
-        write_response(stream, self.status, &headers, &self.body.to_string()).await;
+        let body = self.body.to_string();
+        if pieces == 1 {
+            return write_response(stream, self.status, &headers, &body).await;
+        }
+        let head = response_head(self.status, &headers);
+        let text = format!("{head}content-length: {}\r\n\r\n{body}", body.len());
+        for piece in text.as_bytes().chunks(text.len().div_ceil(pieces)) {
+            // The client has closed the connection.
+            if stream.write_all(piece).await.is_err() {
+                return;
+            }
+            tokio::time::sleep(TRICKLE_TIME / TRICKLE_PIECES as u32).await;
+        }
     }
 }
 
