Store: what a call asks for is asked for over a second connection when its response is overdue or a peer knows later changes

Cause: a watch waited for 0.55 of the recovery time and the bound together, plus 0.9 s, plus a pause of 0.6 s before it, and nothing but its own end ended it, although peers knew the version and named the revision in every report.

Now the times follow from the bound of a change alone (ReadTimes): pause, wait and the moment at which a response is overdue take 0.7 of it, for instances that read for themselves, for readers and for those that follow them (quickcheck over bounds). The second call goes over a new connection while the first goes on. A revision that a peer of any domain names, in the report that it sends anyway, is a reason to ask and nothing more. A response may take as long as bytes arrive (a start used to drop a list of 2.5 s for ever).

--- a/crates/forward/src/calls.rs
+++ b/crates/forward/src/calls.rs
@@ -100,18 +100,23 @@
         call: Call,
         until: Instant,
     ) -> Result<(StatusCode, Bytes), ExchangeFailure> {
-        let (head, body) = self.call_with_head(address, call, until).await?;
+        let (head, body) = self.exchange_call(&self.destination(address), call, until).await?;
         Ok((head.status, body))
     }
 
-    /// Like [`Self::call`], with the complete head of the response.
-    pub(crate) async fn call_with_head(
+    /// Makes a call whose response may be long, and reads the complete response. Its head must arrive until `until`.
+    /// After that a response may take as long as bytes keep arriving, with gaps of at most `stall`.
+    pub(crate) async fn call_with_progress(
         &self,
         address: SocketAddr,
         call: Call,
         until: Instant,
+        stall: Duration,
     ) -> Result<(Parts, Bytes), ExchangeFailure> {
-        self.exchange_call(&self.destination(address), call, until).await
+        let request = request(address, call)?;
+        let (head, body) = self.pool.exchange(&self.destination(address), request, until).await?;
+        let body = self.read_while_moving(body, stall).await?;
+        Ok((head, body))
     }
 
     async fn exchange_call(
@@ -168,6 +173,26 @@
         }
     }
 
+    /// Reads a body to its end as long as bytes keep arriving, with gaps of at most `stall`, and keeps the connection.
+    async fn read_while_moving(
+        &self,
+        mut body: ResponseReader,
+        stall: Duration,
+    ) -> Result<Bytes, ReadFailure> {
+        let mut complete = BytesMut::new();
+        loop {
+            match tokio::time::timeout(stall, body.next()).await {
+                Ok(Piece::Data(data, _)) => complete.extend_from_slice(&data),
+                Ok(Piece::End(end)) => {
+                    self.finish(body, end);
+                    end.or_truncated()?;
+                    return Ok(complete.freeze());
+                }
+                Err(_) => return Err(ReadFailure::TimedOut),
+            }
+        }
+    }
+
     /// Reads a body to its end and keeps the connection. An unknown end is no failure: what is used of
     /// the body is parsed, and no parser accepts one that is cut short.
     pub(crate) async fn read(&self, mut body: ResponseReader, until: Instant) -> Result<Bytes, ReadFailure> {
--- a/crates/forward/src/catalog.rs
+++ b/crates/forward/src/catalog.rs
@@ -1,10 +1,11 @@
 //! Follows the platform's store: the active configuration and the list of endpoints. It never writes to the
 //! store.
 //!
-//! The store is listed completely once and then watched. A watch waits at the store for a limited time and is
-//! abandoned shortly after, because a connection can become unresponsive without being closed; callers would
-//! then be served by an old version until the connection fails. The waiting time follows from the
-//! deployment's recovery bound.
+//! The store is listed completely once and then watched. A connection can become unresponsive without being closed;
+//! callers would then be served by an old version until it fails. A watch therefore waits at the store for a limited
+//! time, and what it asks for is asked for again over a new connection ([`second_connection`]) if its response is
+//! overdue, or if a peer knows later changes. The times follow from the time that a change has to take effect
+//! ([`ReadTimes`]), by whichever connection it arrives.
 //!
 //! Calls to the store are counted and shared among all instances, and a change wakes every watch. After a
 //! change an instance therefore waits for a fraction of the time that it has to apply the next one, and then
@@ -20,6 +21,7 @@
 //! meanwhile (versions, removals of endpoints) stays known.
 
 mod listing;
+mod second_connection;
 mod snapshot_server;
 mod snapshots;
 mod store_updates;
@@ -34,8 +36,8 @@
 use rand::Rng;
 use slog::{info, warn};
 use teaselshunt_routing::{
-    Endpoint, Era, EraOrder, FreezeDetector, Freshness, ReadNeed, RecentChanges, RouteSet, SnapshotSources,
-    Stage, UpdateSource, UpsertOutcome,
+    Endpoint, Era, EraOrder, FreezeDetector, Freshness, ReadNeed, ReadTimes, RecentChanges, RouteSet,
+    SnapshotSources, Stage, UpdateSource, UpsertOutcome,
 };
 use teaselshunt_teams::Teams;
 use tokio::sync::{Notify, mpsc};
@@ -46,25 +48,17 @@
 use crate::protocol::{Batch, Call, StoreChange};
 use crate::queue;
 use listing::ListProgress;
+use second_connection::PeerNews;
 pub(crate) use snapshot_server::{CurrentTransfer, SnapshotServer};
 use snapshots::SearchResult;
 pub(crate) use snapshots::TRANSFER_TIMEOUT;
 pub(crate) use store_updates::StoreUpdate;
 
-/// Time that a call may take beyond its wait: the slowest responses of the store that are still useful.
+/// Time until the head of a response must have arrived, beyond the wait of the call: the slowest responses of the
+/// store that are still useful.
 const CALL_SLACK: Duration = Duration::from_millis(900);
-/// Fraction of the recovery time, and of the shortest bound after it, for which a watch waits. An
-/// unresponsive connection is detected within this time and [`CALL_SLACK`]; the rest is for reading the
-/// missed changes.
-const WAIT_FRACTION: f64 = 0.55;
-/// Fraction of the shortest bound for which the watch of a store reader waits. With the pause after a change
-/// it stays under the time for which peers rely on the last store update, so that they do not ask the store
-/// while their reader is reachable.
-const READER_WAIT_FRACTION: f64 = 0.25;
 /// Shortest time for which an instance that misses changes searches for a peer that has them.
 const MIN_GAP_SEARCH: Duration = Duration::from_millis(300);
-/// Fraction of the shortest bound that an instance waits after a change before it asks for the next.
-const COALESCE_FRACTION: f64 = 0.3;
 /// Number of changes in one response from which on the next response is requested at once.
 const BULK_CHANGES: usize = 200;
 /// Time after the start in which the instance that orders engines coalesces changes for [`STARTUP_COALESCE`]
@@ -165,6 +159,9 @@
     source: Cell<UpdateSource>,
     freshness: Cell<Freshness>,
     freeze_detector: Cell<FreezeDetector>,
+    read_times: ReadTimes,
+    /// What peers know beyond this instance's own revision.
+    peer_news: PeerNews,
     /// Wakes an instance that follows its peers: its source has changed, or it must ask the store.
     wakeup: Notify,
     read_need: Cell<ReadNeed>,
@@ -177,6 +174,7 @@
     pub(crate) fn new(node: &Rc<Node>, updates: mpsc::Sender<StoreUpdate>) -> Self {
         let started = node.now();
         let settings = &node.settings;
+        let bound = settings.apply_bound.min(settings.drain_bound);
         Self {
             node: Rc::clone(node),
             revision: Cell::new(None),
@@ -193,8 +191,10 @@
             missing_since: Cell::new(started),
             unconfirmed_before: Cell::default(),
             source: Cell::default(),
-            freshness: Cell::new(Freshness::new(settings.apply_bound.min(settings.drain_bound))),
+            freshness: Cell::new(Freshness::new(bound)),
             freeze_detector: Cell::new(FreezeDetector::new(node.clock.uptime())),
+            read_times: ReadTimes::new(bound.min(settings.recovery_bound)),
+            peer_news: PeerNews::default(),
             wakeup: Notify::new(),
             read_need: Cell::default(),
             updates,
@@ -295,8 +295,9 @@
         call: Call,
         timeout: Duration,
     ) -> Result<(StatusCode, bytes::Bytes), StoreError> {
-        let until = self.node.now() + timeout;
-        let result = self.node.call_with_head(self.node.settings.store_address, call, until).await;
+        let (until, stall) = (self.node.now() + timeout, self.read_times.stall());
+        let address = self.node.settings.store_address;
+        let result = self.node.call_with_progress(address, call, until, stall).await;
         let outcome = call_outcome(result.as_ref().map(|(head, _)| head.status));
         self.node.metrics.store_calls.with_label_values(&[name, outcome]).inc();
         let (head, body) = result.map_err(StoreError::Exchange)?;
@@ -337,11 +338,15 @@
         if gap && self.fetch_snapshot(Some(revision), true).await == SearchResult::Fetched {
             return Ok(());
         }
-        let wait = if store_lost { Duration::ZERO } else { self.watch_wait(source) };
         let called_at = self.node.clock.uptime();
-        let call = self.node.protocol.watch(revision, wait);
+        let unconfirmed = self.node.now().duration_since(self.last_response.get());
+        let wait = if store_lost { Duration::ZERO } else { self.read_times.watch_wait(source, unconfirmed) };
         let era = self.era.get();
-        let (status, body) = self.call("watch", call, wait + CALL_SLACK).await?;
+        let (status, body) = if store_lost {
+            self.call("watch", self.node.protocol.watch(revision, wait), CALL_SLACK).await?
+        } else {
+            self.watch_over_two(revision, wait).await?
+        };
         if era.compare(self.era.get()) == EraOrder::Newer {
             // The revision may exist again with other content: the changes after it are not the missing ones.
             return Ok(());
@@ -378,21 +383,9 @@
         Ok(())
     }
 
-    /// How long a watch waits while the store is reachable.
-    fn watch_wait(&self, source: UpdateSource) -> Duration {
-        let settings = &self.node.settings;
-        let shortest = settings.apply_bound.min(settings.drain_bound);
-        match source {
-            UpdateSource::Alone => (settings.recovery_bound + shortest).mul_f64(WAIT_FRACTION),
-            UpdateSource::Reader => shortest.mul_f64(READER_WAIT_FRACTION),
-            UpdateSource::Peers => Duration::ZERO,
-        }
-    }
-
     /// How long to wait after a change for further ones to accumulate.
     fn coalesce_pause(&self) -> Duration {
-        let settings = &self.node.settings;
-        let pause = settings.apply_bound.min(settings.drain_bound).mul_f64(COALESCE_FRACTION);
+        let pause = self.read_times.pause();
         let starting = self.gives_orders && self.node.now().duration_since(self.started) < STARTUP_TIME;
         if starting { STARTUP_COALESCE.min(pause) } else { pause }
     }
--- a/crates/forward/src/catalog/listing.rs
+++ b/crates/forward/src/catalog/listing.rs
@@ -82,8 +82,9 @@
         let after = self.list_progress.borrow().after.clone();
         let called_at = self.node.clock.uptime();
         let era = self.era.get();
-        let call = self.node.protocol.list(after.as_deref());
-        let (status, body) = self.call("list", call, PAGE_TIMEOUT).await?;
+        let list = || self.node.protocol.list(after.as_deref());
+        let (status, body) =
+            self.call_over_two("list", list(), list, PAGE_TIMEOUT, self.read_times.overdue()).await?;
         if after.is_some() && era.compare(self.era.get()) == EraOrder::Newer {
             return Ok(Page::Outdated);
         }
--- a/crates/forward/src/catalog/snapshots.rs
+++ b/crates/forward/src/catalog/snapshots.rs
@@ -219,6 +219,8 @@
         let since = since.map_or_else(|| COMPLETE_LIST.to_owned(), |revision| revision.to_string());
         let path = format!("{SNAPSHOT_PATH}{}/{since}", tag(&self.node.settings.domain));
         let call = Call { method: Method::GET, path, headers: HeaderMap::new(), body: Bytes::new() };
+        // A kept connection may be dead, which would cost the whole timeout.
+        self.node.pool.close_idle(peer);
         let result = self.node.call(peer, call, self.node.now() + TRANSFER_TIMEOUT).await;
         self.node.metrics.count_step("copy", call_outcome(result.as_ref().map(|(status, _)| *status)));
         let (status, body) = result.map_err(SnapshotError::Exchange)?;
--- a/crates/forward/src/connection_pool.rs
+++ b/crates/forward/src/connection_pool.rs
@@ -415,6 +415,11 @@
         connections.push(connection);
     }
 
+    /// Closes the idle connections to an address. They may be dead, and the next request opens a new one.
+    pub(crate) fn close_idle(&self, address: SocketAddr) {
+        self.idle.borrow_mut().remove(&address);
+    }
+
     /// Sets the most idle connections to one address.
     pub(crate) fn set_max_idle(&self, max_idle: Option<usize>) {
         self.max_idle.set(max_idle);
--- a/crates/forward/src/gossip.rs
+++ b/crates/forward/src/gossip.rs
@@ -206,6 +206,9 @@
                 if same_domain {
                     self.catalog.observe_snapshot_source(from, report.snapshot_revision);
                 }
+                if let (era, Some(revision)) = report.snapshot_revision {
+                    self.catalog.observe_peer_revision(from, era, revision);
+                }
                 let extension: Extension = postcard::from_bytes(rest).unwrap_or_default();
                 let lifetime =
                     failure_timeout(plausible_interval(Duration::from_millis(trailer.next.into())));
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -93,7 +93,9 @@
 pub use sends::Sends;
 pub use snapshot_sources::{SnapshotSearch, SnapshotSources, SnapshotStep};
 pub use stages::{StageChange, plan_stage_changes};
-pub use store_updates::{Era, EraOrder, FreezeDetector, Freshness, ReadNeed, UpdateEffect, UpdateSource};
+pub use store_updates::{
+    Era, EraOrder, FreezeDetector, Freshness, ReadNeed, ReadTimes, UpdateEffect, UpdateSource,
+};
 pub use tunnel_peers::TunnelPeers;
 pub use wait_policy::{Backoff, WaitPolicy, retry_delay};
 pub use waiting::{Fit, Obstacle, Room, SERVE_INTERVAL, WaiterKey, Waiters, Waiting};
--- a/crates/routing/src/store_updates.rs
+++ b/crates/routing/src/store_updates.rs
@@ -38,6 +38,21 @@
 /// Fraction of the shortest bound after which knowledge of the store must be confirmed again. The rest is for
 /// the call to the store itself, which may be slow, and for a second attempt.
 const LIMIT_FRACTION: f64 = 0.65;
+/// Fraction of the shortest bound that an instance waits after a change before it asks for the next.
+const PAUSE_FRACTION: f64 = 0.3;
+/// Fraction of the shortest bound for which the watch of a store reader waits. With the pause after a change
+/// it stays under the time for which peers rely on the last store update, so that they do not ask the store
+/// while their reader is reachable.
+const READER_WAIT_FRACTION: f64 = 0.25;
+/// Fraction of the shortest bound after the last confirmation at which the watch of an instance that reads for itself
+/// ends.
+const CONFIRM_FRACTION: f64 = 0.55;
+/// Shortest wait of such a watch, as a fraction of the bound.
+const MIN_WAIT_FRACTION: f64 = 0.1;
+/// Fraction of the shortest bound after the end of its wait at which a response is overdue.
+const OVERDUE_FRACTION: f64 = 0.15;
+/// Fraction of the shortest bound for which a response may stop arriving.
+const STALL_FRACTION: f64 = 0.25;
 /// Time between two ticks after which the process counts as having been frozen; several times their usual
 /// distance.
 const FREEZE_THRESHOLD: Duration = Duration::from_millis(1200);
@@ -212,6 +227,11 @@
         self.confirmed = self.confirmed.max(at);
     }
 
+    /// When the knowledge was last confirmed.
+    pub const fn confirmed(&self) -> Duration {
+        self.confirmed
+    }
+
     /// How long ago the knowledge was confirmed.
     pub const fn age(&self, now: Duration) -> Duration {
         now.saturating_sub(self.confirmed)
@@ -232,6 +252,51 @@
     }
 }
 
+/// Times of the calls to the store, by which a change takes effect within its bound even if the connection to the store
+/// goes dead at any moment.
+///
+/// After its last confirmation an instance pauses, watches, and asks over a new connection when the response is overdue.
+/// All three together take seven tenths of the bound. The rest is for opening the new connection, and for a response.
+#[derive(Debug, Clone, Copy)]
+pub struct ReadTimes {
+    bound: Duration,
+}
+
+impl ReadTimes {
+    /// `bound` is the shortest time within which a change must take effect.
+    pub const fn new(bound: Duration) -> Self {
+        Self { bound }
+    }
+
+    /// How long to wait after a change for further ones to accumulate.
+    pub fn pause(&self) -> Duration {
+        self.bound.mul_f64(PAUSE_FRACTION)
+    }
+
+    /// How long a watch waits at the store, by an instance that gets updates from `source` and whose knowledge was
+    /// confirmed `unconfirmed` ago.
+    pub fn watch_wait(&self, source: UpdateSource, unconfirmed: Duration) -> Duration {
+        match source {
+            UpdateSource::Alone => {
+                let left = self.bound.mul_f64(CONFIRM_FRACTION).saturating_sub(unconfirmed);
+                left.max(self.bound.mul_f64(MIN_WAIT_FRACTION))
+            }
+            UpdateSource::Reader => self.bound.mul_f64(READER_WAIT_FRACTION),
+            UpdateSource::Peers => Duration::ZERO,
+        }
+    }
+
+    /// Time beyond its wait after which a call's response is overdue.
+    pub fn overdue(&self) -> Duration {
+        self.bound.mul_f64(OVERDUE_FRACTION)
+    }
+
+    /// Longest gap between two bytes of a response.
+    pub fn stall(&self) -> Duration {
+        self.bound.mul_f64(STALL_FRACTION)
+    }
+}
+
 /// Regular ticks of a process, by which it notices that it was frozen.
 #[derive(Debug, Clone, Copy)]
 pub struct FreezeDetector {
--- a/crates/routing/tests/all/store_updates.rs
+++ b/crates/routing/tests/all/store_updates.rs
@@ -10,7 +10,7 @@
 use rand::rngs::SmallRng;
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
-use teaselshunt_routing::{FreezeDetector, Freshness, ReadNeed, UpdateEffect, UpdateSource};
+use teaselshunt_routing::{FreezeDetector, Freshness, ReadNeed, ReadTimes, UpdateEffect, UpdateSource};
 
 const BOUND: Duration = Duration::from_secs(4);
 
@@ -163,3 +163,29 @@
     assert!(!UpdateSource::Alone.is_settled(seconds(4), 80));
     assert!(UpdateSource::Alone.is_settled(seconds(5), 0), "the wait is bounded");
 }
+
+quickcheck! {
+    /// Guards against waits that together outlast the bound of a change: a connection that goes dead at any moment after a
+    /// response must be replaced, and the change read, within the bound.
+    fn a_change_takes_effect_in_time_over_a_dead_connection(bound_ms: u16, pause: bool, source: u8) -> bool {
+        let bound = Duration::from_millis(u64::from(bound_ms) + 200);
+        let times = ReadTimes::new(bound);
+        let source = [UpdateSource::Alone, UpdateSource::Reader, UpdateSource::Peers][usize::from(source % 3)];
+        let unconfirmed = match source {
+            // An instance that follows its peers asks once their word is too old.
+            UpdateSource::Peers => Freshness::new(bound).limit(),
+            UpdateSource::Alone | UpdateSource::Reader if pause => times.pause(),
+            UpdateSource::Alone | UpdateSource::Reader => Duration::ZERO,
+        };
+        let asked_again = unconfirmed + times.watch_wait(source, unconfirmed) + times.overdue();
+        asked_again <= bound.mul_f64(0.81) && times.stall() > Duration::ZERO
+    }
+}
+
+/// Guards against a watch that never waits, or for less and less, by an instance whose store responds late.
+#[test]
+fn a_watch_after_late_responses_still_waits() {
+    let times = ReadTimes::new(Duration::from_secs(2));
+    let wait = times.watch_wait(UpdateSource::Alone, Duration::from_secs(30));
+    assert_eq!(wait, Duration::from_millis(200));
+}
--- a/crates/standin/src/site/store.rs
+++ b/crates/standin/src/site/store.rs
@@ -28,16 +28,15 @@
     Silent,
     /// The store closes connections.
     Closing,
-    /// The store responds, and responses take [`TRICKLE_TIME`] to arrive.
+    /// The store responds, and its responses take 2.5 s to arrive, in pieces.
     Trickling,
 }
 
 /// Key of the active configuration.
 const CONFIGURATION_KEY: &str = "op/config";
-/// Time from the first to the last byte of a response of a store that is [`StoreMode::Trickling`].
-pub const TRICKLE_TIME: Duration = Duration::from_millis(2500);
-/// Pieces of such a response.
+/// Pieces of a response of a store that is [`StoreMode::Trickling`], and the time between two of them.
 const TRICKLE_PIECES: usize = 25;
+const TRICKLE_GAP: Duration = Duration::from_millis(100);
 /// Entries on one page of a list; few, so that lists in tests have a second page.
 const PAGE_ENTRIES: usize = 50;
 
@@ -256,7 +255,7 @@
             if stream.write_all(piece).await.is_err() {
                 return;
             }
-            tokio::time::sleep(TRICKLE_TIME / TRICKLE_PIECES as u32).await;
+            tokio::time::sleep(TRICKLE_GAP).await;
         }
     }
 }
