Requests: what an unconfirmed configuration does not allow is refused for now, not for good

A caller whose route or key was added while an instance could not read the store was told 404 or 401, which ends a request for good, for as long as the store was away (test: 60 s of 404). Now, once the store has not confirmed the configuration for longer than a version may take, the instance says that the request has not run and may be sent again. What the configuration allows is served as before.

--- a/crates/forward/src/admission.rs
+++ b/crates/forward/src/admission.rs
@@ -18,6 +18,10 @@
 use crate::protocol::RequestMeta;
 use crate::trace::Trace;
 
+/// The key of a caller is missing or unknown, and the route needs one.
+#[derive(Debug)]
+pub(crate) struct UnknownKey;
+
 /// Identifies the team of a caller with this key; `None` where a route needs no key.
 ///
 /// A known key also identifies its team on public routes: the endpoint gets the team's name, and the team is
@@ -26,13 +30,10 @@
     routes: &RouteSet,
     route: &Route,
     key: Option<KeyDigest>,
-) -> Result<Option<Arc<Team>>, Refusal> {
+) -> Result<Option<Arc<Team>>, UnknownKey> {
     let Some(teams) = &routes.teams else { return Ok(None) };
     let team = key.and_then(|key| teams.find(key)).map(Arc::clone);
-    if team.is_none() && !route.public {
-        return Err(Refusal::new(ErrorKind::Unauthorized));
-    }
-    Ok(team)
+    if team.is_none() && !route.public { Err(UnknownKey) } else { Ok(team) }
 }
 
 /// The charge of a request to its team. Dropping it before the request can have run refunds it.
--- a/crates/forward/src/catalog.rs
+++ b/crates/forward/src/catalog.rs
@@ -254,6 +254,7 @@
         let mut freshness = self.freshness.get();
         freshness.confirm(at);
         self.freshness.set(freshness);
+        self.node.confirmed.set(Some(freshness.confirmed()));
     }
 
     /// Records a failed call. If the store has not responded for long, entries that are missing at its return
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -110,6 +110,8 @@
     pub(crate) queue_wakeup: Notify,
     /// Number of known other instances.
     pub(crate) peer_count: Cell<usize>,
+    /// When the store last confirmed what this instance knows, by the clock that counts suspension.
+    pub(crate) confirmed: Cell<Option<Duration>>,
     /// Open connections of callers.
     pub(crate) connections: Cell<usize>,
     /// Open tunnels of peers.
@@ -304,6 +306,13 @@
         state.routes.is_some() && state.list_confirmed.is_some() && self.phase() == Phase::Serving
     }
 
+    /// Whether the configuration may have changed since the store confirmed it: what it does not allow, a newer version
+    /// may.
+    pub(crate) fn is_unconfirmed(&self) -> bool {
+        let age = self.confirmed.get().map(|at| self.clock.uptime().saturating_sub(at));
+        age.is_none_or(|age| age > self.settings.apply_bound)
+    }
+
     /// Age of the list of endpoints, for logs.
     pub(crate) fn list_age(&self) -> Option<Duration> {
         self.state.borrow().list_confirmed.map(|at| self.now().duration_since(at))
--- a/crates/forward/src/requests.rs
+++ b/crates/forward/src/requests.rs
@@ -73,9 +73,9 @@
     let host = head.headers.get(HOST).and_then(|h| h.to_str().ok()).or_else(|| head.uri.host());
     let route = routes
         .find(host.unwrap_or_default(), head.uri.path())
-        .ok_or(Refusal::new(ErrorKind::UnknownService))?;
+        .ok_or_else(|| not_allowed(node, ErrorKind::UnknownService))?;
     trace.set_route(route_kind(route), &route.name);
-    let team = identify(&routes, route, key)?;
+    let team = identify(&routes, route, key).map_err(|_| not_allowed(node, ErrorKind::Unauthorized))?;
     trace.set_team(team.as_deref());
     let is_short = !matches!(route.repeat, Repeat::Stream { .. });
     if node.phase() >= if is_short { Phase::Ending } else { Phase::Refusing } {
@@ -124,6 +124,16 @@
     })
 }
 
+/// The refusal of a request that the configuration does not allow. While the configuration is unconfirmed the caller may
+/// come back: a newer version may allow the request.
+fn not_allowed(node: &Node, kind: ErrorKind) -> Refusal {
+    if node.is_unconfirmed() {
+        Refusal::retryable(ErrorKind::NotReady, OTHER_INSTANCE_RETRY)
+    } else {
+        Refusal::new(kind)
+    }
+}
+
 /// Reads the complete body of a request. Endpoints then never wait for a slow caller, and a response from
 /// this instance is never written while request bytes are unread, which would reset the connection before the
 /// caller has the response.
--- a/crates/forward/src/supervisor.rs
+++ b/crates/forward/src/supervisor.rs
@@ -130,6 +130,7 @@
         gossip_wakeup: Notify::new(),
         queue_wakeup: Notify::new(),
         peer_count: Cell::new(0),
+        confirmed: Cell::new(None),
         connections: Cell::new(0),
         tunnels: Cell::new(0),
         losses: RefCell::default(),
