Retry budget: an instance that starts again has no reserve until it has run for a window; reserves are divided among instances behind a cut too

Cause: each life of an instance began with its whole reserve, whatever the life before had spent in the same window. What it has spent nobody else knows, and asking would need a round of messages in the very moment in which all start.

Now a life has no reserve until it has run for a window; what the life before spent is out of the window by then. The fraction of its own requests is there from the start, and the whole reserve at the first start of the whole system. The reserve is divided among all instances that are remembered, not among those that answer: each side of a cut divided by its own half. The invariant and its argument stand at the head of the module; random_lives_together_keep_the_budget draws sizes from 1 to 584, kills, additions and cuts. Weighed: a reserve that grows with the run time (twice the number in the window after a start), and peers that remember what a life spent (nobody knows after a start of all).

--- a/crates/forward/src/gossip.rs
+++ b/crates/forward/src/gossip.rs
@@ -304,8 +304,10 @@
         {
             let state = &mut *self.node.state.borrow_mut();
             let instances = self.peers.len() + 1;
-            state.budgets.share_among(instances);
-            self.node.metrics.retries.reserve.set(state.budgets.reserve() as i64);
+            // Those that cannot be reached may be alive and spend what is theirs.
+            let remembered = state.quotas.count_instances(self.node.clock.uptime()) as usize;
+            state.budgets.share_among(instances.max(remembered));
+            self.node.metrics.retries.reserve.set(state.budgets.reserve(now) as i64);
             state.returns.share_among(instances);
             let share = self.peers.reachable_share(now);
             let rates = state.endpoints.rates();
--- a/crates/forward/src/supervisor.rs
+++ b/crates/forward/src/supervisor.rs
@@ -104,7 +104,12 @@
         state: RefCell::new(State {
             routes: None,
             endpoints: Endpoints::default(),
-            budgets: Budgets::new(settings.retry_budget, rand::random()),
+            budgets: Budgets::new(
+                SystemClock.now(),
+                settings.retry_budget,
+                settings.first_start,
+                rand::random(),
+            ),
             rng: SmallRng::from_os_rng(),
             prefill_estimates: HashMap::new(),
             output_estimates: HashMap::new(),
--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/budget.rs
@@ -7,6 +7,18 @@
 //! Where instances are few, the reserve is fixed. Where they are many, it is an equal share of the fixed
 //! number, so that all reserves together stay within that number in a failure that all instances meet at
 //! once. Where the share is not a whole number, a random part of the instances rounds it up.
+//!
+//! Invariant: all instances together stay within the fraction and the fixed number in any window, whichever of
+//! them start, end or cannot reach each other. The fraction needs no more than each instance's own count. The
+//! reserves need three things:
+//!
+//! - An instance that starts does not know what its life before has spent, and nobody else does. It has no
+//!   reserve until it has run for a window; what its life before spent is out of the window by then. Of the
+//!   lives of one instance at most one has a reserve in any window. Only at the first start of the whole
+//!   system was nothing spent before.
+//! - An instance that is added starts in the same way, and the others count it before it has a reserve.
+//! - The reserve is divided among the instances that there are, and not among those that can be reached: the
+//!   caller of [`Budgets::share_among`] counts those behind a partition too.
 
 use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
@@ -47,25 +59,29 @@
     reserve: f64,
     /// Added to the reserve before it is rounded down, drawn once from 0 to 1.
     rounding: f64,
+    /// From when on the reserve may be spent; `None` for always.
+    reserve_from: Option<Instant>,
     accounts: HashMap<Arc<str>, Account>,
 }
 
 impl Budgets {
-    /// Budgets of an instance that has observed no other yet; `rounding` is random, from 0 to 1.
-    pub fn new(terms: BudgetTerms, rounding: f64) -> Self {
+    /// Budgets of an instance that starts now, and has observed no other yet. `first` says whether the whole system
+    /// starts for the first time; `rounding` is random, from 0 to 1.
+    pub fn new(now: Instant, terms: BudgetTerms, first: bool, rounding: f64) -> Self {
         let reserve = (terms.slack * RESERVE_FRACTION).clamp(1.0, RESERVE_MAX);
-        Self { terms, reserve, rounding, accounts: HashMap::new() }
+        let reserve_from = (!first).then(|| now + terms.window);
+        Self { terms, reserve, rounding, reserve_from, accounts: HashMap::new() }
     }
 
-    /// Sets the number of known instances, this one included, by which the reserve is divided.
+    /// Sets the number of instances, this one included and reachable or not, by which the reserve is divided.
     pub fn share_among(&mut self, instances: usize) {
         let share = self.terms.slack * DIVIDED_FRACTION / instances.max(1) as f64;
         self.reserve = if share < RESERVE_MAX { (share + self.rounding).floor() } else { RESERVE_MAX };
     }
 
     /// Second attempts that a service gets in a window without requests.
-    pub const fn reserve(&self) -> f64 {
-        self.reserve
+    pub fn reserve(&self, now: Instant) -> f64 {
+        if self.reserve_from.is_some_and(|from| now < from) { 0.0 } else { self.reserve }
     }
 
     /// Counts a caller's request to a service.
@@ -77,11 +93,11 @@
 
     /// Takes one second attempt from the budget; returns `false` if none is left.
     pub fn take(&mut self, now: Instant, service: &Arc<str>) -> bool {
-        let window = self.terms.window;
+        let (window, reserve) = (self.terms.window, self.reserve(now));
         let account = self.accounts.entry(Arc::clone(service)).or_default();
         trim(&mut account.requests, now, window);
         trim(&mut account.second_attempts, now, window);
-        let allowed = account.requests.len() as f64 * self.terms.ratio * SPENT_FRACTION + self.reserve;
+        let allowed = account.requests.len() as f64 * self.terms.ratio * SPENT_FRACTION + reserve;
         if account.second_attempts.len() as f64 + 1.0 > allowed {
             return false;
         }
--- a/crates/routing/tests/all/budget.rs
+++ b/crates/routing/tests/all/budget.rs
@@ -11,7 +11,7 @@
 const WINDOW: Duration = Duration::from_secs(10);
 
 fn budgets(slack: f64) -> Budgets {
-    Budgets::new(BudgetTerms { ratio: 0.2, slack, window: WINDOW }, 0.5)
+    Budgets::new(Instant::now(), BudgetTerms { ratio: 0.2, slack, window: WINDOW }, true, 0.5)
 }
 
 quickcheck! {
@@ -88,7 +88,7 @@
         let (mut requests, mut second_attempts) = (0, 0);
         for _ in 0..instances {
             let terms = BudgetTerms { ratio: 0.2, slack, window: WINDOW };
-            let mut own = Budgets::new(terms, rng.random_range(0.0..1.0));
+            let mut own = Budgets::new(start, terms, true, rng.random_range(0.0..1.0));
             own.share_among(instances);
             for _ in 0..rng.random_range(0..14) {
                 requests += 1;
@@ -116,9 +116,9 @@
         for life in 0..4 {
             for _ in 0..instances {
                 let terms = BudgetTerms { ratio: 0.2, slack, window: WINDOW };
-                let mut own = Budgets::new(terms, rng.random_range(0.0..1.0));
-                own.share_among(instances);
                 let at = start + WINDOW.mul_f64(0.2) * life;
+                let mut own = Budgets::new(at, terms, life == 0, rng.random_range(0.0..1.0));
+                own.share_among(instances);
                 requests += 1;
                 own.count_request(at, &service);
                 second_attempts += (0..100).take_while(|_| own.take(at, &service)).count();
@@ -128,3 +128,114 @@
         assert!(second_attempts as f64 <= allowed, "{instances}: {second_attempts} of {allowed}");
     }
 }
+
+/// An instance of a random history, and the instances that it counts.
+struct Member {
+    own: Budgets,
+    /// Instances that were there when it last heard of the others.
+    counted: usize,
+}
+
+/// What all instances together sent, in tenths of a second.
+#[derive(Default)]
+struct Totals {
+    requests: Vec<f64>,
+    second_attempts: Vec<f64>,
+}
+
+impl Totals {
+    const WINDOW_TICKS: usize = 100;
+
+    fn sum(series: &[f64], from: usize) -> f64 {
+        series.iter().skip(from).take(Self::WINDOW_TICKS).sum()
+    }
+
+    /// The first window with more second attempts than allowed. Requests are those of the window, of the one before or
+    /// of the one half a window before.
+    fn excess(&self, slack: f64) -> Option<(usize, f64, f64)> {
+        (0..self.requests.len()).find_map(|from| {
+            let before = |ticks: usize| from.checked_sub(ticks).map_or(0.0, |f| Self::sum(&self.requests, f));
+            let half = Self::WINDOW_TICKS / 2;
+            let requests = before(0).max(before(half)).max(before(2 * half));
+            let (sent, allowed) = (Self::sum(&self.second_attempts, from), requests * 0.2 + slack);
+            (sent > allowed).then_some((from, sent, allowed))
+        })
+    }
+}
+
+/// Plays half a minute in which instances are killed and start again, are added and are cut off, while most requests fail.
+fn play_lives(seed: u64) -> Result<(), String> {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let (instances, slack) =
+        [(1, 10.0), (2, 40.0), (7, 54.0), (24, 40.0), (74, 188.0), (195, 430.0), (584, 640.0)]
+            [rng.random_range(0..7)];
+    let terms = BudgetTerms { ratio: 0.2, slack, window: WINDOW };
+    let (service, start) = (Arc::from("desk"), Instant::now());
+    let mut members: Vec<Member> = (0..instances)
+        .map(|_| Member { own: Budgets::new(start, terms, true, rng.random()), counted: instances })
+        .collect();
+    for member in &mut members {
+        member.own.share_among(instances);
+    }
+    let (kills, additions) = (rng.random_range(0.0..0.6), rng.random_range(0..=instances / 10 + 1));
+    let mut totals = Totals::default();
+    for tick in 0..300_u32 {
+        let at = start + Duration::from_millis(100) * tick;
+        if tick % 25 == 24 {
+            for member in &mut members {
+                if !rng.random_bool(kills) {
+                    continue;
+                }
+                member.own = Budgets::new(at, terms, false, rng.random());
+                member.own.share_among(member.counted);
+            }
+        }
+        if tick == 120 {
+            let counted = members.len();
+            members.extend(
+                (0..additions).map(|_| Member { own: Budgets::new(at, terms, false, rng.random()), counted }),
+            );
+        }
+        let all = members.len();
+        let (mut requests, mut second_attempts) = (0.0, 0.0);
+        for member in &mut members {
+            // A cut keeps an instance from hearing of those that were added.
+            if rng.random_bool(0.05) {
+                member.counted = all;
+                member.own.share_among(all);
+            }
+            if rng.random_bool(0.2) {
+                requests += 1.0;
+                member.own.count_request(at, &service);
+            }
+            while rng.random_bool(0.7) && member.own.take(at, &service) {
+                second_attempts += 1.0;
+            }
+        }
+        totals.requests.push(requests);
+        totals.second_attempts.push(second_attempts);
+    }
+    match totals.excess(slack) {
+        None => Ok(()),
+        Some(excess) => Err(format!("seed {seed}, {instances} instances: {excess:?}")),
+    }
+}
+
+/// Guards against any history of starts, kills, additions and cuts in which the instances together exceed the budget.
+#[test]
+fn random_lives_together_keep_the_budget() {
+    for seed in 0..60 {
+        play_lives(seed).expect("the budget holds");
+    }
+}
+
+/// Guards against an instance that never gets its reserve back after a start.
+#[test]
+fn an_instance_that_has_run_for_a_window_has_a_reserve() {
+    let (service, start) = (Arc::from("desk"), Instant::now());
+    let terms = BudgetTerms { ratio: 0.2, slack: 58.0, window: WINDOW };
+    let mut own = Budgets::new(start, terms, false, 0.5);
+    assert!(!own.take(start, &service));
+    assert!(!own.take(start + WINDOW.mul_f64(0.99), &service));
+    assert!(own.take(start + WINDOW, &service));
+}
--- a/crates/routing/tests/all/sends.rs
+++ b/crates/routing/tests/all/sends.rs
@@ -7,7 +7,8 @@
 
 /// Budgets that allow two second attempts within the window, without requests that would add to them.
 fn budgets() -> Budgets {
-    Budgets::new(BudgetTerms { ratio: 0.0, slack: 50.0, window: Duration::from_secs(10) }, 0.5)
+    let terms = BudgetTerms { ratio: 0.0, slack: 50.0, window: Duration::from_secs(10) };
+    Budgets::new(Instant::now(), terms, true, 0.5)
 }
 
 #[test]
--- a/crates/teams/src/quota.rs
+++ b/crates/teams/src/quota.rs
@@ -333,7 +333,7 @@
     /// Counts the instances among which limits are divided: all that are remembered here or by a reachable
     /// peer, or that are listed. For each failure domain from which nothing was received since the start, as
     /// many are added as the other domains have on average.
-    fn count_instances(&self, now: Duration) -> u32 {
+    pub fn count_instances(&self, now: Duration) -> u32 {
         let reachable = self.peers.values().filter(|peer| !peer.is_unresponsive(now));
         let reported = reachable.map(|peer| peer.known_instances).max().unwrap_or(0);
         let known = self.known_instances().max(reported).max(self.listed_instances);
