--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -1,5 +1,6 @@
 //! Callers, and the guarantees that they check.
 
+mod lives;
 mod verification;
 
 use std::collections::HashMap;
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -41,6 +41,8 @@
     bodies: StdRng,
     /// The same for links between instances and endpoints.
     cuts: StdRng,
+    /// The same for connections to the store that go dead, and for kills of most instances.
+    stores: StdRng,
     start: Instant,
     log: Vec<String>,
     /// Ends of the current faults, with their times.
@@ -56,8 +58,9 @@
         let loads = StdRng::seed_from_u64(statements.clone().random());
         let bodies = StdRng::seed_from_u64(loads.clone().random());
         let cuts = StdRng::seed_from_u64(bodies.clone().random());
+        let stores = StdRng::seed_from_u64(cuts.clone().random());
         let (log, undo, now) = (Vec::new(), Vec::new(), Instant::now());
-        Self { rng, rates, statements, loads, bodies, cuts, start: now, log, undo, stopped: now }
+        Self { rng, rates, statements, loads, bodies, cuts, stores, start: now, log, undo, stopped: now }
     }
 
     pub(crate) fn count(&self) -> usize {
@@ -78,6 +81,8 @@
         self.change_retry_delay(site);
         self.change_load(site);
         self.cut_instances(site);
+        self.kill_store_connections(site);
+        self.kill_most_instances(site);
         match self.rng.random_range(0..12) {
             0 => self.kill_instance(site),
             1 => self.terminate_instance(site),
@@ -197,6 +202,10 @@
 
     fn kill_instance(&mut self, site: &Site) {
         let index = self.random_instance(site);
+        self.kill_at(site, index);
+    }
+
+    fn kill_at(&mut self, site: &Site, index: usize) {
         if self.undo.iter().any(|(_, u)| matches!(u, Undo::Restart(i) if *i == index)) {
             return;
         }
@@ -412,6 +421,33 @@
         instances.into_vec()
     }
 
+    /// Now and then the open connections of an instance to the store go dead, or those of all instances.
+    fn kill_store_connections(&mut self, site: &Site) {
+        if !self.stores.random_bool(0.08) {
+            return;
+        }
+        let all = self.stores.random_bool(0.3);
+        let parts = site.parts();
+        let chosen = self.stores.random_range(0..parts.instances.len());
+        for (index, slot) in parts.instances.iter().enumerate().filter(|(index, _)| all || *index == chosen) {
+            slot.store_link.kill_open_connections();
+            self.log(&format!("open connections of instance {index} to the store go dead"));
+        }
+    }
+
+    /// Now and then most instances are killed at once.
+    fn kill_most_instances(&mut self, site: &Site) {
+        if !self.stores.random_bool(0.015) {
+            return;
+        }
+        let count = site.parts().instances.len();
+        for index in 0..count {
+            if self.stores.random_bool(0.7) {
+                self.kill_at(site, index);
+            }
+        }
+    }
+
     fn change_pace(&mut self, site: &Site) {
         let pace = if self.loads.random_bool(0.5) { 4.0 } else { 0.5 };
         let time = Duration::from_millis(self.loads.random_range(1_000..5_000));
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -98,6 +98,12 @@
     if let Err(violation) = callers.verify_rates(&site).await {
         return Err(failure_report(seed, &plan, &violation, &site));
     }
+    if let Err(violation) = callers.verify_versions(&site).await {
+        return Err(failure_report(seed, &plan, &violation, &site));
+    }
+    if let Err(violation) = callers.verify_lives(&site).await {
+        return Err(failure_report(seed, &plan, &violation, &site));
+    }
     Ok(format!("{} faults, {} engines crashed, {}", plan.count(), site.crash_count(), callers.summary()))
 }
 
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -35,6 +35,8 @@
     impairment: Arc<watch::Sender<Impairment>>,
     /// When the impairment last began or ended.
     changed: Mutex<Instant>,
+    /// Changes when the open connections are black-holed.
+    killed: Arc<watch::Sender<u64>>,
     task: JoinHandle<()>,
 }
 
@@ -44,8 +46,11 @@
         let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
         let address = listener.local_addr()?;
         let impairment = Arc::new(watch::Sender::new(Impairment::None));
-        let task = tokio::spawn(accept(listener, target, Arc::clone(&impairment), crash));
-        Ok(Self { address, own: Mutex::default(), impairment, changed: Mutex::new(Instant::now()), task })
+        let killed = Arc::new(watch::Sender::new(0));
+        let links = (Arc::clone(&impairment), Arc::clone(&killed));
+        let task = tokio::spawn(accept(listener, target, links, crash));
+        let (own, changed) = (Mutex::default(), Mutex::new(Instant::now()));
+        Ok(Self { address, own, impairment, changed, killed, task })
     }
 
     /// Sets the impairment of the target's network.
@@ -66,6 +71,11 @@
         *self.changed.lock().unwrap_or_else(PoisonError::into_inner) = Instant::now();
     }
 
+    /// Black-holes the connections that are open now; new ones work.
+    pub(crate) fn kill_open_connections(&self) {
+        self.killed.send_modify(|count| *count += 1);
+    }
+
     /// Since when the connections have not been impaired; `None` if they are impaired now.
     pub(crate) fn clear_since(&self) -> Option<Instant> {
         let is_clear = matches!(*self.impairment.borrow(), Impairment::None);
@@ -82,7 +92,7 @@
 async fn accept(
     listener: TcpListener,
     target: SocketAddr,
-    impairment: Arc<watch::Sender<Impairment>>,
+    (impairment, killed): (Arc<watch::Sender<Impairment>>, Arc<watch::Sender<u64>>),
     mut crash: watch::Receiver<bool>,
 ) {
     let mut connections = JoinSet::new();
@@ -92,17 +102,20 @@
             accepted = listener.accept() => accepted,
         };
         let Ok((client, _)) = accepted else { return };
-        let impairment = impairment.subscribe();
+        let (impairment, mut killed) = (impairment.subscribe(), killed.subscribe());
         connections.spawn(async move {
             if *impairment.borrow() == Impairment::Reset {
                 return;
             }
             let Ok(upstream) = TcpStream::connect(target).await else { return };
-            let (client_read, client_write) = client.into_split();
+            let (mut client_read, mut client_write) = client.into_split();
             let (target_read, target_write) = upstream.into_split();
             let reset = wait_for_reset(impairment.clone());
+            let (client_read, client_write) = (&mut client_read, &mut client_write);
             tokio::select! {
                 () = reset => {}
+                // Both ends stay open, and nothing passes.
+                Ok(()) = killed.changed() => std::future::pending::<()>().await,
                 // The end of one direction ends both, as a broken connection does.
                 () = forward(client_read, target_write, impairment.clone(), false) => {}
                 () = forward(target_read, client_write, impairment, true) => {}
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -12,6 +12,9 @@
 
 use crate::proxy::{Impairment, Proxy};
 
+/// Second attempts per request that all instances together may make, and those in addition for each instance.
+pub(crate) const BUDGET_RATIO: f64 = 0.2;
+pub(crate) const BUDGET_SLACK_PER_INSTANCE: f64 = 3.0;
 /// Memory limit of an instance, in MB.
 const MEMORY_MB: u64 = 96;
 
@@ -136,7 +139,10 @@
             store_address: store_link.address,
             first_start: true,
             memory_mb: MEMORY_MB,
-            further_lines: String::new(),
+            further_lines: format!(
+                "bounds.budget_ratio={BUDGET_RATIO}\nbounds.budget_slack={}\n",
+                BUDGET_SLACK_PER_INSTANCE * self.stores.len() as f64
+            ),
         };
         let process = Some(SiteInstance::start(&self.binary, &settings)?);
         let undisturbed_since = Instant::now();
