--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -333,6 +333,13 @@
         }
     }
 
+    /// Sends a request of the team without a limit over a new connection; returns the status of its response, if any.
+    async fn status(&self, path: &str, id: &str) -> Option<u16> {
+        let request = site_request(&Client::new(), &self.address, path, id, DEADLINE_MS);
+        let request = request.header("authorization", format!("Token {}", UNLIMITED_TEAM.key));
+        request.send().await.ok().map(|response| response.status().as_u16())
+    }
+
     /// Sends a request and checks its response. Returns whether the response was complete.
     async fn send(&self, kind: &str, id: &str) -> bool {
         self.counts.sent.fetch_add(1, Ordering::Relaxed);
--- a/crates/soak/src/callers/lives.rs
+++ b/crates/soak/src/callers/lives.rs
@@ -45,10 +45,9 @@
             let kind = format!("v{}", site.parts().version);
             for address in addresses {
                 let id = format!("{kind}-dead-{address}");
-                let served = self.caller(&address).send(&kind, &id).await;
-                if !served && !self.timeless {
-                    let message =
-                        format!("{address} does not serve version {kind} in time over a new connection");
+                let status = self.caller(&address).status(&format!("/{kind}/"), &id).await;
+                if status == Some(404) && !self.timeless {
+                    let message = format!("{address} does not know the route of version {kind} in time");
                     return Err(Violation { message, request_id: Some(id) });
                 }
             }
