--- a/crates/forward/src/catalog/listing.rs
+++ b/crates/forward/src/catalog/listing.rs
@@ -12,7 +12,8 @@
 use super::{Catalog, StoreError};
 use crate::protocol::{Batch, StoreChange};
 
-/// Longest time for a page of the list.
+/// Longest time until a page of the list begins to arrive. No second connection is asked meanwhile: a list is read over a
+/// connection that is new or has just delivered, and hundreds of instances that start together read one.
 const PAGE_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Most pages of one list; more than any deployment has.
 const MAX_PAGES: usize = 200;
@@ -82,9 +83,8 @@
         let after = self.list_progress.borrow().after.clone();
         let called_at = self.node.clock.uptime();
         let era = self.era.get();
-        let list = || self.node.protocol.list(after.as_deref());
-        let (status, body) =
-            self.call_over_two("list", list(), list, PAGE_TIMEOUT, self.read_times.overdue()).await?;
+        let call = self.node.protocol.list(after.as_deref());
+        let (status, body) = self.call("list", call, PAGE_TIMEOUT).await?;
         if after.is_some() && era.compare(self.era.get()) == EraOrder::Newer {
             return Ok(Page::Outdated);
         }
--- a/crates/forward/src/catalog/second_connection.rs
+++ b/crates/forward/src/catalog/second_connection.rs
@@ -1,4 +1,4 @@
-//! Calls to the store that are repeated over a second connection.
+//! Watches that are repeated over a second connection.
 //!
 //! A connection to the store can go dead without being closed, while new ones work. Nothing on the connection itself shows
 //! it. There are two signs: the response is overdue, or a peer names a revision that a working watch would have reported.
@@ -18,7 +18,6 @@
 use tokio::sync::Notify;
 
 use super::{CALL_SLACK, Catalog, StoreError};
-use crate::protocol::Call;
 
 /// The latest revision that a peer of any failure domain has named.
 #[derive(Debug, Default)]
@@ -41,44 +40,30 @@
         }
     }
 
-    /// Watches the store, over a second connection too if the first seems dead.
+    /// Watches the store. If the response is overdue, or if a peer knows later changes, the same is asked over a second
+    /// connection, and the first response of both counts.
     pub(super) async fn watch_over_two(
         &self,
         revision: u64,
         wait: Duration,
     ) -> Result<(StatusCode, Bytes), StoreError> {
         let watch = self.node.protocol.watch(revision, wait);
-        let check = || self.node.protocol.watch(revision, Duration::ZERO);
-        let overdue = wait + self.read_times.overdue();
-        self.call_over_two("watch", watch, check, wait + CALL_SLACK, overdue).await
-    }
-
-    /// Makes a call that must have a response within `timeout`. If it has none after `overdue`, or if a peer knows later
-    /// changes, the call `again` is made over a second connection, and the first response of both counts.
-    pub(super) async fn call_over_two(
-        &self,
-        name: &str,
-        call: Call,
-        again: impl Fn() -> Call,
-        timeout: Duration,
-        overdue: Duration,
-    ) -> Result<(StatusCode, Bytes), StoreError> {
-        let mut first = std::pin::pin!(self.call(name, call, timeout));
+        let mut first = std::pin::pin!(self.call("watch", watch, wait + CALL_SLACK));
         tokio::select! {
             biased;
             result = &mut first => return result,
             () = self.until_peer_is_ahead() => {}
-            () = tokio::time::sleep(overdue) => {}
+            () = tokio::time::sleep(wait + self.read_times.overdue()) => {}
         }
         self.node.pool.close_idle(self.node.settings.store_address);
-        let second = self.call("check", again(), CALL_SLACK);
+        let second = self.call("check", self.node.protocol.watch(revision, Duration::ZERO), CALL_SLACK);
         tokio::select! {
             biased;
             result = &mut first => result,
             result = second => match result {
                 Ok(response) => {
-                    self.node.metrics.store_calls.with_label_values(&[name, "superseded"]).inc();
-                    info!(self.node.log, "connection to the store replaced"; "call" => name);
+                    self.node.metrics.store_calls.with_label_values(&["watch", "superseded"]).inc();
+                    info!(self.node.log, "connection to the store replaced"; "revision" => revision);
                     Ok(response)
                 }
                 Err(_) => first.await,
--- a/crates/forward/src/supervisor.rs
+++ b/crates/forward/src/supervisor.rs
@@ -104,12 +104,7 @@
         state: RefCell::new(State {
             routes: None,
             endpoints: Endpoints::default(),
-            budgets: Budgets::new(
-                SystemClock.now(),
-                settings.retry_budget,
-                settings.first_start,
-                rand::random(),
-            ),
+            budgets: Budgets::new(SystemClock.now(), settings.retry_budget, start_kind, rand::random()),
             rng: SmallRng::from_os_rng(),
             prefill_estimates: HashMap::new(),
             output_estimates: HashMap::new(),
--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/budget.rs
@@ -24,6 +24,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use teaselshunt_teams::StartKind;
+
 /// Size of the retry budget.
 #[derive(Debug, Clone, Copy)]
 pub struct BudgetTerms {
@@ -65,11 +67,13 @@
 }
 
 impl Budgets {
-    /// Budgets of an instance that starts now, and has observed no other yet. `first` says whether the whole system
-    /// starts for the first time; `rounding` is random, from 0 to 1.
-    pub fn new(now: Instant, terms: BudgetTerms, first: bool, rounding: f64) -> Self {
+    /// Budgets of an instance that starts now, and has observed no other yet; `rounding` is random, from 0 to 1.
+    pub fn new(now: Instant, terms: BudgetTerms, start: StartKind, rounding: f64) -> Self {
         let reserve = (terms.slack * RESERVE_FRACTION).clamp(1.0, RESERVE_MAX);
-        let reserve_from = (!first).then(|| now + terms.window);
+        let reserve_from = match start {
+            StartKind::First => None,
+            StartKind::Subsequent => Some(now + terms.window),
+        };
         Self { terms, reserve, rounding, reserve_from, accounts: HashMap::new() }
     }
 
--- a/crates/routing/tests/all/budget.rs
+++ b/crates/routing/tests/all/budget.rs
@@ -7,11 +7,12 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use teaselshunt_routing::{BudgetTerms, Budgets};
+use teaselshunt_teams::StartKind;
 
 const WINDOW: Duration = Duration::from_secs(10);
 
 fn budgets(slack: f64) -> Budgets {
-    Budgets::new(Instant::now(), BudgetTerms { ratio: 0.2, slack, window: WINDOW }, true, 0.5)
+    Budgets::new(Instant::now(), BudgetTerms { ratio: 0.2, slack, window: WINDOW }, StartKind::First, 0.5)
 }
 
 quickcheck! {
@@ -88,7 +89,7 @@
         let (mut requests, mut second_attempts) = (0, 0);
         for _ in 0..instances {
             let terms = BudgetTerms { ratio: 0.2, slack, window: WINDOW };
-            let mut own = Budgets::new(start, terms, true, rng.random_range(0.0..1.0));
+            let mut own = Budgets::new(start, terms, StartKind::First, rng.random_range(0.0..1.0));
             own.share_among(instances);
             for _ in 0..rng.random_range(0..14) {
                 requests += 1;
@@ -117,7 +118,8 @@
             for _ in 0..instances {
                 let terms = BudgetTerms { ratio: 0.2, slack, window: WINDOW };
                 let at = start + WINDOW.mul_f64(0.2) * life;
-                let mut own = Budgets::new(at, terms, life == 0, rng.random_range(0.0..1.0));
+                let kind = if life == 0 { StartKind::First } else { StartKind::Subsequent };
+                let mut own = Budgets::new(at, terms, kind, rng.random_range(0.0..1.0));
                 own.share_among(instances);
                 requests += 1;
                 own.count_request(at, &service);
@@ -172,7 +174,10 @@
     let terms = BudgetTerms { ratio: 0.2, slack, window: WINDOW };
     let (service, start) = (Arc::from("desk"), Instant::now());
     let mut members: Vec<Member> = (0..instances)
-        .map(|_| Member { own: Budgets::new(start, terms, true, rng.random()), counted: instances })
+        .map(|_| Member {
+            own: Budgets::new(start, terms, StartKind::First, rng.random()),
+            counted: instances,
+        })
         .collect();
     for member in &mut members {
         member.own.share_among(instances);
@@ -186,15 +191,16 @@
                 if !rng.random_bool(kills) {
                     continue;
                 }
-                member.own = Budgets::new(at, terms, false, rng.random());
+                member.own = Budgets::new(at, terms, StartKind::Subsequent, rng.random());
                 member.own.share_among(member.counted);
             }
         }
         if tick == 120 {
             let counted = members.len();
-            members.extend(
-                (0..additions).map(|_| Member { own: Budgets::new(at, terms, false, rng.random()), counted }),
-            );
+            members.extend((0..additions).map(|_| Member {
+                own: Budgets::new(at, terms, StartKind::Subsequent, rng.random()),
+                counted,
+            }));
         }
         let all = members.len();
         let (mut requests, mut second_attempts) = (0.0, 0.0);
@@ -234,7 +240,7 @@
 fn an_instance_that_has_run_for_a_window_has_a_reserve() {
     let (service, start) = (Arc::from("desk"), Instant::now());
     let terms = BudgetTerms { ratio: 0.2, slack: 58.0, window: WINDOW };
-    let mut own = Budgets::new(start, terms, false, 0.5);
+    let mut own = Budgets::new(start, terms, StartKind::Subsequent, 0.5);
     assert!(!own.take(start, &service));
     assert!(!own.take(start + WINDOW.mul_f64(0.99), &service));
     assert!(own.take(start + WINDOW, &service));
--- a/crates/routing/tests/all/sends.rs
+++ b/crates/routing/tests/all/sends.rs
@@ -4,11 +4,12 @@
 use std::time::{Duration, Instant};
 
 use teaselshunt_routing::{BudgetTerms, Budgets, Sends};
+use teaselshunt_teams::StartKind;
 
 /// Budgets that allow two second attempts within the window, without requests that would add to them.
 fn budgets() -> Budgets {
     let terms = BudgetTerms { ratio: 0.0, slack: 50.0, window: Duration::from_secs(10) };
-    Budgets::new(Instant::now(), terms, true, 0.5)
+    Budgets::new(Instant::now(), terms, StartKind::First, 0.5)
 }
 
 #[test]
