--- /dev/null
+++ b/crates/wire/tests/all/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the codecs.
+
+mod peer;
