--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -120,6 +120,8 @@
             tokio::time::sleep(Duration::from_millis(50)).await;
         }
         self.restart_ended(site);
+        // An instance that started from a peer's snapshot knows the peer's links to endpoints, and not its own.
+        site.list_again();
     }
 
     fn log(&mut self, what: &str) {
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -226,6 +226,13 @@
         }
     }
 
+    /// Writes the entries of all present endpoints anew, so that each instance reads the addresses of its own links.
+    pub(crate) fn list_again(&self) {
+        for endpoint in &self.parts().endpoints {
+            self.list(endpoint, "ready");
+        }
+    }
+
     /// Removes an endpoint's entry.
     pub(crate) fn unlist(&self, endpoint: &Endpoint) {
         self.stores.iter().for_each(|store| store.remove(&store_key(&endpoint.server)));
