--- a/crates/soak/src/callers/lives.rs
+++ b/crates/soak/src/callers/lives.rs
@@ -12,6 +12,10 @@
 
 /// Time in which a version must be in force, with slack for the check itself.
 const APPLY_TIME: Duration = Duration::from_millis(2500);
+/// The same on a machine with other load, where it only tells a version that is late from one that never comes.
+const APPLY_TIME_LOADED: Duration = Duration::from_mins(1);
+/// Pause between two looks at what an instance knows.
+const POLL_PAUSE: Duration = Duration::from_millis(20);
 /// Versions that are written over dead connections.
 const VERSIONS: u64 = 4;
 /// Time between two of them, and how much it grows, so that they meet watches at different moments.
@@ -41,14 +45,16 @@
             };
             site.parts().version += 1;
             site.publish();
-            tokio::time::sleep(APPLY_TIME).await;
+            let until = Instant::now() + if self.timeless { APPLY_TIME_LOADED } else { APPLY_TIME };
             let kind = format!("v{}", site.parts().version);
             for address in addresses {
                 let id = format!("{kind}-dead-{address}");
-                let status = self.caller(&address).status(&format!("/{kind}/"), &id).await;
-                if status == Some(404) && !self.timeless {
-                    let message = format!("{address} does not know the route of version {kind} in time");
-                    return Err(Violation { message, request_id: Some(id) });
+                while self.caller(&address).status(&format!("/{kind}/"), &id).await == Some(404) {
+                    if Instant::now() > until {
+                        let message = format!("{address} does not know the route of version {kind} in time");
+                        return Err(Violation { message, request_id: Some(id) });
+                    }
+                    tokio::time::sleep(POLL_PAUSE).await;
                 }
             }
         }
@@ -108,7 +114,7 @@
                 let client = Client::new();
                 // An instance that is not ready yet, or not even listening.
                 while !client.get(&url).send().await.is_ok_and(|response| response.status() == 200) {
-                    tokio::time::sleep(Duration::from_millis(20)).await;
+                    tokio::time::sleep(POLL_PAUSE).await;
                 }
                 for number in 0..CALLS {
                     caller.send(KIND, &format!("{KIND}-life-{life}-{index}-{number}")).await;
