--- a/crates/forward/src/generate.rs
+++ b/crates/forward/src/generate.rs
@@ -67,6 +67,36 @@
     buffered_response(head, body)
 }
 
+/// Why a stream does not resume at another engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum NotResumed {
+    /// The route allows no further attempt.
+    Attempts,
+    /// The events that the caller has bear no id, or one that cannot be sent.
+    EventId,
+    Quarantined,
+    /// The service's retry budget is used up.
+    RetryBudget,
+    /// No engine began to run it.
+    Refused(ErrorKind),
+    /// The other engine responded with an error.
+    EngineError,
+}
+
+impl NotResumed {
+    /// Name in logs and metrics.
+    pub(crate) const fn text(self) -> &'static str {
+        match self {
+            Self::Attempts => "attempts",
+            Self::EventId => "event_id",
+            Self::Quarantined => "quarantined",
+            Self::RetryBudget => "retry_budget",
+            Self::Refused(kind) => kind.answer().code,
+            Self::EngineError => "engine_error",
+        }
+    }
+}
+
 /// Resumes a stream that broke at engine `broken` at another engine. The other engine prefills the prompt itself:
 /// a second prefill would count as another attempt.
 pub(crate) async fn resume(
@@ -75,27 +105,30 @@
     resume_point: ResumePoint<'_>,
     broken: EndpointKey,
     trace: &Trace,
-) -> Option<(Answer, InFlightWork)> {
+) -> Result<(Answer, InFlightWork), NotResumed> {
     let last_event_id = match resume_point {
         // A caller that resumes a stream itself says after which event.
         ResumePoint::Start => None,
-        ResumePoint::After(id) => Some(HeaderValue::from_str(id).ok()?),
+        ResumePoint::After(id) => Some(HeaderValue::from_str(id).map_err(|_| NotResumed::EventId)?),
     };
-    if node.quarantined(job).is_some() || !node.take_attempt(&job.service) {
-        return None;
+    if node.quarantined(job).is_some() {
+        return Err(NotResumed::Quarantined);
+    }
+    if !node.take_attempt(&job.service) {
+        return Err(NotResumed::RetryBudget);
     }
     if let Some(id) = last_event_id {
         job.headers.insert("last-event-id", id);
     }
     let wait_policy = WaitPolicy::for_resume(node.now(), job.deadline);
-    let (answer, work) =
-        start_generation(node, job, trace, wait_policy, Prompt::LocalPrefill, vec![broken]).await.ok()?;
+    let started = start_generation(node, job, trace, wait_policy, Prompt::LocalPrefill, vec![broken]).await;
+    let (answer, work) = started.map_err(|refusal| NotResumed::Refused(refusal.kind))?;
     if answer.head.status != StatusCode::OK {
         node.observe_outcome(job, answer.endpoint, answer.outcome);
-        return None;
+        return Err(NotResumed::EngineError);
     }
     waste::count(node, trace, WasteCause::Resumed, job.prompt_tokens());
-    Some((answer, work))
+    Ok((answer, work))
 }
 
 /// A KV cache at a prefill engine. Dropping it before the decode engine has taken it frees it.
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -41,6 +41,7 @@
     pub(crate) slow_engines: IntGauge,
     pub(crate) wasted_prefill: IntCounterVec,
     pub(crate) links: LinkMetrics,
+    pub(crate) streams: StreamMetrics,
     response_ends: IntCounterVec,
     team_requests: IntCounterVec,
     /// Teams that have a label of their own.
@@ -106,6 +107,26 @@
     }
 }
 
+/// Metrics of streams that are interrupted.
+#[derive(Debug)]
+pub(crate) struct StreamMetrics {
+    pub(crate) resumptions: IntCounterVec,
+}
+
+impl StreamMetrics {
+    fn new(
+        counter: &impl Fn(&str, &str, &[&str]) -> Result<IntCounterVec, prometheus::Error>,
+    ) -> Result<Self, prometheus::Error> {
+        Ok(Self {
+            resumptions: counter(
+                "resumptions_total",
+                "Streams that broke or whose engine fell silent, by what became of them.",
+                &["cause", "outcome"],
+            )?,
+        })
+    }
+}
+
 /// Most teams that have a label of their own; all others share [`OTHERS`]. Each label costs several time
 /// series for as long as the process runs.
 const TEAM_LABELS: usize = 64;
@@ -201,6 +222,7 @@
                 &["cause"],
             )?,
             links: LinkMetrics::new(&gauge)?,
+            streams: StreamMetrics::new(&counter)?,
             response_ends: counter(
                 "response_ends_total",
                 "Responses of endpoints and of the platform, by framing and by how they ended.",
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -21,7 +21,7 @@
 use crate::body::{PieceSender, ResponseBody, relay_channel, relayed_response};
 use crate::buffering::BufferedBytes;
 use crate::crashes;
-use crate::generate;
+use crate::generate::{self, NotResumed};
 use crate::in_flight::InFlightWork;
 use crate::load;
 use crate::node::{Answer, Job, Node};
@@ -76,6 +76,11 @@
         }
     }
 
+    /// Why the stream resumes or breaks off, in metrics.
+    const fn cause(self) -> &'static str {
+        if matches!(self, Self::Stalled) { "stalled" } else { "truncated" }
+    }
+
     /// Outcome of the step in logs; `None` for the usual ones.
     fn step_text(self) -> Option<String> {
         match self {
@@ -176,10 +181,17 @@
                 stream_job.resumes_left -= 1;
                 generate::resume(&node, &mut stream_job.job, resume_point, endpoint, &trace).await
             }
-            _ => None,
+            Some(_) => Err(NotResumed::Attempts),
+            None => Err(NotResumed::EventId),
         };
-        let Some((answer, work)) = next else {
-            return trace.end("broken_stream", status);
+        let outcome = next.as_ref().map_or_else(|reason| reason.text(), |_| "resumed");
+        node.metrics.streams.resumptions.with_label_values(&[end.cause(), outcome]).inc();
+        let (answer, work) = match next {
+            Ok(next) => next,
+            Err(reason) => {
+                trace.record_step("resume", "any", reason.text());
+                return trace.end("broken_stream", status);
+            }
         };
         events.partial.clear();
         info!(node.log, "stream resumed at another engine"; "id" => &stream_job.job.meta.id, "after" => events.last_id.as_deref());
