Stand-ins: an endpoint can be paused, and goes on where it was

Sound endpoints stop for a second or so: nothing is accepted, read or written, the kernel still accepts connections and buffers bytes. No stand-in did that: a link that is silent also delays what the endpoint has sent already, and the faults of an endpoint answer or break off.

The pause is in the endpoint's listener and its connections, so that no part of its work needs to know of it. Pauses count, so that overlapping ones don't end each other. A request that a pause kept from being read is recorded as arrived when it reached the endpoint; the soak's checks of endpoints that have left compare that time.

Test: pause::a_paused_endpoint_goes_on_where_it_was.

--- a/crates/standin/src/site/body.rs
+++ b/crates/standin/src/site/body.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
 
 use super::http::response_head;
+use super::pause::PausableStream;
 
 /// How an endpoint marks the end of its bodies.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -55,7 +55,7 @@
     /// connection stays open.
     pub(crate) async fn write(
         self,
-        stream: &mut TcpStream,
+        stream: &mut PausableStream,
         status: u16,
         headers: &[(&str, &str)],
         pieces: &[String],
@@ -99,7 +99,7 @@
             Some((_, SiteCut::Close)) if sent < length => return false,
             Some((_, SiteCut::Reset)) if sent < length => {
                 // Without the option the connection is closed, which the tests of resets notice.
-                let _ = stream.set_zero_linger();
+                let _ = stream.reset_on_drop();
                 return false;
             }
             _ => {}
--- a/crates/standin/src/site/capacity.rs
+++ b/crates/standin/src/site/capacity.rs
@@ -4,9 +4,10 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use tokio::net::TcpStream;
 use tokio::sync::{Semaphore, SemaphorePermit};
 
+use super::pause::PausableStream;
+
 /// Time after which a reservation that no request has used no longer counts.
 const RESERVATION_LIFETIME: Duration = Duration::from_secs(2);
 
@@ -35,7 +36,7 @@
     }
 
     /// Takes a place, in the order of arrival. The queue is left when the caller closes `stream`.
-    pub(super) async fn enter(&self, stream: &TcpStream) -> Entry<'_> {
+    pub(super) async fn enter(&self, stream: &PausableStream) -> Entry<'_> {
         let Some(free) = &self.free else { return Entry::Run(None) };
         if let Ok(place) = free.try_acquire() {
             return Entry::Run(Some(place));
@@ -50,7 +51,7 @@
 }
 
 /// Waits until the client closes the connection. A client that has sent another request meanwhile is not observed.
-async fn disconnected(stream: &TcpStream) {
+async fn disconnected(stream: &PausableStream) {
     if matches!(stream.peek(&mut [0]).await, Ok(1..)) {
         std::future::pending::<()>().await;
     }
--- a/crates/standin/src/site/endpoint.rs
+++ b/crates/standin/src/site/endpoint.rs
@@ -9,13 +9,15 @@
 
 use serde_json::{Value, json};
 use tokio::io::AsyncWriteExt;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
 use super::body::{SiteBody, SiteFraming};
 use super::capacity::{Entry, Places, Reservations};
-use super::http::{Request, read_request, response_head, write_chunk, write_response};
+use super::events::write_events;
+use super::http::{Request, read_request, write_response};
+use super::pause::{PausableListener, PausableStream, Pauses, SitePause};
 
 /// Slots that an endpoint without a limit on its places states: more than it gets requests at a time.
 const UNLIMITED_SLOTS: u32 = 1_000;
@@ -120,6 +122,8 @@
     /// Whether all responses have the `Retry-After`, and not only refusals.
     retry_after_always: bool,
     arrivals: Vec<SiteArrival>,
+    /// Connections that were accepted.
+    connections: u64,
 }
 
 /// A request that reached an endpoint, whether the request ran or not. Reservations and orders are included.
@@ -141,6 +145,7 @@
     options: SiteOptions,
     address: SocketAddr,
     inner: Arc<Mutex<Inner>>,
+    pauses: Arc<Pauses>,
     task: JoinHandle<()>,
     crashed: watch::Receiver<bool>,
 }
@@ -156,9 +161,13 @@
         let inner = Arc::new(Mutex::new(Inner { pace: 1.0, ..Inner::default() }));
         let (crash, crashed) = watch::channel(false);
         let places = Places::new(options.places, options.queue);
-        let shared = Arc::new(Shared { options: options.clone(), inner: Arc::clone(&inner), places, crash });
-        let task = tokio::spawn(accept(listener, shared, crashed.clone()));
-        Ok(Self { options, address, inner, task, crashed })
+        let pauses = Arc::<Pauses>::default();
+        let listener = PausableListener { listener, pauses: Arc::clone(&pauses), held_since: None };
+        let (shared_inner, shared_pauses) = (Arc::clone(&inner), Arc::clone(&pauses));
+        let shared =
+            Shared { options: options.clone(), inner: shared_inner, pauses: shared_pauses, places, crash };
+        let task = tokio::spawn(accept(listener, Arc::new(shared), crashed.clone()));
+        Ok(Self { options, address, inner, pauses, task, crashed })
     }
 
     /// Address on which the endpoint listens.
@@ -215,6 +224,21 @@
         self.lock().orders.clone()
     }
 
+    /// Pauses the endpoint until the result is dropped: it accepts, reads and writes nothing, and goes on where it was.
+    pub fn pause(&self) -> SitePause {
+        SitePause::begin(&self.pauses)
+    }
+
+    /// Whether the endpoint is paused, and when its last pause began or ended; `None` if it never paused.
+    pub fn last_pause(&self) -> Option<(bool, Instant)> {
+        self.pauses.last_change()
+    }
+
+    /// Number of connections that the endpoint has accepted.
+    pub fn connection_count(&self) -> u64 {
+        self.lock().connections
+    }
+
     /// Replaces the endpoint's fault.
     pub fn set_fault(&self, fault: SiteFault) {
         self.lock().fault = fault;
@@ -283,6 +307,7 @@
 struct Shared {
     options: SiteOptions,
     inner: Arc<Mutex<Inner>>,
+    pauses: Arc<Pauses>,
     places: Places,
     crash: watch::Sender<bool>,
 }
@@ -303,15 +328,14 @@
 }
 
 /// Serves connections until the endpoint crashes, which closes the listener and all connections.
-async fn accept(listener: TcpListener, shared: Arc<Shared>, mut crashed: watch::Receiver<bool>) {
+async fn accept(mut listener: PausableListener, shared: Arc<Shared>, mut crashed: watch::Receiver<bool>) {
     let mut connections = tokio::task::JoinSet::new();
     loop {
         tokio::select! {
             _ = crashed.wait_for(|crashed| *crashed) => return,
             accepted = listener.accept() => {
-                let Ok((stream, _)) = accepted else { return };
-                // Without delay a reset loses no events that were written before; a failure only costs latency.
-                let _ = stream.set_nodelay(true);
+                let Ok(stream) = accepted else { return };
+                shared.lock().connections += 1;
                 let shared = Arc::clone(&shared);
                 connections.spawn(async move { shared.serve(stream).await });
             }
@@ -324,19 +348,19 @@
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    async fn serve(&self, mut stream: TcpStream) {
+    async fn serve(&self, mut stream: PausableStream) {
         let mut buffer = Vec::new();
         while let Some(request) = read_request(&mut stream, &mut buffer).await {
             // Work for a client that has disconnected ends at its next write, or with the connection.
             let keep_open = self.handle_request(&mut stream, &request).await;
             if !keep_open {
-                return;
+                return self.pauses.over().await;
             }
         }
     }
 
     /// Handles a request, and returns whether the connection stays open.
-    async fn handle_request(&self, stream: &mut TcpStream, request: &Request) -> bool {
+    async fn handle_request(&self, stream: &mut PausableStream, request: &Request) -> bool {
         let path = request.path.as_str();
         if request.header("expect-instance").is_some_and(|id| id != self.options.id)
             || self.lock().address_released
@@ -345,11 +369,12 @@
             return true;
         }
         let arrival = {
+            let at = stream.take_held().unwrap_or_else(Instant::now);
             let mut inner = self.lock();
             inner.arrivals.push(SiteArrival {
                 request_id: request.header("request-id").unwrap_or_default().to_owned(),
                 path: path.to_owned(),
-                at: Instant::now(),
+                at,
                 retry_after: None,
             });
             inner.arrivals.len() - 1
@@ -411,7 +436,7 @@
 
     /// Runs a request with its faults, and returns whether the connection stays open. `arrival` is its index among
     /// the arrivals.
-    async fn run_request(&self, stream: &mut TcpStream, request: &Request, arrival: usize) -> bool {
+    async fn run_request(&self, stream: &mut PausableStream, request: &Request, arrival: usize) -> bool {
         let id = request.header("request-id").unwrap_or_default().to_owned();
         let prefill = request.header("stage") == Some("prefill");
         let after = request.header("last-event-id").and_then(|v| v.parse().ok());
@@ -458,6 +483,7 @@
             return false;
         }
         tokio::time::sleep(work_time).await;
+        self.pauses.over().await;
         let crashes = !prefill && request.body == CRASHING_BODY.as_bytes();
         if crashes && self.options.event_count == 0 {
             self.crash.send_replace(true);
@@ -491,7 +517,8 @@
         }
         if self.options.event_count > 0 {
             let fault = if crashes { SiteFault::Cut(0) } else { fault };
-            let keep_open = self.write_events(stream, &headers, &id, after.unwrap_or(0), fault).await;
+            let keep_open =
+                write_events(stream, &self.options, &headers, &id, after.unwrap_or(0), fault).await;
             if crashes {
                 self.crash.send_replace(true);
             }
@@ -509,7 +536,7 @@
     /// the connection stays open.
     async fn write_body(
         &self,
-        stream: &mut TcpStream,
+        stream: &mut PausableStream,
         status: u16,
         headers: &[(&str, &str)],
         body: String,
@@ -521,51 +548,8 @@
         };
         style.write(stream, status, headers, &[body], Duration::ZERO).await
     }
-
-    /// Writes the events of a stream, and returns whether the connection stays open.
-    async fn write_events(
-        &self,
-        stream: &mut TcpStream,
-        headers: &[(&str, &str)],
-        id: &str,
-        after: u32,
-        fault: SiteFault,
-    ) -> bool {
-        let headers: Vec<_> =
-            headers.iter().copied().chain([("content-type", "text/event-stream")]).collect();
-        if let SiteFault::Body(style) = fault {
-            let events = after + 1..=self.options.event_count;
-            let events: Vec<String> = events.map(|number| event_text(id, number)).collect();
-            return style.write(stream, 200, &headers, &events, self.options.event_gap).await;
-        }
-        let mut text = response_head(200, &headers);
-        text.push_str("transfer-encoding: chunked\r\n\r\n");
-        if stream.write_all(text.as_bytes()).await.is_err() {
-            return false;
-        }
-        for number in after + 1..=self.options.event_count {
-            if matches!(fault, SiteFault::Cut(cut) if number > cut) {
-                write_chunk(stream, &format!("id: {number}\nda")).await;
-                return false;
-            }
-            let padding = match fault {
-                SiteFault::Large(bytes) => format!(": {}\n", ".".repeat(bytes)),
-                _ => String::new(),
-            };
-            if !write_chunk(stream, &format!("{padding}{}", event_text(id, number))).await {
-                return false;
-            }
-            tokio::time::sleep(self.options.event_gap).await;
-        }
-        write_chunk(stream, "").await
-    }
 }
 
 fn as_strs<'a>(headers: &'a [(&'static str, String)]) -> Vec<(&'static str, &'a str)> {
     headers.iter().map(|(name, value)| (*name, value.as_str())).collect()
 }
-
-/// The text of an event: a function of request id and number, so that a caller can check that the event is its own.
-pub fn event_text(request_id: &str, number: u32) -> String {
-    format!("id: {number}\ndata: {request_id} {number}\n\n")
-}
--- a/crates/standin/src/site/http.rs
+++ b/crates/standin/src/site/http.rs
@@ -3,8 +3,7 @@
 use std::collections::HashMap;
 use std::fmt::Write;
 
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 
 /// Largest request that a stand-in reads, in bytes, with its head.
 const MAX_REQUEST_BYTES: usize = 1 << 20;
@@ -31,7 +30,10 @@
 }
 
 /// Reads the next request; `None` once the connection has ended.
-pub(crate) async fn read_request(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<Request> {
+pub(crate) async fn read_request(
+    stream: &mut (impl AsyncRead + Unpin),
+    buffer: &mut Vec<u8>,
+) -> Option<Request> {
     loop {
         if let Some((request, length)) = parse(buffer) {
             buffer.drain(..length);
@@ -67,7 +69,7 @@
 
 /// Writes a response with a `Content-Length`. A write error is ignored, since the client notices it.
 pub(crate) async fn write_response(
-    stream: &mut TcpStream,
+    stream: &mut (impl AsyncWrite + Unpin),
     status: u16,
     headers: &[(&str, &str)],
     body: &str,
@@ -102,7 +104,7 @@
 }
 
 /// Writes one chunk of a chunked response, and returns whether it was written. An empty chunk ends the response.
-pub(crate) async fn write_chunk(stream: &mut TcpStream, data: &str) -> bool {
+pub(crate) async fn write_chunk(stream: &mut (impl AsyncWrite + Unpin), data: &str) -> bool {
     let text = format!("{:x}\r\n{data}\r\n", data.len());
     stream.write_all(text.as_bytes()).await.is_ok()
 }
--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -6,18 +6,20 @@
 mod capacity;
 mod configuration;
 mod endpoint;
+mod events;
 mod http;
 mod instance;
 mod link;
+mod pause;
 mod store;
 
 pub use body::{SiteBody, SiteCut, SiteFraming};
 pub use caller::{is_signed, leaving_endpoint, site_request};
 pub use configuration::{FLOODING_TEAM, RIVAL_TEAM, SiteTeam, UNLIMITED_TEAM, site_configuration};
-pub use endpoint::{
-    CRASHING_BODY, SiteArrival, SiteEndpoint, SiteExecution, SiteFault, SiteOptions, event_text,
-};
+pub use endpoint::{CRASHING_BODY, SiteArrival, SiteEndpoint, SiteExecution, SiteFault, SiteOptions};
+pub use events::event_text;
 pub use http::RESPONSE_HEADERS;
 pub use instance::{SiteInstance, SiteSettings};
 pub use link::{LinkMode, SiteLink};
+pub use pause::SitePause;
 pub use store::{Store, StoreBackup, StoreMode};
--- a/crates/standin/tests/all/main.rs
+++ b/crates/standin/tests/all/main.rs
@@ -2,6 +2,7 @@
 //! without an overload.
 
 mod engine;
+mod pause;
 
 use std::time::{Duration, Instant};
 
