Stand-ins: responses without an end

Faulty endpoints send header lines, a body without an event, or events, without an end. The stand-ins had only responses of a fixed text.

--- a/crates/standin/src/site/endpoint.rs
+++ b/crates/standin/src/site/endpoint.rs
@@ -15,6 +15,7 @@
 
 use super::body::{SiteBody, SiteFraming};
 use super::capacity::{Entry, Places, Reservations};
+use super::endless::{Begin, SiteEndless, write_endless};
 use super::events::write_events;
 use super::http::{Request, read_request, write_response};
 use super::pause::{PausableListener, PausableStream, Pauses, SitePause};
@@ -75,6 +76,8 @@
     Body(SiteBody),
     /// Sends this text in place of a response; `{id}` stands for the request's id. The connection stays open.
     Text(&'static str),
+    /// Sends responses without an end.
+    Endless(SiteEndless),
     /// Adds this many bytes to each response, and to each event of a stream.
     Large(usize),
 }
@@ -544,6 +547,9 @@
         let fault = self.lock().fault;
         let style = match fault {
             SiteFault::Body(style) => style,
+            SiteFault::Endless(kind) => {
+                return write_endless(stream, kind, headers, Begin::Text(&body)).await;
+            }
             _ => SiteBody::whole(SiteFraming::Length),
         };
         style.write(stream, status, headers, &[body], Duration::ZERO).await
--- /dev/null
+++ b/crates/standin/tests/all/endless.rs
@@ -0,0 +1,53 @@
+//! Responses without an end. If they ended, tests of their bounds would pass with none.
+
+use std::time::Duration;
+
+use reqwest::Client;
+use teaselshunt_standin::{SiteEndless, SiteFault, event_text, site_request};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use crate::pause::{EVENTS, start_engine};
+use crate::wait_until;
+
+/// Bytes after which a response counts as one without an end: more than a whole one has.
+const MANY_BYTES: usize = 100_000;
+
+/// Header lines must follow one another, and the work must end with the connection.
+#[tokio::test]
+async fn a_head_does_not_end() {
+    let engine = start_engine().await;
+    engine.set_fault(SiteFault::Endless(SiteEndless::Head));
+    let mut stream = TcpStream::connect(engine.address()).await.expect("a connection");
+    stream.write_all(b"POST / HTTP/1.1\r\nrequest-id: r\r\n\r\n").await.expect("a request");
+    let mut head = vec![0; MANY_BYTES];
+    stream.read_exact(&mut head).await.expect("many bytes");
+    let head = String::from_utf8_lossy(&head);
+    assert!(head.starts_with("HTTP/1.1 200 ") && !head.contains("\r\n\r\n"));
+    assert_eq!(engine.active_requests(), 1);
+    drop(stream);
+    wait_until(|| engine.active_requests() == 0).await;
+}
+
+/// Events must go on after the last one as a caller expects them, and a body must have none.
+#[tokio::test]
+async fn a_body_does_not_end() {
+    let engine = start_engine().await;
+    let address = engine.address().to_string();
+    let events = (1..=EVENTS * 2).map(|number| event_text("r", number)).collect::<String>();
+    for (kind, expected) in [(SiteEndless::Events, events), (SiteEndless::Body, ".".repeat(MANY_BYTES))] {
+        engine.set_fault(SiteFault::Endless(kind));
+        let request = site_request(&Client::new(), &address, "/", "r", 60_000);
+        let mut response = request.send().await.expect("a response");
+        let mut text = Vec::new();
+        while text.len() < expected.len() {
+            text.extend_from_slice(&response.chunk().await.expect("no break").expect("no end"));
+        }
+        assert!(String::from_utf8_lossy(&text).starts_with(&expected), "{kind:?}");
+    }
+    wait_until(|| engine.active_requests() == 0).await;
+    // A fault must not outlast itself: the next response is whole.
+    engine.set_fault(SiteFault::None);
+    let response = site_request(&Client::new(), &address, "/", "r", 60_000).send().await.expect("a response");
+    tokio::time::timeout(Duration::from_mins(1), response.bytes()).await.expect("an end").expect("no break");
+}
--- a/crates/standin/tests/all/main.rs
+++ b/crates/standin/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the limits of stand-in endpoints. If a stand-in accepted more than it says, tests of overload would pass
 //! without an overload.
 
+mod endless;
 mod engine;
 mod pause;
 
--- a/crates/standin/tests/all/pause.rs
+++ b/crates/standin/tests/all/pause.rs
@@ -10,11 +10,11 @@
 
 use crate::wait_until;
 
-const EVENTS: u32 = 40;
+pub(crate) const EVENTS: u32 = 40;
 /// Several gaps between events, in which a paused endpoint does nothing.
 const SILENCE: Duration = Duration::from_millis(300);
 
-async fn start_engine() -> SiteEndpoint {
+pub(crate) async fn start_engine() -> SiteEndpoint {
     let options = SiteOptions {
         id: "e-1".to_owned(),
         service: "model".to_owned(),
