Stand-ins: each new connection can take an endpoint its time

Connections cost a stand-in nothing, so that instances that open them again and again (checks of links, tunnels) never were the load that keeps endpoints from answering.

Test: pause::a_connection_keeps_its_endpoint (the setting is new, so that it could not fail before).

--- a/crates/standin/src/site/endpoint.rs
+++ b/crates/standin/src/site/endpoint.rs
@@ -127,6 +127,8 @@
     arrivals: Vec<SiteArrival>,
     /// Connections that were accepted.
     connections: u64,
+    /// Time that a new connection takes.
+    accept_time: Duration,
 }
 
 /// A request that reached an endpoint, whether the request ran or not. Reservations and orders are included.
@@ -232,11 +234,26 @@
         SitePause::begin(&self.pauses)
     }
 
+    /// The same after `delay` and for `time`, unless the task is aborted before.
+    pub fn pause_after(&self, delay: Duration, time: Duration) -> JoinHandle<()> {
+        let pauses = Arc::clone(&self.pauses);
+        tokio::spawn(async move {
+            tokio::time::sleep(delay).await;
+            let _pause = SitePause::begin(&pauses);
+            tokio::time::sleep(time).await;
+        })
+    }
+
     /// Whether the endpoint is paused, and when its last pause began or ended; `None` if it never paused.
     pub fn last_pause(&self) -> Option<(bool, Instant)> {
         self.pauses.last_change()
     }
 
+    /// Sets how long each new connection keeps the endpoint from accepting the next one, as in an endpoint that accepts in its main loop.
+    pub fn set_accept_time(&self, time: Duration) {
+        self.lock().accept_time = time;
+    }
+
     /// Number of connections that the endpoint has accepted.
     pub fn connection_count(&self) -> u64 {
         self.lock().connections
@@ -334,11 +351,22 @@
 async fn accept(mut listener: PausableListener, shared: Arc<Shared>, mut crashed: watch::Receiver<bool>) {
     let mut connections = tokio::task::JoinSet::new();
     loop {
+        let accepting = async {
+            let stream = listener.accept().await?;
+            let accept_time = {
+                let mut inner = shared.lock();
+                inner.connections += 1;
+                inner.accept_time
+            };
+            if accept_time > Duration::ZERO {
+                tokio::time::sleep(accept_time).await;
+            }
+            std::io::Result::Ok(stream)
+        };
         tokio::select! {
             _ = crashed.wait_for(|crashed| *crashed) => return,
-            accepted = listener.accept() => {
+            accepted = accepting => {
                 let Ok(stream) = accepted else { return };
-                shared.lock().connections += 1;
                 let shared = Arc::clone(&shared);
                 connections.spawn(async move { shared.serve(stream).await });
             }
--- a/crates/standin/tests/all/pause.rs
+++ b/crates/standin/tests/all/pause.rs
@@ -67,3 +67,24 @@
     assert!(engine.arrivals()[1] < resumed);
     drop(connection);
 }
+
+/// Connections must keep an endpoint one after the other, each for its time. Otherwise many connections would cost an endpoint nothing.
+#[tokio::test]
+async fn a_connection_keeps_its_endpoint() {
+    const ACCEPT_TIME: Duration = Duration::from_millis(100);
+    let engine = start_engine().await;
+    engine.set_accept_time(ACCEPT_TIME);
+    let begun = Instant::now();
+    let address = engine.address().to_string();
+    let calls = ["first", "second", "third"].map(|id| {
+        let request = site_request(&Client::new(), &address, "/", id, 60_000).send();
+        tokio::spawn(
+            async move { request.await.expect("a response").bytes().await.expect("a complete stream") },
+        )
+    });
+    for call in calls {
+        call.await.expect("a task");
+    }
+    let last = engine.arrivals().into_iter().max().expect("an arrival");
+    assert!(last - begun >= ACCEPT_TIME * 3, "the last of three arrived after {:?}", last - begun);
+}
