Streams: a run whose engine is silent goes on while another one is searched

Cause: a stall ended the run before there was anything better. The search for another engine began only then, and where it found none (attempts used up, no capacity within 1 s, retry budget, all engines silent) the caller's connection was closed. The stall held for a stream without a further attempt too, since whether it may resume was asked once, at its begin. The first event had the same fault: 502 after 4 s on a route with 14 s.

Now the run goes on while another engine is searched, and whichever goes on first has the stream. Searches are repeated until the caller's deadline, also for runs that have ended. The retry budget is charged when something is sent, and not for a search that finds nothing; the runs of a stream count together against the route's attempts, also a run that was lost before its first event.

--- a/crates/forward/src/calls.rs
+++ b/crates/forward/src/calls.rs
@@ -75,6 +75,7 @@
     ) -> Result<(StatusCode, Bytes), ExchangeFailure> {
         let destination = self.destination(address);
         let (head, body) = self.exchange_call(&destination, call, until).await?;
+        self.observe_life(key);
         statements::observe(self, key, &self.protocol.read_response(head.status, &head.headers));
         Ok((head.status, body))
     }
--- a/crates/forward/src/generate.rs
+++ b/crates/forward/src/generate.rs
@@ -5,7 +5,9 @@
 //! prefilled only after that. A request for which no engine has capacity waits a short time and is then
 //! refused; nothing of it has run.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -13,7 +15,7 @@
 use hyper::StatusCode;
 use hyper::header::HeaderValue;
 use teaselshunt_core::{ErrorKind, Refusal};
-use teaselshunt_routing::{EndpointKey, Repeat, Sends, WaitPolicy};
+use teaselshunt_routing::{EndpointKey, Repeat, Sends, SilenceStep, WaitPolicy};
 
 use crate::body::{ResponseBody, buffered_response};
 use crate::calls::{CALL_TIMEOUT, release_in_background};
@@ -25,14 +27,14 @@
 use crate::protocol::Purpose;
 use crate::refusals::refuse;
 use crate::reservations::{CapacitySearch, PromptState, Reservation, reserve};
-use crate::stream::{self, ResumePoint, StreamJob};
+use crate::resume::{self, Interrupted, ResumePoint, Search};
+use crate::silence::SilenceWatch;
+use crate::stream::{self, StreamJob};
 use crate::trace::Trace;
-use crate::waste::{self, PrefilledPrompt, WasteCause};
+use crate::waste::{PrefilledPrompt, WasteCause};
 
 /// Fraction of a reservation's lifetime that a prefill may take.
 const PREFILL_FRACTION: f64 = 0.8;
-/// Longest wait for the first event; callers disconnect at about this time.
-const FIRST_EVENT_TIMEOUT: Duration = Duration::from_secs(4);
 /// `Retry-After` delay if an engine refused a request that it was expected to accept. The estimates are
 /// corrected by then, and the response may still be on time.
 const REFUSED_RETRY: Duration = Duration::from_millis(100);
@@ -47,13 +49,13 @@
     let mut wait_policy = WaitPolicy::for_arrival(job.arrived, job.deadline, &job.route, job.is_retry);
     // Capacity was promised for now. Its caller may not retry again, so that it waits for as long as a retry.
     wait_policy.late &= !job.promised;
-    let (answer, work) =
-        match start_generation(node, &job, &trace, wait_policy, Prompt::NotPrefilled, Vec::new()).await {
-            Ok(started) => started,
-            Err(refusal) => return refuse(node, refusal, trace),
-        };
+    let runs = Cell::new(0);
+    let Started { answer, work } = match start(node, &job, &trace, Start::new(wait_policy, &runs)).await {
+        Ok(started) => started,
+        Err(refusal) => return refuse(node, refusal, trace),
+    };
     if answer.is_stream() {
-        return stream::relay(node, StreamJob::generation(job), answer, work, trace);
+        return stream::relay(node, StreamJob::generation(job, runs), answer, work, trace);
     }
     let head = answer.head;
     let read = node.read_buffered(answer.body, job.deadline).await;
@@ -67,68 +69,58 @@
     buffered_response(head, body)
 }
 
-/// Why a stream does not resume at another engine.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum NotResumed {
-    /// The route allows no further attempt.
-    Attempts,
-    /// The events that the caller has bear no id, or one that cannot be sent.
-    EventId,
-    Quarantined,
-    /// The service's retry budget is used up.
-    RetryBudget,
-    /// No engine began to run it.
-    Refused(ErrorKind),
-    /// The other engine responded with an error.
-    EngineError,
+/// A run whose response has begun.
+#[derive(Debug)]
+pub(crate) struct Started {
+    pub(crate) answer: Answer,
+    pub(crate) work: InFlightWork,
 }
 
-impl NotResumed {
-    /// Name in logs and metrics.
-    pub(crate) const fn text(self) -> &'static str {
-        match self {
-            Self::Attempts => "attempts",
-            Self::EventId => "event_id",
-            Self::Quarantined => "quarantined",
-            Self::RetryBudget => "retry_budget",
-            Self::Refused(kind) => kind.answer().code,
-            Self::EngineError => "engine_error",
-        }
-    }
+/// How a generation starts.
+#[derive(Debug)]
+pub(crate) struct Start<'a> {
+    wait_policy: WaitPolicy,
+    prompt: Prompt<'a>,
+    /// Engines not to ask.
+    tried: Vec<EndpointKey>,
+    /// Id of the last event that the caller has, for a stream that resumes.
+    after: Option<&'a HeaderValue>,
+    sends: Sends,
+    /// Runs that engines may have begun.
+    runs: &'a Cell<u32>,
 }
 
-/// Resumes a stream that broke at engine `broken` at another engine. The other engine prefills the prompt itself:
-/// a second prefill would count as another attempt.
-pub(crate) async fn resume(
-    node: &Rc<Node>,
-    job: &mut Job,
-    resume_point: ResumePoint<'_>,
-    broken: EndpointKey,
-    trace: &Trace,
-) -> Result<(Answer, InFlightWork), NotResumed> {
-    let last_event_id = match resume_point {
-        // A caller that resumes a stream itself says after which event.
-        ResumePoint::Start => None,
-        ResumePoint::After(id) => Some(HeaderValue::from_str(id).map_err(|_| NotResumed::EventId)?),
-    };
-    if node.quarantined(job).is_some() {
-        return Err(NotResumed::Quarantined);
+impl<'a> Start<'a> {
+    const fn new(wait_policy: WaitPolicy, runs: &'a Cell<u32>) -> Self {
+        let (prompt, sends) = (Prompt::NotPrefilled, Sends::new());
+        Self { wait_policy, prompt, tried: Vec::new(), after: None, sends, runs }
     }
-    if !node.take_attempt(&job.service) {
-        return Err(NotResumed::RetryBudget);
+
+    /// Resumes a stream at an engine other than `engine`, which prefills the prompt itself.
+    pub(crate) fn resume(
+        wait_policy: WaitPolicy,
+        engine: EndpointKey,
+        after: Option<&'a HeaderValue>,
+        runs: &'a Cell<u32>,
+    ) -> Self {
+        let (prompt, sends) = (Prompt::LocalPrefill, Sends::resumed());
+        Self { wait_policy, prompt, tried: vec![engine], after, sends, runs }
     }
-    if let Some(id) = last_event_id {
-        job.headers.insert("last-event-id", id);
+}
+
+/// Counts a run that an engine may have begun, also if its caller does not wait for the response.
+struct RunCount<'a>(&'a Cell<u32>);
+
+impl<'a> RunCount<'a> {
+    fn begin(runs: &'a Cell<u32>) -> Self {
+        runs.update(|runs| runs + 1);
+        Self(runs)
     }
-    let wait_policy = WaitPolicy::for_resume(node.now(), job.deadline);
-    let started = start_generation(node, job, trace, wait_policy, Prompt::LocalPrefill, vec![broken]).await;
-    let (answer, work) = started.map_err(|refusal| NotResumed::Refused(refusal.kind))?;
-    if answer.head.status != StatusCode::OK {
-        node.observe_outcome(job, answer.endpoint, answer.outcome);
-        return Err(NotResumed::EngineError);
+
+    /// The engine has not run the request.
+    fn undo(self) {
+        self.0.update(|runs| runs - 1);
     }
-    waste::count(node, trace, WasteCause::Resumed, job.prompt_tokens());
-    Ok((answer, work))
 }
 
 /// A KV cache at a prefill engine. Dropping it before the decode engine has taken it frees it.
@@ -170,15 +162,15 @@
     }
 }
 
-async fn start_generation<'a>(
+/// Starts a generation at an engine, up to the head of its response.
+pub(crate) async fn start<'a>(
     node: &'a Rc<Node>,
-    job: &Job,
+    job: &'a Job,
     trace: &'a Trace,
-    wait_policy: WaitPolicy,
-    mut prompt: Prompt<'a>,
-    mut tried: Vec<EndpointKey>,
-) -> Result<(Answer, InFlightWork), Refusal> {
-    let mut sends = Sends::default();
+    start: Start<'a>,
+) -> Result<Started, Refusal> {
+    let Start { wait_policy, mut prompt, mut tried, after, mut sends, runs } = start;
+    let is_first = matches!(prompt, Prompt::NotPrefilled);
     // If an engine may have run the request, a refusal must not state that the request has not run.
     let mut may_have_run = false;
     for _ in 0..MAX_ROUNDS {
@@ -217,20 +209,11 @@
             prompt.mark_wasted(WasteCause::Refused);
             break;
         }
-        let local_prefill =
-            matches!(prompt, Prompt::LocalPrefill).then(|| node.begin_local_prefill(reserved.endpoint));
-        let guard = CallGuard::new(node, job, reserved.endpoint);
-        let result = decode(node, job, &reserved, &prompt).await;
-        let sent_at = guard.ended();
-        drop(local_prefill);
-        if result.as_ref().is_err_and(|failure| failure.may_have_run()) {
-            crashes::check_endpoint(node, job, trace, reserved.endpoint, sent_at);
-        }
-        let text = match &result {
-            Ok(answer) => format!("answered{}", answer.via_text()),
-            Err(failure) => failure.text().to_owned(),
+        let interrupted = Interrupted { job, trace, runs };
+        let result = match run_at(node, interrupted, is_first, &reserved, &prompt, after).await {
+            FirstEvent::Answered(result) => result,
+            FirstEvent::Replaced(started) => return Ok(started),
         };
-        trace.record_step("decode", &node.id_for_log(reserved.endpoint), &text);
         match result {
             Ok(answer) => {
                 reserved.id = None;
@@ -244,7 +227,7 @@
                 }
                 let work =
                     reserved.work.take().expect("a reservation keeps its in-flight work until a run begins");
-                return Ok((answer, work));
+                return Ok(Started { answer, work });
             }
             // The KV cache is still at the prefill engine; only another decode engine is needed.
             Err(StepFailure::Unsent | StepFailure::Withheld) => {}
@@ -352,11 +335,84 @@
     node.protocol.read_kv_handle(&body).ok_or(StepFailure::Broken)
 }
 
+/// How the wait for the first event of a run ended.
+enum FirstEvent {
+    Answered(Result<Answer, StepFailure>),
+    /// Another engine has responded first.
+    Replaced(Started),
+}
+
+/// Sends a generation to the engine with the reservation, and waits for the first event.
+async fn run_at(
+    node: &Rc<Node>,
+    interrupted: Interrupted<'_>,
+    is_first: bool,
+    reserved: &Reservation,
+    prompt: &Prompt<'_>,
+    after: Option<&HeaderValue>,
+) -> FirstEvent {
+    let Interrupted { job, trace, runs } = interrupted;
+    let local_prefill =
+        matches!(prompt, Prompt::LocalPrefill).then(|| node.begin_local_prefill(reserved.endpoint));
+    let guard = CallGuard::new(node, job, reserved.endpoint);
+    let run_count = RunCount::begin(runs);
+    let run = decode(node, job, reserved, prompt, after);
+    let result = match first_event(node, interrupted, is_first, reserved.endpoint, run).await {
+        FirstEvent::Answered(result) => result,
+        replaced @ FirstEvent::Replaced(_) => return replaced,
+    };
+    let sent_at = guard.ended();
+    drop(local_prefill);
+    if let Err(failure) = &result {
+        if failure.may_have_run() {
+            crashes::check_endpoint(node, job, trace, reserved.endpoint, sent_at);
+        } else {
+            run_count.undo();
+        }
+    }
+    let text = match &result {
+        Ok(answer) => format!("answered{}", answer.via_text()),
+        Err(failure) => failure.text().to_owned(),
+    };
+    trace.record_step("decode", &node.id_for_log(reserved.endpoint), &text);
+    FirstEvent::Answered(result)
+}
+
+/// Waits for the first event of a run. Where the route allows another attempt, and other engines respond while `engine` is
+/// silent, one of these is given the request as well.
+async fn first_event(
+    node: &Rc<Node>,
+    interrupted: Interrupted<'_>,
+    is_first: bool,
+    engine: EndpointKey,
+    run: impl Future<Output = Result<Answer, StepFailure>>,
+) -> FirstEvent {
+    let Interrupted { job, trace, .. } = interrupted;
+    let mut run = pin!(run);
+    let mut watch = SilenceWatch::before_first_event(node, job, engine, is_first && interrupted.may_resume());
+    let mut search: Option<Search<'_>> = None;
+    loop {
+        tokio::select! {
+            biased;
+            result = &mut run => return FirstEvent::Answered(result),
+            found = resume::found(&mut search) => match found {
+                Ok(started) => return FirstEvent::Replaced(*started),
+                Err(_) => watch.disable(),
+            },
+            () = watch.is_due(), if search.is_none() => if watch.look() == SilenceStep::Replace {
+                trace.record_step("decode", &node.id_for_log(engine), "silent");
+                search = Some(interrupted.search(node, ResumePoint::Start, engine));
+            },
+        }
+    }
+}
+
 async fn decode(
     node: &Node,
     job: &Job,
     reserved: &Reservation,
     prompt: &Prompt<'_>,
+    after: Option<&HeaderValue>,
 ) -> Result<Answer, StepFailure> {
     let reservation = reserved.id.as_deref();
     let purpose = match prompt {
@@ -364,9 +420,9 @@
             Purpose::Decode { source: *address, handle, reservation }
         }
         Prompt::Prefilled(_) | Prompt::NotPrefilled | Prompt::LocalPrefill => {
-            Purpose::PrefillAndDecode { reservation }
+            Purpose::PrefillAndDecode { after, reservation }
         }
     };
     let work = reserved.work.as_ref().expect("a reservation keeps its in-flight work until a run begins");
-    node.send(job, work, purpose, node.now() + FIRST_EVENT_TIMEOUT).await
+    node.send(job, work, purpose, job.deadline).await
 }
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -20,8 +20,8 @@
 use teaselshunt_core::{Clock, ErrorKind, Fingerprint, Quarantine, Refusal};
 use teaselshunt_routing::{
     Admission, Advances, BodyMemory, Budgets, EndpointKey, Endpoints, Need, OutputEstimate, PrefillEstimate,
-    Priority, Refusals, Repeat, RetryDetector, Returns, Route, RouteSet, Sends, Service, Stage, StepOutcome,
-    Waiters,
+    Priority, Refusals, Repeat, RetryDetector, Returns, Route, RouteSet, Sends, Service, SignsOfLife, Stage,
+    StepOutcome, Waiters,
 };
 use teaselshunt_teams::{Quotas, Team};
 use tokio::sync::{Notify, watch};
@@ -79,6 +79,8 @@
     pub(crate) returns: Returns<SocketAddr>,
     /// Units that classes got ahead of their part because callers returned.
     pub(crate) advances: Advances,
+    /// When decode engines last sent something.
+    pub(crate) signs: SignsOfLife,
     /// Generations of this instance that wait for capacity.
     pub(crate) waiters: Waiters<PendingSearch>,
     /// Requests under which endpoints crashed.
@@ -384,6 +386,16 @@
         self.state.borrow().output_estimates.get(&job.service.name)?.tokens_for_events(events)
     }
 
+    /// Records that an engine has sent something.
+    pub(crate) fn observe_life(&self, key: EndpointKey) {
+        let (now, state) = (self.now(), &mut *self.state.borrow_mut());
+        if let Some(endpoint) = state.endpoints.get(key)
+            && endpoint.stage == Some(Stage::Decode)
+        {
+            state.signs.observe(now, &endpoint.service);
+        }
+    }
+
     pub(crate) fn observe_step(&self, key: EndpointKey, step_outcome: StepOutcome) {
         let changed = self.state.borrow_mut().endpoints.learn(self.now(), key, step_outcome);
         if changed && let Some((_, id)) = self.locate(key) {
@@ -487,6 +499,7 @@
         let step = step_name(purpose);
         let outcome = match result {
             Ok((head, body)) => self.check_response(job, key, &head, purpose).map(|()| {
+                self.observe_life(key);
                 let outcome = self.head_outcome(key, head.status, self.now().duration_since(sent_at));
                 Answer { head, body, endpoint: key, sent_at, outcome }
             }),
--- a/crates/forward/src/protocol.rs
+++ b/crates/forward/src/protocol.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hyper::header::HeaderMap;
+use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Method, StatusCode};
 use serde::{Deserialize, Serialize};
 use teaselshunt_routing::{Endpoint, RouteSet, Stage};
@@ -50,6 +50,8 @@
     },
     /// Prefill the prompt and decode at the same engine.
     PrefillAndDecode {
+        /// Id of the last event that the caller has, for a stream that resumes.
+        after: Option<&'a HeaderValue>,
         /// Id of the reserved capacity.
         reservation: Option<&'a str>,
     },
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -5,62 +5,77 @@
 //! again there if the caller has nothing of it. Only complete events of a resumable stream are relayed, since an
 //! engine may stop in the middle of one.
 //!
+//! A run does not end because its engine is silent: engines stop for a moment and go on. Another engine is searched
+//! meanwhile, and the one that goes on first has the stream. Events of two runs never mix: an event of the run ends the
+//! search, so that nothing is relayed between the event after which another engine begins and the head of its response,
+//! which ends the run.
+//!
 //! The end of the caller's response is marked only where that of the first run's is, and only if the last run is
 //! known to be complete.
 
+mod events;
+
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Instant;
 
-use bytes::{Bytes, BytesMut};
 use hyper::http::response::Parts;
 use hyper::{Response, StatusCode};
 use slog::info;
 use teaselshunt_completeness::Completeness;
-use teaselshunt_routing::{BodyKind, EndpointKey, Repeat, StepOutcome};
+use teaselshunt_routing::{BodyKind, EndpointKey, Repeat, SilenceStep, StepOutcome};
 
 use crate::body::{PieceSender, ResponseBody, relay_channel, relayed_response};
 use crate::buffering::BufferedBytes;
 use crate::crashes;
-use crate::generate::{self, NotResumed};
+use crate::generate::Started;
 use crate::in_flight::InFlightWork;
 use crate::load;
 use crate::node::{Answer, Job, Node};
 use crate::pace::StreamTimer;
 use crate::response_reader::{Piece, ResponseEnd, ResponseReader};
+use crate::resume::{self, Interrupted, NotResumed, Search};
+use crate::silence::SilenceWatch;
+use crate::stream::events::Events;
 use crate::trace::Trace;
 
-/// The request of a stream, and how often the stream may resume at another engine.
+/// The request of a stream, and how often it has run.
 #[derive(Debug)]
 pub(crate) struct StreamJob {
     job: Job,
-    resumes_left: u32,
+    /// Runs that engines may have begun; `None` for a stream that cannot resume.
+    runs: Option<Cell<u32>>,
 }
 
 impl StreamJob {
     /// A stream that cannot resume.
     pub(crate) fn not_resumable(job: Job) -> Self {
-        Self { job, resumes_left: 0 }
+        Self { job, runs: None }
     }
 
     /// A stream of a generation, which may resume where the route allows that.
-    pub(crate) fn generation(job: Job) -> Self {
-        let resumable = job.route.repeat == (Repeat::Stream { resumable: true });
-        let resumes_left = if resumable { job.route.attempts.saturating_sub(1) } else { 0 };
-        Self { job, resumes_left }
+    pub(crate) fn generation(job: Job, runs: Cell<u32>) -> Self {
+        let is_resumable = job.route.repeat == (Repeat::Stream { resumable: true });
+        Self { job, runs: Some(runs).filter(|_| is_resumable) }
+    }
+
+    /// The stream as one that may resume.
+    fn interrupted<'a>(&'a self, trace: &'a Trace) -> Option<Interrupted<'a>> {
+        self.runs.as_ref().map(|runs| Interrupted { job: &self.job, trace, runs })
     }
-}
 
-/// Multiple of the route's gap goal after which the engine of a resumable stream counts as unresponsive.
-/// Callers disconnect after eight gaps, so that a stream that has resumed by then is still useful.
-const STALL_GAPS: u32 = 4;
+    fn may_resume(&self, trace: &Trace) -> bool {
+        self.interrupted(trace).is_some_and(Interrupted::may_resume)
+    }
+}
 
 /// How one run of a stream ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug)]
 enum RunEnd {
     /// The response ended.
     Ended(ResponseEnd),
-    /// No event arrived for too long.
-    Stalled,
+    /// Another engine has responded while this one was silent.
+    Replaced(Box<Started>),
     /// The caller's deadline has passed.
     TimedOut,
     CallerDisconnected,
@@ -68,25 +83,20 @@
 
 impl RunEnd {
     /// Whether the engine failed the stream.
-    fn is_broken(self) -> bool {
+    fn is_broken(&self) -> bool {
         match self {
             Self::Ended(end) => matches!(end.completeness, Completeness::Truncated(_)),
-            Self::Stalled => true,
+            Self::Replaced(_) => true,
             Self::TimedOut | Self::CallerDisconnected => false,
         }
     }
 
-    /// Why the stream resumes or breaks off, in metrics.
-    const fn cause(self) -> &'static str {
-        if matches!(self, Self::Stalled) { "stalled" } else { "truncated" }
-    }
-
     /// Outcome of the step in logs; `None` for the usual ones.
-    fn step_text(self) -> Option<String> {
+    fn step_text(&self) -> Option<String> {
         match self {
             Self::Ended(end) if self.is_broken() => Some(format!("broken{end}")),
             Self::Ended(end) if !end.is_usual() => Some(format!("ended{end}")),
-            Self::Stalled => Some("broken(stalled)".to_owned()),
+            Self::Replaced(_) => Some("broken(stalled)".to_owned()),
             Self::Ended(_) | Self::TimedOut | Self::CallerDisconnected => None,
         }
     }
@@ -103,8 +113,12 @@
     trace.record_head();
     let (status, framing) = (answer.head.status.as_u16(), answer.body.framing());
     let (pieces, receiver) = relay_channel();
-    let (head, run) = Run::begin(node, answer, work);
-    tokio::task::spawn_local(relay_runs(Rc::clone(node), stream_job, run, pieces, trace, status));
+    let (head, run) = Run::begin(node, Started { answer, work });
+    let node = Rc::clone(node);
+    tokio::task::spawn_local(async move {
+        let outcome = relay_runs(&node, &stream_job, run, pieces, &trace).await;
+        trace.end(outcome, status);
+    });
     relayed_response(head, receiver, framing)
 }
 
@@ -120,141 +134,227 @@
 
 impl Run {
     /// The head shows that the endpoint responds. Its result counts at the end of the run.
-    fn begin(node: &Node, answer: Answer, work: InFlightWork) -> (Parts, Self) {
-        let Answer { head, body, endpoint, sent_at, outcome } = answer;
+    fn begin(node: &Node, started: Started) -> (Parts, Self) {
+        let Answer { head, body, endpoint, sent_at, outcome } = started.answer;
         node.observe_step(endpoint, outcome);
-        (head, Self { body, endpoint, sent_at, outcome, work })
+        (head, Self { body, endpoint, sent_at, outcome, work: started.work })
     }
 }
 
+/// Relays a stream to its end, and returns the outcome for logs.
 async fn relay_runs(
-    node: Rc<Node>,
-    mut stream_job: StreamJob,
+    node: &Rc<Node>,
+    stream_job: &StreamJob,
     mut run: Run,
     pieces: PieceSender,
-    trace: Trace,
-    status: u16,
-) {
+    trace: &Trace,
+) -> &'static str {
     let framed = run.body.framing().marks_end();
-    let mut events = Events::default();
-    let complete_only = stream_job.resumes_left > 0;
-    let mut timer = Some(StreamTimer::default());
+    let job = &stream_job.job;
+    let mut relay = Relay {
+        node,
+        stream_job,
+        trace,
+        pieces,
+        events: Events::default(),
+        complete_only: stream_job.may_resume(trace),
+        timer: Some(StreamTimer::default()),
+        search: None,
+    };
     loop {
         let Run { endpoint, sent_at, outcome, .. } = run;
-        let mut relay = Relay { pieces: &pieces, events: &mut events, complete_only, timer: timer.as_mut() };
-        let end = relay_run(&stream_job.job, run, &mut relay, &node, &trace).await;
-        if let Some(timer) = timer.take().filter(|_| !end.is_broken()) {
-            timer.finish(&node, endpoint);
-        }
-        if end.is_broken() {
-            node.observe_outcome(&stream_job.job, endpoint, StepOutcome::Failed);
-        } else {
-            load::observe_result(&node, &stream_job.job, endpoint, outcome);
+        let end = relay.relay_run(run).await;
+        if let Some(timer) = relay.timer.take().filter(|_| !end.is_broken()) {
+            timer.finish(node, endpoint);
         }
         if let Some(text) = end.step_text() {
             trace.record_step("stream", &node.id_for_log(endpoint), &text);
         }
-        match end {
-            _ if end.is_broken() => {}
-            RunEnd::Ended(response_end) => {
+        if matches!(end, RunEnd::Ended(_)) && end.is_broken() {
+            node.observe_outcome(job, endpoint, StepOutcome::Failed);
+            crashes::check_endpoint(node, job, trace, endpoint, sent_at);
+        } else if !end.is_broken() {
+            load::observe_result(node, job, endpoint, outcome);
+        }
+        let next = match end {
+            RunEnd::Replaced(started) => Ok(started),
+            RunEnd::Ended(response_end) if !end.is_broken() => {
                 let is_complete = response_end.completeness == Completeness::Complete;
                 if is_complete {
-                    node.observe_response(&stream_job.job, StatusCode::OK, response_end.completeness);
-                    node.observe_output(&stream_job.job, trace.events());
+                    node.observe_response(job, StatusCode::OK, response_end.completeness);
+                    node.observe_output(job, trace.events());
                 } else if framed {
                     // The caller of a resumable stream may resume it after its last event.
-                    return trace.end("end_unknown", status);
+                    return "end_unknown";
                 }
-                pieces.end();
-                return trace.end("answered", status);
+                relay.pieces.end();
+                return "answered";
             }
+            RunEnd::Ended(_) => match relay.resume_elsewhere(endpoint).await {
+                Resumption::Found(next) => next,
+                Resumption::CallerDisconnected => return "caller_gone",
+                Resumption::TimedOut => return "deadline_passed",
+            },
             RunEnd::CallerDisconnected => {
-                crashes::record_abandoned(&node, &stream_job.job, endpoint, sent_at);
-                return trace.end("caller_gone", status);
-            }
-            RunEnd::TimedOut => return trace.end("deadline_passed", status),
-            RunEnd::Stalled => {}
-        }
-        crashes::check_endpoint(&node, &stream_job.job, &trace, endpoint, sent_at);
-        let next = match events.resume_point() {
-            Some(resume_point) if stream_job.resumes_left > 0 => {
-                stream_job.resumes_left -= 1;
-                generate::resume(&node, &mut stream_job.job, resume_point, endpoint, &trace).await
+                crashes::record_abandoned(node, job, endpoint, sent_at);
+                return "caller_gone";
             }
-            Some(_) => Err(NotResumed::Attempts),
-            None => Err(NotResumed::EventId),
+            RunEnd::TimedOut => return "deadline_passed",
         };
-        let outcome = next.as_ref().map_or_else(|reason| reason.text(), |_| "resumed");
-        node.metrics.streams.resumptions.with_label_values(&[end.cause(), outcome]).inc();
-        let (answer, work) = match next {
-            Ok(next) => next,
-            Err(reason) => {
-                trace.record_step("resume", "any", reason.text());
-                return trace.end("broken_stream", status);
-            }
-        };
-        events.partial.clear();
-        info!(node.log, "stream resumed at another engine"; "id" => &stream_job.job.meta.id, "after" => events.last_id.as_deref());
-        (_, run) = Run::begin(&node, answer, work);
+        let Ok(started) = next else { return "broken_stream" };
+        relay.events.drop_partial();
+        info!(node.log, "stream resumed at another engine"; "id" => &job.meta.id, "after" => relay.events.last_id());
+        (_, run) = Run::begin(node, *started);
     }
 }
 
-/// How a run is relayed.
+/// What became of a stream whose run has ended without its last event.
+enum Resumption {
+    Found(Result<Box<Started>, NotResumed>),
+    /// The caller's deadline has passed.
+    TimedOut,
+    CallerDisconnected,
+}
+
+/// The relay of a stream over all of its runs.
 struct Relay<'a> {
-    pieces: &'a PieceSender,
-    events: &'a mut Events,
+    node: &'a Rc<Node>,
+    stream_job: &'a StreamJob,
+    trace: &'a Trace,
+    pieces: PieceSender,
+    events: Events,
+    /// Whether only complete events are relayed.
     complete_only: bool,
     /// Set for a run that is timed.
-    timer: Option<&'a mut StreamTimer>,
+    timer: Option<StreamTimer>,
+    /// The search for an engine that goes on with the stream.
+    search: Option<Search<'a>>,
 }
 
-async fn relay_run(job: &Job, run: Run, relay: &mut Relay<'_>, node: &Rc<Node>, trace: &Trace) -> RunEnd {
-    let Run { mut body, mut work, .. } = run;
-    body.expect_events();
-    let Relay { pieces, events, complete_only, timer } = relay;
-    let complete_only = *complete_only;
-    loop {
-        let stall = job.route.gap.filter(|_| complete_only).map(|gap| node.now() + gap * STALL_GAPS);
-        let wait = stall.map_or(job.deadline, |at| at.min(job.deadline));
-        let piece = tokio::select! {
-            biased;
-            () = pieces.closed() => return RunEnd::CallerDisconnected,
-            piece = tokio::time::timeout_at(wait.into(), body.next()) => piece,
-        };
-        let (data, scan) = match piece {
-            Err(_) if node.now() < job.deadline => return RunEnd::Stalled,
-            Err(_) => return RunEnd::TimedOut,
-            Ok(Piece::Data(data, scan)) => (data, scan),
-            Ok(Piece::End(end)) => {
-                node.finish(body, end);
-                return RunEnd::Ended(end);
+impl Relay<'_> {
+    /// Relays one run. While its engine is silent another one is searched; the one that goes on first has the stream.
+    async fn relay_run(&mut self, run: Run) -> RunEnd {
+        let Run { mut body, mut work, endpoint, sent_at, .. } = run;
+        let (node, job) = (self.node, &self.stream_job.job);
+        body.expect_events();
+        let may_resume = self.stream_job.may_resume(self.trace);
+        let mut watch = SilenceWatch::of_stream(node, job, endpoint, may_resume);
+        loop {
+            let (data, scan) = tokio::select! {
+                biased;
+                () = self.pieces.closed() => return RunEnd::CallerDisconnected,
+                piece = body.next() => match piece {
+                    Piece::Data(data, scan) => (data, scan),
+                    Piece::End(end) => {
+                        node.finish(body, end);
+                        return RunEnd::Ended(end);
+                    }
+                },
+                () = tokio::time::sleep_until(job.deadline.into()) => return RunEnd::TimedOut,
+                found = resume::found(&mut self.search) => {
+                    self.count_resumption("stalled", &found);
+                    match found {
+                        Ok(started) => return RunEnd::Replaced(started),
+                        Err(_) => watch.disable(),
+                    }
+                    continue;
+                }
+                () = watch.is_due(), if self.search.is_none() => {
+                    if watch.look() == SilenceStep::Replace {
+                        self.begin_search(endpoint, sent_at);
+                    }
+                    continue;
+                }
+            };
+            self.trace.record_events(scan.events);
+            let received = node.now();
+            if let Some(timer) = &mut self.timer {
+                timer.record(received, scan.events);
+            }
+            if scan.events > 0 {
+                self.record_life(endpoint);
+            }
+            if let Some(produced) =
+                node.tokens_for_events(job, self.trace.events()).filter(|_| job.service.engine.is_some())
+            {
+                account_growth(&mut work, job, produced);
+            }
+            let data = if self.complete_only { self.events.take_complete(data, scan.boundary) } else { data };
+            if !data.is_empty() {
+                // A slow caller occupies its engine no longer than until its deadline.
+                let sent = self.pieces.send(data, BufferedBytes::new(node, BodyKind::Response));
+                match tokio::time::timeout_at(job.deadline.into(), sent).await {
+                    Ok(Ok(())) => {}
+                    Ok(Err(_)) => return RunEnd::CallerDisconnected,
+                    Err(_) => return RunEnd::TimedOut,
+                }
+                if let Some(timer) = &mut self.timer {
+                    timer.record_wait(node.now().duration_since(received));
+                }
+            }
+            if scan.events > 0 {
+                watch.end();
             }
-        };
-        trace.record_events(scan.events);
-        let received = node.now();
-        if let Some(timer) = timer {
-            timer.record(received, scan.events);
         }
-        if let Some(produced) =
-            node.tokens_for_events(job, trace.events()).filter(|_| job.service.engine.is_some())
-        {
-            account_growth(&mut work, job, produced);
+    }
+
+    /// The engine of a run is silent while others respond.
+    fn begin_search(&mut self, engine: EndpointKey, sent_at: Instant) {
+        let (node, job, trace) = (self.node, &self.stream_job.job, self.trace);
+        trace.record_step("stream", &node.id_for_log(engine), "silent");
+        node.observe_outcome(job, engine, StepOutcome::Failed);
+        crashes::check_endpoint(node, job, trace, engine, sent_at);
+        let interrupted = self.stream_job.interrupted(trace);
+        let point = self.events.resume_point();
+        if let (Some(interrupted), Some(point)) = (interrupted, point) {
+            self.search = Some(interrupted.search(node, point, engine));
         }
-        let data = if complete_only { events.take_complete(data, scan.boundary) } else { data };
-        if data.is_empty() {
-            continue;
+    }
+
+    /// The engine of a run has sent an event. A search for another one ends.
+    fn record_life(&mut self, engine: EndpointKey) {
+        self.node.state.borrow_mut().signs.observe(self.node.now(), &self.stream_job.job.service.name);
+        if self.search.take().is_some() {
+            self.trace.record_step("stream", &self.node.id_for_log(engine), "went_on");
+            self.node.metrics.streams.resumptions.with_label_values(&["stalled", "went_on"]).inc();
         }
-        // A slow caller occupies its engine no longer than until its deadline.
-        let sent = pieces.send(data, BufferedBytes::new(node, BodyKind::Response));
-        match tokio::time::timeout_at(job.deadline.into(), sent).await {
-            Ok(Ok(())) => {}
-            Ok(Err(_)) => return RunEnd::CallerDisconnected,
-            Err(_) => return RunEnd::TimedOut,
+    }
+
+    /// Waits for an engine that goes on with a stream whose run at `engine` has ended.
+    async fn resume_elsewhere(&mut self, engine: EndpointKey) -> Resumption {
+        let job = &self.stream_job.job;
+        if self.search.is_none() {
+            let interrupted = self.stream_job.interrupted(self.trace).filter(|i| i.may_resume());
+            let reason = match (interrupted, self.events.resume_point()) {
+                (Some(interrupted), Some(point)) => {
+                    self.search = Some(interrupted.search(self.node, point, engine));
+                    None
+                }
+                (Some(_), None) => Some(NotResumed::EventId),
+                (None, _) => Some(NotResumed::Attempts),
+            };
+            if let Some(reason) = reason {
+                self.trace.record_step("resume", "any", reason.text());
+                let not_resumed = Err(reason);
+                self.count_resumption("truncated", &not_resumed);
+                return Resumption::Found(not_resumed);
+            }
         }
-        if let Some(timer) = timer {
-            timer.record_wait(node.now().duration_since(received));
+        tokio::select! {
+            biased;
+            () = self.pieces.closed() => Resumption::CallerDisconnected,
+            found = resume::found(&mut self.search) => {
+                self.count_resumption("truncated", &found);
+                Resumption::Found(found)
+            }
+            () = tokio::time::sleep_until(job.deadline.into()) => Resumption::TimedOut,
         }
     }
+
+    fn count_resumption(&self, cause: &str, found: &Result<Box<Started>, NotResumed>) {
+        let outcome = found.as_ref().map_or_else(|reason| reason.text(), |_| "resumed");
+        self.node.metrics.streams.resumptions.with_label_values(&[cause, outcome]).inc();
+    }
 }
 
 /// Expected final length of a generation that has exceeded its estimate, as a multiple of its current length:
@@ -269,56 +369,3 @@
         work.grow(job.tokens((produced as f64 * GROWTH_FACTOR) as u64));
     }
 }
-
-/// Splits a stream into complete events and remembers the id of the last one.
-#[derive(Debug, Default)]
-pub(crate) struct Events {
-    /// Bytes of an event whose end has not arrived.
-    partial: BytesMut,
-    last_id: Option<String>,
-    /// Whether anything was relayed.
-    relayed: bool,
-}
-
-/// Where another engine takes over a stream.
-#[derive(Debug, Clone, Copy)]
-pub(crate) enum ResumePoint<'a> {
-    /// At the begin, since the caller has nothing.
-    Start,
-    /// After the event with this id.
-    After(&'a str),
-}
-
-impl Events {
-    /// Where the stream can resume; `None` if the caller has events without ids.
-    fn resume_point(&self) -> Option<ResumePoint<'_>> {
-        match &self.last_id {
-            Some(id) => Some(ResumePoint::After(id)),
-            None if self.relayed => None,
-            None => Some(ResumePoint::Start),
-        }
-    }
-
-    /// Appends bytes and returns those of the events that are now complete. `boundary` is the offset in `data`
-    /// after the last of them.
-    fn take_complete(&mut self, mut data: Bytes, boundary: Option<usize>) -> Bytes {
-        let Some(boundary) = boundary else {
-            self.partial.extend_from_slice(&data);
-            return Bytes::new();
-        };
-        let rest = data.split_off(boundary);
-        let complete = if self.partial.is_empty() {
-            data
-        } else {
-            self.partial.extend_from_slice(&data);
-            self.partial.split().freeze()
-        };
-        self.partial.extend_from_slice(&rest);
-        self.relayed = true;
-        let text = String::from_utf8_lossy(&complete);
-        if let Some(id) = text.rsplit(['\n', '\r']).find_map(|line| line.strip_prefix("id:")) {
-            self.last_id = Some(id.trim().to_owned());
-        }
-        complete
-    }
-}
--- a/crates/forward/src/supervisor.rs
+++ b/crates/forward/src/supervisor.rs
@@ -12,7 +12,8 @@
 use slog::{error, info, warn};
 use teaselshunt_core::{Clock, Quarantine, SystemClock};
 use teaselshunt_routing::{
-    Admission, Advances, BodyMemory, Budgets, Endpoints, Refusals, RetryDetector, Returns, Waiters, tag,
+    Admission, Advances, BodyMemory, Budgets, Endpoints, Refusals, RetryDetector, Returns, SignsOfLife,
+    Waiters, tag,
 };
 use teaselshunt_teams::{QuotaMode, Quotas, StartKind};
 use tokio::net::TcpListener;
@@ -114,6 +115,7 @@
             admission: Admission::default(),
             returns: Returns::default(),
             advances: Advances::default(),
+            signs: SignsOfLife::default(),
             waiters: Waiters::new(settings.load.order),
             quarantine: Quarantine::default(),
             quotas,
--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/budget.rs
@@ -97,16 +97,21 @@
 
     /// Takes one second attempt from the budget; returns `false` if none is left.
     pub fn take(&mut self, now: Instant, service: &Arc<str>) -> bool {
+        let has_attempt = self.has_attempt(now, service);
+        if has_attempt && let Some(account) = self.accounts.get_mut(service) {
+            account.second_attempts.push_back(now);
+        }
+        has_attempt
+    }
+
+    /// Whether a second attempt is left in the budget.
+    pub fn has_attempt(&mut self, now: Instant, service: &Arc<str>) -> bool {
         let (window, reserve) = (self.terms.window, self.reserve(now));
         let account = self.accounts.entry(Arc::clone(service)).or_default();
         trim(&mut account.requests, now, window);
         trim(&mut account.second_attempts, now, window);
         let allowed = account.requests.len() as f64 * self.terms.ratio * SPENT_FRACTION + reserve;
-        if account.second_attempts.len() as f64 + 1.0 > allowed {
-            return false;
-        }
-        account.second_attempts.push_back(now);
-        true
+        account.second_attempts.len() as f64 + 1.0 <= allowed
     }
 }
 
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -27,6 +27,7 @@
 //!   the peer through which the latter are reached.
 //! - `memory` bounds the bodies that are held for slow readers.
 //! - `budget` limits second attempts, and `sends` charges those of a generation.
+//! - `silence` decides when a stream looks for another engine because its own sends nothing.
 //! - `stages` decides how many engines prefill and how many decode.
 
 mod admission;
@@ -55,6 +56,7 @@
 mod returns;
 mod routes;
 mod sends;
+mod silence;
 mod snapshot_sources;
 mod stages;
 mod store_updates;
@@ -91,6 +93,7 @@
 };
 pub use routes::{Engine, Limits, Repeat, Route, RouteSet, Service};
 pub use sends::Sends;
+pub use silence::{SignsOfLife, Silence, SilenceStep};
 pub use snapshot_sources::{SnapshotSearch, SnapshotSources, SnapshotStep};
 pub use stages::{StageChange, plan_stage_changes};
 pub use store_updates::{
--- a/crates/routing/src/sends.rs
+++ b/crates/routing/src/sends.rs
@@ -18,6 +18,16 @@
 }
 
 impl Sends {
+    /// No sends yet.
+    pub const fn new() -> Self {
+        Self { counted: 0, charged: 0 }
+    }
+
+    /// The sends of a stream that resumes: the next one is a second attempt.
+    pub const fn resumed() -> Self {
+        Self { counted: 1, charged: 0 }
+    }
+
     /// Counts a send beyond the free ones.
     pub fn count(&mut self) {
         self.counted += 1;
--- a/crates/routing/tests/all/main.rs
+++ b/crates/routing/tests/all/main.rs
@@ -22,6 +22,7 @@
 mod returns;
 mod routes;
 mod sends;
+mod silence;
 mod snapshot_sources;
 mod stages;
 mod statements;
