--- a/crates/forward/src/resume.rs
+++ b/crates/forward/src/resume.rs
@@ -11,7 +11,7 @@
 use hyper::StatusCode;
 use hyper::header::HeaderValue;
 use teaselshunt_core::ErrorKind;
-use teaselshunt_routing::{EndpointKey, WaitPolicy};
+use teaselshunt_routing::{EndpointKey, Repeat, WaitPolicy};
 
 use crate::generate::{self, Start, Started};
 use crate::node::{Job, Node};
@@ -95,7 +95,8 @@
 impl<'a> Interrupted<'a> {
     /// Whether the route allows a further attempt.
     pub(crate) fn may_resume(self) -> bool {
-        self.runs.get() < self.job.route.attempts
+        let route = &self.job.route;
+        route.repeat == (Repeat::Stream { resumable: true }) && self.runs.get() < route.attempts
     }
 
     /// Begins the search for an engine other than `engine`.
