Streams: a search ends a run only with an event, stays within the attempts, and leaves no trace of a failed one

- A run was ended by the head of another engine's response.
If that one sent no event, the caller lost a stream whose own engine went on (test a_response_without_an_event_takes_no_stream).
A search is over with the first event.
- A run that failed before its first event ended the search that was to replace it, and a third engine got a request with two attempts (a_search_outlives_the_run_that_it_is_to_replace: three runs before, two now).
The runs of a stream are the one account of its attempts.
- Another engine was searched for a first event after 1.5 s, for engines that were only slow, which used up the attempt that their streams needed later.
It is 4 s again, as when such runs were given up, also on routes without a gap goal.
- An engine that had responded early in a silence, and was silent itself since, counted as better for as long as the silence lasted.
Evidence must be fresh.
- A stream without an id to resume after repeated its step each gap goal.
Repeated searches promised capacity to callers who never return, spent the retry budget on engines that refuse what they have reserved, and wrote a step each: no promise, doubled pauses, a reason once.
- An engine counted as failing as soon as a search began.
It does when another one has the stream, or its run has ended: a silence that ends is no failure.

--- a/crates/forward/src/generate.rs
+++ b/crates/forward/src/generate.rs
@@ -15,7 +15,7 @@
 use hyper::StatusCode;
 use hyper::header::HeaderValue;
 use teaselshunt_core::{ErrorKind, Refusal};
-use teaselshunt_routing::{EndpointKey, Repeat, Sends, SilenceStep, WaitPolicy};
+use teaselshunt_routing::{EndpointKey, Sends, SilenceStep, StepOutcome, WaitPolicy};
 
 use crate::body::{ResponseBody, buffered_response};
 use crate::calls::{CALL_TIMEOUT, release_in_background};
@@ -170,7 +170,7 @@
     start: Start<'a>,
 ) -> Result<Started, Refusal> {
     let Start { wait_policy, mut prompt, mut tried, after, mut sends, runs } = start;
-    let is_first = matches!(prompt, Prompt::NotPrefilled);
+    let is_resumed = matches!(prompt, Prompt::LocalPrefill);
     // If an engine may have run the request, a refusal must not state that the request has not run.
     let mut may_have_run = false;
     for _ in 0..MAX_ROUNDS {
@@ -179,7 +179,7 @@
             Prompt::Prefilled(_) => PromptState::Prefilled,
             Prompt::LocalPrefill => PromptState::LocalPrefill,
         };
-        let search = CapacitySearch { wait_policy, prompt: state, tried: &tried };
+        let search = CapacitySearch { wait_policy, prompt: state, tried: &tried, refuses: !is_resumed };
         let mut reserved = match reserve(node, job, trace, search).await {
             Ok(reserved) => reserved,
             Err(_) if may_have_run => break,
@@ -210,9 +210,12 @@
             break;
         }
         let interrupted = Interrupted { job, trace, runs };
-        let result = match run_at(node, interrupted, is_first, &reserved, &prompt, after).await {
+        let result = match run_at(node, interrupted, &reserved, &prompt, after).await {
             FirstEvent::Answered(result) => result,
-            FirstEvent::Replaced(started) => return Ok(started),
+            FirstEvent::Replaced(started) => {
+                prompt.mark_wasted(WasteCause::EngineLost);
+                return Ok(started);
+            }
         };
         match result {
             Ok(answer) => {
@@ -243,11 +246,10 @@
                 sends.count();
                 may_have_run = true;
                 prompt.mark_wasted(WasteCause::EngineLost);
-                let resumable = job.route.repeat == (Repeat::Stream { resumable: true });
                 if node.now() >= job.deadline {
                     return Err(Refusal::new(ErrorKind::DeadlinePassed));
                 }
-                if !resumable || sends.counted() >= job.route.attempts {
+                if !interrupted.may_resume() {
                     break;
                 }
                 prompt = Prompt::LocalPrefill;
@@ -346,7 +348,6 @@
 async fn run_at(
     node: &Rc<Node>,
     interrupted: Interrupted<'_>,
-    is_first: bool,
     reserved: &Reservation,
     prompt: &Prompt<'_>,
     after: Option<&HeaderValue>,
@@ -357,7 +358,7 @@
     let guard = CallGuard::new(node, job, reserved.endpoint);
     let run_count = RunCount::begin(runs);
     let run = decode(node, job, reserved, prompt, after);
-    let result = match first_event(node, interrupted, is_first, reserved.endpoint, run).await {
+    let result = match first_event(node, interrupted, after, reserved.endpoint, run).await {
         FirstEvent::Answered(result) => result,
         replaced @ FirstEvent::Replaced(_) => return replaced,
     };
@@ -383,25 +384,42 @@
 async fn first_event(
     node: &Rc<Node>,
     interrupted: Interrupted<'_>,
-    is_first: bool,
+    after: Option<&HeaderValue>,
     engine: EndpointKey,
     run: impl Future<Output = Result<Answer, StepFailure>>,
 ) -> FirstEvent {
     let Interrupted { job, trace, .. } = interrupted;
     let mut run = pin!(run);
-    let mut watch = SilenceWatch::before_first_event(node, job, engine, is_first && interrupted.may_resume());
+    let mut watch = SilenceWatch::before_first_event(node, job, engine, interrupted.may_resume());
     let mut search: Option<Search<'_>> = None;
+    let mut failure = None;
     loop {
         tokio::select! {
             biased;
-            result = &mut run => return FirstEvent::Answered(result),
-            found = resume::found(&mut search) => match found {
-                Ok(started) => return FirstEvent::Replaced(*started),
-                Err(_) => watch.disable(),
+            result = &mut run, if failure.is_none() => match result {
+                Err(failed) if search.is_some() => failure = Some(failed),
+                result => {
+                    if search.is_some() {
+                        resume::count(node, "first_event", "went_on");
+                    }
+                    return FirstEvent::Answered(result);
+                }
             },
+            found = resume::found(&mut search) => {
+                resume::count(node, "first_event", resume::outcome(&found));
+                match (found, failure) {
+                    (Ok(started), _) => {
+                        node.observe_outcome(job, engine, StepOutcome::Failed);
+                        return FirstEvent::Replaced(*started);
+                    }
+                    (Err(_), Some(failed)) => return FirstEvent::Answered(Err(failed)),
+                    (Err(_), None) => watch.disable(),
+                }
+            }
             () = watch.is_due(), if search.is_none() => if watch.look() == SilenceStep::Replace {
                 trace.record_step("decode", &node.id_for_log(engine), "silent");
-                search = Some(interrupted.search(node, ResumePoint::Start, engine));
+                let point = after.cloned().map_or(ResumePoint::Start, ResumePoint::After);
+                search = Some(interrupted.search(node, point, engine));
             },
         }
     }
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -434,6 +434,15 @@
         granted
     }
 
+    /// Whether a second attempt is left in the service's retry budget.
+    pub(crate) fn has_attempt(&self, service: &Service) -> bool {
+        let has_attempt = self.state.borrow_mut().budgets.has_attempt(self.now(), &service.name);
+        if !has_attempt {
+            self.count_second_attempt(&service.name, false);
+        }
+        has_attempt
+    }
+
     /// Whether a generation may be sent once more, to be prefilled or to run.
     pub(crate) fn may_send(&self, job: &Job, sends: &mut Sends) -> bool {
         let before = *sends;
--- a/crates/forward/src/reservations.rs
+++ b/crates/forward/src/reservations.rs
@@ -65,6 +65,8 @@
     pub(crate) prompt: PromptState,
     /// Engines not to ask again.
     pub(crate) tried: &'a [EndpointKey],
+    /// Whether the caller is refused if the search fails, and told when to return.
+    pub(crate) refuses: bool,
 }
 
 /// Reserves capacity for the complete generation at a decode engine.
@@ -132,7 +134,7 @@
         Shortage::Capacity | Shortage::PrefillEngine | Shortage::LocalPrefill => {
             let left = job.deadline.saturating_duration_since(node.now());
             let full = || {
-                let refusal = load::return_refusal(node, job, trace);
+                let refusal = if search.refuses { load::return_refusal(node, job, trace) } else { None };
                 refusal.unwrap_or_else(|| Refusal::retryable(ErrorKind::Overloaded, retry_delay(left)))
             };
             let stage = Some(shortage.stage());
--- a/crates/forward/src/response_reader.rs
+++ b/crates/forward/src/response_reader.rs
@@ -1,5 +1,6 @@
 //! Reads the body of a response from an endpoint or the platform, and finds out how it ended.
 
+use std::collections::VecDeque;
 use std::fmt::{self, Display, Formatter};
 
 use bytes::Bytes;
@@ -15,6 +16,10 @@
     body: Incoming,
     connection: Connection,
     monitor: BodyMonitor,
+    /// Bytes that were received while the first event was awaited.
+    received: VecDeque<(Bytes, Scan)>,
+    /// How the response ended, if that was received meanwhile.
+    ended: Option<ResponseEnd>,
 }
 
 /// Bytes of a body, or its end.
@@ -89,7 +94,7 @@
 
 impl ResponseReader {
     pub(crate) fn new(body: Incoming, connection: Connection, monitor: BodyMonitor) -> Self {
-        Self { body, connection, monitor }
+        Self { body, connection, monitor, received: VecDeque::new(), ended: None }
     }
 
     pub(crate) const fn via(&self) -> Via {
@@ -102,11 +107,41 @@
 
     /// Takes the body for a stream of events, whatever the response says of its type.
     pub(crate) fn expect_events(&mut self) {
-        self.monitor.expect_events();
+        if self.received.is_empty() && self.ended.is_none() {
+            self.monitor.expect_events();
+        }
+    }
+
+    /// Waits for the first event of a stream. What is received meanwhile is returned by [`next`](Self::next) again.
+    ///
+    /// # Errors
+    /// The response ended truncated before it.
+    pub(crate) async fn await_first_event(&mut self) -> Result<(), ResponseEnd> {
+        self.expect_events();
+        while self.received.iter().all(|(_, scan)| scan.events == 0) {
+            match self.receive().await {
+                Piece::Data(data, scan) => self.received.push_back((data, scan)),
+                Piece::End(end) => {
+                    self.ended = Some(end);
+                    return end.or_truncated().map_err(|_| end);
+                }
+            }
+        }
+        Ok(())
     }
 
     /// Waits for the next bytes or the end.
     pub(crate) async fn next(&mut self) -> Piece {
+        if let Some((data, scan)) = self.received.pop_front() {
+            return Piece::Data(data, scan);
+        }
+        match self.ended {
+            Some(end) => Piece::End(end),
+            None => self.receive().await,
+        }
+    }
+
+    async fn receive(&mut self) -> Piece {
         loop {
             let end = match self.body.frame().await {
                 Some(Ok(frame)) => match frame.into_data() {
--- a/crates/forward/src/resume.rs
+++ b/crates/forward/src/resume.rs
@@ -10,16 +10,20 @@
 
 use hyper::StatusCode;
 use hyper::header::HeaderValue;
+use rand::Rng;
 use teaselshunt_core::ErrorKind;
-use teaselshunt_routing::{EndpointKey, Repeat, WaitPolicy};
+use teaselshunt_routing::{EndpointKey, Repeat, StepOutcome, WaitPolicy};
 
 use crate::generate::{self, Start, Started};
-use crate::node::{Job, Node};
+use crate::node::{Answer, Job, Node};
 use crate::trace::Trace;
 use crate::waste::{self, WasteCause};
 
-/// Time between a search that has failed and the next one.
+/// Mean time between a search that has failed and the next one, doubled with each. Streams that broke together must not ask
+/// together, and engines that refuse what they have reserved must not use up the retry budget.
 const SEARCH_PAUSE: Duration = Duration::from_millis(250);
+/// Longest such time.
+const SEARCH_PAUSE_MAX: Duration = Duration::from_secs(2);
 
 /// Where another engine takes over a stream.
 #[derive(Debug, Clone)]
@@ -66,7 +70,7 @@
             | Self::EventId
             | Self::Quarantined
             // Another instance resumes the stream for a caller who comes back.
-            | Self::Refused(ErrorKind::Stopping | ErrorKind::DeadlinePassed) => true,
+            | Self::Refused(ErrorKind::Stopping) => true,
             Self::RetryBudget | Self::Refused(_) | Self::EngineError => false,
         }
     }
@@ -83,6 +87,16 @@
     found
 }
 
+/// Counts what became of a stream that was interrupted.
+pub(crate) fn count(node: &Node, cause: &str, outcome: &str) {
+    node.metrics.streams.resumptions.with_label_values(&[cause, outcome]).inc();
+}
+
+/// Outcome of a search in metrics.
+pub(crate) fn outcome(found: &Result<Box<Started>, NotResumed>) -> &'static str {
+    found.as_ref().map_or_else(|reason| reason.text(), |_| "resumed")
+}
+
 /// What a search needs to know of its stream.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Interrupted<'a> {
@@ -111,19 +125,22 @@
         engine: EndpointKey,
     ) -> Result<Box<Started>, NotResumed> {
         let mut wait_policy = WaitPolicy::for_resume(node.now(), self.job.deadline);
-        let mut last_reason = None;
+        let (mut reported, mut pause) = (Vec::new(), SEARCH_PAUSE);
         loop {
             let reason = match self.attempt(node, &point, engine, wait_policy).await {
                 Ok(started) => return Ok(Box::new(started)),
                 Err(reason) => reason,
             };
-            if last_reason.replace(reason) != Some(reason) {
+            if !reported.contains(&reason) {
                 self.trace.record_step("resume", "any", reason.text());
+                reported.push(reason);
             }
             if reason.is_final() {
                 return Err(reason);
             }
-            tokio::time::sleep(SEARCH_PAUSE).await;
+            let factor = node.state.borrow_mut().rng.random_range(0.5..1.5);
+            tokio::time::sleep(pause.mul_f64(factor)).await;
+            pause = (pause * 2).min(SEARCH_PAUSE_MAX);
             // Requests that can be on time go before a stream that waits any longer.
             wait_policy = WaitPolicy { late: true, ..WaitPolicy::for_resume(node.now(), self.job.deadline) };
         }
@@ -144,7 +161,7 @@
         if node.quarantined(job).is_some() {
             return Err(NotResumed::Quarantined);
         }
-        if !node.state.borrow_mut().budgets.has_attempt(node.now(), &job.service.name) {
+        if !node.has_attempt(&job.service) {
             return Err(NotResumed::RetryBudget);
         }
         let after = match point {
@@ -161,6 +178,21 @@
             return Err(NotResumed::EngineError);
         }
         waste::count(node, self.trace, WasteCause::Resumed, job.prompt_tokens());
-        Ok(started)
+        self.await_first_event(node, started).await
+    }
+
+    /// Waits until the engine has sent an event: a response that has begun need not go on.
+    async fn await_first_event(self, node: &Node, mut started: Started) -> Result<Started, NotResumed> {
+        let Answer { body, endpoint, .. } = &mut started.answer;
+        match body.await_first_event().await {
+            Ok(()) => Ok(started),
+            Err(end) => {
+                let text = format!("broken{end}");
+                self.trace.record_step("stream", &node.id_for_log(*endpoint), &text);
+                node.metrics.count_response_end(end);
+                node.observe_outcome(self.job, *endpoint, StepOutcome::Failed);
+                Err(NotResumed::EngineError)
+            }
+        }
     }
 }
--- a/crates/forward/src/silence.rs
+++ b/crates/forward/src/silence.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use rand::seq::IteratorRandom;
 use slog::debug;
@@ -11,6 +11,9 @@
 use crate::calls::CALL_TIMEOUT;
 use crate::node::{Job, Node};
 
+/// Time without the first event after which another engine is searched. Most callers leave at about this time.
+const FIRST_EVENT_PATIENCE: Duration = Duration::from_secs(4);
+
 /// The silence of one stream.
 pub(crate) struct SilenceWatch<'a> {
     node: &'a Rc<Node>,
@@ -29,21 +32,18 @@
         Self { node, job, engine, silence }
     }
 
-    /// Watches a request that is sent now. A stream that begins elsewhere at half of the time after which its caller leaves
-    /// still reaches the caller.
+    /// Watches a request that is sent now.
     pub(crate) fn before_first_event(
         node: &'a Rc<Node>,
         job: &'a Job,
         engine: EndpointKey,
         may_resume: bool,
     ) -> Self {
-        let patience = job.route.abandon_timeout() / 2;
-        let gap = job.route.gap.filter(|_| may_resume);
-        let silence = gap.map(|gap| Silence::before_first_event(node.now(), gap, patience));
+        let silence = may_resume.then(|| Silence::before_first_event(node.now(), FIRST_EVENT_PATIENCE));
         Self { node, job, engine, silence }
     }
 
-    /// Records that the stream goes on.
+    /// Records that something of the stream has arrived.
     pub(crate) fn end(&mut self) {
         if let Some(silence) = &mut self.silence {
             silence.end(self.node.now());
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -6,8 +6,8 @@
 //! engine may stop in the middle of one.
 //!
 //! A run does not end because its engine is silent: engines stop for a moment and go on. Another engine is searched
-//! meanwhile, and the one that goes on first has the stream. Events of two runs never mix: an event of the run ends the
-//! search, so that nothing is relayed between the event after which another engine begins and the head of its response,
+//! meanwhile, and the one that goes on first has the stream. Events of two runs never mix: whatever the run sends ends the
+//! search, so that nothing is relayed between the event after which another engine begins and that engine's first event,
 //! which ends the run.
 //!
 //! The end of the caller's response is marked only where that of the first run's is, and only if the last run is
@@ -23,7 +23,7 @@
 use hyper::{Response, StatusCode};
 use slog::info;
 use teaselshunt_completeness::Completeness;
-use teaselshunt_routing::{BodyKind, EndpointKey, Repeat, SilenceStep, StepOutcome};
+use teaselshunt_routing::{BodyKind, EndpointKey, SilenceStep, StepOutcome};
 
 use crate::body::{PieceSender, ResponseBody, relay_channel, relayed_response};
 use crate::buffering::BufferedBytes;
@@ -43,7 +43,7 @@
 #[derive(Debug)]
 pub(crate) struct StreamJob {
     job: Job,
-    /// Runs that engines may have begun; `None` for a stream that cannot resume.
+    /// Runs that engines may have begun; `None` for a stream of a plain service.
     runs: Option<Cell<u32>>,
 }
 
@@ -54,12 +54,10 @@
     }
 
     /// A stream of a generation, which may resume where the route allows that.
-    pub(crate) fn generation(job: Job, runs: Cell<u32>) -> Self {
-        let is_resumable = job.route.repeat == (Repeat::Stream { resumable: true });
-        Self { job, runs: Some(runs).filter(|_| is_resumable) }
+    pub(crate) const fn generation(job: Job, runs: Cell<u32>) -> Self {
+        Self { job, runs: Some(runs) }
     }
 
-    /// The stream as one that may resume.
     fn interrupted<'a>(&'a self, trace: &'a Trace) -> Option<Interrupted<'a>> {
         self.runs.as_ref().map(|runs| Interrupted { job: &self.job, trace, runs })
     }
@@ -170,10 +168,10 @@
         if let Some(text) = end.step_text() {
             trace.record_step("stream", &node.id_for_log(endpoint), &text);
         }
-        if matches!(end, RunEnd::Ended(_)) && end.is_broken() {
+        if end.is_broken() {
             node.observe_outcome(job, endpoint, StepOutcome::Failed);
             crashes::check_endpoint(node, job, trace, endpoint, sent_at);
-        } else if !end.is_broken() {
+        } else {
             load::observe_result(node, job, endpoint, outcome);
         }
         let next = match end {
@@ -234,7 +232,7 @@
 impl Relay<'_> {
     /// Relays one run. While its engine is silent another one is searched; the one that goes on first has the stream.
     async fn relay_run(&mut self, run: Run) -> RunEnd {
-        let Run { mut body, mut work, endpoint, sent_at, .. } = run;
+        let Run { mut body, mut work, endpoint, .. } = run;
         let (node, job) = (self.node, &self.stream_job.job);
         body.expect_events();
         let may_resume = self.stream_job.may_resume(self.trace);
@@ -252,7 +250,7 @@
                 },
                 () = tokio::time::sleep_until(job.deadline.into()) => return RunEnd::TimedOut,
                 found = resume::found(&mut self.search) => {
-                    self.count_resumption("stalled", &found);
+                    self.count_resumption("stalled", resume::outcome(&found));
                     match found {
                         Ok(started) => return RunEnd::Replaced(started),
                         Err(_) => watch.disable(),
@@ -260,8 +258,8 @@
                     continue;
                 }
                 () = watch.is_due(), if self.search.is_none() => {
-                    if watch.look() == SilenceStep::Replace {
-                        self.begin_search(endpoint, sent_at);
+                    if watch.look() == SilenceStep::Replace && !self.begin_search(endpoint) {
+                        watch.disable();
                     }
                     continue;
                 }
@@ -271,9 +269,7 @@
             if let Some(timer) = &mut self.timer {
                 timer.record(received, scan.events);
             }
-            if scan.events > 0 {
-                self.record_life(endpoint);
-            }
+            self.record_life(endpoint);
             if let Some(produced) =
                 node.tokens_for_events(job, self.trace.events()).filter(|_| job.service.engine.is_some())
             {
@@ -292,31 +288,29 @@
                     timer.record_wait(node.now().duration_since(received));
                 }
             }
-            if scan.events > 0 {
-                watch.end();
-            }
+            watch.end();
         }
     }
 
-    /// The engine of a run is silent while others respond.
-    fn begin_search(&mut self, engine: EndpointKey, sent_at: Instant) {
-        let (node, job, trace) = (self.node, &self.stream_job.job, self.trace);
+    /// Begins a search since the engine of a run is silent and others respond. Returns `false` if the stream cannot resume.
+    fn begin_search(&mut self, engine: EndpointKey) -> bool {
+        let (node, trace) = (self.node, self.trace);
+        let (Some(interrupted), Some(point)) =
+            (self.stream_job.interrupted(trace), self.events.resume_point())
+        else {
+            return false;
+        };
         trace.record_step("stream", &node.id_for_log(engine), "silent");
-        node.observe_outcome(job, engine, StepOutcome::Failed);
-        crashes::check_endpoint(node, job, trace, engine, sent_at);
-        let interrupted = self.stream_job.interrupted(trace);
-        let point = self.events.resume_point();
-        if let (Some(interrupted), Some(point)) = (interrupted, point) {
-            self.search = Some(interrupted.search(node, point, engine));
-        }
+        self.search = Some(interrupted.search(node, point, engine));
+        true
     }
 
-    /// The engine of a run has sent an event. A search for another one ends.
+    /// The engine of a run has sent something. A search for another one ends.
     fn record_life(&mut self, engine: EndpointKey) {
         self.node.state.borrow_mut().signs.observe(self.node.now(), &self.stream_job.job.service.name);
         if self.search.take().is_some() {
             self.trace.record_step("stream", &self.node.id_for_log(engine), "went_on");
-            self.node.metrics.streams.resumptions.with_label_values(&["stalled", "went_on"]).inc();
+            self.count_resumption("stalled", "went_on");
         }
     }
 
@@ -335,25 +329,23 @@
             };
             if let Some(reason) = reason {
                 self.trace.record_step("resume", "any", reason.text());
-                let not_resumed = Err(reason);
-                self.count_resumption("truncated", &not_resumed);
-                return Resumption::Found(not_resumed);
+                self.count_resumption("truncated", reason.text());
+                return Resumption::Found(Err(reason));
             }
         }
         tokio::select! {
             biased;
             () = self.pieces.closed() => Resumption::CallerDisconnected,
             found = resume::found(&mut self.search) => {
-                self.count_resumption("truncated", &found);
+                self.count_resumption("truncated", resume::outcome(&found));
                 Resumption::Found(found)
             }
             () = tokio::time::sleep_until(job.deadline.into()) => Resumption::TimedOut,
         }
     }
 
-    fn count_resumption(&self, cause: &str, found: &Result<Box<Started>, NotResumed>) {
-        let outcome = found.as_ref().map_or_else(|reason| reason.text(), |_| "resumed");
-        self.node.metrics.streams.resumptions.with_label_values(&[cause, outcome]).inc();
+    fn count_resumption(&self, cause: &str, outcome: &str) {
+        resume::count(self.node, cause, outcome);
     }
 }
 
--- a/crates/routing/src/silence.rs
+++ b/crates/routing/src/silence.rs
@@ -5,8 +5,8 @@
 //! [`Silence`] compares one stream with that:
 //!
 //! - a stream is silent for [`PATIENCE_GAPS`] gap goals before it looks for another engine;
-//! - an engine of the service has sent something after this stream's next event was due, so that they are not silent
-//!   together;
+//! - an engine of the service has sent something after this stream's next event was due, and lately, so that they are
+//!   not silent together;
 //! - one gap goal later this stream is still silent. Engines that go on together do not do so in the same moment.
 //!
 //! Where no engine has sent anything, one is asked whether it responds: an engine without work says nothing by itself.
@@ -19,6 +19,11 @@
 /// then is still useful.
 const PATIENCE_GAPS: u32 = 4;
 
+/// Shortest gap goal that is told apart.
+const GAP_MIN: Duration = Duration::from_millis(20);
+/// Gap goals for which a sign of life shows that engines respond.
+const FRESH_GAPS: u32 = 2;
+
 /// What a stream does about its silence.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SilenceStep {
@@ -36,7 +41,7 @@
     gap: Duration,
     patience: Duration,
     last: Instant,
-    /// Since when it is known that another engine responds and this one does not.
+    /// When an engine responded first while this stream was silent, of those that have responded lately.
     alone: Option<Instant>,
     next_look: Instant,
 }
@@ -47,18 +52,18 @@
         Self::new(now, gap, gap * PATIENCE_GAPS)
     }
 
-    /// The silence of a request that is sent now and looks for another engine after `patience`, at least a gap goal, without
-    /// its first event.
-    pub fn before_first_event(now: Instant, gap: Duration, patience: Duration) -> Self {
-        Self::new(now, gap, patience)
+    /// The silence of a request that is sent now and looks for another engine after `patience` without its first event.
+    pub fn before_first_event(now: Instant, patience: Duration) -> Self {
+        Self::new(now, patience / PATIENCE_GAPS, patience)
     }
 
     fn new(now: Instant, gap: Duration, patience: Duration) -> Self {
+        let gap = gap.max(GAP_MIN);
         let next_look = now + patience.saturating_sub(gap);
         Self { gap, patience, last: now, alone: None, next_look }
     }
 
-    /// Records that the stream goes on.
+    /// Records that something of the stream has arrived.
     pub fn end(&mut self, now: Instant) {
         *self = Self::new(now, self.gap, self.patience);
     }
@@ -70,13 +75,15 @@
 
     /// Looks at the silence. `heard` is when any engine of the service last sent something.
     pub fn look(&mut self, now: Instant, heard: Option<Instant>) -> SilenceStep {
-        if heard.is_some_and(|heard| heard > self.last + self.gap) {
-            self.alone.get_or_insert(now);
-        }
-        let Some(alone) = self.alone else {
+        let is_fresh = |heard: Instant| {
+            heard > self.last + self.gap && now.duration_since(heard) <= self.gap * FRESH_GAPS
+        };
+        let Some(heard) = heard.filter(|&heard| is_fresh(heard)) else {
+            self.alone = None;
             self.next_look = now + self.gap;
             return SilenceStep::Ask;
         };
+        let alone = *self.alone.get_or_insert(heard);
         let at = (alone + self.gap).max(self.last + self.patience);
         self.next_look = at;
         if now < at {
