Plain calls: the loss of a link starts the second attempt and ends none

Callers of idempotent routes got 502 long before their deadline when their endpoints fell silent and went on.

Cause: an attempt over a direct connection ended as broken as soon as its link counted as lost. A link counts as lost when a peer gets an answer that this instance did not get 0.2 s earlier, so that the end of a pause looks like one, and two such links count as all. Both attempts of a hedged call then ended in the same moment, and nothing was left to try. A call of a service with one endpoint, or of a route with one attempt, was ended with nothing to repeat it.

What the end of an attempt gained is kept: the second attempt is sent no later than before, and costs the same from the budget.

--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -180,10 +180,16 @@
         tokens.min(memory).min(u32::MAX.into())
     }
 
-    /// Whether a step may be made again while nothing is known of its outcome.
-    fn is_repeatable(&self, purpose: Purpose<'_>) -> bool {
-        let is_prefill = matches!(purpose, Purpose::Prefill);
-        is_prefill || matches!(self.route.repeat, Repeat::Idempotent | Repeat::Stream { resumable: true })
+    /// Whether a step ends when its link is lost, since it is made again then. The run of a plain service never does: its
+    /// endpoint may be silent for a moment only, and a second attempt runs beside the first.
+    fn ends_with_link(&self, purpose: Purpose<'_>) -> bool {
+        match purpose {
+            Purpose::Run => false,
+            Purpose::Prefill => true,
+            Purpose::Decode { .. } | Purpose::PrefillAndDecode { .. } => {
+                self.route.repeat == (Repeat::Stream { resumable: true })
+            }
+        }
     }
 
     /// Identifies the request if it is sent again.
@@ -480,7 +486,7 @@
         }
         work.sent.set(true);
         let may_send = || self.locate_available(key).is_some();
-        let condition = SendCondition { may_send, repeatable: job.is_repeatable(purpose) };
+        let condition = SendCondition { may_send, repeatable: job.ends_with_link(purpose) };
         let destination = Destination::endpoint(address, id);
         let result = self.pool.exchange_if(&destination, request, until.min(job.deadline), condition).await;
         work.sent.set(!matches!(result, Err(ExchangeFailure::Unsent | ExchangeFailure::Withheld)));
--- a/crates/forward/src/plain.rs
+++ b/crates/forward/src/plain.rs
@@ -1,9 +1,10 @@
 //! Sends requests to plain services: to one endpoint, and to a second one where that is allowed.
 //!
-//! An idempotent request without a response after a fraction ([`HEDGE_FRACTION`]) of its latency goal is also
-//! sent to a second endpoint, and the first good response is used. One slow or unresponsive endpoint then
-//! costs a caller that fraction of the goal and not the whole timeout. A non-idempotent request goes to
-//! another endpoint only if the first provably has not run it.
+//! An idempotent request without a response after a fraction ([`HEDGE_FRACTION`]) of its latency goal, or whose
+//! link is lost before, is also sent to a second endpoint, and the first good response is used. One slow or
+//! unresponsive endpoint then costs a caller that fraction of the goal and not the whole timeout. Neither attempt is
+//! ended for its silence: if both endpoints are silent, the one that goes on first responds. A non-idempotent request
+//! goes to another endpoint only if the first provably has not run it.
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -188,7 +189,13 @@
     attempts.endpoints.push(key);
     let mut first = Box::pin(attempt(node, job, key, trace));
     let wait = job.arrived + job.route.goal.mul_f64(HEDGE_FRACTION);
-    if let Ok(result) = tokio::time::timeout_at(wait.into(), &mut first).await {
+    let in_time = tokio::select! {
+        biased;
+        result = &mut first => Some(result),
+        () = tokio::time::sleep_until(wait.into()) => None,
+        () = until_link_lost(node, key) => None,
+    };
+    if let Some(result) = in_time {
         attempts.count(&result);
         if is_good(&result) {
             return result.map_err(|_| attempts.exhausted_refusal(node, job, trace));
@@ -221,6 +228,16 @@
     later.or(earlier).map_err(|_| attempts.exhausted_refusal(node, job, trace))
 }
 
+/// Waits until the link of an attempt in progress is lost: its response is then unlikely to arrive. An attempt over a link
+/// that is lost already goes through a peer.
+async fn until_link_lost(node: &Node, key: EndpointKey) {
+    let reach = node.pool.reach();
+    match node.locate(key) {
+        Some((address, _)) if !reach.is_lost(address) => reach.until_lost(address).await,
+        Some(_) | None => std::future::pending().await,
+    }
+}
+
 /// One attempt at one endpoint.
 async fn attempt(
     node: &Rc<Node>,
