Endpoints: unanswered calls of a short silence are one silence and no failures

Callers found fewer engines for seconds after an engine had been silent for a moment: it got nothing, also from peers, which were told.

Cause: each reservation without an answer within 0.2 s counted as a failure in a row and in the average of failures. The calls of one silence end together, so that the first 0.3 s of it made nine failures in a row: a pause of 2 s, and a fraction of failures that falls below one half only after seconds or three answers.

The silence of an endpoint now has a record of its own: it is avoided for half of the time for which it has been silent, at most 2 s, then one call tries it for all others, and any response ends this. It counts as suspect meanwhile, as before. A granted reservation ends a silence and shows nothing else: an engine may grant and then fail what runs.

--- a/crates/forward/src/load.rs
+++ b/crates/forward/src/load.rs
@@ -218,12 +218,12 @@
         // A plain service's error is the result of work, like any other answer.
         StepOutcome::ErrorResponse if is_plain => Observation::Answered(0.0),
         // A call without an answer until the caller's time was over says that the endpoint is slow.
-        StepOutcome::Failed if is_plain => Observation::Answered(f64::INFINITY),
+        StepOutcome::Failed | StepOutcome::Silent(_) if is_plain => Observation::Answered(f64::INFINITY),
         // A deadline may be too short for any engine.
         StepOutcome::Failed if node.now() >= job.deadline => return,
         StepOutcome::ErrorResponse | StepOutcome::Failed => Observation::Failed,
         StepOutcome::Full => Observation::Refused,
-        StepOutcome::Unreachable => return,
+        StepOutcome::Silent(_) | StepOutcome::Unreachable => return,
     };
     node.state.borrow_mut().endpoints.observe_result(node.now(), key, observation);
 }
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -234,6 +234,10 @@
     }
 }
 
+/// Time without a response from which a step shows that its endpoint fails: sound endpoints are silent for a second or
+/// so.
+const MEANINGFUL_SILENCE: Duration = Duration::from_secs(1);
+
 /// Why a step failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum StepFailure {
@@ -257,9 +261,10 @@
         matches!(self, Self::Broken | Self::TimedOut)
     }
 
-    /// What the failure shows about its endpoint; `None` if nothing was tried.
-    const fn outcome(self) -> Option<StepOutcome> {
+    /// What the failure shows about its endpoint after this time; `None` if nothing was tried.
+    fn outcome(self, time: Duration) -> Option<StepOutcome> {
         match self {
+            Self::TimedOut if time < MEANINGFUL_SILENCE => Some(StepOutcome::Silent(time)),
             Self::Withheld => None,
             Self::Refused => Some(StepOutcome::Full),
             Self::Unsent | Self::Misdirected => Some(StepOutcome::Unreachable),
@@ -393,15 +398,22 @@
     pub(crate) fn observe_step(&self, key: EndpointKey, step_outcome: StepOutcome) {
         let changed = self.state.borrow_mut().endpoints.learn(self.now(), key, step_outcome);
         if changed && let Some((_, id)) = self.locate(key) {
-            let state = if matches!(step_outcome, StepOutcome::Failed | StepOutcome::Unreachable) {
-                "paused"
-            } else {
-                "in_use"
+            let state = match step_outcome {
+                StepOutcome::Failed | StepOutcome::Silent(_) | StepOutcome::Unreachable => "paused",
+                StepOutcome::Answered(_) | StepOutcome::ErrorResponse | StepOutcome::Full => "in_use",
             };
             info!(self.log, "endpoint"; "endpoint" => &*id, "state" => state);
         }
     }
 
+    /// Records that an engine granted a reservation, so that it is not silent. Whether it runs requests is another matter.
+    pub(crate) fn observe_granted(&self, key: EndpointKey) {
+        let changed = self.state.borrow_mut().endpoints.observe_response(key);
+        if changed && let Some((_, id)) = self.locate(key) {
+            info!(self.log, "endpoint"; "endpoint" => &*id, "state" => "in_use");
+        }
+    }
+
     /// The refusal for a request in quarantine; `None` for other requests.
     pub(crate) fn quarantined(&self, job: &Job) -> Option<Refusal> {
         let (state, now) = (self.state.borrow(), self.now());
@@ -501,7 +513,9 @@
         if runs && outcome.as_ref().is_err_and(|failure| !failure.may_have_run()) {
             job.charge.undo_send();
         }
-        if let Some(step_outcome) = outcome.as_ref().err().and_then(|failure| failure.outcome()) {
+        if let Some(step_outcome) =
+            outcome.as_ref().err().and_then(|failure| failure.outcome(self.now().duration_since(sent_at)))
+        {
             self.observe_outcome(job, key, step_outcome);
         }
         self.metrics.count_step(step, outcome.as_ref().map_or_else(|f| f.text(), |_| "answered"));
--- a/crates/forward/src/reservations.rs
+++ b/crates/forward/src/reservations.rs
@@ -154,6 +154,7 @@
     let Some((address, id)) = node.locate_available(key) else { return Err(Duration::ZERO) };
     match reserve_at(node, job, key, (address, &id), work.tokens()).await {
         Ok(reservation_id) => {
+            node.observe_granted(key);
             let node = Rc::clone(node);
             Ok(Reservation { node, endpoint: key, address, id: Some(reservation_id), work: Some(work) })
         }
@@ -184,19 +185,23 @@
     tokens: u64,
 ) -> Result<String, (StepOutcome, &'static str)> {
     let ttl = job.service.engine.map_or(CALL_TIMEOUT, |e| e.hold);
-    let until = (node.now() + CALL_TIMEOUT).min(job.deadline);
+    let sent_at = node.now();
+    let until = (sent_at + CALL_TIMEOUT).min(job.deadline);
     let answer = node.call_endpoint(key, address, node.protocol.reserve(id, tokens, ttl), until).await;
     let reservation_id = match &answer {
         Ok((StatusCode::OK, body)) => node.protocol.read_reservation(body),
         Ok(_) | Err(_) => None,
     };
-    let (step_outcome, outcome) = classify(&answer);
+    let (step_outcome, outcome) = classify(&answer, node.now().duration_since(sent_at));
     node.metrics.count_step("reserve", if reservation_id.is_some() { "ok" } else { outcome });
     reservation_id.ok_or((step_outcome, outcome))
 }
 
-/// The outcome of a reservation call without a reservation, and the failure's name for logs.
-fn classify(answer: &Result<(StatusCode, Bytes), ExchangeFailure>) -> (StepOutcome, &'static str) {
+/// The outcome of a reservation call without a reservation that took `time`, and the failure's name for logs.
+fn classify(
+    answer: &Result<(StatusCode, Bytes), ExchangeFailure>,
+    time: Duration,
+) -> (StepOutcome, &'static str) {
     match answer {
         Ok((StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS, _)) => {
             (StepOutcome::Full, "full")
@@ -206,7 +211,8 @@
         Err(failure @ (ExchangeFailure::Unsent | ExchangeFailure::Withheld)) => {
             (StepOutcome::Unreachable, failure.text())
         }
-        Err(failure) => (StepOutcome::Failed, failure.text()),
+        Err(failure @ ExchangeFailure::TimedOut) => (StepOutcome::Silent(time), failure.text()),
+        Err(failure @ ExchangeFailure::Broken) => (StepOutcome::Failed, failure.text()),
     }
 }
 
--- a/crates/routing/src/endpoint.rs
+++ b/crates/routing/src/endpoint.rs
@@ -87,6 +87,8 @@
     Full,
     /// The connection broke, or the response did not come in time or was invalid.
     Failed,
+    /// No response came within this time, which is shorter than endpoints may be silent.
+    Silent(Duration),
     /// The endpoint could not be reached, or another endpoint has its address.
     Unreachable,
 }
--- a/crates/routing/src/endpoints.rs
+++ b/crates/routing/src/endpoints.rs
@@ -516,11 +516,20 @@
         match outcome {
             StepOutcome::Full => entry.cooldown.refused(now, entry.endpoint.stage == Some(Stage::Decode)),
             StepOutcome::Answered(_) => entry.cooldown.accepted(),
-            StepOutcome::ErrorResponse | StepOutcome::Failed | StepOutcome::Unreachable => {}
+            StepOutcome::ErrorResponse
+            | StepOutcome::Failed
+            | StepOutcome::Silent(_)
+            | StepOutcome::Unreachable => {}
         }
         entry.health.learn(now, outcome)
     }
 
+    /// Records that an endpoint responded to a small call, which shows nothing else about it. Returns whether a pause of
+    /// it ended.
+    pub fn observe_response(&mut self, key: EndpointKey) -> bool {
+        self.arena.get_mut(key).is_some_and(|entry| entry.health.responded())
+    }
+
     /// Work that other instances have in flight.
     pub fn ledger(&mut self) -> &mut Ledger<SocketAddr> {
         &mut self.ledger
--- a/crates/routing/src/endpoints/work.rs
+++ b/crates/routing/src/endpoints/work.rs
@@ -23,6 +23,7 @@
             if entry.running == 0 {
                 entry.health.begin(now);
             }
+            entry.health.sent(now);
             if entry.endpoint.stage.is_none() {
                 self.observations.begin(now, entry.tag);
             }
--- a/crates/routing/src/health_estimate.rs
+++ b/crates/routing/src/health_estimate.rs
@@ -14,6 +14,11 @@
 const PAUSE_MIN: Duration = Duration::from_millis(500);
 /// Longest pause, so that an endpoint that has recovered is found within this time.
 const PAUSE_MAX: Duration = Duration::from_secs(2);
+/// Part of the time of a silence for which an endpoint is then avoided: one that goes on is found soon, and one that does
+/// not is asked less and less often.
+const SILENCE_PAUSE_FRACTION: f64 = 0.5;
+/// Time for which an endpoint that was silent is avoided while one call tries it: the longest time of a small call.
+const TRIAL_TIME: Duration = Duration::from_millis(200);
 /// Time for which an endpoint that has ended is reported to others; the list shows the end by then.
 const ENDED_PAUSE: Duration = Duration::from_secs(10);
 /// Time without any response after which an engine with work of this instance counts as unresponsive: several
@@ -41,6 +46,9 @@
 pub(crate) struct HealthEstimate {
     failures: u32,
     paused_until: Option<Instant>,
+    /// Since when calls were not answered in time, with none answered since, and until when the endpoint is avoided for
+    /// that.
+    silence: Option<(Instant, Instant)>,
     /// Since when work is in progress there without any response.
     unanswered_since: Option<Instant>,
     latency: f64,
@@ -55,6 +63,7 @@
         Self {
             failures: 0,
             paused_until: None,
+            silence: None,
             unanswered_since: None,
             latency: INITIAL_LATENCY,
             latency_at: None,
@@ -70,6 +79,13 @@
         self.unanswered_since = Some(now);
     }
 
+    /// Records that work is sent to the endpoint. If it was silent, this tries it for all others.
+    pub(crate) fn sent(&mut self, now: Instant) {
+        if let Some((_, until)) = self.silence.as_mut().filter(|(_, until)| now >= *until) {
+            *until = now + TRIAL_TIME;
+        }
+    }
+
     /// Records that no work is in progress any more.
     pub(crate) fn end(&mut self) {
         self.unanswered_since = None;
@@ -108,6 +124,21 @@
     pub(crate) fn is_suspect(&self, now: Instant) -> bool {
         self.error_fraction(now) > SUSPECT_ERROR_FRACTION
             || self.paused_until.is_some_and(|until| now < until)
+            || self.silence.is_some_and(|(_, until)| now < until)
+    }
+
+    /// Records that the endpoint responded. Returns whether a pause because of its silence ended.
+    pub(crate) fn responded(&mut self) -> bool {
+        self.silence.take().is_some()
+    }
+
+    /// Records that a call had no response within `wait`. The calls of one silence end together and are one event, not
+    /// that many failures: an endpoint that is silent for a moment is well afterwards.
+    fn silent(&mut self, now: Instant, wait: Duration) -> bool {
+        let sent = now.checked_sub(wait).unwrap_or(now);
+        let since = self.silence.map_or(sent, |(since, _)| since.min(sent));
+        let pause = now.duration_since(since).mul_f64(SILENCE_PAUSE_FRACTION).min(PAUSE_MAX);
+        self.silence.replace((since, now + pause)).is_none()
     }
 
     /// Whether work is in progress there and nothing was received for long.
@@ -125,7 +156,11 @@
         {
             self.unanswered_since = Some(now);
         }
-        match outcome {
+        let ended = match outcome {
+            StepOutcome::Answered(_) | StepOutcome::Full | StepOutcome::ErrorResponse => self.responded(),
+            StepOutcome::Silent(_) | StepOutcome::Failed | StepOutcome::Unreachable => false,
+        };
+        let changed = match outcome {
             StepOutcome::ErrorResponse => {
                 self.learn_error(now, true);
                 self.failures = 0;
@@ -143,9 +178,11 @@
                 self.learn_error(now, true);
                 self.fail(now, self.failures + 1)
             }
+            StepOutcome::Silent(wait) => self.silent(now, wait),
             // An endpoint that is unreachable is so for the next request too; other failures may be chance.
             StepOutcome::Unreachable => self.fail(now, (self.failures + 1).max(PAUSE_FAILURES)),
-        }
+        };
+        ended || changed
     }
 
     fn answered(&mut self, now: Instant, latency: Duration) -> bool {
--- a/crates/routing/tests/all/main.rs
+++ b/crates/routing/tests/all/main.rs
@@ -15,6 +15,7 @@
 mod observations;
 mod output_estimate;
 mod pace;
+mod pauses;
 mod peers;
 mod priority;
 mod rates;
--- /dev/null
+++ b/crates/routing/tests/all/pauses.rs
@@ -0,0 +1,85 @@
+//! What an endpoint that was silent for a moment loses by that, and for how long.
+
+use std::time::{Duration, Instant};
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use teaselshunt_routing::{Endpoint, EndpointKey, Endpoints, Need, Stage, StepOutcome};
+
+use crate::endpoints::endpoint;
+
+/// Longest time for which a call waits for an engine.
+const CALL_TIMEOUT: Duration = Duration::from_millis(200);
+/// Time between two arrivals.
+const STEP: Duration = Duration::from_millis(25);
+
+/// Decode engines, of which the first is preferred.
+fn engines(count: usize) -> (Endpoints, Vec<EndpointKey>) {
+    let mut endpoints = Endpoints::default();
+    let keys = (0..count).map(|number| {
+        let id = format!("d-{number}");
+        let domain = if number == 0 { "north" } else { "south" };
+        endpoints.upsert(Endpoint { stage: Some(Stage::Decode), ..endpoint(&id, domain) });
+        endpoints.key_of(&id).expect("it is listed")
+    });
+    let keys = keys.collect();
+    (endpoints, keys)
+}
+
+/// Sends small calls to decode engines, of which the first is silent from `begin` until `end`. Returns how many it got while it was
+/// silent, and when it is chosen again after that.
+fn play(begin: Duration, end: Duration) -> (usize, Duration) {
+    let (mut endpoints, keys) = engines(3);
+    let mut rng = SmallRng::seed_from_u64(1);
+    let start = Instant::now();
+    let (mut waiting, mut sent): (Vec<Duration>, _) = (Vec::new(), 0);
+    for step in 0..1_000 {
+        let at = STEP * step;
+        let now = start + at;
+        let silent = at >= begin && at < end;
+        if !silent && at >= end {
+            for _ in waiting.drain(..) {
+                endpoints.end(now, keys[0], 100);
+                endpoints.learn(now, keys[0], StepOutcome::Full);
+            }
+        }
+        waiting.retain(|sent| {
+            let over = at >= *sent + CALL_TIMEOUT;
+            if over {
+                endpoints.end(now, keys[0], 100);
+                endpoints.learn(now, keys[0], StepOutcome::Silent(CALL_TIMEOUT));
+            }
+            !over
+        });
+        let need = Need {
+            stage: Some(Stage::Decode),
+            tokens: 100,
+            limit: Some(20_000),
+            ..Need::of("desk", "north")
+        };
+        if endpoints.choose(now, need, &mut rng) != Some(keys[0]) {
+            continue;
+        }
+        if silent {
+            endpoints.begin(now, keys[0], 100);
+            waiting.push(at);
+            sent += 1;
+        } else if at >= end {
+            return (sent, at.saturating_sub(end));
+        }
+    }
+    (sent, Duration::MAX)
+}
+
+/// Guards against an engine that gets no work for seconds because it was silent for one: each unanswered call counted as a failure,
+/// and those of one silence as many in a row.
+#[test]
+fn a_silent_engine_is_used_again_within_the_time_of_its_silence() {
+    for millis in [300, 600, 900, 1_250, 2_000, 3_000] {
+        let silence = Duration::from_millis(millis);
+        let begin = Duration::from_millis(500);
+        let (sent, again) = play(begin, begin + silence);
+        assert!(again <= silence, "{millis} ms: {sent} calls, again after {again:?}");
+        assert!(sent < 20, "{millis} ms: {sent} calls");
+    }
+}
