Generations: a silence of prefill engines does not make prefills look slow

After a silence of the prefill engines callers were refused with 429 ("prefill_behind"): no prefill behind another one seemed to end in time.

Cause: a prefill that an engine ends after a silence took as long as the rest of it, and each one raised the estimate of all prefills by a tenth of that. The estimate falls by a tenth of its error with each further prefill, and fewer are sent while it is high. It needs some 20 prefills to be near the truth again: 10 s at an instance with two generations a second.

A prefill that takes more than twice the expected time, and half a second longer, now counts only if another one that was sent after its end is long as well. Those that were sent before that end and are long belong to the same silence.

--- a/crates/forward/src/generate.rs
+++ b/crates/forward/src/generate.rs
@@ -321,8 +321,7 @@
         trace.record_step("prefill", &id, text);
         match result {
             Ok(handle) => {
-                let took = node.now().duration_since(sent_at);
-                pace::observe_prefill(node, &job.service.name, key, in_flight, took);
+                pace::observe_prefill(node, &job.service.name, key, in_flight, sent_at);
                 return Ok(Prompt::Prefilled(KvCache { node, address, handle: Some(handle), prompt }));
             }
             Err(_) if node.now() >= job.deadline => return Err(Refusal::new(ErrorKind::Expired)),
--- a/crates/forward/src/pace.rs
+++ b/crates/forward/src/pace.rs
@@ -58,20 +58,19 @@
     }
 }
 
-/// Learns from a prefill that took `time` with `tokens` in flight at its engine when it started, its own among
-/// them.
+/// Learns from a prefill that was sent at `sent_at` and has ended, with `tokens` in flight at its engine when it started,
+/// its own among them.
 pub(crate) fn observe_prefill(
     node: &Node,
     service: &Arc<str>,
     key: EndpointKey,
     tokens: u64,
-    time: Duration,
+    sent_at: Instant,
 ) {
     let (now, state) = (node.now(), &mut *node.state.borrow_mut());
-    // The estimate is that of an engine at the usual pace, so that with the pace of the engine that is chosen
-    // next it gives the expected time there.
-    let usual = time.div_f64(state.endpoints.pace(key));
-    state.prefill_estimates.entry(Arc::clone(service)).or_default().learn(tokens, usual);
+    let (time, pace) = (now.duration_since(sent_at), state.endpoints.pace(key));
+    let estimate = state.prefill_estimates.entry(Arc::clone(service)).or_default();
+    estimate.learn(sent_at, tokens, time, pace);
     if node.settings.load.pace {
         state.endpoints.observe_pace(now, key, Stage::Prefill, tokens, time);
     }
--- a/crates/routing/tests/all/ledger.rs
+++ b/crates/routing/tests/all/ledger.rs
@@ -262,12 +262,17 @@
 #[test]
 fn the_prefill_estimate_follows_the_results() {
     let mut estimate = PrefillEstimate::default();
+    let mut sent_at = Instant::now();
+    let mut learn = |estimate: &mut PrefillEstimate, time| {
+        estimate.learn(sent_at, 10_000, time, 1.0);
+        sent_at += time;
+    };
     for _ in 0..60 {
-        estimate.learn(10_000, Duration::from_millis(300));
+        learn(&mut estimate, Duration::from_millis(300));
     }
     assert!(estimate.predict(10_000).abs_diff(Duration::from_millis(300)) < Duration::from_millis(15));
     for _ in 0..60 {
-        estimate.learn(10_000, Duration::from_millis(900));
+        learn(&mut estimate, Duration::from_millis(900));
     }
     assert!(estimate.predict(20_000) > Duration::from_millis(1_700));
 }
@@ -278,8 +283,9 @@
 #[test]
 fn a_high_prefill_estimate_does_not_block_idle_engines() {
     let mut estimate = PrefillEstimate::default();
-    for _ in 0..60 {
-        estimate.learn(100, Duration::from_secs(1));
+    let start = Instant::now();
+    for second in 0..60 {
+        estimate.learn(start + Duration::from_secs(second), 100, Duration::from_secs(1), 1.0);
     }
     let limit = Duration::from_millis(600);
     assert!(!estimate.in_time(100, 100, limit), "a queue is still too long");
--- a/crates/routing/tests/all/pauses.rs
+++ b/crates/routing/tests/all/pauses.rs
@@ -4,7 +4,7 @@
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use teaselshunt_routing::{Endpoint, EndpointKey, Endpoints, Need, Stage, StepOutcome};
+use teaselshunt_routing::{Endpoint, EndpointKey, Endpoints, Need, PrefillEstimate, Stage, StepOutcome};
 
 use crate::endpoints::endpoint;
 
@@ -83,3 +83,44 @@
         assert!(sent < 20, "{millis} ms: {sent} calls");
     }
 }
+
+/// Prompt of a usual request.
+const PROMPT: u64 = 3_000;
+/// Time of its prefill.
+const PREFILL: Duration = Duration::from_millis(180);
+
+/// An estimate after many usual prefills, and when the last one ended.
+fn usual_estimate() -> (PrefillEstimate, Instant) {
+    let (mut estimate, mut at) = (PrefillEstimate::default(), Instant::now());
+    for _ in 0..100 {
+        estimate.learn(at, PROMPT, PREFILL, 1.0);
+        at += PREFILL;
+    }
+    (estimate, at)
+}
+
+/// Guards against generations that are refused after a silence of the prefill engines, since the prefills that it made longer raised
+/// the estimate for all.
+#[test]
+fn a_silence_does_not_make_prefills_look_slow() {
+    let (mut estimate, start) = usual_estimate();
+    let silence = Duration::from_millis(1_250);
+    for number in 0..10 {
+        let sent_at = start + silence * number / 10;
+        estimate.learn(sent_at, PROMPT, start + silence + PREFILL - sent_at, 1.0);
+    }
+    assert!(estimate.predict(PROMPT) < PREFILL.mul_f64(1.3), "{:?}", estimate.predict(PROMPT));
+}
+
+/// Guards against an estimate that takes prefills for silences when they have become slow.
+#[test]
+fn prefills_that_have_become_slow_are_learned() {
+    let (mut estimate, mut at) = usual_estimate();
+    let slow = PREFILL * 6;
+    for _ in 0..30 {
+        estimate.learn(at, PROMPT, slow, 1.0);
+        estimate.learn(at, PROMPT, slow, 1.0);
+        at += slow;
+    }
+    assert!(estimate.predict(PROMPT) > PREFILL * 5, "{:?}", estimate.predict(PROMPT));
+}
