--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -182,10 +182,16 @@
         tokens.min(memory).min(u32::MAX.into())
     }
 
-    /// Whether a step may be made again while nothing is known of its outcome.
-    fn is_repeatable(&self, purpose: Purpose<'_>) -> bool {
-        let is_prefill = matches!(purpose, Purpose::Prefill);
-        is_prefill || matches!(self.route.repeat, Repeat::Idempotent | Repeat::Stream { resumable: true })
+    /// Whether a step ends when its link is lost, since it is made again then. The run of a plain service never does: its
+    /// endpoint may be silent for a moment only, and a second attempt runs beside the first.
+    fn ends_with_link(&self, purpose: Purpose<'_>) -> bool {
+        match purpose {
+            Purpose::Run => false,
+            Purpose::Prefill => true,
+            Purpose::Decode { .. } | Purpose::PrefillAndDecode { .. } => {
+                self.route.repeat == (Repeat::Stream { resumable: true })
+            }
+        }
     }
 
     /// Identifies the request if it is sent again.
@@ -230,6 +236,10 @@
     }
 }
 
+/// Time without a response from which a step shows that its endpoint fails: sound endpoints are silent for a second or
+/// so.
+const MEANINGFUL_SILENCE: Duration = Duration::from_secs(1);
+
 /// Why a step failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum StepFailure {
@@ -253,9 +263,10 @@
         matches!(self, Self::Broken | Self::TimedOut)
     }
 
-    /// What the failure shows about its endpoint; `None` if nothing was tried.
-    const fn outcome(self) -> Option<StepOutcome> {
+    /// What the failure shows about its endpoint after this time; `None` if nothing was tried.
+    fn outcome(self, time: Duration) -> Option<StepOutcome> {
         match self {
+            Self::TimedOut if time < MEANINGFUL_SILENCE => Some(StepOutcome::Silent(time)),
             Self::Withheld => None,
             Self::Refused => Some(StepOutcome::Full),
             Self::Unsent | Self::Misdirected => Some(StepOutcome::Unreachable),
@@ -399,15 +410,22 @@
     pub(crate) fn observe_step(&self, key: EndpointKey, step_outcome: StepOutcome) {
         let changed = self.state.borrow_mut().endpoints.learn(self.now(), key, step_outcome);
         if changed && let Some((_, id)) = self.locate(key) {
-            let state = if matches!(step_outcome, StepOutcome::Failed | StepOutcome::Unreachable) {
-                "paused"
-            } else {
-                "in_use"
+            let state = match step_outcome {
+                StepOutcome::Failed | StepOutcome::Silent(_) | StepOutcome::Unreachable => "paused",
+                StepOutcome::Answered(_) | StepOutcome::ErrorResponse | StepOutcome::Full => "in_use",
             };
             info!(self.log, "endpoint"; "endpoint" => &*id, "state" => state);
         }
     }
 
+    /// Records that an engine granted a reservation, so that it is not silent. Whether it runs requests is another matter.
+    pub(crate) fn observe_granted(&self, key: EndpointKey) {
+        let changed = self.state.borrow_mut().endpoints.observe_response(key);
+        if changed && let Some((_, id)) = self.locate(key) {
+            info!(self.log, "endpoint"; "endpoint" => &*id, "state" => "in_use");
+        }
+    }
+
     /// The refusal for a request in quarantine; `None` for other requests.
     pub(crate) fn quarantined(&self, job: &Job) -> Option<Refusal> {
         let (state, now) = (self.state.borrow(), self.now());
@@ -501,7 +519,7 @@
         }
         work.sent.set(true);
         let may_send = || self.locate_available(key).is_some();
-        let condition = SendCondition { may_send, repeatable: job.is_repeatable(purpose) };
+        let condition = SendCondition { may_send, repeatable: job.ends_with_link(purpose) };
         let destination = Destination::endpoint(address, id);
         let result = self.pool.exchange_if(&destination, request, until.min(job.deadline), condition).await;
         work.sent.set(!matches!(result, Err(ExchangeFailure::Unsent | ExchangeFailure::Withheld)));
@@ -517,7 +535,9 @@
         if runs && outcome.as_ref().is_err_and(|failure| !failure.may_have_run()) {
             job.charge.undo_send();
         }
-        if let Some(step_outcome) = outcome.as_ref().err().and_then(|failure| failure.outcome()) {
+        if let Some(step_outcome) =
+            outcome.as_ref().err().and_then(|failure| failure.outcome(self.now().duration_since(sent_at)))
+        {
             self.observe_outcome(job, key, step_outcome);
         }
         self.metrics.count_step(step, outcome.as_ref().map_or_else(|f| f.text(), |_| "answered"));
