--- a/crates/soak/src/callers/broken.rs
+++ b/crates/soak/src/callers/broken.rs
@@ -21,6 +21,9 @@
 const PEER_TIME: Duration = Duration::from_millis(500);
 const PEER_TIME_LOADED: Duration = Duration::from_secs(2);
 
+/// Time after a pause in which what an instance believes of its endpoints may still come from the pause.
+const AFTERMATH: Duration = Duration::from_secs(5);
+
 /// How a call ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub(super) enum Ending {
@@ -57,7 +60,7 @@
     Deadline,
     /// An endpoint that may have got it failed, left, or was cut off from an instance.
     Endpoint,
-    /// The endpoint paused, and nothing else was wrong.
+    /// The endpoint paused, now or shortly before, and nothing else was wrong.
     Silence,
     /// None of these.
     Unknown,
@@ -166,7 +169,8 @@
             return Cause::Endpoint;
         }
         let has_paused = |(endpoint, _): &(&Endpoint, Instant)| {
-            endpoint.server.last_pause().is_some_and(|(is_paused, changed)| is_paused || changed >= call.sent)
+            let last_pause = endpoint.server.last_pause();
+            last_pause.is_some_and(|(is_paused, changed)| is_paused || changed + AFTERMATH >= call.sent)
         };
         if involved.iter().any(has_paused) { Cause::Silence } else { Cause::Unknown }
     }
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -2,8 +2,9 @@
 //!
 //! Endpoints and the store are stand-ins in this process, so that the soak knows at once which request ran where. Every
 //! connection of an instance to a stand-in goes through a proxy that can impair it. The faults come in series, overlap,
-//! and are drawn from one seed. A violation of a guarantee ends the run of its seed. The soak prints the violation with
-//! the seed, the plan so far and the log lines of the request, and later exits with code 1. The soak signals only
+//! and are drawn from one seed. A violation of a guarantee ends the run of its seed, except
+//! for responses that were not delivered, which are counted until its end. The soak prints the violation with the
+//! seed, the plan so far and the log lines of the request, and later exits with code 1. The soak signals only
 //! processes that it started, by their ids.
 
 mod callers;
