--- a/crates/soak/src/callers/calm.rs
+++ b/crates/soak/src/callers/calm.rs
@@ -15,6 +15,8 @@
 /// Connections that may be opened over each link between an instance and an endpoint in the window. Idle instances open none; some may still check a
 /// link that was lost.
 const CONNECTIONS_MAX: f64 = 0.1;
+/// Time between the first calls of two instances, so that the check is no load itself where a new connection takes an endpoint its time.
+const STAGGER: Duration = Duration::from_millis(100);
 /// First tries at each instance, of all kinds in turn.
 const CALLS: usize = 8;
 
@@ -43,6 +45,7 @@
         for (index, slot) in site.parts().instances.iter().enumerate() {
             let caller = self.caller(&slot.settings.caller_address.to_string());
             tasks.spawn(async move {
+                tokio::time::sleep(STAGGER * index as u32).await;
                 let mut missed = Vec::new();
                 for number in 0..CALLS {
                     let kind = ["once", "stream", "safe", "resume"][number % 4];
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -93,6 +93,10 @@
         self.log.len()
     }
 
+    pub(crate) fn last_fault(&self) -> &str {
+        self.log.last().map_or("", |line| line.trim())
+    }
+
     pub(crate) fn text(&self) -> String {
         self.log.join("\n")
     }
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -70,6 +70,8 @@
 /// Time that a new connection takes an endpoint beside pauses alone: connections that many instances open again and again take all its time, as they
 /// do at endpoints that accept in their main loop.
 const ACCEPT_TIME: Duration = Duration::from_millis(20);
+/// Time that a step of a plan takes only if this machine keeps the soak from running.
+const LONG_STEP: Duration = Duration::from_secs(5);
 /// Seeds that have failed before, one a line, each with its cause after a comma. The seed of a run with pauses alone is followed by that word, and by
 /// its number of instances where that is not the usual one.
 const SEEDS: &str = include_str!("../seeds.txt");
@@ -142,11 +144,20 @@
     let end = tokio::time::Instant::now() + Duration::from_secs(arguments.seconds);
     let mut next_summary = tokio::time::Instant::now() + Duration::from_secs(5);
     while tokio::time::Instant::now() < end {
+        let begun = tokio::time::Instant::now();
         match arguments.faults {
             Faults::All => plan.step(site).await,
             Faults::Pauses => plan.step_with_pauses(site).await,
         }
         callers.violation(site).map_or(Ok(()), Err)?;
+        if begun.elapsed() > LONG_STEP {
+            // Instances that have ended are started again by the next step only.
+            println!(
+                "seed {seed}: a step took {:.1?}; its last fault: {}",
+                begun.elapsed(),
+                plan.last_fault()
+            );
+        }
         if tokio::time::Instant::now() >= next_summary {
             next_summary += Duration::from_secs(5);
             println!("seed {seed}: {} faults, {}", plan.count(), callers.summary());
