Soak: the time for a shutdown begins with the first SIGTERM of a process, also when a freeze missed that process

The end of a freeze counted as a start of the process, so that a second SIGTERM 3 s later was taken for the first one, and the process seemed to have ended 3 s before its time was over. A false alarm of the check. The summary also says how many responses went on after their end.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -148,7 +148,13 @@
         let count = |c: &AtomicU64| c.load(Ordering::Relaxed);
         let Counts { sent, answered, refused } = &*self.counts;
         let causes = self.broken.lock().unwrap_or_else(PoisonError::into_inner);
-        format!("{} asked, {} answered, {} refused; {causes}", count(sent), count(answered), count(refused))
+        let endless = lock(&self.records).endless.len();
+        format!(
+            "{} asked, {} answered, {} refused, {endless} went on after their end; {causes}",
+            count(sent),
+            count(answered),
+            count(refused)
+        )
     }
 
     /// The first violation so far.
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -269,8 +269,8 @@
         self.log(&format!("SIGTERM to instance {index}"));
         let mut parts = site.parts();
         let slot = &mut parts.instances[index];
-        if slot.terminated.is_none_or(|at| at < slot.running_since) {
-            slot.terminated = Some(Instant::now());
+        if slot.terminated.is_none_or(|(incarnation, _)| incarnation != slot.incarnation) {
+            slot.terminated = Some((slot.incarnation, Instant::now()));
         }
         drop(parts);
         signal(site, index, "-TERM");
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -88,8 +88,8 @@
     pub(crate) running_since: Instant,
     /// When the process was last killed, frozen or continued.
     pub(crate) interrupted: Instant,
-    /// When the last process that was sent SIGTERM first got it.
-    pub(crate) terminated: Option<Instant>,
+    /// The last incarnation that was sent SIGTERM, and when it first was.
+    pub(crate) terminated: Option<(u64, Instant)>,
     /// Impairment of its links to all endpoints.
     cut: Impairment,
     /// Since when no fault has affected the process or its link to the store.
--- a/crates/soak/src/statements.rs
+++ b/crates/soak/src/statements.rs
@@ -68,9 +68,9 @@
 pub(crate) fn was_interrupted(parts: &Parts, request_id: &str, sent: Instant, ended: Instant) -> bool {
     let instance = instance_of(request_id).and_then(|index| parts.instances.get(index));
     instance.is_none_or(|instance| {
-        let had_to_end = instance
-            .terminated
-            .is_some_and(|at| sent < at + SHUTDOWN_TIME && ended + SHUTDOWN_MARGIN >= at + SHUTDOWN_TIME);
+        let had_to_end = instance.terminated.is_some_and(|(_, at)| {
+            sent < at + SHUTDOWN_TIME && ended + SHUTDOWN_MARGIN >= at + SHUTDOWN_TIME
+        });
         instance.interrupted >= sent || had_to_end
     })
 }
@@ -79,7 +79,7 @@
 pub(crate) fn was_terminated(parts: &Parts, request_id: &str, sent: Instant, ended: Instant) -> bool {
     let instance = instance_of(request_id).and_then(|index| parts.instances.get(index));
     let terminated = instance.and_then(|instance| instance.terminated);
-    terminated.is_some_and(|at| at <= ended && sent <= at + SHUTDOWN_TIME)
+    terminated.is_some_and(|(_, at)| at <= ended && sent <= at + SHUTDOWN_TIME)
 }
 
 /// A request that is one too many in a cooldown.
