--- a/crates/soak/src/faults/pauses.rs
+++ b/crates/soak/src/faults/pauses.rs
@@ -4,7 +4,7 @@
 
 use rand::Rng;
 use rand::rngs::StdRng;
-use teaselshunt_standin::{SiteEndless, SiteFault};
+use teaselshunt_standin::{SiteFault, SiteNoEnd};
 
 use super::{Plan, Undo};
 use crate::site::Site;
@@ -69,12 +69,12 @@
         if !self.silences.random_bool(0.05) {
             return;
         }
-        let kinds = [SiteEndless::Head, SiteEndless::Body, SiteEndless::Events];
+        let kinds = [SiteNoEnd::Head, SiteNoEnd::Body, SiteNoEnd::Events];
         let kind = kinds[self.silences.random_range(0..kinds.len())];
         let index = self.silences.random_range(0..site.parts().endpoints.len());
         let time = Duration::from_millis(self.silences.random_range(200..2_000));
         self.log(&format!("endpoint {index} sends without end: {kind:?}"));
-        site.parts().endpoints[index].set_fault(SiteFault::Endless(kind));
+        site.parts().endpoints[index].set_fault(SiteFault::NoEnd(kind));
         self.undo.push((Instant::now() + time, Undo::Fault(index)));
     }
 
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -48,7 +48,7 @@
     pub(crate) fn set_fault(&self, fault: SiteFault) {
         self.server.set_fault(fault);
         self.broken.set((fault != SiteFault::None, Instant::now()));
-        self.endless.set(self.endless.get() || matches!(fault, SiteFault::Endless(_)));
+        self.endless.set(self.endless.get() || matches!(fault, SiteFault::NoEnd(_)));
     }
 
     /// Since when no connection has been impaired and the endpoint has not paused; `None` if either is so now.
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -21,7 +21,7 @@
 pub use service::{Execution, Service, ServiceFaults, Unframed};
 pub use site::{
     CRASHING_BODY, FLOODING_TEAM, LinkMode, RESPONSE_HEADERS, RIVAL_TEAM, SiteArrival, SiteBody, SiteCut,
-    SiteEndless, SiteEndpoint, SiteExecution, SiteFault, SiteFraming, SiteInstance, SiteLink, SiteOptions,
+    SiteEndpoint, SiteExecution, SiteFault, SiteFraming, SiteInstance, SiteLink, SiteNoEnd, SiteOptions,
     SitePause, SiteSettings, SiteTeam, Store, StoreBackup, StoreMode, UNLIMITED_TEAM, event_text, is_signed,
     leaving_endpoint, site_configuration, site_request,
 };
--- a/crates/standin/src/site/endpoint.rs
+++ b/crates/standin/src/site/endpoint.rs
@@ -15,9 +15,9 @@
 
 use super::body::{SiteBody, SiteFraming};
 use super::capacity::{Entry, Places, Reservations};
-use super::endless::{Begin, SiteEndless, write_endless};
 use super::events::write_events;
 use super::http::{Request, read_request, write_response};
+use super::no_end::{Begin, SiteNoEnd, write_without_end};
 use super::pause::{PausableListener, PausableStream, Pauses, SitePause};
 
 /// Slots that an endpoint without a limit on its places states: more than it gets requests at a time.
@@ -77,7 +77,7 @@
     /// Sends this text in place of a response; `{id}` stands for the request's id. The connection stays open.
     Text(&'static str),
     /// Sends responses without an end.
-    Endless(SiteEndless),
+    NoEnd(SiteNoEnd),
     /// Adds this many bytes to each response, and to each event of a stream.
     Large(usize),
 }
@@ -575,8 +575,8 @@
         let fault = self.lock().fault;
         let style = match fault {
             SiteFault::Body(style) => style,
-            SiteFault::Endless(kind) => {
-                return write_endless(stream, kind, headers, Begin::Text(&body)).await;
+            SiteFault::NoEnd(kind) => {
+                return write_without_end(stream, kind, headers, Begin::Text(&body)).await;
             }
             _ => SiteBody::whole(SiteFraming::Length),
         };
--- a/crates/standin/src/site/events.rs
+++ b/crates/standin/src/site/events.rs
@@ -2,9 +2,9 @@
 
 use tokio::io::AsyncWriteExt;
 
-use super::endless::{Begin, write_endless};
 use super::endpoint::{SiteFault, SiteOptions};
 use super::http::{response_head, write_chunk};
+use super::no_end::{Begin, write_without_end};
 use super::pause::PausableStream;
 
 /// Writes the events of a stream after `after`, and returns whether the connection stays open.
@@ -22,9 +22,9 @@
             (after + 1..=options.event_count).map(|number| event_text(id, number)).collect();
         return style.write(stream, 200, &headers, &events, options.event_gap).await;
     }
-    if let SiteFault::Endless(kind) = fault {
+    if let SiteFault::NoEnd(kind) = fault {
         let begin = Begin::Events { id, after, gap: options.event_gap };
-        return write_endless(stream, kind, &headers, begin).await;
+        return write_without_end(stream, kind, &headers, begin).await;
     }
     let mut text = response_head(200, &headers);
     text.push_str("transfer-encoding: chunked\r\n\r\n");
--- a/crates/standin/src/site/endless.rs
+++ b/crates/standin/src/site/no_end.rs
@@ -10,7 +10,7 @@
 
 /// What an endpoint sends without an end, until the connection is closed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum SiteEndless {
+pub enum SiteNoEnd {
     /// Header lines.
     Head,
     /// Dots, after the body of a plain response or in place of events.
@@ -33,29 +33,29 @@
 }
 
 /// Writes until the client has closed the connection, and returns whether it stays open: never.
-pub(super) async fn write_endless(
+pub(super) async fn write_without_end(
     stream: &mut PausableStream,
-    kind: SiteEndless,
+    kind: SiteNoEnd,
     headers: &[(&str, &str)],
     begin: Begin<'_>,
 ) -> bool {
     // Writing to a connection that the client has closed fails, which ends each of these loops.
     let filler = String::from_utf8_lossy(&PIECE);
     let mut head = response_head(200, headers);
-    if kind != SiteEndless::Head {
+    if kind != SiteNoEnd::Head {
         head.push_str("transfer-encoding: chunked\r\n\r\n");
     }
     if stream.write_all(head.as_bytes()).await.is_err() {
         return false;
     }
-    if kind == SiteEndless::Head {
+    if kind == SiteNoEnd::Head {
         while stream.write_all(format!("filler: {filler}\r\n").as_bytes()).await.is_ok() {
             tokio::time::sleep(PIECE_GAP).await;
         }
         return false;
     }
     match begin {
-        Begin::Events { id, mut after, gap } if kind == SiteEndless::Events => loop {
+        Begin::Events { id, mut after, gap } if kind == SiteNoEnd::Events => loop {
             after += 1;
             if !write_chunk(stream, &event_text(id, after)).await {
                 return false;
--- a/crates/standin/tests/all/main.rs
+++ b/crates/standin/tests/all/main.rs
@@ -1,8 +1,8 @@
 //! Tests of the limits of stand-in endpoints. If a stand-in accepted more than it says, tests of overload would pass
 //! without an overload.
 
-mod endless;
 mod engine;
+mod no_end;
 mod pause;
 
 use std::time::{Duration, Instant};
--- a/crates/standin/tests/all/endless.rs
+++ b/crates/standin/tests/all/no_end.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use reqwest::Client;
-use teaselshunt_standin::{SiteEndless, SiteFault, event_text, site_request};
+use teaselshunt_standin::{SiteFault, SiteNoEnd, event_text, site_request};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -17,7 +17,7 @@
 #[tokio::test]
 async fn a_head_does_not_end() {
     let engine = start_engine().await;
-    engine.set_fault(SiteFault::Endless(SiteEndless::Head));
+    engine.set_fault(SiteFault::NoEnd(SiteNoEnd::Head));
     let mut stream = TcpStream::connect(engine.address()).await.expect("a connection");
     stream.write_all(b"POST / HTTP/1.1\r\nrequest-id: r\r\n\r\n").await.expect("a request");
     let mut head = vec![0; MANY_BYTES];
@@ -35,8 +35,8 @@
     let engine = start_engine().await;
     let address = engine.address().to_string();
     let events = (1..=EVENTS * 2).map(|number| event_text("r", number)).collect::<String>();
-    for (kind, expected) in [(SiteEndless::Events, events), (SiteEndless::Body, ".".repeat(MANY_BYTES))] {
-        engine.set_fault(SiteFault::Endless(kind));
+    for (kind, expected) in [(SiteNoEnd::Events, events), (SiteNoEnd::Body, ".".repeat(MANY_BYTES))] {
+        engine.set_fault(SiteFault::NoEnd(kind));
         let request = site_request(&Client::new(), &address, "/", "r", 60_000);
         let mut response = request.send().await.expect("a response");
         let mut text = Vec::new();
