Reservations: an engine that does not answer keeps its call, and is no full engine

New generations were refused with 429 when engines were silent: each unanswered call took 0.2 s of the 0.78 goals for which a generation waits, and at the end the refusal said that engines were full, which none had said. On a route with a goal of 0.2 s one such call was the whole wait. After a silence, engines held memory for nobody for as long as a reservation lasts (2 s): they granted what they had been asked for, and the instance no longer waited for it.

Now a search asks another engine after 0.2 s and the call goes on, at most for the time that a reservation is held. The first engine to grant has the generation. What others grant is released as soon as it arrives. Engines that have yet to answer are not asked again, unless their link was lost since. While a call is unanswered a search does not end with its wait, but goes on as long as that of a retry (half of the time after which callers leave; 1.8 s at a goal of 0.9 s), with the rank of a late request, so that it holds up nobody who can be on time. Such a search counts neither as a shortage nor as hopeless.

That is better than the refusal: the response is late either way. A refused caller comes back after 0.27 of its remaining time (3.6 s of 13.3 s), once, and with other callers; one that waits has its response when the engine goes on. Where engines are silent for good the refusal comes after 1.8 s, not 0.7 s.

--- a/crates/forward/src/queue.rs
+++ b/crates/forward/src/queue.rs
@@ -231,6 +231,13 @@
         }
     }
 
+    /// Replaces the engines that are not offered.
+    pub(crate) fn set_tried(&self, tried: Vec<EndpointKey>) {
+        if let Some((_, search)) = self.node.state.borrow_mut().waiters.search_mut(self.key) {
+            search.tried = tried;
+        }
+    }
+
     /// Why there is no offer.
     pub(crate) fn obstacle(&self) -> Obstacle {
         self.node.state.borrow().waiters.obstacle(self.key)
--- a/crates/forward/src/reservations.rs
+++ b/crates/forward/src/reservations.rs
@@ -6,13 +6,17 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use hyper::StatusCode;
 use rand::Rng;
 use teaselshunt_core::{ErrorKind, Refusal};
 use teaselshunt_routing::{Backoff, EndpointKey, Obstacle, Stage, StepOutcome, WaitPolicy, retry_delay};
+use tokio::sync::oneshot;
 
 use crate::calls::{CALL_TIMEOUT, release_in_background};
 use crate::connection_pool::ExchangeFailure;
@@ -68,6 +72,9 @@
 }
 
 /// Reserves capacity for the complete generation at a decode engine.
+///
+/// An engine that does not answer in time may be silent for a moment only. Others are asked then, and the first to grant a
+/// reservation has the generation. What the others grant is released.
 pub(crate) async fn reserve(
     node: &Rc<Node>,
     job: &Job,
@@ -75,23 +82,41 @@
     search: CapacitySearch<'_>,
 ) -> Result<Reservation, Refusal> {
     let tokens = job.tokens(node.expected_output(job));
-    let WaitPolicy { until, late } = search.wait_policy;
-    let mut backoff = Backoff::new(late);
-    let mut waiter = Waiter::join(node, job, trace, search, tokens);
+    let mut policy = search.wait_policy;
+    let mut backoff = Backoff::new(policy.late);
+    let mut calls = Calls::default();
+    let join = |calls: &Calls, search: CapacitySearch<'_>| {
+        let tried = calls.excluded(node, search.tried);
+        Waiter::join(node, job, trace, CapacitySearch { tried: &tried, ..search }, tokens)
+    };
+    let mut waiter = join(&calls, search);
     let mut offer = waiter.take_offer();
     let shortage = loop {
         // Work that begins now must end within the grace time. Another instance, which is not stopping, can
         // still serve the caller.
-        if late && node.phase() >= Phase::Refusing {
+        if policy.late && node.phase() >= Phase::Refusing {
             break Shortage::Instance;
         }
         if let Some(work) = offer {
-            match attempt(node, job, trace, work, &mut backoff).await {
-                Ok(reservation) => return Ok(reservation),
-                Err(pause) => waiter.postpone(randomized(node, pause)),
-            }
-            if node.now() >= until {
-                break Shortage::Capacity;
+            let pause = if calls.begin(node, job, work) {
+                let until = (node.now() + CALL_TIMEOUT).min(job.deadline);
+                match tokio::time::timeout_at(until.into(), calls.next()).await {
+                    Ok(Ok(reservation)) => return Ok(reservation),
+                    Ok(Err(refusal)) => refusal.pause(node, trace, &mut backoff),
+                    Err(_) => {
+                        trace.record_step("reserve", &calls.newest(node), "timed_out");
+                        backoff.pause()
+                    }
+                }
+            } else {
+                Duration::ZERO
+            };
+            waiter.set_tried(calls.excluded(node, search.tried));
+            waiter.postpone(randomized(node, pause));
+            if node.now() >= policy.until {
+                let Some(longer) = calls.longer(policy, node, job) else { break Shortage::Capacity };
+                policy = longer;
+                waiter = join(&calls, CapacitySearch { wait_policy: policy, ..search });
             }
             offer = waiter.take_offer();
             if offer.is_some() {
@@ -109,26 +134,51 @@
         }
         let stage = Some(shortage.stage());
         let first = statements::first_available(node, job, stage);
-        let all_cooling = first.is_some_and(|first| first >= until);
-        if node.now() >= until || all_cooling || rates::is_overloaded(node, job, stage) {
+        let all_cooling = first.is_some_and(|first| first >= policy.until);
+        if all_cooling || rates::is_overloaded(node, job, stage) {
             break shortage;
         }
+        if node.now() >= policy.until {
+            let Some(longer) = calls.longer(policy, node, job) else { break shortage };
+            policy = longer;
+            waiter = join(&calls, CapacitySearch { wait_policy: policy, ..search });
+            offer = waiter.take_offer();
+            continue;
+        }
         // A late request, and one that an engine must prefill by itself, may find nothing although there is
-        // room for others.
-        if obstacle == Obstacle::Memory && !late && search.prompt != PromptState::LocalPrefill {
+        // room for others. So may one for which engines that do not answer are left out.
+        let is_usual = !policy.late && calls.is_empty();
+        if obstacle == Obstacle::Memory && is_usual && search.prompt != PromptState::LocalPrefill {
             load::record_shortage(node, job);
         }
-        let joins = waiter.record_wait(job);
+        let joins = waiter.record_wait(job) && calls.is_empty();
         if joins && search.prompt == PromptState::NotPrefilled && waiter.is_hopeless() {
             break shortage;
         }
-        offer = waiter.wait(randomized(node, backoff.pause()), until).await;
+        waiter.set_tried(calls.excluded(node, search.tried));
+        offer = tokio::select! {
+            biased;
+            answer = calls.next() => match answer {
+                Ok(reservation) => return Ok(reservation),
+                Err(refusal) => {
+                    refusal.pause(node, trace, &mut backoff);
+                    waiter.set_tried(calls.excluded(node, search.tried));
+                    waiter.take_offer()
+                }
+            },
+            offer = waiter.wait(randomized(node, backoff.pause()), policy.until) => offer,
+        };
     };
     drop(waiter);
     trace.record_step("reserve", "any", shortage.text());
+    Err(refusal(node, job, trace, shortage))
+}
+
+/// The refusal of a generation that found no capacity.
+fn refusal(node: &Node, job: &Job, trace: &Trace, shortage: Shortage) -> Refusal {
     match shortage {
-        Shortage::Instance => Err(Refusal::retryable(ErrorKind::Stopping, OTHER_INSTANCE_RETRY)),
-        Shortage::DecodeEngine => Err(Refusal::retryable(ErrorKind::NoEndpoint, NO_ENDPOINT_RETRY)),
+        Shortage::Instance => Refusal::retryable(ErrorKind::Stopping, OTHER_INSTANCE_RETRY),
+        Shortage::DecodeEngine => Refusal::retryable(ErrorKind::NoEndpoint, NO_ENDPOINT_RETRY),
         Shortage::Capacity | Shortage::PrefillEngine | Shortage::LocalPrefill => {
             let left = job.deadline.saturating_duration_since(node.now());
             let full = || {
@@ -137,37 +187,92 @@
             };
             let stage = Some(shortage.stage());
             let refusal = statements::refusal(node, job, trace, stage);
-            Err(refusal.or_else(|| rates::refusal(node, job, trace, stage)).unwrap_or_else(full))
+            refusal.or_else(|| rates::refusal(node, job, trace, stage)).unwrap_or_else(full)
         }
     }
 }
 
-/// Asks the engine that was offered. Returns the mean pause before another one may be asked if it refuses.
-async fn attempt(
-    node: &Rc<Node>,
-    job: &Job,
-    trace: &Trace,
-    work: InFlightWork,
-    backoff: &mut Backoff,
-) -> Result<Reservation, Duration> {
-    let key = work.endpoint();
-    let Some((address, id)) = node.locate_available(key) else { return Err(Duration::ZERO) };
-    match reserve_at(node, job, key, (address, &id), work.tokens()).await {
-        Ok(reservation_id) => {
-            node.observe_granted(key);
-            let node = Rc::clone(node);
-            Ok(Reservation { node, endpoint: key, address, id: Some(reservation_id), work: Some(work) })
-        }
-        Err((step_outcome, outcome)) => {
-            node.observe_step(key, step_outcome);
-            if step_outcome == StepOutcome::Full {
-                return Err(backoff.after_refusal());
-            }
-            trace.record_step("reserve", &node.id_for_log(key), outcome);
-            // An engine that has ended fails at once; without a pause, a sole engine would be asked in a tight
-            // loop.
-            Err(backoff.pause())
+/// Why a call brought no reservation.
+#[derive(Debug)]
+struct CallRefusal {
+    engine: EndpointKey,
+    outcome: StepOutcome,
+    text: &'static str,
+}
+
+impl CallRefusal {
+    /// The mean pause before another engine may be asked.
+    fn pause(&self, node: &Node, trace: &Trace, backoff: &mut Backoff) -> Duration {
+        if self.outcome == StepOutcome::Full {
+            return backoff.after_refusal();
         }
+        trace.record_step("reserve", &node.id_for_log(self.engine), self.text);
+        // An engine that has ended fails at once; without a pause, a sole engine would be asked in a tight loop.
+        backoff.pause()
+    }
+}
+
+type Answer = Result<Reservation, CallRefusal>;
+
+/// Calls for a reservation that are not answered.
+#[derive(Debug, Default)]
+struct Calls {
+    answers: FuturesUnordered<oneshot::Receiver<Answer>>,
+    /// Engines of the calls, and their addresses.
+    engines: Vec<(EndpointKey, SocketAddr)>,
+}
+
+impl Calls {
+    fn is_empty(&self) -> bool {
+        self.engines.is_empty()
+    }
+
+    /// Asks the engine that was offered. Returns whether it may be asked.
+    fn begin(&mut self, node: &Rc<Node>, job: &Job, work: InFlightWork) -> bool {
+        let key = work.endpoint();
+        let Some((address, id)) = node.locate_available(key) else { return false };
+        let (sender, answer) = oneshot::channel();
+        self.answers.push(answer);
+        self.engines.push((key, address));
+        let hold = job.service.engine.map_or(CALL_TIMEOUT, |e| e.hold);
+        let node = Rc::clone(node);
+        tokio::task::spawn_local(async move {
+            let answer = ask(&node, (address, &id), hold, work).await;
+            // A search that has ended takes no answer, and a reservation that nobody takes is released.
+            let _ = sender.send(answer);
+        });
+        true
+    }
+
+    /// The next answer. Waits for ever if there is no call.
+    async fn next(&mut self) -> Answer {
+        let Some(answer) = self.answers.next().await else { return std::future::pending().await };
+        let answer = answer.expect("a call ends with its answer");
+        let engine = match &answer {
+            Ok(reservation) => reservation.endpoint,
+            Err(refusal) => refusal.engine,
+        };
+        self.engines.retain(|&(key, _)| key != engine);
+        answer
+    }
+
+    /// Id of the engine that was asked last, for logs.
+    fn newest(&self, node: &Node) -> Arc<str> {
+        self.engines.last().map_or_else(|| "any".into(), |&(key, _)| node.id_for_log(key))
+    }
+
+    /// Engines not to ask now: those of `tried`, and those that have yet to answer. Where the link to one of these was
+    /// lost since, a peer may reach it.
+    fn excluded(&self, node: &Node, tried: &[EndpointKey]) -> Vec<EndpointKey> {
+        let reach = node.pool.reach();
+        let silent = self.engines.iter().filter(|(_, address)| !reach.is_lost(*address));
+        tried.iter().copied().chain(silent.map(|&(key, _)| key)).collect()
+    }
+
+    /// The policy for the rest of a search that would end now, if it waits for an answer.
+    fn longer(&self, policy: WaitPolicy, node: &Node, job: &Job) -> Option<WaitPolicy> {
+        let longer = policy.after_silence(job.arrived, job.deadline, &job.route)?;
+        (!self.is_empty() && longer.until > node.now()).then_some(longer)
     }
 }
 
@@ -176,25 +281,42 @@
     mean.mul_f64(node.state.borrow_mut().rng.random_range(0.5..1.5))
 }
 
-/// Asks one engine for capacity. Returns the reservation's id, or the step's outcome and the failure's name.
-async fn reserve_at(
-    node: &Node,
-    job: &Job,
-    key: EndpointKey,
+/// Asks one engine for capacity, and learns from its answer.
+///
+/// The call goes on for as long as a reservation would be held: an engine that was silent answers all calls when it goes
+/// on, and a reservation that nobody knows of would take its memory for that time.
+async fn ask(
+    node: &Rc<Node>,
     (address, id): (SocketAddr, &str),
-    tokens: u64,
-) -> Result<String, (StepOutcome, &'static str)> {
-    let ttl = job.service.engine.map_or(CALL_TIMEOUT, |e| e.hold);
-    let sent_at = node.now();
-    let until = (sent_at + CALL_TIMEOUT).min(job.deadline);
-    let answer = node.call_endpoint(key, address, node.protocol.reserve(id, tokens, ttl), until).await;
+    hold: Duration,
+    work: InFlightWork,
+) -> Answer {
+    let (engine, sent_at) = (work.endpoint(), node.now());
+    let request = node.protocol.reserve(id, work.tokens(), hold);
+    let call = node.call_endpoint(engine, address, request, sent_at + hold.max(CALL_TIMEOUT));
+    tokio::pin!(call);
+    let in_time = tokio::time::timeout(CALL_TIMEOUT, &mut call).await;
+    if in_time.is_err() {
+        node.metrics.count_step("reserve", "timed_out");
+        node.observe_step(engine, StepOutcome::Silent(CALL_TIMEOUT));
+    }
+    let answer = match in_time {
+        Ok(answer) => answer,
+        Err(_) => call.await,
+    };
     let reservation_id = match &answer {
         Ok((StatusCode::OK, body)) => node.protocol.read_reservation(body),
         Ok(_) | Err(_) => None,
     };
-    let (step_outcome, outcome) = classify(&answer, node.now().duration_since(sent_at));
-    node.metrics.count_step("reserve", if reservation_id.is_some() { "ok" } else { outcome });
-    reservation_id.ok_or((step_outcome, outcome))
+    let (outcome, text) = classify(&answer, node.now().duration_since(sent_at));
+    node.metrics.count_step("reserve", if reservation_id.is_some() { "ok" } else { text });
+    let Some(reservation_id) = reservation_id else {
+        node.observe_step(engine, outcome);
+        return Err(CallRefusal { engine, outcome, text });
+    };
+    node.observe_granted(engine);
+    let node = Rc::clone(node);
+    Ok(Reservation { node, endpoint: engine, address, id: Some(reservation_id), work: Some(work) })
 }
 
 /// The outcome of a reservation call without a reservation that took `time`, and the failure's name for logs.
--- a/crates/routing/src/wait_policy.rs
+++ b/crates/routing/src/wait_policy.rs
@@ -66,6 +66,14 @@
         Self { until: (now + RESUME_WAIT).min(until), late: false }
     }
 
+    /// The policy of a request that waits longer since an engine has not answered by the end of its wait, if there is time
+    /// for that: the engine has not said that it is full. The request can't be on time any more, and waits as long as a
+    /// retry.
+    pub fn after_silence(self, arrived: Instant, deadline: Instant, route: &Route) -> Option<Self> {
+        let until = (arrived + route.abandon_timeout().mul_f64(RETRY_WAIT_FRACTION)).min(deadline);
+        (until > self.until).then_some(Self { until, late: true })
+    }
+
     /// Tokens of capacity that must be left to others, beside the `tokens` that the request needs itself.
     pub fn headroom(self, tokens: u64) -> u64 {
         if self.late { tokens } else { 0 }
--- a/crates/routing/tests/all/wait_policy.rs
+++ b/crates/routing/tests/all/wait_policy.rs
@@ -45,6 +45,25 @@
     assert!(retry.prefill_limit(&route) < new.prefill_limit(&route));
 }
 
+/// Guards against a caller who is refused while the engine that was asked is silent, and against one who waits for that as if it could be
+/// on time, or for longer than callers stay. A retry waits that long anyway.
+#[test]
+fn a_request_waits_longer_for_an_engine_that_has_not_answered() {
+    let (now, route) = (Instant::now(), route());
+    let new = WaitPolicy::for_arrival(now, now + CALLER, &route, false);
+    let retry = WaitPolicy::for_arrival(now, now + CALLER, &route, true);
+    let longer = new.after_silence(now, now + CALLER, &route).expect("there is time");
+    assert!(
+        longer.until > now + Duration::from_millis(1_250) && longer.until < now + route.abandon_timeout()
+    );
+    assert!(longer.late);
+    assert!(longer.after_silence(now, now + CALLER, &route).is_none(), "only once");
+    assert!(retry.after_silence(now, now + CALLER, &route).is_none());
+    let soon = now + Duration::from_millis(100);
+    let short = WaitPolicy::for_arrival(now, soon, &route, false);
+    assert!(short.after_silence(now, soon, &route).is_none(), "the caller has no more time");
+}
+
 /// All callers that are refused in a burst retry. A retry within the burst would be refused again.
 #[test]
 fn a_refused_caller_retries_after_the_burst() {
