Own interface: a caller that disconnects before its response begins is noticed

An engine kept its slot for a caller that had left, until the stream's first token or its failure; a service call ran on.

Cause: the HTTP server (poem) polls the connection again after it has ended, so that the handler of the request in progress is not dropped and waits on for its first output.

The caller's connection notes when a read finds its end, and handlers that wait for output end then. A stream whose head was sent was ended before as well: its body is dropped.

--- a/crates/daemon/src/acceptor.rs
+++ b/crates/daemon/src/acceptor.rs
@@ -17,7 +17,7 @@
 use poem::web::{LocalAddr, RemoteAddr};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 
 /// Delay after a failed accept. The usual cause is that the process has no free file descriptor; without the
 /// delay the accept loop would spin at full speed until a descriptor is closed.
@@ -38,18 +38,43 @@
     }
 }
 
-/// Ends a connection in the middle of its response.
+/// Ends a connection in the middle of its response, and tells when its caller has closed it.
 #[derive(Debug, Clone, Default)]
-pub(crate) struct AbortHandle(Arc<AtomicBool>);
+pub(crate) struct AbortHandle(Arc<ConnectionState>);
+
+#[derive(Debug, Default)]
+struct ConnectionState {
+    is_aborted: AtomicBool,
+    is_closed: AtomicBool,
+    closed: Notify,
+}
 
 impl AbortHandle {
     /// Makes all further writes fail. Bytes that were written before are delivered.
     pub(crate) fn abort(&self) {
-        self.0.store(true, Ordering::Relaxed);
+        self.0.is_aborted.store(true, Ordering::Relaxed);
     }
 
     fn is_aborted(&self) -> bool {
-        self.0.load(Ordering::Relaxed)
+        self.0.is_aborted.load(Ordering::Relaxed)
+    }
+
+    /// Waits until the caller has closed the connection.
+    ///
+    /// The HTTP server keeps polling the handler of a request whose connection has ended, instead of dropping it.
+    pub(crate) async fn closed(&self) {
+        loop {
+            let closed = self.0.closed.notified();
+            if self.0.is_closed.load(Ordering::Acquire) {
+                return;
+            }
+            closed.await;
+        }
+    }
+
+    fn set_closed(&self) {
+        self.0.is_closed.store(true, Ordering::Release);
+        self.0.closed.notify_waiters();
     }
 }
 
@@ -125,7 +150,12 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let (capacity, before) = (buf.remaining(), buf.filled().len());
+        let result = std::task::ready!(Pin::new(&mut self.stream).poll_read(cx, buf));
+        if result.is_err() || (capacity > 0 && buf.filled().len() == before) {
+            self.abort.set_closed();
+        }
+        Poll::Ready(result)
     }
 }
 
--- a/crates/daemon/src/callers/answer.rs
+++ b/crates/daemon/src/callers/answer.rs
@@ -109,3 +109,8 @@
     }
     response.body(Body::from(stored.body))
 }
+
+/// The response that nobody reads.
+pub(crate) fn caller_gone() -> RefusalResponse {
+    RefusalResponse::new(ErrorKind::Internal, "the caller has disconnected")
+}
--- a/crates/daemon/src/callers/openai.rs
+++ b/crates/daemon/src/callers/openai.rs
@@ -10,7 +10,7 @@
 use teaselshunt_core::{ErrorKind, Fingerprint, Generate, RequestId, StoredResponse, Work};
 use tokio::sync::{OwnedSemaphorePermit, mpsc};
 
-use super::answer::{REQUEST_ID, RefusalResponse, replay_response};
+use super::answer::{REQUEST_ID, RefusalResponse, caller_gone, replay_response};
 use super::front::{CallerApi, respond};
 use super::headers::RequestHeaders;
 use crate::acceptor::AbortHandle;
@@ -241,9 +241,13 @@
     let generation =
         Generation { model: parsed.model, prompt: parsed.prompt, max_tokens: parsed.max_tokens, render };
     let mut output = start_generation(session, api.engines.clone(), generation);
-    let first = first_output(&mut output).await?;
-    let latency = api.metrics.latency_recorder(&template.model, arrived);
     let abort = api.abort_handle(request);
+    // Dropping the output ends the driver, which releases what the request holds.
+    let first = tokio::select! {
+        first = first_output(&mut output) => first?,
+        () = abort.closed() => return Err(caller_gone()),
+    };
+    let latency = api.metrics.latency_recorder(&template.model, arrived);
     let response =
         PendingResponse { template, request: first.request, output, _permit: permit, latency, abort };
     match first.output {
@@ -308,7 +312,11 @@
                     return Ok(self.complete_response(&text, &finish));
                 }
             }
-            next = match self.output.recv().await {
+            let output = tokio::select! {
+                output = self.output.recv() => output,
+                () = self.abort.closed() => return Err(caller_gone()),
+            };
+            next = match output {
                 Some(Output::Tokens(tokens)) => tokens,
                 Some(Output::Refused(refusal)) => return Err(RefusalResponse::of(refusal, self.request)),
                 _ => return Err(RefusalResponse::new(ErrorKind::Internal, "the driver ended")),
--- a/crates/daemon/src/callers/services.rs
+++ b/crates/daemon/src/callers/services.rs
@@ -7,7 +7,7 @@
 use poem::{Body, Request, Response, handler};
 use teaselshunt_core::{Call, ErrorKind, Fingerprint, RequestId, Work};
 
-use super::answer::{REQUEST_ID, RefusalResponse, replay_response};
+use super::answer::{REQUEST_ID, RefusalResponse, caller_gone, replay_response};
 use super::front::{CallerApi, respond};
 use super::headers::{RequestHeaders, end_to_end, with_verified_team};
 use crate::driver::{CallOutput, CallRequest, ServiceResponse, start_call};
@@ -50,7 +50,12 @@
     let session = api.control.open_session(Work::Call(work));
     let call_request = CallRequest { method, path, headers, body, keyed: request_headers.key.is_some() };
     let output = start_call(session, api.engines.clone(), Arc::clone(&api.metrics), call_request);
-    match output.await {
+    let connection = api.abort_handle(request);
+    let output = tokio::select! {
+        output = output => output,
+        () = connection.closed() => return Err(caller_gone()),
+    };
+    match output {
         Ok(CallOutput::Answered { request, response }) => {
             Ok(with_request_id(caller_response(response), request))
         }
--- a/crates/daemon/tests/all/stop.rs
+++ b/crates/daemon/tests/all/stop.rs
@@ -39,14 +39,20 @@
 /// the engine immediately.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_disconnected_caller_leaves_no_slot_held() {
-    let fleet = Fleet::start_with(1, EngineOptions { token_gap: Duration::from_hours(1), ..slow() }).await;
+    let mut fleet =
+        Fleet::start_with(1, EngineOptions { token_gap: Duration::from_hours(1), ..slow() }).await;
+    // Stalls would end the stream as well.
+    fleet.patch(|c| c["policy"]["stall_ms"] = 600_000.into());
     let daemon = fleet.start_daemon(0).await;
+    until("the version is in force", || async { fleet.status(&daemon).await["version"] == 2 }).await;
     // The engine generates no second token for an hour, so only a cancel can free the slot.
     let request = fleet.completion(&daemon, "Gone caller", true);
     let waiting = tokio::spawn(async move { request.send().await });
     until("the engine holds the stream", || async { fleet.decode.iter().any(|e| e.streams_started() > 0) })
         .await;
     waiting.abort();
+    // A response that began before has the connection until it is dropped.
+    drop(waiting.await);
     until("nothing is held", || async { fleet.held_requests().is_empty() }).await;
     let status = fleet.status(&daemon).await;
     assert_eq!(status["requests"], 0);
