Own interface: streams stay at engines that are silent together

Callers lost streams, or waited for a second prefill, when engines were silent for longer than two stalls and went on: with one decode engine or several that were all silent the run was cancelled and the prompt prefilled again (8 prefills of 4 streams, 3 of 1), and with no attempt left the stream was broken off. With the default stall of 2 s it takes 4 s of silence.

A stall ended the step of the driver: the second one in a row ended the run, whatever the other engines did. Now a stall is a report, and the step goes on until the core sends another one. The first stall resumes the stream at its engine, since its connection may be dead. After that the core moves a stream only if an attempt is left and either the engine answers polls (it has lost the stream), or another decode engine and a prefill engine have answered since. Until then the stream waits, to its deadline. Such a stall counts neither as a failure of the engine, which paused it for up to 8 s, nor as a request that was lost there: with one loss each 5 s a stream that waits would have been quarantined for crashes that none was.

A stream that is resumed at its engine is read over both connections, tokens of which count by their offsets: what the engine had written to the first one was lost before, and the engine answered that it had no such stream.

Left, as a known red test: a stream that leaves an engine which is silent alone ends its run there first. Keeping it needs a second lease for a request, and attempts that go back to an earlier number. With the defaults it concerns silences of a single engine of more than 4 s.

--- a/crates/bench/src/world/drivers.rs
+++ b/crates/bench/src/world/drivers.rs
@@ -234,6 +234,20 @@
         let failure = if is_stall_timeout { StepFailure::Stalled } else { StepFailure::TimedOut };
         let offset = driver.offset;
         self.deliver_result(node, transition_count, Event::Failed { attempt, failure, offset });
+        if is_stall_timeout {
+            // The stream goes on, unless the instance has begun another step.
+            self.schedule_after(
+                timeout,
+                SimEvent::TimeoutCheck {
+                    node,
+                    transition_count,
+                    ticket,
+                    step_number,
+                    timeout,
+                    is_stall_timeout,
+                },
+            );
+        }
     }
 
     /// Number of tokens that the caller of a step has received.
--- a/crates/core/src/endpoints.rs
+++ b/crates/core/src/endpoints.rs
@@ -131,6 +131,11 @@
     fn load(&self) -> u32 {
         self.own + self.others
     }
+
+    /// Whether the engine has reported its load since then.
+    pub(crate) fn has_reported_since(&self, since: Instant) -> bool {
+        self.reported_at.is_some_and(|at| at > since)
+    }
 }
 
 /// All endpoints that one instance knows.
@@ -283,6 +288,19 @@
         self.group(pool, role).iter().any(|&k| self.is_open(now, &self.endpoints[k]))
     }
 
+    /// Whether any engine of this pool and role but `except` takes new work, and has reported its load since then.
+    pub(crate) fn answers_since(
+        &self,
+        now: Instant,
+        pool: &str,
+        role: Role,
+        except: EndpointKey,
+        since: Instant,
+    ) -> bool {
+        let others = self.group(pool, role).iter().filter(|&&k| k != except).map(|&k| &self.endpoints[k]);
+        others.filter(|e| self.is_open(now, e)).any(|e| e.has_reported_since(since))
+    }
+
     /// When the first endpoint of this pool and role takes work again, if all that would take some have stated
     /// that they want no requests now.
     pub(crate) fn first_available(&self, now: Instant, pool: &str, role: Role) -> Option<Instant> {
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -197,7 +197,7 @@
     Broken,
     /// No response within the timeout; the step may have run.
     TimedOut,
-    /// The stream made no progress.
+    /// The stream made no progress for the stall timeout. It goes on unless another step replaces it.
     Stalled,
 }
 
--- a/crates/core/src/failures.rs
+++ b/crates/core/src/failures.rs
@@ -31,6 +31,12 @@
         assert!(offset >= request.offset, "output offset of {attempt} decreased");
         request.offset = offset;
         let phase = request.phase;
+        if let (StepFailure::Stalled, Phase::Decoding { decode }) = (failure, phase)
+            && !self.leaves_silent(now, key, decode)
+        {
+            // The request is not lost. A poll shows when the engine answers again.
+            return out.push(Effect::Poll { target: self.endpoints.get(decode).target() });
+        }
         if matches!(failure, StepFailure::Broken | StepFailure::TimedOut | StepFailure::Stalled)
             && let Some(endpoint) = phase.endpoint()
         {
@@ -163,6 +169,28 @@
         self.requeue_or_refuse(now, key, failure, out);
     }
 
+    /// Whether the stream that `decode` runs, and that makes no progress, is to be resumed or run elsewhere.
+    ///
+    /// A stream is first resumed at the same engine: its connection may be dead. If it still makes no progress, the engine
+    /// may be silent for a moment, alone or with all others. Another attempt is better only if one is allowed, and if
+    /// either the engine answers polls and has lost the stream, or others answer that could run it.
+    fn leaves_silent(&mut self, now: Instant, key: RequestKey, decode: EndpointKey) -> bool {
+        let stall = Duration::from_millis(self.policy().stall_ms);
+        let request = self.requests.get_mut(key);
+        let (pool, resumed) = (request.pool.clone(), request.resumed);
+        // An engine that was silent as well since the last token has answered nothing in the second half of the time.
+        let earliest = now.checked_sub(stall / 2).unwrap_or(now);
+        let since = *request.silent_since.get_or_insert(earliest);
+        // Engines are polled by the owner of their pool alone, unless another instance needs their reports.
+        self.fallbacks.insert(pool.clone(), now);
+        if !resumed {
+            return true;
+        }
+        let answers = |role| self.endpoints.answers_since(now, &pool, role, decode, since);
+        let is_alive = self.endpoints.get(decode).has_reported_since(since);
+        self.may_attempt_again(now, key) && (is_alive || (answers(Role::Decode) && answers(Role::Prefill)))
+    }
+
     pub(crate) fn call_failed(
         &mut self,
         now: Instant,
--- a/crates/core/src/lifecycle.rs
+++ b/crates/core/src/lifecycle.rs
@@ -201,6 +201,7 @@
         let request = self.begin_attempt(key, Phase::Prefilling { prefill, decode });
         request.slot_taken = now;
         request.resumed = false;
+        request.silent_since = None;
         let effect = Effect::Prefill {
             ticket: request.ticket,
             attempt: request.attempt(),
@@ -379,6 +380,7 @@
         // The new stream has made progress. A later stall is a new failure, after which the stream may be
         // resumed again.
         request.resumed = false;
+        request.silent_since = None;
     }
 
     pub(crate) fn finished(
--- a/crates/core/src/requests.rs
+++ b/crates/core/src/requests.rs
@@ -115,6 +115,9 @@
     pub(crate) cache: Option<Cache>,
     /// Whether the stream was resumed and has made no progress since.
     pub(crate) resumed: bool,
+    /// Time after which an engine must have answered something to count as responsive, while the stream makes no
+    /// progress.
+    pub(crate) silent_since: Option<Instant>,
     pub(crate) tried: Vec<EndpointKey>,
     /// Whether the caller has disconnected and only the outcome for the idempotency key is awaited.
     pub(crate) caller_gone: bool,
@@ -203,6 +206,7 @@
             prefill_ended: now,
             cache: None,
             resumed: false,
+            silent_since: None,
             tried: Vec::new(),
             caller_gone: false,
             reservation: None,
--- a/crates/core/tests/all/steps.rs
+++ b/crates/core/tests/all/steps.rs
@@ -193,3 +193,44 @@
     instance.pass(DELAY);
     assert!(prefill(&instance.ask(101, Fingerprint(101))).is_some());
 }
+
+/// Guards against a stream that leaves an engine which is silent together with all others, and against one that stays at an engine that is
+/// silent alone. The first stall resumes the stream at its engine, since only the connection may be dead.
+#[test]
+fn a_stream_leaves_a_silent_engine_once_others_answer() {
+    const STALL: Duration = Duration::from_secs(2);
+    let mut instance = SingleInstance::start();
+    let attempt = instance.arrive(1);
+    instance.step(Event::Prefilled { attempt, bytes: 1, cached: 0 });
+    let decode = |effects: &[Effect]| {
+        effects.iter().find_map(|e| match e {
+            Effect::Decode { attempt, target, .. } => Some((*attempt, target.id)),
+            _ => None,
+        })
+    };
+    let (attempt, silent) = decode(&instance.step(Event::Imported { attempt })).expect("the stream begins");
+    let stall = |instance: &mut SingleInstance, attempt| {
+        instance.pass(STALL);
+        instance.step(Event::Failed { attempt, failure: StepFailure::Stalled, offset: 5 })
+    };
+    let (attempt, resumed_at) = decode(&stall(&mut instance, attempt)).expect("the stream is resumed");
+    assert_eq!(resumed_at, silent);
+    for _ in 0..9 {
+        let effects = stall(&mut instance, attempt);
+        assert!(effects.iter().all(|e| matches!(e, Effect::Poll { .. })), "{effects:?}");
+        let effects = instance.step(Event::Unreported { endpoint: silent });
+        assert!(
+            !effects.iter().any(|e| matches!(e, Effect::Refuse { .. })),
+            "a silent engine has not crashed"
+        );
+    }
+    for endpoint in instance.configuration.endpoints.clone() {
+        let endpoint = EndpointId::of(&endpoint.name);
+        if endpoint != silent {
+            instance.step(Event::Reported { endpoint, report: EngineLoad::default() });
+        }
+    }
+    let effects = stall(&mut instance, attempt);
+    let ends = |e: &Effect| matches!(e, Effect::Cancel { attempt: a, target } if *a == attempt && target.id == silent);
+    assert!(effects.iter().any(ends) && prefill(&effects).is_some(), "{effects:?}");
+}
--- a/crates/daemon/src/driver/generate.rs
+++ b/crates/daemon/src/driver/generate.rs
@@ -1,7 +1,12 @@
 //! Driver of a generation: prefill, import, decode, and the tokens that are passed to the caller.
 
+use std::pin::Pin;
 use std::time::Duration;
 
+use bytes::Bytes;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+use reqwest::Response;
 use teaselshunt_core::{AttemptId, Event, Refusal, RequestId, StepFailure, StoredResponse, Target};
 use teaselshunt_wire::engine::{DecodeRequest, ImportRequest, PrefillRequest, TokenEvent};
 use tokio::sync::mpsc;
@@ -76,6 +81,7 @@
         handle: String::new(),
         generated: String::new(),
         offset: 0,
+        sources: Vec::new(),
     };
     tokio::spawn(driver.run());
     receiver
@@ -92,6 +98,42 @@
     generated: String,
     /// Tokens passed to the caller so far.
     offset: u32,
+    /// Connections over which a stream is read, the latest first.
+    sources: Vec<Source>,
+}
+
+/// A connection over which a stream is read.
+struct Source {
+    state: SourceState,
+    parser: EventParser,
+}
+
+enum SourceState {
+    Opening(Pin<Box<dyn Future<Output = Result<Response, StepFailure>> + Send>>),
+    Open(Response),
+}
+
+impl Source {
+    fn opening(open: impl Future<Output = Result<Response, StepFailure>> + Send + 'static) -> Self {
+        Self { state: SourceState::Opening(Box::pin(open)), parser: EventParser::default() }
+    }
+
+    /// The next bytes. A stream that ends before its last token is broken: a truncated response must not pass for a
+    /// complete one.
+    async fn read(&mut self) -> Result<Bytes, StepFailure> {
+        loop {
+            match &mut self.state {
+                SourceState::Opening(open) => {
+                    let response = open.await?;
+                    self.state = SourceState::Open(response);
+                }
+                SourceState::Open(response) => {
+                    let chunk = response.chunk().await.map_err(|_| StepFailure::Broken)?;
+                    return chunk.ok_or(StepFailure::Broken);
+                }
+            }
+        }
+    }
 }
 
 impl Driver {
@@ -129,6 +171,8 @@
         match command {
             Command::Accepted(id) => self.send_output(Output::Accepted(id)).await.map(|()| false),
             Command::Prefill { attempt, target, priority, timeout } => {
+                // The earlier run of the request was cancelled.
+                self.sources.clear();
                 let result = self.prefill(attempt, target, priority, timeout).await;
                 self.report(attempt, result).map(|()| false)
             }
@@ -144,7 +188,7 @@
                     max_tokens: self.generation.max_tokens,
                     priority,
                 };
-                let result = self.decode(attempt, target, &request, stall_timeout).await;
+                let result = self.decode(attempt, target, request, stall_timeout).await;
                 let done = result.is_ok();
                 self.report(attempt, result).map(|()| done)
             }
@@ -212,28 +256,57 @@
         Ok(Event::Imported { attempt })
     }
 
+    /// Reads a stream to its last token.
+    ///
+    /// A stream that is resumed is still read over its earlier connection as well. The engine has the stream, whichever
+    /// connection it writes to, so that tokens of both are the same and count by their offsets.
     async fn decode(
         &mut self,
         attempt: AttemptId,
         target: Target,
-        request: &DecodeRequest,
+        request: DecodeRequest,
         stall_timeout: Duration,
     ) -> Result<Event, Interruption> {
         let engines = self.engines.clone();
-        let open = with_stall_timeout(stall_timeout, engines.decode(target.address, request));
-        let mut response = run_step(&mut self.session, &self.output, open).await?;
-        let mut parser = EventParser::default();
-        let mut batch = Vec::new();
+        let resumes = request.resume.is_some();
+        let open = async move { engines.decode(target.address, &request).await };
+        self.sources.retain(|_| resumes);
+        self.sources.truncate(1);
+        self.sources.insert(0, Source::opening(open));
+        // Why the latest connection ended, while the earlier one is still read.
+        let mut ended = None;
         let mut reported = None;
         loop {
-            let read = with_stall_timeout(stall_timeout, async {
-                response.chunk().await.map_err(|_| StepFailure::Broken)
-            });
-            // A stream that ends before its last token is broken: a truncated response must not pass for a
-            // complete one.
-            let bytes = run_step(&mut self.session, &self.output, read).await?.ok_or(StepFailure::Broken)?;
-            parser.push(&bytes, &mut batch)?;
-            let finish = self.forward_tokens(&mut batch).await?;
+            let Some((index, read)) = self.next_read(stall_timeout).await? else {
+                // What was left in the earlier connection has arrived by now.
+                if let Some(failure) = ended {
+                    return Err(Interruption::Failure(failure));
+                }
+                let failure = StepFailure::Stalled;
+                self.session.send(Event::Failed { attempt, failure, offset: self.offset });
+                // The next token ends the stall.
+                reported = None;
+                continue;
+            };
+            let mut batch = Vec::new();
+            let forwarded = match read.and_then(|bytes| self.sources[index].parser.push(&bytes, &mut batch)) {
+                Ok(()) => self.forward_tokens(&mut batch).await,
+                Err(failure) => Err(failure.into()),
+            };
+            let finish = match forwarded {
+                Ok(finish) => finish,
+                Err(Interruption::Failure(failure)) => {
+                    self.sources.remove(index);
+                    if self.sources.is_empty() {
+                        return Err(Interruption::Failure(failure));
+                    }
+                    if index == 0 {
+                        ended = Some(failure);
+                    }
+                    None
+                }
+                Err(interruption) => return Err(interruption),
+            };
             if let Some(finish) = finish {
                 let stored = self.stored_response(&finish);
                 return Ok(Event::Finished { attempt, offset: self.offset, stored });
@@ -245,6 +318,22 @@
         }
     }
 
+    /// Reads from any connection of the stream, and returns which it was. `None` if nothing arrives for `stall_timeout`.
+    async fn next_read(
+        &mut self,
+        stall_timeout: Duration,
+    ) -> Result<Option<(usize, Result<Bytes, StepFailure>)>, Interruption> {
+        let mut reads: FuturesUnordered<_> = self
+            .sources
+            .iter_mut()
+            .enumerate()
+            .map(|(index, source)| async move { (index, source.read().await) })
+            .collect();
+        let read = async { Ok(reads.next().await) };
+        let running = run_step(&mut self.session, &self.output, read);
+        tokio::time::timeout(stall_timeout, running).await.unwrap_or(Ok(None))
+    }
+
     /// Passes new tokens on to the caller. Returns the finish reason if the last token is among them.
     async fn forward_tokens(&mut self, batch: &mut Vec<TokenEvent>) -> Result<Option<String>, Interruption> {
         let mut tokens = Vec::with_capacity(batch.len());
@@ -290,11 +379,3 @@
         () = output.closed() => Err(Interruption::CallerGone),
     }
 }
-
-/// Limits the time of a step that must make progress. The step has stalled if it takes longer.
-async fn with_stall_timeout<T>(
-    stall_timeout: Duration,
-    step: impl Future<Output = Result<T, StepFailure>>,
-) -> Result<T, StepFailure> {
-    tokio::time::timeout(stall_timeout, step).await.unwrap_or(Err(StepFailure::Stalled))
-}
--- a/crates/daemon/tests/all/stalled_streams.rs
+++ b/crates/daemon/tests/all/stalled_streams.rs
@@ -3,10 +3,12 @@
 
 use std::time::Duration;
 
+use reqwest::Response;
+use serde_json::Value;
 use teaselshunt_settings::Role;
-use teaselshunt_standin::{EngineOptions, Faults, Relay, generated_text};
+use teaselshunt_standin::{EngineOptions, Faults, LinkMode, Relay, SiteLink, generated_text};
 
-use crate::support::{Fleet, streamed_text, until};
+use crate::support::{Daemon, Fleet, streamed_text, until};
 
 /// Guards against streams that never end. A network device between router and engine loses the state of a
 /// stream's connection: no data arrives any more, and neither end gets an error, so the caller would wait
@@ -77,3 +79,125 @@
         status["classes"].as_array().unwrap().iter().map(|c| c["wasted"].as_u64().unwrap()).sum();
     assert!(wasted > 0);
 }
+
+/// Time without a token after which a stream counts as stalled in tests of silent engines.
+const STALL: Duration = Duration::from_millis(300);
+
+/// A deployment whose engines are behind links, with an instance.
+struct LinkedFleet {
+    fleet: Fleet,
+    /// Links to the prefill engines, then to the decode engines.
+    links: Vec<SiteLink>,
+    daemon: Daemon,
+}
+
+impl LinkedFleet {
+    /// Starts a deployment whose policy is changed by `change`.
+    async fn start(change: impl FnOnce(&mut Value)) -> Self {
+        let options =
+            EngineOptions { token_gap: Duration::from_millis(30), ..EngineOptions::fast(Role::Decode) };
+        let mut fleet = Fleet::start_with(1, options).await;
+        let mut links = Vec::new();
+        for engine in fleet.prefill.iter().chain(&fleet.decode) {
+            links.push(SiteLink::start(engine.address()).await.expect("a link starts"));
+        }
+        fleet.patch(|c| {
+            for (i, link) in links.iter().enumerate() {
+                c["endpoints"][i]["address"] = link.address().to_string().into();
+            }
+            c["policy"]["stall_ms"] = (STALL.as_millis() as u64).into();
+            change(c);
+        });
+        let daemon = fleet.start_daemon(0).await;
+        until("the links are in use", || async { fleet.status(&daemon).await["version"] == 2 }).await;
+        Self { fleet, links, daemon }
+    }
+
+    fn set_links(&self, links: std::ops::Range<usize>, mode: LinkMode) {
+        for link in &self.links[links] {
+            link.set_mode(mode);
+        }
+    }
+
+    /// Begins a stream and waits until an engine runs it.
+    async fn begin(&self, prompt: &str) -> Response {
+        let started = self.streams();
+        let response = self.fleet.completion(&self.daemon, prompt, true).send().await.unwrap();
+        until("the stream runs", || async { self.streams() > started }).await;
+        response
+    }
+
+    fn streams(&self) -> u64 {
+        self.fleet.decode.iter().map(teaselshunt_standin::Engine::streams_started).sum()
+    }
+
+    fn prefills(&self) -> u64 {
+        self.fleet.prefill.iter().map(teaselshunt_standin::Engine::prefills_started).sum()
+    }
+}
+
+/// Guards against streams whose runs are ended because all engines are silent together, and that are prefilled again when these go on.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silence_of_all_engines_ends_no_run() {
+    let linked = LinkedFleet::start(|_| {}).await;
+    let mut responses = Vec::new();
+    for number in 0..4 {
+        let prompt = format!("Silent {number}");
+        responses.push((linked.begin(&prompt).await, prompt));
+    }
+    linked.set_links(0..4, LinkMode::Silent);
+    tokio::time::sleep(STALL * 5).await;
+    linked.set_links(0..4, LinkMode::Open);
+    for (response, prompt) in responses {
+        assert_eq!(streamed_text(response).await, Some(generated_text(&prompt, 400)), "{prompt}");
+    }
+    assert_eq!(linked.prefills(), 4, "no run was ended");
+}
+
+/// Guards against the same where there is one decode engine, and prefill engines answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_of_the_only_decode_engine_waits_for_it() {
+    let linked = LinkedFleet::start(|c| c["endpoints"][3]["state"] = "draining".into()).await;
+    let response = linked.begin("Only").await;
+    linked.set_links(2..3, LinkMode::Silent);
+    tokio::time::sleep(STALL * 5).await;
+    linked.set_links(2..3, LinkMode::Open);
+    assert_eq!(streamed_text(response).await, Some(generated_text("Only", 400)));
+    assert_eq!(linked.prefills(), 1, "the run was not ended");
+}
+
+/// Guards against a stream that is broken off although its engine goes on, since no attempt is left.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_with_no_attempt_left_waits_for_its_engine() {
+    let linked = LinkedFleet::start(|c| c["policy"]["attempts"] = 1.into()).await;
+    let response = linked.begin("Last").await;
+    linked.set_links(2..4, LinkMode::Silent);
+    tokio::time::sleep(STALL * 5).await;
+    linked.set_links(2..4, LinkMode::Open);
+    assert_eq!(streamed_text(response).await, Some(generated_text("Last", 400)));
+}
+
+/// Guards against a stream that stays at an engine that is silent for good while others answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_leaves_an_engine_that_is_silent_alone() {
+    let linked = LinkedFleet::start(|_| {}).await;
+    let response = linked.begin("Alone").await;
+    let silent = if linked.fleet.decode[0].streams_started() > 0 { 2 } else { 3 };
+    linked.set_links(silent..silent + 1, LinkMode::Silent);
+    assert_eq!(streamed_text(response).await, Some(generated_text("Alone", 400)));
+}
+
+/// Guards against a run that is ended before its replacement has responded. The engine goes on first, and prefill engines do not.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_run_is_kept_until_another_engine_responds() {
+    let linked = LinkedFleet::start(|c| c["policy"]["step_ms"] = 1_000.into()).await;
+    let response = linked.begin("First").await;
+    let silent = if linked.fleet.decode[0].streams_started() > 0 { 2 } else { 3 };
+    for prefill in &linked.fleet.prefill {
+        prefill.set_faults(Faults { stall: true, ..Faults::default() });
+    }
+    linked.set_links(silent..silent + 1, LinkMode::Silent);
+    until("another attempt has begun", || async { linked.prefills() > 1 }).await;
+    linked.set_links(silent..silent + 1, LinkMode::Open);
+    assert_eq!(streamed_text(response).await, Some(generated_text("First", 400)));
+}
--- a/crates/settings/src/configuration.rs
+++ b/crates/settings/src/configuration.rs
@@ -264,7 +264,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
 pub struct Policy {
-    /// A stream without a token for this long has stalled, in milliseconds.
+    /// A stream without a token for this long has stalled, in milliseconds. It goes on until something better responds.
     #[schemars(range(min = 50, max = 600_000))]
     pub stall_ms: u64,
     /// Timeout of a prefill or of a transfer, in milliseconds.
