Reservations: an unanswered call does not count at its engine

With calls that go on for the time of a hold, the tokens of one search would count at each engine that it asked during a silence, and engines would look full to other searches, which would report a shortage. They count for 0.2 s, as before, and again once the engine grants.

--- a/crates/forward/src/reservations.rs
+++ b/crates/forward/src/reservations.rs
@@ -296,7 +296,11 @@
     let call = node.call_endpoint(engine, address, request, sent_at + hold.max(CALL_TIMEOUT));
     tokio::pin!(call);
     let in_time = tokio::time::timeout(CALL_TIMEOUT, &mut call).await;
+    let tokens = work.tokens();
+    let mut work = Some(work);
     if in_time.is_err() {
+        // The unanswered calls of one search would count at several engines, and these would look full to others.
+        work = None;
         node.metrics.count_step("reserve", "timed_out");
         node.observe_step(engine, StepOutcome::Silent(CALL_TIMEOUT));
     }
@@ -315,6 +319,7 @@
         return Err(CallRefusal { engine, outcome, text });
     };
     node.observe_granted(engine);
+    let work = work.unwrap_or_else(|| node.begin_work(engine, tokens));
     let node = Rc::clone(node);
     Ok(Reservation { node, endpoint: engine, address, id: Some(reservation_id), work: Some(work) })
 }
