Own interface: an engine that accepts a poll and does not answer has not crashed

A request whose engines were silent for some seconds, as often as three times, was refused for ten minutes as one that crashes engines.

Cause: a request that is lost has its engine polled, and a poll without an answer in 2 s counted as a crash under the request, whether the engine had ended or accepted the connection and was silent. The new test failed with the refusal (quarantined). Only a poll for which no connection opens, or whose connection breaks, counts now. Three unanswered polls in a row still keep new work away.

--- a/crates/bench/src/world/crashes.rs
+++ b/crates/bench/src/world/crashes.rs
@@ -84,7 +84,7 @@
     pub(super) fn refuse_connection(&mut self, endpoint: usize, sent_step: &SentStep) {
         let id = self.engines[endpoint].id;
         match sent_step.task {
-            Task::Poll => self.reply(endpoint, sent_step, Event::Unreported { endpoint: id }),
+            Task::Poll => self.reply(endpoint, sent_step, Event::Unreported { endpoint: id, silent: false }),
             Task::Cancel => {
                 let event = Event::Cancelled { attempt: sent_step.attempt, endpoint: id, confirmed: false };
                 self.reply(endpoint, sent_step, event);
--- a/crates/bench/src/world/drivers.rs
+++ b/crates/bench/src/world/drivers.rs
@@ -154,7 +154,7 @@
         let (near, far) = (self.nodes[node].domain, self.engines[endpoint].domain);
         let transition_count = self.nodes[node].transition_count;
         if self.network.is_partitioned(Side::Domain(near), Side::Domain(far)) {
-            let event = Event::Unreported { endpoint: target.id };
+            let event = Event::Unreported { endpoint: target.id, silent: false };
             return self.schedule_after(POLL_TIMEOUT, SimEvent::StepResult { node, transition_count, event });
         }
         let request =
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -92,6 +92,8 @@
     Unreported {
         /// The engine.
         endpoint: EndpointId,
+        /// Whether it accepted the connection and nothing came in time. An engine that is silent has not ended.
+        silent: bool,
     },
     /// A configuration version was read.
     ConfigurationRead {
--- a/crates/core/src/instance/maintenance.rs
+++ b/crates/core/src/instance/maintenance.rs
@@ -41,11 +41,19 @@
         self.start_all_queued(now, out);
     }
 
-    pub(super) fn load_unreported(&mut self, now: Instant, endpoint: EndpointId, out: &mut Vec<Effect>) {
+    pub(super) fn load_unreported(
+        &mut self,
+        now: Instant,
+        endpoint: EndpointId,
+        silent: bool,
+        out: &mut Vec<Effect>,
+    ) {
         let Some(key) = self.endpoints.find(endpoint) else {
             return;
         };
-        self.endpoint_unreachable(now, endpoint, out);
+        if !silent {
+            self.endpoint_unreachable(now, endpoint, out);
+        }
         if self.endpoints.observe_unanswered_poll(key) {
             let name = self.endpoints.get(key).name.clone();
             out.push(Effect::Audit(Audit::Endpoint { endpoint: name, reachable: false }));
--- a/crates/core/src/instance/mod.rs
+++ b/crates/core/src/instance/mod.rs
@@ -205,7 +205,7 @@
                 }
             }
             Event::Reported { endpoint, report } => self.load_reported(now, endpoint, &report, out),
-            Event::Unreported { endpoint } => self.load_unreported(now, endpoint, out),
+            Event::Unreported { endpoint, silent } => self.load_unreported(now, endpoint, silent, out),
             Event::ConfigurationRead { candidate, source } => {
                 self.configuration_read(now, candidate, source, out);
             }
--- a/crates/core/tests/all/crashes.rs
+++ b/crates/core/tests/all/crashes.rs
@@ -32,7 +32,7 @@
 fn crash(instance: &mut SingleInstance, attempt: AttemptId) -> Vec<Effect> {
     let mut effects = instance.step(Event::Failed { attempt, failure: StepFailure::Broken, offset: 0 });
     let target = polled(&effects).expect("the engine is polled");
-    effects.extend(instance.step(Event::Unreported { endpoint: target.id }));
+    effects.extend(instance.step(Event::Unreported { endpoint: target.id, silent: false }));
     effects
 }
 
@@ -77,6 +77,24 @@
     assert_ne!(refused(&instance.ask(6, BAD)), Some(ErrorKind::Quarantined));
 }
 
+/// Guards against a request that is refused for crashes because its engines were silent for some seconds: they accept the connections of
+/// polls and do not answer in time.
+#[test]
+fn engines_that_are_silent_have_not_crashed() {
+    let mut instance = SingleInstance::start();
+    for ticket in 1..6 {
+        let mut next = prefill(&instance.ask(ticket, BAD));
+        while let Some(attempt) = next {
+            let effects = instance.step(Event::Failed { attempt, failure: StepFailure::TimedOut, offset: 0 });
+            let target = polled(&effects).expect("the engine is polled");
+            instance.step(Event::Unreported { endpoint: target.id, silent: true });
+            next = prefill(&effects);
+        }
+        instance.pass(Duration::from_secs(6));
+    }
+    assert_ne!(refused(&instance.ask(6, BAD)), Some(ErrorKind::Quarantined));
+}
+
 /// Other instances observe the crashes and report them. An instance that observed none must refuse the
 /// request too.
 #[test]
--- a/crates/core/tests/all/steps.rs
+++ b/crates/core/tests/all/steps.rs
@@ -218,7 +218,7 @@
     for _ in 0..9 {
         let effects = stall(&mut instance, attempt);
         assert!(effects.iter().all(|e| matches!(e, Effect::Poll { .. })), "{effects:?}");
-        let effects = instance.step(Event::Unreported { endpoint: silent });
+        let effects = instance.step(Event::Unreported { endpoint: silent, silent: true });
         assert!(
             !effects.iter().any(|e| matches!(e, Effect::Refuse { .. })),
             "a silent engine has not crashed"
--- a/crates/daemon/src/engines.rs
+++ b/crates/daemon/src/engines.rs
@@ -89,13 +89,13 @@
         read_json::<CancelResponse>(response).await.is_ok()
     }
 
-    pub(crate) async fn load(&self, address: SocketAddr) -> Option<EngineLoad> {
+    pub(crate) async fn load(&self, address: SocketAddr) -> Result<EngineLoad, StepFailure> {
         let call = self.client.get(url(address, engine::LOAD_PATH)).timeout(SHORT_CALL_TIMEOUT);
-        let report: LoadReport = read_json(send_step(call).await.ok()?).await.ok()?;
+        let report: LoadReport = read_json(send_step(call).await?).await?;
         // Work of other systems has ids of another form and no owning instance; it is left out.
         let ids = report.running.iter().filter_map(|r| r.request_id.parse().ok());
         let running: Vec<Running> = ids.map(|attempt| Running { attempt }).collect();
-        Some(EngineLoad { running, waiting: report.waiting, leaving: report.leaving })
+        Ok(EngineLoad { running, waiting: report.waiting, leaving: report.leaving })
     }
 
     fn post(&self, address: SocketAddr, path: &str, body: &impl Serialize) -> RequestBuilder {
--- a/crates/daemon/src/supervisor.rs
+++ b/crates/daemon/src/supervisor.rs
@@ -8,7 +8,7 @@
 
 use rand::Rng;
 use slog::{Logger, error, info, warn};
-use teaselshunt_core::{Event, Identity, SystemClock};
+use teaselshunt_core::{Event, Identity, StepFailure, SystemClock};
 use teaselshunt_settings::Settings;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
@@ -235,8 +235,11 @@
                 let (engines, control) = (engines.clone(), control.clone());
                 tokio::spawn(async move {
                     let event = match engines.load(target.address).await {
-                        Some(report) => Event::Reported { endpoint: target.id, report },
-                        None => Event::Unreported { endpoint: target.id },
+                        Ok(report) => Event::Reported { endpoint: target.id, report },
+                        Err(failure) => {
+                            let silent = failure == StepFailure::TimedOut;
+                            Event::Unreported { endpoint: target.id, silent }
+                        }
                     };
                     control.send(event);
                 });
