--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -92,6 +92,8 @@
     Unreported {
         /// The engine.
         endpoint: EndpointId,
+        /// Whether it accepted the connection and nothing came in time. An engine that is silent has not ended.
+        silent: bool,
     },
     /// A configuration version was read.
     ConfigurationRead {
@@ -197,7 +199,7 @@
     Broken,
     /// No response within the timeout; the step may have run.
     TimedOut,
-    /// The stream made no progress.
+    /// The stream made no progress for the stall timeout. It goes on unless another step replaces it.
     Stalled,
 }
 
