Generations: the loss of a link starts a search before the first event, and ends no run

A resumable generation without its first event was ended as soon as its link counted as lost, which the end of a silence can look like. The search for another engine begins at once then, as before, and the run goes on. A prefill still ends with its link: nothing runs by it.

--- a/crates/forward/src/connection_pool.rs
+++ b/crates/forward/src/connection_pool.rs
@@ -134,12 +134,12 @@
 pub(crate) struct SendCondition<F> {
     /// Whether the request may still be sent once there is a connection.
     pub(crate) may_send: F,
-    /// Whether the request may be sent again, so that it need not wait for a response over a lost link.
-    pub(crate) repeatable: bool,
+    /// Whether the exchange ends when the link is lost. Nothing runs by it, and it is made again.
+    pub(crate) ends_with_link: bool,
 }
 
 impl SendCondition<fn() -> bool> {
-    const ALWAYS: Self = Self { may_send: || true, repeatable: false };
+    const ALWAYS: Self = Self { may_send: || true, ends_with_link: false };
 }
 
 /// A request through a peer that has no response yet. Dropped after a while it counts against the peer, whose own links
@@ -233,7 +233,7 @@
                 self.put(connection);
                 return Err(ExchangeFailure::Withheld);
             }
-            match self.send_over(connection, request, condition.repeatable).await {
+            match self.send_over(connection, request, condition.ends_with_link).await {
                 Ok(response) => return Ok(response),
                 // The connection was closed before anything was written to it.
                 Err((_, Some(unsent))) if !is_new => request = unsent,
@@ -247,7 +247,7 @@
         &self,
         mut connection: Connection,
         request: Request<Full<Bytes>>,
-        repeatable: bool,
+        ends_with_link: bool,
     ) -> Result<(Parts, ResponseReader), (ExchangeFailure, Option<Request<Full<Bytes>>>)> {
         let size = hyper::body::Body::size_hint(request.body()).exact().unwrap_or(u64::MAX);
         let method = request.method().clone();
@@ -258,7 +258,7 @@
         let address = connection.address;
         let until_lost = async {
             match &reach {
-                Some(reach) if repeatable => reach.until_lost(address).await,
+                Some(reach) if ends_with_link => reach.until_lost(address).await,
                 _ => std::future::pending().await,
             }
         };
--- a/crates/forward/src/generate.rs
+++ b/crates/forward/src/generate.rs
@@ -15,7 +15,7 @@
 use hyper::StatusCode;
 use hyper::header::HeaderValue;
 use teaselshunt_core::{ErrorKind, Refusal};
-use teaselshunt_routing::{EndpointKey, Sends, SilenceStep, StepOutcome, WaitPolicy};
+use teaselshunt_routing::{EndpointKey, Sends, StepOutcome, WaitPolicy};
 
 use crate::body::{ResponseBody, buffered_response};
 use crate::calls::{CALL_TIMEOUT, release_in_background};
@@ -415,11 +415,11 @@
                     (Err(_), None) => watch.disable(),
                 }
             }
-            () = watch.is_due(), if search.is_none() => if watch.look() == SilenceStep::Replace {
-                trace.record_step("decode", &node.id_for_log(engine), "silent");
+            cause = watch.until_unlikely(), if search.is_none() => {
+                trace.record_step("decode", &node.id_for_log(engine), cause);
                 let point = after.cloned().map_or(ResumePoint::Start, ResumePoint::After);
                 search = Some(interrupted.search(node, point, engine));
-            },
+            }
         }
     }
 }
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -20,7 +20,7 @@
 use teaselshunt_core::{Clock, ErrorKind, Fingerprint, Quarantine, Refusal};
 use teaselshunt_routing::{
     Admission, Advances, BodyMemory, Budgets, EndpointKey, Endpoints, Need, OutputEstimate, PrefillEstimate,
-    Priority, Refusals, Repeat, RetryDetector, Returns, Route, RouteSet, Sends, Service, SignsOfLife, Stage,
+    Priority, Refusals, RetryDetector, Returns, Route, RouteSet, Sends, Service, SignsOfLife, Stage,
     StepOutcome, Waiters,
 };
 use teaselshunt_teams::{Quotas, Team};
@@ -182,18 +182,6 @@
         tokens.min(memory).min(u32::MAX.into())
     }
 
-    /// Whether a step ends when its link is lost, since it is made again then. The run of a plain service never does: its
-    /// endpoint may be silent for a moment only, and a second attempt runs beside the first.
-    fn ends_with_link(&self, purpose: Purpose<'_>) -> bool {
-        match purpose {
-            Purpose::Run => false,
-            Purpose::Prefill => true,
-            Purpose::Decode { .. } | Purpose::PrefillAndDecode { .. } => {
-                self.route.repeat == (Repeat::Stream { resumable: true })
-            }
-        }
-    }
-
     /// Identifies the request if it is sent again.
     pub(crate) fn fingerprint(&self) -> Fingerprint {
         *self.fingerprint.get_or_init(|| {
@@ -397,6 +385,16 @@
         self.state.borrow().output_estimates.get(&job.service.name)?.tokens_for_events(events)
     }
 
+    /// Waits until the link of a request in progress is lost: its response is then unlikely to arrive. A request over a link
+    /// that is lost already goes through a peer.
+    pub(crate) async fn until_link_lost(&self, key: EndpointKey) {
+        let reach = self.pool.reach();
+        match self.locate(key) {
+            Some((address, _)) if !reach.is_lost(address) => reach.until_lost(address).await,
+            Some(_) | None => std::future::pending().await,
+        }
+    }
+
     /// Records that an engine has sent something.
     pub(crate) fn observe_life(&self, key: EndpointKey) {
         let (now, state) = (self.now(), &mut *self.state.borrow_mut());
@@ -519,7 +517,7 @@
         }
         work.sent.set(true);
         let may_send = || self.locate_available(key).is_some();
-        let condition = SendCondition { may_send, repeatable: job.ends_with_link(purpose) };
+        let condition = SendCondition { may_send, ends_with_link: !runs };
         let destination = Destination::endpoint(address, id);
         let result = self.pool.exchange_if(&destination, request, until.min(job.deadline), condition).await;
         work.sent.set(!matches!(result, Err(ExchangeFailure::Unsent | ExchangeFailure::Withheld)));
--- a/crates/forward/src/plain.rs
+++ b/crates/forward/src/plain.rs
@@ -193,7 +193,7 @@
         biased;
         result = &mut first => Some(result),
         () = tokio::time::sleep_until(wait.into()) => None,
-        () = until_link_lost(node, key) => None,
+        () = node.until_link_lost(key) => None,
     };
     if let Some(result) = in_time {
         attempts.count(&result);
@@ -228,16 +228,6 @@
     later.or(earlier).map_err(|_| attempts.exhausted_refusal(node, job, trace))
 }
 
-/// Waits until the link of an attempt in progress is lost: its response is then unlikely to arrive. An attempt over a link
-/// that is lost already goes through a peer.
-async fn until_link_lost(node: &Node, key: EndpointKey) {
-    let reach = node.pool.reach();
-    match node.locate(key) {
-        Some((address, _)) if !reach.is_lost(address) => reach.until_lost(address).await,
-        Some(_) | None => std::future::pending().await,
-    }
-}
-
 /// One attempt at one endpoint.
 async fn attempt(
     node: &Rc<Node>,
--- a/crates/forward/src/silence.rs
+++ b/crates/forward/src/silence.rs
@@ -63,6 +63,22 @@
         }
     }
 
+    /// Waits until the engine is unlikely to respond first: it is silent alone, or its link is lost. Returns which.
+    pub(crate) async fn until_unlikely(&mut self) -> &'static str {
+        if self.silence.is_none() {
+            return std::future::pending().await;
+        }
+        loop {
+            tokio::select! {
+                () = self.node.until_link_lost(self.engine) => return "link_lost",
+                () = self.is_due() => {}
+            }
+            if self.look() == SilenceStep::Replace {
+                return "silent";
+            }
+        }
+    }
+
     /// Looks at the silence, and asks an engine whether it responds if nothing else shows that.
     pub(crate) fn look(&mut self) -> SilenceStep {
         let Some(silence) = &mut self.silence else { return SilenceStep::Wait };
