Requests: a request without a response by its deadline is logged as unanswered

A request that was dropped had the outcome `caller_gone`, whoever dropped it and however late. With the outcome `unanswered` the lines tell a caller that left from a request that outlived its deadline.

--- a/crates/forward/src/trace.rs
+++ b/crates/forward/src/trace.rs
@@ -15,7 +15,7 @@
 use crate::protocol::RequestMeta;
 
 /// Data about a request for logs and metrics. Dropping it before its end records that the caller has
-/// disconnected.
+/// disconnected, or that the request had no response by its deadline.
 #[derive(Debug)]
 pub(crate) struct Trace {
     node: Rc<Node>,
@@ -29,6 +29,8 @@
     steps: RefCell<String>,
     /// How long the caller waits, as stated in the request.
     deadline: Option<Duration>,
+    /// When the caller's deadline or the route's time limit ends.
+    until: Option<Instant>,
     /// Whether the request is a retry after a refusal.
     is_retry: bool,
     /// The request's priority among others; empty until its route is known.
@@ -68,6 +70,7 @@
             arrived,
             steps: RefCell::default(),
             deadline: meta.deadline,
+            until: None,
             is_retry: false,
             priority: String::new(),
             waste: RefCell::default(),
@@ -95,6 +98,11 @@
         self.route = Arc::clone(route);
     }
 
+    /// Records when the caller's deadline or the route's time limit ends.
+    pub(crate) fn set_deadline(&mut self, until: Instant) {
+        self.until = Some(until);
+    }
+
     pub(crate) fn set_team(&mut self, team: Option<&Team>) {
         if let Some(team) = team {
             self.team = Arc::clone(&team.name);
@@ -201,6 +209,7 @@
 
 impl Drop for Trace {
     fn drop(&mut self) {
-        self.write("caller_gone", 0);
+        let is_overdue = self.until.is_some_and(|until| self.node.now() > until);
+        self.write(if is_overdue { "unanswered" } else { "caller_gone" }, 0);
     }
 }
