Searches: one without success ends at the deadline, and its request is answered

Callers of resumable streams got nothing at all, neither a response nor a refusal, if their engine was silent before the first event and no other engine took the stream: 45 of 287 behind one engine that never ends its head, deadline 6 s.

Cause: a search for another engine was repeated without regard to the deadline, and the failure of the run, which does end at the deadline, was kept until the search had ended. Since silence ends nothing any more, only the deadline does, and this wait had none.

The deadline is now the end of each search, whatever its attempt awaits (a place in the queue, a reservation, a run, its first event). Dropping the attempt releases what it holds. The test had no response after 20 s before (2 of 2), and gets 504 at 6 s.

--- a/crates/forward/src/resume.rs
+++ b/crates/forward/src/resume.rs
@@ -1,7 +1,8 @@
 //! Searches an engine that goes on with a stream whose engine is silent or has failed.
 //!
-//! The search is repeated until an engine has responded, since the caller waits until its deadline in any case and engines may
-//! come back. It ends earlier only for a reason that does not pass.
+//! The search is repeated until an engine has responded or the deadline has passed, since the caller waits until then in any case
+//! and engines may come back. It ends earlier only for a reason that does not pass. Whatever one attempt waits for, the deadline
+//! ends it, and with it everything that the attempt holds: its place in the queue, a reservation, a run.
 
 use std::cell::Cell;
 use std::pin::Pin;
@@ -44,6 +45,8 @@
     Quarantined,
     /// The service's retry budget is used up.
     RetryBudget,
+    /// No engine has responded by the deadline.
+    Deadline,
     /// No engine began to run it.
     Refused(ErrorKind),
     /// The other engine responded with an error.
@@ -58,6 +61,7 @@
             Self::EventId => "event_id",
             Self::Quarantined => "quarantined",
             Self::RetryBudget => "retry_budget",
+            Self::Deadline => "deadline",
             Self::Refused(kind) => kind.answer().code,
             Self::EngineError => "engine_error",
         }
@@ -69,6 +73,7 @@
             Self::Attempts
             | Self::EventId
             | Self::Quarantined
+            | Self::Deadline
             // Another instance resumes the stream for a caller who comes back.
             | Self::Refused(ErrorKind::Stopping) => true,
             Self::RetryBudget | Self::Refused(_) | Self::EngineError => false,
@@ -113,9 +118,16 @@
         route.repeat == (Repeat::Stream { resumable: true }) && self.runs.get() < route.attempts
     }
 
-    /// Begins the search for an engine other than `engine`.
+    /// Begins the search for an engine other than `engine`, which ends at the deadline.
     pub(crate) fn search(self, node: &'a Rc<Node>, point: ResumePoint, engine: EndpointKey) -> Search<'a> {
-        Box::pin(self.run(node, point, engine))
+        Box::pin(async move {
+            let search = self.run(node, point, engine);
+            let Ok(found) = tokio::time::timeout_at(self.job.deadline.into(), search).await else {
+                self.trace.record_step("resume", "any", NotResumed::Deadline.text());
+                return Err(NotResumed::Deadline);
+            };
+            found
+        })
     }
 
     async fn run(
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -336,11 +336,11 @@
         tokio::select! {
             biased;
             () = self.pieces.closed() => Resumption::CallerDisconnected,
+            () = tokio::time::sleep_until(job.deadline.into()) => Resumption::TimedOut,
             found = resume::found(&mut self.search) => {
                 self.count_resumption("truncated", resume::outcome(&found));
                 Resumption::Found(found)
             }
-            () = tokio::time::sleep_until(job.deadline.into()) => Resumption::TimedOut,
         }
     }
 
