Generations: a request that a search sent to another engine is not refused as not run

A caller of a resumable stream was told 429, not run, while an engine had its request: the first engine refused it after another one had been given it for the silence of the first, and that one was silent until the deadline. The verdict came from the first engine's failure alone. Runs that a search began were not counted in it, nor against the route's attempts for the next round.

The verdict now follows from the count of runs that engines may have begun, which searches share. The test got 429 before, and gets 504.

--- a/crates/forward/src/generate.rs
+++ b/crates/forward/src/generate.rs
@@ -171,8 +171,10 @@
 ) -> Result<Started, Refusal> {
     let Start { wait_policy, mut prompt, mut tried, after, mut sends, runs } = start;
     let is_resumed = matches!(prompt, Prompt::LocalPrefill);
-    // If an engine may have run the request, a refusal must not state that the request has not run.
-    let mut may_have_run = false;
+    // If an engine may have run the request, a refusal must not state that the request has not run. That engine need not be the
+    // one whose failure is known: a search may have sent the request to another.
+    let runs_before = runs.get();
+    let may_have_run = || runs.get() > runs_before;
     for _ in 0..MAX_ROUNDS {
         let state = match prompt {
             Prompt::NotPrefilled => PromptState::NotPrefilled,
@@ -182,7 +184,7 @@
         let search = CapacitySearch { wait_policy, prompt: state, tried: &tried, refuses: !is_resumed };
         let mut reserved = match reserve(node, job, trace, search).await {
             Ok(reserved) => reserved,
-            Err(_) if may_have_run => break,
+            Err(_) if may_have_run() => break,
             Err(refusal) => {
                 prompt.mark_wasted(WasteCause::NoCapacity);
                 return Err(refusal);
@@ -190,7 +192,7 @@
         };
         // A search for capacity and a prefill take long enough for peers to report crashes under the request.
         match node.quarantined(job) {
-            Some(refusal) if !may_have_run => {
+            Some(refusal) if !may_have_run() => {
                 prompt.mark_wasted(WasteCause::Refused);
                 return Err(refusal);
             }
@@ -244,21 +246,22 @@
             }
             Err(StepFailure::Broken | StepFailure::TimedOut) => {
                 sends.count();
-                may_have_run = true;
                 prompt.mark_wasted(WasteCause::EngineLost);
-                if node.now() >= job.deadline {
-                    return Err(Refusal::new(ErrorKind::DeadlinePassed));
-                }
-                if !interrupted.may_resume() {
-                    break;
-                }
                 prompt = Prompt::LocalPrefill;
             }
         }
+        if may_have_run() {
+            if node.now() >= job.deadline {
+                return Err(Refusal::new(ErrorKind::DeadlinePassed));
+            }
+            if !interrupted.may_resume() {
+                break;
+            }
+        }
         tried.push(reserved.endpoint);
     }
     prompt.mark_wasted(WasteCause::NoCapacity);
-    if may_have_run {
+    if may_have_run() {
         return Err(Refusal::new(ErrorKind::OutcomeUnknown));
     }
     Err(Refusal::retryable(ErrorKind::Overloaded, REFUSED_RETRY))
