Requests: one count of the runs that endpoints may have begun

Whether a request may have run was known to its charge only, as a number of sends that was raised before a connection was opened. The end of a request at its deadline needs the same fact, and needs it to be exact: "not run" promises that the request may be sent again.

`Runs` counts a run right before it is written to a connection, and takes it back when nothing was written or the endpoint states that it has not run the request. The charge reads it: a request whose caller leaves while a connection is still being opened is refunded now.

--- a/crates/forward/src/admission.rs
+++ b/crates/forward/src/admission.rs
@@ -4,7 +4,6 @@
 //! than its limit takes no places in queues from other teams. The charge is refunded when the request ends
 //! and certainly has not run.
 
-use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,6 +15,7 @@
 
 use crate::node::Node;
 use crate::protocol::RequestMeta;
+use crate::runs::Runs;
 use crate::trace::Trace;
 
 /// The key of a caller is missing or unknown, and the route needs one.
@@ -42,26 +42,13 @@
     /// `None` if nothing was charged.
     team: Option<(Rc<Node>, TeamTag)>,
     cost: u64,
-    /// Attempts that may have run the request or may still run it.
-    sends: Cell<u32>,
-}
-
-impl Charge {
-    /// Records that the request is about to be sent to an endpoint that may run it.
-    pub(crate) fn record_send(&self) {
-        self.sends.set(self.sends.get() + 1);
-    }
-
-    /// Records that the endpoint has not run the request and will not.
-    pub(crate) fn undo_send(&self) {
-        self.sends.set(self.sends.get().saturating_sub(1));
-    }
+    runs: Rc<Runs>,
 }
 
 impl Drop for Charge {
     fn drop(&mut self) {
         let Some((node, team)) = self.team.take() else { return };
-        if self.sends.get() == 0 {
+        if !self.runs.may_have_begun() {
             let now = node.clock.uptime();
             node.state.borrow_mut().quotas.refund(now, team, self.cost);
         }
@@ -74,11 +61,11 @@
     team: Option<&Team>,
     route: &Route,
     meta: &RequestMeta,
+    runs: &Rc<Runs>,
     trace: &Trace,
 ) -> Result<Charge, Refusal> {
-    let sends = Cell::new(0);
     let Some(team) = team.filter(|team| team.limit.is_some()) else {
-        return Ok(Charge { team: None, cost: 0, sends });
+        return Ok(Charge { team: None, cost: 0, runs: Rc::clone(runs) });
     };
     let tokens = meta.prompt_tokens.saturating_add(meta.max_output_tokens);
     let cost = team.cost(meta.has_token_count.then_some(tokens));
@@ -87,7 +74,7 @@
     let class = request_class(route);
     let draw = state.rng.random_range(0.0..1.0);
     match state.quotas.admit(node.clock.uptime(), team_tag, cost, class, draw) {
-        Ok(()) => Ok(Charge { team: Some((Rc::clone(node), team_tag)), cost, sends }),
+        Ok(()) => Ok(Charge { team: Some((Rc::clone(node), team_tag)), cost, runs: Rc::clone(runs) }),
         Err(exceeded) => {
             let fraction = state.rng.random_range(0.0..1.0);
             let (level, share) =
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -57,6 +57,7 @@
 mod reservations;
 mod response_reader;
 mod resume;
+mod runs;
 mod settings;
 mod silence;
 mod sockets;
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -6,6 +6,7 @@
 use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -37,6 +38,7 @@
 use crate::queue::PendingSearch;
 use crate::reach::Destination;
 use crate::response_reader::{ReadFailure, ResponseReader};
+use crate::runs::Runs;
 use crate::settings::Settings;
 use crate::statements;
 
@@ -144,7 +146,10 @@
     pub(crate) service: Arc<Service>,
     /// The caller's team; `None` for a caller without a valid key.
     pub(crate) team: Option<Arc<Team>>,
-    pub(crate) charge: Charge,
+    /// The charge to the team, refunded if the request ends and has not run.
+    pub(crate) _charge: Charge,
+    /// Runs that endpoints may have begun.
+    pub(crate) runs: Rc<Runs>,
     pub(crate) priority: Priority,
     pub(crate) arrived: Instant,
     /// Whether the request is a retry after a refusal. Its response is late in any case.
@@ -512,11 +517,16 @@
         let remaining = job.deadline.saturating_duration_since(sent_at);
         let request = self.request(job, &id, purpose, remaining);
         let runs = !matches!(purpose, Purpose::Prefill);
-        if runs {
-            job.charge.record_send();
-        }
+        let run = runs.then(|| job.runs.prepare());
         work.sent.set(true);
-        let may_send = || self.locate_available(key).is_some();
+        // Asked right before the request is written.
+        let may_send = || {
+            let may_send = self.locate_available(key).is_some();
+            if let Some(run) = run.as_ref().filter(|_| may_send) {
+                run.begin();
+            }
+            may_send
+        };
         let condition = SendCondition { may_send, ends_with_link: !runs };
         let destination = Destination::endpoint(address, id);
         let result = self.pool.exchange_if(&destination, request, until.min(job.deadline), condition).await;
@@ -530,8 +540,10 @@
             }),
             Err(failure) => Err(failure.into()),
         };
-        if runs && outcome.as_ref().is_err_and(|failure| !failure.may_have_run()) {
-            job.charge.undo_send();
+        if let Some(run) = run
+            && outcome.as_ref().is_err_and(|failure| !failure.may_have_run())
+        {
+            run.take_back();
         }
         if let Some(step_outcome) =
             outcome.as_ref().err().and_then(|failure| failure.outcome(self.now().duration_since(sent_at)))
--- a/crates/forward/src/requests.rs
+++ b/crates/forward/src/requests.rs
@@ -81,7 +81,8 @@
     if node.phase() >= if is_short { Phase::Ending } else { Phase::Refusing } {
         return Err(Refusal::retryable(ErrorKind::Stopping, OTHER_INSTANCE_RETRY));
     }
-    let charge = charge(node, team.as_deref(), route, &meta, trace)?;
+    let runs = Rc::default();
+    let charge = charge(node, team.as_deref(), route, &meta, &runs, trace)?;
     let (service, returns) = {
         let state = &mut *node.state.borrow_mut();
         let deadline = meta.deadline.filter(|_| !is_short || node.settings.load.returns);
@@ -113,7 +114,8 @@
         route: Arc::clone(route),
         service,
         team,
-        charge,
+        _charge: charge,
+        runs,
         priority,
         arrived,
         is_retry: returns && !is_short,
