Requests: one place responds at the deadline, whatever the handling waits for

What callers saw: a resumable request whose engine was silent before the first event, while the others refused, never got a response. A request of which only the prompt was being prefilled got 504, which says nothing, although none of it had run. One that waited in the queue got its 429 at the deadline, when its caller had left.

Cause: `serve` awaited `run`, and nothing but each single wait ended a request. A wait without an end, here the repeated search before the first event, had no end above it either.

Now `deadline::within` polls the handling of every admitted request up to the head of its response. At the deadline it drops the handling, which closes connections and releases reservations, and `serve` responds itself. While no endpoint can have begun the request (`Runs`), that is 10 ms earlier, with 503 `not_started` and a `Retry-After`; otherwise it is 504. Near the deadline a handling of which nothing is sent is not polled any more, so that it cannot begin to send. The trace is shared between the handling and what ends it: dropping the handling leaves its steps in the line, and its outcome is `deadline_not_run` or `deadline_passed`, where it was `caller_gone` for whatever dropped it.

Tests, before the change: `a_request_at_a_silent_engine_ends_at_its_deadline` had no response after a minute (deadline 6 s); `a_request_that_was_only_prefilled_is_refused_as_not_run` got 504 and not 503; `a_request_in_the_queue_is_refused_before_its_deadline` got 429 from its search, which ended with the deadline. Without a network, 5,000 drawn plans of waits that answer, fail, refuse, repeat or never end, alone and beside each other, on a paused clock. Tried on copies: without the deadline for requests that have begun, with "not run" for all, and without the look before the first poll, one of the two tests fails each time.

--- a/crates/core/src/error.rs
+++ b/crates/core/src/error.rs
@@ -53,6 +53,8 @@
     Quarantined,
     /// The caller's deadline passed before the request was sent to an endpoint.
     Expired,
+    /// No endpoint began the request by its deadline.
+    NotStarted,
     /// The caller's deadline passed while the request was running.
     DeadlinePassed,
     /// Endpoints failed, and the request may not be attempted again.
@@ -100,7 +102,7 @@
 
 impl ErrorKind {
     /// Every kind, in the order of the table.
-    pub const ALL: [Self; 22] = [
+    pub const ALL: [Self; 23] = [
         Self::Invalid,
         Self::UnknownModel,
         Self::UnknownService,
@@ -114,6 +116,7 @@
         Self::NoEndpoint,
         Self::Quarantined,
         Self::Expired,
+        Self::NotStarted,
         Self::DeadlinePassed,
         Self::EndpointFailed,
         Self::Rejected,
@@ -145,6 +148,7 @@
             Self::NoEndpoint     => row(503, SERVER, "no_endpoint",        NotRun,  "no endpoint that may serve this is in reach"),
             Self::Quarantined    => row(503, SERVER, "quarantined",        NotRun,  "endpoints crashed under this request; it is not sent to more of them"),
             Self::Expired        => row(504, SERVER, "expired",            NotRun,  "the deadline passed before the request was sent on"),
+            Self::NotStarted     => row(503, SERVER, "not_started",        NotRun,  "no endpoint began the request by its deadline"),
             Self::DeadlinePassed => row(504, SERVER, "deadline_passed",    Unknown, "the deadline passed while the request ran"),
             Self::EndpointFailed => row(502, SERVER, "endpoint_failed",    Failed,  "endpoints failed and the retries are used up"),
             Self::Rejected       => row(400, CALLER, "endpoint_rejected",  Failed,  "the endpoint found the request wrong"),
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -4,7 +4,8 @@
 //! The modules form layers, from the top: `supervisor` starts `listeners`, `catalog` (the contents of the
 //! platform's store) and `orders`; the first two accept connections through `accept`, those of callers as
 //! `caller_stream`. `listeners` hands
-//! requests to `requests`, which calls `plain` or `generate` (with `reservations`, `queue` and `waste`). Both use `load`
+//! requests to `requests`, which calls `plain` or `generate` (with `reservations`, `queue` and `waste`) within `deadline`
+//! (the end of requests whose handling does not respond; `runs` counts what endpoints may have begun). Both use `load`
 //! (admission to services that lack capacity), `rates` (rate limits that endpoints advertise), `statements`
 //! (what endpoints state about themselves), `stream`, `body` with `buffering` (bytes that slow callers have
 //! not read), `node` (state, one step at an endpoint), `in_flight` (accounts of work in progress) and
@@ -20,6 +21,7 @@
 //! Invariants:
 //! - a response is relayed as complete only if its endpoint has ended it;
 //! - a refusal with "not run" goes only to a request that no endpoint can have started;
+//! - each request that was read has one response by its deadline; a stream that has begun is truncated then;
 //! - a non-idempotent request is sent again only after its endpoint has stated that it did not run the
 //!   request, or if no byte of the request left the process;
 //! - everything acquired at an endpoint (accounted in-flight work, reserved capacity, a KV cache) is an
@@ -35,6 +37,7 @@
 mod catalog;
 mod connection_pool;
 mod crashes;
+mod deadline;
 mod generate;
 mod gossip;
 mod headers;
--- a/crates/forward/src/refusals.rs
+++ b/crates/forward/src/refusals.rs
@@ -27,6 +27,16 @@
 
 /// Turns a refusal into the final response.
 pub(crate) fn refuse(node: &Node, refusal: Refusal, trace: Trace) -> Response<ResponseBody> {
+    refuse_as(node, refusal, trace, refusal.kind.answer().code)
+}
+
+/// The same with an outcome in logs and metrics that says who ended the request.
+pub(crate) fn refuse_as(
+    node: &Node,
+    refusal: Refusal,
+    trace: Trace,
+    outcome: &str,
+) -> Response<ResponseBody> {
     let answer = refusal.kind.answer();
     let text = format!("{{\"error\":\"{}\",\"message\":\"{}\"}}\n", answer.code, answer.message);
     let mut response = Response::new(ResponseBody::short(Bytes::from(text)));
@@ -39,6 +49,6 @@
         let seconds = HeaderValue::from_str(&format!("{:.3}", delay.as_secs_f64()));
         response.headers_mut().insert(RETRY_AFTER, seconds.expect("a number is a header value"));
     }
-    trace.end(answer.code, answer.status);
+    trace.end(outcome, answer.status);
     response
 }
--- a/crates/forward/src/requests.rs
+++ b/crates/forward/src/requests.rs
@@ -17,8 +17,9 @@
 use crate::admission::{charge, identify};
 use crate::body::{CallerConnection, ResponseBody};
 use crate::buffering::{BufferedBytes, CollectError};
+use crate::deadline::{self, Limits};
 use crate::node::{Job, Node, Phase};
-use crate::refusals::{OTHER_INSTANCE_RETRY, refuse};
+use crate::refusals::{OTHER_INSTANCE_RETRY, refuse, refuse_as};
 use crate::trace::Trace;
 use crate::{generate, headers, load, plain, reservations};
 
@@ -41,11 +42,12 @@
 ) -> Result<Response<ResponseBody>, Infallible> {
     let (arrived, version) = (node.now(), request.version());
     let meta = node.protocol.read_request(request.headers());
-    let mut trace = Trace::new(&node, &meta, arrived);
-    let mut response = match admit(&node, request, meta, arrived, &mut trace).await {
+    let trace = Trace::new(&node, &meta, arrived);
+    let mut response = match admit(&node, request, meta, arrived, &trace).await {
         Ok(job) => {
             let until = job.deadline + READ_TIMEOUT;
-            run(&node, job, trace).await.map(|body| body.send_on(&connection, version, until))
+            let response = run_in_time(&node, job, trace).await;
+            response.map(|body| body.send_on(&connection, version, until))
         }
         Err(refusal) => refuse(&node, refusal, trace),
     };
@@ -55,13 +57,27 @@
     Ok(response)
 }
 
+/// Handles an admitted request, and responds itself where the handling does not in time.
+async fn run_in_time(node: &Rc<Node>, job: Job, trace: Trace) -> Response<ResponseBody> {
+    let caller_deadline = job.arrived + job.meta.deadline.unwrap_or(DEFAULT_DEADLINE);
+    let limits = Limits::new(job.arrived, job.deadline, caller_deadline);
+    let runs = Rc::clone(&job.runs);
+    match deadline::within(run(node, job, trace.clone()), &runs, limits).await {
+        Ok(response) => response,
+        Err(unanswered) => {
+            let (refusal, outcome) = unanswered.refusal(limits);
+            refuse_as(node, refusal, trace, outcome)
+        }
+    }
+}
+
 /// Finds the route, reads the body and admits the request.
 async fn admit(
     node: &Rc<Node>,
     request: Request<Incoming>,
     meta: crate::protocol::RequestMeta,
     arrived: Instant,
-    trace: &mut Trace,
+    trace: &Trace,
 ) -> Result<Job, Refusal> {
     let routes = node.state.borrow().routes.clone();
     let (mut head, body) = request.into_parts();
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -10,6 +10,10 @@
 //! search, so that nothing is relayed between the event after which another engine begins and that engine's first event,
 //! which ends the run.
 //!
+//! Each wait of a stream ends at the deadline of its request: for the next piece, for the caller to take one, and for
+//! another engine. The stream is truncated then. The next piece is never there many times in a row, which would pass over
+//! the deadline: the task of a connection passes on one at a time.
+//!
 //! The end of the caller's response is marked only where that of the first run's is, and only if the last run is
 //! known to be complete.
 
--- a/crates/forward/src/trace.rs
+++ b/crates/forward/src/trace.rs
@@ -1,4 +1,7 @@
 //! Trace of one request, written as one log line at its end.
+//!
+//! Whoever handles the request and whoever ends the handling from outside share the trace. The first to end it writes
+//! the line. If nobody does before the last of them is dropped, the caller has disconnected.
 
 use std::cell::{Cell, RefCell};
 use std::fmt::Write;
@@ -14,25 +17,19 @@
 use crate::node::Node;
 use crate::protocol::RequestMeta;
 
-/// Data about a request for logs and metrics. Dropping it before its end records that the caller has
-/// disconnected.
+/// Data about a request for logs and metrics, shared by those who handle it.
+#[derive(Debug, Clone)]
+pub(crate) struct Trace(Rc<Record>);
+
 #[derive(Debug)]
-pub(crate) struct Trace {
+struct Record {
     node: Rc<Node>,
     id: String,
-    kind: &'static str,
-    route: Arc<str>,
-    version: u64,
-    /// Name of the caller's team; empty where the caller has none.
-    team: Arc<str>,
     arrived: Instant,
+    target: RefCell<Target>,
     steps: RefCell<String>,
     /// How long the caller waits, as stated in the request.
     deadline: Option<Duration>,
-    /// Whether the request is a retry after a refusal.
-    is_retry: bool,
-    /// The request's priority among others; empty until its route is known.
-    priority: String,
     /// Why results of prefills were not used.
     waste: RefCell<String>,
     expected: ExpectedSize,
@@ -44,7 +41,34 @@
     longest_gap: Cell<Duration>,
     /// Fingerprint of the request; set only when needed.
     fingerprint: Cell<Option<Fingerprint>>,
-    ended: bool,
+    ended: Cell<bool>,
+}
+
+/// What is known of a request once its route is.
+#[derive(Debug)]
+struct Target {
+    kind: &'static str,
+    route: Arc<str>,
+    version: u64,
+    /// Name of the caller's team; empty where the caller has none.
+    team: Arc<str>,
+    /// Whether the request is a retry after a refusal.
+    is_retry: bool,
+    /// The request's priority among others; empty until its route is known.
+    priority: String,
+}
+
+impl Default for Target {
+    fn default() -> Self {
+        Self {
+            kind: "none",
+            route: Arc::from(""),
+            version: 0,
+            team: Arc::from(""),
+            is_retry: false,
+            priority: String::new(),
+        }
+    }
 }
 
 /// Expected size of a generation, in tokens; all 0 for a plain request.
@@ -58,18 +82,13 @@
 impl Trace {
     pub(crate) fn new(node: &Rc<Node>, meta: &RequestMeta, arrived: Instant) -> Self {
         node.metrics.running.inc();
-        Self {
+        Self(Rc::new(Record {
             node: Rc::clone(node),
             id: meta.id.clone(),
-            kind: "none",
-            route: Arc::from(""),
-            version: 0,
-            team: Arc::from(""),
             arrived,
+            target: RefCell::default(),
             steps: RefCell::default(),
             deadline: meta.deadline,
-            is_retry: false,
-            priority: String::new(),
             waste: RefCell::default(),
             expected: ExpectedSize {
                 prompt_tokens: meta.prompt_tokens,
@@ -80,40 +99,40 @@
             first_and_last: Cell::new(None),
             longest_gap: Cell::new(Duration::ZERO),
             fingerprint: Cell::new(None),
-            ended: false,
-        }
+            ended: Cell::new(false),
+        }))
     }
 
-    /// Records the matched route and the version of the configuration.
     /// Sets the version in force, also for a request without a route.
-    pub(crate) fn set_version(&mut self, version: u64) {
-        self.version = version;
+    pub(crate) fn set_version(&self, version: u64) {
+        self.0.target.borrow_mut().version = version;
     }
 
-    pub(crate) fn set_route(&mut self, kind: &'static str, route: &Arc<str>) {
-        self.kind = kind;
-        self.route = Arc::clone(route);
+    pub(crate) fn set_route(&self, kind: &'static str, route: &Arc<str>) {
+        let mut target = self.0.target.borrow_mut();
+        target.kind = kind;
+        target.route = Arc::clone(route);
     }
 
-    pub(crate) fn set_team(&mut self, team: Option<&Team>) {
+    pub(crate) fn set_team(&self, team: Option<&Team>) {
         if let Some(team) = team {
-            self.team = Arc::clone(&team.name);
+            self.0.target.borrow_mut().team = Arc::clone(&team.name);
         }
     }
 
     /// Records whether the request is a retry after a refusal.
-    pub(crate) fn set_retry(&mut self, is_retry: bool) {
-        self.is_retry = is_retry;
+    pub(crate) fn set_retry(&self, is_retry: bool) {
+        self.0.target.borrow_mut().is_retry = is_retry;
     }
 
     /// Records the request's priority.
-    pub(crate) fn set_priority(&mut self, priority: Priority) {
-        self.priority = priority.text();
+    pub(crate) fn set_priority(&self, priority: Priority) {
+        self.0.target.borrow_mut().priority = priority.text();
     }
 
     /// Records why the result of a prefill is not used.
     pub(crate) fn record_waste(&self, cause: &str) {
-        let mut waste = self.waste.borrow_mut();
+        let mut waste = self.0.waste.borrow_mut();
         if !waste.is_empty() {
             waste.push(' ');
         }
@@ -122,13 +141,13 @@
 
     /// Records the fingerprint, which identifies the request if it is sent again.
     pub(crate) fn set_fingerprint(&self, fingerprint: Fingerprint) {
-        self.fingerprint.set(Some(fingerprint));
+        self.0.fingerprint.set(Some(fingerprint));
     }
 
     /// Records the end of a step at an endpoint.
     pub(crate) fn record_step(&self, step: &str, endpoint: &str, outcome: &str) {
-        let at = self.node.now().duration_since(self.arrived).as_millis();
-        let mut steps = self.steps.borrow_mut();
+        let at = self.0.node.now().duration_since(self.0.arrived).as_millis();
+        let mut steps = self.0.steps.borrow_mut();
         let gap = if steps.is_empty() { "" } else { " " };
         // Writing to a string does not fail.
         let _ = write!(steps, "{gap}{step}@{endpoint}={outcome}+{at}ms");
@@ -139,46 +158,54 @@
         if events == 0 {
             return;
         }
-        self.events.set(self.events.get() + events);
-        let now = self.node.now();
-        let (first, last) = self.first_and_last.get().unwrap_or((now, now));
-        self.longest_gap.set(self.longest_gap.get().max(now.duration_since(last)));
-        self.first_and_last.set(Some((first, now)));
+        self.0.events.set(self.0.events.get() + events);
+        let now = self.0.node.now();
+        let (first, last) = self.0.first_and_last.get().unwrap_or((now, now));
+        self.0.longest_gap.set(self.0.longest_gap.get().max(now.duration_since(last)));
+        self.0.first_and_last.set(Some((first, now)));
     }
 
     /// Events that were relayed.
     pub(crate) fn events(&self) -> u32 {
-        self.events.get()
+        self.0.events.get()
     }
 
     /// Records that the head of the response is sent to the caller.
     pub(crate) fn record_head(&self) {
-        let took = self.node.now().duration_since(self.arrived);
-        self.node.metrics.time_to_head.with_label_values(&[self.kind]).observe(took.as_secs_f64());
+        let took = self.0.node.now().duration_since(self.0.arrived);
+        self.0
+            .node
+            .metrics
+            .time_to_head
+            .with_label_values(&[self.0.target.borrow().kind])
+            .observe(took.as_secs_f64());
     }
 
     /// Records the final outcome.
-    pub(crate) fn end(mut self, outcome: &str, status: u16) {
-        self.write(outcome, status);
+    pub(crate) fn end(self, outcome: &str, status: u16) {
+        self.0.write(outcome, status);
     }
+}
 
-    fn write(&mut self, outcome: &str, status: u16) {
-        if std::mem::replace(&mut self.ended, true) {
+impl Record {
+    fn write(&self, outcome: &str, status: u16) {
+        if self.ended.replace(true) {
             return;
         }
+        let target = self.target.borrow();
         let took = self.node.now().duration_since(self.arrived);
         self.node.metrics.running.dec();
-        self.node.metrics.count_request(self.kind, outcome, took);
-        self.node.metrics.count_team_request(&self.team, outcome);
+        self.node.metrics.count_request(target.kind, outcome, took);
+        self.node.metrics.count_team_request(&target.team, outcome);
         info!(self.node.log, "request";
             "id" => &self.id,
-            "kind" => self.kind,
-            "route" => &*self.route,
-            "version" => self.version,
-            "team" => &*self.team,
+            "kind" => target.kind,
+            "route" => &*target.route,
+            "version" => target.version,
+            "team" => &*target.team,
             "list_age_ms" => self.node.list_age().map(millis),
             "deadline_ms" => self.deadline.map(millis),
-            "returns" => self.is_retry,
+            "returns" => target.is_retry,
             "prompt" => self.expected.prompt_tokens,
             "output" => self.expected.max_output_tokens,
             "hint" => self.expected.output_hint,
@@ -186,7 +213,7 @@
             "first_ms" => self.first_and_last.get().map(|(first, _)| millis(first.duration_since(self.arrived))),
             "pause_ms" => millis(self.longest_gap.get()),
             "fingerprint" => self.fingerprint.get().map(|f| f.to_string()),
-            "priority" => &self.priority,
+            "priority" => &target.priority,
             "waste" => self.waste.borrow().as_str(),
             "steps" => self.steps.borrow().as_str(),
             "outcome" => outcome,
@@ -199,7 +226,7 @@
     time.as_millis() as u64
 }
 
-impl Drop for Trace {
+impl Drop for Record {
     fn drop(&mut self) {
         self.write("caller_gone", 0);
     }
