Shutdown: requests in progress get a response before the process exits

What callers saw: at the end of the grace time less `EXIT_MARGIN` the process exited, and the connections of requests that waited in a queue or at an endpoint were closed without a response. Nothing said that the queued ones had not run. The line of a stream that the exit broke off said `caller_gone`.

Cause: nothing ended the handling of requests before the exit.

A shutdown has two more phases. 0.2 s before the exit, in `Answering`, `deadline::within` ends each handling whose response has not begun, also while the request is still being read: 503 `stopping` if no endpoint can have begun it, otherwise 502. The rest of that time is for the connections to write the responses. In `Exiting`, a trace that is dropped says `exit` (streams); the others say `exit_not_run` and `exit_unknown`. `Phase` has a module of its own, with the wait for a phase that the listeners had.

The drawn plans have an exit at a drawn moment.

--- a/crates/forward/src/deadline.rs
+++ b/crates/forward/src/deadline.rs
@@ -1,8 +1,8 @@
 //! The one place that responds to a request whose handling does not.
 //!
 //! The handling of a request waits for endpoints, reservations, queues, searches, peers and links, and each of these waits
-//! may end too late or never. [`within`] polls the handling and trusts none of that: at the deadline it drops the handling and
-//! returns. All requests pass through it up to the head of their response, and `stream` has
+//! may end too late or never. [`within`] polls the handling and trusts none of that: at the deadline, and before the process
+//! exits, it drops the handling and returns. All requests pass through it up to the head of their response, and `stream` has
 //! the deadline in each of its waits after that. So each request has exactly one response by its deadline: that of its
 //! handling, or the one from here.
 //!
@@ -10,7 +10,7 @@
 //! runs, and the count is read after that. While nothing is counted near the deadline, the handling is not polled any more,
 //! so that it cannot begin to send.
 
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
@@ -18,6 +18,7 @@
 use teaselshunt_routing::retry_delay;
 use tokio::time::Sleep;
 
+use crate::refusals::OTHER_INSTANCE_RETRY;
 use crate::runs::Runs;
 
 /// Time before the deadline at which a request that nothing has begun is refused: the caller must have the refusal before it
@@ -48,9 +49,18 @@
     }
 }
 
+/// What ended the handling of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Cause {
+    Deadline,
+    /// The process is about to exit.
+    Exit,
+}
+
 /// The end of a request whose handling has not responded.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Unanswered {
+    pub(crate) cause: Cause,
     /// Whether an endpoint may have begun the request.
     pub(crate) may_have_run: bool,
 }
@@ -58,75 +68,90 @@
 impl Unanswered {
     /// The response, and the outcome in logs and metrics. Only a request that has not run may be refused with a status that
     /// says so.
-    pub(crate) fn refusal(self, limits: Limits) -> (Refusal, &'static str) {
-        if self.may_have_run {
-            (Refusal::new(ErrorKind::DeadlinePassed), "deadline_passed")
-        } else {
-            (not_run(limits), "deadline_not_run")
+    pub(crate) fn refusal(self, limits: Option<Limits>) -> (Refusal, &'static str) {
+        match (self.cause, self.may_have_run) {
+            (Cause::Deadline, false) => (not_run(limits), "deadline_not_run"),
+            (Cause::Deadline, true) => (Refusal::new(ErrorKind::DeadlinePassed), "deadline_passed"),
+            (Cause::Exit, false) => {
+                (Refusal::retryable(ErrorKind::Stopping, OTHER_INSTANCE_RETRY), "exit_not_run")
+            }
+            (Cause::Exit, true) => (Refusal::new(ErrorKind::OutcomeUnknown), "exit_unknown"),
         }
     }
 }
 
 /// The refusal at the deadline of a request that has not run. A caller that waits for longer than the route allows returns
 /// within its time.
-fn not_run(limits: Limits) -> Refusal {
-    let left = limits.caller.saturating_duration_since(limits.deadline);
-    let delay = if left.is_zero() { LATE_RETRY } else { retry_delay(left) };
+fn not_run(limits: Option<Limits>) -> Refusal {
+    let left = limits.map(|limits| limits.caller.saturating_duration_since(limits.deadline));
+    let delay = left.filter(|left| !left.is_zero()).map_or(LATE_RETRY, retry_delay);
     Refusal::retryable(ErrorKind::NotStarted, delay)
 }
 
-/// Handles a request, until its deadline at the latest.
+/// Handles a request, until its deadline and until `exit` at the latest. A request without limits has not been read.
 ///
 /// # Errors
 /// The handling was ended.
 pub(crate) async fn within<T>(
     handling: impl Future<Output = T>,
     runs: &Runs,
-    limits: Limits,
+    limits: Option<Limits>,
+    exit: impl Future<Output = ()>,
 ) -> Result<T, Unanswered> {
     let mut handling = Box::pin(handling);
-    let mut ends = Ends::new(runs, limits);
+    let exit = pin!(exit);
+    let mut ends = Ends::new(runs, limits, exit);
     let ended = std::future::poll_fn(|context| {
-        let has_ended = ends.poll(context);
-        if has_ended && !runs.may_have_begun() {
-            return Poll::Ready(None);
+        let end = ends.poll(context);
+        if let Some(cause) = end
+            && !runs.may_have_begun()
+        {
+            return Poll::Ready(Err(cause));
         }
         if let Poll::Ready(response) = handling.as_mut().poll(context) {
-            return Poll::Ready(Some(response));
+            return Poll::Ready(Ok(response));
+        }
+        match end.or_else(|| ends.poll(context)) {
+            Some(cause) => Poll::Ready(Err(cause)),
+            None => Poll::Pending,
         }
-        if has_ended || ends.poll(context) { Poll::Ready(None) } else { Poll::Pending }
     })
     .await;
     drop(handling);
-    ended.ok_or_else(|| Unanswered { may_have_run: runs.may_have_begun() })
+    ended.map_err(|cause| Unanswered { cause, may_have_run: runs.may_have_begun() })
 }
 
 /// What ends the handling of a request from outside.
-struct Ends<'a> {
+struct Ends<'a, E> {
     runs: &'a Runs,
-    deadline: Instant,
-    timer: Pin<Box<Sleep>>,
+    limits: Option<(Limits, Pin<Box<Sleep>>)>,
     /// Whether the time for a refusal has come.
     may_refuse: bool,
+    exit: Pin<&'a mut E>,
+    exits: bool,
 }
 
-impl<'a> Ends<'a> {
-    fn new(runs: &'a Runs, limits: Limits) -> Self {
-        let timer = Box::pin(tokio::time::sleep_until(limits.refusal.into()));
-        Self { runs, deadline: limits.deadline, timer, may_refuse: false }
+impl<'a, E: Future<Output = ()>> Ends<'a, E> {
+    fn new(runs: &'a Runs, limits: Option<Limits>, exit: Pin<&'a mut E>) -> Self {
+        let timer = |limits: Limits| (limits, Box::pin(tokio::time::sleep_until(limits.refusal.into())));
+        Self { runs, limits: limits.map(timer), may_refuse: false, exit, exits: false }
     }
 
-    /// Whether the handling is to end.
-    fn poll(&mut self, context: &mut Context<'_>) -> bool {
+    fn poll(&mut self, context: &mut Context<'_>) -> Option<Cause> {
+        if self.exits || self.exit.as_mut().poll(context).is_ready() {
+            self.exits = true;
+            return Some(Cause::Exit);
+        }
+        let (limits, timer) = self.limits.as_mut()?;
         if !self.may_refuse {
-            if self.timer.as_mut().poll(context).is_pending() {
-                return false;
+            if timer.as_mut().poll(context).is_pending() {
+                return None;
             }
             self.may_refuse = true;
-            self.timer.as_mut().reset(self.deadline.into());
+            timer.as_mut().reset(limits.deadline.into());
         }
-        let passed = self.timer.as_mut().poll(context).is_ready();
-        passed || !self.runs.may_have_begun()
+        let passed = timer.as_mut().poll(context).is_ready();
+        (passed || !self.runs.may_have_begun()).then_some(Cause::Deadline)
     }
 }
 
--- a/crates/forward/src/deadline/tests.rs
+++ b/crates/forward/src/deadline/tests.rs
@@ -9,9 +9,9 @@
 use teaselshunt_core::Outcome;
 use tokio::sync::oneshot;
 use tokio::task::LocalSet;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, sleep_until};
 
-use super::{Limits, Unanswered, within};
+use super::{Cause, Limits, Unanswered, within};
 use crate::runs::Runs;
 
 /// Times are drawn up to this one, which is longer than any deadline.
@@ -56,6 +56,8 @@
     waits: Vec<Wait>,
     beside: Vec<Wait>,
     deadline_ms: u64,
+    /// When the process is about to exit.
+    exit_ms: Option<u64>,
 }
 
 fn time(g: &mut Gen) -> u64 {
@@ -79,7 +81,12 @@
     fn arbitrary(g: &mut Gen) -> Self {
         let waits =
             |g: &mut Gen, most: usize| (0..usize::arbitrary(g) % most).map(|_| Wait::arbitrary(g)).collect();
-        Self { waits: waits(g, 6), beside: waits(g, 3), deadline_ms: 1 + time(g) / 2 }
+        Self {
+            waits: waits(g, 6),
+            beside: waits(g, 3),
+            deadline_ms: 1 + time(g) / 2,
+            exit_ms: bool::arbitrary(g).then(|| time(g)),
+        }
     }
 
     fn shrink(&self) -> Box<dyn Iterator<Item = Self>> {
@@ -171,6 +178,13 @@
     let (runs, endpoints) = (Runs::default(), Rc::new(RefCell::new(Endpoints::default())));
     let deadline = start + millis(plan.deadline_ms);
     let limits = Limits::new(start.into_std(), deadline.into_std(), (deadline + LATER).into_std());
+    let exit_at = plan.exit_ms.map(|exit_ms| start + millis(exit_ms));
+    let exit = async {
+        match exit_at {
+            Some(at) => sleep_until(at).await,
+            None => std::future::pending().await,
+        }
+    };
     let handling = async {
         let beside = async {
             if !handle(&runs, &endpoints, &plan.beside).await {
@@ -182,9 +196,9 @@
             () = beside => true,
         }
     };
-    let result = within(handling, &runs, limits).await;
+    let result = within(handling, &runs, Some(limits), exit).await;
     let ended = Instant::now();
-    assert!(ended <= deadline, "the response is late: {plan:?}");
+    assert!(ended <= deadline && exit_at.is_none_or(|at| ended <= at), "the response is late: {plan:?}");
     if let Err(unanswered) = result {
         assert_true(unanswered, limits, &endpoints.borrow(), &plan);
     }
@@ -195,7 +209,7 @@
 
 /// Asserts that a response from outside states only what endpoints know.
 fn assert_true(unanswered: Unanswered, limits: Limits, endpoints: &Endpoints, plan: &Plan) {
-    let (refusal, _) = unanswered.refusal(limits);
+    let (refusal, _) = unanswered.refusal(Some(limits));
     let answer = refusal.kind.answer();
     assert_eq!(unanswered.may_have_run, !endpoints.begun.is_empty(), "{plan:?}");
     let promises = matches!(answer.status, 408 | 421 | 429 | 503);
@@ -230,7 +244,7 @@
         let limits = Limits::new(now, now, now);
         let runs = Runs::default();
         let handling = async { runs.prepare().begin() };
-        let result = within(handling, &runs, limits).await;
-        assert_eq!(result, Err(Unanswered { may_have_run: false }));
+        let result = within(handling, &runs, Some(limits), std::future::pending()).await;
+        assert_eq!(result, Err(Unanswered { cause: Cause::Deadline, may_have_run: false }));
     });
 }
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -21,7 +21,8 @@
 //! Invariants:
 //! - a response is relayed as complete only if its endpoint has ended it;
 //! - a refusal with "not run" goes only to a request that no endpoint can have started;
-//! - each request that was read has one response by its deadline; a stream that has begun is truncated then;
+//! - each request that was read has one response by its deadline, and before the process exits; a stream that has begun
+//!   is truncated then;
 //! - a non-idempotent request is sent again only after its endpoint has stated that it did not run the
 //!   request, or if no byte of the request left the process;
 //! - everything acquired at an endpoint (accounted in-flight work, reserved capacity, a KV cache) is an
@@ -50,6 +51,7 @@
 mod orders;
 mod pace;
 mod peer_listener;
+mod phase;
 mod plain;
 mod protocol;
 mod queue;
--- a/crates/forward/src/listeners.rs
+++ b/crates/forward/src/listeners.rs
@@ -14,12 +14,12 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use slog::{debug, info, warn};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
 
 use crate::accept::accept;
 use crate::body::CallerConnection;
 use crate::caller_stream::CallerStream;
-use crate::node::{Node, Phase};
+use crate::node::Node;
+use crate::phase::{self, Phase};
 use crate::requests;
 
 /// Idle timeout of callers' connections before a configuration is known.
@@ -62,7 +62,7 @@
         .max_buf_size(head * 2)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
-    let closing = wait_for_closing(node.phase.subscribe());
+    let closing = phase::reached(node.phase.subscribe(), Phase::Closing);
     node.connections.set(node.connections.get() + 1);
     let served = async {
         tokio::select! {
@@ -85,16 +85,6 @@
     }
 }
 
-/// Waits until idle connections are to be closed.
-///
-/// This is a separate function because the return value of `wait_for` holds a lock on the phase. If the lock
-/// were held until a connection ends, the next change of phase would block the whole process, and streams in
-/// progress would freeze until the process is killed.
-async fn wait_for_closing(mut phase: watch::Receiver<Phase>) {
-    // An error means that the process is ending, which also closes connections.
-    let _ = phase.wait_for(|p| *p >= Phase::Closing).await;
-}
-
 /// Serves the readiness check of the balancer.
 pub(crate) async fn readiness(node: Rc<Node>, listener: TcpListener) {
     serve_internal(Rc::clone(&node), listener, move |request| {
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -34,6 +34,7 @@
 use crate::in_flight::InFlightWork;
 use crate::load;
 use crate::metrics::Metrics;
+use crate::phase::Phase;
 use crate::protocol::{Protocol, Purpose, RequestMeta};
 use crate::queue::PendingSearch;
 use crate::reach::Destination;
@@ -42,22 +43,6 @@
 use crate::settings::Settings;
 use crate::statements;
 
-/// Progress of a graceful shutdown.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum Phase {
-    /// No shutdown has begun.
-    Serving,
-    /// The readiness check fails, so that the balancer sends no new callers; callers that connect anyway are
-    /// served.
-    Leaving,
-    /// Idle connections are closed; requests in progress finish.
-    Closing,
-    /// New requests that may take seconds are refused; short requests are served.
-    Refusing,
-    /// All new requests are refused.
-    Ending,
-}
-
 /// Mutable state: what the instance knows of endpoints and of load, its budgets and its accounts.
 #[derive(Debug)]
 pub(crate) struct State {
--- a/crates/forward/src/orders.rs
+++ b/crates/forward/src/orders.rs
@@ -15,7 +15,8 @@
 use slog::info;
 use teaselshunt_routing::{Incarnation, Service, Stage, StageChange, plan_stage_changes};
 
-use crate::node::{Node, Phase};
+use crate::node::Node;
+use crate::phase::Phase;
 use crate::protocol::Order;
 
 /// Interval at which the stages are polled.
--- a/crates/forward/src/reach.rs
+++ b/crates/forward/src/reach.rs
@@ -18,7 +18,8 @@
 use tokio::sync::Notify;
 
 use crate::connection_pool::Connection;
-use crate::node::{Node, Phase};
+use crate::node::Node;
+use crate::phase::Phase;
 
 /// Longest time for an endpoint's answer to a check over a direct connection.
 pub(crate) const CHECK_TIMEOUT: Duration = Duration::from_millis(200);
--- a/crates/forward/src/requests.rs
+++ b/crates/forward/src/requests.rs
@@ -17,11 +17,13 @@
 use crate::admission::{charge, identify};
 use crate::body::{CallerConnection, ResponseBody};
 use crate::buffering::{BufferedBytes, CollectError};
-use crate::deadline::{self, Limits};
-use crate::node::{Job, Node, Phase};
+use crate::deadline::{self, Limits, Unanswered};
+use crate::node::{Job, Node};
+use crate::phase::Phase;
 use crate::refusals::{OTHER_INSTANCE_RETRY, refuse, refuse_as};
+use crate::runs::Runs;
 use crate::trace::Trace;
-use crate::{generate, headers, load, plain, reservations};
+use crate::{generate, headers, load, phase, plain, reservations};
 
 /// `Retry-After` delay if the buffer memory is full: the retry may reach another instance, which may buffer
 /// less, and callers will have read some of the buffered bytes by then.
@@ -43,13 +45,16 @@
     let (arrived, version) = (node.now(), request.version());
     let meta = node.protocol.read_request(request.headers());
     let trace = Trace::new(&node, &meta, arrived);
-    let mut response = match admit(&node, request, meta, arrived, &trace).await {
-        Ok(job) => {
+    let (exit, runs) = (phase::reached(node.phase.subscribe(), Phase::Answering), Runs::default());
+    let admission = admit(&node, request, meta, arrived, &trace);
+    let mut response = match deadline::within(admission, &runs, None, exit).await {
+        Ok(Ok(job)) => {
             let until = job.deadline + READ_TIMEOUT;
             let response = run_in_time(&node, job, trace).await;
             response.map(|body| body.send_on(&connection, version, until))
         }
-        Err(refusal) => refuse(&node, refusal, trace),
+        Ok(Err(refusal)) => refuse(&node, refusal, trace),
+        Err(unanswered) => respond(&node, unanswered, None, trace),
     };
     if node.phase() > Phase::Serving {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -62,15 +67,24 @@
     let caller_deadline = job.arrived + job.meta.deadline.unwrap_or(DEFAULT_DEADLINE);
     let limits = Limits::new(job.arrived, job.deadline, caller_deadline);
     let runs = Rc::clone(&job.runs);
-    match deadline::within(run(node, job, trace.clone()), &runs, limits).await {
+    let exit = phase::reached(node.phase.subscribe(), Phase::Answering);
+    match deadline::within(run(node, job, trace.clone()), &runs, Some(limits), exit).await {
         Ok(response) => response,
-        Err(unanswered) => {
-            let (refusal, outcome) = unanswered.refusal(limits);
-            refuse_as(node, refusal, trace, outcome)
-        }
+        Err(unanswered) => respond(node, unanswered, Some(limits), trace),
     }
 }
 
+/// The response to a request whose handling was ended.
+fn respond(
+    node: &Node,
+    unanswered: Unanswered,
+    limits: Option<Limits>,
+    trace: Trace,
+) -> Response<ResponseBody> {
+    let (refusal, outcome) = unanswered.refusal(limits);
+    refuse_as(node, refusal, trace, outcome)
+}
+
 /// Finds the route, reads the body and admits the request.
 async fn admit(
     node: &Rc<Node>,
--- a/crates/forward/src/supervisor.rs
+++ b/crates/forward/src/supervisor.rs
@@ -24,7 +24,8 @@
 use crate::catalog::Catalog;
 use crate::connection_pool::ConnectionPool;
 use crate::metrics::Metrics;
-use crate::node::{Node, Phase, State};
+use crate::node::{Node, State};
+use crate::phase::Phase;
 use crate::protocol::Protocol;
 use crate::settings::Settings;
 use crate::{gossip, listeners, load, logs, orders, pace, peer_listener, queue, reach};
@@ -50,6 +51,8 @@
 const FINAL_REFUSAL_TIME: Duration = Duration::from_millis(1800);
 /// Time reserved at the end of the grace time for the process to exit by itself.
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
+/// Time before the exit in which requests in progress are answered, and their connections write the responses.
+const LAST_RESPONSES_TIME: Duration = Duration::from_millis(200);
 /// Interval at which a shutdown polls whether all requests have ended.
 const SHUTDOWN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -233,7 +236,9 @@
 
 /// Phase of a graceful shutdown after some time; a short grace time shortens the first phases.
 fn phase_at(elapsed: Duration, grace: Duration) -> Phase {
-    if elapsed >= grace.saturating_sub(FINAL_REFUSAL_TIME) {
+    if elapsed >= grace.saturating_sub(EXIT_MARGIN + LAST_RESPONSES_TIME) {
+        Phase::Answering
+    } else if elapsed >= grace.saturating_sub(FINAL_REFUSAL_TIME) {
         Phase::Ending
     } else if elapsed >= STREAM_REFUSAL_TIME.min(grace / 2) {
         Phase::Refusing
@@ -245,7 +250,7 @@
 }
 
 /// Performs a graceful shutdown: readiness ends for the balancer first, then idle connections are closed,
-/// then new requests are refused.
+/// then new requests are refused, and at last those whose responses have not begun are answered.
 async fn shut_down(node: &Rc<Node>) {
     let started = node.now();
     let grace = node.settings.grace_time;
@@ -269,5 +274,6 @@
         }
         tokio::time::sleep(SHUTDOWN_POLL_INTERVAL).await;
     }
+    node.phase.send_replace(Phase::Exiting);
     info!(node.log, "stopped"; "took_ms" => node.now().duration_since(started).as_millis() as u64);
 }
--- a/crates/forward/src/trace.rs
+++ b/crates/forward/src/trace.rs
@@ -1,7 +1,7 @@
 //! Trace of one request, written as one log line at its end.
 //!
 //! Whoever handles the request and whoever ends the handling from outside share the trace. The first to end it writes
-//! the line. If nobody does before the last of them is dropped, the caller has disconnected.
+//! the line. If nobody does before the last of them is dropped, the caller has disconnected, or the process exits.
 
 use std::cell::{Cell, RefCell};
 use std::fmt::Write;
@@ -15,6 +15,7 @@
 use teaselshunt_teams::Team;
 
 use crate::node::Node;
+use crate::phase::Phase;
 use crate::protocol::RequestMeta;
 
 /// Data about a request for logs and metrics, shared by those who handle it.
@@ -228,6 +229,7 @@
 
 impl Drop for Record {
     fn drop(&mut self) {
-        self.write("caller_gone", 0);
+        let exits = self.node.phase() == Phase::Exiting;
+        self.write(if exits { "exit" } else { "caller_gone" }, 0);
     }
 }
--- a/crates/forward/src/tunnel_listener.rs
+++ b/crates/forward/src/tunnel_listener.rs
@@ -19,7 +19,8 @@
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-use crate::node::{Node, Phase};
+use crate::node::Node;
+use crate::phase::Phase;
 use crate::reach::{self, Reach};
 use crate::sockets;
 use crate::tunnels::{RECORD_BYTES_MAX, RECORD_HEAD_BYTES, TUNNEL_PROTOCOL, UNREACHABLE_STATUS};
