Requests: a panic of the handling is answered with 500 and logged

What callers saw: their connection was closed without a response, and a stream broke off with `caller_gone` in its line. Nothing but the default message on the standard error said why.

Cause: a panic unwound through `serve` and ended the task of the caller's connection; that of a stream ended the task of its relay. Nobody reads the results of these tasks.

`deadline::within` catches a panic of the handling, also of what is dropped with it at a deadline, and `serve` answers 500 `internal` and logs `request panicked` with the id and the message; the outcome is `panicked`. The relay of a stream does the same for its line. What a panic leaves behind is the request's own state, which is dropped, and that of the node, whose borrows end as the stack unwinds.

That a relay's panic is logged has no test: nothing in a stream can be made to panic from outside.

--- a/crates/forward/src/deadline.rs
+++ b/crates/forward/src/deadline.rs
@@ -1,19 +1,22 @@
 //! The one place that responds to a request whose handling does not.
 //!
 //! The handling of a request waits for endpoints, reservations, queues, searches, peers and links, and each of these waits
-//! may end too late or never. [`within`] polls the handling and trusts none of that: at the deadline, and before the process
-//! exits, it drops the handling and returns. All requests pass through it up to the head of their response, and `stream` has
-//! the deadline in each of its waits after that. So each request has exactly one response by its deadline: that of its
-//! handling, or the one from here.
+//! may end too late or never, or panic. [`within`] polls the handling and trusts none of that: at the deadline, and before
+//! the process exits, it drops the handling and returns, and it returns at once after a panic. All requests pass through it
+//! up to the head of their response, and `stream` has the deadline in each of its waits after that. So each request has
+//! exactly one response by its deadline: that of its handling, or the one from here.
 //!
 //! The response is true since [`Runs`] counts every run before it is written. Dropping the handling drops whatever sends
 //! runs, and the count is read after that. While nothing is counted near the deadline, the handling is not polled any more,
 //! so that it cannot begin to send.
 
+use std::any::Any;
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::pin::{Pin, pin};
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
+use futures_util::FutureExt;
 use teaselshunt_core::{ErrorKind, Refusal};
 use teaselshunt_routing::retry_delay;
 use tokio::time::Sleep;
@@ -50,15 +53,17 @@
 }
 
 /// What ended the handling of a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum Cause {
     Deadline,
     /// The process is about to exit.
     Exit,
+    /// The handling panicked with this message.
+    Panic(String),
 }
 
 /// The end of a request whose handling has not responded.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Unanswered {
     pub(crate) cause: Cause,
     /// Whether an endpoint may have begun the request.
@@ -68,14 +73,15 @@
 impl Unanswered {
     /// The response, and the outcome in logs and metrics. Only a request that has not run may be refused with a status that
     /// says so.
-    pub(crate) fn refusal(self, limits: Option<Limits>) -> (Refusal, &'static str) {
-        match (self.cause, self.may_have_run) {
+    pub(crate) fn refusal(&self, limits: Option<Limits>) -> (Refusal, &'static str) {
+        match (&self.cause, self.may_have_run) {
             (Cause::Deadline, false) => (not_run(limits), "deadline_not_run"),
             (Cause::Deadline, true) => (Refusal::new(ErrorKind::DeadlinePassed), "deadline_passed"),
             (Cause::Exit, false) => {
                 (Refusal::retryable(ErrorKind::Stopping, OTHER_INSTANCE_RETRY), "exit_not_run")
             }
             (Cause::Exit, true) => (Refusal::new(ErrorKind::OutcomeUnknown), "exit_unknown"),
+            (Cause::Panic(_), _) => (Refusal::new(ErrorKind::Internal), "panicked"),
         }
     }
 }
@@ -91,25 +97,27 @@
 /// Handles a request, until its deadline and until `exit` at the latest. A request without limits has not been read.
 ///
 /// # Errors
-/// The handling was ended.
+/// The handling was ended, or panicked.
 pub(crate) async fn within<T>(
     handling: impl Future<Output = T>,
     runs: &Runs,
     limits: Option<Limits>,
     exit: impl Future<Output = ()>,
 ) -> Result<T, Unanswered> {
-    let mut handling = Box::pin(handling);
+    // What a panic leaves behind is the request's own state, which is dropped here, and that of the node, whose borrows end
+    // as the stack unwinds.
+    let mut handling = Box::pin(AssertUnwindSafe(handling).catch_unwind());
     let exit = pin!(exit);
     let mut ends = Ends::new(runs, limits, exit);
     let ended = std::future::poll_fn(|context| {
         let end = ends.poll(context);
-        if let Some(cause) = end
+        if let Some(cause) = &end
             && !runs.may_have_begun()
         {
-            return Poll::Ready(Err(cause));
+            return Poll::Ready(Err(cause.clone()));
         }
-        if let Poll::Ready(response) = handling.as_mut().poll(context) {
-            return Poll::Ready(Ok(response));
+        if let Poll::Ready(result) = handling.as_mut().poll(context) {
+            return Poll::Ready(result.map_err(|panic| Cause::Panic(message(&*panic))));
         }
         match end.or_else(|| ends.poll(context)) {
             Some(cause) => Poll::Ready(Err(cause)),
@@ -117,8 +125,19 @@
         }
     })
     .await;
-    drop(handling);
-    ended.map_err(|cause| Unanswered { cause, may_have_run: runs.may_have_begun() })
+    let dropped = catch_unwind(AssertUnwindSafe(|| drop(handling)));
+    let cause = match (ended, dropped) {
+        (Ok(response), _) => return Ok(response),
+        (Err(_), Err(panic)) => Cause::Panic(message(&*panic)),
+        (Err(cause), Ok(())) => cause,
+    };
+    Err(Unanswered { cause, may_have_run: runs.may_have_begun() })
+}
+
+/// The message of a panic.
+pub(crate) fn message(panic: &(dyn Any + Send)) -> String {
+    let text = panic.downcast_ref::<&str>().copied();
+    text.or_else(|| panic.downcast_ref::<String>().map(String::as_str)).unwrap_or("no message").to_owned()
 }
 
 /// What ends the handling of a request from outside.
--- a/crates/forward/src/requests.rs
+++ b/crates/forward/src/requests.rs
@@ -17,7 +17,7 @@
 use crate::admission::{charge, identify};
 use crate::body::{CallerConnection, ResponseBody};
 use crate::buffering::{BufferedBytes, CollectError};
-use crate::deadline::{self, Limits, Unanswered};
+use crate::deadline::{self, Cause, Limits, Unanswered};
 use crate::node::{Job, Node};
 use crate::phase::Phase;
 use crate::refusals::{OTHER_INSTANCE_RETRY, refuse, refuse_as};
@@ -54,7 +54,7 @@
             response.map(|body| body.send_on(&connection, version, until))
         }
         Ok(Err(refusal)) => refuse(&node, refusal, trace),
-        Err(unanswered) => respond(&node, unanswered, None, trace),
+        Err(unanswered) => respond(&node, &unanswered, None, trace),
     };
     if node.phase() > Phase::Serving {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -70,17 +70,20 @@
     let exit = phase::reached(node.phase.subscribe(), Phase::Answering);
     match deadline::within(run(node, job, trace.clone()), &runs, Some(limits), exit).await {
         Ok(response) => response,
-        Err(unanswered) => respond(node, unanswered, Some(limits), trace),
+        Err(unanswered) => respond(node, &unanswered, Some(limits), trace),
     }
 }
 
 /// The response to a request whose handling was ended.
 fn respond(
     node: &Node,
-    unanswered: Unanswered,
+    unanswered: &Unanswered,
     limits: Option<Limits>,
     trace: Trace,
 ) -> Response<ResponseBody> {
+    if let Cause::Panic(message) = &unanswered.cause {
+        trace.record_panic(message);
+    }
     let (refusal, outcome) = unanswered.refusal(limits);
     refuse_as(node, refusal, trace, outcome)
 }
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -20,9 +20,11 @@
 mod events;
 
 use std::cell::Cell;
+use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
 use std::time::Instant;
 
+use futures_util::FutureExt;
 use hyper::http::response::Parts;
 use hyper::{Response, StatusCode};
 use slog::info;
@@ -32,6 +34,7 @@
 use crate::body::{PieceSender, ResponseBody, relay_channel, relayed_response};
 use crate::buffering::BufferedBytes;
 use crate::crashes;
+use crate::deadline;
 use crate::generate::Started;
 use crate::in_flight::InFlightWork;
 use crate::load;
@@ -118,7 +121,12 @@
     let (head, run) = Run::begin(node, Started { answer, work });
     let node = Rc::clone(node);
     tokio::task::spawn_local(async move {
-        let outcome = relay_runs(&node, &stream_job, run, pieces, &trace).await;
+        let relayed =
+            AssertUnwindSafe(relay_runs(&node, &stream_job, run, pieces, &trace)).catch_unwind().await;
+        let outcome = relayed.unwrap_or_else(|panic| {
+            trace.record_panic(&deadline::message(&*panic));
+            "panicked"
+        });
         trace.end(outcome, status);
     });
     relayed_response(head, receiver, framing)
--- a/crates/forward/src/trace.rs
+++ b/crates/forward/src/trace.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use slog::info;
+use slog::{error, info};
 use teaselshunt_core::Fingerprint;
 use teaselshunt_routing::Priority;
 use teaselshunt_teams::Team;
@@ -104,6 +104,11 @@
         }))
     }
 
+    /// Records that the handling of the request has panicked.
+    pub(crate) fn record_panic(&self, message: &str) {
+        error!(self.0.node.log, "request panicked"; "id" => &self.0.id, "cause" => message);
+    }
+
     /// Sets the version in force, also for a request without a route.
     pub(crate) fn set_version(&self, version: u64) {
         self.0.target.borrow_mut().version = version;
