Requests: one that outlives its deadline is logged once and counted

What operators saw of a request that never ended: nothing. Its line is written at its end, and `requests_in_progress` stays one higher.

Each trace is in a small registry until its request ends. Maintenance looks at all of them, and the tenth look after a request's deadline logs `request in progress after its deadline` with id, route and the steps so far, and counts it in `overdue_requests_total{kind}`. Looks are counted rather than time, so that a process that was frozen has the time to end its requests first. The soak fails on the line, and on `request panicked`.

Tests: a request that never ends is reported once, and one that a freeze of the process made overdue is not.

--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -43,6 +43,7 @@
 mod gossip;
 mod headers;
 mod in_flight;
+mod in_progress;
 mod listeners;
 mod load;
 mod logs;
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -27,7 +27,7 @@
     pub(crate) retries: RetryMetrics,
     pub(crate) active_version: IntGauge,
     pub(crate) endpoints: IntGauge,
-    pub(crate) running: IntGauge,
+    pub(crate) progress: ProgressMetrics,
     pub(crate) buffered_bytes: IntGauge,
     pub(crate) limited_endpoints: IntGauge,
     pub(crate) limit_refusals: IntCounterVec,
@@ -107,6 +107,29 @@
     }
 }
 
+/// Metrics of requests that have not ended.
+#[derive(Debug)]
+pub(crate) struct ProgressMetrics {
+    pub(crate) running: IntGauge,
+    pub(crate) overdue: IntCounterVec,
+}
+
+impl ProgressMetrics {
+    fn new(
+        gauge: &impl Fn(&str, &str) -> Result<IntGauge, prometheus::Error>,
+        counter: &impl Fn(&str, &str, &[&str]) -> Result<IntCounterVec, prometheus::Error>,
+    ) -> Result<Self, prometheus::Error> {
+        Ok(Self {
+            running: gauge("requests_in_progress", "Requests in progress.")?,
+            overdue: counter(
+                "overdue_requests_total",
+                "Requests that were still in progress some time after their deadline.",
+                &["kind"],
+            )?,
+        })
+    }
+}
+
 /// Metrics of streams that are interrupted.
 #[derive(Debug)]
 pub(crate) struct StreamMetrics {
@@ -178,7 +201,7 @@
             retries: RetryMetrics::new(&gauge, &counter)?,
             active_version: gauge("configuration_version", "Configuration version in force.")?,
             endpoints: gauge("endpoints", "Endpoints listed.")?,
-            running: gauge("requests_in_progress", "Requests in progress.")?,
+            progress: ProgressMetrics::new(&gauge, &counter)?,
             buffered_bytes: gauge(
                 "held_bytes",
                 "Bodies held for callers and endpoints that have not read them.",
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -32,6 +32,7 @@
 use crate::connection_pool::{ConnectionPool, ExchangeFailure, SendCondition, Via};
 use crate::crashes::{AbandonedRuns, Loss};
 use crate::in_flight::InFlightWork;
+use crate::in_progress::InProgress;
 use crate::load;
 use crate::metrics::Metrics;
 use crate::phase::Phase;
@@ -93,6 +94,7 @@
     pub(crate) metrics: Metrics,
     pub(crate) log: Logger,
     pub(crate) phase: watch::Sender<Phase>,
+    pub(crate) in_progress: InProgress,
     /// Wakes the gossip task after a change of the state that it sends to peers.
     pub(crate) gossip_wakeup: Notify,
     /// Wakes the task that serves the waiting generations, after capacity may have become free.
--- a/crates/forward/src/requests.rs
+++ b/crates/forward/src/requests.rs
@@ -128,6 +128,7 @@
         (service, returns)
     };
     let deadline = arrived + meta.deadline.unwrap_or(DEFAULT_DEADLINE).min(route.timeout);
+    trace.set_end(deadline);
     let priority = route.priority_for(team.as_deref());
     trace.set_priority(priority);
     let path = head.uri.path_and_query().map_or("/", |p| p.as_str()).to_owned();
--- a/crates/forward/src/supervisor.rs
+++ b/crates/forward/src/supervisor.rs
@@ -23,6 +23,7 @@
 
 use crate::catalog::Catalog;
 use crate::connection_pool::ConnectionPool;
+use crate::in_progress::InProgress;
 use crate::metrics::Metrics;
 use crate::node::{Node, State};
 use crate::phase::Phase;
@@ -132,6 +133,7 @@
         metrics: Metrics::new()?,
         log,
         phase: watch::Sender::new(Phase::Serving),
+        in_progress: InProgress::default(),
         gossip_wakeup: Notify::new(),
         queue_wakeup: Notify::new(),
         peer_count: Cell::new(0),
@@ -195,6 +197,7 @@
         node.state.borrow_mut().quotas.tick(node.clock.uptime());
         node.state.borrow_mut().endpoints.expire_rates(node.now());
         load::maintain(&node);
+        node.in_progress.look(node.now());
         in_doubt = reach::maintain(&node, in_doubt);
         if run.is_multiple_of(PACE_RUNS) {
             pace::maintain(&node);
@@ -264,12 +267,12 @@
             node.phase.send_replace(phase);
         }
         let unused = node.connections.get() == 0 && node.tunnels.get() == 0;
-        let idle = unused && node.metrics.running.get() == 0;
+        let idle = unused && node.metrics.progress.running.get() == 0;
         if idle && phase >= Phase::Closing {
             break;
         }
         if elapsed >= grace.saturating_sub(EXIT_MARGIN) {
-            warn!(node.log, "exiting with requests in progress"; "running" => node.metrics.running.get());
+            warn!(node.log, "exiting with requests in progress"; "running" => node.metrics.progress.running.get());
             break;
         }
         tokio::time::sleep(SHUTDOWN_POLL_INTERVAL).await;
--- a/crates/forward/src/trace.rs
+++ b/crates/forward/src/trace.rs
@@ -5,15 +5,16 @@
 
 use std::cell::{Cell, RefCell};
 use std::fmt::Write;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use slog::{error, info};
+use slog::{error, info, warn};
 use teaselshunt_core::Fingerprint;
 use teaselshunt_routing::Priority;
 use teaselshunt_teams::Team;
 
+use crate::in_progress::Overdue;
 use crate::node::Node;
 use crate::phase::Phase;
 use crate::protocol::RequestMeta;
@@ -22,6 +23,17 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Trace(Rc<Record>);
 
+/// A trace that ends with its request.
+#[derive(Debug)]
+pub(crate) struct WeakTrace(Weak<Record>);
+
+impl WeakTrace {
+    /// The trace of a request that is still in progress.
+    pub(crate) fn in_progress(&self) -> Option<Trace> {
+        self.0.upgrade().filter(|record| !record.ended.get()).map(Trace)
+    }
+}
+
 #[derive(Debug)]
 struct Record {
     node: Rc<Node>,
@@ -42,6 +54,7 @@
     longest_gap: Cell<Duration>,
     /// Fingerprint of the request; set only when needed.
     fingerprint: Cell<Option<Fingerprint>>,
+    overdue: Overdue,
     ended: Cell<bool>,
 }
 
@@ -82,8 +95,8 @@
 
 impl Trace {
     pub(crate) fn new(node: &Rc<Node>, meta: &RequestMeta, arrived: Instant) -> Self {
-        node.metrics.running.inc();
-        Self(Rc::new(Record {
+        node.metrics.progress.running.inc();
+        let trace = Self(Rc::new(Record {
             node: Rc::clone(node),
             id: meta.id.clone(),
             arrived,
@@ -100,8 +113,27 @@
             first_and_last: Cell::new(None),
             longest_gap: Cell::new(Duration::ZERO),
             fingerprint: Cell::new(None),
+            overdue: Overdue::default(),
             ended: Cell::new(false),
-        }))
+        }));
+        node.in_progress.insert(WeakTrace(Rc::downgrade(&trace.0)));
+        trace
+    }
+
+    /// Sets when the request must have ended.
+    pub(crate) fn set_end(&self, end: Instant) {
+        self.0.overdue.set_end(end);
+    }
+
+    /// Looks whether the request is in progress although it must have ended, and reports that once.
+    pub(crate) fn look(&self, now: Instant) {
+        let Some(late) = self.0.overdue.look(now) else { return };
+        let Record { node, id, target, steps, .. } = &*self.0;
+        let target = target.borrow();
+        node.metrics.progress.overdue.with_label_values(&[target.kind]).inc();
+        warn!(node.log, "request in progress after its deadline"; "id" => id, "kind" => target.kind,
+            "route" => &*target.route, "late_ms" => millis(late), "events" => self.0.events.get(),
+            "steps" => steps.borrow().as_str());
     }
 
     /// Records that the handling of the request has panicked.
@@ -200,7 +232,7 @@
         }
         let target = self.target.borrow();
         let took = self.node.now().duration_since(self.arrived);
-        self.node.metrics.running.dec();
+        self.node.metrics.progress.running.dec();
         self.node.metrics.count_request(target.kind, outcome, took);
         self.node.metrics.count_team_request(&target.team, outcome);
         info!(self.node.log, "request";
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -30,6 +30,9 @@
     pub(crate) request_id: Option<String>,
 }
 
+/// Log lines of faults of an instance: a request that outlived its deadline, and one whose handling panicked.
+const FAULT_LINES: [&str; 2] =
+    ["\"msg\":\"request in progress after its deadline\"", "\"msg\":\"request panicked\""];
 /// Time after which an endpoint that leaves gets no new request, with slack for the check itself.
 const DRAIN_TIME: Duration = Duration::from_millis(2500);
 /// Time without a disturbance of the store, of an instance or of its link to the store. [`DRAIN_TIME`] is checked only
@@ -187,6 +190,10 @@
         let overdue = overdue.map(|(id, _)| id.clone());
         drop(records);
         self.count_broken(site);
+        if let Some(line) = FAULT_LINES.iter().find_map(|text| site.log_lines(text).into_iter().next()) {
+            let message = format!("an instance logged a fault of its own: {line}");
+            return Some(Violation { message, request_id: None });
+        }
         if let Some(index) = site.parts().failed {
             let message = format!("instance {index} ended by itself with a failure");
             return Some(Violation { message, request_id: None });
