Reservations: a call of a search that has ended is not sent any more

A search asks engines for capacity by tasks of their own, which go on when the search ends: at the deadline of its request, before the process exits, or because another engine granted. A task that was still opening its connection then sent its call for nobody, and released the reservation after. After a response nothing of its request is to be sent.

The call is made under the condition that its search still waits, asked right before it is written, as for requests. One that is withheld shows nothing about its engine.

No test failed first: the time between the two is that of opening a connection, 0.15 s at most, and the stand-ins cannot hold that open. `pauses`, `generations` and `load` cover the calls.

--- a/crates/forward/src/calls.rs
+++ b/crates/forward/src/calls.rs
@@ -15,7 +15,7 @@
 use teaselshunt_routing::{BodyKind, EndpointKey};
 
 use crate::buffering::{BufferedBytes, CollectError};
-use crate::connection_pool::{Connection, ExchangeFailure};
+use crate::connection_pool::{Connection, ExchangeFailure, SendCondition};
 use crate::node::Node;
 use crate::protocol::Call;
 use crate::reach::Destination;
@@ -73,8 +73,22 @@
         call: Call,
         until: Instant,
     ) -> Result<(StatusCode, Bytes), ExchangeFailure> {
-        let destination = self.destination(address);
-        let (head, body) = self.exchange_call(&destination, call, until).await?;
+        self.call_endpoint_if(key, address, call, until, || true).await
+    }
+
+    /// The same for a call that is only sent if it still may be once there is a connection.
+    pub(crate) async fn call_endpoint_if(
+        &self,
+        key: EndpointKey,
+        address: SocketAddr,
+        call: Call,
+        until: Instant,
+        may_send: impl Fn() -> bool,
+    ) -> Result<(StatusCode, Bytes), ExchangeFailure> {
+        let (destination, request) = (self.destination(address), request(address, call)?);
+        let condition = SendCondition { may_send, ends_with_link: false };
+        let (head, body) = self.pool.exchange_if(&destination, request, until, condition).await?;
+        let body = self.read(body, until).await?;
         self.observe_life(key);
         statements::observe(self, key, &self.protocol.read_response(head.status, &head.headers));
         Ok((head.status, body))
--- a/crates/forward/src/reservations.rs
+++ b/crates/forward/src/reservations.rs
@@ -241,8 +241,9 @@
         let hold = job.service.engine.map_or(CALL_TIMEOUT, |e| e.hold);
         let node = Rc::clone(node);
         tokio::task::spawn_local(async move {
-            let answer = ask(&node, (address, &id), hold, work).await;
-            // A search that has ended takes no answer, and a reservation that nobody takes is released.
+            // A search that has ended takes no answer: its call is not sent any more, and a reservation that nobody takes is
+            // released.
+            let answer = ask(&node, (address, &id), hold, work, || !sender.is_closed()).await;
             let _ = sender.send(answer);
         });
         true
@@ -294,10 +295,12 @@
     (address, id): (SocketAddr, &str),
     hold: Duration,
     work: InFlightWork,
+    may_send: impl Fn() -> bool,
 ) -> Answer {
     let (engine, sent_at) = (work.endpoint(), node.now());
     let request = node.protocol.reserve(id, work.tokens(), hold);
-    let call = node.call_endpoint(engine, address, request, sent_at + hold.max(CALL_TIMEOUT));
+    let until = sent_at + hold.max(CALL_TIMEOUT);
+    let call = node.call_endpoint_if(engine, address, request, until, may_send);
     tokio::pin!(call);
     let in_time = tokio::time::timeout(CALL_TIMEOUT, &mut call).await;
     let tokens = work.tokens();
@@ -319,7 +322,9 @@
     let (outcome, text) = classify(&answer, node.now().duration_since(sent_at));
     node.metrics.count_step("reserve", if reservation_id.is_some() { "ok" } else { text });
     let Some(reservation_id) = reservation_id else {
-        node.observe_step(engine, outcome);
+        if !matches!(answer, Err(ExchangeFailure::Withheld)) {
+            node.observe_step(engine, outcome);
+        }
         return Err(CallRefusal { engine, outcome, text });
     };
     node.observe_granted(engine);
