--- a/crates/forward/src/requests.rs
+++ b/crates/forward/src/requests.rs
@@ -17,10 +17,13 @@
 use crate::admission::{charge, identify};
 use crate::body::{CallerConnection, ResponseBody};
 use crate::buffering::{BufferedBytes, CollectError};
-use crate::node::{Job, Node, Phase};
-use crate::refusals::{OTHER_INSTANCE_RETRY, refuse};
+use crate::deadline::{self, Cause, Limits, Unanswered};
+use crate::node::{Job, Node};
+use crate::phase::Phase;
+use crate::refusals::{OTHER_INSTANCE_RETRY, refuse, refuse_as};
+use crate::runs::Runs;
 use crate::trace::Trace;
-use crate::{generate, headers, load, plain, reservations};
+use crate::{generate, headers, load, phase, plain, reservations};
 
 /// `Retry-After` delay if the buffer memory is full: the retry may reach another instance, which may buffer
 /// less, and callers will have read some of the buffered bytes by then.
@@ -41,13 +44,17 @@
 ) -> Result<Response<ResponseBody>, Infallible> {
     let (arrived, version) = (node.now(), request.version());
     let meta = node.protocol.read_request(request.headers());
-    let mut trace = Trace::new(&node, &meta, arrived);
-    let mut response = match admit(&node, request, meta, arrived, &mut trace).await {
-        Ok(job) => {
+    let trace = Trace::new(&node, &meta, arrived);
+    let (exit, runs) = (phase::reached(node.phase.subscribe(), Phase::Answering), Runs::default());
+    let admission = admit(&node, request, meta, arrived, &trace);
+    let mut response = match deadline::within(admission, &runs, None, exit).await {
+        Ok(Ok(job)) => {
             let until = job.deadline + READ_TIMEOUT;
-            run(&node, job, trace).await.map(|body| body.send_on(&connection, version, until))
+            let response = run_in_time(&node, job, trace).await;
+            response.map(|body| body.send_on(&connection, version, until))
         }
-        Err(refusal) => refuse(&node, refusal, trace),
+        Ok(Err(refusal)) => refuse(&node, refusal, trace),
+        Err(unanswered) => respond(&node, &unanswered, None, trace),
     };
     if node.phase() > Phase::Serving {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -55,13 +62,39 @@
     Ok(response)
 }
 
+/// Handles an admitted request, and responds itself where the handling does not in time.
+async fn run_in_time(node: &Rc<Node>, job: Job, trace: Trace) -> Response<ResponseBody> {
+    let caller_deadline = job.arrived + job.meta.deadline.unwrap_or(DEFAULT_DEADLINE);
+    let limits = Limits::new(job.arrived, job.deadline, caller_deadline);
+    let runs = Rc::clone(&job.runs);
+    let exit = phase::reached(node.phase.subscribe(), Phase::Answering);
+    match deadline::within(run(node, job, trace.clone()), &runs, Some(limits), exit).await {
+        Ok(response) => response,
+        Err(unanswered) => respond(node, &unanswered, Some(limits), trace),
+    }
+}
+
+/// The response to a request whose handling was ended.
+fn respond(
+    node: &Node,
+    unanswered: &Unanswered,
+    limits: Option<Limits>,
+    trace: Trace,
+) -> Response<ResponseBody> {
+    if let Cause::Panic(message) = &unanswered.cause {
+        trace.record_panic(message);
+    }
+    let (refusal, outcome) = unanswered.refusal(limits);
+    refuse_as(node, refusal, trace, outcome)
+}
+
 /// Finds the route, reads the body and admits the request.
 async fn admit(
     node: &Rc<Node>,
     request: Request<Incoming>,
     meta: crate::protocol::RequestMeta,
     arrived: Instant,
-    trace: &mut Trace,
+    trace: &Trace,
 ) -> Result<Job, Refusal> {
     let routes = node.state.borrow().routes.clone();
     let (mut head, body) = request.into_parts();
@@ -81,7 +114,8 @@
     if node.phase() >= if is_short { Phase::Ending } else { Phase::Refusing } {
         return Err(Refusal::retryable(ErrorKind::Stopping, OTHER_INSTANCE_RETRY));
     }
-    let charge = charge(node, team.as_deref(), route, &meta, trace)?;
+    let runs = Rc::default();
+    let charge = charge(node, team.as_deref(), route, &meta, &runs, trace)?;
     let (service, returns) = {
         let state = &mut *node.state.borrow_mut();
         let deadline = meta.deadline.filter(|_| !is_short || node.settings.load.returns);
@@ -94,7 +128,7 @@
         (service, returns)
     };
     let deadline = arrived + meta.deadline.unwrap_or(DEFAULT_DEADLINE).min(route.timeout);
-    trace.set_deadline(deadline);
+    trace.set_end(deadline);
     let priority = route.priority_for(team.as_deref());
     trace.set_priority(priority);
     let path = head.uri.path_and_query().map_or("/", |p| p.as_str()).to_owned();
@@ -114,7 +148,8 @@
         route: Arc::clone(route),
         service,
         team,
-        charge,
+        _charge: charge,
+        runs,
         priority,
         arrived,
         is_retry: returns && !is_short,
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -10,15 +10,21 @@
 //! search, so that nothing is relayed between the event after which another engine begins and that engine's first event,
 //! which ends the run.
 //!
+//! Each wait of a stream ends at the deadline of its request: for the next piece, for the caller to take one, and for
+//! another engine. The stream is truncated then. The next piece is never there many times in a row, which would pass over
+//! the deadline: the task of a connection passes on one at a time.
+//!
 //! The end of the caller's response is marked only where that of the first run's is, and only if the last run is
 //! known to be complete.
 
 mod events;
 
 use std::cell::Cell;
+use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
 use std::time::Instant;
 
+use futures_util::FutureExt;
 use hyper::http::response::Parts;
 use hyper::{Response, StatusCode};
 use slog::info;
@@ -28,6 +34,7 @@
 use crate::body::{PieceSender, ResponseBody, relay_channel, relayed_response};
 use crate::buffering::BufferedBytes;
 use crate::crashes;
+use crate::deadline;
 use crate::generate::Started;
 use crate::in_flight::InFlightWork;
 use crate::load;
@@ -114,7 +121,12 @@
     let (head, run) = Run::begin(node, Started { answer, work });
     let node = Rc::clone(node);
     tokio::task::spawn_local(async move {
-        let outcome = relay_runs(&node, &stream_job, run, pieces, &trace).await;
+        let relayed =
+            AssertUnwindSafe(relay_runs(&node, &stream_job, run, pieces, &trace)).catch_unwind().await;
+        let outcome = relayed.unwrap_or_else(|panic| {
+            trace.record_panic(&deadline::message(&*panic));
+            "panicked"
+        });
         trace.end(outcome, status);
     });
     relayed_response(head, receiver, framing)
--- a/crates/forward/src/supervisor.rs
+++ b/crates/forward/src/supervisor.rs
@@ -23,8 +23,10 @@
 
 use crate::catalog::Catalog;
 use crate::connection_pool::ConnectionPool;
+use crate::in_progress::InProgress;
 use crate::metrics::Metrics;
-use crate::node::{Node, Phase, State};
+use crate::node::{Node, State};
+use crate::phase::Phase;
 use crate::protocol::Protocol;
 use crate::settings::Settings;
 use crate::{gossip, listeners, load, logs, orders, pace, peer_listener, queue, reach};
@@ -50,6 +52,8 @@
 const FINAL_REFUSAL_TIME: Duration = Duration::from_millis(1800);
 /// Time reserved at the end of the grace time for the process to exit by itself.
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
+/// Time before the exit in which requests in progress are answered, and their connections write the responses.
+const LAST_RESPONSES_TIME: Duration = Duration::from_millis(200);
 /// Interval at which a shutdown polls whether all requests have ended.
 const SHUTDOWN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -129,6 +133,7 @@
         metrics: Metrics::new()?,
         log,
         phase: watch::Sender::new(Phase::Serving),
+        in_progress: InProgress::default(),
         gossip_wakeup: Notify::new(),
         queue_wakeup: Notify::new(),
         peer_count: Cell::new(0),
@@ -192,6 +197,7 @@
         node.state.borrow_mut().quotas.tick(node.clock.uptime());
         node.state.borrow_mut().endpoints.expire_rates(node.now());
         load::maintain(&node);
+        node.in_progress.look(node.now());
         in_doubt = reach::maintain(&node, in_doubt);
         if run.is_multiple_of(PACE_RUNS) {
             pace::maintain(&node);
@@ -233,7 +239,9 @@
 
 /// Phase of a graceful shutdown after some time; a short grace time shortens the first phases.
 fn phase_at(elapsed: Duration, grace: Duration) -> Phase {
-    if elapsed >= grace.saturating_sub(FINAL_REFUSAL_TIME) {
+    if elapsed >= grace.saturating_sub(EXIT_MARGIN + LAST_RESPONSES_TIME) {
+        Phase::Answering
+    } else if elapsed >= grace.saturating_sub(FINAL_REFUSAL_TIME) {
         Phase::Ending
     } else if elapsed >= STREAM_REFUSAL_TIME.min(grace / 2) {
         Phase::Refusing
@@ -245,7 +253,7 @@
 }
 
 /// Performs a graceful shutdown: readiness ends for the balancer first, then idle connections are closed,
-/// then new requests are refused.
+/// then new requests are refused, and at last those whose responses have not begun are answered.
 async fn shut_down(node: &Rc<Node>) {
     let started = node.now();
     let grace = node.settings.grace_time;
@@ -259,15 +267,16 @@
             node.phase.send_replace(phase);
         }
         let unused = node.connections.get() == 0 && node.tunnels.get() == 0;
-        let idle = unused && node.metrics.running.get() == 0;
+        let idle = unused && node.metrics.progress.running.get() == 0;
         if idle && phase >= Phase::Closing {
             break;
         }
         if elapsed >= grace.saturating_sub(EXIT_MARGIN) {
-            warn!(node.log, "exiting with requests in progress"; "running" => node.metrics.running.get());
+            warn!(node.log, "exiting with requests in progress"; "running" => node.metrics.progress.running.get());
             break;
         }
         tokio::time::sleep(SHUTDOWN_POLL_INTERVAL).await;
     }
+    node.phase.send_replace(Phase::Exiting);
     info!(node.log, "stopped"; "took_ms" => node.now().duration_since(started).as_millis() as u64);
 }
