Callers' connections: times follow the configuration in force

Callers saw their connection closed, without a response, for a request on a connection that had been idle for less than four fifths of the idle time in force. Cause: idle time and largest head were taken from the configuration at the accept of a connection and given to the library, whose `header_read_timeout` is fixed from then on. A version that raised the idle time did not reach open connections, and one that lowered it did not either. The head of a request also had the idle time to arrive, not the time that `header_ms` sets.

The task of a connection now keeps when the connection became idle (opened, or the last byte of a response passed to the kernel) and when the first byte of a head arrived, and compares that with the limits in force when a time is over. A longer idle time holds at once; a shorter one holds after the bound in which a version takes effect, since callers may rely on the longer one until they have learned of it (`routing/idle_limit.rs`). An idle connection looks at the limits at least each 5 s, so that a version wakes none.

Tests that failed before: - a_raised_idle_time_holds_for_open_connections: no response, the connection was closed 1.3 s after its last request; - a_lowered_idle_time_closes_open_connections: still open after 60 s; - a_head_without_an_end_closes_its_connection: still open after 60 s (idle time of an hour, `header_ms` 200); - no_reused_connection_is_lost_while_versions_change_the_idle_time: 24 of 24 connections were closed under a request.

--- /dev/null
+++ b/crates/forward/src/caller_connection.rs
@@ -0,0 +1,164 @@
+//! One connection of a caller, from its accept to its end.
+//!
+//! How long a connection is kept follows the configuration in force, so that callers may rely on what it says, whenever they
+//! connected. The library's own time limits are fixed for a connection and are not used.
+
+use std::future::poll_fn;
+use std::pin::{Pin, pin};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
+use std::time::{Duration, Instant};
+
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use slog::{debug, info};
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::time::{Sleep, sleep_until};
+
+use crate::body::CallerConnection;
+use crate::caller_activity::{Activity, CallerActivity, TrackedBody};
+use crate::caller_limits::CallerLimits;
+use crate::caller_stream::CallerStream;
+use crate::node::{Node, Phase};
+use crate::requests;
+
+/// Time in which a caller must send its request if it connects while the instance closes idle connections.
+const LATE_REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest time until an idle connection notices a lower limit.
+const LIMITS_CHECK_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Serves a connection until it ends.
+pub(crate) async fn run(node: Rc<Node>, limits: Rc<CallerLimits>, stream: TcpStream) {
+    // Sends events of a stream without delay; a failure only costs latency.
+    let _ = stream.set_nodelay(true);
+    node.connections.set(node.connections.get() + 1);
+    let end = serve(&node, limits, stream).await;
+    node.connections.set(node.connections.get() - 1);
+    match end {
+        End::Closed(Ok(())) => {}
+        End::Closed(Err(error)) => debug!(node.log, "caller connection failed"; "error" => %error),
+        End::Unread => info!(node.log, "caller connection closed"; "cause" => "response not read in time"),
+        End::Incomplete => debug!(node.log, "caller connection closed"; "cause" => "request head incomplete"),
+    }
+}
+
+/// How a connection ended.
+enum End {
+    /// By one of its sides.
+    Closed(hyper::Result<()>),
+    /// The caller did not read a response in time.
+    Unread,
+    /// The caller did not send the head of a request in time.
+    Incomplete,
+}
+
+async fn serve(node: &Rc<Node>, limits: Rc<CallerLimits>, stream: TcpStream) -> End {
+    let caller = Rc::new(CallerConnection::default());
+    let activity = Rc::new(CallerActivity::new(Arc::clone(&node.clock)));
+    let service = service_fn(|request| {
+        activity.begin_request();
+        let (served, activity) =
+            (requests::serve(Rc::clone(node), request, Rc::clone(&caller)), Rc::clone(&activity));
+        async move { served.await.map(|response| response.map(|body| TrackedBody::new(body, activity))) }
+    });
+    let stream = CallerStream::new(stream, Rc::clone(&caller), Rc::clone(&activity));
+    let mut connection = http1::Builder::new()
+        .header_read_timeout(None)
+        .max_buf_size(limits.head_bytes() * 2)
+        .serve_connection(TokioIo::new(stream), service);
+    // A caller that connects this late gets one response, which announces that the connection closes.
+    let late = node.phase() >= Phase::Closing;
+    let mut closing = pin!(wait_for_closing(node.phase.subscribe()));
+    let mut is_closing = late;
+    let mut times = Times::new(Rc::clone(node), limits, Rc::clone(&activity), late);
+    loop {
+        tokio::select! {
+            // Bytes that have arrived are read before the connection is closed.
+            biased;
+            result = Pin::new(&mut connection) => return End::Closed(result),
+            () = caller.overdue() => return End::Unread,
+            () = &mut closing, if !is_closing => {
+                is_closing = true;
+                Pin::new(&mut connection).graceful_shutdown();
+            }
+            activity = times.expired() => match activity {
+                Activity::Receiving(_) => return End::Incomplete,
+                Activity::Idle(_) | Activity::Serving => {
+                    times.end();
+                    Pin::new(&mut connection).graceful_shutdown();
+                }
+            }
+        }
+    }
+}
+
+/// Waits until idle connections are to be closed.
+///
+/// This is a separate function because the return value of `wait_for` holds a lock on the phase. If the lock
+/// were held until a connection ends, the next change of phase would block the whole process, and streams in
+/// progress would freeze until the process is killed.
+async fn wait_for_closing(mut phase: watch::Receiver<Phase>) {
+    // An error means that the process is ending, which also closes connections.
+    let _ = phase.wait_for(|p| *p >= Phase::Closing).await;
+}
+
+/// The times after which a connection ends.
+struct Times {
+    node: Rc<Node>,
+    limits: Rc<CallerLimits>,
+    activity: Rc<CallerActivity>,
+    /// Whether the caller connected while the instance closed idle connections.
+    late: bool,
+    ended: bool,
+    /// Ends no later than the first of these times, and may end earlier.
+    timer: Pin<Box<Sleep>>,
+}
+
+impl Times {
+    fn new(node: Rc<Node>, limits: Rc<CallerLimits>, activity: Rc<CallerActivity>, late: bool) -> Self {
+        let timer = Box::pin(sleep_until(node.now().into()));
+        Self { node, limits, activity, late, ended: false, timer }
+    }
+
+    /// The connection is being closed; no time applies any more.
+    fn end(&mut self) {
+        self.ended = true;
+    }
+
+    /// Waits until a time is over, and returns what the connection is doing then.
+    ///
+    /// Must be polled after each poll of the connection, which may begin another time.
+    async fn expired(&mut self) -> Activity {
+        poll_fn(|context| self.poll(context)).await
+    }
+
+    fn poll(&mut self, context: &mut Context<'_>) -> Poll<Activity> {
+        loop {
+            let (now, activity) = (self.node.now(), self.activity.current());
+            let Some(left) = self.left(now, activity).filter(|_| !self.ended) else { return Poll::Pending };
+            if left.is_zero() {
+                return Poll::Ready(activity);
+            }
+            let wake = (now + left.min(LIMITS_CHECK_INTERVAL)).into();
+            if self.timer.is_elapsed() || self.timer.deadline() > wake {
+                self.timer.as_mut().reset(wake);
+            }
+            ready!(self.timer.as_mut().poll(context));
+        }
+    }
+
+    /// Time that the connection has left for what it is doing; `None` for a request in progress, which has its own
+    /// deadline.
+    fn left(&self, now: Instant, activity: Activity) -> Option<Duration> {
+        let (since, limit) = match activity {
+            Activity::Idle(since) | Activity::Receiving(since) if self.late => (since, LATE_REQUEST_TIMEOUT),
+            Activity::Idle(since) => (since, self.limits.idle()),
+            Activity::Receiving(since) => (since, self.limits.head_timeout()),
+            Activity::Serving => return None,
+        };
+        Some(limit.saturating_sub(now.duration_since(since)))
+    }
+}
--- a/crates/forward/src/caller_stream.rs
+++ b/crates/forward/src/caller_stream.rs
@@ -1,4 +1,4 @@
-//! Connections of callers, which can be reset.
+//! Connections of callers, which can be reset, and whose reads and writes show what they are doing.
 
 use std::io;
 use std::pin::Pin;
@@ -9,6 +9,7 @@
 use tokio::net::TcpStream;
 
 use crate::body::CallerConnection;
+use crate::caller_activity::CallerActivity;
 
 /// A connection of a caller. Dropping it resets the connection if the last response requires that, and closes
 /// it otherwise.
@@ -16,11 +17,16 @@
 pub(crate) struct CallerStream {
     stream: TcpStream,
     connection: Rc<CallerConnection>,
+    activity: Rc<CallerActivity>,
 }
 
 impl CallerStream {
-    pub(crate) fn new(stream: TcpStream, connection: Rc<CallerConnection>) -> Self {
-        Self { stream, connection }
+    pub(crate) fn new(
+        stream: TcpStream,
+        connection: Rc<CallerConnection>,
+        activity: Rc<CallerActivity>,
+    ) -> Self {
+        Self { stream, connection, activity }
     }
 }
 
@@ -39,7 +45,10 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
+        let before = buffer.filled().len();
+        let result = Pin::new(&mut self.stream).poll_read(context, buffer);
+        self.activity.read(&buffer.filled()[before..]);
+        result
     }
 }
 
@@ -53,6 +62,8 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // The library calls this function once it has written all that it had.
+        self.activity.flushed();
         Pin::new(&mut self.stream).poll_flush(context)
     }
 
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -2,9 +2,9 @@
 //! this crate to a platform.
 //!
 //! The modules form layers, from the top: `supervisor` starts `listeners`, `catalog` (the contents of the
-//! platform's store) and `orders`; the first two accept connections through `accept`, those of callers as
-//! `caller_stream`. `listeners` hands
-//! requests to `requests`, which calls `plain` or `generate` (with `reservations`, `queue` and `waste`). Both use `load`
+//! platform's store) and `orders`; the first two accept connections through `accept`. `caller_connection`
+//! keeps each connection of a caller (a `caller_stream`) by its `caller_activity` and the `caller_limits` in force, and hands
+//! its requests to `requests`, which calls `plain` or `generate` (with `reservations`, `queue` and `waste`). Both use `load`
 //! (admission to services that lack capacity), `rates` (rate limits that endpoints advertise), `statements`
 //! (what endpoints state about themselves), `stream`, `body` with `buffering` (bytes that slow callers have
 //! not read), `node` (state, one step at an endpoint), `in_flight` (accounts of work in progress) and
@@ -30,6 +30,9 @@
 mod admission;
 mod body;
 mod buffering;
+mod caller_activity;
+mod caller_connection;
+mod caller_limits;
 mod caller_stream;
 mod calls;
 mod catalog;
--- a/crates/forward/src/listeners.rs
+++ b/crates/forward/src/listeners.rs
@@ -12,89 +12,26 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use slog::{debug, info, warn};
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use slog::{debug, warn};
+use tokio::net::TcpListener;
 
 use crate::accept::accept;
-use crate::body::CallerConnection;
-use crate::caller_stream::CallerStream;
-use crate::node::{Node, Phase};
-use crate::requests;
+use crate::caller_connection;
+use crate::caller_limits::CallerLimits;
+use crate::node::Node;
 
-/// Idle timeout of callers' connections before a configuration is known.
-const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
-/// Added to the configured idle timeout, so that a caller that uses nearly all of it finds its connection
-/// open.
-const IDLE_TIMEOUT_SLACK: Duration = Duration::from_secs(1);
-/// Time in which a caller must send its request if it connects while the instance closes idle connections.
-const LATE_REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
-/// Largest request head in bytes before a configuration is known; also the least that the library allows.
-const DEFAULT_HEAD_BYTES: usize = 16 * 1024;
+/// Idle timeout of connections of the balancer and of operators.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
 /// Accepts callers until the process ends.
 pub(crate) async fn callers(node: Rc<Node>, listener: TcpListener) {
+    let limits = Rc::new(CallerLimits::new(Rc::clone(&node)));
     loop {
         let stream = accept(&node, &listener).await;
-        tokio::task::spawn_local(connection(Rc::clone(&node), stream));
+        tokio::task::spawn_local(caller_connection::run(Rc::clone(&node), Rc::clone(&limits), stream));
     }
 }
 
-async fn connection(node: Rc<Node>, stream: TcpStream) {
-    // Sends events of a stream without delay; a failure only costs latency.
-    let _ = stream.set_nodelay(true);
-    let (idle, head) = {
-        let state = node.state.borrow();
-        let limits = state.routes.as_ref().map(|r| r.limits);
-        limits.map_or((DEFAULT_IDLE_TIMEOUT, DEFAULT_HEAD_BYTES), |l| {
-            (l.idle + IDLE_TIMEOUT_SLACK, l.head.max(DEFAULT_HEAD_BYTES))
-        })
-    };
-    // A caller that connects this late gets one response, which announces that the connection closes.
-    let late = node.phase() >= Phase::Closing;
-    let idle = if late { LATE_REQUEST_TIMEOUT } else { idle };
-    let state = Rc::new(CallerConnection::default());
-    let service = service_fn(|request| requests::serve(Rc::clone(&node), request, Rc::clone(&state)));
-    let stream = CallerStream::new(stream, Rc::clone(&state));
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(idle)
-        .max_buf_size(head * 2)
-        .serve_connection(TokioIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
-    let closing = wait_for_closing(node.phase.subscribe());
-    node.connections.set(node.connections.get() + 1);
-    let served = async {
-        tokio::select! {
-            result = connection.as_mut() => result,
-            () = closing, if !late => {
-                connection.as_mut().graceful_shutdown();
-                connection.await
-            }
-        }
-    };
-    let result = tokio::select! {
-        result = served => Some(result),
-        () = state.overdue() => None,
-    };
-    node.connections.set(node.connections.get() - 1);
-    match result {
-        Some(Ok(())) => {}
-        Some(Err(error)) => debug!(node.log, "caller connection failed"; "error" => %error),
-        None => info!(node.log, "caller connection closed"; "cause" => "response not read in time"),
-    }
-}
-
-/// Waits until idle connections are to be closed.
-///
-/// This is a separate function because the return value of `wait_for` holds a lock on the phase. If the lock
-/// were held until a connection ends, the next change of phase would block the whole process, and streams in
-/// progress would freeze until the process is killed.
-async fn wait_for_closing(mut phase: watch::Receiver<Phase>) {
-    // An error means that the process is ending, which also closes connections.
-    let _ = phase.wait_for(|p| *p >= Phase::Closing).await;
-}
-
 /// Serves the readiness check of the balancer.
 pub(crate) async fn readiness(node: Rc<Node>, listener: TcpListener) {
     serve_internal(Rc::clone(&node), listener, move |request| {
@@ -150,7 +87,7 @@
             });
             let connection = http1::Builder::new()
                 .timer(TokioTimer::new())
-                .header_read_timeout(DEFAULT_IDLE_TIMEOUT)
+                .header_read_timeout(IDLE_TIMEOUT)
                 .serve_connection(TokioIo::new(stream), service);
             if let Err(error) = connection.await {
                 debug!(node.log, "readiness or metrics connection failed"; "error" => %error);
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -25,6 +25,7 @@
 //!   changed in the list lately.
 //! - `links` tells endpoints that are down from those that only this instance has lost, and `tunnel_peers` chooses
 //!   the peer through which the latter are reached.
+//! - `idle_limit` says how long callers' connections may be idle while versions change that time.
 //! - `memory` bounds the bodies that are held for slow readers.
 //! - `budget` limits second attempts, and `sends` charges those of a generation.
 //! - `silence` decides when a stream looks for another engine because its own sends nothing.
@@ -39,6 +40,7 @@
 mod endpoints;
 mod freed;
 mod health_estimate;
+mod idle_limit;
 mod late_prompts;
 mod ledger;
 mod links;
@@ -75,6 +77,7 @@
     Endpoints, LearnedChange, Need, OwnWork, PaceChange, Statement, StatementChanges, UpsertOutcome,
 };
 pub use freed::FreedCapacity;
+pub use idle_limit::IdleLimit;
 pub use late_prompts::LatePrompts;
 pub use ledger::{EngineTag, Ledger, LedgerChange, tag};
 pub use links::{CheckResult, LinkChange, Links, Path};
--- a/crates/routing/tests/all/main.rs
+++ b/crates/routing/tests/all/main.rs
@@ -6,6 +6,7 @@
 mod capacity;
 mod changes;
 mod endpoints;
+mod idle_limit;
 mod incarnations;
 mod late_prompts;
 mod ledger;
