Callers' connections: what arrived during a freeze is read before a close

Callers saw their connection closed without a response for a request that had arrived in time: the process was frozen (SIGSTOP, SIGCONT) until after the idle time. Cause: the wait for events is interrupted when the process goes on, so that the runtime runs the timers that have ended before it learns that connections can be read. The idle time then ended connections whose requests were in the kernel's buffer.

When a time is over, the connection is polled once more and its read asks the kernel itself. The connection ends only if the time is still over then: a head that has arrived is served, and one that is still incomplete ends.

--- a/crates/forward/src/caller_activity.rs
+++ b/crates/forward/src/caller_activity.rs
@@ -34,18 +34,29 @@
     current: Cell<Activity>,
     /// Whether the library has taken all of the response.
     response_ended: Cell<bool>,
+    /// Whether reads ask the kernel for bytes of which the runtime has not learned yet.
+    asks_kernel: Cell<bool>,
 }
 
 impl CallerActivity {
     pub(crate) fn new(clock: Arc<dyn Clock>) -> Self {
         let current = Cell::new(Activity::Idle(clock.now()));
-        Self { clock, current, response_ended: Cell::new(false) }
+        Self { clock, current, response_ended: Cell::new(false), asks_kernel: Cell::new(false) }
     }
 
     pub(crate) fn current(&self) -> Activity {
         self.current.get()
     }
 
+    /// Sets whether reads ask the kernel, and returns whether they did.
+    pub(crate) fn ask_kernel(&self, asks_kernel: bool) -> bool {
+        self.asks_kernel.replace(asks_kernel)
+    }
+
+    pub(crate) fn asks_kernel(&self) -> bool {
+        self.asks_kernel.get()
+    }
+
     /// Records bytes that were read.
     pub(crate) fn read(&self, bytes: &[u8]) {
         // Empty lines before a request mean nothing (RFC 9112, section 2.2).
--- a/crates/forward/src/caller_connection.rs
+++ b/crates/forward/src/caller_connection.rs
@@ -84,7 +84,9 @@
                 is_closing = true;
                 Pin::new(&mut connection).graceful_shutdown();
             }
-            activity = times.expired() => match activity {
+            expired = times.expired() => match expired {
+                // The connection is polled again, and reads what the kernel has.
+                _ if !activity.ask_kernel(true) => {}
                 Activity::Receiving(_) => return End::Incomplete,
                 Activity::Idle(_) | Activity::Serving => {
                     times.end();
@@ -138,10 +140,14 @@
     fn poll(&mut self, context: &mut Context<'_>) -> Poll<Activity> {
         loop {
             let (now, activity) = (self.node.now(), self.activity.current());
-            let Some(left) = self.left(now, activity).filter(|_| !self.ended) else { return Poll::Pending };
+            let Some(left) = self.left(now, activity).filter(|_| !self.ended) else {
+                self.activity.ask_kernel(false);
+                return Poll::Pending;
+            };
             if left.is_zero() {
                 return Poll::Ready(activity);
             }
+            self.activity.ask_kernel(false);
             let wake = (now + left.min(LIMITS_CHECK_INTERVAL)).into();
             if self.timer.is_elapsed() || self.timer.deadline() > wake {
                 self.timer.as_mut().reset(wake);
--- a/crates/forward/src/caller_stream.rs
+++ b/crates/forward/src/caller_stream.rs
@@ -1,10 +1,11 @@
 //! Connections of callers, which can be reset, and whose reads and writes show what they are doing.
 
-use std::io;
+use std::io::{self, ErrorKind, Read};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
 
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -30,6 +31,19 @@
     }
 }
 
+/// Reads what the kernel has. The runtime learns of arrived bytes when it next asks for events, and after a freeze of the
+/// process its timers may end before.
+fn read_now(stream: &TcpStream, buffer: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+    match (&*SockRef::from(stream)).read(buffer.initialize_unfilled()) {
+        Ok(count) => {
+            buffer.advance(count);
+            Poll::Ready(Ok(()))
+        }
+        Err(error) if error.kind() == ErrorKind::WouldBlock => Poll::Pending,
+        Err(error) => Poll::Ready(Err(error)),
+    }
+}
+
 impl Drop for CallerStream {
     fn drop(&mut self) {
         if self.connection.must_reset() {
@@ -46,7 +60,10 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
-        let result = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let mut result = Pin::new(&mut self.stream).poll_read(context, buffer);
+        if result.is_pending() && self.activity.asks_kernel() {
+            result = read_now(&self.stream, buffer);
+        }
         self.activity.read(&buffer.filled()[before..]);
         result
     }
