Callers' connections: a stop closes no connection whose request has begun to arrive

Callers saw their connection closed without a response during a graceful shutdown, for a request of which bytes had arrived when the instance closed idle connections: part of a head on a connection that had been used before, or a whole request that was not read yet. Cause: `graceful_shutdown` of the library closes a used connection between two requests, whatever is in its buffer or the kernel's.

The phase now ends the time of idle connections, which are closed as after an idle time: what the kernel has is read first. A head that has begun has `LATE_REQUEST_TIMEOUT` from then on, as one of a caller that connects this late.

--- a/crates/forward/src/caller_connection.rs
+++ b/crates/forward/src/caller_connection.rs
@@ -25,7 +25,7 @@
 use crate::node::{Node, Phase};
 use crate::requests;
 
-/// Time in which a caller must send its request if it connects while the instance closes idle connections.
+/// Time in which a caller must send its request if it connects, or has begun to send, while the instance closes idle connections.
 const LATE_REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
 /// Longest time until an idle connection notices a lower limit.
 const LIMITS_CHECK_INTERVAL: Duration = Duration::from_secs(5);
@@ -69,27 +69,21 @@
         .header_read_timeout(None)
         .max_buf_size(limits.head_bytes() * 2)
         .serve_connection(TokioIo::new(stream), service);
-    // A caller that connects this late gets one response, which announces that the connection closes.
-    let late = node.phase() >= Phase::Closing;
     let mut closing = pin!(wait_for_closing(node.phase.subscribe()));
-    let mut is_closing = late;
-    let mut times = Times::new(Rc::clone(node), limits, Rc::clone(&activity), late);
+    let mut times = Times::new(Rc::clone(node), limits, Rc::clone(&activity));
     loop {
         tokio::select! {
             // Bytes that have arrived are read before the connection is closed.
             biased;
             result = Pin::new(&mut connection) => return End::Closed(result),
             () = caller.overdue() => return End::Unread,
-            () = &mut closing, if !is_closing => {
-                is_closing = true;
-                Pin::new(&mut connection).graceful_shutdown();
-            }
+            () = &mut closing, if times.closing.is_none() => times.close(),
             expired = times.expired() => match expired {
                 // The connection is polled again, and reads what the kernel has.
                 _ if !activity.ask_kernel(true) => {}
                 Activity::Receiving(_) => return End::Incomplete,
                 Activity::Idle(_) | Activity::Serving => {
-                    times.end();
+                    times.ended = true;
                     Pin::new(&mut connection).graceful_shutdown();
                 }
             }
@@ -112,22 +106,27 @@
     node: Rc<Node>,
     limits: Rc<CallerLimits>,
     activity: Rc<CallerActivity>,
-    /// Whether the caller connected while the instance closed idle connections.
+    /// Since when the instance closes idle connections.
+    closing: Option<Instant>,
+    /// Whether the caller connected since then. It gets one response, which announces that the connection closes.
     late: bool,
+    /// Whether the library closes the connection as soon as it is idle.
     ended: bool,
     /// Ends no later than the first of these times, and may end earlier.
     timer: Pin<Box<Sleep>>,
 }
 
 impl Times {
-    fn new(node: Rc<Node>, limits: Rc<CallerLimits>, activity: Rc<CallerActivity>, late: bool) -> Self {
-        let timer = Box::pin(sleep_until(node.now().into()));
-        Self { node, limits, activity, late, ended: false, timer }
+    fn new(node: Rc<Node>, limits: Rc<CallerLimits>, activity: Rc<CallerActivity>) -> Self {
+        let now = node.now();
+        let late = node.phase() >= Phase::Closing;
+        let timer = Box::pin(sleep_until(now.into()));
+        Self { node, limits, activity, closing: late.then_some(now), late, ended: false, timer }
     }
 
-    /// The connection is being closed; no time applies any more.
-    fn end(&mut self) {
-        self.ended = true;
+    /// Records that the instance closes idle connections from now on.
+    fn close(&mut self) {
+        self.closing = Some(self.node.now());
     }
 
     /// Waits until a time is over, and returns what the connection is doing then.
@@ -140,7 +139,7 @@
     fn poll(&mut self, context: &mut Context<'_>) -> Poll<Activity> {
         loop {
             let (now, activity) = (self.node.now(), self.activity.current());
-            let Some(left) = self.left(now, activity).filter(|_| !self.ended) else {
+            let Some(left) = self.left(now, activity) else {
                 self.activity.ask_kernel(false);
                 return Poll::Pending;
             };
@@ -156,15 +155,19 @@
         }
     }
 
-    /// Time that the connection has left for what it is doing; `None` for a request in progress, which has its own
-    /// deadline.
+    /// Time that the connection has left for what it is doing. A request in progress has its own deadline.
     fn left(&self, now: Instant, activity: Activity) -> Option<Duration> {
-        let (since, limit) = match activity {
-            Activity::Idle(since) | Activity::Receiving(since) if self.late => (since, LATE_REQUEST_TIMEOUT),
-            Activity::Idle(since) => (since, self.limits.idle()),
-            Activity::Receiving(since) => (since, self.limits.head_timeout()),
-            Activity::Serving => return None,
-        };
-        Some(limit.saturating_sub(now.duration_since(since)))
+        let until = |since, limit: Duration| limit.saturating_sub(now.duration_since(since));
+        match (activity, self.closing) {
+            (Activity::Receiving(since), closing) => {
+                let left = until(since, self.limits.head_timeout());
+                Some(closing.map_or(left, |closing| left.min(until(closing, LATE_REQUEST_TIMEOUT))))
+            }
+            (Activity::Idle(_) | Activity::Serving, _) if self.ended => None,
+            (Activity::Idle(since), None) => Some(until(since, self.limits.idle())),
+            (Activity::Idle(_), Some(closing)) if self.late => Some(until(closing, LATE_REQUEST_TIMEOUT)),
+            (Activity::Idle(_) | Activity::Serving, Some(_)) => Some(Duration::ZERO),
+            (Activity::Serving, None) => None,
+        }
     }
 }
