Callers' connections: a new limit of a head holds for open connections

Callers got 431 for a head that the version in force allows, on a connection that was accepted under a lower limit. Cause: the library's `max_buf_size` is fixed for a connection.

The library is set up again on the same socket before it reads the first byte of a request after the limit has changed. It has nothing to write then, and bytes that it had read already are read again first, so that callers notice nothing. Announcing `Connection: close` was weighed: an idle connection has no response to announce it in before the request that is refused, and each raised limit would cost each caller a connection.

a_raised_head_limit_holds_for_open_connections failed before: 431 on the old connection where the version in force allows the head.

--- a/crates/forward/src/caller_activity.rs
+++ b/crates/forward/src/caller_activity.rs
@@ -4,6 +4,7 @@
 //! a request is read. The activity changes only while the connection's task polls the connection.
 
 use std::cell::Cell;
+use std::future::poll_fn;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -36,18 +37,40 @@
     response_ended: Cell<bool>,
     /// Whether reads ask the kernel for bytes of which the runtime has not learned yet.
     asks_kernel: Cell<bool>,
+    /// Whether the library must be set up again before it reads, since the limit of a head has changed.
+    renewal_due: Cell<bool>,
 }
 
 impl CallerActivity {
     pub(crate) fn new(clock: Arc<dyn Clock>) -> Self {
         let current = Cell::new(Activity::Idle(clock.now()));
-        Self { clock, current, response_ended: Cell::new(false), asks_kernel: Cell::new(false) }
+        Self {
+            clock,
+            current,
+            response_ended: Cell::default(),
+            asks_kernel: Cell::default(),
+            renewal_due: Cell::default(),
+        }
     }
 
     pub(crate) fn current(&self) -> Activity {
         self.current.get()
     }
 
+    pub(crate) fn is_idle(&self) -> bool {
+        matches!(self.current.get(), Activity::Idle(_))
+    }
+
+    /// Has the library set up again after this poll of the connection.
+    pub(crate) fn request_renewal(&self) {
+        self.renewal_due.set(true);
+    }
+
+    /// Waits until the library must be set up again. Must be polled after each poll of the connection.
+    pub(crate) async fn renewal(&self) {
+        poll_fn(|_| if self.renewal_due.take() { Poll::Ready(()) } else { Poll::Pending }).await;
+    }
+
     /// Sets whether reads ask the kernel, and returns whether they did.
     pub(crate) fn ask_kernel(&self, asks_kernel: bool) -> bool {
         self.asks_kernel.replace(asks_kernel)
@@ -61,7 +84,7 @@
     pub(crate) fn read(&self, bytes: &[u8]) {
         // Empty lines before a request mean nothing (RFC 9112, section 2.2).
         let is_request = bytes.iter().any(|byte| !b"\r\n".contains(byte));
-        if is_request && matches!(self.current.get(), Activity::Idle(_)) {
+        if is_request && self.is_idle() {
             self.current.set(Activity::Receiving(self.clock.now()));
         }
     }
--- a/crates/forward/src/caller_connection.rs
+++ b/crates/forward/src/caller_connection.rs
@@ -1,7 +1,8 @@
 //! One connection of a caller, from its accept to its end.
 //!
 //! How long a connection is kept follows the configuration in force, so that callers may rely on what it says, whenever they
-//! connected. The library's own time limits are fixed for a connection and are not used.
+//! connected. The library's own time limits are fixed for a connection and are not used. Its limit of a head is fixed as well, so
+//! that the library is set up again before the first request after that limit has changed, when it has nothing left to write.
 
 use std::future::poll_fn;
 use std::pin::{Pin, pin};
@@ -64,11 +65,13 @@
             (requests::serve(Rc::clone(node), request, Rc::clone(&caller)), Rc::clone(&activity));
         async move { served.await.map(|response| response.map(|body| TrackedBody::new(body, activity))) }
     });
-    let stream = CallerStream::new(stream, Rc::clone(&caller), Rc::clone(&activity));
-    let mut connection = http1::Builder::new()
-        .header_read_timeout(None)
-        .max_buf_size(limits.head_bytes() * 2)
-        .serve_connection(TokioIo::new(stream), service);
+    let stream = CallerStream::new(stream, Rc::clone(&caller), Rc::clone(&activity), Rc::clone(&limits));
+    let set_up = |stream: CallerStream, service| {
+        let bytes = stream.head_bytes().saturating_mul(2);
+        let mut library = http1::Builder::new();
+        library.header_read_timeout(None).max_buf_size(bytes).serve_connection(TokioIo::new(stream), service)
+    };
+    let mut connection = set_up(stream, service);
     let mut closing = pin!(wait_for_closing(node.phase.subscribe()));
     let mut times = Times::new(Rc::clone(node), limits, Rc::clone(&activity));
     loop {
@@ -76,6 +79,12 @@
             // Bytes that have arrived are read before the connection is closed.
             biased;
             result = Pin::new(&mut connection) => return End::Closed(result),
+            () = activity.renewal() => {
+                let parts = connection.into_parts();
+                let mut stream = parts.io.into_inner();
+                stream.renew(parts.read_buf);
+                connection = set_up(stream, parts.service);
+            }
             () = caller.overdue() => return End::Unread,
             () = &mut closing, if times.closing.is_none() => times.close(),
             expired = times.expired() => match expired {
--- a/crates/forward/src/caller_stream.rs
+++ b/crates/forward/src/caller_stream.rs
@@ -5,12 +5,14 @@
 use std::rc::Rc;
 use std::task::{Context, Poll};
 
+use bytes::Bytes;
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
 use crate::body::CallerConnection;
 use crate::caller_activity::CallerActivity;
+use crate::caller_limits::CallerLimits;
 
 /// A connection of a caller. Dropping it resets the connection if the last response requires that, and closes
 /// it otherwise.
@@ -19,6 +21,11 @@
     stream: TcpStream,
     connection: Rc<CallerConnection>,
     activity: Rc<CallerActivity>,
+    limits: Rc<CallerLimits>,
+    /// The largest head for which the library was set up.
+    head_bytes: usize,
+    /// Bytes that the library had read when it was set up again.
+    unread: Bytes,
 }
 
 impl CallerStream {
@@ -26,8 +33,34 @@
         stream: TcpStream,
         connection: Rc<CallerConnection>,
         activity: Rc<CallerActivity>,
+        limits: Rc<CallerLimits>,
     ) -> Self {
-        Self { stream, connection, activity }
+        let head_bytes = limits.head_bytes();
+        Self { stream, connection, activity, limits, head_bytes, unread: Bytes::new() }
+    }
+
+    /// Largest head of the requests that are read from now on, in bytes.
+    pub(crate) fn head_bytes(&self) -> usize {
+        self.head_bytes
+    }
+
+    /// Prepares the stream for a library that is set up again with the limit in force. `unread` is read first.
+    pub(crate) fn renew(&mut self, unread: Bytes) {
+        self.head_bytes = self.limits.head_bytes();
+        self.unread = unread;
+    }
+
+    fn poll_stream(&mut self, context: &mut Context<'_>, buffer: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        if !self.unread.is_empty() {
+            let count = self.unread.len().min(buffer.remaining());
+            buffer.put_slice(&self.unread.split_to(count));
+            return Poll::Ready(Ok(()));
+        }
+        let result = Pin::new(&mut self.stream).poll_read(context, buffer);
+        if result.is_pending() && self.activity.asks_kernel() {
+            return read_now(&self.stream, buffer);
+        }
+        result
     }
 }
 
@@ -59,11 +92,12 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        let mut result = Pin::new(&mut self.stream).poll_read(context, buffer);
-        if result.is_pending() && self.activity.asks_kernel() {
-            result = read_now(&self.stream, buffer);
+        if self.activity.is_idle() && self.limits.head_bytes() != self.head_bytes {
+            self.activity.request_renewal();
+            return Poll::Pending;
         }
+        let before = buffer.filled().len();
+        let result = self.poll_stream(context, buffer);
         self.activity.read(&buffer.filled()[before..]);
         result
     }
