Store: an instance that starts reads a list that always arrives late

Callers were refused (503, `not_ready`) for as long as the store took more than 1.5 s to begin each response, after all instances had started at once: no instance ever knew a configuration, and there was no peer to have it from. Cause: a call for a page ended after `PAGE_TIMEOUT` and was then repeated with the same time.

After a failure, the next call goes on while the store is asked again each 1.5 s over another connection, up to four calls at a time; the first response counts. The first failure comes as soon as before, since peers may have the list, and a silent store's return is noticed as soon as before, since the calls are made as often as before.

--- a/crates/forward/src/catalog/listing.rs
+++ b/crates/forward/src/catalog/listing.rs
@@ -4,6 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use hyper::StatusCode;
 use slog::info;
 use teaselshunt_routing::EraOrder;
@@ -12,9 +15,11 @@
 use super::{Catalog, StoreError};
 use crate::protocol::{Batch, StoreChange};
 
-/// Longest time until a page of the list begins to arrive. No second connection is asked meanwhile: a list is read over a
+/// Time for a page of the list to begin to arrive, after which the store is asked again. Not sooner: a list is read over a
 /// connection that is new or has just delivered, and hundreds of instances that start together read one.
 const PAGE_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Most calls for one page at a time. The store may take that many times [`PAGE_TIMEOUT`] to respond.
+const MAX_PAGE_CALLS: u32 = 4;
 /// Most pages of one list; more than any deployment has.
 const MAX_PAGES: usize = 200;
 
@@ -29,6 +34,8 @@
     pub(super) present: HashSet<Arc<str>>,
     /// Number of entries that were new or changed.
     changed: usize,
+    /// Calls for the page that may go on at the same time, less one.
+    further_calls: u32,
 }
 
 /// Result of reading one page.
@@ -83,8 +90,7 @@
         let after = self.list_progress.borrow().after.clone();
         let called_at = self.node.clock.uptime();
         let era = self.era.get();
-        let call = self.node.protocol.list(after.as_deref());
-        let (status, body) = self.call("list", call, PAGE_TIMEOUT).await?;
+        let (status, body) = self.call_for_page(after.as_deref()).await?;
         if after.is_some() && era.compare(self.era.get()) == EraOrder::Newer {
             return Ok(Page::Outdated);
         }
@@ -99,6 +105,31 @@
         Ok(if self.apply_page(batch) { Page::Last } else { Page::More })
     }
 
+    /// Asks for a page. The first failure comes soon, since peers may have what the store does not send. After a failure the store is
+    /// asked again, over another connection, while earlier calls go on: a store that always responds late would never be read
+    /// otherwise, and longer calls alone would notice a silent store's return late.
+    async fn call_for_page(&self, after: Option<&str>) -> Result<(StatusCode, Bytes), StoreError> {
+        let mut left = self.list_progress.borrow().further_calls;
+        self.list_progress.borrow_mut().further_calls = (2 * left + 1).min(MAX_PAGE_CALLS - 1);
+        let call = |left| self.call("list", self.node.protocol.list(after), PAGE_TIMEOUT * (left + 1));
+        let mut calls = FuturesUnordered::from_iter([call(left)]);
+        let mut again = Box::pin(tokio::time::sleep(PAGE_TIMEOUT));
+        loop {
+            tokio::select! {
+                biased;
+                Some(result) = calls.next() => if result.is_ok() || calls.is_empty() {
+                    return result;
+                },
+                () = &mut again, if left > 0 => {
+                    left -= 1;
+                    self.node.pool.close_idle(self.node.settings.store_address);
+                    calls.push(call(left));
+                    again.set(tokio::time::sleep(PAGE_TIMEOUT));
+                }
+            }
+        }
+    }
+
     /// Applies a page; returns whether it was the last.
     fn apply_page(&self, batch: Batch) -> bool {
         let progress = &mut *self.list_progress.borrow_mut();
--- a/crates/standin/src/site/store.rs
+++ b/crates/standin/src/site/store.rs
@@ -30,6 +30,8 @@
     Closing,
     /// The store responds, and its responses take 2.5 s to arrive, in pieces.
     Trickling,
+    /// The store responds 2.5 s later than it could.
+    Late,
 }
 
 /// Key of the active configuration.
@@ -37,6 +39,7 @@
 /// Pieces of a response of a store that is [`StoreMode::Trickling`], and the time between two of them.
 const TRICKLE_PIECES: usize = 25;
 const TRICKLE_GAP: Duration = Duration::from_millis(100);
+const LATENESS: Duration = Duration::from_millis(2500);
 /// Entries on one page of a list; few, so that lists in tests have a second page.
 const PAGE_ENTRIES: usize = 50;
 
@@ -208,12 +211,17 @@
             }
             (inner.mode, refused)
         };
+        if mode == StoreMode::Late {
+            tokio::time::sleep(LATENESS).await;
+        }
         let response = match mode {
             _ if refused => StoreResponse::empty(429, &lock(&inner)),
-            StoreMode::Up | StoreMode::Trickling if request.path.starts_with("/-/kv-watch") => {
+            StoreMode::Up | StoreMode::Trickling | StoreMode::Late
+                if request.path.starts_with("/-/kv-watch") =>
+            {
                 answer_watch(&request, &inner, &mut changed).await
             }
-            StoreMode::Up | StoreMode::Trickling => answer_list(&request, &lock(&inner)),
+            StoreMode::Up | StoreMode::Trickling | StoreMode::Late => answer_list(&request, &lock(&inner)),
             StoreMode::Busy => StoreResponse::empty(503, &lock(&inner)),
             StoreMode::Silent => std::future::pending().await,
             StoreMode::Closing => return,
