--- a/crates/bench/src/commands/chaos.rs
+++ b/crates/bench/src/commands/chaos.rs
@@ -28,6 +28,8 @@
 struct Totals {
     steps: AtomicU64,
     sim_events: AtomicU64,
+    runs_kept: AtomicU64,
+    runs_replaced: AtomicU64,
     violations: AtomicU64,
 }
 
@@ -36,10 +38,13 @@
     for_seeds(arguments.seed, arguments.cases, arguments.threads, |seed| run_seed(seed, &totals));
     let violations = totals.violations.load(Ordering::Relaxed);
     println!(
-        "{} plans, {} events taken in by instances, {} happenings, {violations} plans with violations",
+        "{} plans, {} events taken in by instances, {} happenings, {} silent streams went on during a search, {} were \
+         taken over, {violations} plans with violations",
         arguments.cases,
         totals.steps.load(Ordering::Relaxed),
         totals.sim_events.load(Ordering::Relaxed),
+        totals.runs_kept.load(Ordering::Relaxed),
+        totals.runs_replaced.load(Ordering::Relaxed),
     );
     if violations == 0 { Ok(()) } else { Err(CommandError::Violations(violations as usize)) }
 }
@@ -50,6 +55,8 @@
     let tally = plan.run();
     totals.steps.fetch_add(tally.steps, Ordering::Relaxed);
     totals.sim_events.fetch_add(tally.sim_events, Ordering::Relaxed);
+    totals.runs_kept.fetch_add(tally.runs_kept, Ordering::Relaxed);
+    totals.runs_replaced.fetch_add(tally.runs_replaced, Ordering::Relaxed);
     if tally.violations.is_empty() {
         return;
     }
--- a/crates/bench/src/plan.rs
+++ b/crates/bench/src/plan.rs
@@ -60,7 +60,7 @@
 
 fn draw_fault(g: &mut Gen) -> Fault {
     let n = usize::arbitrary(g) % 64;
-    match u8::arbitrary(g) % 22 {
+    match u8::arbitrary(g) % 25 {
         0 | 1 => Fault::Kill(n),
         2 => Fault::Start(n),
         3 => Fault::Stop(n),
@@ -78,6 +78,7 @@
         17 => Fault::Undrain(n),
         18 => Fault::Share(n as u32 * 2),
         19 | 20 => Fault::Deadly(n),
+        21..=23 => Fault::Pause(n),
         _ => Fault::HealAll,
     }
 }
--- a/crates/bench/src/world/drivers.rs
+++ b/crates/bench/src/world/drivers.rs
@@ -24,6 +24,10 @@
     accepted: bool,
     /// Attempt in progress.
     attempt: Option<AttemptId>,
+    /// Attempt whose stream goes on until that of `attempt` begins.
+    kept: Option<AttemptId>,
+    /// Whether the kept stream has gone on, and the core has not confirmed yet that its search has ended.
+    search_is_obsolete: bool,
     /// Number of the step in progress; a timeout check for an earlier step has no effect.
     step_number: u32,
     /// Attempt whose KV cache is to be imported.
@@ -32,6 +36,8 @@
     offset: u32,
     /// Time of the last progress of the step.
     last_progress: Duration,
+    /// Longest time without a token of the stream.
+    stall_timeout: Duration,
 }
 
 impl Driver {
@@ -45,12 +51,35 @@
             caller,
             accepted: false,
             attempt: None,
+            kept: None,
+            search_is_obsolete: false,
             step_number: 0,
             cache_attempt: None,
             offset: 0,
             last_progress: Duration::ZERO,
+            stall_timeout: Duration::ZERO,
         }
     }
+
+    /// Makes the stream of an attempt the one that the caller gets. Returns whether it replaces another one.
+    fn follow(&mut self, attempt: AttemptId) -> Option<Followed> {
+        let kept = self.kept.take()?;
+        if attempt != kept {
+            return Some(Followed::Replacement);
+        }
+        self.attempt = Some(kept);
+        self.search_is_obsolete = true;
+        // No timeout of the search applies any more.
+        self.step_number += 1;
+        Some(Followed::Kept)
+    }
+}
+
+/// Which of two streams went on first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Followed {
+    Kept,
+    Replacement,
 }
 
 impl World {
@@ -64,10 +93,11 @@
                     self.callers[driver.caller].request_id = Some(request);
                 }
             }
-            Effect::Prefill { ticket, attempt, target, priority, timeout } => {
+            Effect::Prefill { ticket, attempt, target, kept, priority, timeout } => {
                 let Some(driver) = self.begin_step(node, ticket, attempt) else {
                     return;
                 };
+                driver.kept = kept;
                 let (caller, offset) = (driver.caller, driver.offset);
                 driver.cache_attempt = Some(attempt);
                 let tokens = self.callers[caller].spec.prompt + offset;
@@ -87,6 +117,7 @@
                 let Some(driver) = self.begin_step(node, ticket, attempt) else {
                     return;
                 };
+                driver.stall_timeout = stall_timeout;
                 let (caller, offset) = (driver.caller, driver.offset);
                 let length = self.callers[caller].spec.output;
                 self.send_step(node, ticket, attempt, target, Task::Decode { resume, offset, length });
@@ -100,6 +131,7 @@
                 self.send_step(node, ticket, attempt, target, Task::Call { caller });
                 self.schedule_timeout_check(node, ticket, timeout, false);
             }
+            Effect::Continue { ticket, attempt } => self.continue_run(node, ticket, attempt),
             Effect::Cancel { attempt, target } => {
                 self.send_step(node, Ticket(attempt.request.sequence), attempt, target, Task::Cancel);
             }
@@ -122,13 +154,26 @@
 
     fn begin_step(&mut self, node: usize, ticket: Ticket, attempt: AttemptId) -> Option<&mut Driver> {
         let now = self.now;
-        let driver = self.nodes[node].drivers.get_mut(&ticket)?;
+        let driver = self.nodes[node].drivers.get_mut(&ticket).filter(|d| !d.search_is_obsolete)?;
         driver.attempt = Some(attempt);
         driver.step_number += 1;
         driver.last_progress = now;
         Some(driver)
     }
 
+    /// Goes on with a kept stream alone.
+    fn continue_run(&mut self, node: usize, ticket: Ticket, attempt: AttemptId) {
+        let Some(driver) = self.nodes[node].drivers.get_mut(&ticket) else {
+            return;
+        };
+        driver.search_is_obsolete = false;
+        driver.kept = None;
+        let stall_timeout = driver.stall_timeout;
+        if self.begin_step(node, ticket, attempt).is_some() {
+            self.schedule_timeout_check(node, ticket, stall_timeout, true);
+        }
+    }
+
     /// Sends a step to an endpoint. Across a network partition the connection attempt fails.
     fn send_step(&mut self, node: usize, ticket: Ticket, attempt: AttemptId, target: Target, task: Task) {
         let endpoint = self.by_endpoint[&target.id];
@@ -165,6 +210,13 @@
         self.schedule_after(delay, SimEvent::StepArrival { endpoint, sent_step });
     }
 
+    /// Fails a poll that a silent engine does not answer.
+    pub(super) fn time_out_poll(&mut self, endpoint: usize, sent_step: &SentStep) {
+        let SentStep { node, transition_count, .. } = *sent_step;
+        let event = Event::Unreported { endpoint: self.engines[endpoint].id, silent: true };
+        self.schedule_after(POLL_TIMEOUT, SimEvent::StepResult { node, transition_count, event });
+    }
+
     fn schedule_timeout_check(
         &mut self,
         node: usize,
@@ -262,19 +314,21 @@
             .drivers
             .get(&sent_step.ticket)
             .filter(|_| node.transition_count == sent_step.transition_count && !node.frozen);
-        driver.is_some_and(|d| d.attempt == Some(sent_step.attempt))
+        driver.is_some_and(|d| [d.attempt, d.kept].contains(&Some(sent_step.attempt)))
     }
 
-    /// Records that the caller of a step has received tokens up to `offset`.
-    pub(super) fn record_progress(&mut self, sent_step: &SentStep, offset: u32) {
+    /// Records that the caller of a step has received tokens up to `offset`. Returns which of two streams they
+    /// are of.
+    pub(super) fn record_progress(&mut self, sent_step: &SentStep, offset: u32) -> Option<Followed> {
         let now = self.now;
-        if let Some(driver) = self.nodes[sent_step.node].drivers.get_mut(&sent_step.ticket) {
-            assert!(offset >= driver.offset, "the offset of a stream decreased");
-            driver.offset = offset;
-            driver.last_progress = now;
-            let caller = driver.caller;
-            self.callers[caller].first_token_at.get_or_insert(now);
-        }
+        let driver = self.nodes[sent_step.node].drivers.get_mut(&sent_step.ticket)?;
+        assert!(offset >= driver.offset, "the offset of a stream decreased");
+        driver.offset = offset;
+        driver.last_progress = now;
+        let followed = driver.follow(sent_step.attempt);
+        let caller = driver.caller;
+        self.callers[caller].first_token_at.get_or_insert(now);
+        followed
     }
 
     /// Completes the request at its caller if `event` is the final result of its current attempt.
@@ -290,6 +344,17 @@
         }
     }
 
+    /// Checks that engines have begun no more streams of a request than it may have attempts.
+    pub(super) fn count_run(&mut self, sent_step: &SentStep) {
+        let request = sent_step.attempt.request;
+        let runs = self.runs.entry(request).or_default();
+        *runs += 1;
+        if *runs > self.deployment.configuration.policy.attempts {
+            let text = format!("{:?}: engines began {runs} runs of {request}", self.now);
+            self.tally.violations.push(text);
+        }
+    }
+
     /// Checks new work at an endpoint: the request must not have been reported as not run, and the endpoint
     /// must not be draining.
     pub(super) fn check_new_work(&mut self, endpoint: usize, sent_step: &SentStep) {
--- a/crates/bench/src/world/engine.rs
+++ b/crates/bench/src/world/engine.rs
@@ -12,6 +12,7 @@
 use teaselshunt_settings::Role;
 
 use super::crashes::RESTART_TIME;
+use super::drivers::Followed;
 use super::network::{Network, Side};
 use super::{Deployment, Options, SimEvent, World};
 
@@ -128,6 +129,8 @@
     /// [`Options::report_lag`] old.
     load_reports: VecDeque<(Duration, Vec<AttemptId>)>,
     pub(super) stalled: bool,
+    /// Steps that wait while the process is stopped; `None` while it runs.
+    buffered: Option<Vec<SentStep>>,
     /// Number of the running prefill if its time has passed in a stall.
     overdue_prefill: Option<u64>,
     pub(super) refusing: bool,
@@ -154,6 +157,7 @@
             is_step_scheduled: false,
             load_reports: VecDeque::new(),
             stalled: false,
+            buffered: None,
             overdue_prefill: None,
             refusing: false,
             restart_end: Duration::ZERO,
@@ -201,7 +205,8 @@
             });
         self.kv_caches.clear();
         self.load_reports.clear();
-        queued.chain(running_prefill).chain(streams).collect()
+        let buffered = self.buffered.take().unwrap_or_default();
+        queued.chain(running_prefill).chain(streams).chain(buffered).collect()
     }
 
     fn streams(&self) -> u32 {
@@ -224,6 +229,12 @@
         if self.engines[endpoint].is_down(self.now) {
             return self.refuse_connection(endpoint, &sent_step);
         }
+        if let Some(buffered) = &mut self.engines[endpoint].buffered {
+            if matches!(sent_step.task, Task::Poll) {
+                return self.time_out_poll(endpoint, &sent_step);
+            }
+            return buffered.push(sent_step);
+        }
         match sent_step.task.clone() {
             Task::Prefill { tokens, priority } => {
                 self.receive_prefill(endpoint, &sent_step, tokens, priority);
@@ -405,6 +416,7 @@
                     };
                     *slot_use = SlotUse::Stream(stream);
                     engine.streams_started += 1;
+                    self.count_run(sent_step);
                     true
                 }
                 _ => false,
@@ -469,10 +481,15 @@
         if done {
             self.engines[endpoint].used_slots.remove(&attempt);
         }
-        self.record_progress(&sent_step, generated);
+        let followed = self.record_progress(&sent_step, generated);
+        self.tally.runs_kept += u64::from(followed == Some(Followed::Kept));
+        self.tally.runs_replaced += u64::from(followed == Some(Followed::Replacement));
+        if followed == Some(Followed::Replacement) {
+            self.reply(endpoint, &sent_step, Event::Began { attempt });
+        }
         let event = if done {
             Event::Finished { attempt, offset: generated, stored: None }
-        } else if first {
+        } else if first || followed == Some(Followed::Kept) {
             Event::Advanced { attempt, offset: generated }
         } else {
             return;
@@ -518,11 +535,19 @@
         );
     }
 
+    /// Stops the process of an engine. What it receives waits until the stall ends.
+    pub(super) fn begin_silence(&mut self, endpoint: usize) {
+        let engine = &mut self.engines[endpoint];
+        engine.stalled = true;
+        engine.buffered.get_or_insert_default();
+    }
+
     /// Ends the stall of an engine, which then continues its work. A prefill whose time has passed meanwhile ends
     /// a moment later, and another one when its time has passed.
     pub(super) fn end_stall(&mut self, endpoint: usize) {
         let engine = &mut self.engines[endpoint];
         engine.stalled = false;
+        let buffered = engine.buffered.take().unwrap_or_default();
         if let Some(prefill_number) = engine.overdue_prefill.take() {
             self.schedule_after(
                 Duration::from_millis(10),
@@ -531,6 +556,9 @@
         }
         self.start_prefill(endpoint);
         self.schedule_decode_step(endpoint);
+        for sent_step in buffered {
+            self.receive_step(endpoint, sent_step);
+        }
     }
 
     pub(super) fn random_endpoint(&mut self, role: Role) -> Option<usize> {
--- a/crates/bench/src/world/faults.rs
+++ b/crates/bench/src/world/faults.rs
@@ -1,5 +1,7 @@
 //! Faults and their repair.
 
+use std::time::Duration;
+
 use rand::Rng;
 use teaselshunt_core::Event;
 use teaselshunt_settings::{EndpointState, Role};
@@ -7,6 +9,9 @@
 use super::network::Side;
 use super::{SimEvent, World};
 
+/// Length of a pause of an endpoint in milliseconds. Another engine is sought for a stream after two stalls.
+const PAUSE_MS: std::ops::Range<u64> = 300..9_000;
+
 /// A fault or a repair. Numbers of instances, endpoints and domains are taken modulo their count, so that
 /// every number is valid.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -38,6 +43,9 @@
     Stall(usize),
     /// The stall of an endpoint ends.
     StallEnd(usize),
+    /// An endpoint is silent and goes on some seconds later: what it receives meanwhile waits, as in the buffers of
+    /// a process that is stopped.
+    Pause(usize),
     /// An endpoint refuses new work as busy.
     Refuse(usize),
     /// The endpoint accepts new work again.
@@ -87,6 +95,7 @@
             Fault::StaleEnd => self.platform.is_stale = false,
             Fault::Stall(n) => self.engines[n % endpoints].stalled = true,
             Fault::StallEnd(n) => self.end_stall(n % endpoints),
+            Fault::Pause(n) => self.pause(n % endpoints),
             Fault::Refuse(n) => self.engines[n % endpoints].refusing = true,
             Fault::RefuseEnd(n) => self.engines[n % endpoints].refusing = false,
             Fault::Silence(n) => self.engines[n % endpoints].disconnect_streams(),
@@ -103,6 +112,12 @@
         }
     }
 
+    fn pause(&mut self, endpoint: usize) {
+        self.begin_silence(endpoint);
+        let length = Duration::from_millis(self.rng.random_range(PAUSE_MS));
+        self.schedule_after(length, SimEvent::Fault(Fault::StallEnd(endpoint)));
+    }
+
     fn set_partitioned(&mut self, a: Side, b: Side, partitioned: bool) {
         self.network.set_partitioned(self.known_side(a), self.known_side(b), partitioned);
         let lag = self.options.list_lag;
--- a/crates/bench/src/world/mod.rs
+++ b/crates/bench/src/world/mod.rs
@@ -152,6 +152,8 @@
     callers: Vec<Caller>,
     /// Requests whose steps have reached an endpoint.
     reached_endpoint: HashSet<RequestId>,
+    /// Streams that engines have begun, by request.
+    runs: HashMap<RequestId, u32>,
     /// Requests that were refused with the outcome "not run".
     reported_not_run: HashSet<RequestId>,
     /// Crashes of engines by the request that caused them.
@@ -189,6 +191,7 @@
             platform: Platform::new(&deployment),
             callers: Vec::new(),
             reached_endpoint: HashSet::new(),
+            runs: HashMap::new(),
             reported_not_run: HashSet::new(),
             crashes: HashMap::new(),
             draining: BTreeMap::new(),
--- a/crates/bench/src/world/tally.rs
+++ b/crates/bench/src/world/tally.rs
@@ -61,6 +61,10 @@
     pub messages: u64,
     /// Bytes of these messages, without the overhead of the transport.
     pub bytes: u64,
+    /// Streams that went on while another engine was sought for them.
+    pub runs_kept: u64,
+    /// Streams that another engine took over from a silent one.
+    pub runs_replaced: u64,
     /// Simulation events that were handled.
     pub sim_events: u64,
     /// Events that were passed to instances.
--- a/crates/bench/tests/all/random.rs
+++ b/crates/bench/tests/all/random.rs
@@ -30,6 +30,23 @@
     assert_no_violations(30_000..30_012);
 }
 
+/// Guards against random plans in which no silent stream is searched another engine for, so that they would find no
+/// fault of such a search.
+#[test]
+fn random_plans_end_searches_for_silent_streams_both_ways() {
+    let (mut kept, mut replaced) = (0, 0);
+    for seed in 1..=200 {
+        let tally = Plan::arbitrary(&mut Gen::from_size_and_seed(SIZE, seed)).run();
+        assert!(tally.violations.is_empty(), "seed {seed}:\n{}", tally.violations.join("\n"));
+        kept += tally.runs_kept;
+        replaced += tally.runs_replaced;
+        if kept > 0 && replaced > 0 {
+            return;
+        }
+    }
+    panic!("{kept} streams went on, {replaced} were taken over");
+}
+
 /// The same plan results in the same run; otherwise the seed of a violation could not reproduce it.
 #[test]
 fn the_same_seed_gives_the_same_run() {
--- a/crates/core/src/crashes.rs
+++ b/crates/core/src/crashes.rs
@@ -124,8 +124,10 @@
         let keys: Vec<RequestKey> = waiting.map(|(key, _)| key).collect();
         for key in keys {
             let Some(refusal) = self.quarantine_refusal(now, key) else { continue };
-            self.withdraw(now, key, out);
-            self.refuse(now, key, refusal, out);
+            if !self.end_search(now, key, out) {
+                self.withdraw(now, key, out);
+                self.refuse(now, key, refusal, out);
+            }
         }
     }
 
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -38,6 +38,12 @@
         /// The attempt.
         attempt: AttemptId,
     },
+    /// An engine has begun to respond with the stream of an attempt that seeks to replace a kept run. Nothing more
+    /// of the kept run is passed to the caller.
+    Began {
+        /// The attempt.
+        attempt: AttemptId,
+    },
     /// Output has been passed to the caller.
     Advanced {
         /// The attempt.
@@ -337,6 +343,8 @@
         attempt: AttemptId,
         /// The engine.
         target: Target,
+        /// Attempt whose stream goes on until that of this one begins, if any. Otherwise earlier attempts have ended.
+        kept: Option<AttemptId>,
         /// Priority; 0 is the most urgent.
         priority: u8,
         /// Timeout of the step.
@@ -370,6 +378,14 @@
         /// Longest time without output.
         stall_timeout: Duration,
     },
+    /// End the steps that seek to replace a kept run, and go on with its stream alone. Steps that were sent before
+    /// this effect are obsolete.
+    Continue {
+        /// The caller.
+        ticket: Ticket,
+        /// The attempt whose stream goes on.
+        attempt: AttemptId,
+    },
     /// Call a plain service.
     Call {
         /// The caller.
--- a/crates/core/src/failures.rs
+++ b/crates/core/src/failures.rs
@@ -24,6 +24,9 @@
         offset: u32,
         out: &mut Vec<Effect>,
     ) {
+        if let Some(key) = self.requests.keeping(attempt) {
+            return self.kept_run_failed(now, key, failure, offset, out);
+        }
         let Some(key) = self.requests.current(attempt) else {
             return;
         };
@@ -128,7 +131,7 @@
         };
         self.charge_retry_budget();
         self.endpoints.take_slot(decode);
-        self.requests.get_mut(key).attempts += 1;
+        self.begin_attempt(key, Phase::Importing { prefill, decode });
         self.send_import(key, prefill, decode, out);
         true
     }
@@ -145,19 +148,20 @@
             matches!(failure, StepFailure::Stalled | StepFailure::Broken | StepFailure::TimedOut);
         let request = self.requests.get_mut(key);
         let attempt = request.attempt();
-        if stream_interrupted && !request.resumed {
+        if stream_interrupted && request.resumed_from.is_none() {
             // A connection can stop delivering data for good while the engine continues and new connections
             // work. The caller would see its response stop in the middle. Resuming the stream on a new
             // connection, at the offset that the caller has, costs only the pause, and the engine itself
             // reports whether it still has the request.
-            request.resumed = true;
-            request.attempts += 1;
+            self.begin_attempt(key, Phase::Decoding { decode }).resumed_from = Some(attempt.number);
             self.counters.resumed += 1;
             return self.send_decode(key, decode, Some(attempt), out);
         }
+        if failure == StepFailure::Stalled && request.kept.is_none() {
+            return self.search_beside(now, key, decode, out);
+        }
         request.tried.push(decode);
-        let resumed_from = (request.resumed && request.attempts > 1)
-            .then(|| AttemptId { request: request.id, number: request.attempts - 1 });
+        let resumed_from = request.resumed_from.take().map(|number| request.numbered(number));
         self.record_endpoint_failure(now, decode, failure, out);
         self.cancel(now, attempt, decode, out);
         if let Some(earlier) = resumed_from {
@@ -177,7 +181,7 @@
     fn leaves_silent(&mut self, now: Instant, key: RequestKey, decode: EndpointKey) -> bool {
         let stall = Duration::from_millis(self.policy().stall_ms);
         let request = self.requests.get_mut(key);
-        let (pool, resumed) = (request.pool.clone(), request.resumed);
+        let (pool, resumed) = (request.pool.clone(), request.resumed_from.is_some());
         // An engine that was silent as well since the last token has answered nothing in the second half of the time.
         let earliest = now.checked_sub(stall / 2).unwrap_or(now);
         let since = *request.silent_since.get_or_insert(earliest);
@@ -214,7 +218,7 @@
         self.requeue_or_refuse(now, key, failure, out);
     }
 
-    /// Queues the request for another attempt, or refuses it.
+    /// Queues the request for another attempt. If there is to be none, its kept run goes on alone, or it is refused.
     pub(crate) fn requeue_or_refuse(
         &mut self,
         now: Instant,
@@ -225,7 +229,12 @@
         let request = self.requests.get(key);
         let pool = request.pool.clone();
         let ran = request.may_have_run();
-        if failure == StepFailure::Rejected {
+        let is_final = failure == StepFailure::Rejected
+            || self.quarantine_refusal(now, key).is_some()
+            || !self.may_attempt_again(now, key);
+        if is_final && self.continue_kept_run(key, out) {
+            // Its next stall begins another search, if that is allowed then.
+        } else if failure == StepFailure::Rejected {
             self.refuse(now, key, Refusal::new(ErrorKind::Rejected), out);
         } else if let Some(refusal) = self.quarantine_refusal(now, key) {
             self.refuse(now, key, refusal, out);
@@ -247,6 +256,12 @@
         allowed && self.retry_budget >= RETRY_COST
     }
 
+    /// Gives an attempt that was not sent back to the retry budget.
+    pub(crate) fn refund_retry_budget(&mut self) {
+        self.retry_budget += RETRY_COST;
+        self.counters.retried -= 1;
+    }
+
     /// Charges another attempt to the retry budget. The budget grows with arrivals, so that a failure of many
     /// endpoints cannot multiply the callers' load and keep the endpoints overloaded after the failure has
     /// ended.
--- a/crates/core/src/instance/mod.rs
+++ b/crates/core/src/instance/mod.rs
@@ -191,7 +191,8 @@
             Event::CallerGone { ticket } => self.caller_gone(now, ticket, out),
             Event::Prefilled { attempt, .. } => self.prefilled(now, attempt, out),
             Event::Imported { attempt } => self.imported(attempt, out),
-            Event::Advanced { attempt, offset } => self.advanced(now, attempt, offset),
+            Event::Began { attempt } => self.began(now, attempt, out),
+            Event::Advanced { attempt, offset } => self.advanced(now, attempt, offset, out),
             Event::Finished { attempt, offset, stored } => self.finished(now, attempt, offset, stored, out),
             Event::Called { attempt, retry_after, stored } => {
                 self.called(now, attempt, retry_after, stored, out);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,10 +6,10 @@
 //! the same effects. A daemon runs one instance on its control thread; a test or bench runs many instances
 //! side by side in virtual time.
 //!
-//! Modules depend only on lower ones: `instance` dispatches to `new_request`, `lifecycle` and `failures` (the
-//! steps of a request), `reservations` (its slots), `claims` (its idempotency key) and `crashes` (endpoints
-//! that crash under it), which use `requests`, `endpoints`, `queue`, `homes`, `quarantine` and `orphans`;
-//! `members` and `versions` have no knowledge of requests.
+//! Modules depend only on lower ones: `instance` dispatches to `new_request`, `lifecycle`, `failures`,
+//! `kept_runs` and `refusals` (the steps of a request), `reservations` (its slots), `claims` (its idempotency key)
+//! and `crashes` (endpoints that crash under it), which use `requests`, `endpoints`, `queue`, `homes`,
+//! `quarantine` and `orphans`; `members` and `versions` have no knowledge of requests.
 //!
 //! Invariants, asserted in the program:
 //! - a request gets exactly one final effect ([`Effect::Refuse`], or the end of the response that its driver
@@ -34,6 +34,7 @@
 mod homes;
 mod ids;
 mod instance;
+mod kept_runs;
 mod lifecycle;
 mod limits;
 mod members;
@@ -42,6 +43,7 @@
 mod orphans;
 mod quarantine;
 mod queue;
+mod refusals;
 mod requests;
 mod reservations;
 mod slots;
--- a/crates/core/src/lifecycle.rs
+++ b/crates/core/src/lifecycle.rs
@@ -17,7 +17,6 @@
 use teaselshunt_settings::{Role, Team};
 
 use crate::endpoints::Need;
-use crate::error::{ErrorKind, Outcome, Refusal};
 use crate::event::{Audit, Effect, StepFailure, StoredResponse, Work};
 use crate::ids::{EndpointKey, RequestKey};
 use crate::instance::Instance;
@@ -29,8 +28,6 @@
 /// `Retry-After` delay of an instance that is shutting down or has no configuration yet. The load balancer
 /// sends the retry to another instance.
 pub(crate) const RETRY_ELSEWHERE_AFTER: Duration = Duration::from_secs(1);
-/// Longest `Retry-After` delay; longer waits cannot be predicted.
-const RETRY_AFTER_MAX: Duration = Duration::from_secs(30);
 /// Cost of a second or later attempt, in the hundredths that the retry budget counts.
 pub(crate) const RETRY_COST: u32 = 100;
 /// Maximum retry budget in hundredths of an attempt.
@@ -76,43 +73,6 @@
         request.kind.roles().iter().all(|&r| self.endpoints.has_open(now, &request.pool, r))
     }
 
-    /// When a request can be served again, if all endpoints of one of its steps have stated that they want no
-    /// requests now.
-    fn first_available(&self, now: Instant, request: &Request) -> Option<Instant> {
-        let roles = request.kind.roles().iter();
-        roles.filter_map(|&role| self.endpoints.first_available(now, &request.pool, role)).max()
-    }
-
-    /// Why a request of which nothing ran gets no slot, with a `Retry-After` delay.
-    pub(crate) fn no_slot_refusal(&self, now: Instant, request: &Request) -> Refusal {
-        if let Some(first) = self.first_available(now, request) {
-            return Refusal::retryable(ErrorKind::Overloaded, first.duration_since(now));
-        }
-        if !self.has_endpoints(now, request) {
-            return Refusal::retryable(ErrorKind::NoEndpoint, RETRY_ELSEWHERE_AFTER);
-        }
-        let wait = self.expected_wait(now, request).clamp(RETRY_ELSEWHERE_AFTER, RETRY_AFTER_MAX);
-        Refusal::retryable(ErrorKind::Overloaded, wait)
-    }
-
-    /// Refuses waiting requests for which the new configuration has no endpoints. They would otherwise be
-    /// refused only at the end of their wait.
-    pub(crate) fn refuse_unservable(&mut self, now: Instant, out: &mut Vec<Effect>) {
-        let waiting =
-            self.requests.iter().filter(|(_, r)| r.phase == Phase::Waiting && !self.has_endpoints(now, r));
-        let keys: Vec<RequestKey> = waiting.map(|(key, _)| key).collect();
-        for key in keys {
-            self.withdraw(now, key, out);
-            let request = self.requests.get(key);
-            let refusal = if request.may_have_run() {
-                Refusal::retryable(ErrorKind::EndpointFailed, RETRY_ELSEWHERE_AFTER)
-            } else {
-                self.no_slot_refusal(now, request)
-            };
-            self.refuse(now, key, refusal, out);
-        }
-    }
-
     pub(crate) fn enqueue(&mut self, now: Instant, key: RequestKey, out: &mut Vec<Effect>) {
         let request = self.requests.get_mut(key);
         request.phase = Phase::Waiting;
@@ -200,12 +160,13 @@
         let target = self.endpoints.get(prefill).target();
         let request = self.begin_attempt(key, Phase::Prefilling { prefill, decode });
         request.slot_taken = now;
-        request.resumed = false;
+        request.resumed_from = None;
         request.silent_since = None;
         let effect = Effect::Prefill {
             ticket: request.ticket,
             attempt: request.attempt(),
             target,
+            kept: request.kept.map(|kept| request.numbered(kept.number)),
             priority: request.priority,
             timeout,
         };
@@ -244,6 +205,7 @@
         let request = self.requests.get_mut(key);
         request.phase = phase;
         request.attempts += 1;
+        request.number = request.attempts;
         request
     }
 
@@ -271,8 +233,10 @@
         if untried.is_some() || request.tried.is_empty() {
             return untried;
         }
-        // Every endpoint has failed this request once; any of them may be chosen again.
-        need.tried = &[];
+        // Every endpoint has failed this request once; any of them may be chosen again, unless it still runs the
+        // request.
+        let kept: Vec<EndpointKey> = request.kept.iter().map(|kept| kept.decode).collect();
+        need.tried = &kept;
         self.endpoints.choose(now, &need, &mut self.rng)
     }
 
@@ -368,10 +332,14 @@
         out.push(effect);
     }
 
-    pub(crate) fn advanced(&mut self, now: Instant, attempt: AttemptId, offset: u32) {
+    pub(crate) fn advanced(&mut self, now: Instant, attempt: AttemptId, offset: u32, out: &mut Vec<Effect>) {
+        if let Some(key) = self.requests.keeping(attempt) {
+            self.end_search(now, key, out);
+        }
         let Some(key) = self.requests.current(attempt) else {
             return;
         };
+        self.end_kept_run(now, key, out);
         assert!(offset >= self.requests.get(key).offset, "output offset of {attempt} decreased");
         self.record_first_token_delay(now, key);
         let request = self.requests.get_mut(key);
@@ -379,7 +347,7 @@
         request.first_token.get_or_insert(now);
         // The new stream has made progress. A later stall is a new failure, after which the stream may be
         // resumed again.
-        request.resumed = false;
+        request.resumed_from = None;
         request.silent_since = None;
     }
 
@@ -391,7 +359,7 @@
         stored: Option<StoredResponse>,
         out: &mut Vec<Effect>,
     ) {
-        self.advanced(now, attempt, offset);
+        self.advanced(now, attempt, offset, out);
         let Some(key) = self.requests.current(attempt) else {
             return;
         };
@@ -461,6 +429,12 @@
 
     /// Releases all that a request holds here and at endpoints, in any phase.
     pub(crate) fn withdraw(&mut self, now: Instant, key: RequestKey, out: &mut Vec<Effect>) {
+        self.release_kept_run(now, key, out);
+        self.withdraw_attempt(now, key, out);
+    }
+
+    /// Releases all that the attempt of the phase holds.
+    pub(crate) fn withdraw_attempt(&mut self, now: Instant, key: RequestKey, out: &mut Vec<Effect>) {
         let request = self.requests.get(key);
         let attempt = request.attempt();
         match request.phase {
@@ -485,8 +459,7 @@
             }
             Phase::Decoding { decode } => {
                 self.cancel(now, attempt, decode, out);
-                if is_resumed(self.requests.get(key)) {
-                    let number = attempt.number - 1;
+                if let Some(number) = self.requests.get(key).resumed_from {
                     self.cancel(now, AttemptId { number, ..attempt }, decode, out);
                 }
                 self.release_decode(now, key, decode, out);
@@ -539,42 +512,6 @@
         }
     }
 
-    /// Gives a request its final response without a result.
-    pub(crate) fn refuse(&mut self, now: Instant, key: RequestKey, refusal: Refusal, out: &mut Vec<Effect>) {
-        let request = self.close_request(now, key);
-        let not_run = refusal.kind.answer().outcome == Outcome::NotRun;
-        assert!(
-            !(not_run && request.may_have_run()),
-            "{} is refused as not run, but may have run",
-            request.id
-        );
-        self.count_refusal(refusal.kind);
-        let outcome = if request.may_have_run() { ClaimOutcome::Unknown } else { ClaimOutcome::NotRun };
-        self.remember_unclaimed(now, &request);
-        self.settle_claim(now, &request, outcome, out);
-        if !request.caller_gone {
-            out.push(Effect::Refuse { ticket: request.ticket, refusal });
-        }
-    }
-
-    /// Refuses requests whose wait or deadline has expired.
-    pub(crate) fn expire_requests(&mut self, now: Instant, out: &mut Vec<Effect>) {
-        while let Some(key) = self.requests.overdue(now) {
-            let request = self.requests.get(key);
-            let deadline_passed = now >= request.deadline;
-            let (ran, phase) = (request.may_have_run(), request.phase);
-            let refusal = match phase {
-                Phase::Claiming => Refusal::retryable(ErrorKind::KeyUnknown, RETRY_ELSEWHERE_AFTER),
-                _ if deadline_passed && ran => Refusal::new(ErrorKind::DeadlinePassed),
-                _ if deadline_passed => Refusal::new(ErrorKind::Expired),
-                _ if ran => Refusal::retryable(ErrorKind::EndpointFailed, RETRY_ELSEWHERE_AFTER),
-                _ => self.no_slot_refusal(now, request),
-            };
-            self.withdraw(now, key, out);
-            self.refuse(now, key, refusal, out);
-        }
-    }
-
     pub(crate) fn step_succeeded(&mut self, endpoint: EndpointKey, out: &mut Vec<Effect>) {
         self.endpoint_reachable(self.endpoints.get(endpoint).target().id);
         if self.endpoints.observe_success(endpoint) {
@@ -592,7 +529,3 @@
 pub(crate) fn team_weight(teams: &[Team], name: &str) -> u32 {
     teams.iter().find(|t| t.name == name).map_or(1, |t| t.weight)
 }
-
-fn is_resumed(request: &Request) -> bool {
-    request.resumed && request.attempts > 1
-}
--- a/crates/core/src/requests.rs
+++ b/crates/core/src/requests.rs
@@ -82,6 +82,18 @@
     pub(crate) prefill: EndpointKey,
 }
 
+/// A run whose engine is silent. It goes on while another engine is sought, until that one responds.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct KeptRun {
+    /// Number of its attempt.
+    pub(crate) number: u32,
+    pub(crate) decode: EndpointKey,
+    /// See [`Request::resumed_from`].
+    pub(crate) resumed_from: Option<u32>,
+    /// See [`Request::slot_taken`].
+    pub(crate) slot_taken: Instant,
+}
+
 /// One request.
 #[derive(Debug)]
 pub(crate) struct Request {
@@ -101,8 +113,12 @@
     pub(crate) arrived: Instant,
     pub(crate) deadline: Instant,
     pub(crate) phase: Phase,
-    /// Number of the last attempt.
+    /// Number of attempts so far, and of the last one.
     pub(crate) attempts: u32,
+    /// Number of the attempt that the phase belongs to.
+    pub(crate) number: u32,
+    /// The run that goes on beside the attempt of the phase, which seeks another engine.
+    pub(crate) kept: Option<KeptRun>,
     /// Whether any part of an earlier attempt may have reached an endpoint.
     pub(crate) maybe_reached_endpoint: bool,
     /// Tokens passed to the caller.
@@ -113,8 +129,8 @@
     /// When the last prefill ended.
     pub(crate) prefill_ended: Instant,
     pub(crate) cache: Option<Cache>,
-    /// Whether the stream was resumed and has made no progress since.
-    pub(crate) resumed: bool,
+    /// Number of the attempt as which the stream ran before it was resumed, while it has made no progress since.
+    pub(crate) resumed_from: Option<u32>,
     /// Time after which an engine must have answered something to count as responsive, while the stream makes no
     /// progress.
     pub(crate) silent_since: Option<Instant>,
@@ -151,7 +167,18 @@
     }
 
     pub(crate) fn attempt(&self) -> AttemptId {
-        AttemptId { request: self.id, number: self.attempts }
+        self.numbered(self.number)
+    }
+
+    /// The attempt of this request with a number.
+    pub(crate) fn numbered(&self, number: u32) -> AttemptId {
+        AttemptId { request: self.id, number }
+    }
+
+    /// The attempts as which engines work on the request.
+    fn running(&self) -> impl Iterator<Item = u32> {
+        let kept = self.kept.iter().flat_map(|kept| [Some(kept.number), kept.resumed_from]);
+        [Some(self.number), self.resumed_from].into_iter().chain(kept).flatten()
     }
 }
 
@@ -199,13 +226,15 @@
             deadline,
             phase: Phase::Claiming,
             attempts: 0,
+            number: 0,
+            kept: None,
             maybe_reached_endpoint: false,
             offset: 0,
             first_token: None,
             slot_taken: now,
             prefill_ended: now,
             cache: None,
-            resumed: false,
+            resumed_from: None,
             silent_since: None,
             tried: Vec::new(),
             caller_gone: false,
@@ -238,13 +267,21 @@
         self.by_ticket.get(&ticket).copied()
     }
 
-    /// The request whose last attempt this is; `None` for a late event of an earlier attempt.
+    /// The request whose phase belongs to this attempt; `None` for a late event of an earlier attempt.
     pub(crate) fn current(&self, attempt: AttemptId) -> Option<RequestKey> {
         let key = self.find(Ticket(attempt.request.sequence))?;
         let request = &self.arena[key];
         (request.attempt() == attempt).then_some(key)
     }
 
+    /// The request whose kept run is this attempt.
+    pub(crate) fn keeping(&self, attempt: AttemptId) -> Option<RequestKey> {
+        let key = self.find(Ticket(attempt.request.sequence))?;
+        let request = &self.arena[key];
+        let is_kept = request.kept.is_some_and(|kept| request.numbered(kept.number) == attempt);
+        is_kept.then_some(key)
+    }
+
     /// Whether an engine should keep the memory that it holds for an attempt.
     pub(crate) fn needs(&self, attempt: AttemptId) -> bool {
         let Some(key) = self.find(Ticket(attempt.request.sequence)) else {
@@ -253,8 +290,8 @@
         let request = &self.arena[key];
         // While a stream is being resumed, it still runs as the previous attempt. An engine that is polled at
         // this moment reports that attempt, and a cancel would end the stream of the current one.
-        let resumed_from = request.resumed && attempt.number + 1 == request.attempts;
-        resumed_from || request.attempt() == attempt || request.cache.is_some_and(|c| c.attempt == attempt)
+        let runs = request.id == attempt.request && request.running().any(|n| n == attempt.number);
+        runs || request.cache.is_some_and(|c| c.attempt == attempt)
     }
 
     /// Sets the next time at which the request is checked, at the latest its deadline.
--- a/crates/core/src/reservations.rs
+++ b/crates/core/src/reservations.rs
@@ -181,6 +181,9 @@
         let Some(key) = self.awaiting_owner(from, id) else {
             return;
         };
+        if self.end_search(now, key, out) {
+            return;
+        }
         let request = self.requests.get(key);
         let refusal = if request.may_have_run() {
             Refusal::retryable(ErrorKind::EndpointFailed, RETRY_ELSEWHERE_AFTER)
@@ -204,7 +207,8 @@
             return self.return_reservation(now, from, (pool, id), out);
         };
         // The owner may use an older configuration than this instance.
-        let usable = |e: Option<EndpointKey>| e.filter(|&k| !self.endpoints.is_leaving(k));
+        let kept = self.requests.get(key).kept.map(|kept| kept.decode);
+        let usable = |e: Option<EndpointKey>| e.filter(|&k| !self.endpoints.is_leaving(k) && Some(k) != kept);
         let (Some(prefill), Some(decode)) =
             (usable(self.endpoints.find(prefill)), usable(self.endpoints.find(decode)))
         else {
--- a/crates/core/tests/all/main.rs
+++ b/crates/core/tests/all/main.rs
@@ -3,6 +3,7 @@
 mod claims;
 mod crashes;
 mod ids;
+mod kept_runs;
 mod limits;
 mod quarantine;
 mod steps;
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -25,6 +25,8 @@
     Prefill {
         attempt: AttemptId,
         target: Target,
+        /// Whether the stream of an earlier attempt goes on until that of this one begins.
+        kept: bool,
         priority: u8,
         timeout: Duration,
     },
@@ -41,6 +43,8 @@
         priority: u8,
         stall_timeout: Duration,
     },
+    /// End the steps that seek another engine.
+    Continue,
     /// `issued` is the time at which the core decided on the call.
     Call {
         attempt: AttemptId,
@@ -286,9 +290,11 @@
     fn perform_effect(&mut self, effect: Effect) {
         match effect {
             Effect::Accept { ticket, request } => self.send_command(ticket, Command::Accepted(request)),
-            Effect::Prefill { ticket, attempt, target, priority, timeout } => {
-                self.send_command(ticket, Command::Prefill { attempt, target, priority, timeout });
+            Effect::Prefill { ticket, attempt, target, kept, priority, timeout } => {
+                let kept = kept.is_some();
+                self.send_command(ticket, Command::Prefill { attempt, target, kept, priority, timeout });
             }
+            Effect::Continue { ticket, .. } => self.send_command(ticket, Command::Continue),
             Effect::Import { ticket, attempt, origin, target, timeout } => {
                 self.send_command(ticket, Command::Import { attempt, origin, target, timeout });
             }
--- a/crates/daemon/src/driver/call.rs
+++ b/crates/daemon/src/driver/call.rs
@@ -99,7 +99,12 @@
                         None => continue,
                     }
                 }
-                Some(Command::Prefill { .. } | Command::Import { .. } | Command::Decode { .. }) => {
+                Some(
+                    Command::Prefill { .. }
+                    | Command::Import { .. }
+                    | Command::Decode { .. }
+                    | Command::Continue,
+                ) => {
                     unreachable!("a call is never a generation")
                 }
             };
--- a/crates/daemon/src/driver/generate.rs
+++ b/crates/daemon/src/driver/generate.rs
@@ -1,17 +1,17 @@
 //! Driver of a generation: prefill, import, decode, and the tokens that are passed to the caller.
+//!
+//! The caller gets the tokens of one run at a time. While the engine of a run is silent, the core may seek another
+//! engine, and the run is read all that time. A token of the run makes the steps of that search obsolete; the begin
+//! of another run replaces it. The driver alone decides which came first, so that tokens of two runs never mix.
 
 use std::pin::Pin;
 use std::time::Duration;
 
-use bytes::Bytes;
-use futures_util::StreamExt;
-use futures_util::stream::FuturesUnordered;
-use reqwest::Response;
 use teaselshunt_core::{AttemptId, Event, Refusal, RequestId, StepFailure, StoredResponse, Target};
-use teaselshunt_wire::engine::{DecodeRequest, ImportRequest, PrefillRequest, TokenEvent};
+use teaselshunt_wire::engine::{DecodeRequest, ImportRequest, PrefillRequest, PrefillResponse, TokenEvent};
 use tokio::sync::mpsc;
 
-use super::sse::EventParser;
+use super::run::{Run, RunEvent};
 use crate::control::{Command, Session};
 use crate::engines::Engines;
 
@@ -50,20 +50,26 @@
     Replayed(StoredResponse),
 }
 
-/// Why a step ended without a result.
-enum Interruption {
-    /// The step failed; the core decides on the next command.
-    Failure(StepFailure),
-    /// The caller has disconnected, or the control thread has ended.
-    CallerGone,
-    /// The core has sent another command.
-    Command(Box<Command>),
+/// The caller has disconnected, or the control thread has ended.
+struct CallerGone;
+
+/// A prefill or import in progress.
+struct Step {
+    attempt: AttemptId,
+    work: Pin<Box<dyn Future<Output = Result<StepResult, StepFailure>> + Send>>,
 }
 
-impl From<StepFailure> for Interruption {
-    fn from(failure: StepFailure) -> Self {
-        Self::Failure(failure)
-    }
+enum StepResult {
+    Prefilled(PrefillResponse),
+    Imported,
+}
+
+/// What the driver reacts to.
+enum Input {
+    Command(Command),
+    Step(AttemptId, Result<StepResult, StepFailure>),
+    Run(RunEvent),
+    Second(RunEvent),
 }
 
 /// Starts the driver of a generation.
@@ -81,12 +87,24 @@
         handle: String::new(),
         generated: String::new(),
         offset: 0,
-        sources: Vec::new(),
+        step: None,
+        run: None,
+        second: None,
+        search: Search::None,
     };
     tokio::spawn(driver.run());
     receiver
 }
 
+/// Search for another engine beside a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Search {
+    None,
+    Running,
+    /// The run has gone on, and the core has not confirmed yet that the search has ended.
+    Obsolete,
+}
+
 struct Driver {
     session: Session,
     engines: Engines,
@@ -98,134 +116,104 @@
     generated: String,
     /// Tokens passed to the caller so far.
     offset: u32,
-    /// Connections over which a stream is read, the latest first.
-    sources: Vec<Source>,
-}
-
-/// A connection over which a stream is read.
-struct Source {
-    state: SourceState,
-    parser: EventParser,
-}
-
-enum SourceState {
-    Opening(Pin<Box<dyn Future<Output = Result<Response, StepFailure>> + Send>>),
-    Open(Response),
-}
-
-impl Source {
-    fn opening(open: impl Future<Output = Result<Response, StepFailure>> + Send + 'static) -> Self {
-        Self { state: SourceState::Opening(Box::pin(open)), parser: EventParser::default() }
-    }
-
-    /// The next bytes. A stream that ends before its last token is broken: a truncated response must not pass for a
-    /// complete one.
-    async fn read(&mut self) -> Result<Bytes, StepFailure> {
-        loop {
-            match &mut self.state {
-                SourceState::Opening(open) => {
-                    let response = open.await?;
-                    self.state = SourceState::Open(response);
-                }
-                SourceState::Open(response) => {
-                    let chunk = response.chunk().await.map_err(|_| StepFailure::Broken)?;
-                    return chunk.ok_or(StepFailure::Broken);
-                }
-            }
-        }
-    }
+    step: Option<Step>,
+    /// The run whose tokens the caller gets.
+    run: Option<Run>,
+    /// A run that replaces `run` as soon as its engine responds.
+    second: Option<Run>,
+    search: Search,
 }
 
 impl Driver {
     async fn run(mut self) {
-        let mut next = None;
         loop {
-            let command = match next.take() {
-                Some(command) => command,
-                None => match self.next_command().await {
-                    Ok(command) => command,
-                    Err(_) => return,
-                },
+            let done = match self.next_input().await {
+                Ok(input) => self.handle(input).await,
+                Err(CallerGone) => Err(CallerGone),
             };
-            match self.perform(command).await {
+            match done {
                 Ok(true) => return self.session.close(),
-                // A failure has been reported to the core, which decides on the next command.
-                Ok(false) | Err(Interruption::Failure(_)) => {}
-                Err(Interruption::CallerGone) => return,
-                Err(Interruption::Command(command)) => next = Some(*command),
+                Ok(false) => {}
+                Err(CallerGone) => return,
             }
         }
     }
 
-    /// Waits for the core's next command.
-    async fn next_command(&mut self) -> Result<Command, Interruption> {
-        let output = self.output.clone();
+    async fn next_input(&mut self) -> Result<Input, CallerGone> {
         tokio::select! {
-            command = self.session.commands.recv() => command.ok_or(Interruption::CallerGone),
-            () = output.closed() => Err(Interruption::CallerGone),
+            biased;
+            () = self.output.closed() => Err(CallerGone),
+            command = self.session.commands.recv() => command.map(Input::Command).ok_or(CallerGone),
+            event = next_event(&mut self.run) => Ok(Input::Run(event)),
+            event = next_event(&mut self.second) => Ok(Input::Second(event)),
+            (attempt, result) = step_result(&mut self.step) => Ok(Input::Step(attempt, result)),
         }
     }
 
-    /// Performs a command. Returns `true` if the caller has received its final output.
-    async fn perform(&mut self, command: Command) -> Result<bool, Interruption> {
+    /// Returns `true` if the caller has received its final output.
+    async fn handle(&mut self, input: Input) -> Result<bool, CallerGone> {
+        match input {
+            Input::Command(command) => return self.perform(command).await,
+            Input::Step(attempt, result) => self.step_ended(attempt, result),
+            Input::Run(RunEvent::Began) => {}
+            Input::Run(RunEvent::Tokens(index, tokens)) => return self.forward_tokens(index, tokens).await,
+            Input::Run(RunEvent::Stalled) => self.report_run(self.run.as_ref(), StepFailure::Stalled),
+            Input::Run(RunEvent::Failed(failure)) => self.run_failed(failure),
+            Input::Second(RunEvent::Began | RunEvent::Tokens(..)) => self.replace_run(),
+            Input::Second(RunEvent::Stalled) => self.report_run(self.second.as_ref(), StepFailure::Stalled),
+            Input::Second(RunEvent::Failed(failure)) => {
+                let second = self.second.take();
+                self.report_run(second.as_ref(), failure);
+            }
+        }
+        Ok(false)
+    }
+
+    async fn perform(&mut self, command: Command) -> Result<bool, CallerGone> {
         match command {
-            Command::Accepted(id) => self.send_output(Output::Accepted(id)).await.map(|()| false),
-            Command::Prefill { attempt, target, priority, timeout } => {
-                // The earlier run of the request was cancelled.
-                self.sources.clear();
-                let result = self.prefill(attempt, target, priority, timeout).await;
-                self.report(attempt, result).map(|()| false)
+            Command::Accepted(id) => self.send_output(Output::Accepted(id)).await?,
+            Command::Refuse(refusal) => {
+                self.send_output(Output::Refused(refusal)).await?;
+                return Ok(true);
+            }
+            Command::Replay(stored) => {
+                self.send_output(Output::Replayed(stored)).await?;
+                return Ok(true);
+            }
+            Command::Continue => self.end_search(Search::None),
+            Command::Prefill { .. } | Command::Import { .. } | Command::Decode { .. }
+                if self.search == Search::Obsolete => {}
+            Command::Prefill { attempt, target, kept, priority, timeout } => {
+                self.end_search(if kept { Search::Running } else { Search::None });
+                if !kept {
+                    // The earlier run of the request was cancelled.
+                    self.run = None;
+                }
+                self.start_prefill(attempt, target, priority, timeout);
             }
             Command::Import { attempt, origin, target, timeout } => {
-                let result = self.import(attempt, origin, target, timeout).await;
-                self.report(attempt, result).map(|()| false)
+                self.start_import(attempt, origin, target, timeout);
             }
             Command::Decode { attempt, target, resume, priority, stall_timeout } => {
-                let request = DecodeRequest {
-                    request_id: attempt.to_string(),
-                    resume: resume.map(|r| r.to_string()),
-                    offset: self.offset,
-                    max_tokens: self.generation.max_tokens,
-                    priority,
-                };
-                let result = self.decode(attempt, target, request, stall_timeout).await;
-                let done = result.is_ok();
-                self.report(attempt, result).map(|()| done)
+                self.start_run(attempt, target, resume, priority, stall_timeout);
             }
-            Command::Refuse(refusal) => self.send_output(Output::Refused(refusal)).await.map(|()| true),
-            Command::Replay(stored) => self.send_output(Output::Replayed(stored)).await.map(|()| true),
             Command::Call { .. } => unreachable!("a generation is never a call"),
         }
+        Ok(false)
     }
 
-    /// Reports the end of a step to the core. A disconnect of the caller or a new command is not reported:
-    /// the core learns of the disconnect from the session, and has sent the command itself.
-    fn report(
-        &mut self,
-        attempt: AttemptId,
-        result: Result<Event, Interruption>,
-    ) -> Result<(), Interruption> {
-        match result {
-            Ok(event) => self.session.send(event),
-            Err(Interruption::Failure(failure)) => {
-                self.session.send(Event::Failed { attempt, failure, offset: self.offset });
-            }
-            Err(interruption) => return Err(interruption),
-        }
-        Ok(())
+    /// Drops the steps that seek another engine.
+    fn end_search(&mut self, search: Search) {
+        self.step = None;
+        self.second = None;
+        self.search = search;
     }
 
-    async fn send_output(&mut self, output: Output) -> Result<(), Interruption> {
-        self.output.send(output).await.map_err(|_| Interruption::CallerGone)
+    async fn send_output(&mut self, output: Output) -> Result<(), CallerGone> {
+        self.output.send(output).await.map_err(|_| CallerGone)
     }
 
-    async fn prefill(
-        &mut self,
-        attempt: AttemptId,
-        target: Target,
-        priority: u8,
-        timeout: Duration,
-    ) -> Result<Event, Interruption> {
+    fn start_prefill(&mut self, attempt: AttemptId, target: Target, priority: u8, timeout: Duration) {
         let request = PrefillRequest {
             request_id: attempt.to_string(),
             model: self.generation.model.clone(),
@@ -235,127 +223,140 @@
             priority,
         };
         let engines = self.engines.clone();
-        let step = engines.prefill(target.address, &request, timeout);
-        let response = run_step(&mut self.session, &self.output, step).await?;
-        self.handle = response.handle;
-        Ok(Event::Prefilled { attempt, bytes: response.kv_bytes, cached: response.cached_tokens })
+        let work = async move {
+            engines.prefill(target.address, &request, timeout).await.map(StepResult::Prefilled)
+        };
+        self.step = Some(Step { attempt, work: Box::pin(work) });
     }
 
-    async fn import(
-        &mut self,
-        attempt: AttemptId,
-        origin: Target,
-        target: Target,
-        timeout: Duration,
-    ) -> Result<Event, Interruption> {
+    fn start_import(&mut self, attempt: AttemptId, origin: Target, target: Target, timeout: Duration) {
         let handle = self.handle.clone();
         let request = ImportRequest { request_id: attempt.to_string(), origin: origin.address, handle };
         let engines = self.engines.clone();
-        let step = engines.import(target.address, &request, timeout);
-        run_step(&mut self.session, &self.output, step).await?;
-        Ok(Event::Imported { attempt })
+        let work = async move {
+            engines.import(target.address, &request, timeout).await.map(|_| StepResult::Imported)
+        };
+        self.step = Some(Step { attempt, work: Box::pin(work) });
     }
 
-    /// Reads a stream to its last token.
-    ///
-    /// A stream that is resumed is still read over its earlier connection as well. The engine has the stream, whichever
-    /// connection it writes to, so that tokens of both are the same and count by their offsets.
-    async fn decode(
+    fn step_ended(&mut self, attempt: AttemptId, result: Result<StepResult, StepFailure>) {
+        self.step = None;
+        let event = match result {
+            Ok(StepResult::Prefilled(response)) => {
+                self.handle = response.handle;
+                Event::Prefilled { attempt, bytes: response.kv_bytes, cached: response.cached_tokens }
+            }
+            Ok(StepResult::Imported) => Event::Imported { attempt },
+            Err(failure) => Event::Failed { attempt, failure, offset: self.offset },
+        };
+        self.session.send(event);
+    }
+
+    /// Begins to read a stream, or resumes it over another connection.
+    fn start_run(
         &mut self,
         attempt: AttemptId,
         target: Target,
-        request: DecodeRequest,
+        resume: Option<AttemptId>,
+        priority: u8,
         stall_timeout: Duration,
-    ) -> Result<Event, Interruption> {
+    ) {
+        let request = DecodeRequest {
+            request_id: attempt.to_string(),
+            resume: resume.map(|r| r.to_string()),
+            offset: self.offset,
+            max_tokens: self.generation.max_tokens,
+            priority,
+        };
         let engines = self.engines.clone();
-        let resumes = request.resume.is_some();
         let open = async move { engines.decode(target.address, &request).await };
-        self.sources.retain(|_| resumes);
-        self.sources.truncate(1);
-        self.sources.insert(0, Source::opening(open));
-        // Why the latest connection ended, while the earlier one is still read.
-        let mut ended = None;
-        let mut reported = None;
-        loop {
-            let Some((index, read)) = self.next_read(stall_timeout).await? else {
-                // What was left in the earlier connection has arrived by now.
-                if let Some(failure) = ended {
-                    return Err(Interruption::Failure(failure));
-                }
-                let failure = StepFailure::Stalled;
-                self.session.send(Event::Failed { attempt, failure, offset: self.offset });
-                // The next token ends the stall.
-                reported = None;
-                continue;
-            };
-            let mut batch = Vec::new();
-            let forwarded = match read.and_then(|bytes| self.sources[index].parser.push(&bytes, &mut batch)) {
-                Ok(()) => self.forward_tokens(&mut batch).await,
-                Err(failure) => Err(failure.into()),
-            };
-            let finish = match forwarded {
-                Ok(finish) => finish,
-                Err(Interruption::Failure(failure)) => {
-                    self.sources.remove(index);
-                    if self.sources.is_empty() {
-                        return Err(Interruption::Failure(failure));
-                    }
-                    if index == 0 {
-                        ended = Some(failure);
-                    }
-                    None
-                }
-                Err(interruption) => return Err(interruption),
-            };
-            if let Some(finish) = finish {
-                let stored = self.stored_response(&finish);
-                return Ok(Event::Finished { attempt, offset: self.offset, stored });
-            }
-            if self.offset > 0 && reported.is_none_or(|at| self.offset >= at + TOKENS_PER_REPORT) {
-                reported = Some(self.offset);
-                self.session.send(Event::Advanced { attempt, offset: self.offset });
-            }
+        let runs = [&mut self.run, &mut self.second].into_iter().flatten();
+        let resumed = runs.into_iter().find(|run| Some(run.attempt) == resume);
+        if let Some(run) = resumed {
+            return run.resume(attempt, open);
         }
+        let place = if self.run.is_some() { &mut self.second } else { &mut self.run };
+        *place = Some(Run::new(attempt, stall_timeout, open));
     }
 
-    /// Reads from any connection of the stream, and returns which it was. `None` if nothing arrives for `stall_timeout`.
-    async fn next_read(
-        &mut self,
-        stall_timeout: Duration,
-    ) -> Result<Option<(usize, Result<Bytes, StepFailure>)>, Interruption> {
-        let mut reads: FuturesUnordered<_> = self
-            .sources
-            .iter_mut()
-            .enumerate()
-            .map(|(index, source)| async move { (index, source.read().await) })
-            .collect();
-        let read = async { Ok(reads.next().await) };
-        let running = run_step(&mut self.session, &self.output, read);
-        tokio::time::timeout(stall_timeout, running).await.unwrap_or(Ok(None))
+    fn report_run(&self, run: Option<&Run>, failure: StepFailure) {
+        if let Some(run) = run {
+            self.session.send(Event::Failed { attempt: run.attempt, failure, offset: self.offset });
+        }
     }
 
-    /// Passes new tokens on to the caller. Returns the finish reason if the last token is among them.
-    async fn forward_tokens(&mut self, batch: &mut Vec<TokenEvent>) -> Result<Option<String>, Interruption> {
-        let mut tokens = Vec::with_capacity(batch.len());
-        let mut finish = None;
-        for event in batch.drain(..) {
-            if event.offset < self.offset {
-                // The engine resumed before the requested offset; the caller has this token already.
-                continue;
-            }
-            if event.offset > self.offset {
-                // A token is missing; the response would be incomplete.
-                return Err(StepFailure::Broken.into());
+    fn run_failed(&mut self, failure: StepFailure) {
+        let run = self.run.take();
+        self.report_run(run.as_ref(), failure);
+        if self.second.is_some() {
+            self.replace_run();
+        }
+    }
+
+    /// Gives the caller's stream to the second run.
+    fn replace_run(&mut self) {
+        self.run = self.second.take();
+        self.end_search(Search::None);
+        if let Some(run) = &self.run {
+            self.session.send(Event::Began { attempt: run.attempt });
+        }
+    }
+
+    /// Passes new tokens on to the caller. Returns whether the last one is among them.
+    async fn forward_tokens(&mut self, index: usize, batch: Vec<TokenEvent>) -> Result<bool, CallerGone> {
+        let Some(tokens) = self.new_tokens(batch) else {
+            // A token is missing; the response would be incomplete.
+            let failed = self.run.as_mut().and_then(|run| run.connection_failed(index, StepFailure::Broken));
+            if let Some(failure) = failed {
+                self.run_failed(failure);
             }
-            self.offset += 1;
+            return Ok(false);
+        };
+        let finish = tokens.last().and_then(|token| token.finish.clone());
+        if tokens.is_empty() {
+            return Ok(false);
+        }
+        self.send_output(Output::Tokens(tokens)).await?;
+        Ok(self.has_progressed(finish.as_deref()))
+    }
+
+    /// The tokens of a batch that the caller does not have. `None` if one is missing between.
+    fn new_tokens(&mut self, batch: Vec<TokenEvent>) -> Option<Vec<Token>> {
+        // The engine may have resumed before the requested offset.
+        let new = batch.into_iter().skip_while(|event| event.offset < self.offset);
+        let tokens: Vec<TokenEvent> = new.collect();
+        if tokens.iter().zip(self.offset..).any(|(event, offset)| event.offset != offset) {
+            return None;
+        }
+        self.offset += tokens.len() as u32;
+        let token = |event: TokenEvent| {
             self.generated.push_str(&event.text);
-            finish.clone_from(&event.finish);
-            tokens.push(Token { text: event.text, finish: event.finish });
+            Token { text: event.text, finish: event.finish }
+        };
+        Some(tokens.into_iter().map(token).collect())
+    }
+
+    /// Reports progress to the core. Returns whether the response is complete.
+    fn has_progressed(&mut self, finish: Option<&str>) -> bool {
+        let (offset, stored) = (self.offset, finish.and_then(|f| self.stored_response(f)));
+        let Some(run) = &mut self.run else {
+            return false;
+        };
+        run.has_progressed();
+        let attempt = run.attempt;
+        if finish.is_some() {
+            self.session.send(Event::Finished { attempt, offset, stored });
+            return true;
         }
-        if !tokens.is_empty() {
-            self.send_output(Output::Tokens(tokens)).await?;
+        let is_due = run.reported.is_none_or(|at| offset >= at + TOKENS_PER_REPORT);
+        if is_due || self.search == Search::Running {
+            run.reported = Some(offset);
+            self.session.send(Event::Advanced { attempt, offset });
         }
-        Ok(finish)
+        if self.search == Search::Running {
+            self.end_search(Search::Obsolete);
+        }
+        false
     }
 
     fn stored_response(&self, finish: &str) -> Option<StoredResponse> {
@@ -365,17 +366,16 @@
     }
 }
 
-/// Runs a step until the step ends, the core sends another command, or the caller disconnects.
-async fn run_step<T>(
-    session: &mut Session,
-    output: &mpsc::Sender<Output>,
-    step: impl Future<Output = Result<T, StepFailure>>,
-) -> Result<T, Interruption> {
-    tokio::select! {
-        result = step => Ok(result?),
-        command = session.commands.recv() => {
-            Err(command.map_or(Interruption::CallerGone, |c| Interruption::Command(Box::new(c))))
-        }
-        () = output.closed() => Err(Interruption::CallerGone),
+async fn next_event(run: &mut Option<Run>) -> RunEvent {
+    match run {
+        Some(run) => run.next().await,
+        None => std::future::pending().await,
+    }
+}
+
+async fn step_result(step: &mut Option<Step>) -> (AttemptId, Result<StepResult, StepFailure>) {
+    match step {
+        Some(step) => (step.attempt, step.work.as_mut().await),
+        None => std::future::pending().await,
     }
 }
