Core: a refusal after a prefill ends no process

What happened: a prefill ends, its decode engine drains, no other one takes the result and no attempt is left. The request was refused, and its pool was read from the arena afterwards: a panic of the control thread, exit code 70, and all callers of the instance lost their responses. Found by reading the code for requests that end inside a step.

The test failed with "invalid SlotMap key used"; the pool is now read before the step that may refuse.

--- a/crates/core/src/lifecycle.rs
+++ b/crates/core/src/lifecycle.rs
@@ -252,10 +252,11 @@
         self.release_prefill(now, key, prefill, out);
         self.count_prefill(key, decode);
         let request = self.requests.get_mut(key);
+        let pool = request.pool.clone();
         request.cache = Some(Cache { attempt, prefill });
         request.prefill_ended = now;
+        // May refuse the request.
         self.import_unless_leaving(now, key, (prefill, decode), out);
-        let pool = self.requests.get(key).pool.clone();
         self.start_queued(now, &pool, out);
     }
 
--- a/crates/core/tests/all/steps.rs
+++ b/crates/core/tests/all/steps.rs
@@ -5,7 +5,7 @@
 use teaselshunt_core::{
     Effect, EndpointId, EngineLoad, ErrorKind, Event, Fingerprint, Outcome, StepFailure, Ticket,
 };
-use teaselshunt_settings::EndpointState;
+use teaselshunt_settings::{EndpointState, Role};
 
 use crate::support::{SingleInstance, import, prefill};
 
@@ -193,3 +193,21 @@
     instance.pass(DELAY);
     assert!(prefill(&instance.ask(101, Fingerprint(101))).is_some());
 }
+
+/// Guards against a process that ends because a request is refused while its prefill is accounted for: its decode
+/// engine drains, no other one takes it, and no attempt is left.
+#[test]
+fn a_prefill_whose_result_no_engine_takes_ends_with_a_refusal() {
+    let mut instance = SingleInstance::start();
+    let attempt = instance.arrive(1);
+    instance.change(|c| {
+        c.policy.attempts = 1;
+        for endpoint in c.endpoints.iter_mut().filter(|e| e.role == Role::Decode) {
+            endpoint.state = EndpointState::Draining;
+        }
+    });
+    let effects = instance.step(Event::Prefilled { attempt, bytes: 1, cached: 0 });
+    let refused =
+        |e: &Effect| matches!(e, Effect::Refuse { refusal, .. } if refusal.kind == ErrorKind::EndpointFailed);
+    assert!(effects.iter().any(refused), "{effects:?}");
+}
