Own interface: one place answers every request by its deadline

What callers saw: no response, or one much later than their deadline. - At the end of the drain timeout connections closed without a response, whether the request had been sent or not. - A stream that its caller did not read held its place among the requests in progress for good: the driver waited for the caller, and nothing else looked at the deadline. A whole response that was not read held its connection. - A body that came slowly was waited for beyond the deadline, which counted from its end. - A panic in a handler closed the connection, and one in a driver left no line.

Cause: the deadline was enforced by the core alone, through a driver that may wait for something else.

Every request now passes through InProgress::answer, which drops its work at the deadline, at the end of the process, or after a panic, and answers itself. Dropping the work ends the driver, whose session makes the core release what is held. Progress, shared with the driver and changed atomically, says whether an endpoint may have begun the request; after "not run" was answered no step is sent. The core gets the deadline less 0.1 s (a tenth of a short one), so that its refusals, which count and say when to return, come first. A caller that does not read loses its connection by a reset: streams 0.25 s after the deadline, others 10 s after it. A request in progress 1 s after its deadline is logged once, with its id and what it waits for, and counted (requests_overdue_total).

The tests of InProgress play each wait with each state of a step, and both ends.

--- a/crates/daemon/src/acceptor.rs
+++ b/crates/daemon/src/acceptor.rs
@@ -2,6 +2,9 @@
 //!
 //! The HTTP server ends a body that fails in the same way as one that is complete. A response that fails therefore
 //! [aborts](AbortHandle::abort) its connection first, which then takes no end mark.
+//!
+//! A caller that does not read its response holds a connection, and with a stream also a request in progress. Such a
+//! connection is [cut](AbortHandle::cut_at) by a reset some time after the request's deadline.
 
 use std::collections::HashMap;
 use std::io;
@@ -12,16 +15,21 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
+use futures_util::task::AtomicWaker;
 use poem::http::uri::Scheme;
 use poem::listener::Acceptor;
 use poem::web::{LocalAddr, RemoteAddr};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, Sleep};
 
 /// Delay after a failed accept. The usual cause is that the process has no free file descriptor; without the
 /// delay the accept loop would spin at full speed until a descriptor is closed.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Time after the deadline of its request that a complete response has to be read.
+const READ_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// The callers' connections that are open, by the caller's address.
 #[derive(Debug, Clone, Default)]
@@ -45,8 +53,24 @@
 #[derive(Debug, Default)]
 struct ConnectionState {
     is_aborted: AtomicBool,
+    /// Whether the connection ends without waiting for the caller.
+    is_cut: AtomicBool,
     is_closed: AtomicBool,
     closed: Notify,
+    /// When writes that the caller does not read fail.
+    write_limit: Mutex<Option<Instant>>,
+    reader: AtomicWaker,
+    writer: AtomicWaker,
+}
+
+/// A cut of a connection that is due. Dropping it revokes it.
+#[derive(Debug)]
+pub(crate) struct ScheduledCut(JoinHandle<()>);
+
+impl Drop for ScheduledCut {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
 }
 
 impl AbortHandle {
@@ -59,6 +83,34 @@
         self.0.is_aborted.load(Ordering::Relaxed)
     }
 
+    /// Ends the connection at `at`, whether the caller reads or not, unless the result is dropped before.
+    pub(crate) fn cut_at(&self, at: Instant) -> ScheduledCut {
+        let connection = self.clone();
+        ScheduledCut(tokio::spawn(async move {
+            tokio::time::sleep_until(at).await;
+            connection.cut();
+        }))
+    }
+
+    fn cut(&self) {
+        self.0.is_cut.store(true, Ordering::Release);
+        self.0.reader.wake();
+        self.0.writer.wake();
+    }
+
+    fn is_cut(&self) -> bool {
+        self.0.is_cut.load(Ordering::Acquire)
+    }
+
+    /// Sets how long the caller may leave the response of a request with this deadline unread.
+    pub(crate) fn limit_writes(&self, deadline: Instant) {
+        *self.lock_limit() = Some(deadline + READ_TIMEOUT);
+    }
+
+    fn lock_limit(&self) -> MutexGuard<'_, Option<Instant>> {
+        self.0.write_limit.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Waits until the caller has closed the connection.
     ///
     /// The HTTP server keeps polling the handler of a request whose connection has ended, instead of dropping it.
@@ -118,7 +170,8 @@
             };
             let abort = AbortHandle::default();
             self.open.lock().insert(remote, abort.clone());
-            let connection = Connection { stream, remote, abort, open: self.open.clone(), _permit: permit };
+            let open = self.open.clone();
+            let connection = Connection { stream, remote, abort, blocked: None, open, _permit: permit };
             return Ok((connection, LocalAddr(local.into()), RemoteAddr(remote.into()), Scheme::HTTP));
         }
     }
@@ -130,10 +183,39 @@
     stream: TcpStream,
     remote: SocketAddr,
     abort: AbortHandle,
+    /// Ends when a write that the caller does not read fails.
+    blocked: Option<Pin<Box<Sleep>>>,
     open: OpenConnections,
     _permit: OwnedSemaphorePermit,
 }
 
+impl Connection {
+    /// Fails if the connection was cut. A reset then ends it for the caller, so that no part of a response that
+    /// ends with its connection looks complete.
+    fn check_cut(&self) -> io::Result<()> {
+        if !self.abort.is_cut() {
+            return Ok(());
+        }
+        // Fails if the caller has closed the connection.
+        let _ = self.stream.set_zero_linger();
+        Err(io::ErrorKind::ConnectionAborted.into())
+    }
+
+    /// Waits for the caller to read, up to the limit.
+    fn poll_blocked(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
+        let Some(limit) = *self.abort.lock_limit() else {
+            return Poll::Pending;
+        };
+        let sleep = self.blocked.get_or_insert_with(|| Box::pin(tokio::time::sleep_until(limit)));
+        if sleep.deadline() != limit {
+            sleep.as_mut().reset(limit);
+        }
+        std::task::ready!(sleep.as_mut().poll(cx));
+        self.abort.cut();
+        Poll::Ready(self.check_cut().map(|()| 0))
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         let mut open = self.open.lock();
@@ -150,6 +232,8 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        self.abort.0.reader.register(cx.waker());
+        self.check_cut()?;
         let (capacity, before) = (buf.remaining(), buf.filled().len());
         let result = std::task::ready!(Pin::new(&mut self.stream).poll_read(cx, buf));
         if result.is_err() || (capacity > 0 && buf.filled().len() == before) {
@@ -161,10 +245,18 @@
 
 impl AsyncWrite for Connection {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        self.abort.0.writer.register(cx.waker());
+        self.check_cut()?;
         if self.abort.is_aborted() {
             return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
         }
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        match Pin::new(&mut self.stream).poll_write(cx, buf) {
+            Poll::Pending => self.poll_blocked(cx),
+            written @ Poll::Ready(_) => {
+                self.blocked = None;
+                written
+            }
+        }
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/daemon/src/callers/front.rs
+++ b/crates/daemon/src/callers/front.rs
@@ -12,6 +12,8 @@
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
 use super::answer::RefusalResponse;
+use super::headers::stated_deadline;
+use super::in_progress::{InProgress, Passage};
 use super::{openai, services};
 use crate::acceptor::{AbortHandle, BoundedAcceptor, OpenConnections};
 use crate::control::Control;
@@ -30,16 +32,23 @@
     pub(crate) engines: Engines,
     pub(crate) limits: Limits,
     pub(crate) metrics: Arc<Metrics>,
+    pub(crate) in_progress: InProgress,
     /// One permit for each request that may be in progress.
     permits: Arc<Semaphore>,
     connections: OpenConnections,
 }
 
 impl CallerApi {
-    pub(crate) fn new(control: Control, engines: Engines, limits: Limits, metrics: Arc<Metrics>) -> Self {
+    pub(crate) fn new(
+        control: Control,
+        engines: Engines,
+        limits: Limits,
+        metrics: Arc<Metrics>,
+        in_progress: InProgress,
+    ) -> Self {
         let permits = Arc::new(Semaphore::new(limits.requests));
         let connections = OpenConnections::default();
-        Self { control, engines, limits, metrics, permits, connections }
+        Self { control, engines, limits, metrics, in_progress, permits, connections }
     }
 
     /// Acquires a permit for a request in progress.
@@ -55,8 +64,16 @@
         self.connections.handle(request.remote_addr().as_socket_addr())
     }
 
-    pub(crate) fn default_deadline(&self) -> Duration {
-        Duration::from_millis(self.limits.deadline_ms)
+    /// Answers a request by the work of its handler, and at its deadline in any case.
+    pub(crate) async fn answer<F>(&self, request: &Request, work: impl FnOnce(Passage) -> F) -> Response
+    where
+        F: Future<Output = Result<Response, RefusalResponse>>,
+    {
+        let allowed = match stated_deadline(request.headers()) {
+            Ok(stated) => stated.unwrap_or(Duration::from_millis(self.limits.deadline_ms)),
+            Err(refusal) => return refusal.into_response(),
+        };
+        self.in_progress.answer(allowed, work).await
     }
 
     /// Reads the complete body, within the limits on its size and on the time to receive it.
@@ -77,11 +94,11 @@
     }
 }
 
-/// Serves callers until `api.control` has stopped, then lets open connections end.
+/// Serves callers until `api.control` has stopped or the process is about to exit, then lets open connections end.
 pub(crate) async fn serve(listener: TcpListener, api: CallerApi) -> std::io::Result<()> {
     let idle = Duration::from_millis(api.limits.idle_ms);
     let acceptor = BoundedAcceptor::new(listener, api.limits.connections, api.connections.clone());
-    let control = api.control.clone();
+    let (control, in_progress) = (api.control.clone(), api.in_progress.clone());
     let route = Route::new()
         .at("/v1/completions", post(openai::complete))
         .at("/v1/chat/completions", post(openai::chat))
@@ -89,7 +106,12 @@
         .at("/services/:service/*path", services::call)
         .catch_all_error(|error: poem::Error| async move { unmatched_route(&error) })
         .data(api);
-    let stopped = async move { control.stopped().await };
+    let stopped = async move {
+        tokio::select! {
+            () = control.stopped() => {}
+            () = in_progress.process_ends() => {}
+        }
+    };
     Server::new_with_acceptor(acceptor)
         .idle_timeout(idle)
         .run_with_graceful_shutdown(route, stopped, Some(CLOSE_TIMEOUT))
@@ -103,8 +125,3 @@
     response.set_status(status);
     response
 }
-
-/// Runs the work of a handler and turns a refusal into its response.
-pub(crate) async fn respond(work: impl Future<Output = Result<Response, RefusalResponse>>) -> Response {
-    work.await.unwrap_or_else(RefusalResponse::into_response)
-}
--- a/crates/daemon/src/callers/headers.rs
+++ b/crates/daemon/src/callers/headers.rs
@@ -42,7 +42,6 @@
 pub(crate) struct RequestHeaders {
     pub(crate) team: String,
     pub(crate) key: Option<CallerKey>,
-    pub(crate) deadline: Duration,
     /// Whether the caller marks the request as a retry after a refusal.
     pub(crate) is_retry: bool,
 }
@@ -52,7 +51,6 @@
     /// caller must then present a key, except callers of a public `service`.
     pub(crate) fn read(
         request: &Request,
-        default: Duration,
         directory: Option<&TeamDirectory>,
         service: Option<&str>,
     ) -> Result<Self, RefusalResponse> {
@@ -76,21 +74,20 @@
             Some(key) => Some(CallerKey { key: IdempotencyKey::of(&team, key), born: creation_time_ms(key) }),
             None => None,
         };
-        let deadline = match header_text(headers, DEADLINE_HEADER)? {
-            Some(ms) => match ms.parse() {
-                Ok(ms @ 1..=MAX_DEADLINE_MS) => Duration::from_millis(ms),
-                _ => {
-                    return Err(invalid_header(
-                        DEADLINE_HEADER,
-                        &format!("{ms:?} is not a number from 1 to {MAX_DEADLINE_MS}"),
-                    ));
-                }
-            },
-            None => default,
-        };
         let is_retry = header_text(headers, RETRY_COUNT_HEADER)?.is_some_and(|count| count != "0");
-        Ok(Self { team, key, deadline, is_retry })
+        Ok(Self { team, key, is_retry })
+    }
+}
+
+/// Time that a caller allows for its request, if it states one.
+pub(crate) fn stated_deadline(headers: &HeaderMap) -> Result<Option<Duration>, RefusalResponse> {
+    let Some(ms) = header_text(headers, DEADLINE_HEADER)? else {
+        return Ok(None);
+    };
+    if let Ok(ms @ 1..=MAX_DEADLINE_MS) = ms.parse() {
+        return Ok(Some(Duration::from_millis(ms)));
     }
+    Err(invalid_header(DEADLINE_HEADER, &format!("{ms:?} is not a number from 1 to {MAX_DEADLINE_MS}")))
 }
 
 /// Team of the API key that a caller presents. `None` for an unknown key and for a request with several keys.
--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -6,7 +6,11 @@
 mod answer;
 mod front;
 mod headers;
+mod in_progress;
 mod openai;
+mod progress;
 mod services;
 
 pub(crate) use front::{CallerApi, serve};
+pub(crate) use in_progress::{InProgress, Passage};
+pub(crate) use progress::Progress;
--- a/crates/daemon/src/callers/openai.rs
+++ b/crates/daemon/src/callers/openai.rs
@@ -1,23 +1,27 @@
 //! The OpenAI-compatible API: completions, chat completions and models.
 
-use std::time::Instant;
+use std::pin::Pin;
+use std::time::{Duration, Instant};
 
 use futures_util::stream;
 use poem::http::header;
 use poem::web::Data;
 use poem::{Body, Request, Response, handler};
 use serde::{Deserialize, Serialize};
-use teaselshunt_core::{ErrorKind, Fingerprint, Generate, RequestId, StoredResponse, Work};
+use teaselshunt_core::{ErrorKind, Fingerprint, Generate, Refusal, RequestId, StoredResponse, Work};
 use tokio::sync::{OwnedSemaphorePermit, mpsc};
 
 use super::answer::{REQUEST_ID, RefusalResponse, caller_gone, replay_response};
-use super::front::{CallerApi, respond};
+use super::front::CallerApi;
 use super::headers::RequestHeaders;
-use crate::acceptor::AbortHandle;
+use super::in_progress::Passage;
+use crate::acceptor::{AbortHandle, ScheduledCut};
 use crate::audit::now_ms;
 use crate::driver::{Generation, Output, Render, Token, start_generation};
 use crate::metrics::LatencyRecorder;
 
+/// Time after its deadline that a stream has for its last event.
+const STREAM_END_TIME: Duration = Duration::from_millis(250);
 /// Maximum number of generated tokens if the caller sets no limit.
 const DEFAULT_MAX_TOKENS: u32 = 512;
 /// Highest limit of generated tokens that a caller may set.
@@ -97,12 +101,12 @@
 
 #[handler]
 pub(crate) async fn complete(request: &Request, Data(api): Data<&CallerApi>, body: Body) -> Response {
-    respond(run_generation(request, api, body, parse_completion)).await
+    api.answer(request, |passage| run_generation(request, api, body, parse_completion, passage)).await
 }
 
 #[handler]
 pub(crate) async fn chat(request: &Request, Data(api): Data<&CallerApi>, body: Body) -> Response {
-    respond(run_generation(request, api, body, parse_chat)).await
+    api.answer(request, |passage| run_generation(request, api, body, parse_chat, passage)).await
 }
 
 #[derive(Debug, Serialize)]
@@ -121,14 +125,14 @@
 
 #[handler]
 pub(crate) async fn models(request: &Request, Data(api): Data<&CallerApi>) -> Response {
-    let directory = api.control.published.team_directory();
-    if let Err(refusal) = RequestHeaders::read(request, api.default_deadline(), directory.as_deref(), None) {
-        return refusal.into_response();
-    }
-    let names = api.control.models().await;
-    let entry = |id| ModelEntry { id, object: "model", created: 0, owned_by: "teaselshunt" };
-    let list = ModelList { object: "list", data: names.into_iter().map(entry).collect() };
-    json_response(&list)
+    let list = async {
+        let directory = api.control.published.team_directory();
+        RequestHeaders::read(request, directory.as_deref(), None)?;
+        let names = api.control.models().await;
+        let entry = |id| ModelEntry { id, object: "model", created: 0, owned_by: "teaselshunt" };
+        Ok(json_response(&ModelList { object: "list", data: names.into_iter().map(entry).collect() }))
+    };
+    api.answer(request, |_passage| list).await
 }
 
 fn json_response(value: &impl Serialize) -> Response {
@@ -216,11 +220,12 @@
     api: &CallerApi,
     body: Body,
     parse: fn(&[u8]) -> Result<ParsedRequest, RefusalResponse>,
+    passage: Passage,
 ) -> Result<Response, RefusalResponse> {
     let arrived = Instant::now();
     let permit = api.acquire_permit()?;
     let directory = api.control.published.team_directory();
-    let request_headers = RequestHeaders::read(request, api.default_deadline(), directory.as_deref(), None)?;
+    let request_headers = RequestHeaders::read(request, directory.as_deref(), None)?;
     let body = api.read_body(body).await?;
     let parsed = parse(&body)?;
     let fingerprint = Fingerprint::of(&request_headers.team, "POST", "", request.uri().path(), &body);
@@ -232,24 +237,35 @@
         retry: request_headers.is_retry,
         key: request_headers.key,
         fingerprint,
-        deadline: request_headers.deadline,
+        deadline: passage.core_deadline(),
     };
+    if request_headers.key.is_some() {
+        passage.progress.claim();
+    }
     let session = api.control.open_session(Work::Generate(work));
     let template =
         ResponseTemplate { format: parsed.format, model: parsed.model.clone(), created: now_ms() / 1000 };
     let render = request_headers.key.is_some().then(|| template.clone().into_renderer(parsed.stream));
     let generation =
         Generation { model: parsed.model, prompt: parsed.prompt, max_tokens: parsed.max_tokens, render };
-    let mut output = start_generation(session, api.engines.clone(), generation);
+    let mut output = start_generation(session, api.engines.clone(), generation, &passage);
     let abort = api.abort_handle(request);
+    abort.limit_writes(passage.deadline);
     // Dropping the output ends the driver, which releases what the request holds.
     let first = tokio::select! {
         first = first_output(&mut output) => first?,
         () = abort.closed() => return Err(caller_gone()),
     };
     let latency = api.metrics.latency_recorder(&template.model, arrived);
-    let response =
-        PendingResponse { template, request: first.request, output, _permit: permit, latency, abort };
+    let response = PendingResponse {
+        template,
+        request: first.request,
+        output,
+        _permit: permit,
+        latency,
+        abort,
+        passage,
+    };
     match first.output {
         Output::Refused(refusal) => Err(RefusalResponse::of(refusal, first.request)),
         Output::Replayed(stored) => Ok(replay_response(stored, first.request)),
@@ -293,6 +309,7 @@
     _permit: OwnedSemaphorePermit,
     latency: LatencyRecorder,
     abort: AbortHandle,
+    passage: Passage,
 }
 
 impl PendingResponse {
@@ -331,9 +348,14 @@
 
     fn stream(self, first: Vec<Token>) -> Response {
         let id = self.id();
-        let state = StreamState::Running;
-        let events =
-            EventStream { id: id.clone(), response: self, pending: Some(Output::Tokens(first)), state };
+        let events = EventStream {
+            id: id.clone(),
+            ended: Box::pin(self.passage.ended()),
+            _cut: self.abort.cut_at(self.passage.deadline + STREAM_END_TIME),
+            response: self,
+            pending: Some(Output::Tokens(first)),
+            state: StreamState::Running,
+        };
         let body = Body::from_bytes_stream(stream::unfold(events, EventStream::next));
         Response::builder()
             .content_type("text/event-stream")
@@ -349,6 +371,10 @@
     response: PendingResponse,
     pending: Option<Output>,
     state: StreamState,
+    /// When the response must end, with its last event.
+    ended: Pin<Box<dyn Future<Output = Refusal> + Send>>,
+    /// Closes the connection if the caller does not read.
+    _cut: ScheduledCut,
 }
 
 /// Progress of a streamed response.
@@ -373,10 +399,7 @@
                 return Some((Err(std::io::Error::other("the response cannot be completed")), self));
             }
         }
-        let output = match self.pending.take() {
-            Some(output) => Some(output),
-            None => self.response.output.recv().await,
-        };
+        let output = self.next_output().await;
         let mut chunk = Vec::new();
         match output {
             Some(Output::Tokens(tokens)) => self.push_tokens(&tokens, &mut chunk),
@@ -392,6 +415,18 @@
         Some((Ok(chunk), self))
     }
 
+    /// The next output, or the refusal with which the response must end.
+    async fn next_output(&mut self) -> Option<Output> {
+        if let Some(output) = self.pending.take() {
+            return Some(output);
+        }
+        tokio::select! {
+            biased;
+            output = self.response.output.recv() => output,
+            refusal = &mut self.ended => Some(Output::Refused(refusal)),
+        }
+    }
+
     fn push_tokens(&mut self, tokens: &[Token], chunk: &mut Vec<u8>) {
         self.response.latency.record_batch(tokens.len());
         for token in tokens {
--- a/crates/daemon/src/callers/services.rs
+++ b/crates/daemon/src/callers/services.rs
@@ -8,8 +8,9 @@
 use teaselshunt_core::{Call, ErrorKind, Fingerprint, RequestId, Work};
 
 use super::answer::{REQUEST_ID, RefusalResponse, caller_gone, replay_response};
-use super::front::{CallerApi, respond};
+use super::front::CallerApi;
 use super::headers::{RequestHeaders, end_to_end, with_verified_team};
+use super::in_progress::Passage;
 use crate::driver::{CallOutput, CallRequest, ServiceResponse, start_call};
 
 #[handler]
@@ -19,7 +20,7 @@
     Data(api): Data<&CallerApi>,
     body: Body,
 ) -> Response {
-    respond(run_call(request, service, path, api, body)).await
+    api.answer(request, |passage| run_call(request, service, path, api, body, passage)).await
 }
 
 async fn run_call(
@@ -28,11 +29,11 @@
     path: String,
     api: &CallerApi,
     body: Body,
+    passage: Passage,
 ) -> Result<Response, RefusalResponse> {
     let _permit = api.acquire_permit()?;
     let directory = api.control.published.team_directory();
-    let request_headers =
-        RequestHeaders::read(request, api.default_deadline(), directory.as_deref(), Some(&service))?;
+    let request_headers = RequestHeaders::read(request, directory.as_deref(), Some(&service))?;
     let body = api.read_body(body).await?;
     let method = request.method().clone();
     if method == Method::CONNECT {
@@ -40,17 +41,21 @@
     }
     let path = with_query(path, request.uri().query());
     let fingerprint = Fingerprint::of(&request_headers.team, method.as_str(), &service, &path, &body);
-    let (key, deadline) = (request_headers.key, request_headers.deadline);
+    let (key, deadline) = (request_headers.key, passage.core_deadline());
     let mut headers = end_to_end(request.headers());
     if directory.is_some() {
         headers = with_verified_team(headers, &request_headers.team);
     }
     let work =
         Call { service, method: method.to_string(), team: request_headers.team, key, fingerprint, deadline };
+    if key.is_some() {
+        passage.progress.claim();
+    }
     let session = api.control.open_session(Work::Call(work));
     let call_request = CallRequest { method, path, headers, body, keyed: request_headers.key.is_some() };
-    let output = start_call(session, api.engines.clone(), Arc::clone(&api.metrics), call_request);
+    let output = start_call(session, api.engines.clone(), Arc::clone(&api.metrics), call_request, &passage);
     let connection = api.abort_handle(request);
+    connection.limit_writes(passage.deadline);
     let output = tokio::select! {
         output = output => output,
         () = connection.closed() => return Err(caller_gone()),
--- a/crates/daemon/src/driver/call.rs
+++ b/crates/daemon/src/driver/call.rs
@@ -10,6 +10,7 @@
 use teaselshunt_core::{AttemptId, Event, Refusal, RequestId, StepFailure, StoredResponse, Target};
 use tokio::sync::oneshot;
 
+use crate::callers::{Passage, Progress};
 use crate::control::{Command, Session};
 use crate::engines::{Engines, dispatch, retry_after};
 use crate::metrics::Metrics;
@@ -61,10 +62,12 @@
     engines: Engines,
     metrics: Arc<Metrics>,
     call: CallRequest,
+    passage: &Passage,
 ) -> oneshot::Receiver<CallOutput> {
     let (output, receiver) = oneshot::channel();
-    let driver = Driver { session, engines, metrics, call, request: None };
-    tokio::spawn(driver.run(output));
+    let progress = Arc::clone(&passage.progress);
+    let driver = Driver { session, engines, metrics, call, progress, request: None };
+    passage.spawn_driver(driver.run(output));
     receiver
 }
 
@@ -73,6 +76,7 @@
     engines: Engines,
     metrics: Arc<Metrics>,
     call: CallRequest,
+    progress: Arc<Progress>,
     request: Option<RequestId>,
 }
 
@@ -88,6 +92,7 @@
                 None => return,
                 Some(Command::Accepted(id)) => {
                     self.request = Some(id);
+                    self.progress.set_request(id);
                     continue;
                 }
                 Some(Command::Refuse(refusal)) => CallOutput::Refused { request, refusal },
@@ -168,7 +173,12 @@
         if self.session.now().duration_since(issued) > COMMAND_MAX_AGE {
             return Err(StepFailure::NotSent);
         }
-        let response = dispatch(call).await?;
+        if !self.progress.begin_step() {
+            return Err(StepFailure::NotSent);
+        }
+        let response = dispatch(call).await;
+        self.progress.end_step(response.as_ref().is_err_and(|failure| failure.not_started()));
+        let response = response?;
         read_response(&self.call.method, response, &self.metrics).await
     }
 }
--- a/crates/daemon/src/driver/generate.rs
+++ b/crates/daemon/src/driver/generate.rs
@@ -5,6 +5,7 @@
 //! of another run replaces it. The driver alone decides which came first, so that tokens of two runs never mix.
 
 use std::pin::Pin;
+use std::sync::Arc;
 use std::time::Duration;
 
 use teaselshunt_core::{AttemptId, Event, Refusal, RequestId, StepFailure, StoredResponse, Target};
@@ -12,6 +13,7 @@
 use tokio::sync::mpsc;
 
 use super::run::{Run, RunEvent};
+use crate::callers::{Passage, Progress};
 use crate::control::{Command, Session};
 use crate::engines::Engines;
 
@@ -77,6 +79,7 @@
     session: Session,
     engines: Engines,
     generation: Generation,
+    passage: &Passage,
 ) -> mpsc::Receiver<Output> {
     let (output, receiver) = mpsc::channel(QUEUE_OUTPUTS);
     let driver = Driver {
@@ -91,8 +94,9 @@
         run: None,
         second: None,
         search: Search::None,
+        progress: Arc::clone(&passage.progress),
     };
-    tokio::spawn(driver.run());
+    passage.spawn_driver(driver.run());
     receiver
 }
 
@@ -122,6 +126,7 @@
     /// A run that replaces `run` as soon as its engine responds.
     second: Option<Run>,
     search: Search,
+    progress: Arc<Progress>,
 }
 
 impl Driver {
@@ -171,7 +176,10 @@
 
     async fn perform(&mut self, command: Command) -> Result<bool, CallerGone> {
         match command {
-            Command::Accepted(id) => self.send_output(Output::Accepted(id)).await?,
+            Command::Accepted(id) => {
+                self.progress.set_request(id);
+                self.send_output(Output::Accepted(id)).await?;
+            }
             Command::Refuse(refusal) => {
                 self.send_output(Output::Refused(refusal)).await?;
                 return Ok(true);
@@ -222,8 +230,11 @@
             offset: self.offset,
             priority,
         };
-        let engines = self.engines.clone();
+        let (engines, progress) = (self.engines.clone(), Arc::clone(&self.progress));
         let work = async move {
+            if !progress.begin_step() {
+                return Err(StepFailure::NotSent);
+            }
             engines.prefill(target.address, &request, timeout).await.map(StepResult::Prefilled)
         };
         self.step = Some(Step { attempt, work: Box::pin(work) });
@@ -241,6 +252,7 @@
 
     fn step_ended(&mut self, attempt: AttemptId, result: Result<StepResult, StepFailure>) {
         self.step = None;
+        self.progress.end_step(result.as_ref().is_err_and(|failure| failure.not_started()));
         let event = match result {
             Ok(StepResult::Prefilled(response)) => {
                 self.handle = response.handle;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -33,6 +33,7 @@
     orphans: IntCounter,
     refused: IntCounterVec,
     response_ends: IntCounterVec,
+    overdue: IntCounter,
     admitted: IntGaugeVec,
     level: IntGaugeVec,
     answered: IntCounterVec,
@@ -83,6 +84,11 @@
                 "Responses of services, by framing and by how they ended.",
                 &["framing", "end"],
             )?,
+            overdue: counter(
+                r,
+                "requests_overdue_total",
+                "Requests that were in progress some time after their deadline.",
+            )?,
             admitted: gauges(
                 r,
                 "team_admitted_units",
@@ -133,6 +139,11 @@
         self.response_ends.with_label_values(&[framing.text(), completeness.text()]).inc();
     }
 
+    /// Counter of requests that outlive their deadline.
+    pub(crate) fn overdue(&self) -> IntCounter {
+        self.overdue.clone()
+    }
+
     /// Renders the metrics in the text format, with the counters of a view.
     pub(crate) fn render(&self, view: &InstanceView) -> Result<Vec<u8>, prometheus::Error> {
         self.update(view);
--- a/crates/daemon/src/supervisor.rs
+++ b/crates/daemon/src/supervisor.rs
@@ -15,7 +15,7 @@
 use tokio::sync::{Notify, mpsc};
 
 use crate::audit::{AuditTrail, now_ms};
-use crate::callers::{self, CallerApi};
+use crate::callers::{self, CallerApi, InProgress};
 use crate::control::{self, Action, Control, Dependencies};
 use crate::engines::Engines;
 use crate::metrics::Metrics;
@@ -24,6 +24,10 @@
 use crate::platform::{Document, Watcher};
 use crate::{bootstrap, logs};
 
+/// Time before the end of the drain timeout at which requests in progress get their response.
+const EXIT_MARGIN: Duration = Duration::from_millis(500);
+/// Fraction of a short drain timeout that is kept for that instead.
+const EXIT_MARGIN_SHARE: u32 = 4;
 /// Delay before a task that ended is restarted.
 const RESTART_DELAY: Duration = Duration::from_millis(200);
 
@@ -113,15 +117,26 @@
         error!(operators_log, "task failed"; "part" => "operators", "failure" => ?end);
         std::process::exit(1);
     });
-    let caller_api = CallerApi::new(control.clone(), engines, settings.limits.clone(), metrics);
+    let in_progress = InProgress::new(log.clone(), metrics.overdue());
+    tasks.spawn("deadlines", in_progress.clone().watch());
+    let caller_api =
+        CallerApi::new(control.clone(), engines, settings.limits.clone(), metrics, in_progress.clone());
     let callers = tokio::spawn(callers::serve(callers_listener, caller_api));
     info!(log, "started"; "callers" => %settings.listen.callers, "operators" => %settings.listen.operators,
         "peers" => %settings.listen.peers);
 
     let drain_timeout = Duration::from_millis(settings.limits.drain_ms);
-    if graceful_shutdown(&control, &drain, drain_timeout, &log).await? {
-        // The callers' listener closes when the core has stopped, and lets responses in progress finish.
+    let margin = EXIT_MARGIN.min(drain_timeout / EXIT_MARGIN_SHARE);
+    // The callers' listener closes when the core has stopped or the requests are to end, and lets responses in progress
+    // finish.
+    if graceful_shutdown(&control, &drain, drain_timeout.saturating_sub(margin), &log).await? {
         let _ = callers.await;
+    } else {
+        let end = async {
+            in_progress.end_all().await;
+            let _ = callers.await;
+        };
+        let _ = tokio::time::timeout(margin, end).await;
     }
     info!(log, "stopped");
     Ok(())
--- a/crates/daemon/tests/all/main.rs
+++ b/crates/daemon/tests/all/main.rs
@@ -7,6 +7,7 @@
 #![expect(clippy::unwrap_used, reason = "a test that cannot continue panics")]
 
 mod configuration;
+mod deadlines;
 mod input;
 mod keys;
 mod path;
