Own interface: responses of engines and services have bounds

What callers saw: a prefill, a transfer or a load report that came without an end was read into memory until its step timed out (20 s). A stream of comment lines never stalled, as each byte counted as a sign of life, and its caller waited for its deadline. A stream of tokens beyond max_tokens went on until the deadline.

Bounds: 1 MiB of JSON; 1 MiB of a stream without a token for the caller; max_tokens tokens and 64 MiB of text. What is beyond is a broken connection, with what follows from that: another endpoint, or a stream that breaks off.

Not bounded: interim responses, which the HTTP client of this interface reads itself.

--- a/crates/daemon/src/driver/generate.rs
+++ b/crates/daemon/src/driver/generate.rs
@@ -20,6 +20,8 @@
 /// Capacity of the queue to the caller, in outputs (batches of tokens). A caller that reads slowly delays
 /// only its own stream.
 const QUEUE_OUTPUTS: usize = 64;
+/// Largest text of a response.
+const MAX_RESPONSE_BYTES: usize = 64 << 20;
 /// Tokens between two progress reports to the core.
 const TOKENS_PER_REPORT: u32 = 64;
 
@@ -317,7 +319,7 @@
     /// Passes new tokens on to the caller. Returns whether the last one is among them.
     async fn forward_tokens(&mut self, index: usize, batch: Vec<TokenEvent>) -> Result<bool, CallerGone> {
         let Some(tokens) = self.new_tokens(batch) else {
-            // A token is missing; the response would be incomplete.
+            // A token is missing, and the response would be incomplete, or it has no end.
             let failed = self.run.as_mut().and_then(|run| run.connection_failed(index, StepFailure::Broken));
             if let Some(failure) = failed {
                 self.run_failed(failure);
@@ -332,7 +334,8 @@
         Ok(self.has_progressed(finish.as_deref()))
     }
 
-    /// The tokens of a batch that the caller does not have. `None` if one is missing between.
+    /// The tokens of a batch that the caller does not have. `None` if one is missing between, or if they are more than
+    /// the caller asked for.
     fn new_tokens(&mut self, batch: Vec<TokenEvent>) -> Option<Vec<Token>> {
         // The engine may have resumed before the requested offset.
         let new = batch.into_iter().skip_while(|event| event.offset < self.offset);
@@ -340,6 +343,12 @@
         if tokens.iter().zip(self.offset..).any(|(event, offset)| event.offset != offset) {
             return None;
         }
+        let bytes: usize = tokens.iter().map(|event| event.text.len()).sum();
+        let is_bounded = self.offset + tokens.len() as u32 <= self.generation.max_tokens
+            && self.generated.len() + bytes <= MAX_RESPONSE_BYTES;
+        if !is_bounded {
+            return None;
+        }
         self.offset += tokens.len() as u32;
         let token = |event: TokenEvent| {
             self.generated.push_str(&event.text);
--- a/crates/daemon/src/driver/run.rs
+++ b/crates/daemon/src/driver/run.rs
@@ -16,6 +16,10 @@
 
 use super::sse::EventParser;
 
+/// Bytes without a token for the caller after which a connection of a run has failed. An engine that resumes before the
+/// requested offset may repeat some tokens.
+const MAX_USELESS_BYTES: usize = 1 << 20;
+
 /// What happens next to a run.
 pub(super) enum RunEvent {
     /// The engine has begun to respond.
@@ -69,6 +73,9 @@
     /// Records that the caller has got a token.
     pub(super) fn has_progressed(&mut self) {
         self.stalls_at = Instant::now() + self.stall_timeout;
+        for source in &mut self.sources {
+            source.useless = 0;
+        }
     }
 
     /// Gives up a connection. Returns the failure of the run if it was the last one.
@@ -91,7 +98,7 @@
                 if let Some(failure) = self.ended {
                     return RunEvent::Failed(failure);
                 }
-                self.has_progressed();
+                self.stalls_at = Instant::now() + self.stall_timeout;
                 // The next token ends the stall.
                 self.reported = None;
                 return RunEvent::Stalled;
@@ -99,13 +106,14 @@
             let mut tokens = Vec::new();
             let parsed = match read {
                 Ok(Read::Head) => return RunEvent::Began,
-                Ok(Read::Bytes(bytes)) => self.sources[index].parser.push(&bytes, &mut tokens),
+                Ok(Read::Bytes(bytes)) => self.sources[index].push(&bytes, &mut tokens),
                 Err(failure) => Err(failure),
             };
-            if let Err(failure) = parsed
-                && let Some(failure) = self.connection_failed(index, failure)
-            {
-                return RunEvent::Failed(failure);
+            if let Err(failure) = parsed {
+                match self.connection_failed(index, failure) {
+                    Some(failure) => return RunEvent::Failed(failure),
+                    None => continue,
+                }
             }
             if !tokens.is_empty() {
                 return RunEvent::Tokens(index, tokens);
@@ -139,6 +147,8 @@
 struct Source {
     state: SourceState,
     parser: EventParser,
+    /// Bytes since the last token for the caller.
+    useless: usize,
 }
 
 enum SourceState {
@@ -148,7 +158,14 @@
 
 impl Source {
     fn opening(open: impl Future<Output = Result<Response, StepFailure>> + Send + 'static) -> Self {
-        Self { state: SourceState::Opening(Box::pin(open)), parser: EventParser::default() }
+        Self { state: SourceState::Opening(Box::pin(open)), parser: EventParser::default(), useless: 0 }
+    }
+
+    /// Adds received bytes and appends the tokens that are complete to `tokens`.
+    fn push(&mut self, bytes: &[u8], tokens: &mut Vec<TokenEvent>) -> Result<(), StepFailure> {
+        self.useless += bytes.len();
+        self.parser.push(bytes, tokens)?;
+        if self.useless > MAX_USELESS_BYTES { Err(StepFailure::Broken) } else { Ok(()) }
     }
 
     /// The next bytes. A stream that ends before its last token is broken: a truncated response must not pass for a
--- a/crates/daemon/src/engines.rs
+++ b/crates/daemon/src/engines.rs
@@ -18,6 +18,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time after which a connection fails if the remote kernel has not acknowledged the bytes sent.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(3);
+/// Largest JSON response of an engine. The largest are load reports, with some 60 bytes a request.
+const MAX_JSON_BYTES: usize = 1 << 20;
 /// Timeout of a small call that engines answer from memory (cancel, load report).
 const SHORT_CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -153,10 +155,14 @@
     Duration::try_from_secs_f64(seconds).ok()
 }
 
-async fn read_json<T: DeserializeOwned>(response: Response) -> Result<T, StepFailure> {
-    match response.json().await {
-        Ok(value) => Ok(value),
-        Err(error) if error.is_timeout() => Err(StepFailure::TimedOut),
-        Err(_) => Err(StepFailure::Broken),
+async fn read_json<T: DeserializeOwned>(mut response: Response) -> Result<T, StepFailure> {
+    let mut body = Vec::new();
+    loop {
+        match response.chunk().await {
+            Ok(Some(chunk)) if body.len() + chunk.len() <= MAX_JSON_BYTES => body.extend_from_slice(&chunk),
+            Ok(None) => return serde_json::from_slice(&body).map_err(|_| StepFailure::Broken),
+            Err(error) if error.is_timeout() => return Err(StepFailure::TimedOut),
+            Ok(Some(_)) | Err(_) => return Err(StepFailure::Broken),
+        }
     }
 }
--- a/crates/daemon/tests/all/main.rs
+++ b/crates/daemon/tests/all/main.rs
@@ -8,6 +8,7 @@
 
 mod configuration;
 mod deadlines;
+mod endless;
 mod input;
 mod keys;
 mod path;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod content;
 mod engine;
+mod no_end;
 mod platform;
 mod relay;
 mod server;
@@ -16,6 +17,7 @@
 
 pub use content::{generated_length, generated_text, generated_token};
 pub use engine::{Engine, EngineOptions, Faults};
+pub use no_end::{NoEnd, NoEndRelay};
 pub use platform::Platform;
 pub use relay::Relay;
 pub use service::{Execution, Service, ServiceFaults, Unframed};
