Core: a stream that has begun waits for endpoints until its deadline

What callers saw: a stream whose engine had ended broke off when no other engine had room within the wait of its class, or when the owner of the pool declined, although the caller's deadline was far.

Cause: the wait for slots and a declined reservation refused every request alike. Refusing costs a new request nothing; it breaks off one that has begun.

A request of which its caller has tokens now waits until its deadline, is asked for again after a declined reservation, and is not refused while its endpoints only cool down. Where no attempt is left it ends at once, as before.

--- a/crates/core/src/lifecycle.rs
+++ b/crates/core/src/lifecycle.rs
@@ -76,7 +76,7 @@
     pub(crate) fn enqueue(&mut self, now: Instant, key: RequestKey, out: &mut Vec<Effect>) {
         let request = self.requests.get_mut(key);
         request.phase = Phase::Waiting;
-        let due = now + request.wait;
+        let due = request.wait_end(now);
         self.requests.set_due(key, due);
         if self.uses_owner(key) {
             self.request_reservation(now, key, out);
--- a/crates/core/src/refusals.rs
+++ b/crates/core/src/refusals.rs
@@ -43,6 +43,11 @@
             if self.end_search(now, key, out) {
                 continue;
             }
+            let request = self.requests.get(key);
+            if request.has_begun() && self.first_available(now, request).is_some() {
+                // Its endpoints only cool down.
+                continue;
+            }
             self.withdraw(now, key, out);
             let request = self.requests.get(key);
             let refusal = if request.may_have_run() {
--- a/crates/core/src/requests.rs
+++ b/crates/core/src/requests.rs
@@ -166,6 +166,17 @@
         }
     }
 
+    /// Whether its caller has a part of the response. Refusing it would break the response off, so that it waits
+    /// for endpoints until its deadline.
+    pub(crate) fn has_begun(&self) -> bool {
+        self.offset > 0
+    }
+
+    /// When a wait for slots that begins now ends.
+    pub(crate) fn wait_end(&self, now: Instant) -> Instant {
+        if self.has_begun() { self.deadline } else { now + self.wait }
+    }
+
     pub(crate) fn attempt(&self) -> AttemptId {
         self.numbered(self.number)
     }
--- a/crates/core/src/reservations.rs
+++ b/crates/core/src/reservations.rs
@@ -54,9 +54,8 @@
             let lead = self.lead_time(&request.pool, prompt_tokens);
             (request.arrived + first_token_target).checked_sub(lead).unwrap_or(request.arrived)
         };
-        let waited = now.duration_since(request.arrived).min(request.wait);
-        let remaining =
-            request.wait.saturating_sub(waited).min(request.deadline.saturating_duration_since(now));
+        let wait_end = request.wait_end(request.arrived).min(request.deadline);
+        let remaining = wait_end.saturating_duration_since(now);
         let reservation_request = ReservationRequest {
             pool,
             request: request.id,
@@ -185,6 +184,10 @@
             return;
         }
         let request = self.requests.get(key);
+        if request.has_begun() {
+            // It is requested again after a pause.
+            return self.reservation_queued(from, id);
+        }
         let refusal = if request.may_have_run() {
             Refusal::retryable(ErrorKind::EndpointFailed, RETRY_ELSEWHERE_AFTER)
         } else if self.has_endpoints(now, request) {
--- a/crates/core/tests/all/kept_runs.rs
+++ b/crates/core/tests/all/kept_runs.rs
@@ -3,9 +3,12 @@
 use std::time::Duration;
 
 use teaselshunt_core::{
-    AttemptId, Effect, EndpointId, EngineLoad, ErrorKind, Event, StepFailure, StoredResponse, Ticket,
+    AttemptId, Effect, EndpointId, EngineLoad, ErrorKind, Event, Fingerprint, StepFailure, StoredResponse,
+    Ticket,
 };
 
+use teaselshunt_settings::Role;
+
 use crate::support::{SingleInstance, import, prefill};
 
 const STALL: Duration = Duration::from_secs(2);
@@ -223,3 +226,63 @@
         stream.assert_released();
     }
 }
+
+/// Guards against a stream that breaks off because no engine has room for it within the wait of its class, although
+/// its caller waits.
+#[test]
+fn a_broken_stream_waits_for_capacity_until_its_deadline() {
+    for recovers in [false, true] {
+        let mut instance = SingleInstance::start();
+        instance.change(|c| c.classes.iter_mut().for_each(|class| class.wait_ms = 2_000));
+        let attempt = instance.arrive(1);
+        instance.step(Event::Prefilled { attempt, bytes: 1, cached: 0 });
+        let (mut attempt, _) =
+            decode(&instance.step(Event::Imported { attempt })).expect("the stream begins");
+        instance.step(Event::Advanced { attempt, offset: OFFSET });
+        // No engine has room any more.
+        let slots = |instance: &mut SingleInstance, full: bool| {
+            instance.change(|c| {
+                for endpoint in c.endpoints.iter_mut().filter(|e| e.role == Role::Decode) {
+                    endpoint.slots = if full { 1 } else { 20 };
+                }
+            });
+        };
+        slots(&mut instance, true);
+        for ticket in 2..20 {
+            instance.ask(ticket, Fingerprint(ticket));
+        }
+        for _ in 0..2 {
+            let failure = StepFailure::Broken;
+            let effects = instance.step(Event::Failed { attempt, failure, offset: OFFSET });
+            attempt = decode(&effects).map_or(attempt, |(resumed, _)| resumed);
+        }
+        let mut effects = Vec::new();
+        let own = |effects: &[Effect]| {
+            let refused = |e: &Effect| matches!(e, Effect::Refuse { ticket: Ticket(1), .. });
+            effects.iter().any(refused)
+        };
+        for _ in 0..400 {
+            instance.pass(Duration::from_millis(50));
+            effects.extend(instance.step(Event::Tick));
+            assert!(!own(&effects), "the stream breaks off");
+        }
+        if recovers {
+            slots(&mut instance, false);
+            for ticket in 2..20 {
+                instance.step(Event::CallerGone { ticket: Ticket(ticket) });
+            }
+        }
+        effects.clear();
+        for _ in 0..1_000 {
+            instance.pass(Duration::from_millis(50));
+            effects.extend(instance.step(Event::Tick));
+            for endpoint in instance.configuration.endpoints.clone() {
+                let endpoint = EndpointId::of(&endpoint.name);
+                effects.extend(instance.step(Event::Reported { endpoint, report: EngineLoad::default() }));
+            }
+        }
+        let begins = |e: &Effect| matches!(e, Effect::Prefill { ticket: Ticket(1), .. });
+        assert_eq!(effects.iter().any(begins), recovers);
+        assert!(own(&effects), "the deadline ends it");
+    }
+}
