Own interface: a stream whose kept run ends during a search goes on

What a caller would have seen: the kept run ended, the other stream took its place, and when that one was interrupted once, nothing followed until the deadline.

Cause: the driver still counted as searching after the kept run had ended. A token of the other stream made that search obsolete, and its steps were dropped until a confirmation that the core had no reason to send. Found by reading the driver.

stalled_streams::a_stream_whose_kept_run_ended_is_resumed_like_any_other hung (no end in 200 s) and passes in 3 s: a search without a run to replace is no search.

--- a/crates/daemon/src/driver/generate.rs
+++ b/crates/daemon/src/driver/generate.rs
@@ -194,11 +194,12 @@
             Command::Prefill { .. } | Command::Import { .. } | Command::Decode { .. }
                 if self.search == Search::Obsolete => {}
             Command::Prefill { attempt, target, kept, priority, timeout } => {
-                self.end_search(if kept { Search::Running } else { Search::None });
                 if !kept {
                     // The earlier run of the request was cancelled.
                     self.run = None;
                 }
+                // A kept run may have ended meanwhile.
+                self.end_search(if self.run.is_some() { Search::Running } else { Search::None });
                 self.start_prefill(attempt, target, priority, timeout);
             }
             Command::Import { attempt, origin, target, timeout } => {
@@ -304,6 +305,9 @@
         self.report_run(run.as_ref(), failure);
         if self.second.is_some() {
             self.replace_run();
+        } else if self.search == Search::Running {
+            // Its steps are those of the request now.
+            self.search = Search::None;
         }
     }
 
--- a/crates/daemon/tests/all/stalled_streams.rs
+++ b/crates/daemon/tests/all/stalled_streams.rs
@@ -88,6 +88,8 @@
     fleet: Fleet,
     /// Links to the prefill engines, then to the decode engines.
     links: Vec<SiteLink>,
+    /// Relays between the links and the engines.
+    relays: Vec<Relay>,
     daemon: Daemon,
 }
 
@@ -97,9 +99,11 @@
         let options =
             EngineOptions { token_gap: Duration::from_millis(30), ..EngineOptions::fast(Role::Decode) };
         let mut fleet = Fleet::start_with(1, options).await;
-        let mut links = Vec::new();
+        let (mut links, mut relays) = (Vec::new(), Vec::new());
         for engine in fleet.prefill.iter().chain(&fleet.decode) {
-            links.push(SiteLink::start(engine.address()).await.expect("a link starts"));
+            let relay = Relay::start(engine.address()).await.unwrap();
+            links.push(SiteLink::start(relay.address()).await.expect("a link starts"));
+            relays.push(relay);
         }
         fleet.patch(|c| {
             for (i, link) in links.iter().enumerate() {
@@ -110,7 +114,7 @@
         });
         let daemon = fleet.start_daemon(0).await;
         until("the links are in use", || async { fleet.status(&daemon).await["version"] == 2 }).await;
-        Self { fleet, links, daemon }
+        Self { fleet, links, relays, daemon }
     }
 
     fn set_links(&self, links: std::ops::Range<usize>, mode: LinkMode) {
@@ -201,3 +205,27 @@
     linked.set_links(silent..silent + 1, LinkMode::Open);
     assert_eq!(streamed_text(response).await, Some(generated_text("First", 400)));
 }
+
+/// Guards against a stream that hangs after its kept run has ended during a search: its driver waited for the end of
+/// that search, and took no further step.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_whose_kept_run_ended_is_resumed_like_any_other() {
+    let linked = LinkedFleet::start(|c| c["policy"]["attempts"] = 10.into()).await;
+    let response = linked.begin("Ended").await;
+    let (silent, other) = if linked.fleet.decode[0].streams_started() > 0 { (2, 3) } else { (3, 2) };
+    for prefill in &linked.fleet.prefill {
+        prefill.set_faults(Faults { stall: true, ..Faults::default() });
+    }
+    linked.set_links(silent..silent + 1, LinkMode::Silent);
+    until("another attempt has begun", || async { linked.prefills() > 1 }).await;
+    linked.set_links(silent..silent + 1, LinkMode::Reset);
+    tokio::time::sleep(STALL).await;
+    for prefill in &linked.fleet.prefill {
+        prefill.set_faults(Faults::default());
+    }
+    until("the other engine runs it", || async { linked.fleet.decode[other - 2].streams_started() > 0 })
+        .await;
+    tokio::time::sleep(STALL).await;
+    linked.relays[other].blackhole_open_connections();
+    assert_eq!(streamed_text(response).await, Some(generated_text("Ended", 400)));
+}
