--- a/crates/core/src/reservations.rs
+++ b/crates/core/src/reservations.rs
@@ -54,9 +54,8 @@
             let lead = self.lead_time(&request.pool, prompt_tokens);
             (request.arrived + first_token_target).checked_sub(lead).unwrap_or(request.arrived)
         };
-        let waited = now.duration_since(request.arrived).min(request.wait);
-        let remaining =
-            request.wait.saturating_sub(waited).min(request.deadline.saturating_duration_since(now));
+        let wait_end = request.wait_end(request.arrived).min(request.deadline);
+        let remaining = wait_end.saturating_duration_since(now);
         let reservation_request = ReservationRequest {
             pool,
             request: request.id,
@@ -181,7 +180,14 @@
         let Some(key) = self.awaiting_owner(from, id) else {
             return;
         };
+        if self.end_search(now, key, out) {
+            return;
+        }
         let request = self.requests.get(key);
+        if request.has_begun() {
+            // It is requested again after a pause.
+            return self.reservation_queued(from, id);
+        }
         let refusal = if request.may_have_run() {
             Refusal::retryable(ErrorKind::EndpointFailed, RETRY_ELSEWHERE_AFTER)
         } else if self.has_endpoints(now, request) {
@@ -204,7 +210,8 @@
             return self.return_reservation(now, from, (pool, id), out);
         };
         // The owner may use an older configuration than this instance.
-        let usable = |e: Option<EndpointKey>| e.filter(|&k| !self.endpoints.is_leaving(k));
+        let kept = self.requests.get(key).kept.map(|kept| kept.decode);
+        let usable = |e: Option<EndpointKey>| e.filter(|&k| !self.endpoints.is_leaving(k) && Some(k) != kept);
         let (Some(prefill), Some(decode)) =
             (usable(self.endpoints.find(prefill)), usable(self.endpoints.find(decode)))
         else {
--- a/crates/daemon/tests/all/main.rs
+++ b/crates/daemon/tests/all/main.rs
@@ -7,6 +7,8 @@
 #![expect(clippy::unwrap_used, reason = "a test that cannot continue panics")]
 
 mod configuration;
+mod deadlines;
+mod endless;
 mod input;
 mod keys;
 mod path;
