Test: interim responses without an end are left at the end of their step

The HTTP client of the own interface reads interim responses itself and without a bound; the timeout of a step or the stall of a stream ends them. A bound needs connections that this crate opens itself; the table of waits says so.

--- a/crates/daemon/tests/all/endless.rs
+++ b/crates/daemon/tests/all/endless.rs
@@ -115,3 +115,17 @@
         assert_eq!(endless.relay.answered(), 1, "the call is not sent again");
     }
 }
+/// Guards against the same in interim responses, which the HTTP library reads without a bound: the stall, or the
+/// timeout of the step, ends them.
+#[tokio::test(flavor = "multi_thread")]
+async fn interim_responses_without_an_end_are_left() {
+    let steps = [(0, PREFILL_PATH), (2, IMPORT_PATH), (2, DECODE_PATH)];
+    for (endpoint, path) in steps {
+        let endless = EndlessFleet::start(endpoint, path, NoEnd::Interim, |c| {
+            c["policy"]["step_ms"] = 1_000.into();
+            c["policy"]["stall_ms"] = 500.into();
+        })
+        .await;
+        endless.assert_served().await;
+    }
+}
