Own interface: the time to read a response follows the latest deadline of its connection

A list of models, or the answer to a malformed request, on a connection whose earlier request had a deadline long past was cut as soon as one write had to wait. The limit is now set where each request passes, and the latest one of a connection counts. Found by reading; not tried, as small responses rarely wait.

--- a/crates/daemon/src/acceptor.rs
+++ b/crates/daemon/src/acceptor.rs
@@ -102,9 +102,11 @@
         self.0.is_cut.load(Ordering::Acquire)
     }
 
-    /// Sets how long the caller may leave the response of a request with this deadline unread.
+    /// Sets how long the caller may leave the response of a request with this deadline unread. The latest deadline
+    /// of a connection counts.
     pub(crate) fn limit_writes(&self, deadline: Instant) {
-        *self.lock_limit() = Some(deadline + READ_TIMEOUT);
+        let mut limit = self.lock_limit();
+        *limit = (*limit).max(Some(deadline + READ_TIMEOUT));
     }
 
     fn lock_limit(&self) -> MutexGuard<'_, Option<Instant>> {
--- a/crates/daemon/src/callers/front.rs
+++ b/crates/daemon/src/callers/front.rs
@@ -10,6 +10,7 @@
 use teaselshunt_settings::Limits;
 use tokio::net::TcpListener;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::Instant;
 
 use super::answer::RefusalResponse;
 use super::headers::stated_deadline;
@@ -73,6 +74,7 @@
             Ok(stated) => stated.unwrap_or(Duration::from_millis(self.limits.deadline_ms)),
             Err(refusal) => return refusal.into_response(),
         };
+        self.abort_handle(request).limit_writes(Instant::now() + allowed);
         self.in_progress.answer(allowed, work).await
     }
 
--- a/crates/daemon/src/callers/openai.rs
+++ b/crates/daemon/src/callers/openai.rs
@@ -250,7 +250,6 @@
         Generation { model: parsed.model, prompt: parsed.prompt, max_tokens: parsed.max_tokens, render };
     let mut output = start_generation(session, api.engines.clone(), generation, &passage);
     let abort = api.abort_handle(request);
-    abort.limit_writes(passage.deadline);
     // Dropping the output ends the driver, which releases what the request holds.
     let first = tokio::select! {
         first = first_output(&mut output) => first?,
--- a/crates/daemon/src/callers/services.rs
+++ b/crates/daemon/src/callers/services.rs
@@ -55,7 +55,6 @@
     let call_request = CallRequest { method, path, headers, body, keyed: request_headers.key.is_some() };
     let output = start_call(session, api.engines.clone(), Arc::clone(&api.metrics), call_request, &passage);
     let connection = api.abort_handle(request);
-    connection.limit_writes(passage.deadline);
     let output = tokio::select! {
         output = output => output,
         () = connection.closed() => return Err(caller_gone()),
