Random plans: a run begins after the tokens of its KV cache

A run that begins beside a kept one must begin where its prompt was prefilled to, or its tokens would follow a text that the caller does not have.

--- a/crates/bench/src/world/drivers.rs
+++ b/crates/bench/src/world/drivers.rs
@@ -119,8 +119,9 @@
                 };
                 driver.stall_timeout = stall_timeout;
                 let (caller, offset) = (driver.caller, driver.offset);
-                let length = self.callers[caller].spec.output;
-                self.send_step(node, ticket, attempt, target, Task::Decode { resume, offset, length });
+                let (prompt, length) = (self.callers[caller].spec.prompt, self.callers[caller].spec.output);
+                let task = Task::Decode { resume, offset, context: prompt + offset, length };
+                self.send_step(node, ticket, attempt, target, task);
                 self.schedule_timeout_check(node, ticket, stall_timeout, true);
             }
             Effect::Call { ticket, attempt, target, timeout } => {
--- a/crates/bench/src/world/engine.rs
+++ b/crates/bench/src/world/engine.rs
@@ -68,12 +68,26 @@
 /// What an endpoint does in a step.
 #[derive(Debug, Clone)]
 pub(super) enum Task {
-    Prefill { tokens: u32, priority: u8 },
-    Import { cache_attempt: AttemptId, origin: usize },
-    Decode { resume: Option<AttemptId>, offset: u32, length: u32 },
+    Prefill {
+        tokens: u32,
+        priority: u8,
+    },
+    Import {
+        cache_attempt: AttemptId,
+        origin: usize,
+    },
+    /// `context` is the number of tokens before the first one that is to be generated.
+    Decode {
+        resume: Option<AttemptId>,
+        offset: u32,
+        context: u32,
+        length: u32,
+    },
     Cancel,
     Poll,
-    Call { caller: usize },
+    Call {
+        caller: usize,
+    },
 }
 
 #[derive(Debug)]
@@ -104,8 +118,8 @@
 enum SlotUse {
     /// The slot is reserved while a KV cache is transferred.
     Incoming,
-    /// The KV cache has arrived and decoding has not started.
-    Imported,
+    /// The KV cache of so many tokens has arrived and decoding has not started.
+    Imported(u32),
     Stream(Stream),
 }
 
@@ -201,7 +215,7 @@
         let streams =
             std::mem::take(&mut self.used_slots).into_values().filter_map(|slot_use| match slot_use {
                 SlotUse::Stream(stream) => Some(stream.sent_step),
-                SlotUse::Incoming | SlotUse::Imported => None,
+                SlotUse::Incoming | SlotUse::Imported(_) => None,
             });
         self.kv_caches.clear();
         self.load_reports.clear();
@@ -242,7 +256,10 @@
             Task::Import { cache_attempt, origin } => {
                 self.receive_import(endpoint, sent_step, cache_attempt, origin);
             }
-            Task::Decode { resume, offset, length } => {
+            Task::Decode { resume, offset, context, length } => {
+                if resume.is_none() {
+                    self.check_context(endpoint, &sent_step, context);
+                }
                 self.receive_decode(endpoint, &sent_step, resume, offset, length);
             }
             Task::Cancel => {
@@ -367,17 +384,16 @@
             return;
         };
         let now = self.now;
-        let is_cached =
-            self.engines[origin].kv_caches.remove(&cache_attempt).is_some_and(|c| c.expires_at > now);
+        let kv_cache = self.engines[origin].kv_caches.remove(&cache_attempt).filter(|c| c.expires_at > now);
         let engine = &mut self.engines[endpoint];
         if engine.stalled || !engine.used_slots.contains_key(&sent_step.attempt) {
             return;
         }
-        if !is_cached {
+        let Some(kv_cache) = kv_cache else {
             engine.used_slots.remove(&sent_step.attempt);
             return self.fail(endpoint, sent_step, StepFailure::Evicted);
-        }
-        engine.used_slots.insert(sent_step.attempt, SlotUse::Imported);
+        };
+        engine.used_slots.insert(sent_step.attempt, SlotUse::Imported(kv_cache.tokens));
         self.reply(endpoint, sent_step, Event::Imported { attempt: sent_step.attempt });
     }
 
@@ -405,7 +421,7 @@
                 _ => false,
             },
             None => match engine.used_slots.get_mut(&sent_step.attempt) {
-                Some(slot_use @ SlotUse::Imported) => {
+                Some(slot_use @ SlotUse::Imported(_)) => {
                     let generated = offset;
                     let stream = Stream {
                         sent_step: sent_step.clone(),
@@ -431,6 +447,20 @@
         self.schedule_decode_step(endpoint);
     }
 
+    /// Checks that a run begins after the tokens of its KV cache. Otherwise its tokens would follow a text that the
+    /// caller does not have.
+    fn check_context(&mut self, endpoint: usize, sent_step: &SentStep, context: u32) {
+        let slot_use = self.engines[endpoint].used_slots.get(&sent_step.attempt);
+        if let Some(SlotUse::Imported(tokens)) = slot_use
+            && *tokens != context
+        {
+            let attempt = sent_step.attempt;
+            let text =
+                format!("{:?}: {attempt} decodes after {context} tokens with a cache of {tokens}", self.now);
+            self.tally.violations.push(text);
+        }
+    }
+
     pub(super) fn schedule_decode_step(&mut self, endpoint: usize) {
         let engine = &mut self.engines[endpoint];
         let streams = engine.streams();
