--- a/crates/standin/src/site/endpoint.rs
+++ b/crates/standin/src/site/endpoint.rs
@@ -78,6 +78,8 @@
     Text(&'static str),
     /// Sends responses without an end.
     NoEnd(SiteNoEnd),
+    /// The same for requests of callers only. Reservations and prefills are granted.
+    NoEndOfRuns(SiteNoEnd),
     /// Adds this many bytes to each response, and to each event of a stream.
     Large(usize),
 }
@@ -547,7 +549,11 @@
             return true;
         }
         if self.options.event_count > 0 {
-            let fault = if crashes { SiteFault::Cut(0) } else { fault };
+            let fault = match fault {
+                _ if crashes => SiteFault::Cut(0),
+                SiteFault::NoEndOfRuns(kind) => SiteFault::NoEnd(kind),
+                fault => fault,
+            };
             let keep_open =
                 write_events(stream, &self.options, &headers, &id, after.unwrap_or(0), fault).await;
             if crashes {
@@ -557,6 +563,9 @@
         }
         let padding = if let SiteFault::Large(bytes) = fault { ".".repeat(bytes) } else { String::new() };
         let body = format!("answer to {id}{padding}");
+        if let SiteFault::NoEndOfRuns(kind) = fault {
+            return write_without_end(stream, kind, &headers, Begin::Text(&body)).await;
+        }
         if fault == SiteFault::Extra {
             write_response(stream, 200, &headers, &body).await;
         }
--- a/crates/standin/tests/all/no_end.rs
+++ b/crates/standin/tests/all/no_end.rs
@@ -51,3 +51,26 @@
     let response = site_request(&Client::new(), &address, "/", "r", 60_000).send().await.expect("a response");
     tokio::time::timeout(Duration::from_mins(1), response.bytes()).await.expect("an end").expect("no break");
 }
+
+/// Guards against kinds that end, and against bytes other than those that the kind is named after.
+#[tokio::test]
+async fn parts_of_a_response_do_not_end() {
+    let engine = start_engine().await;
+    let parts = [
+        (SiteNoEnd::Interim, "HTTP/1.1 103 Early Hints\r\n"),
+        (SiteNoEnd::Comments, "\n\r\n403\r\n: ......"),
+        (SiteNoEnd::Extensions, "\r\n\r\n1;...."),
+        (SiteNoEnd::Trailers, "\r\n\r\n0\r\nfiller: ..."),
+        (SiteNoEnd::After, "content-length: 0\r\n\r\n...."),
+    ];
+    for (kind, part) in parts {
+        engine.set_fault(SiteFault::NoEnd(kind));
+        let mut stream = TcpStream::connect(engine.address()).await.expect("a connection");
+        stream.write_all(b"POST / HTTP/1.1\r\nrequest-id: r\r\n\r\n").await.expect("a request");
+        let mut bytes = vec![0; MANY_BYTES / 10];
+        stream.read_exact(&mut bytes).await.expect("many bytes");
+        assert!(String::from_utf8_lossy(&bytes).contains(part), "{kind:?}");
+        drop(stream);
+        wait_until(|| engine.active_requests() == 0).await;
+    }
+}
