Completeness: bounds of a body

Nothing bounded what is read of a response: a body or an event that never ends was followed for as long as bytes arrived. A reader can set bounds now: bytes of the body, bytes of an event with the comments before it, and events. A body beyond one is truncated there, `too_long` or `too_many_events`, whatever its framing says; a length beyond the bound shows before the first byte. As the rest of the verdict this depends on the bytes only and not on how they were split into reads.

The tests (`monitor::a_body_is_truncated_at_its_bound`, `a_length_beyond_a_bound_shows_before_the_body`) did not compile before. No reader sets bounds yet.

--- a/crates/completeness/src/events.rs
+++ b/crates/completeness/src/events.rs
@@ -26,6 +26,10 @@
     in_event: bool,
     /// Whether the last byte was a carriage return, so that a line feed belongs to the same end of line.
     after_return: bool,
+    /// Bytes since the last event ended.
+    since_event: u64,
+    /// Largest number of bytes that have arrived without the end of an event.
+    longest: u64,
 }
 
 /// What a piece of a stream contains.
@@ -43,7 +47,13 @@
     pub fn push(&mut self, data: &[u8]) -> Scan {
         let mut scan = Scan::default();
         for (index, &byte) in data.iter().enumerate() {
-            scan.events += u32::from(self.push_byte(byte));
+            let ends_event = self.push_byte(byte);
+            scan.events += u32::from(ends_event);
+            self.since_event += 1;
+            self.longest = self.longest.max(self.since_event);
+            if ends_event {
+                self.since_event = 0;
+            }
             if !self.is_inside() {
                 scan.boundary = Some(index + 1);
             }
@@ -57,6 +67,11 @@
         self.in_event || self.line != Line::Empty || inside_mark
     }
 
+    /// Length of the longest event in bytes, also of one that has not ended, with the comments before it.
+    pub fn longest(&self) -> u64 {
+        self.longest
+    }
+
     /// Reads one byte, and returns whether an event ends with it.
     fn push_byte(&mut self, byte: u8) -> bool {
         if self.mark_bytes < BYTE_ORDER_MARK.len() {
--- a/crates/completeness/src/lib.rs
+++ b/crates/completeness/src/lib.rs
@@ -10,13 +10,18 @@
 //! its framing. What remains is [`Completeness::Unknown`]: whoever passes such a response on must not claim
 //! more than was received.
 //!
+//! A faulty sender may never end its body. Readers that set [`BodyBounds`] are told by [`BodyMonitor::excess`] as soon
+//! as a body is beyond one of them, and stop reading.
+//!
 //! This crate has no input or output.
 
+mod bounds;
 mod events;
 mod framing;
 mod json;
 mod monitor;
 
+pub use bounds::BodyBounds;
 pub use events::{EventScanner, Scan};
 pub use framing::Framing;
 pub use monitor::{BodyEnd, BodyMonitor, Completeness, Truncation};
--- a/crates/completeness/src/monitor.rs
+++ b/crates/completeness/src/monitor.rs
@@ -3,6 +3,7 @@
 use http::header::{CONTENT_TYPE, HeaderMap};
 use http::{Method, StatusCode};
 
+use crate::bounds::BodyBounds;
 use crate::events::{EventScanner, Scan};
 use crate::framing::Framing;
 use crate::json::{JsonScanner, JsonState};
@@ -37,6 +38,8 @@
             Self::Truncated(Truncation::Length) => "length",
             Self::Truncated(Truncation::Event) => "event",
             Self::Truncated(Truncation::Json) => "json",
+            Self::Truncated(Truncation::TooLong) => "too_long",
+            Self::Truncated(Truncation::TooManyEvents) => "too_many_events",
         }
     }
 }
@@ -52,6 +55,10 @@
     Event,
     /// The JSON document ends inside an object or array.
     Json,
+    /// The body, or an event, has more bytes than it may have. Nothing more is read of it.
+    TooLong,
+    /// The stream has more events than it may have. Nothing more is read of it.
+    TooManyEvents,
 }
 
 /// What a body consists of, as far as that shows where it may end.
@@ -84,14 +91,23 @@
     framing: Framing,
     /// Bytes that have arrived.
     received: u64,
+    /// Events that have ended.
+    events: u64,
     content: Content,
+    bounds: BodyBounds,
 }
 
 impl BodyMonitor {
     /// Begins with the head of the response to a request with this method.
     pub fn new(method: &Method, status: StatusCode, headers: &HeaderMap) -> Self {
         let framing = Framing::of(method, status, headers);
-        Self { framing, received: 0, content: Content::of(framing, headers) }
+        let content = Content::of(framing, headers);
+        Self { framing, received: 0, events: 0, content, bounds: BodyBounds::NONE }
+    }
+
+    /// Sets what the body may consist of.
+    pub fn set_bounds(&mut self, bounds: BodyBounds) {
+        self.bounds = bounds;
     }
 
     /// How the end of the body is marked.
@@ -111,7 +127,11 @@
         self.received += data.len() as u64;
         match &mut self.content {
             Content::Opaque => Scan::default(),
-            Content::Events(events) => events.push(data),
+            Content::Events(events) => {
+                let scan = events.push(data);
+                self.events += u64::from(scan.events);
+                scan
+            }
             Content::Json(json) => {
                 json.push(data);
                 Scan::default()
@@ -119,8 +139,24 @@
         }
     }
 
+    /// What shows that the body is beyond a bound. A length shows it before the first byte.
+    pub fn excess(&self) -> Option<Truncation> {
+        let stated = if let Framing::Length(length) = self.framing { length } else { 0 };
+        let longest = if let Content::Events(events) = &self.content { events.longest() } else { 0 };
+        if self.received.max(stated) > self.bounds.bytes || longest > self.bounds.event_bytes {
+            Some(Truncation::TooLong)
+        } else if self.events > self.bounds.events {
+            Some(Truncation::TooManyEvents)
+        } else {
+            None
+        }
+    }
+
     /// Decides whether the response is complete.
     pub fn completeness(&self, end: BodyEnd) -> Completeness {
+        if let Some(excess) = self.excess() {
+            return Completeness::Truncated(excess);
+        }
         if end == BodyEnd::Failed {
             return Completeness::Truncated(Truncation::Connection);
         }
--- a/crates/completeness/tests/all/monitor.rs
+++ b/crates/completeness/tests/all/monitor.rs
@@ -2,7 +2,7 @@
 
 use http::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, HeaderValue, TRANSFER_ENCODING};
 use http::{Method, StatusCode};
-use teaselshunt_completeness::{BodyEnd, BodyMonitor, Completeness, Truncation};
+use teaselshunt_completeness::{BodyBounds, BodyEnd, BodyMonitor, Completeness, Truncation};
 
 #[derive(Debug, Clone, Copy)]
 enum Frame {
@@ -99,3 +99,61 @@
     assert_eq!(verdict(Frame::Close, JSON, documents, BodyEnd::Ended), Completeness::Unknown);
     assert_eq!(verdict(Frame::Chunked, JSON, "{\"a\": ", BodyEnd::Ended), Completeness::Complete);
 }
+
+/// Reads a body that is split into reads of `size` bytes, and returns after how many of them it was beyond a bound.
+fn bytes_until_excess(
+    content_type: &'static str,
+    body: &[u8],
+    bounds: BodyBounds,
+    size: usize,
+) -> Option<(usize, Truncation)> {
+    let headers = HeaderMap::from_iter([(CONTENT_TYPE, HeaderValue::from_static(content_type))]);
+    let mut monitor = BodyMonitor::new(&Method::POST, StatusCode::OK, &headers);
+    monitor.set_bounds(bounds);
+    let mut read = 0;
+    for piece in body.chunks(size) {
+        monitor.push(piece);
+        read += piece.len();
+        if let Some(excess) = monitor.excess() {
+            let truncated = Completeness::Truncated(excess);
+            assert_eq!(monitor.completeness(BodyEnd::Ended), truncated);
+            assert_eq!(monitor.completeness(BodyEnd::Failed), truncated);
+            return Some((read, excess));
+        }
+    }
+    None
+}
+
+/// Guards against bounds that depend on how a body is split into reads, and against a body that is read on beyond one.
+#[test]
+fn a_body_is_truncated_at_its_bound() {
+    const BOUNDS: BodyBounds = BodyBounds { bytes: 100, event_bytes: 30, events: 3 };
+    const EVENT: &str = "data: a\n\n";
+    let cases = [
+        ("text/plain", ".".repeat(100), None),
+        ("text/plain", ".".repeat(101), Some((101, Truncation::TooLong))),
+        (EVENTS, EVENT.repeat(3), None),
+        (EVENTS, EVENT.repeat(4), Some((36, Truncation::TooManyEvents))),
+        (EVENTS, format!("data: {}\n\n", ".".repeat(22)), None),
+        (EVENTS, format!("data: {}\n\n", ".".repeat(23)), Some((31, Truncation::TooLong))),
+        (EVENTS, format!("data: {}", ".".repeat(80)), Some((31, Truncation::TooLong))),
+        (EVENTS, ": sign of life\n".repeat(3), Some((31, Truncation::TooLong))),
+        (EVENTS, format!("{EVENT}: sign of life\n{EVENT}: sign of life\n{EVENT}"), None),
+    ];
+    for (content_type, body, expected) in cases {
+        assert_eq!(bytes_until_excess(content_type, body.as_bytes(), BOUNDS, 1), expected, "{body:?}");
+        let whole = bytes_until_excess(content_type, body.as_bytes(), BOUNDS, body.len());
+        assert_eq!(whole.map(|(_, excess)| excess), expected.map(|(_, excess)| excess), "{body:?}");
+    }
+}
+
+/// Guards against a body that is read up to its bound although its length is stated beyond it.
+#[test]
+fn a_length_beyond_a_bound_shows_before_the_body() {
+    for (length, expected) in [(100, None), (101, Some(Truncation::TooLong))] {
+        let headers = HeaderMap::from_iter([(CONTENT_LENGTH, HeaderValue::from(length))]);
+        let mut monitor = BodyMonitor::new(&Method::POST, StatusCode::OK, &headers);
+        monitor.set_bounds(BodyBounds::bytes(100));
+        assert_eq!(monitor.excess(), expected);
+    }
+}
