Connections: interim responses without an end are no response

An endpoint that sends interim responses (103) without an end held its caller to the deadline: the HTTP library skips each, and nothing counted them. After a hundred the connection is closed now, which ends the work for it, and the exchange has failed as one whose response is invalid: an idempotent call gets a second attempt, others 502, and the endpoint a failure. The way to the endpoint, and a peer that passes bytes on, are not blamed.

`endless::a_plain_call_fails_once_its_response_is_beyond_a_bound` failed before (504 after 10 s where 502 is expected). Header lines, chunk extensions, trailers, a head that arrives byte by byte and bytes after a complete response are bounded already, by the HTTP library and the deadline; the tests hold that.

--- a/crates/forward/src/connection_pool.rs
+++ b/crates/forward/src/connection_pool.rs
@@ -26,6 +26,7 @@
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::task::JoinHandle;
 
+use crate::bounds::InterimCount;
 use crate::reach::{Destination, Reach};
 use crate::response_reader::ResponseReader;
 use crate::sockets;
@@ -119,6 +120,14 @@
             reach.record_bytes(self.address, self.opened);
         }
     }
+
+    /// Records that what arrived is no response. The way to the endpoint works.
+    fn record_invalid(&self, unanswered: Option<Unanswered<'_>>) {
+        self.record_bytes();
+        if let Some(unanswered) = unanswered {
+            unanswered.dismiss();
+        }
+    }
 }
 
 impl Drop for Connection {
@@ -246,7 +255,7 @@
     async fn send_over(
         &self,
         mut connection: Connection,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
         ends_with_link: bool,
     ) -> Result<(Parts, ResponseReader), (ExchangeFailure, Option<Request<Full<Bytes>>>)> {
         let size = hyper::body::Body::size_hint(request.body()).exact().unwrap_or(u64::MAX);
@@ -266,9 +275,14 @@
             Via::Peer(peer) => Some(Unanswered { reach: &self.reach, peer, since: Instant::now() }),
             Via::Direct => None,
         };
+        let interim = InterimCount::of(&mut request);
         let result = tokio::select! {
             result = connection.sender.try_send_request(request) => result,
             () = until_lost => return Err((ExchangeFailure::Broken, None)),
+            () = interim.exceeded() => {
+                connection.record_invalid(unanswered);
+                return Err((ExchangeFailure::Broken, None));
+            }
         };
         match result {
             Ok(response) => {
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -29,6 +29,7 @@
 mod accept;
 mod admission;
 mod body;
+mod bounds;
 mod buffering;
 mod caller_stream;
 mod calls;
