Streams: a comment before the first event does not keep a stream from resuming

A resumable stream whose engine had sent a comment (a sign of life) and no event could not resume: the comment was relayed, and what was relayed without an id counted as an event without one. Its log line says `resume@any=event_id`. Only events count now: another engine begins at the start.

--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -275,7 +275,7 @@
             {
                 account_growth(&mut work, job, produced);
             }
-            let data = if self.complete_only { self.events.take_complete(data, scan.boundary) } else { data };
+            let data = if self.complete_only { self.events.take_complete(data, scan) } else { data };
             if !data.is_empty() {
                 // A slow caller occupies its engine no longer than until its deadline.
                 let sent = self.pieces.send(data, BufferedBytes::new(node, BodyKind::Response));
--- a/crates/forward/src/stream/events.rs
+++ b/crates/forward/src/stream/events.rs
@@ -2,6 +2,7 @@
 
 use bytes::{Bytes, BytesMut};
 use hyper::header::HeaderValue;
+use teaselshunt_completeness::Scan;
 
 use crate::resume::ResumePoint;
 
@@ -11,7 +12,7 @@
     /// Bytes of an event whose end has not arrived.
     partial: BytesMut,
     last_id: Option<String>,
-    /// Whether anything was relayed.
+    /// Whether any event was relayed.
     relayed: bool,
 }
 
@@ -35,10 +36,9 @@
         self.partial.clear();
     }
 
-    /// Appends bytes and returns those of the events that are now complete. `boundary` is the offset in `data`
-    /// after the last of them.
-    pub(super) fn take_complete(&mut self, mut data: Bytes, boundary: Option<usize>) -> Bytes {
-        let Some(boundary) = boundary else {
+    /// Appends bytes and returns those of the events that are now complete, and of the comments between them.
+    pub(super) fn take_complete(&mut self, mut data: Bytes, scan: Scan) -> Bytes {
+        let Some(boundary) = scan.boundary else {
             self.partial.extend_from_slice(&data);
             return Bytes::new();
         };
@@ -50,7 +50,7 @@
             self.partial.split().freeze()
         };
         self.partial.extend_from_slice(&rest);
-        self.relayed = true;
+        self.relayed |= scan.events > 0;
         let text = String::from_utf8_lossy(&complete);
         if let Some(id) = text.rsplit(['\n', '\r']).find_map(|line| line.strip_prefix("id:")) {
             self.last_id = Some(id.trim().to_owned());
