Streams: what is no event, and events beyond what was asked for, end a run

An engine that sent bytes without an event, comments only, or events without an end held its caller to the deadline, and a resumable stream collected an event without an end in memory. The response to a generation is bounded now by what its request asks for: an event by 256 KiB and 64 bytes for each token, and the number of events by one for each token and 128 without any. A request that states no tokens has the bound of an engine's memory. Streams of plain services state nothing and have none.

A run beyond a bound has broken: it is a failure of its engine, its connection is closed, and the stream resumes elsewhere where it may, or breaks off. A stream with too many events is not resumed: its caller has more than it asked for, and another engine would complete that.

`sound_streams_are_within_all_bounds` holds that slow, long and large sound streams pass.

--- a/crates/forward/src/bounds.rs
+++ b/crates/forward/src/bounds.rs
@@ -11,10 +11,41 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 
 use hyper::Request;
+use teaselshunt_completeness::BodyBounds;
+use teaselshunt_routing::Repeat;
 use tokio::sync::Notify;
 
+use crate::node::Job;
+
 /// Most interim responses before a head: one every 0.3 s until the default deadline.
 const INTERIM_MAX: u32 = 100;
+/// Bytes of an event of a generation, beside [`EVENT_BYTES_PER_TOKEN`]: some hundred tokens with the alternatives to each.
+const EVENT_BYTES: u64 = 256 * 1024;
+/// Bytes of an event for each token that the request asks for, since the last event may repeat the whole text. A token of
+/// eight characters has 48 bytes if each is escaped.
+const EVENT_BYTES_PER_TOKEN: u64 = 64;
+/// Events of a generation that bear no token: the first, the last, and a sign of life a second for two minutes.
+const EVENTS_WITHOUT_TOKEN: u64 = 128;
+
+/// The bounds of an endpoint's response to a request.
+pub(crate) fn of_response(job: &Job) -> BodyBounds {
+    match (job.route.repeat, job.service.engine) {
+        (Repeat::Stream { .. }, Some(engine)) => of_generation(job.meta.max_output_tokens, engine.tokens),
+        // Nothing says how much a plain service may send. What is relayed takes little memory.
+        (Repeat::Stream { .. }, None) | (Repeat::Idempotent | Repeat::Once, _) => BodyBounds::NONE,
+    }
+}
+
+/// The bounds of a stream of at most `requested` tokens, 0 if the request does not say, by an engine whose memory has room
+/// for `memory` tokens. An event has one token at least.
+fn of_generation(requested: u64, memory: u64) -> BodyBounds {
+    let tokens = if requested == 0 { memory } else { requested.min(memory) };
+    BodyBounds {
+        event_bytes: tokens.saturating_mul(EVENT_BYTES_PER_TOKEN).saturating_add(EVENT_BYTES),
+        events: tokens.saturating_add(EVENTS_WITHOUT_TOKEN),
+        ..BodyBounds::NONE
+    }
+}
 
 /// Counts the interim responses to a request.
 #[derive(Debug, Default)]
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -27,6 +27,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::admission::Charge;
+use crate::bounds;
 use crate::buffering::BufferedBytes;
 use crate::connection_pool::{ConnectionPool, ExchangeFailure, SendCondition, Via};
 use crate::crashes::{AbandonedRuns, Loss};
@@ -523,8 +524,9 @@
         work.sent.set(!matches!(result, Err(ExchangeFailure::Unsent | ExchangeFailure::Withheld)));
         let step = step_name(purpose);
         let outcome = match result {
-            Ok((head, body)) => self.check_response(job, key, &head, purpose).map(|()| {
+            Ok((head, mut body)) => self.check_response(job, key, &head, purpose).map(|()| {
                 self.observe_life(key);
+                body.set_bounds(bounds::of_response(job));
                 let outcome = self.head_outcome(key, head.status, self.now().duration_since(sent_at));
                 Answer { head, body, endpoint: key, sent_at, outcome }
             }),
--- a/crates/forward/src/response_reader.rs
+++ b/crates/forward/src/response_reader.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use teaselshunt_completeness::{BodyEnd, BodyMonitor, Completeness, Framing, Scan};
+use teaselshunt_completeness::{BodyBounds, BodyEnd, BodyMonitor, Completeness, Framing, Scan};
 
 use crate::connection_pool::{Connection, ExchangeFailure, Via};
 
@@ -105,6 +105,11 @@
         self.monitor.framing()
     }
 
+    /// Sets what the body may consist of. A body beyond a bound is truncated there.
+    pub(crate) fn set_bounds(&mut self, bounds: BodyBounds) {
+        self.monitor.set_bounds(bounds);
+    }
+
     /// Takes the body for a stream of events, whatever the response says of its type.
     pub(crate) fn expect_events(&mut self) {
         if self.received.is_empty() && self.ended.is_none() {
@@ -142,12 +147,15 @@
     }
 
     async fn receive(&mut self) -> Piece {
-        loop {
+        while self.monitor.excess().is_none() {
             let end = match self.body.frame().await {
                 Some(Ok(frame)) => match frame.into_data() {
                     Ok(data) => {
                         self.connection.record_bytes();
                         let scan = self.monitor.push(&data);
+                        if self.monitor.excess().is_some() {
+                            break;
+                        }
                         return Piece::Data(data, scan);
                     }
                     // Trailers.
@@ -156,9 +164,14 @@
                 Some(Err(_)) => BodyEnd::Failed,
                 None => BodyEnd::Ended,
             };
-            let (framing, completeness) = (self.monitor.framing(), self.monitor.completeness(end));
-            return Piece::End(ResponseEnd { framing, completeness });
+            return self.end(end);
         }
+        self.end(BodyEnd::Failed)
+    }
+
+    fn end(&self, end: BodyEnd) -> Piece {
+        let (framing, completeness) = (self.monitor.framing(), self.monitor.completeness(end));
+        Piece::End(ResponseEnd { framing, completeness })
     }
 
     /// The connection, after the end of the body.
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -22,7 +22,7 @@
 use hyper::http::response::Parts;
 use hyper::{Response, StatusCode};
 use slog::info;
-use teaselshunt_completeness::Completeness;
+use teaselshunt_completeness::{Completeness, Truncation};
 use teaselshunt_routing::{BodyKind, EndpointKey, SilenceStep, StepOutcome};
 
 use crate::body::{PieceSender, ResponseBody, relay_channel, relayed_response};
@@ -188,6 +188,10 @@
                 relay.pieces.end();
                 return "answered";
             }
+            // The caller has more than it asked for, and another engine would go on after that.
+            RunEnd::Ended(end) if end.completeness == Completeness::Truncated(Truncation::TooManyEvents) => {
+                return "broken_stream";
+            }
             RunEnd::Ended(_) => match relay.resume_elsewhere(endpoint).await {
                 Resumption::Found(next) => next,
                 Resumption::CallerDisconnected => return "caller_gone",
