Calls: responses to calls of the system itself are bounded

Small calls and prefills fail beyond 64 KiB now, others beyond 32 MiB, with the connection closed; a length beyond the bound shows at the head.

Before, `endless::small_calls_fail_once_their_responses_are_beyond_a_bound` timed out after a minute (reservations and prefills ended as `timed_out` and none as `broken`), and `a_response_of_the_store_is_bounded` failed: 128 MiB of a page were kept until the sender stalled.

--- a/crates/forward/src/bounds.rs
+++ b/crates/forward/src/bounds.rs
@@ -16,9 +16,14 @@
 use tokio::sync::Notify;
 
 use crate::node::Job;
+use crate::protocol::Purpose;
 
 /// Most interim responses before a head: one every 0.3 s until the default deadline.
 const INTERIM_MAX: u32 = 100;
+/// Largest response to a small call, in bytes: an id, a handle, a report or a short error.
+pub(crate) const CALL_BYTES_MAX: u64 = 64 * 1024;
+/// Largest response of the store or of a peer, in bytes: a configuration of ten thousand routes, or as many endpoints.
+pub(crate) const LIST_BYTES_MAX: u64 = 32 << 20;
 /// Bytes of an event of a generation, beside [`EVENT_BYTES_PER_TOKEN`]: some hundred tokens with the alternatives to each.
 const EVENT_BYTES: u64 = 256 * 1024;
 /// Bytes of an event for each token that the request asks for, since the last event may repeat the whole text. A token of
@@ -28,7 +33,10 @@
 const EVENTS_WITHOUT_TOKEN: u64 = 128;
 
 /// The bounds of an endpoint's response to a request.
-pub(crate) fn of_response(job: &Job) -> BodyBounds {
+pub(crate) fn of_response(job: &Job, purpose: Purpose<'_>) -> BodyBounds {
+    if matches!(purpose, Purpose::Prefill) {
+        return BodyBounds::bytes(CALL_BYTES_MAX);
+    }
     match (job.route.repeat, job.service.engine) {
         (Repeat::Stream { .. }, Some(engine)) => of_generation(job.meta.max_output_tokens, engine.tokens),
         // Nothing says how much a plain service may send. What is relayed takes little memory.
--- a/crates/forward/src/calls.rs
+++ b/crates/forward/src/calls.rs
@@ -11,9 +11,10 @@
 use hyper::http::response::Parts;
 use hyper::{Request, StatusCode};
 use slog::{debug, warn};
-use teaselshunt_completeness::Completeness;
+use teaselshunt_completeness::{BodyBounds, Completeness};
 use teaselshunt_routing::{BodyKind, EndpointKey};
 
+use crate::bounds::{CALL_BYTES_MAX, LIST_BYTES_MAX};
 use crate::buffering::{BufferedBytes, CollectError};
 use crate::connection_pool::{Connection, ExchangeFailure};
 use crate::node::Node;
@@ -74,7 +75,7 @@
         until: Instant,
     ) -> Result<(StatusCode, Bytes), ExchangeFailure> {
         let destination = self.destination(address);
-        let (head, body) = self.exchange_call(&destination, call, until).await?;
+        let (head, body) = self.exchange_call(&destination, call, until, CALL_BYTES_MAX).await?;
         self.observe_life(key);
         statements::observe(self, key, &self.protocol.read_response(head.status, &head.headers));
         Ok((head.status, body))
@@ -89,7 +90,7 @@
         until: Instant,
     ) -> Result<(StatusCode, Bytes), ExchangeFailure> {
         let destination = Destination { address, endpoint: None };
-        let (head, body) = self.exchange_call(&destination, call, until).await?;
+        let (head, body) = self.exchange_call(&destination, call, until, CALL_BYTES_MAX).await?;
         statements::observe(self, key, &self.protocol.read_response(head.status, &head.headers));
         Ok((head.status, body))
     }
@@ -101,7 +102,20 @@
         call: Call,
         until: Instant,
     ) -> Result<(StatusCode, Bytes), ExchangeFailure> {
-        let (head, body) = self.exchange_call(&self.destination(address), call, until).await?;
+        let destination = self.destination(address);
+        let (head, body) = self.exchange_call(&destination, call, until, CALL_BYTES_MAX).await?;
+        Ok((head.status, body))
+    }
+
+    /// The same for a call of a peer whose response may be long.
+    pub(crate) async fn call_for_list(
+        &self,
+        address: SocketAddr,
+        call: Call,
+        until: Instant,
+    ) -> Result<(StatusCode, Bytes), ExchangeFailure> {
+        let destination = self.destination(address);
+        let (head, body) = self.exchange_call(&destination, call, until, LIST_BYTES_MAX).await?;
         Ok((head.status, body))
     }
 
@@ -115,7 +129,8 @@
         stall: Duration,
     ) -> Result<(Parts, Bytes), ExchangeFailure> {
         let request = request(address, call)?;
-        let (head, body) = self.pool.exchange(&self.destination(address), request, until).await?;
+        let (head, mut body) = self.pool.exchange(&self.destination(address), request, until).await?;
+        body.set_bounds(BodyBounds::bytes(LIST_BYTES_MAX));
         let body = self.read_while_moving(body, stall).await?;
         Ok((head, body))
     }
@@ -125,9 +140,11 @@
         destination: &Destination,
         call: Call,
         until: Instant,
+        max_bytes: u64,
     ) -> Result<(Parts, Bytes), ExchangeFailure> {
         let request = request(destination.address, call)?;
-        let (head, body) = self.pool.exchange(destination, request, until).await?;
+        let (head, mut body) = self.pool.exchange(destination, request, until).await?;
+        body.set_bounds(BodyBounds::bytes(max_bytes));
         let body = self.read(body, until).await?;
         Ok((head, body))
     }
@@ -141,7 +158,8 @@
         until: Instant,
     ) -> Result<(), ExchangeFailure> {
         let request = request(address, call)?;
-        let (_, body) = self.pool.exchange_over(connection, request, until).await?;
+        let (_, mut body) = self.pool.exchange_over(connection, request, until).await?;
+        body.set_bounds(BodyBounds::bytes(CALL_BYTES_MAX));
         self.read(body, until).await?;
         Ok(())
     }
--- a/crates/forward/src/catalog/snapshots.rs
+++ b/crates/forward/src/catalog/snapshots.rs
@@ -221,7 +221,7 @@
         let call = Call { method: Method::GET, path, headers: HeaderMap::new(), body: Bytes::new() };
         // A kept connection may be dead, which would cost the whole timeout.
         self.node.pool.close_idle(peer);
-        let result = self.node.call(peer, call, self.node.now() + TRANSFER_TIMEOUT).await;
+        let result = self.node.call_for_list(peer, call, self.node.now() + TRANSFER_TIMEOUT).await;
         self.node.metrics.count_step("copy", call_outcome(result.as_ref().map(|(status, _)| *status)));
         let (status, body) = result.map_err(SnapshotError::Exchange)?;
         if status != StatusCode::OK {
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -526,7 +526,7 @@
         let outcome = match result {
             Ok((head, mut body)) => self.check_response(job, key, &head, purpose).map(|()| {
                 self.observe_life(key);
-                body.set_bounds(bounds::of_response(job));
+                body.set_bounds(bounds::of_response(job, purpose));
                 let outcome = self.head_outcome(key, head.status, self.now().duration_since(sent_at));
                 Answer { head, body, endpoint: key, sent_at, outcome }
             }),
