Streams: the head of a stream is no success of its engine

An engine that broke all its streams stayed in use: the head of each stream counted as a success, cleared its failures in a row and ended its pause, and the next stream began before the last one had broken. The head shows only that the engine is not silent now. A stream that ends as it should is the success; one at its deadline, or whose caller disconnects, is neither.

--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -57,6 +57,7 @@
 mod requests;
 mod reservations;
 mod response_reader;
+mod results;
 mod resume;
 mod settings;
 mod silence;
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -396,35 +396,6 @@
         }
     }
 
-    /// Records that an engine has sent something.
-    pub(crate) fn observe_life(&self, key: EndpointKey) {
-        let (now, state) = (self.now(), &mut *self.state.borrow_mut());
-        if let Some(endpoint) = state.endpoints.get(key)
-            && endpoint.stage == Some(Stage::Decode)
-        {
-            state.signs.observe(now, &endpoint.service);
-        }
-    }
-
-    pub(crate) fn observe_step(&self, key: EndpointKey, step_outcome: StepOutcome) {
-        let changed = self.state.borrow_mut().endpoints.learn(self.now(), key, step_outcome);
-        if changed && let Some((_, id)) = self.locate(key) {
-            let state = match step_outcome {
-                StepOutcome::Failed | StepOutcome::Silent(_) | StepOutcome::Unreachable => "paused",
-                StepOutcome::Answered(_) | StepOutcome::ErrorResponse | StepOutcome::Full => "in_use",
-            };
-            info!(self.log, "endpoint"; "endpoint" => &*id, "state" => state);
-        }
-    }
-
-    /// Records that an engine granted a reservation, so that it is not silent. Whether it runs requests is another matter.
-    pub(crate) fn observe_granted(&self, key: EndpointKey) {
-        let changed = self.state.borrow_mut().endpoints.observe_response(key);
-        if changed && let Some((_, id)) = self.locate(key) {
-            info!(self.log, "endpoint"; "endpoint" => &*id, "state" => "in_use");
-        }
-    }
-
     /// The refusal for a request in quarantine; `None` for other requests.
     pub(crate) fn quarantined(&self, job: &Job) -> Option<Refusal> {
         let (state, now) = (self.state.borrow(), self.now());
@@ -476,28 +447,6 @@
         self.metrics.retries.second_attempts.with_label_values(&[service, outcome]).inc();
     }
 
-    /// Counts the result of a request at an endpoint.
-    pub(crate) fn observe_outcome(&self, job: &Job, key: EndpointKey, outcome: StepOutcome) {
-        self.observe_step(key, outcome);
-        load::observe_result(self, job, key, outcome);
-    }
-
-    /// Counts the result of a request whose response was read, or was not: one that is truncated is a failure,
-    /// whatever its head says.
-    pub(crate) fn observe_read<T>(
-        &self,
-        job: &Job,
-        key: EndpointKey,
-        head: StepOutcome,
-        read: &Result<T, ReadFailure>,
-    ) {
-        let outcome = match read {
-            Ok(_) | Err(ReadFailure::MemoryFull) => head,
-            Err(ReadFailure::Truncated(_) | ReadFailure::TimedOut) => StepOutcome::Failed,
-        };
-        self.observe_outcome(job, key, outcome);
-    }
-
     /// Sends a request to an endpoint and checks the head of the response. A failure is counted as the result of
     /// the request; what an answer shows is left to who reads it.
     pub(crate) async fn send(
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -131,10 +131,11 @@
 }
 
 impl Run {
-    /// The head shows that the endpoint responds. Its result counts at the end of the run.
+    /// The head shows that the endpoint is not silent. Its result counts at the end of the run: if each head were a success,
+    /// an endpoint that breaks all its streams would never have failures in a row.
     fn begin(node: &Node, started: Started) -> (Parts, Self) {
         let Answer { head, body, endpoint, sent_at, outcome } = started.answer;
-        node.observe_step(endpoint, outcome);
+        node.observe_begun(endpoint);
         (head, Self { body, endpoint, sent_at, outcome, work: started.work })
     }
 }
@@ -171,6 +172,8 @@
         if end.is_broken() {
             node.observe_outcome(job, endpoint, StepOutcome::Failed);
             crashes::check_endpoint(node, job, trace, endpoint, sent_at);
+        } else if matches!(end, RunEnd::Ended(_)) {
+            node.observe_outcome(job, endpoint, outcome);
         } else {
             load::observe_result(node, job, endpoint, outcome);
         }
--- a/crates/routing/src/endpoints.rs
+++ b/crates/routing/src/endpoints.rs
@@ -524,6 +524,14 @@
         entry.health.learn(now, outcome)
     }
 
+    /// Records that an endpoint has begun a response that may take long. Whether it completes its responses is learned at
+    /// the end. Returns whether a pause of it ended.
+    pub fn observe_begun(&mut self, now: Instant, key: EndpointKey) -> bool {
+        let Some(entry) = self.arena.get_mut(key) else { return false };
+        entry.cooldown.accepted();
+        entry.health.begun(now)
+    }
+
     /// Records that an endpoint responded to a small call, which shows nothing else about it. Returns whether a pause of
     /// it ended.
     pub fn observe_response(&mut self, key: EndpointKey) -> bool {
--- a/crates/routing/src/health_estimate.rs
+++ b/crates/routing/src/health_estimate.rs
@@ -127,6 +127,14 @@
             || self.silence.is_some_and(|(_, until)| now < until)
     }
 
+    /// Records that a response has begun, which need not end. Returns whether a pause because of its silence ended.
+    pub(crate) fn begun(&mut self, now: Instant) -> bool {
+        if self.unanswered_since.is_some() {
+            self.unanswered_since = Some(now);
+        }
+        self.responded()
+    }
+
     /// Records that the endpoint responded. Returns whether a pause because of its silence ended.
     pub(crate) fn responded(&mut self) -> bool {
         self.silence.take().is_some()
