Memory: responses without an end leave room for others

Plain responses are received to their end before they are passed on, and a few of them without an end took all memory for bodies: requests were refused (429), and other responses failed for lack of memory. They also took twice what was accounted, since a growing buffer doubles its allocation, so that a limit of 0.4 of the process's memory was 0.8. And a response that was abandoned for lack of memory counted as a success of its endpoint, after a short time, so that the endpoint looked good.

Large responses, above a thirty-second of the memory, have a half of it together now: requests (up to three quarters) and small responses always find room. The buffer's allocation is what is accounted. A response above the half can never be held and is beyond its bound, at the head if its length says so; one that finds no room beside others is a failure of its endpoint for the choice of endpoints, and no result for learned limits, since its service is not slow for that.

--- a/crates/forward/src/bounds.rs
+++ b/crates/forward/src/bounds.rs
@@ -32,7 +32,8 @@
 /// Events of a generation that bear no token: the first, the last, and a sign of life a second for two minutes.
 const EVENTS_WITHOUT_TOKEN: u64 = 128;
 
-/// The bounds of an endpoint's response to a request.
+/// The bounds of an endpoint's response to a request. A response that is received to its end before it is passed on is
+/// also bounded by the memory for bodies.
 pub(crate) fn of_response(job: &Job, purpose: Purpose<'_>) -> BodyBounds {
     if matches!(purpose, Purpose::Prefill) {
         return BodyBounds::bytes(CALL_BYTES_MAX);
--- a/crates/forward/src/calls.rs
+++ b/crates/forward/src/calls.rs
@@ -12,7 +12,7 @@
 use hyper::{Request, StatusCode};
 use slog::{debug, warn};
 use teaselshunt_completeness::{BodyBounds, Completeness};
-use teaselshunt_routing::{BodyKind, EndpointKey};
+use teaselshunt_routing::EndpointKey;
 
 use crate::bounds::{CALL_BYTES_MAX, LIST_BYTES_MAX};
 use crate::buffering::{BufferedBytes, CollectError};
@@ -176,7 +176,8 @@
         mut body: ResponseReader,
         until: Instant,
     ) -> Result<BufferedBody, ReadFailure> {
-        let mut memory = BufferedBytes::new(self, BodyKind::Response);
+        body.set_bounds(BodyBounds::bytes(self.state.borrow().memory.largest_response()));
+        let mut memory = BufferedBytes::of_whole(self);
         match tokio::time::timeout_at(until.into(), memory.collect_response(&mut body)).await {
             Ok(Ok((bytes, end))) => {
                 self.finish(body, end);
--- a/crates/forward/src/results.rs
+++ b/crates/forward/src/results.rs
@@ -63,7 +63,10 @@
         read: &Result<T, ReadFailure>,
     ) {
         let outcome = match read {
-            Ok(_) | Err(ReadFailure::MemoryFull) => head,
+            Ok(_) => head,
+            // Only a large response has no room, and the endpoint may be one that sends without an end. Its service is not
+            // slow for that.
+            Err(ReadFailure::MemoryFull) => return self.observe_step(key, StepOutcome::Failed),
             Err(ReadFailure::Truncated(_) | ReadFailure::TimedOut) => StepOutcome::Failed,
         };
         self.observe_outcome(job, key, outcome);
--- a/crates/routing/tests/all/memory.rs
+++ b/crates/routing/tests/all/memory.rs
@@ -43,3 +43,27 @@
     }
     QuickCheck::new().tests(2_000).quickcheck(property as fn(Vec<(u16, bool, bool)>) -> bool);
 }
+
+/// Responses without an end take all memory that they get. Requests and small responses must still have room, however
+/// many of these there are.
+#[test]
+fn growing_responses_leave_memory_for_others() {
+    for count in 1..20 {
+        let mut memory = BodyMemory::new(LIMIT);
+        let mut growing = vec![0; count];
+        for step in 0..1000 {
+            let own = &mut growing[step % count];
+            if memory.reserve_whole(7, *own).is_ok() {
+                *own += 7;
+            }
+        }
+        assert!(growing.iter().all(|own| *own > 0));
+        assert!(memory.reserve(20, BodyKind::Request).is_ok(), "{count}: {}", memory.held());
+        assert!(memory.reserve_whole(20, 0).is_ok(), "{count}: {}", memory.held());
+        for own in growing {
+            memory.release_whole(own);
+        }
+        assert_eq!(memory.held(), 40);
+        assert!(memory.reserve_whole(memory.largest_response(), 0).is_ok());
+    }
+}
