Connections: a response that is invalid is not the fault of the way to its endpoint

A head that is too long, or no head, counted as a failure of the link to the endpoint, or of the peer whose tunnel its bytes came through: the peer was passed over for a moment, though it had passed on what it got. Bytes have arrived then, so that the link works, and the peer is not blamed.

`endless::responses_through_a_peer_have_the_same_bounds` holds that bounds are those of the instance that reads, that the work ends behind the peer as well, and that sound calls through the peer go on. It was written with this change and was not run without it.

--- a/crates/forward/src/connection_pool.rs
+++ b/crates/forward/src/connection_pool.rs
@@ -300,6 +300,10 @@
                 if let Some(unsent) = error.take_message() {
                     return Err((ExchangeFailure::Unsent, Some(unsent)));
                 }
+                if error.error().is_parse() {
+                    connection.record_invalid(unanswered);
+                    return Err((ExchangeFailure::Broken, None));
+                }
                 match (connection.via, &reach) {
                     (Via::Direct, Some(reach)) => reach.record_failure(address),
                     (Via::Direct, None) => {}
