--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -68,6 +68,10 @@
 const CUT_CALLS: usize = 40;
 const CUT_SERVED_PERCENT: usize = 95;
 
+/// Most events that a caller may get, since each asks for ten tokens, and most bytes that are no event.
+const MAX_EVENTS: usize = 138;
+const MAX_EVENT_BYTES: usize = 256 * 1024 + 10 * 64;
+
 /// Characters of a wrong response that are printed.
 const SHOWN_CHARS: usize = 2_000;
 
@@ -260,11 +264,16 @@
     ["resume", "crash"].contains(&kind) || kind.ends_with("stream")
 }
 
-/// Whether a text is the whole response of a request and what an endpoint sends after it that sends without an end.
+/// Whether a text is the whole response of a request and what an endpoint sends after it that sends without an end, as far
+/// as an instance may pass that on.
 fn goes_on(text: &str, expected: &str, id: &str) -> bool {
+    let count = text.matches("\n\n").count();
+    let since_event = text.len() - text.rfind("\n\n").map_or(0, |end| end + 2);
+    if count > MAX_EVENTS || since_event > MAX_EVENT_BYTES {
+        return false;
+    }
     let text = text.trim_end_matches('.');
-    let count = text.matches("\n\n").count() as u32;
-    let events: String = (1..=count + 1).map(|number| event_text(id, number)).collect();
+    let events: String = (1..=count as u32 + 1).map(|number| event_text(id, number)).collect();
     expected.starts_with(text) || events.starts_with(text)
 }
 
--- a/crates/soak/src/faults/pauses.rs
+++ b/crates/soak/src/faults/pauses.rs
@@ -69,7 +69,14 @@
         if !self.silences.random_bool(0.05) {
             return;
         }
-        let kinds = [SiteNoEnd::Head, SiteNoEnd::Body, SiteNoEnd::Events];
+        let kinds = [
+            SiteNoEnd::Head,
+            SiteNoEnd::Body,
+            SiteNoEnd::Events,
+            SiteNoEnd::Interim,
+            SiteNoEnd::Extensions,
+            SiteNoEnd::Trailers,
+        ];
         let kind = kinds[self.silences.random_range(0..kinds.len())];
         let index = self.silences.random_range(0..site.parts().endpoints.len());
         let time = Duration::from_millis(self.silences.random_range(200..2_000));
