--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -32,6 +32,7 @@
 mod accept;
 mod admission;
 mod body;
+mod bounds;
 mod buffering;
 mod caller_activity;
 mod caller_connection;
@@ -65,6 +66,7 @@
 mod requests;
 mod reservations;
 mod response_reader;
+mod results;
 mod resume;
 mod runs;
 mod settings;
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -28,6 +28,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::admission::Charge;
+use crate::bounds;
 use crate::buffering::BufferedBytes;
 use crate::connection_pool::{ConnectionPool, ExchangeFailure, SendCondition, Via};
 use crate::crashes::{AbandonedRuns, Loss};
@@ -387,35 +388,6 @@
         }
     }
 
-    /// Records that an engine has sent something.
-    pub(crate) fn observe_life(&self, key: EndpointKey) {
-        let (now, state) = (self.now(), &mut *self.state.borrow_mut());
-        if let Some(endpoint) = state.endpoints.get(key)
-            && endpoint.stage == Some(Stage::Decode)
-        {
-            state.signs.observe(now, &endpoint.service);
-        }
-    }
-
-    pub(crate) fn observe_step(&self, key: EndpointKey, step_outcome: StepOutcome) {
-        let changed = self.state.borrow_mut().endpoints.learn(self.now(), key, step_outcome);
-        if changed && let Some((_, id)) = self.locate(key) {
-            let state = match step_outcome {
-                StepOutcome::Failed | StepOutcome::Silent(_) | StepOutcome::Unreachable => "paused",
-                StepOutcome::Answered(_) | StepOutcome::ErrorResponse | StepOutcome::Full => "in_use",
-            };
-            info!(self.log, "endpoint"; "endpoint" => &*id, "state" => state);
-        }
-    }
-
-    /// Records that an engine granted a reservation, so that it is not silent. Whether it runs requests is another matter.
-    pub(crate) fn observe_granted(&self, key: EndpointKey) {
-        let changed = self.state.borrow_mut().endpoints.observe_response(key);
-        if changed && let Some((_, id)) = self.locate(key) {
-            info!(self.log, "endpoint"; "endpoint" => &*id, "state" => "in_use");
-        }
-    }
-
     /// The refusal for a request in quarantine; `None` for other requests.
     pub(crate) fn quarantined(&self, job: &Job) -> Option<Refusal> {
         let (state, now) = (self.state.borrow(), self.now());
@@ -467,28 +439,6 @@
         self.metrics.retries.second_attempts.with_label_values(&[service, outcome]).inc();
     }
 
-    /// Counts the result of a request at an endpoint.
-    pub(crate) fn observe_outcome(&self, job: &Job, key: EndpointKey, outcome: StepOutcome) {
-        self.observe_step(key, outcome);
-        load::observe_result(self, job, key, outcome);
-    }
-
-    /// Counts the result of a request whose response was read, or was not: one that is truncated is a failure,
-    /// whatever its head says.
-    pub(crate) fn observe_read<T>(
-        &self,
-        job: &Job,
-        key: EndpointKey,
-        head: StepOutcome,
-        read: &Result<T, ReadFailure>,
-    ) {
-        let outcome = match read {
-            Ok(_) | Err(ReadFailure::MemoryFull) => head,
-            Err(ReadFailure::Truncated(_) | ReadFailure::TimedOut) => StepOutcome::Failed,
-        };
-        self.observe_outcome(job, key, outcome);
-    }
-
     /// Sends a request to an endpoint and checks the head of the response. A failure is counted as the result of
     /// the request; what an answer shows is left to who reads it.
     pub(crate) async fn send(
@@ -520,8 +470,9 @@
         work.sent.set(!matches!(result, Err(ExchangeFailure::Unsent | ExchangeFailure::Withheld)));
         let step = step_name(purpose);
         let outcome = match result {
-            Ok((head, body)) => self.check_response(job, key, &head, purpose).map(|()| {
+            Ok((head, mut body)) => self.check_response(job, key, &head, purpose).map(|()| {
                 self.observe_life(key);
+                body.set_bounds(bounds::of_response(job, purpose));
                 let outcome = self.head_outcome(key, head.status, self.now().duration_since(sent_at));
                 Answer { head, body, endpoint: key, sent_at, outcome }
             }),
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -28,7 +28,7 @@
 use hyper::http::response::Parts;
 use hyper::{Response, StatusCode};
 use slog::info;
-use teaselshunt_completeness::Completeness;
+use teaselshunt_completeness::{Completeness, Truncation};
 use teaselshunt_routing::{BodyKind, EndpointKey, SilenceStep, StepOutcome};
 
 use crate::body::{PieceSender, ResponseBody, relay_channel, relayed_response};
@@ -143,10 +143,11 @@
 }
 
 impl Run {
-    /// The head shows that the endpoint responds. Its result counts at the end of the run.
+    /// The head shows that the endpoint is not silent. Its result counts at the end of the run: if each head were a success,
+    /// an endpoint that breaks all its streams would never have failures in a row.
     fn begin(node: &Node, started: Started) -> (Parts, Self) {
         let Answer { head, body, endpoint, sent_at, outcome } = started.answer;
-        node.observe_step(endpoint, outcome);
+        node.observe_begun(endpoint);
         (head, Self { body, endpoint, sent_at, outcome, work: started.work })
     }
 }
@@ -183,6 +184,8 @@
         if end.is_broken() {
             node.observe_outcome(job, endpoint, StepOutcome::Failed);
             crashes::check_endpoint(node, job, trace, endpoint, sent_at);
+        } else if matches!(end, RunEnd::Ended(_)) {
+            node.observe_outcome(job, endpoint, outcome);
         } else {
             load::observe_result(node, job, endpoint, outcome);
         }
@@ -200,6 +203,10 @@
                 relay.pieces.end();
                 return "answered";
             }
+            // The caller has more than it asked for, and another engine would go on after that.
+            RunEnd::Ended(end) if end.completeness == Completeness::Truncated(Truncation::TooManyEvents) => {
+                return "broken_stream";
+            }
             RunEnd::Ended(_) => match relay.resume_elsewhere(endpoint).await {
                 Resumption::Found(next) => next,
                 Resumption::CallerDisconnected => return "caller_gone",
@@ -287,7 +294,7 @@
             {
                 account_growth(&mut work, job, produced);
             }
-            let data = if self.complete_only { self.events.take_complete(data, scan.boundary) } else { data };
+            let data = if self.complete_only { self.events.take_complete(data, scan) } else { data };
             if !data.is_empty() {
                 // A slow caller occupies its engine no longer than until its deadline.
                 let sent = self.pieces.send(data, BufferedBytes::new(node, BodyKind::Response));
