Store: a list that arrives late confirms nothing later than its call

Callers got 404 for a route that a version allows which had been in force for longer than its bound: an instance that starts read a list whose response said what the store had 2.5 s before. Cause: the read of a page confirmed the configuration as of its arrival.

A page that arrives later than `PAGE_TIMEOUT` confirms the configuration as of its call. Until the store confirms it again, what it does not allow is refused for now (503, with a delay).

starts::a_late_configuration_refuses_no_route_of_a_later_version failed before (404 for a route of version 4, published before the responses of version 3 arrived). The stand-in's late responses say what it had when it was asked.

--- a/crates/forward/src/catalog.rs
+++ b/crates/forward/src/catalog.rs
@@ -393,13 +393,18 @@
 
     /// Records that the store has responded to a call that was made at `called_at`.
     fn record_response(&self, called_at: Duration) {
-        let now = self.node.now();
-        self.last_response.set(now);
-        self.node.state.borrow_mut().list_confirmed = Some(now);
         // The response may have been unread while this process was frozen.
         let uptime = self.node.clock.uptime();
         let frozen = self.freeze_detector.get().frozen_since(called_at, uptime);
-        self.confirm(if frozen { called_at } else { uptime });
+        self.record_response_as_of(if frozen { called_at } else { uptime });
+    }
+
+    /// The same where the response may say what the store had at `as_of`.
+    fn record_response_as_of(&self, as_of: Duration) {
+        let now = self.node.now();
+        self.last_response.set(now);
+        self.node.state.borrow_mut().list_confirmed = Some(now);
+        self.confirm(as_of);
     }
 
     fn apply(&self, batch: Batch) {
--- a/crates/forward/src/catalog/listing.rs
+++ b/crates/forward/src/catalog/listing.rs
@@ -101,7 +101,11 @@
         if after.is_none() {
             self.record_missing_since();
         }
-        self.record_response(called_at);
+        if self.node.clock.uptime().saturating_sub(called_at) > PAGE_TIMEOUT {
+            self.record_response_as_of(called_at);
+        } else {
+            self.record_response(called_at);
+        }
         Ok(if self.apply_page(batch) { Page::Last } else { Page::More })
     }
 
--- a/crates/standin/src/site/store.rs
+++ b/crates/standin/src/site/store.rs
@@ -30,7 +30,7 @@
     Closing,
     /// The store responds, and its responses take 2.5 s to arrive, in pieces.
     Trickling,
-    /// The store responds 2.5 s later than it could.
+    /// The store's responses take 2.5 s to arrive, and say what it had before.
     Late,
 }
 
@@ -211,9 +211,6 @@
             }
             (inner.mode, refused)
         };
-        if mode == StoreMode::Late {
-            tokio::time::sleep(LATENESS).await;
-        }
         let response = match mode {
             _ if refused => StoreResponse::empty(429, &lock(&inner)),
             StoreMode::Up | StoreMode::Trickling | StoreMode::Late
@@ -226,6 +223,9 @@
             StoreMode::Silent => std::future::pending().await,
             StoreMode::Closing => return,
         };
+        if mode == StoreMode::Late {
+            tokio::time::sleep(LATENESS).await;
+        }
         let pieces = if mode == StoreMode::Trickling { TRICKLE_PIECES } else { 1 };
         response.send(&mut stream, pieces).await;
     }
