Links: a link that was not tried does not hide that nothing is reached

Callers heard "unknown" (502) and "overloaded" (429) for up to 6.7 s while connections to all endpoints were reset at all instances, and were not refused as not run. no_links::callers_are_refused_as_not_run_while_all_connections_are_reset failed once in a run beside a build for 60 s.

Cause: an instance refuses only if no link counts as sound, and a link that was used before the cut and not since (a prefill engine: no reservation gets as far) counted as sound until it was forgotten or a peer happened to ask for it. In a cut (two links lost) it was worse: a link that came into use by a check or by a peer's request was "sound" although the instance was cut off, and a check of it that failed said nothing (it counts as lost), so that nothing ended it.

Now a link counts as sound only if it has answered since another one was found not to (else it is checked), and in a cut every link counts as lost.

Failed before: links::a_link_that_was_not_tried_does_not_hide_that_nothing_is_reached (1 of 3 links unreachable after 3 s), a_link_that_comes_into_use_in_a_cut_is_lost_with_the_others and a_link_that_was_in_use_before_a_cut_is_lost_with_the_others (not isolated).

--- a/crates/routing/src/links.rs
+++ b/crates/routing/src/links.rs
@@ -9,6 +9,7 @@
 //! - a link is lost only while nothing has arrived over a connection that was opened after the loss;
 //! - an endpoint is unreachable only after [`FAILED_CHECKS`] checks in a row that no path answered, and is still asked
 //!   directly as long as any other link works, so that one that is silent for a moment stays in use;
+//! - a link counts as working only if it has answered since another one was found not to, or else is checked;
 //! - what is not used any more is forgotten, unless nothing is reached at all, so that the number of links is bounded by
 //!   the endpoints in use.
 
@@ -93,6 +94,8 @@
     /// When the link was lost.
     lost: Option<Instant>,
     used: Option<Instant>,
+    /// When bytes last arrived over it.
+    heard: Option<Instant>,
     /// Since when a request waits for a first byte.
     waiting: Option<Instant>,
     /// Connections that failed since the last byte, and when the last one did.
@@ -130,6 +133,8 @@
     heard: Option<Instant>,
     /// When a link last failed.
     failed: Option<Instant>,
+    /// When an endpoint was last found to be lost or unreachable.
+    not_reached: Option<Instant>,
     /// Since when all links count as lost.
     cut_since: Option<Instant>,
     /// When the next check of a lost link may start.
@@ -167,9 +172,11 @@
 
     /// Records that a request was sent over a direct connection.
     pub fn record_send(&mut self, now: Instant, endpoint: SocketAddr) {
+        let cut = self.cut_since;
         let link = self.known.entry(endpoint).or_default();
         link.used = Some(now);
         link.waiting.get_or_insert(now);
+        link.join_cut(cut);
     }
 
     /// Records that bytes arrived over a direct connection that was opened at `opened`. Returns whether the link is
@@ -179,6 +186,7 @@
         let cut = self.cut_since;
         let link = self.known.entry(endpoint).or_default();
         link.waiting = None;
+        link.heard = Some(now);
         link.join_cut(cut);
         if link.lost.is_some_and(|lost| opened < lost) {
             return false;
@@ -198,8 +206,10 @@
     /// Records that a direct connection could not be opened, or broke before its response began.
     pub fn record_failure(&mut self, now: Instant, endpoint: SocketAddr) {
         self.failed = Some(now);
+        let cut = self.cut_since;
         let link = self.known.entry(endpoint).or_default();
         link.used = Some(now);
+        link.join_cut(cut);
         link.failures += 1;
         link.failed = Some(now);
     }
@@ -231,6 +241,7 @@
         link.failed_checks = 0;
         let is_new = link.state != State::Lost;
         link.lose(now);
+        self.not_reached = Some(now);
         let silent = self.heard.is_none_or(|heard| now.duration_since(heard) >= SILENCE);
         let all_known = self.known.values().all(|link| link.state == State::Lost);
         if self.cut_since.is_none() && (self.lost_count() >= LOST_QUORUM && silent || all_known) {
@@ -248,6 +259,7 @@
             return None;
         }
         link.state = State::Unreachable;
+        self.not_reached = Some(now);
         Some(LinkChange::Unreachable)
     }
 
@@ -255,7 +267,7 @@
     pub fn due_checks(&mut self, now: Instant, rng: &mut impl Rng) -> Vec<SocketAddr> {
         let age = |at: Option<Instant>| at.map(|at| now.duration_since(at));
         // While nothing is reached, requests are refused and use no link; what is known must not be found out again.
-        let isolated = self.is_isolated(now);
+        let isolated = self.is_isolated(now) && self.known.values().all(|link| link.state != State::Direct);
         self.known.retain(|_, link| isolated || age(link.used).is_some_and(|age| age < RETENTION));
         if self.known.is_empty() {
             self.cut_since = None;
@@ -270,7 +282,8 @@
                 let is_usual =
                     link.failed.is_none_or(|failed| self.heard.is_some_and(|heard| heard > failed));
                 let failed = link.failures > 1 || (link.failures == 1 && !is_usual);
-                failed || waited >= LINK_SILENCE || (waited >= SILENCE && all_silent)
+                let is_unproven = all_silent && self.not_reached.is_some_and(|at| link.heard < Some(at));
+                failed || is_unproven || waited >= LINK_SILENCE || (waited >= SILENCE && all_silent)
             }
         };
         let doubtful = self.known.iter().filter(|(_, link)| is_doubtful(link) && link.may_check(now));
@@ -342,8 +355,8 @@
     pub fn is_isolated(&self, now: Instant) -> bool {
         let silent = self.heard.is_none_or(|heard| now.duration_since(heard) >= SILENCE);
         let is_reached = |link: &Link| match link.state {
-            State::Direct => true,
-            State::Lost => self.has_peers,
+            State::Direct if self.cut_since.is_none() => true,
+            State::Direct | State::Lost => self.has_peers,
             State::Unreachable => false,
         };
         silent && !self.known.is_empty() && !self.known.values().any(is_reached)
--- a/crates/routing/tests/all/links.rs
+++ b/crates/routing/tests/all/links.rs
@@ -202,6 +202,70 @@
     assert!(!links.is_cut_off());
 }
 
+/// Guards against calls that are sent over dead links for as long as a link is remembered that was used before and not since: nothing
+/// shows that it works.
+#[test]
+fn a_link_that_was_not_tried_does_not_hide_that_nothing_is_reached() {
+    let now = Instant::now();
+    let (mut links, mut rng) = (sound(now, 3), rng());
+    links.record_failure(now + millis(10), endpoint(0));
+    for step in 1..=30 {
+        let at = now + millis(step * 100);
+        for due in links.due_checks(at, &mut rng) {
+            links.record_check(at, due, CheckResult::Neither);
+        }
+    }
+    let at = now + millis(3_000);
+    assert!(links.is_isolated(at), "{} links are unreachable", links.unreachable_count());
+}
+
+/// Guards against checks of links that have answered since another endpoint was found to be down.
+#[test]
+fn an_endpoint_that_is_down_does_not_have_the_others_checked_again_and_again() {
+    let now = Instant::now();
+    let (mut links, mut rng) = (sound(now, 2), rng());
+    let mut checks = 0;
+    for step in 1..=80 {
+        let at = now + millis(step * 100);
+        if step == 1 {
+            links.record_failure(at, endpoint(0));
+        }
+        for due in links.due_checks(at, &mut rng) {
+            let is_down = due == endpoint(0);
+            checks += usize::from(!is_down);
+            links.record_check(at, due, if is_down { CheckResult::Neither } else { CheckResult::Direct });
+        }
+    }
+    assert!(checks <= 2, "{checks} checks of the other endpoint");
+}
+
+/// Guards against calls that are sent in vain, or refused for a wrong reason, because one link that came into use in a cut counts as sound
+/// although no check that fails in a cut says anything else of it.
+#[test]
+fn a_link_that_comes_into_use_in_a_cut_is_lost_with_the_others() {
+    let now = Instant::now();
+    for is_send in [false, true] {
+        let mut links = cut_off(now, 2);
+        links.set_has_peers(false);
+        assert!(links.is_isolated(now + millis(500)));
+        if is_send {
+            links.record_send(now + millis(500), endpoint(7));
+        } else {
+            links.record_failure(now + millis(500), endpoint(7));
+        }
+        assert!(links.is_isolated(now + millis(600)), "sent: {is_send}");
+    }
+}
+
+/// Guards against the same for a link that was in use before the cut.
+#[test]
+fn a_link_that_was_in_use_before_a_cut_is_lost_with_the_others() {
+    let now = Instant::now();
+    let mut links = cut_off(now, 3);
+    links.set_has_peers(false);
+    assert!(links.is_isolated(now + millis(500)));
+}
+
 quickcheck! {
     /// Whatever happens in whatever order, a link is lost only if a peer reached its endpoint, or that of two others, and
     /// nothing has arrived over a new connection since.
