Links: checks are bounded, are not repeated beside themselves, and a late answer counts

After a pause of all endpoints instances could stay without endpoints for good: idle instances opened hundreds of connections a second to endpoints that nothing was wrong with, and refused all callers.

Cause: a check that was not answered within 0.2 s was closed and repeated. An endpoint accepts and reads what was closed as well, so that checks took the time that their successors would have needed, and a later answer was lost. Each check that failed also had three peers open up to five connections each. Nothing in this depended on how many instances there were.

Evidence: routing/tests/all/checks plays instances, in virtual time without a network, before endpoints that take a time for each new connection, one after the other.

Now a check goes on for a late answer (1 s, doubled up to 16 s with each one in a row that had none), which restores the link and leaves its connection to requests; only the verdict of 0.2 s comes as early as before, and later where the endpoint was seen to take longer. A link has one check at a time. Each instance begins checks within its part of 20 connections a second for each endpoint, peers included, with 0.4 s saved up. A peer that is asked for a tunnel makes its own check within its own part, and many that ask wait for one. What a check did not find does not count against an endpoint that was heard since the check began. Checks are no requests: they do not keep an unused link, or raise a doubt.

--- a/crates/forward/src/connection_pool.rs
+++ b/crates/forward/src/connection_pool.rs
@@ -34,6 +34,8 @@
 /// Longest time to open a connection: about a hundred round trips, and shorter than the time after which a
 /// lost SYN packet is retransmitted.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+/// The same for the further attempts of a check.
+const RECONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time without a response after which a request through a peer counts against the peer.
 const SILENT_TUNNEL: Duration = Duration::from_millis(150);
 /// How long an idle connection is kept if the server announces no timeout.
@@ -233,6 +235,9 @@
                 self.put(connection);
                 return Err(ExchangeFailure::Withheld);
             }
+            if let Some(reach) = &connection.reach {
+                reach.record_send(destination.address);
+            }
             match self.send_over(connection, request, condition.ends_with_link).await {
                 Ok(response) => return Ok(response),
                 // The connection was closed before anything was written to it.
@@ -252,9 +257,6 @@
         let size = hyper::body::Body::size_hint(request.body()).exact().unwrap_or(u64::MAX);
         let method = request.method().clone();
         let reach = connection.reach.clone();
-        if let Some(reach) = &reach {
-            reach.record_send(connection.address);
-        }
         let address = connection.address;
         let until_lost = async {
             match &reach {
@@ -345,12 +347,38 @@
         Err(ExchangeFailure::Unsent)
     }
 
+    /// Opens a connection of this instance's own for a check that goes on until then. An attempt that nothing answered is
+    /// repeated: it costs the endpoint nothing, and a lost SYN packet is retransmitted ever more slowly.
+    pub(crate) async fn connect_until(
+        &self,
+        destination: &Destination,
+        until: Instant,
+    ) -> Result<Connection, ExchangeFailure> {
+        let mut timeout = CONNECT_TIMEOUT;
+        loop {
+            let end = until.min(Instant::now() + timeout);
+            match tokio::time::timeout_at(end.into(), sockets::connect(destination.address)).await {
+                Ok(Ok(stream)) => {
+                    let reach = Some(Rc::clone(&self.reach));
+                    return shake_hands(stream, destination.address, Via::Direct, reach).await;
+                }
+                Err(_) if end < until => self.reach.record_failure(destination.address),
+                Ok(Err(_)) | Err(_) => {
+                    self.reach.record_failure(destination.address);
+                    return Err(ExchangeFailure::Unsent);
+                }
+            }
+            timeout = RECONNECT_TIMEOUT;
+        }
+    }
+
     /// Opens a connection through any peer. It counts as a check of the endpoint's link.
     async fn connect_by_tunnel(&self, destination: &Destination) -> Result<Connection, TunnelFailure> {
         let endpoint = destination.endpoint.as_deref().ok_or(TunnelFailure::NoPeer)?;
+        let began = Instant::now();
         match tunnels::open(&self.reach, endpoint).await {
             Ok(stream) => {
-                self.reach.record_check(destination.address, CheckResult::Tunnel);
+                self.reach.record_check(began, destination.address, CheckResult::Tunnel);
                 let via = Via::Peer(stream.peer());
                 let connection = shake_hands(stream, destination.address, via, None).await;
                 connection.map_err(|_| TunnelFailure::NoPeer)
@@ -359,7 +387,7 @@
                 Err(TunnelFailure::NoPeer)
             }
             Err(failure) => {
-                self.reach.record_check(destination.address, CheckResult::Neither);
+                self.reach.record_check(began, destination.address, CheckResult::Neither);
                 Err(failure)
             }
         }
--- a/crates/forward/src/reach.rs
+++ b/crates/forward/src/reach.rs
@@ -14,13 +14,13 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use slog::{debug, info};
-use teaselshunt_routing::{CheckResult, LinkChange, Links, Path, TunnelPeers};
+use teaselshunt_routing::{CheckResult, LinkChange, Links, Path, Probe, TunnelPeers};
 use tokio::sync::Notify;
 
 use crate::connection_pool::Connection;
 use crate::node::{Node, Phase};
 
-/// Longest time for an endpoint's answer to a check over a direct connection.
+/// Longest time for an endpoint's answer that shows whether this instance's links are sound.
 pub(crate) const CHECK_TIMEOUT: Duration = Duration::from_millis(200);
 /// The same through a peer.
 const TUNNEL_CHECK_TIMEOUT: Duration = Duration::from_millis(300);
@@ -58,6 +58,8 @@
     changes: RefCell<Vec<(SocketAddr, LinkChange)>>,
     /// Notified when a link is lost.
     lost: Notify,
+    /// Notified when a check was answered or has ended.
+    checked: Notify,
     /// Number of lost links in the last log line.
     logged: Cell<usize>,
 }
@@ -70,6 +72,7 @@
             rng: RefCell::new(SmallRng::from_os_rng()),
             changes: RefCell::default(),
             lost: Notify::new(),
+            checked: Notify::new(),
             logged: Cell::new(0),
         }
     }
@@ -88,6 +91,7 @@
 
     /// Records that bytes of an endpoint arrived over a direct connection that was opened at `opened`.
     pub(crate) fn record_bytes(&self, endpoint: SocketAddr, opened: Instant) {
+        self.checked.notify_waiters();
         if self.links.borrow_mut().record_bytes(Instant::now(), endpoint, opened) {
             self.changes.borrow_mut().push((endpoint, LinkChange::Restored));
         }
@@ -98,9 +102,9 @@
         self.links.borrow_mut().record_failure(Instant::now(), endpoint);
     }
 
-    /// Records the result of a check, or of an attempt to connect that counts as one.
-    pub(crate) fn record_check(&self, endpoint: SocketAddr, result: CheckResult) {
-        let change = self.links.borrow_mut().record_check(Instant::now(), endpoint, result);
+    /// Records the result of a check that began at `began`, or of an attempt to connect that counts as one.
+    pub(crate) fn record_check(&self, began: Instant, endpoint: SocketAddr, result: CheckResult) {
+        let change = self.links.borrow_mut().record_check_since(began, Instant::now(), endpoint, result);
         if let Some(change) = change {
             self.changes.borrow_mut().push((endpoint, change));
         }
@@ -109,6 +113,35 @@
         }
     }
 
+    /// Records the end of a check.
+    fn end_check(&self, began: Instant, endpoint: SocketAddr, answered: bool) {
+        let (now, rng) = (Instant::now(), &mut *self.rng.borrow_mut());
+        self.links.borrow_mut().end_check(now, endpoint, now - began, answered, rng);
+        self.checked.notify_waiters();
+    }
+
+    /// Begins a check of a link, or joins one that is in progress.
+    fn begin_probe(&self, endpoint: SocketAddr) -> Probe {
+        self.links.borrow_mut().begin_probe(Instant::now(), endpoint, &mut *self.rng.borrow_mut())
+    }
+
+    /// Waits until any of these endpoints is heard, or no check of them is in progress. Returns whether one was heard since
+    /// `since`.
+    async fn until_checked(&self, endpoints: &[SocketAddr], since: Instant) -> bool {
+        loop {
+            let checked = self.checked.notified();
+            let (heard, goes_on) = {
+                let (links, now) = (self.links.borrow(), Instant::now());
+                let heard = endpoints.iter().any(|&endpoint| links.has_heard_since(endpoint, since));
+                (heard, endpoints.iter().any(|&endpoint| links.is_checked(now, endpoint)))
+            };
+            if heard || !goes_on {
+                return heard;
+            }
+            checked.await;
+        }
+    }
+
     /// Waits until the link to an endpoint is lost.
     pub(crate) async fn until_lost(&self, endpoint: SocketAddr) {
         loop {
@@ -154,7 +187,7 @@
     pub(crate) fn is_sound(&self, now: Instant) -> bool {
         let links = self.links.borrow();
         let doubt = links.is_in_doubt(now) && links.doubtful_count(now) >= DOUBTFUL_MIN;
-        !links.is_cut_off() && !doubt
+        !links.is_cut_off() && !links.is_isolated(now) && !doubt
     }
 }
 
@@ -171,9 +204,10 @@
     reach.peers.borrow_mut().expire(now);
     let has_peers = reach.peers.borrow().is_any_usable(now);
     reach.links.borrow_mut().set_has_peers(has_peers);
+    reach.links.borrow_mut().set_instances(node.peer_count.get() + 1);
     let due = reach.links.borrow_mut().due_checks(now, &mut *reach.rng.borrow_mut());
     for endpoint in due {
-        tokio::task::spawn_local(check(Rc::clone(node), endpoint));
+        tokio::task::spawn_local(check(Rc::clone(node), endpoint, Asks::Peers));
     }
     for (address, change) in reach.changes.take() {
         apply_change(node, address, change);
@@ -205,50 +239,108 @@
     }
 }
 
-/// Finds out whether an endpoint answers directly, or else through a peer.
-async fn check(node: Rc<Node>, address: SocketAddr) {
+/// Whom a check asks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Asks {
+    /// The endpoint, and peers if it does not answer.
+    Peers,
+    /// The endpoint alone.
+    Endpoint,
+}
+
+/// Finds out whether an endpoint answers directly, or else through a peer. A check of which nothing is known in time goes on
+/// for a late answer, whose connection is kept for requests.
+async fn check(node: Rc<Node>, address: SocketAddr, asks: Asks) {
     let id = node.state.borrow().endpoints.at_address(address).map(|endpoint| Arc::clone(&endpoint.id));
     let reach = node.pool.reach();
     let Some(id) = id else {
         reach.links.borrow_mut().forget(address);
-        return;
+        return reach.checked.notify_waiters();
     };
     let destination = Destination::endpoint(address, id);
-    let asks_peers = reach.links.borrow().asks_peers(node.now(), address);
+    let (began, times) = (node.now(), reach.links.borrow().check_times(address));
     let was_lost = reach.is_lost(address);
-    if answers_over_own_link(&node, &destination, CHECK_TIMEOUT).await {
-        node.metrics.count_step("check", "direct");
-        return reach.record_check(address, CheckResult::Direct);
+    let conclude = async {
+        if asks == Asks::Peers {
+            conclude(&node, &destination, began, was_lost).await;
+        }
+    };
+    let mut own = std::pin::pin!(answers_over_own_link(&node, &destination, began + times.patience));
+    let (answered, text) = match tokio::time::timeout(times.answer, own.as_mut()).await {
+        Ok(true) => (true, "direct"),
+        Ok(false) => {
+            // The link may be checked again while peers are asked.
+            reach.end_check(began, address, false);
+            return conclude.await;
+        }
+        Err(_) => {
+            let (answered, ()) = tokio::join!(own, conclude);
+            (answered, if answered { "late" } else { "unanswered" })
+        }
+    };
+    node.metrics.count_step("check", text);
+    if answered {
+        reach.record_check(began, address, CheckResult::Direct);
     }
+    reach.end_check(began, address, answered);
+}
+
+/// Finds out what it means that an endpoint does not answer directly.
+async fn conclude(node: &Rc<Node>, destination: &Destination, began: Instant, was_lost: bool) {
     if was_lost {
         // It is known that peers reach the endpoint.
         node.metrics.count_step("check", "lost");
         return;
     }
-    let through_peer = asks_peers && check_through_peers(&node, &destination).await;
+    let (reach, address) = (node.pool.reach(), destination.address);
+    let asks_peers = reach.links.borrow().asks_peers(node.now(), address);
+    let through_peer = asks_peers && check_through_peers(node, destination).await;
     let result = if through_peer { CheckResult::Tunnel } else { CheckResult::Neither };
     node.metrics.count_step("check", if result == CheckResult::Tunnel { "tunnel" } else { "neither" });
-    reach.record_check(address, result);
+    reach.record_check(began, address, result);
+}
+
+/// Whether the endpoint at an address answers a check of this instance itself, one in progress included. Many may wait for
+/// one check.
+pub(crate) async fn answers_soon(node: &Rc<Node>, address: SocketAddr, timeout: Duration) -> bool {
+    let (reach, since) = (node.pool.reach(), node.now());
+    start_probe(node, address);
+    tokio::time::timeout(timeout, reach.until_checked(&[address], since)).await.unwrap_or(false)
 }
 
-/// Whether the endpoint with this id answers this instance itself.
-pub(crate) async fn answers_directly(node: &Node, address: SocketAddr, id: &str, timeout: Duration) -> bool {
-    answers_over_own_link(node, &Destination::endpoint(address, id.into()), timeout).await
+/// Whether any of some other endpoints answers such a check.
+pub(crate) async fn others_answer_soon(node: &Rc<Node>, except: SocketAddr, timeout: Duration) -> bool {
+    let others: Vec<_> = sample_others(node, except).into_iter().map(|other| other.address).collect();
+    let (reach, since) = (node.pool.reach(), node.now());
+    for &other in &others {
+        start_probe(node, other);
+    }
+    let heard = tokio::time::timeout(timeout, reach.until_checked(&others, since)).await;
+    others.is_empty() || heard.unwrap_or(false)
+}
+
+fn start_probe(node: &Rc<Node>, address: SocketAddr) {
+    if node.pool.reach().begin_probe(address) == Probe::Begun {
+        tokio::task::spawn_local(check(Rc::clone(node), address, Asks::Endpoint));
+    }
+}
+
+/// Some endpoints other than the one at this address.
+fn sample_others(node: &Node, except: SocketAddr) -> Vec<Destination> {
+    let state = &mut *node.state.borrow_mut();
+    let others = state.endpoints.sample_open(node.now(), except, CONFIRMING_ENDPOINTS, &mut state.rng);
+    others.into_iter().map(|e| Destination::endpoint(e.address, Arc::clone(&e.id))).collect()
 }
 
 /// Whether any of some endpoints other than the one at this address answers this instance itself, so that the instance's
 /// links are sound. Where there is no other, nothing speaks against them.
 pub(crate) async fn confirms_links(node: &Node, except: SocketAddr, timeout: Duration) -> bool {
-    let others: Vec<_> = {
-        let state = &mut *node.state.borrow_mut();
-        let others = state.endpoints.sample_open(node.now(), except, CONFIRMING_ENDPOINTS, &mut state.rng);
-        others.into_iter().map(|e| Destination::endpoint(e.address, Arc::clone(&e.id))).collect()
-    };
+    let others = sample_others(node, except);
     if others.is_empty() {
         return true;
     }
     let mut asked: FuturesUnordered<_> =
-        others.iter().map(|other| answers_over_own_link(node, other, timeout)).collect();
+        others.iter().map(|other| answers_over_own_link(node, other, node.now() + timeout)).collect();
     while let Some(answered) = asked.next().await {
         if answered {
             return true;
@@ -257,12 +349,10 @@
     false
 }
 
-async fn answers_over_own_link(node: &Node, destination: &Destination, timeout: Duration) -> bool {
-    let until = node.now() + timeout;
-    let connecting = tokio::time::timeout_at(until.into(), node.pool.connect_directly(destination));
-    match connecting.await {
-        Ok(Ok(connection)) => answers(node, destination, connection, until).await,
-        Ok(Err(_)) | Err(_) => false,
+async fn answers_over_own_link(node: &Node, destination: &Destination, until: Instant) -> bool {
+    match node.pool.connect_until(destination, until).await {
+        Ok(connection) => answers(node, destination, connection, until).await,
+        Err(_) => false,
     }
 }
 
@@ -275,6 +365,9 @@
     {
         peers.push(peer);
     }
+    if !peers.is_empty() {
+        peers.truncate(reach.links.borrow_mut().take_peers(peers.len()));
+    }
     let until = node.now() + TUNNEL_CHECK_TIMEOUT;
     let mut asked: FuturesUnordered<_> = peers
         .into_iter()
--- a/crates/forward/src/tunnel_listener.rs
+++ b/crates/forward/src/tunnel_listener.rs
@@ -126,9 +126,8 @@
     let reach = node.pool.reach();
     let mut is_sound = reach.is_sound(node.now());
     // An instance without traffic of its own may have lost its links unnoticed.
-    if !reach.has_heard_lately(node.now()) && !reach::answers_directly(node, address, id, CHECK_TIMEOUT).await
-    {
-        is_sound = reach::confirms_links(node, address, CHECK_TIMEOUT).await;
+    if !reach.has_heard_lately(node.now()) && !reach::answers_soon(node, address, CHECK_TIMEOUT).await {
+        is_sound = reach::others_answer_soon(node, address, CHECK_TIMEOUT).await;
     } else {
         let connecting = tokio::time::timeout(CONNECT_TIMEOUT, sockets::connect(address));
         if let Ok(Ok(endpoint)) = connecting.await {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -35,6 +35,7 @@
 mod budget;
 mod capacity;
 mod changes;
+mod check_budget;
 mod endpoint;
 mod endpoints;
 mod freed;
@@ -77,7 +78,7 @@
 pub use freed::FreedCapacity;
 pub use late_prompts::LatePrompts;
 pub use ledger::{EngineTag, Ledger, LedgerChange, tag};
-pub use links::{CheckResult, LinkChange, Links, Path};
+pub use links::{CheckResult, CheckTimes, LinkChange, Links, Path, Probe};
 pub use memory::{BodyKind, BodyMemory, MemoryFull};
 pub use observations::{Observation, Observations, ResultReport, Results, SLOW_GOAL_FRACTION};
 pub use output_estimate::OutputEstimate;
--- a/crates/routing/src/links.rs
+++ b/crates/routing/src/links.rs
@@ -9,6 +9,10 @@
 //! - a link is lost only while nothing has arrived over a connection that was opened after the loss;
 //! - an endpoint is unreachable only after [`FAILED_CHECKS`] checks in a row that no path answered, and is still asked
 //!   directly as long as any other link works, so that one that is silent for a moment stays in use;
+//! - a check is in progress until it is answered or its patience ends, and is not repeated meanwhile; patience grows with
+//!   each check that was not answered, so that no check asks for an answer sooner than the endpoint can give it;
+//! - checks are begun within a [`CheckBudget`], so that they do not become the load that keeps endpoints from answering;
+//! - nothing that a check did not find counts against an endpoint that was heard since the check began;
 //! - a link counts as working only if it has answered since another one was found not to, or else is checked;
 //! - what is not used any more is forgotten, unless nothing is reached at all, so that the number of links is bounded by
 //!   the endpoints in use.
@@ -19,6 +23,8 @@
 
 use rand::Rng;
 
+use crate::check_budget::CheckBudget;
+
 /// Time without a byte from any endpoint, while a request waits, after which the link of that request is checked.
 const SILENCE: Duration = Duration::from_millis(400);
 /// The same for a link that is silent while others are not: prompts of other requests may be before one.
@@ -46,6 +52,16 @@
 const FAILURE_AGE: Duration = Duration::from_secs(3);
 /// Checks that start at a time.
 const CHECKS_MAX: usize = 4;
+/// Checks in progress at a time.
+const CHECKS_IN_PROGRESS_MAX: usize = 32;
+/// Shortest time without an answer after which a check means that an endpoint does not answer now.
+const ANSWER_TIME_MIN: Duration = Duration::from_millis(200);
+/// Longest such time; requests are not kept from an endpoint for longer than that.
+const ANSWER_TIME_MAX: Duration = Duration::from_secs(8);
+/// Time for which a check waits for a late answer, doubled with each check in a row that had none.
+const PATIENCE_MIN: Duration = Duration::from_secs(1);
+/// Longest time for a late answer.
+const PATIENCE_MAX: Duration = Duration::from_secs(16);
 
 /// How requests reach an endpoint now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -69,6 +85,26 @@
     Neither,
 }
 
+/// Times of a check.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CheckTimes {
+    /// Time without an answer after which the endpoint counts as not answering now, and peers are asked.
+    pub answer: Duration,
+    /// Time for which the check goes on for a late answer.
+    pub patience: Duration,
+}
+
+/// What a request that nothing reaches an endpoint for can wait for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Probe {
+    /// A check that is to be made now.
+    Begun,
+    /// A check that another one has begun.
+    InProgress,
+    /// None: a check has just failed, or others come first.
+    Later,
+}
+
 /// A change of what is known about a link.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LinkChange {
@@ -105,6 +141,12 @@
     failed_checks: u32,
     /// When the next check may start.
     next_check: Option<Instant>,
+    /// Until when a check is in progress.
+    checked_until: Option<Instant>,
+    /// Checks in a row that were never answered.
+    unanswered: u32,
+    /// Time that the endpoint took to answer the last check.
+    answer_time: Duration,
 }
 
 impl Link {
@@ -121,7 +163,23 @@
     }
 
     fn may_check(&self, now: Instant) -> bool {
-        self.next_check.is_none_or(|at| at <= now)
+        self.next_check.is_none_or(|at| at <= now) && !self.is_checked(now)
+    }
+
+    /// Whether a check is in progress.
+    fn is_checked(&self, now: Instant) -> bool {
+        self.checked_until.is_some_and(|until| now < until)
+    }
+
+    fn check_times(&self) -> CheckTimes {
+        let answer = (self.answer_time * 2).clamp(ANSWER_TIME_MIN, ANSWER_TIME_MAX);
+        let patience = PATIENCE_MIN * 2_u32.pow(self.unanswered.min(8));
+        CheckTimes { answer, patience: patience.min(PATIENCE_MAX) }
+    }
+
+    fn begin_check(&mut self, now: Instant) {
+        self.next_check = Some(now + CHECK_PAUSE_MIN);
+        self.checked_until = Some(now + self.check_times().patience);
     }
 }
 
@@ -143,6 +201,7 @@
     has_peers: bool,
     /// When the next request may try an endpoint although nothing was reached.
     next_trial: Option<Instant>,
+    budget: CheckBudget,
 }
 
 impl Links {
@@ -193,6 +252,7 @@
         }
         link.failures = 0;
         link.failed_checks = 0;
+        link.unanswered = 0;
         link.lost = None;
         let restored = link.state != State::Direct;
         link.state = State::Direct;
@@ -208,7 +268,7 @@
         self.failed = Some(now);
         let cut = self.cut_since;
         let link = self.known.entry(endpoint).or_default();
-        link.used = Some(now);
+        link.used.get_or_insert(now);
         link.join_cut(cut);
         link.failures += 1;
         link.failed = Some(now);
@@ -233,6 +293,19 @@
         }
     }
 
+    /// Records the result of a check that began at `began`. Bytes that have arrived since are newer.
+    pub fn record_check_since(
+        &mut self,
+        began: Instant,
+        now: Instant,
+        endpoint: SocketAddr,
+        result: CheckResult,
+    ) -> Option<LinkChange> {
+        let heard = self.known.get(&endpoint).and_then(|link| link.heard);
+        let is_outdated = result != CheckResult::Direct && heard.is_some_and(|heard| heard >= began);
+        if is_outdated { None } else { self.record_check(now, endpoint, result) }
+    }
+
     /// A peer reached an endpoint that did not answer directly.
     fn record_tunnel(&mut self, now: Instant, endpoint: SocketAddr) -> Option<LinkChange> {
         let link = self.known.entry(endpoint).or_default();
@@ -287,16 +360,91 @@
             }
         };
         let doubtful = self.known.iter().filter(|(_, link)| is_doubtful(link) && link.may_check(now));
-        let mut due: Vec<SocketAddr> = doubtful.map(|(&endpoint, _)| endpoint).take(CHECKS_MAX).collect();
+        let doubtful = doubtful.map(|(&endpoint, link)| (link.next_check, rng.random::<u32>(), endpoint));
+        let mut doubtful: Vec<_> = doubtful.collect();
+        doubtful.sort_unstable_by_key(|(since, order, _)| (*since, *order));
+        let mut due: Vec<SocketAddr> = doubtful.into_iter().map(|(.., endpoint)| endpoint).collect();
+        due.truncate(CHECKS_MAX);
         due.extend(self.due_return(now, rng));
-        for endpoint in &due {
-            if let Some(link) = self.known.get_mut(endpoint) {
-                link.next_check = Some(now + CHECK_PAUSE_MIN);
-            }
-        }
+        due.retain(|&endpoint| self.begin_check(now, endpoint, rng));
         due
     }
 
+    /// Begins a check that a request waits for, unless one was made lately. Returns whether one is in progress.
+    pub fn begin_probe(&mut self, now: Instant, endpoint: SocketAddr, rng: &mut impl Rng) -> Probe {
+        if self.is_checked(now, endpoint) {
+            return Probe::InProgress;
+        }
+        let is_due = self.known.get(&endpoint).is_none_or(|link| link.may_check(now));
+        if is_due && self.begin_check(now, endpoint, rng) { Probe::Begun } else { Probe::Later }
+    }
+
+    /// Whether a check of this link is in progress.
+    pub fn is_checked(&self, now: Instant, endpoint: SocketAddr) -> bool {
+        self.known.get(&endpoint).is_some_and(|link| link.is_checked(now))
+    }
+
+    /// Whether bytes have arrived directly from this endpoint since.
+    pub fn has_heard_since(&self, endpoint: SocketAddr, since: Instant) -> bool {
+        self.known.get(&endpoint).and_then(|link| link.heard).is_some_and(|heard| heard >= since)
+    }
+
+    /// Begins a check unless one is in progress, or enough have begun lately. Returns whether it began.
+    pub fn begin_check(&mut self, now: Instant, endpoint: SocketAddr, rng: &mut impl Rng) -> bool {
+        let links = self.known.len();
+        if self.known.get(&endpoint).is_some_and(|link| link.is_checked(now))
+            || self.checks_in_progress(now) >= CHECKS_IN_PROGRESS_MAX
+            || !self.budget.take(now, links, rng)
+        {
+            return false;
+        }
+        let cut = self.cut_since;
+        let link = self.known.entry(endpoint).or_default();
+        link.join_cut(cut);
+        link.begin_check(now);
+        true
+    }
+
+    /// Number of peers, at most `most`, that a check asks.
+    pub fn take_peers(&mut self, most: usize) -> usize {
+        self.budget.take_for_peers(most)
+    }
+
+    /// How long a check of this endpoint waits.
+    pub fn check_times(&self, endpoint: SocketAddr) -> CheckTimes {
+        self.known.get(&endpoint).map_or_else(|| Link::default().check_times(), Link::check_times)
+    }
+
+    /// Records the end of a check that took `time`, and whether it was answered.
+    pub fn end_check(
+        &mut self,
+        now: Instant,
+        endpoint: SocketAddr,
+        time: Duration,
+        answered: bool,
+        rng: &mut impl Rng,
+    ) {
+        let Some(link) = self.known.get_mut(&endpoint) else { return };
+        link.checked_until = None;
+        if answered {
+            link.answer_time = time;
+            return;
+        }
+        let pause = (CHECK_PAUSE_MIN * 2_u32.pow(link.unanswered.min(8))).min(CHECK_PAUSE_MAX);
+        link.unanswered += 1;
+        link.next_check = link.next_check.max(Some(now + pause.mul_f64(rng.random_range(0.75..1.25))));
+    }
+
+    /// Number of checks in progress.
+    pub fn checks_in_progress(&self, now: Instant) -> usize {
+        self.known.values().filter(|link| link.is_checked(now)).count()
+    }
+
+    /// Sets the number of instances, this one included, that check links to the same endpoints.
+    pub fn set_instances(&mut self, instances: usize) {
+        self.budget.set_instances(instances);
+    }
+
     /// A lost link to check for its return.
     fn due_return(&mut self, now: Instant, rng: &mut impl Rng) -> Option<SocketAddr> {
         if self.next_return.is_some_and(|at| now < at) {
--- a/crates/routing/tests/all/main.rs
+++ b/crates/routing/tests/all/main.rs
@@ -5,6 +5,7 @@
 mod budget;
 mod capacity;
 mod changes;
+mod checks;
 mod endpoints;
 mod incarnations;
 mod late_prompts;
