Requests: some wait for a check before they are refused because nothing is reached

While nothing was reached, every caller was refused at once, also one with 20 s left whose endpoint answered again after 0.1 s; and without calls that were kept, only checks could end that state.

Cause: "unreachable" was answered from what earlier checks had (not) found, of any age up to their next one.

Now a request whose deadline leaves 0.3 s starts a check that is due, or joins one in progress, and is served if any endpoint of its service answers within the deadline. Nothing of it is sent before, so that a refusal stays true. Four wait at a time at an instance; all others are refused at once, as is one for which no check is due, so that checks are no more than before.

Failed before: no_links::a_caller_is_served_if_an_endpoint_answers_again_within_the_deadline ("timed out waiting until a call waits": each call was refused within 0.5 s, for 60 s).

--- a/crates/forward/src/reach.rs
+++ b/crates/forward/src/reach.rs
@@ -13,6 +13,7 @@
 use futures_util::stream::FuturesUnordered;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
 use slog::{debug, info};
 use teaselshunt_routing::{CheckResult, LinkChange, Links, Path, Probe, TunnelPeers};
 use tokio::sync::Notify;
@@ -30,6 +31,10 @@
 const HEARD_LATELY: Duration = Duration::from_millis(500);
 /// Endpoints that are asked whether an instance's links are sound; one may be down as well.
 const CONFIRMING_ENDPOINTS: usize = 4;
+/// Requests that wait for a check at a time while nothing is reached.
+const PROBES_MAX: usize = 4;
+/// Time that must be left of a request's deadline when the check that it waits for is answered.
+const PROBE_MARGIN: Duration = Duration::from_millis(300);
 /// Failing links from which an instance that has heard nothing since does not vouch for what it cannot reach.
 const DOUBTFUL_MIN: usize = 2;
 
@@ -60,6 +65,8 @@
     lost: Notify,
     /// Notified when a check was answered or has ended.
     checked: Notify,
+    /// Requests that wait for a check.
+    probes: Cell<usize>,
     /// Number of lost links in the last log line.
     logged: Cell<usize>,
 }
@@ -73,6 +80,7 @@
             changes: RefCell::default(),
             lost: Notify::new(),
             checked: Notify::new(),
+            probes: Cell::new(0),
             logged: Cell::new(0),
         }
     }
@@ -178,6 +186,11 @@
         self.links.borrow_mut().refuses(now, endpoints)
     }
 
+    /// Whether nothing reaches any endpoint that is in use.
+    pub(crate) fn is_isolated(&self, now: Instant) -> bool {
+        self.links.borrow().is_isolated(now)
+    }
+
     /// Whether any endpoint has sent something directly within some request times.
     pub(crate) fn has_heard_lately(&self, now: Instant) -> bool {
         self.links.borrow().has_heard_within(now, HEARD_LATELY)
@@ -325,6 +338,37 @@
     }
 }
 
+/// Waits, for a request that nothing is known to reach an endpoint for, until one of these endpoints answers a check.
+/// Returns whether one did within the deadline. Few requests wait at a time, and each waits only for a check that is due.
+pub(crate) async fn probe(node: &Rc<Node>, endpoints: &[SocketAddr], deadline: Instant) -> bool {
+    let (reach, since) = (node.pool.reach(), node.now());
+    let until = deadline.checked_sub(PROBE_MARGIN).filter(|until| *until > since);
+    let (Some(until), true) = (until, reach.probes.get() < PROBES_MAX) else { return false };
+    let _waiting = WaitingProbe::begin(reach);
+    let chosen = endpoints.choose(&mut *reach.rng.borrow_mut()).copied();
+    if let Some(address) = chosen {
+        start_probe(node, address);
+    }
+    let checked = tokio::time::timeout_at(until.into(), reach.until_checked(endpoints, since)).await;
+    checked.unwrap_or(false)
+}
+
+/// Counts a request that waits for a check until it is dropped.
+struct WaitingProbe(Rc<Reach>);
+
+impl WaitingProbe {
+    fn begin(reach: &Rc<Reach>) -> Self {
+        reach.probes.set(reach.probes.get() + 1);
+        Self(Rc::clone(reach))
+    }
+}
+
+impl Drop for WaitingProbe {
+    fn drop(&mut self) {
+        self.0.probes.set(self.0.probes.get() - 1);
+    }
+}
+
 /// Some endpoints other than the one at this address.
 fn sample_others(node: &Node, except: SocketAddr) -> Vec<Destination> {
     let state = &mut *node.state.borrow_mut();
--- a/crates/forward/src/requests.rs
+++ b/crates/forward/src/requests.rs
@@ -18,6 +18,7 @@
 use crate::body::{CallerConnection, ResponseBody};
 use crate::buffering::{BufferedBytes, CollectError};
 use crate::node::{Job, Node, Phase};
+use crate::reach;
 use crate::refusals::{OTHER_INSTANCE_RETRY, refuse};
 use crate::trace::Trace;
 use crate::{generate, headers, load, plain, reservations};
@@ -163,7 +164,7 @@
         trace.set_fingerprint(job.fingerprint());
         return refuse(node, refusal, trace);
     }
-    if is_unreachable(node, &job) {
+    if is_unreachable(node, &job).await {
         trace.record_step("reach", "any", "unreachable");
         return refuse(node, Refusal::retryable(ErrorKind::NoEndpoint, UNREACHABLE_RETRY), trace);
     }
@@ -172,14 +173,21 @@
     if is_staged { generate::run(node, job, trace).await } else { plain::run(node, job, trace).await }
 }
 
-/// Whether nothing reaches any endpoint of the request's service.
-fn is_unreachable(node: &Node, job: &Job) -> bool {
-    let (now, state) = (node.now(), node.state.borrow());
-    // The first step of a generation needs a decode engine.
-    let first_step = job.service.engine.map(|_| Stage::Decode);
-    let endpoints =
-        state.endpoints.open(now, &job.service.name).filter(|endpoint| endpoint.stage == first_step);
-    node.pool.reach().refuses(now, endpoints.map(|endpoint| endpoint.address))
+/// Whether nothing reaches any endpoint of the request's service. A request waits for a check first, if one is due.
+async fn is_unreachable(node: &Rc<Node>, job: &Job) -> bool {
+    let reach = node.pool.reach();
+    if !reach.is_isolated(node.now()) {
+        return false;
+    }
+    let addresses: Vec<_> = {
+        let (now, state) = (node.now(), node.state.borrow());
+        // The first step of a generation needs a decode engine.
+        let first_step = job.service.engine.map(|_| Stage::Decode);
+        let endpoints = state.endpoints.open(now, &job.service.name);
+        endpoints.filter(|endpoint| endpoint.stage == first_step).map(|endpoint| endpoint.address).collect()
+    };
+    reach.refuses(node.now(), addresses.iter().copied())
+        && !reach::probe(node, &addresses, job.deadline).await
 }
 
 /// Kind of a route, for logs and metrics.
