Links: operators see connections by cause, checks in progress and the last sign of life

An operator could not tell that checks were the load: no metric said who opened connections to endpoints, or how long nothing had been heard.

--- a/crates/forward/src/connection_pool.rs
+++ b/crates/forward/src/connection_pool.rs
@@ -26,7 +26,7 @@
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::task::JoinHandle;
 
-use crate::reach::{Destination, Reach};
+use crate::reach::{Cause, Destination, Reach};
 use crate::response_reader::ResponseReader;
 use crate::sockets;
 use crate::tunnels::{self, TunnelFailure};
@@ -337,6 +337,9 @@
         destination: &Destination,
     ) -> Result<Connection, ExchangeFailure> {
         let reach = destination.endpoint.as_ref().map(|_| Rc::clone(&self.reach));
+        if let Some(reach) = &reach {
+            reach.count_connection(Cause::Request);
+        }
         let connecting = tokio::time::timeout(CONNECT_TIMEOUT, sockets::connect(destination.address));
         if let Ok(Ok(stream)) = connecting.await {
             return shake_hands(stream, destination.address, Via::Direct, reach).await;
@@ -356,6 +359,7 @@
     ) -> Result<Connection, ExchangeFailure> {
         let mut timeout = CONNECT_TIMEOUT;
         loop {
+            self.reach.count_connection(Cause::Check);
             let end = until.min(Instant::now() + timeout);
             match tokio::time::timeout_at(end.into(), sockets::connect(destination.address)).await {
                 Ok(Ok(stream)) => {
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -59,11 +59,16 @@
     pub(crate) unreachable: IntGauge,
     pub(crate) suspected: IntGauge,
     pub(crate) tunnels: IntGauge,
+    pub(crate) checks: IntGauge,
+    /// Time since an endpoint last sent anything directly, in milliseconds.
+    pub(crate) unheard: IntGauge,
+    pub(crate) connections: IntCounterVec,
 }
 
 impl LinkMetrics {
     fn new(
         gauge: &impl Fn(&str, &str) -> Result<IntGauge, prometheus::Error>,
+        counter: &impl Fn(&str, &str, &[&str]) -> Result<IntCounterVec, prometheus::Error>,
     ) -> Result<Self, prometheus::Error> {
         Ok(Self {
             doubtful: gauge(
@@ -80,6 +85,16 @@
                 "Endpoints avoided because peers report that they cannot use them.",
             )?,
             tunnels: gauge("open_tunnels", "Tunnels to endpoints that this instance keeps for peers.")?,
+            checks: gauge("link_checks", "Checks of links to endpoints in progress.")?,
+            unheard: gauge(
+                "endpoints_unheard_milliseconds",
+                "Time since an endpoint last sent anything directly; 0 before the first time.",
+            )?,
+            connections: counter(
+                "endpoint_connections_total",
+                "Attempts to connect to endpoints directly, by cause.",
+                &["cause"],
+            )?,
         })
     }
 }
@@ -221,7 +236,7 @@
                 "Prompt tokens prefilled whose result no response used, by cause.",
                 &["cause"],
             )?,
-            links: LinkMetrics::new(&gauge)?,
+            links: LinkMetrics::new(&gauge, &counter)?,
             streams: StreamMetrics::new(&counter)?,
             response_ends: counter(
                 "response_ends_total",
--- a/crates/forward/src/reach.rs
+++ b/crates/forward/src/reach.rs
@@ -53,6 +53,27 @@
     }
 }
 
+/// Why a connection to an endpoint is opened.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Cause {
+    Request,
+    Check,
+    /// A peer asked for a tunnel.
+    Tunnel,
+}
+
+impl Cause {
+    const ALL: [Self; 3] = [Self::Request, Self::Check, Self::Tunnel];
+
+    const fn text(self) -> &'static str {
+        match self {
+            Self::Request => "request",
+            Self::Check => "check",
+            Self::Tunnel => "tunnel",
+        }
+    }
+}
+
 /// What is known of the ways to endpoints.
 #[derive(Debug)]
 pub(crate) struct Reach {
@@ -69,6 +90,8 @@
     probes: Cell<usize>,
     /// Number of lost links in the last log line.
     logged: Cell<usize>,
+    /// Attempts to connect by cause that are not counted in the metrics yet.
+    connecting: [Cell<u64>; Cause::ALL.len()],
 }
 
 impl Default for Reach {
@@ -82,6 +105,7 @@
             checked: Notify::new(),
             probes: Cell::new(0),
             logged: Cell::new(0),
+            connecting: Default::default(),
         }
     }
 }
@@ -105,6 +129,12 @@
         }
     }
 
+    /// Counts an attempt to connect directly.
+    pub(crate) fn count_connection(&self, cause: Cause) {
+        let count = &self.connecting[cause as usize];
+        count.set(count.get() + 1);
+    }
+
     /// Records that a direct connection could not be opened, or broke before its response began.
     pub(crate) fn record_failure(&self, endpoint: SocketAddr) {
         self.links.borrow_mut().record_failure(Instant::now(), endpoint);
@@ -230,6 +260,12 @@
     node.metrics.links.doubtful.set(doubtful as i64);
     node.metrics.links.lost.set(lost as i64);
     node.metrics.links.unreachable.set(links.unreachable_count() as i64);
+    node.metrics.links.checks.set(links.checks_in_progress(now) as i64);
+    node.metrics.links.unheard.set(links.unheard_time(now).unwrap_or_default().as_millis() as i64);
+    for cause in Cause::ALL {
+        let count = reach.connecting[cause as usize].take();
+        node.metrics.links.connections.with_label_values(&[cause.text()]).inc_by(count);
+    }
     if in_doubt != was_in_doubt || reach.logged.replace(lost) != lost {
         info!(node.log, "links"; "in_doubt" => in_doubt, "doubtful" => doubtful, "lost" => lost,
             "cut_off" => links.is_cut_off());
--- a/crates/forward/src/tunnel_listener.rs
+++ b/crates/forward/src/tunnel_listener.rs
@@ -20,7 +20,7 @@
 use tokio::net::TcpStream;
 
 use crate::node::{Node, Phase};
-use crate::reach::{self, Reach};
+use crate::reach::{self, Cause, Reach};
 use crate::sockets;
 use crate::tunnels::{RECORD_BYTES_MAX, RECORD_HEAD_BYTES, TUNNEL_PROTOCOL, UNREACHABLE_STATUS};
 
@@ -129,6 +129,7 @@
     if !reach.has_heard_lately(node.now()) && !reach::answers_soon(node, address, CHECK_TIMEOUT).await {
         is_sound = reach::others_answer_soon(node, address, CHECK_TIMEOUT).await;
     } else {
+        reach.count_connection(Cause::Tunnel);
         let connecting = tokio::time::timeout(CONNECT_TIMEOUT, sockets::connect(address));
         if let Ok(Ok(endpoint)) = connecting.await {
             return Ok((endpoint, tunnel));
--- a/crates/routing/src/links.rs
+++ b/crates/routing/src/links.rs
@@ -525,6 +525,11 @@
         self.is_cut_off() || failed || waiting.any(is_silent)
     }
 
+    /// Time since anything last arrived directly.
+    pub fn unheard_time(&self, now: Instant) -> Option<Duration> {
+        self.heard.map(|heard| now.saturating_duration_since(heard))
+    }
+
     /// Whether anything has arrived directly within this time.
     pub fn has_heard_within(&self, now: Instant, time: Duration) -> bool {
         self.heard.is_some_and(|heard| now.duration_since(heard) < time)
