Bench: pauses of all endpoints on processes, and what idle instances do afterwards

Tests of one check at a time, of its times, and of verdicts that are older than the last byte (their interface is new; not run before the change).

--- a/crates/bench/src/commands/links.rs
+++ b/crates/bench/src/commands/links.rs
@@ -1,5 +1,7 @@
 //! Measures what callers of instances without links to endpoints see, on real processes before stand-ins.
 
+mod pauses;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -38,11 +40,14 @@
     instances: usize,
     #[options(help = "instances without links; the first ones", default = "2")]
     cut: usize,
-    #[options(help = "reset, silent, one-way or refuses-new", default = "reset")]
+    #[options(
+        help = "reset, silent, one-way, refuses-new, or pause: all endpoints pause",
+        default = "reset"
+    )]
     mode: String,
     #[options(help = "length of the cut in seconds", default = "12")]
     seconds: u64,
-    #[options(help = "calls a second at each instance", default = "12")]
+    #[options(help = "calls a second at each instance, or at all together (pause)", default = "12")]
     rate: u64,
 }
 
@@ -67,7 +72,7 @@
 }
 
 struct Fleet {
-    _endpoints: Vec<SiteEndpoint>,
+    endpoints: Vec<SiteEndpoint>,
     _stores: Vec<Store>,
     _processes: Vec<SiteInstance>,
     links: Vec<Vec<SiteLink>>,
@@ -75,17 +80,24 @@
 }
 
 pub(crate) fn run(arguments: &Arguments) -> Result<(), CommandError> {
+    let is_pause = arguments.mode == "pause";
     let mode = match arguments.mode.as_str() {
         "reset" => LinkMode::Reset,
         "silent" => LinkMode::Silent,
         "one-way" => LinkMode::OneWay,
         "refuses-new" => LinkMode::RefusesNew,
+        "pause" => LinkMode::Open,
         other => return Err(CommandError::Usage(format!("unknown mode \"{other}\""))),
     };
     if arguments.instances == 0 || arguments.instances > 200 || arguments.cut > arguments.instances {
         return Err(CommandError::Usage("expected 1 to 200 instances, and no more of them cut".to_owned()));
     }
-    tokio::runtime::Runtime::new()?.block_on(measure(arguments, mode))
+    let runtime = tokio::runtime::Runtime::new()?;
+    if is_pause {
+        runtime.block_on(pauses::measure(arguments))
+    } else {
+        runtime.block_on(measure(arguments, mode))
+    }
 }
 
 fn options(id: String, stage: Option<&'static str>) -> SiteOptions {
@@ -143,7 +155,7 @@
             links.push(own_links);
             stores.push(store);
         }
-        Ok(Self { _endpoints: endpoints, _stores: stores, _processes: processes, links, callers })
+        Ok(Self { endpoints, _stores: stores, _processes: processes, links, callers })
     }
 }
 
--- a/crates/routing/tests/all/links.rs
+++ b/crates/routing/tests/all/links.rs
@@ -266,6 +266,55 @@
     assert!(links.is_isolated(now + millis(500)));
 }
 
+/// Guards against checks that take the time that an endpoint needs to answer the ones before them.
+#[test]
+fn a_check_is_not_repeated_while_it_is_in_progress() {
+    let now = Instant::now();
+    let (mut links, mut rng) = (sound(now, 1), rng());
+    links.record_failure(now + millis(500), endpoint(0));
+    let at = now + millis(600);
+    assert_eq!(links.due_checks(at, &mut rng), [endpoint(0)]);
+    links.record_check_since(at, at + millis(500), endpoint(0), CheckResult::Neither);
+    assert_eq!(links.due_checks(at + millis(900), &mut rng), []);
+    links.end_check(at + millis(1_000), endpoint(0), millis(1_000), false, &mut rng);
+    assert_eq!(links.due_checks(at + millis(2_000), &mut rng), [endpoint(0)]);
+}
+
+/// Guards against an answer that is never waited for, and against a verdict that comes before a slow endpoint can answer.
+#[test]
+fn a_check_waits_longer_after_one_without_an_answer_and_after_a_late_one() {
+    let now = Instant::now();
+    let (mut links, mut rng) = (sound(now, 1), rng());
+    let mut at = now;
+    for seconds in [1, 2, 4, 8, 16, 16] {
+        let times = links.check_times(endpoint(0));
+        assert_eq!((times.answer, times.patience), (millis(200), Duration::from_secs(seconds)));
+        assert!(links.begin_check(at, endpoint(0), &mut rng));
+        at += times.patience;
+        links.end_check(at, endpoint(0), times.patience, false, &mut rng);
+    }
+    assert!(links.begin_check(at, endpoint(0), &mut rng));
+    links.record_check(at + millis(700), endpoint(0), CheckResult::Direct);
+    links.end_check(at + millis(700), endpoint(0), millis(700), true, &mut rng);
+    let times = links.check_times(endpoint(0));
+    assert_eq!((times.answer, times.patience), (millis(1_400), Duration::from_secs(1)));
+}
+
+/// Guards against an endpoint that counts as unreachable although it was heard while a check waited.
+#[test]
+fn a_check_says_nothing_of_an_endpoint_that_was_heard_since_it_began() {
+    let now = Instant::now();
+    for result in [CheckResult::Neither, CheckResult::Tunnel] {
+        let mut links = sound(now, 1);
+        links.record_bytes(now + millis(300), endpoint(0), now);
+        for _ in 0..3 {
+            let change = links.record_check_since(now + millis(200), now + millis(700), endpoint(0), result);
+            assert_eq!(change, None);
+        }
+        assert_eq!(links.path(now + millis(700), endpoint(0)), Path::Direct);
+    }
+}
+
 quickcheck! {
     /// Whatever happens in whatever order, a link is lost only if a peer reached its endpoint, or that of two others, and
     /// nothing has arrived over a new connection since.
