Links: a check of a link that requests do not use is remembered, and is no sign of anything

A check for a peer's tunnel, or for a request that waits, is often of a link that this instance has not used. Such a link was forgotten in the next round (0.1 s), so that the check could be begun again beside itself and whoever waited for it gave up; and it counted as sound meanwhile, so that an instance that nothing reaches sent calls in vain for the time of the check.

Now a link is kept while it is checked, and only links that requests have used say whether anything is reached.

Failed before: links::a_link_is_not_forgotten_while_it_is_checked (not checked after 0.1 s), links::a_check_of_an_unused_link_is_no_sign_of_anything (not isolated).

--- a/crates/routing/src/links.rs
+++ b/crates/routing/src/links.rs
@@ -340,8 +340,10 @@
     pub fn due_checks(&mut self, now: Instant, rng: &mut impl Rng) -> Vec<SocketAddr> {
         let age = |at: Option<Instant>| at.map(|at| now.duration_since(at));
         // While nothing is reached, requests are refused and use no link; what is known must not be found out again.
-        let isolated = self.is_isolated(now) && self.known.values().all(|link| link.state != State::Direct);
-        self.known.retain(|_, link| isolated || age(link.used).is_some_and(|age| age < RETENTION));
+        let is_sound = |link: &Link| link.used.is_some() && link.state == State::Direct;
+        let isolated = self.is_isolated(now) && !self.known.values().any(is_sound);
+        let is_used = |link: &Link| age(link.used).is_some_and(|age| age < RETENTION);
+        self.known.retain(|_, link| isolated || is_used(link) || link.is_checked(now));
         if self.known.is_empty() {
             self.cut_since = None;
         }
@@ -507,7 +509,9 @@
             State::Direct | State::Lost => self.has_peers,
             State::Unreachable => false,
         };
-        silent && !self.known.is_empty() && !self.known.values().any(is_reached)
+        // What is only checked, for a peer or a request that waits, shows nothing yet.
+        let mut used = self.known.values().filter(|link| link.used.is_some()).peekable();
+        silent && used.peek().is_some() && !used.any(is_reached)
     }
 
     /// Sets whether any peer takes tunnels.
--- a/crates/routing/tests/all/links.rs
+++ b/crates/routing/tests/all/links.rs
@@ -280,6 +280,37 @@
     assert_eq!(links.due_checks(at + millis(2_000), &mut rng), [endpoint(0)]);
 }
 
+/// Guards against checks for peers, of links that this instance does not use, that are begun again and again since the link is forgotten.
+#[test]
+fn a_link_is_not_forgotten_while_it_is_checked() {
+    let (now, mut links, mut rng) = (Instant::now(), Links::default(), rng());
+    assert!(links.begin_check(now, endpoint(0), &mut rng));
+    assert_eq!(links.due_checks(now + millis(100), &mut rng), []);
+    assert!(links.is_checked(now + millis(100), endpoint(0)));
+    assert!(!links.begin_check(now + millis(100), endpoint(0), &mut rng));
+    links.end_check(now + millis(1_000), endpoint(0), millis(1_000), false, &mut rng);
+    assert_eq!(links.due_checks(now + millis(1_500), &mut rng), []);
+    assert!(!links.is_in_doubt(now + millis(1_500)));
+    assert!(links.begin_check(now + millis(1_500), endpoint(0), &mut rng));
+}
+
+/// Guards against calls that are sent in vain, or refused, because a link is being checked that this instance has never used.
+#[test]
+fn a_check_of_an_unused_link_is_no_sign_of_anything() {
+    let (now, mut rng) = (Instant::now(), rng());
+    let mut links = sound(now, 1);
+    for _ in 0..2 {
+        links.record_check(now + millis(500), endpoint(0), CheckResult::Neither);
+    }
+    assert!(links.begin_check(now + millis(500), endpoint(1), &mut rng));
+    assert!(links.is_isolated(now + millis(600)));
+    links.due_checks(now + millis(20_000), &mut rng);
+    assert!(links.is_isolated(now + millis(20_000)));
+    let mut idle = Links::default();
+    assert!(idle.begin_check(now, endpoint(1), &mut rng));
+    assert!(!idle.is_isolated(now + millis(600)));
+}
+
 /// Guards against an answer that is never waited for, and against a verdict that comes before a slow endpoint can answer.
 #[test]
 fn a_check_waits_longer_after_one_without_an_answer_and_after_a_late_one() {
