--- a/crates/forward/src/connection_pool.rs
+++ b/crates/forward/src/connection_pool.rs
@@ -27,7 +27,7 @@
 use tokio::task::JoinHandle;
 
 use crate::bounds::InterimCount;
-use crate::reach::{Destination, Reach};
+use crate::reach::{Cause, Destination, Reach};
 use crate::response_reader::ResponseReader;
 use crate::sockets;
 use crate::tunnels::{self, TunnelFailure};
@@ -35,6 +35,8 @@
 /// Longest time to open a connection: about a hundred round trips, and shorter than the time after which a
 /// lost SYN packet is retransmitted.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+/// The same for the further attempts of a check.
+const RECONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time without a response after which a request through a peer counts against the peer.
 const SILENT_TUNNEL: Duration = Duration::from_millis(150);
 /// How long an idle connection is kept if the server announces no timeout.
@@ -242,6 +244,9 @@
                 self.put(connection);
                 return Err(ExchangeFailure::Withheld);
             }
+            if let Some(reach) = &connection.reach {
+                reach.record_send(destination.address);
+            }
             match self.send_over(connection, request, condition.ends_with_link).await {
                 Ok(response) => return Ok(response),
                 // The connection was closed before anything was written to it.
@@ -261,9 +266,6 @@
         let size = hyper::body::Body::size_hint(request.body()).exact().unwrap_or(u64::MAX);
         let method = request.method().clone();
         let reach = connection.reach.clone();
-        if let Some(reach) = &reach {
-            reach.record_send(connection.address);
-        }
         let address = connection.address;
         let until_lost = async {
             match &reach {
@@ -353,6 +355,9 @@
         destination: &Destination,
     ) -> Result<Connection, ExchangeFailure> {
         let reach = destination.endpoint.as_ref().map(|_| Rc::clone(&self.reach));
+        if let Some(reach) = &reach {
+            reach.count_connection(Cause::Request);
+        }
         let connecting = tokio::time::timeout(CONNECT_TIMEOUT, sockets::connect(destination.address));
         if let Ok(Ok(stream)) = connecting.await {
             return shake_hands(stream, destination.address, Via::Direct, reach).await;
@@ -363,12 +368,39 @@
         Err(ExchangeFailure::Unsent)
     }
 
+    /// Opens a connection of this instance's own for a check that goes on until then. An attempt that nothing answered is
+    /// repeated: it costs the endpoint nothing, and a lost SYN packet is retransmitted ever more slowly.
+    pub(crate) async fn connect_until(
+        &self,
+        destination: &Destination,
+        until: Instant,
+    ) -> Result<Connection, ExchangeFailure> {
+        let mut timeout = CONNECT_TIMEOUT;
+        loop {
+            self.reach.count_connection(Cause::Check);
+            let end = until.min(Instant::now() + timeout);
+            match tokio::time::timeout_at(end.into(), sockets::connect(destination.address)).await {
+                Ok(Ok(stream)) => {
+                    let reach = Some(Rc::clone(&self.reach));
+                    return shake_hands(stream, destination.address, Via::Direct, reach).await;
+                }
+                Err(_) if end < until => self.reach.record_failure(destination.address),
+                Ok(Err(_)) | Err(_) => {
+                    self.reach.record_failure(destination.address);
+                    return Err(ExchangeFailure::Unsent);
+                }
+            }
+            timeout = RECONNECT_TIMEOUT;
+        }
+    }
+
     /// Opens a connection through any peer. It counts as a check of the endpoint's link.
     async fn connect_by_tunnel(&self, destination: &Destination) -> Result<Connection, TunnelFailure> {
         let endpoint = destination.endpoint.as_deref().ok_or(TunnelFailure::NoPeer)?;
+        let began = Instant::now();
         match tunnels::open(&self.reach, endpoint).await {
             Ok(stream) => {
-                self.reach.record_check(destination.address, CheckResult::Tunnel);
+                self.reach.record_check(began, destination.address, CheckResult::Tunnel);
                 let via = Via::Peer(stream.peer());
                 let connection = shake_hands(stream, destination.address, via, None).await;
                 connection.map_err(|_| TunnelFailure::NoPeer)
@@ -377,7 +409,7 @@
                 Err(TunnelFailure::NoPeer)
             }
             Err(failure) => {
-                self.reach.record_check(destination.address, CheckResult::Neither);
+                self.reach.record_check(began, destination.address, CheckResult::Neither);
                 Err(failure)
             }
         }
--- a/crates/forward/src/tunnel_listener.rs
+++ b/crates/forward/src/tunnel_listener.rs
@@ -21,7 +21,7 @@
 
 use crate::node::Node;
 use crate::phase::Phase;
-use crate::reach::{self, Reach};
+use crate::reach::{self, Cause, Reach};
 use crate::sockets;
 use crate::tunnels::{RECORD_BYTES_MAX, RECORD_HEAD_BYTES, TUNNEL_PROTOCOL, UNREACHABLE_STATUS};
 
@@ -127,10 +127,10 @@
     let reach = node.pool.reach();
     let mut is_sound = reach.is_sound(node.now());
     // An instance without traffic of its own may have lost its links unnoticed.
-    if !reach.has_heard_lately(node.now()) && !reach::answers_directly(node, address, id, CHECK_TIMEOUT).await
-    {
-        is_sound = reach::confirms_links(node, address, CHECK_TIMEOUT).await;
+    if !reach.has_heard_lately(node.now()) && !reach::answers_soon(node, address, CHECK_TIMEOUT).await {
+        is_sound = reach::others_answer_soon(node, address, CHECK_TIMEOUT).await;
     } else {
+        reach.count_connection(Cause::Tunnel);
         let connecting = tokio::time::timeout(CONNECT_TIMEOUT, sockets::connect(address));
         if let Ok(Ok(endpoint)) = connecting.await {
             return Ok((endpoint, tunnel));
--- a/crates/routing/tests/all/links.rs
+++ b/crates/routing/tests/all/links.rs
@@ -202,6 +202,150 @@
     assert!(!links.is_cut_off());
 }
 
+/// Guards against calls that are sent over dead links for as long as a link is remembered that was used before and not since: nothing
+/// shows that it works.
+#[test]
+fn a_link_that_was_not_tried_does_not_hide_that_nothing_is_reached() {
+    let now = Instant::now();
+    let (mut links, mut rng) = (sound(now, 3), rng());
+    links.record_failure(now + millis(10), endpoint(0));
+    for step in 1..=30 {
+        let at = now + millis(step * 100);
+        for due in links.due_checks(at, &mut rng) {
+            links.record_check(at, due, CheckResult::Neither);
+        }
+    }
+    let at = now + millis(3_000);
+    assert!(links.is_isolated(at), "{} links are unreachable", links.unreachable_count());
+}
+
+/// Guards against checks of links that have answered since another endpoint was found to be down.
+#[test]
+fn an_endpoint_that_is_down_does_not_have_the_others_checked_again_and_again() {
+    let now = Instant::now();
+    let (mut links, mut rng) = (sound(now, 2), rng());
+    let mut checks = 0;
+    for step in 1..=80 {
+        let at = now + millis(step * 100);
+        if step == 1 {
+            links.record_failure(at, endpoint(0));
+        }
+        for due in links.due_checks(at, &mut rng) {
+            let is_down = due == endpoint(0);
+            checks += usize::from(!is_down);
+            links.record_check(at, due, if is_down { CheckResult::Neither } else { CheckResult::Direct });
+        }
+    }
+    assert!(checks <= 2, "{checks} checks of the other endpoint");
+}
+
+/// Guards against calls that are sent in vain, or refused for a wrong reason, because one link that came into use in a cut counts as sound
+/// although no check that fails in a cut says anything else of it.
+#[test]
+fn a_link_that_comes_into_use_in_a_cut_is_lost_with_the_others() {
+    let now = Instant::now();
+    for is_send in [false, true] {
+        let mut links = cut_off(now, 2);
+        links.set_has_peers(false);
+        assert!(links.is_isolated(now + millis(500)));
+        if is_send {
+            links.record_send(now + millis(500), endpoint(7));
+        } else {
+            links.record_failure(now + millis(500), endpoint(7));
+        }
+        assert!(links.is_isolated(now + millis(600)), "sent: {is_send}");
+    }
+}
+
+/// Guards against the same for a link that was in use before the cut.
+#[test]
+fn a_link_that_was_in_use_before_a_cut_is_lost_with_the_others() {
+    let now = Instant::now();
+    let mut links = cut_off(now, 3);
+    links.set_has_peers(false);
+    assert!(links.is_isolated(now + millis(500)));
+}
+
+/// Guards against checks that take the time that an endpoint needs to answer the ones before them.
+#[test]
+fn a_check_is_not_repeated_while_it_is_in_progress() {
+    let now = Instant::now();
+    let (mut links, mut rng) = (sound(now, 1), rng());
+    links.record_failure(now + millis(500), endpoint(0));
+    let at = now + millis(600);
+    assert_eq!(links.due_checks(at, &mut rng), [endpoint(0)]);
+    links.record_check_since(at, at + millis(500), endpoint(0), CheckResult::Neither);
+    assert_eq!(links.due_checks(at + millis(900), &mut rng), []);
+    links.end_check(at + millis(1_000), endpoint(0), millis(1_000), false, &mut rng);
+    assert_eq!(links.due_checks(at + millis(2_000), &mut rng), [endpoint(0)]);
+}
+
+/// Guards against checks for peers, of links that this instance does not use, that are begun again and again since the link is forgotten.
+#[test]
+fn a_link_is_not_forgotten_while_it_is_checked() {
+    let (now, mut links, mut rng) = (Instant::now(), Links::default(), rng());
+    assert!(links.begin_check(now, endpoint(0), &mut rng));
+    assert_eq!(links.due_checks(now + millis(100), &mut rng), []);
+    assert!(links.is_checked(now + millis(100), endpoint(0)));
+    assert!(!links.begin_check(now + millis(100), endpoint(0), &mut rng));
+    links.end_check(now + millis(1_000), endpoint(0), millis(1_000), false, &mut rng);
+    assert_eq!(links.due_checks(now + millis(1_500), &mut rng), []);
+    assert!(!links.is_in_doubt(now + millis(1_500)));
+    assert!(links.begin_check(now + millis(1_500), endpoint(0), &mut rng));
+}
+
+/// Guards against calls that are sent in vain, or refused, because a link is being checked that this instance has never used.
+#[test]
+fn a_check_of_an_unused_link_is_no_sign_of_anything() {
+    let (now, mut rng) = (Instant::now(), rng());
+    let mut links = sound(now, 1);
+    for _ in 0..2 {
+        links.record_check(now + millis(500), endpoint(0), CheckResult::Neither);
+    }
+    assert!(links.begin_check(now + millis(500), endpoint(1), &mut rng));
+    assert!(links.is_isolated(now + millis(600)));
+    links.due_checks(now + millis(20_000), &mut rng);
+    assert!(links.is_isolated(now + millis(20_000)));
+    let mut idle = Links::default();
+    assert!(idle.begin_check(now, endpoint(1), &mut rng));
+    assert!(!idle.is_isolated(now + millis(600)));
+}
+
+/// Guards against an answer that is never waited for, and against a verdict that comes before a slow endpoint can answer.
+#[test]
+fn a_check_waits_longer_after_one_without_an_answer_and_after_a_late_one() {
+    let now = Instant::now();
+    let (mut links, mut rng) = (sound(now, 1), rng());
+    let mut at = now;
+    for seconds in [1, 2, 4, 8, 16, 16] {
+        let times = links.check_times(endpoint(0));
+        assert_eq!((times.answer, times.patience), (millis(200), Duration::from_secs(seconds)));
+        assert!(links.begin_check(at, endpoint(0), &mut rng));
+        at += times.patience;
+        links.end_check(at, endpoint(0), times.patience, false, &mut rng);
+    }
+    assert!(links.begin_check(at, endpoint(0), &mut rng));
+    links.record_check(at + millis(700), endpoint(0), CheckResult::Direct);
+    links.end_check(at + millis(700), endpoint(0), millis(700), true, &mut rng);
+    let times = links.check_times(endpoint(0));
+    assert_eq!((times.answer, times.patience), (millis(1_400), Duration::from_secs(1)));
+}
+
+/// Guards against an endpoint that counts as unreachable although it was heard while a check waited.
+#[test]
+fn a_check_says_nothing_of_an_endpoint_that_was_heard_since_it_began() {
+    let now = Instant::now();
+    for result in [CheckResult::Neither, CheckResult::Tunnel] {
+        let mut links = sound(now, 1);
+        links.record_bytes(now + millis(300), endpoint(0), now);
+        for _ in 0..3 {
+            let change = links.record_check_since(now + millis(200), now + millis(700), endpoint(0), result);
+            assert_eq!(change, None);
+        }
+        assert_eq!(links.path(now + millis(700), endpoint(0)), Path::Direct);
+    }
+}
+
 quickcheck! {
     /// Whatever happens in whatever order, a link is lost only if a peer reached its endpoint, or that of two others, and
     /// nothing has arrived over a new connection since.
