Crashes: an instance that has never heard an endpoint does not take the loss of its own links for crashes

Cause: whoever knew no peers counted each endpoint that refused connections as crashed, since nobody could contradict. An instance that has just started knows none either, and three such crashes quarantine the request everywhere.

Now that holds for an instance that has heard an endpoint, so that it has had links.

--- a/crates/forward/src/crashes.rs
+++ b/crates/forward/src/crashes.rs
@@ -162,8 +162,10 @@
     let has_crashed = match (reachability, &live) {
         (Reachability::Reachable, _) | (Reachability::Unknown, None) => false,
         (Reachability::Unreachable, _) => true,
-        // Without peers there is nobody to contradict the instance.
-        (Reachability::Unknown, Some(_)) if node.peer_count.get() == 0 => true,
+        // Without peers there is nobody to contradict an instance that has had links.
+        (Reachability::Unknown, Some(_)) if node.peer_count.get() == 0 && node.pool.reach().has_heard() => {
+            true
+        }
         (Reachability::Unknown, Some((address, ..))) => {
             reach::confirms_links(&node, *address, CHECK_TIMEOUT).await
         }
--- a/crates/forward/src/reach.rs
+++ b/crates/forward/src/reach.rs
@@ -222,6 +222,11 @@
         self.links.borrow().is_isolated(now)
     }
 
+    /// Whether any endpoint has ever sent something directly, so that this instance has had links.
+    pub(crate) fn has_heard(&self) -> bool {
+        self.links.borrow().has_heard()
+    }
+
     /// Whether any endpoint has sent something directly within some request times.
     pub(crate) fn has_heard_lately(&self, now: Instant) -> bool {
         self.links.borrow().has_heard_within(now, HEARD_LATELY)
--- a/crates/routing/src/links.rs
+++ b/crates/routing/src/links.rs
@@ -534,6 +534,11 @@
         self.heard.map(|heard| now.saturating_duration_since(heard))
     }
 
+    /// Whether any endpoint has ever sent something directly.
+    pub fn has_heard(&self) -> bool {
+        self.heard.is_some()
+    }
+
     /// Whether anything has arrived directly within this time.
     pub fn has_heard_within(&self, now: Instant, time: Duration) -> bool {
         self.heard.is_some_and(|heard| now.duration_since(heard) < time)
