Callers' connections: a head that arrived with the request before it is kept

What callers saw: a caller whose next request had begun to arrive in the same read as the one before found its connection closed when the instance stopped or the idle time was over, and got no response to it.

Cause: the library read the first bytes of the next request with the request before it. Bytes that arrive while a request is in progress do not count as the begin of the next one, so that the connection counted as idle after the response, and `graceful_shutdown` of an idle connection drops what the library has read.

Evidence: caller_connections::a_head_that_arrives_with_the_request_before_it_is_answered failed before (`None` instead of 200, after idle connections were closed by a stop).

Fix: before an idle connection ends, the library is set up again, as for a new limit of a head. It hands back what it has read. If that is the begin of a request, the connection is receiving, with the times of a head; otherwise it ends as before. An idle connection has nothing left to write.

--- a/crates/forward/src/caller_connection.rs
+++ b/crates/forward/src/caller_connection.rs
@@ -3,6 +3,7 @@
 //! How long a connection is kept follows the configuration in force, so that callers may rely on what it says, whenever they
 //! connected. The library's own time limits are fixed for a connection and are not used. Its limit of a head is fixed as well, so
 //! that the library is set up again before the first request after that limit has changed, when it has nothing left to write.
+//! Before an idle connection ends, the library hands back what it has read, which may be the begin of a request.
 
 use std::future::poll_fn;
 use std::pin::{Pin, pin};
@@ -11,7 +12,7 @@
 use std::task::{Context, Poll, ready};
 use std::time::{Duration, Instant};
 
-use hyper::server::conn::http1;
+use hyper::server::conn::http1::{self, Parts};
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use slog::{debug, info};
@@ -66,12 +67,12 @@
         async move { served.await.map(|response| response.map(|body| TrackedBody::new(body, activity))) }
     });
     let stream = CallerStream::new(stream, Rc::clone(&caller), Rc::clone(&activity), Rc::clone(&limits));
-    let set_up = |stream: CallerStream, service| {
+    let set_up = |(stream, service): (CallerStream, _)| {
         let bytes = stream.head_bytes().saturating_mul(2);
         let mut library = http1::Builder::new();
         library.header_read_timeout(None).max_buf_size(bytes).serve_connection(TokioIo::new(stream), service)
     };
-    let mut connection = set_up(stream, service);
+    let mut connection = set_up((stream, service));
     let mut closing = pin!(phase::reached(node.phase.subscribe(), Phase::Closing));
     let mut times = Times::new(Rc::clone(node), limits, Rc::clone(&activity));
     loop {
@@ -79,19 +80,22 @@
             // Bytes that have arrived are read before the connection is closed.
             biased;
             result = Pin::new(&mut connection) => return End::Closed(result),
-            () = activity.renewal() => {
-                let parts = connection.into_parts();
-                let mut stream = parts.io.into_inner();
-                stream.renew(parts.read_buf);
-                connection = set_up(stream, parts.service);
-            }
+            () = activity.renewal() => connection = set_up(renewed(connection.into_parts())),
             () = caller.overdue() => return End::Unread,
             () = &mut closing, if times.closing.is_none() => times.close(),
             expired = times.expired() => match expired {
                 // The connection is polled again, and reads what the kernel has.
                 _ if !activity.ask_kernel(true) => {}
                 Activity::Receiving(_) => return End::Incomplete,
-                Activity::Idle(_) | Activity::Serving => {
+                Activity::Idle(_) => {
+                    // The library would drop what it has read of the next request together with the one before.
+                    connection = set_up(renewed(connection.into_parts()));
+                    if activity.is_idle() {
+                        times.ended = true;
+                        Pin::new(&mut connection).graceful_shutdown();
+                    }
+                }
+                Activity::Serving => {
                     times.ended = true;
                     Pin::new(&mut connection).graceful_shutdown();
                 }
@@ -100,6 +104,13 @@
     }
 }
 
+/// The stream and the service of an idle connection whose library is set up again.
+fn renewed<S>(parts: Parts<TokioIo<CallerStream>, S>) -> (CallerStream, S) {
+    let mut stream = parts.io.into_inner();
+    stream.renew(parts.read_buf);
+    (stream, parts.service)
+}
+
 /// The times after which a connection ends.
 struct Times {
     node: Rc<Node>,
--- a/crates/forward/src/caller_stream.rs
+++ b/crates/forward/src/caller_stream.rs
@@ -46,6 +46,7 @@
 
     /// Prepares the stream for a library that is set up again with the limit in force. `unread` is read first.
     pub(crate) fn renew(&mut self, unread: Bytes) {
+        self.activity.read(&unread);
         self.head_bytes = self.limits.head_bytes();
         self.unread = unread;
     }
