Streams: a run that was refused while another engine was awaited is no attempt

What callers saw: a stream broke off (`resume@any=attempts`) although its route allows a further attempt and another engine was free.

Cause: a request is sent to a second engine while its first one is silent before the first event. If the first one then states that it has not run the request, and the second one responds first, the refused run stayed in the count of runs. On a route with two attempts, the stream had none left when its only run broke. The refused run was also counted a second time as a failure of its engine.

Evidence: silence::a_run_that_was_refused_during_a_search_is_no_attempt failed before (the response ended without its last chunk), and passes now with the other tests of `silence`.

Fix: how the run has failed is passed on with the response that replaces it. A run that its engine has not begun is taken back from the count, as where the run ends without a search, and a run that has failed counts once.

--- a/crates/forward/src/generate.rs
+++ b/crates/forward/src/generate.rs
@@ -214,7 +214,7 @@
         let interrupted = Interrupted { job, trace, runs };
         let result = match run_at(node, interrupted, &reserved, &prompt, after).await {
             FirstEvent::Answered(result) => result,
-            FirstEvent::Replaced(started) => {
+            FirstEvent::Replaced(started, _) => {
                 prompt.mark_wasted(WasteCause::EngineLost);
                 return Ok(started);
             }
@@ -342,8 +342,8 @@
 /// How the wait for the first event of a run ended.
 enum FirstEvent {
     Answered(Result<Answer, StepFailure>),
-    /// Another engine has responded first.
-    Replaced(Started),
+    /// Another engine has responded first, perhaps after the run had failed.
+    Replaced(Started, Option<StepFailure>),
 }
 
 /// Sends a generation to the engine with the reservation, and waits for the first event.
@@ -362,7 +362,12 @@
     let run = decode(node, job, reserved, prompt, after);
     let result = match first_event(node, interrupted, after, reserved.endpoint, run).await {
         FirstEvent::Answered(result) => result,
-        replaced @ FirstEvent::Replaced(_) => return replaced,
+        FirstEvent::Replaced(started, failure) => {
+            if failure.is_some_and(|failure| !failure.may_have_run()) {
+                run_count.undo();
+            }
+            return FirstEvent::Replaced(started, failure);
+        }
     };
     let sent_at = guard.ended();
     drop(local_prefill);
@@ -410,9 +415,12 @@
             found = resume::found(&mut search) => {
                 resume::count(node, "first_event", resume::outcome(&found));
                 match (found, failure) {
-                    (Ok(started), _) => {
-                        node.observe_outcome(job, engine, StepOutcome::Failed);
-                        return FirstEvent::Replaced(*started);
+                    (Ok(started), failure) => {
+                        // A run that has failed was counted as that.
+                        if failure.is_none() {
+                            node.observe_outcome(job, engine, StepOutcome::Failed);
+                        }
+                        return FirstEvent::Replaced(*started, failure);
                     }
                     (Err(_), Some(failed)) => return FirstEvent::Answered(Err(failed)),
                     (Err(_), None) => watch.disable(),
