Own interface: HTTP/2 is refused

What callers saw: requests that shared a connection of HTTP/2 with a stream got no response when that stream ended at its deadline or broke: their connection ended.

Cause: the HTTP server also accepts HTTP/2 from callers that begin with it. A response that cannot be completed ends its connection (`AbortHandle`), unread responses are cut with it, and a caller has left when its connection has ended. All of this holds only where a connection has one request at a time.

Evidence: http2::a_truncated_stream_takes_no_other_request_with_it failed before (the connection ended 1.8 s after the start, with a stream whose deadline is 1.5 s, before the response to a request whose deadline is 4 s). With the fix `http2`, `deadlines`, `input` and `responses` pass.

Fix: a request over HTTP/2 is refused as not run, with 400, on the path that all requests take.

--- a/crates/daemon/src/callers/front.rs
+++ b/crates/daemon/src/callers/front.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use poem::error::ReadBodyError;
+use poem::http::Version;
 use poem::{Body, EndpointExt, Request, Response, Route, Server, get, post};
 use teaselshunt_core::{ErrorKind, Refusal};
 use teaselshunt_settings::Limits;
@@ -70,6 +71,11 @@
     where
         F: Future<Output = Result<Response, RefusalResponse>>,
     {
+        if request.version() > Version::HTTP_11 {
+            // A response that fails ends its connection, and other requests would share it.
+            let refusal = RefusalResponse::new(ErrorKind::Invalid, "HTTP/2 is not served, use HTTP/1.1");
+            return refusal.into_response();
+        }
         let allowed = match stated_deadline(request.headers()) {
             Ok(stated) => stated.unwrap_or(Duration::from_millis(self.limits.deadline_ms)),
             Err(refusal) => return refusal.into_response(),
--- a/crates/daemon/tests/all/main.rs
+++ b/crates/daemon/tests/all/main.rs
@@ -9,6 +9,7 @@
 mod configuration;
 mod deadlines;
 mod endless;
+mod http2;
 mod input;
 mod keys;
 mod path;
