Core: a search beside a run holds up no other request

What callers saw: an instance that chooses engines itself, since the owner of the pool does not answer, refused new requests after their wait although an engine had free slots.

Cause: a search for another engine waits at the front of the queue, and leaves out the engine of its kept run. Where only that engine takes work, the search cannot start, and a queue serves no request before its first one. Since streams that have begun wait until their deadline, so did all requests behind one.

Evidence: kept_runs::a_search_for_another_engine_holds_up_no_other_request failed before: with free slots at the engine of the kept run alone, a new request had no prefill within a second.

Fix: a search that cannot start ends if the engine of its kept run has slots. The kept run goes on alone, and its next stall begins another search, as after any search without success. A search waits on where no engine has slots, since nobody waits behind it for any.

--- a/crates/core/src/kept_runs.rs
+++ b/crates/core/src/kept_runs.rs
@@ -9,14 +9,18 @@
 //!   has, and nothing of the kept run is passed on any more.
 //!
 //! An attempt that fails, or that gets no slots, leaves the kept run as it was. The next stall begins another one
-//! if the request may be attempted again.
+//! if the request may be attempted again. A search that this instance cannot start, because only the engine of the kept
+//! run has slots, ends, so that the requests behind it get these.
 //!
 //! The owner of the pool knows one lease a request, which the attempt needs. The slot of a kept run is counted
 //! there by the load reports of its engine.
 
 use std::time::Instant;
 
+use teaselshunt_settings::Role;
+
 use crate::AttemptId;
+use crate::endpoints::Need;
 use crate::event::{Effect, StepFailure};
 use crate::ids::{EndpointKey, RequestKey};
 use crate::instance::Instance;
@@ -65,6 +69,16 @@
         true
     }
 
+    /// Whether a search that finds no slots leaves some out, at the engine of the kept run. Others must not wait behind it.
+    pub(crate) fn leaves_out_room(&mut self, now: Instant, key: RequestKey) -> bool {
+        if self.requests.get(key).kept.is_none() || self.choose_endpoint(now, key, Role::Decode).is_some() {
+            return false;
+        }
+        let (pool, domain) = (&self.requests.get(key).pool, &self.identity.domain);
+        let need = Need { pool, role: Role::Decode, domain, tried: &[], max_load_percent: 100 };
+        self.endpoints.choose(now, &need, &mut self.rng).is_some()
+    }
+
     /// Gives the request back to its kept run. The attempt that sought another engine holds nothing any more.
     /// `false` if no run is kept.
     pub(crate) fn continue_kept_run(&mut self, key: RequestKey, out: &mut Vec<Effect>) -> bool {
--- a/crates/core/src/lifecycle.rs
+++ b/crates/core/src/lifecycle.rs
@@ -110,6 +110,9 @@
     pub(crate) fn start_queued(&mut self, now: Instant, pool: &str, out: &mut Vec<Effect>) {
         while let Some(key) = self.queues.get(pool).and_then(Queue::peek) {
             if !self.start(now, key, out) {
+                if self.leaves_out_room(now, key) {
+                    self.end_search(now, key, out);
+                }
                 return;
             }
             let teams = self.versions.current().map(|c| c.teams.as_slice()).unwrap_or_default();
--- a/crates/core/tests/all/kept_runs.rs
+++ b/crates/core/tests/all/kept_runs.rs
@@ -7,7 +7,7 @@
     Ticket,
 };
 
-use teaselshunt_settings::Role;
+use teaselshunt_settings::{EndpointState, Role};
 
 use crate::support::{SingleInstance, import, prefill};
 
@@ -47,7 +47,10 @@
 impl SilentStream {
     /// A stream that was resumed at its engine and has stalled again.
     fn start() -> Self {
-        let mut instance = SingleInstance::start();
+        Self::start_at(SingleInstance::start())
+    }
+
+    fn start_at(mut instance: SingleInstance) -> Self {
         let attempt = instance.arrive(1);
         instance.step(Event::Prefilled { attempt, bytes: 1, cached: 0 });
         let effects = instance.step(Event::Imported { attempt });
@@ -286,3 +289,30 @@
         assert!(own(&effects), "the deadline ends it");
     }
 }
+
+/// Guards against requests that are refused behind a search, although the engine of the kept run, which the search leaves out, has
+/// room for them. The instance chooses engines itself, as it does while the owner of a pool does not answer.
+#[test]
+fn a_search_for_another_engine_holds_up_no_other_request() {
+    let mut stream = SilentStream::start_at(SingleInstance::choosing());
+    let (kept, engine) = (stream.attempt, stream.engine);
+    // Work moves to another site, and only the engine of the stream takes new work.
+    stream.instance.change(|c| {
+        for endpoint in c.endpoints.iter_mut().filter(|e| e.role == Role::Decode) {
+            if EndpointId::of(&endpoint.name) != engine {
+                endpoint.state = EndpointState::Draining;
+            }
+        }
+    });
+    let report = EngineLoad::default();
+    stream.instance.step(Event::Reported { endpoint: engine, report });
+    let effects = stream.stall(kept);
+    assert!(!cancels(&effects, kept) && refusal(&effects).is_none(), "{effects:?}");
+    let mut effects = stream.instance.ask(2, Fingerprint(2));
+    for _ in 0..20 {
+        stream.instance.pass(Duration::from_millis(50));
+        effects.extend(stream.instance.step(Event::Tick));
+    }
+    let begins = |e: &Effect| matches!(e, Effect::Prefill { ticket: Ticket(2), .. });
+    assert!(effects.iter().any(begins), "{effects:?}");
+}
--- a/crates/core/tests/all/support.rs
+++ b/crates/core/tests/all/support.rs
@@ -5,7 +5,8 @@
 
 use teaselshunt_core::{
     AttemptId, ConfigurationCandidate, Effect, EndpointId, EngineLoad, Event, Fingerprint, Generate,
-    Heartbeat, Identity, Instance, InstanceEntry, InstanceId, InstanceList, Message, Source, Ticket, Work,
+    Heartbeat, Identity, Instance, InstanceEntry, InstanceId, InstanceList, Message, Placement, Source,
+    Ticket, Work,
 };
 use teaselshunt_settings::{Configuration, parse_configuration};
 
@@ -24,16 +25,21 @@
 
 impl SingleInstance {
     pub(crate) fn start() -> Self {
-        Self::started_with(Vec::new())
+        Self::started_with(Vec::new(), Placement::Owner)
+    }
+
+    /// An instance that chooses endpoints itself.
+    pub(crate) fn choosing() -> Self {
+        Self::started_with(Vec::new(), Placement::TwoChoices)
     }
 
     /// An instance that is the only one in the list, also before its start.
     pub(crate) fn only_listed() -> Self {
-        Self::started_with(vec![entry("osborne-1", "osborne", 1)])
+        Self::started_with(vec![entry("osborne-1", "osborne", 1)], Placement::Owner)
     }
 
     /// An instance whose first list contains `instances`.
-    fn started_with(instances: Vec<InstanceEntry>) -> Self {
+    fn started_with(instances: Vec<InstanceEntry>, placement: Placement) -> Self {
         let now = Instant::now();
         let identity = Identity {
             name: "osborne-1".to_owned(),
@@ -43,8 +49,8 @@
             incarnation: INCARNATION,
         };
         let configuration = parse_configuration(CONFIGURATION).expect("the example is valid");
-        let mut instance =
-            Self { instance: Instance::new(now, identity, 1), started: now, now, configuration };
+        let instance = Instance::new(now, identity, 1).with_placement(placement);
+        let mut instance = Self { instance, started: now, now, configuration };
         let list = InstanceList { revision: 1, instances };
         instance.step(Event::ListRead { list, source: Source::Platform, read_started: now });
         instance.activate_configuration();
