--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -41,6 +41,7 @@
 mod message;
 mod new_request;
 mod orphans;
+mod prompt_parts;
 mod quarantine;
 mod queue;
 mod refusals;
@@ -67,4 +68,5 @@
     ClaimAnswer, ClaimOutcome, HealthUpdate, Heartbeat, KeyRecord, Message, ReservationRequest,
     SpendingReport,
 };
+pub use prompt_parts::PromptPart;
 pub use quarantine::{Crash, CrashReport, CrashUpdate, EndpointIncarnation, Quarantine};
--- a/crates/forward/src/crashes.rs
+++ b/crates/forward/src/crashes.rs
@@ -16,7 +16,7 @@
 use std::time::{Duration, Instant};
 
 use slog::{info, warn};
-use teaselshunt_core::{Crash, EndpointIncarnation, Fingerprint};
+use teaselshunt_core::{Crash, EndpointIncarnation, Fingerprint, PromptPart};
 use teaselshunt_routing::{EndpointKey, EndpointState};
 
 use crate::connection_pool::Reachability;
@@ -34,6 +34,15 @@
 /// How long abandoned requests are remembered; a peer's crash report arrives within this time.
 const ABANDONED_RETENTION: Duration = Duration::from_secs(2);
 
+/// How far an endpoint got with a request that it lost.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Progress {
+    /// Nothing of the answer has arrived, at most its head.
+    Unanswered,
+    /// The endpoint has begun to answer.
+    Answering,
+}
+
 /// A run that an endpoint did not complete.
 #[derive(Debug, Clone)]
 pub(crate) struct Loss {
@@ -44,11 +53,23 @@
     sent_at: Instant,
     /// When the request was lost.
     at: Instant,
+    /// Parts of its prompt that other requests may have as well, if the endpoint had not begun to answer.
+    unanswered_parts: Vec<PromptPart>,
 }
 
 impl Loss {
-    fn new(node: &Node, job: &Job, sent_at: Instant) -> Self {
-        Self { request: job.meta.id.clone(), fingerprint: job.fingerprint(), sent_at, at: node.now() }
+    fn new(node: &Node, job: &Job, sent_at: Instant, progress: Progress) -> Self {
+        let unanswered_parts = match progress {
+            Progress::Unanswered => job.parts.clone(),
+            Progress::Answering => Vec::new(),
+        };
+        Self {
+            request: job.meta.id.clone(),
+            fingerprint: job.fingerprint(),
+            sent_at,
+            at: node.now(),
+            unanswered_parts,
+        }
     }
 
     /// Describes the loss for logs: fingerprint, request id and running time.
@@ -56,6 +77,12 @@
         let ran = self.at.duration_since(self.sent_at).as_millis();
         format!("{}@{}+{ran}ms", self.fingerprint, self.request)
     }
+
+    /// The request id and the parts of a request that the endpoint had not begun to answer, for logs.
+    fn describe_parts(&self) -> Option<String> {
+        let parts = &self.unanswered_parts;
+        (!parts.is_empty()).then(|| format!("{}:{}", self.request, PromptPart::join(parts)))
+    }
 }
 
 /// Checks whether an endpoint has crashed after it lost a request that was sent at `sent_at`.
@@ -65,9 +92,11 @@
     trace: &Trace,
     endpoint: EndpointKey,
     sent_at: Instant,
+    progress: Progress,
 ) {
-    let loss = Loss::new(node, job, sent_at);
+    let loss = Loss::new(node, job, sent_at, progress);
     trace.set_fingerprint(loss.fingerprint);
+    trace.set_parts(&job.parts);
     let mut losses = node.losses.borrow_mut();
     let pending = losses.entry(endpoint).or_default();
     pending.push(loss);
@@ -129,15 +158,21 @@
 impl Drop for CallGuard<'_> {
     fn drop(&mut self) {
         if !self.ended {
-            record_abandoned(self.node, self.job, self.endpoint, self.sent_at);
+            record_abandoned(self.node, self.job, self.endpoint, self.sent_at, Progress::Unanswered);
         }
     }
 }
 
 /// Records that the caller of a request disconnected while the request was at an endpoint since `sent_at`.
-pub(crate) fn record_abandoned(node: &Node, job: &Job, endpoint: EndpointKey, sent_at: Instant) {
+pub(crate) fn record_abandoned(
+    node: &Node,
+    job: &Job,
+    endpoint: EndpointKey,
+    sent_at: Instant,
+    progress: Progress,
+) {
     let Some((_, id, endpoint)) = live_endpoint(node, endpoint) else { return };
-    let loss = Loss::new(node, job, sent_at);
+    let loss = Loss::new(node, job, sent_at, progress);
     node.abandoned.borrow_mut().insert(loss.at, AbandonedRun { endpoint, id, loss });
 }
 
@@ -184,7 +219,9 @@
 /// Attributes an endpoint's crash to requests.
 fn attribute_crash(node: &Node, id: &str, endpoint: EndpointIncarnation, losses: Vec<Loss>) {
     let requests: Vec<_> = losses.iter().map(Loss::describe).collect();
-    info!(node.log, "endpoint"; "endpoint" => id, "state" => "crashed", "under" => requests.join(" "));
+    let unanswered: Vec<_> = losses.iter().filter_map(Loss::describe_parts).collect();
+    info!(node.log, "endpoint"; "endpoint" => id, "state" => "crashed", "under" => requests.join(" "),
+        "unanswered" => unanswered.join(" "));
     let now = node.now();
     for Loss { fingerprint: request, at, .. } in losses {
         let crash = Crash { request, endpoint, at };
--- a/crates/forward/src/generate.rs
+++ b/crates/forward/src/generate.rs
@@ -19,7 +19,7 @@
 
 use crate::body::{ResponseBody, buffered_response};
 use crate::calls::{CALL_TIMEOUT, release_in_background};
-use crate::crashes::{self, CallGuard};
+use crate::crashes::{self, CallGuard, Progress};
 use crate::in_flight::InFlightWork;
 use crate::load;
 use crate::node::{Answer, Job, Node, StepFailure};
@@ -303,7 +303,7 @@
             Err(_) => prompt.mark_not_wasted(),
         }
         if result.as_ref().is_err_and(|failure| failure.may_have_run()) {
-            crashes::check_endpoint(node, job, trace, key, sent_at);
+            crashes::check_endpoint(node, job, trace, key, sent_at, Progress::Unanswered);
         }
         let text = result.as_ref().map_or_else(|f| f.text(), |_| "ok");
         trace.record_step("prefill", &id, text);
@@ -373,7 +373,7 @@
     drop(local_prefill);
     if let Err(failure) = &result {
         if failure.may_have_run() {
-            crashes::check_endpoint(node, job, trace, reserved.endpoint, sent_at);
+            crashes::check_endpoint(node, job, trace, reserved.endpoint, sent_at, Progress::Unanswered);
         } else {
             run_count.undo();
         }
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -18,7 +18,7 @@
 use rand::rngs::SmallRng;
 use slog::{Logger, info};
 use teaselshunt_completeness::{Completeness, Framing};
-use teaselshunt_core::{Clock, ErrorKind, Fingerprint, Quarantine, Refusal};
+use teaselshunt_core::{Clock, ErrorKind, Fingerprint, PromptPart, Quarantine, Refusal};
 use teaselshunt_routing::{
     Admission, Advances, BodyMemory, Budgets, EndpointKey, Endpoints, Need, OutputEstimate, PrefillEstimate,
     Priority, Refusals, RetryDetector, Returns, Route, RouteSet, Sends, Service, SignsOfLife, Stage,
@@ -151,6 +151,8 @@
     pub(crate) deadline: Instant,
     /// Identifies the request if it is sent again; computed on first use.
     pub(crate) fingerprint: OnceCell<Fingerprint>,
+    /// Parts of the prompt that other requests may have as well.
+    pub(crate) parts: Vec<PromptPart>,
 }
 
 impl Job {
--- a/crates/forward/src/plain.rs
+++ b/crates/forward/src/plain.rs
@@ -16,7 +16,7 @@
 
 use crate::body::{ResponseBody, buffered_response};
 use crate::calls::BufferedBody;
-use crate::crashes::{self, CallGuard};
+use crate::crashes::{self, CallGuard, Progress};
 use crate::in_flight::InFlightWork;
 use crate::load;
 use crate::node::{Answer, Job, Node, StepFailure};
@@ -243,7 +243,7 @@
     let result = send_and_read(node, job, work, &mut end, &mut via).await;
     let sent_at = guard.ended();
     if result.as_ref().is_err_and(|failure| failure.may_have_run()) {
-        crashes::check_endpoint(node, job, trace, key, sent_at);
+        crashes::check_endpoint(node, job, trace, key, sent_at, Progress::Unanswered);
     }
     let text = match &result {
         Ok(Outcome::Buffered(head, _)) if head.status == StatusCode::OK => "ok",
--- a/crates/forward/src/protocol.rs
+++ b/crates/forward/src/protocol.rs
@@ -30,6 +30,9 @@
     /// The caller's estimate of the tokens that will be generated. Its median is right, single estimates are
     /// often far off.
     pub output_hint: Option<u64>,
+    /// Ids of the parts of the prompt that other requests may have as well, in order. The last part of a prompt belongs
+    /// to the request or its session alone and is left out.
+    pub shared_parts: Vec<u64>,
 }
 
 /// Why a request is sent to an endpoint.
--- a/crates/forward/src/requests.rs
+++ b/crates/forward/src/requests.rs
@@ -11,7 +11,7 @@
 use hyper::body::Incoming;
 use hyper::header::{AUTHORIZATION, CONNECTION, HOST, HeaderValue};
 use hyper::{Request, Response};
-use teaselshunt_core::{ErrorKind, Refusal};
+use teaselshunt_core::{ErrorKind, PromptPart, Refusal};
 use teaselshunt_routing::{BodyKind, Repeat, Route, RouteSet, Stage};
 
 use crate::admission::{charge, identify};
@@ -135,6 +135,7 @@
     let path = head.uri.path_and_query().map_or("/", |p| p.as_str()).to_owned();
     let mut headers = head.headers;
     headers::strip(&mut headers);
+    let parts = PromptPart::of_all(&service.name, &meta.shared_parts);
     if routes.teams.is_some() {
         // The header may contain a key in any form, and endpoints must not see keys.
         headers.remove(AUTHORIZATION);
@@ -158,6 +159,7 @@
         promised: false,
         deadline,
         fingerprint: OnceCell::new(),
+        parts,
     })
 }
 
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -33,7 +33,7 @@
 
 use crate::body::{PieceSender, ResponseBody, relay_channel, relayed_response};
 use crate::buffering::BufferedBytes;
-use crate::crashes;
+use crate::crashes::{self, Progress};
 use crate::deadline;
 use crate::generate::Started;
 use crate::in_flight::InFlightWork;
@@ -171,6 +171,7 @@
         complete_only: stream_job.may_resume(trace),
         timer: Some(StreamTimer::default()),
         search: None,
+        progress: Progress::Unanswered,
     };
     loop {
         let Run { endpoint, sent_at, outcome, .. } = run;
@@ -183,7 +184,7 @@
         }
         if end.is_broken() {
             node.observe_outcome(job, endpoint, StepOutcome::Failed);
-            crashes::check_endpoint(node, job, trace, endpoint, sent_at);
+            crashes::check_endpoint(node, job, trace, endpoint, sent_at, relay.progress);
         } else if matches!(end, RunEnd::Ended(_)) {
             node.observe_outcome(job, endpoint, outcome);
         } else {
@@ -213,7 +214,7 @@
                 Resumption::TimedOut => return "deadline_passed",
             },
             RunEnd::CallerDisconnected => {
-                crashes::record_abandoned(node, job, endpoint, sent_at);
+                crashes::record_abandoned(node, job, endpoint, sent_at, relay.progress);
                 return "caller_gone";
             }
             RunEnd::TimedOut => return "deadline_passed",
@@ -246,12 +247,15 @@
     timer: Option<StreamTimer>,
     /// The search for an engine that goes on with the stream.
     search: Option<Search<'a>>,
+    /// Whether the present run has sent an event.
+    progress: Progress,
 }
 
 impl Relay<'_> {
     /// Relays one run. While its engine is silent another one is searched; the one that goes on first has the stream.
     async fn relay_run(&mut self, run: Run) -> RunEnd {
         let Run { mut body, mut work, endpoint, .. } = run;
+        self.progress = Progress::Unanswered;
         let (node, job) = (self.node, &self.stream_job.job);
         body.expect_events();
         let may_resume = self.stream_job.may_resume(self.trace);
@@ -284,6 +288,9 @@
                 }
             };
             self.trace.record_events(scan.events);
+            if scan.events > 0 {
+                self.progress = Progress::Answering;
+            }
             let received = node.now();
             if let Some(timer) = &mut self.timer {
                 timer.record(received, scan.events);
--- a/crates/forward/src/trace.rs
+++ b/crates/forward/src/trace.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 use slog::{error, info, warn};
-use teaselshunt_core::Fingerprint;
+use teaselshunt_core::{Fingerprint, PromptPart};
 use teaselshunt_routing::Priority;
 use teaselshunt_teams::Team;
 
@@ -54,6 +54,8 @@
     longest_gap: Cell<Duration>,
     /// Fingerprint of the request; set only when needed.
     fingerprint: Cell<Option<Fingerprint>>,
+    /// Shared parts of the prompt; set only when needed.
+    parts: RefCell<String>,
     overdue: Overdue,
     ended: Cell<bool>,
 }
@@ -113,6 +115,7 @@
             first_and_last: Cell::new(None),
             longest_gap: Cell::new(Duration::ZERO),
             fingerprint: Cell::new(None),
+            parts: RefCell::default(),
             overdue: Overdue::default(),
             ended: Cell::new(false),
         }));
@@ -182,6 +185,11 @@
         self.0.fingerprint.set(Some(fingerprint));
     }
 
+    /// Records the parts of the prompt that decide about the request, or may have crashed its endpoint.
+    pub(crate) fn set_parts(&self, parts: &[PromptPart]) {
+        *self.0.parts.borrow_mut() = PromptPart::join(parts);
+    }
+
     /// Records the end of a step at an endpoint.
     pub(crate) fn record_step(&self, step: &str, endpoint: &str, outcome: &str) {
         let at = self.0.node.now().duration_since(self.0.arrived).as_millis();
@@ -251,6 +259,7 @@
             "first_ms" => self.first_and_last.get().map(|(first, _)| millis(first.duration_since(self.arrived))),
             "pause_ms" => millis(self.longest_gap.get()),
             "fingerprint" => self.fingerprint.get().map(|f| f.to_string()),
+            "parts" => Some(self.parts.borrow().as_str()).filter(|parts| !parts.is_empty()),
             "priority" => &target.priority,
             "waste" => self.waste.borrow().as_str(),
             "steps" => self.steps.borrow().as_str(),
