--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -22,8 +22,8 @@
 pub use relay::Relay;
 pub use service::{Execution, Service, ServiceFaults, Unframed};
 pub use site::{
-    CRASHING_BODY, FLOODING_TEAM, LinkMode, RESPONSE_HEADERS, RIVAL_TEAM, SiteArrival, SiteBody, SiteCut,
-    SiteEndpoint, SiteExecution, SiteFault, SiteFraming, SiteInstance, SiteLink, SiteNoEnd, SiteOptions,
-    SitePause, SiteSettings, SiteTeam, Store, StoreBackup, StoreMode, UNLIMITED_TEAM, event_text, is_signed,
-    leaving_endpoint, site_configuration, site_request,
+    CRASHING_BODY, CRASHING_PART, FLOODING_TEAM, LinkMode, RESPONSE_HEADERS, RIVAL_TEAM, SiteArrival,
+    SiteBody, SiteCut, SiteEndpoint, SiteExecution, SiteFault, SiteFraming, SiteInstance, SiteLink,
+    SiteNoEnd, SiteOptions, SitePause, SiteSettings, SiteTeam, Store, StoreBackup, StoreMode, UNLIMITED_TEAM,
+    event_text, is_signed, leaving_endpoint, site_configuration, site_request,
 };
--- a/crates/standin/src/site/endpoint.rs
+++ b/crates/standin/src/site/endpoint.rs
@@ -26,6 +26,15 @@
 /// Body of a request that crashes every endpoint that starts to run it. A prefill of its prompt crashes no engine.
 pub const CRASHING_BODY: &str = "crash";
 
+/// Id of a part of prompts under which every decode engine crashes once it begins to answer, whatever else the request holds.
+pub const CRASHING_PART: &str = "c4a54";
+
+/// Whether the prompt of a request has [`CRASHING_PART`] among its parts.
+fn has_crashing_part(request: &Request) -> bool {
+    let parts = request.header("prompt-prefix").unwrap_or_default();
+    parts.split(',').any(|part| part.split(':').next() == Some(CRASHING_PART))
+}
+
 /// Properties of a stand-in endpoint.
 #[derive(Debug, Clone)]
 pub struct SiteOptions {
@@ -517,7 +526,7 @@
         }
         tokio::time::sleep(work_time).await;
         self.pauses.over().await;
-        let crashes = !prefill && request.body == CRASHING_BODY.as_bytes();
+        let crashes = !prefill && (request.body == CRASHING_BODY.as_bytes() || has_crashing_part(request));
         if crashes && self.options.event_count == 0 {
             self.crash.send_replace(true);
             return false;
