BUDGET: requests are refused for a part of their prompt under which endpoints crash

Cause: crashes were counted by a fingerprint of the whole request. Class: a limit that holds for a request, where what is at fault is what requests share.

Evidence is kept by part: crashes of endpoints that had not begun to answer, and starts. Verdicts follow from the set of marks, so that instances decide alike whatever the order of reports. What explains most crashes is refused; parts that were present at the same ones are refused only together. A verdict ends by tests, one request at a time through one instance.

A request is looked up on arrival, after its wait and its prefill, in a search and a hedge, and right before it is written.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -68,5 +68,7 @@
     ClaimAnswer, ClaimOutcome, HealthUpdate, Heartbeat, KeyRecord, Message, ReservationRequest,
     SpendingReport,
 };
-pub use prompt_parts::PromptPart;
+pub use prompt_parts::{
+    PartChange, PartDecision, PartQuarantine, PartRefusal, PartReport, PartVerdict, PromptPart,
+};
 pub use quarantine::{Crash, CrashReport, CrashUpdate, EndpointIncarnation, Quarantine};
--- a/crates/core/src/prompt_parts.rs
+++ b/crates/core/src/prompt_parts.rs
@@ -1,12 +1,74 @@
-//! Parts of prompts that requests share.
+//! Decides which parts of prompts are not sent to endpoints any more because endpoints crash under them.
+//!
+//! An endpoint can crash whenever it begins to answer a prompt that has a certain part. Callers send the part in
+//! requests that have nothing else in common, so that no limit on one request and no
+//! [`Quarantine`](crate::Quarantine) of it ends the crashes. Instances therefore keep evidence by part, and tell it to
+//! one another. Evidence is a set of marks, so that its order and its repetition do not matter, and instances with the same
+//! marks decide alike:
+//!
+//! - a *crash* of one incarnation of an endpoint, against each part of the requests that the endpoint had not begun to
+//!   answer. It has begun to answer the others, and their parts with them;
+//! - a *start*: an endpoint began to answer a request with the part.
+//!
+//! Endpoints that crash for another reason lose requests with any part. Four rules keep these parts in use:
+//! - a start takes [`START_WEIGHT`] crashes before it back. A part of many requests starts all the time;
+//! - no verdict is reached before [`SETTLE_TIME`] has passed since the first crash. Endpoints that share a host end together,
+//!   and the parts that were present start elsewhere meanwhile;
+//! - a part that has started lately needs [`KNOWN_LIMIT`] crashes instead of [`CRASH_LIMIT`];
+//! - a crash that one verdict explains counts for no other. Parts that were present at exactly the same crashes form one
+//!   verdict, which refuses only requests that have all of them. Whatever crash or start tells them apart narrows it.
+//!
+//! A verdict lasts while requests are refused by it, and [`QUIET_PERIOD`] longer. A wrong one would refuse what could clear it.
+//! So one instance sends a single request to an endpoint, the later the more crashes there were, as a test: a start counts
+//! like any other.
+//!
+//! No invariant depends on what peers report, and a part that is reported wrongly is only refused for a while.
 
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::fmt;
+use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+use crate::quarantine::EndpointIncarnation;
 
 /// Maximum number of parts of one prompt that count.
 const PARTS_MAX: usize = 64;
+/// Crashes from which a part is refused. Two can have other causes.
+const CRASH_LIMIT: u32 = 3;
+/// The same for a part that has started within [`KNOWN_PERIOD`].
+const KNOWN_LIMIT: u32 = 5;
+/// How long a start shows that endpoints can answer a part.
+const KNOWN_PERIOD: Duration = Duration::from_mins(1);
+/// Crashes that one start takes back.
+const START_WEIGHT: u32 = 2;
+/// Shortest time from the first crash to a verdict.
+const SETTLE_TIME: Duration = Duration::from_millis(500);
+/// Crashes that are kept of one part, the latest ones.
+const CRASHES_MAX: usize = 8;
+/// Starts that are kept of one part, the latest ones. They take back all but two of the crashes that are kept.
+const STARTS_MAX: usize = 3;
+/// Time after the last crash or refusal until a verdict ends.
+const QUIET_PERIOD: Duration = Duration::from_mins(10);
+/// Time after the last crash or refusal until a verdict that has ended is forgotten. Until then one crash renews it.
+const MEMORY_PERIOD: Duration = Duration::from_hours(1);
+/// Time after a verdict's last crash until it is tested, doubled with each test that ended in a crash.
+const TEST_DELAY: Duration = Duration::from_mins(1);
+/// Time without a crash before one that was the result of a test.
+const TEST_GAP: Duration = Duration::from_secs(30);
+/// Time for a test to begin an answer or to crash an endpoint.
+const TEST_TIMEOUT: Duration = Duration::from_secs(10);
+/// Shortest delay after which a refused caller is told to return.
+const RETRY_DELAY_MIN: Duration = Duration::from_secs(5);
+/// How long a change is sent to peers. This covers several gossip intervals, so that a lost datagram does no harm.
+const UPDATE_PERIOD: Duration = Duration::from_secs(3);
+/// Maximum number of parts in one datagram: about a kilobyte.
+const UPDATE_ENTRIES_MAX: usize = 16;
+/// Maximum number of parts with crashes. Simultaneous crashes of a few hundred endpoints do not exceed it.
+const RECORDS_MAX: usize = 4096;
+/// Maximum number of parts whose last start is known.
+const STARTED_MAX: usize = 8192;
 
 /// A part of the prompts of a service that several requests may have, such as instructions or a document.
 ///
@@ -39,3 +101,489 @@
         write!(f, "{:016x}", self.0)
     }
 }
+
+/// Evidence about a part as reported to peers. Instances have no common clock, so that it contains ages in milliseconds.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartReport {
+    /// The part.
+    pub part: PromptPart,
+    /// Incarnations that crashed, and the ages of the crashes.
+    pub crashes: Vec<(EndpointIncarnation, u32)>,
+    /// Requests that started, and the ages of the starts.
+    pub starts: Vec<(u64, u32)>,
+    /// Age of the last refusal.
+    pub refused: Option<u32>,
+}
+
+/// Parts that are refused together.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PartVerdict {
+    /// A request is refused if its prompt has all of them.
+    pub parts: Vec<PromptPart>,
+    /// Incarnations of endpoints that crashed under them, as far as they are kept.
+    pub crashes: usize,
+    /// When the first of these crashed.
+    pub first_crash: Instant,
+    /// When the last of these crashed.
+    pub last_crash: Instant,
+    /// When it is tested next, if no endpoint crashes before.
+    pub next_test: Instant,
+}
+
+/// What a request with some parts may do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PartDecision {
+    /// No verdict concerns it.
+    Allowed,
+    /// It is sent as a test of a verdict.
+    Test,
+    /// It is refused.
+    Refused(PartRefusal),
+}
+
+/// Why a request is refused, and when its caller may return.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PartRefusal {
+    /// The parts of the verdict.
+    pub parts: Vec<PromptPart>,
+    /// Time until the verdict may end.
+    pub delay: Duration,
+}
+
+/// A verdict that has begun or ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PartChange {
+    /// Requests are refused from now on.
+    Began(PartVerdict),
+    /// They are not refused any more.
+    Ended(Vec<PromptPart>),
+}
+
+/// One piece of evidence. Its `id` tells it from others: an incarnation, or a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Mark {
+    id: u64,
+    at: Instant,
+}
+
+/// Adds a mark to marks in the order of time, of which the latest `most` are kept. Returns whether it was added.
+fn insert_mark(marks: &mut Vec<Mark>, mark: Mark, most: usize) -> bool {
+    if marks.iter().any(|known| known.id == mark.id) {
+        return false;
+    }
+    let place = marks.partition_point(|known| known.at <= mark.at);
+    if marks.len() >= most {
+        if place == 0 {
+            return false;
+        }
+        marks.remove(0);
+        marks.insert(place - 1, mark);
+    } else {
+        marks.insert(place, mark);
+    }
+    true
+}
+
+/// Evidence about one part.
+#[derive(Debug, Default)]
+struct Record {
+    crashes: Vec<Mark>,
+    starts: Vec<Mark>,
+    /// When the first of the crashes happened that starts have not taken back.
+    suspected: Option<Instant>,
+    /// When this instance last observed a crash or a start itself.
+    observed: Option<Instant>,
+    /// When a request was last refused, at any instance.
+    refused: Option<Instant>,
+    /// Whether it has been part of a verdict.
+    convicted: bool,
+}
+
+impl Record {
+    fn last_crash(&self) -> Option<Instant> {
+        self.crashes.last().map(|crash| crash.at)
+    }
+
+    /// When it last mattered.
+    fn last_active(&self) -> Option<Instant> {
+        self.last_crash().max(self.refused)
+    }
+
+    /// Whether endpoints began to answer it at some time shortly before its first crash, or later.
+    fn is_known(&self) -> bool {
+        let Some(first) = self.crashes.first() else { return false };
+        self.starts.iter().any(|start| start.at + KNOWN_PERIOD > first.at)
+    }
+
+    /// Crashes from which it is refused.
+    fn limit(&self) -> u32 {
+        if self.is_known() { KNOWN_LIMIT } else { CRASH_LIMIT }
+    }
+
+    /// Crashes that starts have not taken back, without those that are `explained`.
+    fn score(&self, explained: &HashSet<u64>) -> u32 {
+        let mut starts = self.starts.iter().peekable();
+        let mut score = 0_u32;
+        for crash in self.crashes.iter().filter(|crash| !explained.contains(&crash.id)) {
+            while starts.next_if(|start| start.at <= crash.at).is_some() {
+                score = score.saturating_sub(START_WEIGHT);
+            }
+            score += 1;
+        }
+        score.saturating_sub(START_WEIGHT * starts.count() as u32)
+    }
+
+    /// Adds a start, and returns whether it was not known.
+    fn add_start(&mut self, start: Mark) -> bool {
+        let is_new = insert_mark(&mut self.starts, start, STARTS_MAX);
+        if is_new && self.score(&HashSet::new()) == 0 {
+            self.suspected = None;
+        }
+        is_new
+    }
+
+    /// When it may be refused, if there are enough crashes.
+    fn settled(&self, explained: &HashSet<u64>) -> Option<Instant> {
+        let has_enough = self.score(explained) >= self.limit();
+        self.suspected.filter(|_| has_enough).map(|first| first + SETTLE_TIME)
+    }
+
+    fn unexplained<'a>(&'a self, explained: &'a HashSet<u64>) -> impl Iterator<Item = Mark> + 'a {
+        self.crashes.iter().copied().filter(|crash| !explained.contains(&crash.id))
+    }
+
+    /// Starts after the first crash.
+    fn later_starts(&self) -> usize {
+        let Some(first) = self.crashes.first() else { return 0 };
+        self.starts.iter().filter(|start| start.at > first.at).count()
+    }
+
+    /// Crashes that were results of tests: each came after a long time without any.
+    fn failed_tests(&self) -> u32 {
+        let gap = |pair: &[Mark]| pair[1].at.duration_since(pair[0].at) >= TEST_GAP;
+        self.crashes.windows(2).rev().take_while(|pair| gap(pair)).count() as u32
+    }
+}
+
+/// When endpoints last began to answer parts, by what this instance observed.
+#[derive(Debug, Default)]
+struct LastStarts {
+    last: HashMap<PromptPart, Mark>,
+    order: VecDeque<(Instant, PromptPart)>,
+}
+
+impl LastStarts {
+    fn insert(&mut self, now: Instant, part: PromptPart, mark: Mark) {
+        if self.last.insert(part, mark).is_none() {
+            self.order.push_back((now, part));
+        }
+        self.expire(now);
+    }
+
+    /// Looks at the parts in the order in which they were added. One that has started again since is moved to the end.
+    fn expire(&mut self, now: Instant) {
+        while let Some(&(at, part)) = self.order.front() {
+            let is_old = now.duration_since(at) >= KNOWN_PERIOD;
+            if !is_old && self.order.len() <= STARTED_MAX {
+                return;
+            }
+            self.order.pop_front();
+            match self.last.get(&part).map(|mark| mark.at) {
+                Some(last) if last > at && now.duration_since(last) < KNOWN_PERIOD => {
+                    self.order.push_back((last, part));
+                }
+                _ => {
+                    self.last.remove(&part);
+                }
+            }
+        }
+    }
+}
+
+/// Parts of prompts under which endpoints crash, as known to one instance.
+#[derive(Debug, Default)]
+pub struct PartQuarantine {
+    records: HashMap<PromptPart, Record>,
+    last_starts: LastStarts,
+    verdicts: Vec<PartVerdict>,
+    /// When evidence that is too fresh for a verdict is looked at again.
+    next_decision: Option<Instant>,
+    /// Changes that were not taken yet.
+    changes: Vec<PartChange>,
+    /// Whether this instance tests verdicts.
+    is_tester: bool,
+    /// Parts of the verdict that is being tested, and when the test is given up.
+    test: Option<(Vec<PromptPart>, Instant)>,
+}
+
+impl PartQuarantine {
+    /// Whether no request is refused, so that no part needs to be looked up.
+    pub fn is_empty(&self) -> bool {
+        self.verdicts.is_empty() && self.next_decision.is_none()
+    }
+
+    /// Number of parts under which endpoints crashed, whether they are refused or not.
+    pub fn suspected_count(&self) -> usize {
+        self.records.len()
+    }
+
+    /// The verdicts in force.
+    pub fn verdicts(&self) -> &[PartVerdict] {
+        &self.verdicts
+    }
+
+    /// Takes the verdicts that have begun or ended.
+    pub fn take_changes(&mut self) -> Vec<PartChange> {
+        std::mem::take(&mut self.changes)
+    }
+
+    /// Sets whether this instance tests verdicts. One instance is enough.
+    pub fn set_tester(&mut self, is_tester: bool) {
+        self.is_tester = is_tester;
+    }
+
+    /// Records that an endpoint crashed at the time `at` before it began to answer a request with these parts.
+    pub fn observe_crash(
+        &mut self,
+        now: Instant,
+        endpoint: EndpointIncarnation,
+        at: Instant,
+        parts: &[PromptPart],
+    ) {
+        let mut is_changed = false;
+        for &part in parts {
+            is_changed |= self.add_crash(now, part, Mark { id: endpoint.0, at });
+            if let Some(record) = self.records.get_mut(&part) {
+                record.observed = Some(now);
+            }
+        }
+        if is_changed {
+            self.decide(now);
+        }
+    }
+
+    /// Records that an endpoint has begun to answer the request with the id `request`.
+    pub fn observe_start(&mut self, now: Instant, request: &str, parts: &[PromptPart]) {
+        let mark = Mark { id: xxh3_64(request.as_bytes()), at: now };
+        let mut matters = false;
+        for &part in parts {
+            self.last_starts.insert(now, part, mark);
+            let Some(record) = self.records.get_mut(&part) else { continue };
+            matters |= record.score(&HashSet::new()) >= CRASH_LIMIT;
+            if record.add_start(mark) {
+                record.observed = Some(now);
+            }
+        }
+        if matters {
+            self.decide(now);
+        }
+    }
+
+    /// Merges the reports of a peer. A clock that started after a mark has no earlier time; the mark then counts from `started`,
+    /// the start of this process.
+    pub fn merge(&mut self, now: Instant, started: Instant, reports: &[PartReport]) {
+        let mut is_changed = false;
+        for report in reports.iter().take(UPDATE_ENTRIES_MAX) {
+            is_changed |= self.merge_report(now, started, report);
+        }
+        if is_changed {
+            self.decide(now);
+        }
+    }
+
+    fn merge_report(&mut self, now: Instant, started: Instant, report: &PartReport) -> bool {
+        let time = |age: u32| now.checked_sub(Duration::from_millis(age.into())).unwrap_or(started);
+        let mut is_changed = false;
+        for &(endpoint, age) in report.crashes.iter().take(CRASHES_MAX) {
+            is_changed |= self.add_crash(now, report.part, Mark { id: endpoint.0, at: time(age) });
+        }
+        let Some(record) = self.records.get_mut(&report.part) else { return false };
+        for &(request, age) in report.starts.iter().take(STARTS_MAX) {
+            is_changed |= record.add_start(Mark { id: request, at: time(age) });
+        }
+        record.refused = record.refused.max(report.refused.map(time));
+        is_changed
+    }
+
+    /// What a request with these parts may do. A refusal keeps the verdict in force.
+    pub fn decide_request(&mut self, now: Instant, parts: &[PromptPart]) -> PartDecision {
+        self.look_again(now);
+        let Some(verdict) = self.verdict_of(parts) else { return PartDecision::Allowed };
+        let verdict = verdict.clone();
+        if self.may_test(now, &verdict) {
+            self.test = Some((verdict.parts, now + TEST_TIMEOUT));
+            return PartDecision::Test;
+        }
+        for part in &verdict.parts {
+            if let Some(record) = self.records.get_mut(part) {
+                record.refused = Some(now);
+            }
+        }
+        PartDecision::Refused(Self::refusal_of(now, &verdict))
+    }
+
+    /// The refusal of a request with these parts, looked up without any effect.
+    pub fn refusal(&self, now: Instant, parts: &[PromptPart]) -> Option<PartRefusal> {
+        self.verdict_of(parts).map(|verdict| Self::refusal_of(now, verdict))
+    }
+
+    fn refusal_of(now: Instant, verdict: &PartVerdict) -> PartRefusal {
+        let delay = verdict.next_test.saturating_duration_since(now).max(RETRY_DELAY_MIN);
+        PartRefusal { parts: verdict.parts.clone(), delay }
+    }
+
+    fn verdict_of(&self, parts: &[PromptPart]) -> Option<&PartVerdict> {
+        self.verdicts.iter().find(|verdict| verdict.parts.iter().all(|part| parts.contains(part)))
+    }
+
+    fn may_test(&self, now: Instant, verdict: &PartVerdict) -> bool {
+        let is_testing = self.test.as_ref().is_some_and(|(_, until)| *until > now);
+        self.is_tester && !is_testing && verdict.next_test <= now
+    }
+
+    /// Evidence to send to peers now: what this instance observed lately, and with `all` also what verdicts rest on. Peers that
+    /// start, or that come back from a partition, do not know it.
+    pub fn update(&self, now: Instant, all: bool) -> Vec<PartReport> {
+        let is_recent = |r: &Record| r.observed.is_some_and(|at| now.duration_since(at) < UPDATE_PERIOD);
+        let refused = |part: &PromptPart| self.verdicts.iter().any(|verdict| verdict.parts.contains(part));
+        let mut reports: Vec<_> = self
+            .records
+            .iter()
+            .map(|(part, record)| (refused(part), record.last_crash(), *part, record))
+            .filter(|(refused, _, _, record)| is_recent(record) || (all && *refused))
+            .collect();
+        reports.sort_by_key(|&(refused, crash, part, _)| (std::cmp::Reverse((refused, crash)), part));
+        reports.truncate(UPDATE_ENTRIES_MAX);
+        reports.into_iter().map(|(_, _, part, record)| report_of(now, part, record)).collect()
+    }
+
+    /// Whether something was observed here that peers may not know yet.
+    pub fn has_news(&self, now: Instant) -> bool {
+        self.records.values().any(|r| r.observed.is_some_and(|at| now.duration_since(at) < UPDATE_PERIOD))
+    }
+
+    /// Ends what is too old.
+    pub fn expire(&mut self, now: Instant) {
+        self.last_starts.expire(now);
+        self.test.take_if(|(_, until)| *until <= now);
+        let mut is_changed = false;
+        self.records.retain(|_, record| {
+            let idle = record.last_active().map_or(MEMORY_PERIOD, |at| now.duration_since(at));
+            let is_cleared = record.score(&HashSet::new()) == 0
+                && record.observed.is_none_or(|at| now.duration_since(at) >= UPDATE_PERIOD)
+                && idle >= UPDATE_PERIOD;
+            if is_cleared || idle >= MEMORY_PERIOD || (idle >= QUIET_PERIOD && !record.convicted) {
+                is_changed |= record.convicted;
+                return false;
+            }
+            let kept = CRASH_LIMIT as usize - 1;
+            if idle >= QUIET_PERIOD && record.crashes.len() > kept {
+                record.crashes.drain(..record.crashes.len() - kept);
+                record.starts.clear();
+                is_changed = true;
+            }
+            true
+        });
+        if is_changed {
+            self.decide(now);
+        }
+        self.look_again(now);
+    }
+
+    /// Reaches the verdicts whose evidence has settled by now.
+    fn look_again(&mut self, now: Instant) {
+        if self.next_decision.is_some_and(|at| at <= now) {
+            self.decide(now);
+        }
+    }
+
+    fn add_crash(&mut self, now: Instant, part: PromptPart, mark: Mark) -> bool {
+        if !self.records.contains_key(&part) {
+            self.make_room();
+            let known = self.last_starts.last.get(&part).filter(|s| s.at + KNOWN_PERIOD > mark.at);
+            // Peers do not know the start.
+            let observed = known.map(|_| now);
+            let starts = known.copied().into_iter().collect();
+            self.records.insert(part, Record { starts, observed, ..Record::default() });
+        }
+        let record = self.records.get_mut(&part).expect("it was inserted if it was missing");
+        // What a peer reports is not newer than now, and what is older than a verdict lasts is no evidence.
+        let mark = Mark { at: mark.at.min(now), ..mark };
+        if !insert_mark(&mut record.crashes, mark, CRASHES_MAX) {
+            return false;
+        }
+        record.suspected = Some(record.suspected.map_or(mark.at, |first| first.min(mark.at)));
+        true
+    }
+
+    /// Removes the part whose last crash is the oldest, and that is not refused, if there are too many.
+    fn make_room(&mut self) {
+        if self.records.len() < RECORDS_MAX {
+            return;
+        }
+        let oldest = self.records.iter().min_by_key(|(part, r)| (r.convicted, r.last_crash(), **part));
+        if let Some(part) = oldest.map(|(part, _)| *part) {
+            self.records.remove(&part);
+        }
+    }
+
+    /// Finds the parts that explain the crashes best, again from all the evidence.
+    fn decide(&mut self, now: Instant) {
+        let mut explained = HashSet::new();
+        let mut verdicts = Vec::new();
+        while let Some(verdict) = self.best_verdict(now, &explained) {
+            let Some(record) = verdict.parts.first().and_then(|part| self.records.get(part)) else { break };
+            explained.extend(record.crashes.iter().map(|crash| crash.id));
+            verdicts.push(verdict);
+        }
+        let settling = self.records.values().filter_map(|record| record.settled(&explained));
+        self.next_decision = settling.filter(|&at| at > now).min();
+        for part in verdicts.iter().flat_map(|verdict| &verdict.parts) {
+            if let Some(record) = self.records.get_mut(part) {
+                record.convicted = true;
+            }
+        }
+        let has = |list: &[PartVerdict], verdict: &PartVerdict| list.iter().any(|v| v.parts == verdict.parts);
+        let began = verdicts.iter().filter(|v| !has(&self.verdicts, v)).cloned().map(PartChange::Began);
+        let ended = self.verdicts.iter().filter(|v| !has(&verdicts, v));
+        let ended = ended.map(|verdict| PartChange::Ended(verdict.parts.clone()));
+        self.changes.extend(began.chain(ended));
+        let is_tested =
+            |parts: &Vec<PromptPart>| verdicts.iter().any(|v| v.parts == *parts && v.next_test <= now);
+        self.test.take_if(|(parts, _)| !is_tested(parts));
+        self.verdicts = verdicts;
+    }
+
+    /// The verdict that explains most of the crashes that are not `explained`. Parts that started meanwhile come last.
+    fn best_verdict(&self, now: Instant, explained: &HashSet<u64>) -> Option<PartVerdict> {
+        let candidates: Vec<_> = self
+            .records
+            .iter()
+            .filter(|(_, record)| record.settled(explained).is_some_and(|at| at <= now))
+            .collect();
+        let (_, best) = candidates.iter().max_by_key(|(part, record)| {
+            (std::cmp::Reverse(record.later_starts()), record.unexplained(explained).count(), **part)
+        })?;
+        let ids = |record: &Record| -> HashSet<u64> { record.unexplained(explained).map(|c| c.id).collect() };
+        let (crashes, starts) = (ids(best), best.later_starts());
+        let same = |record: &Record| record.later_starts() == starts && ids(record) == crashes;
+        let mut parts: Vec<_> =
+            candidates.iter().filter(|(_, record)| same(record)).map(|(part, _)| **part).collect();
+        parts.sort_unstable();
+        let last_crash = best.last_crash()?;
+        Some(PartVerdict {
+            parts,
+            crashes: crashes.len(),
+            first_crash: best.crashes.first()?.at,
+            last_crash,
+            next_test: last_crash + TEST_DELAY * 2_u32.pow(best.failed_tests()),
+        })
+    }
+}
+
+fn report_of(now: Instant, part: PromptPart, record: &Record) -> PartReport {
+    let age = |at: Instant| u32::try_from(now.saturating_duration_since(at).as_millis()).unwrap_or(u32::MAX);
+    let crashes = record.crashes.iter().map(|c| (EndpointIncarnation(c.id), age(c.at))).collect();
+    let starts = record.starts.iter().map(|start| (start.id, age(start.at))).collect();
+    PartReport { part, crashes, starts, refused: record.refused.map(age) }
+}
--- a/crates/forward/src/crashes.rs
+++ b/crates/forward/src/crashes.rs
@@ -15,12 +15,13 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use slog::{info, warn};
+use slog::info;
 use teaselshunt_core::{Crash, EndpointIncarnation, Fingerprint, PromptPart};
 use teaselshunt_routing::{EndpointKey, EndpointState};
 
 use crate::connection_pool::Reachability;
 use crate::node::{Job, Node};
+use crate::quarantine;
 use crate::reach::{self, CHECK_TIMEOUT, Destination};
 use crate::trace::Trace;
 
@@ -223,10 +224,17 @@
     info!(node.log, "endpoint"; "endpoint" => id, "state" => "crashed", "under" => requests.join(" "),
         "unanswered" => unanswered.join(" "));
     let now = node.now();
+    if node.settings.part_quarantine {
+        for loss in &losses {
+            let state = &mut *node.state.borrow_mut();
+            state.part_quarantine.observe_crash(now, endpoint, loss.at, &loss.unanswered_parts);
+        }
+        quarantine::apply_changes(node);
+    }
     for Loss { fingerprint: request, at, .. } in losses {
         let crash = Crash { request, endpoint, at };
         if node.state.borrow_mut().quarantine.observe_crash(now, crash) {
-            log_quarantine(node, request);
+            quarantine::log_request(node, request);
         }
     }
 }
@@ -239,10 +247,3 @@
     let found = state.endpoints.get(endpoint).filter(|e| e.state == EndpointState::Ready)?;
     Some((found.address, Arc::clone(&found.id), EndpointIncarnation(u64::from(tag.0))))
 }
-
-/// Logs that a request is in quarantine from now on.
-pub(crate) fn log_quarantine(node: &Node, request: Fingerprint) {
-    let until = node.state.borrow().quarantine.until(node.now(), request);
-    let remaining = until.map(|until| until.duration_since(node.now()).as_secs());
-    warn!(node.log, "quarantine"; "fingerprint" => %request, "for_s" => remaining);
-}
--- a/crates/forward/src/generate.rs
+++ b/crates/forward/src/generate.rs
@@ -25,6 +25,7 @@
 use crate::node::{Answer, Job, Node, StepFailure};
 use crate::pace;
 use crate::protocol::Purpose;
+use crate::quarantine;
 use crate::refusals::refuse;
 use crate::reservations::{CapacitySearch, PromptState, Reservation, reserve};
 use crate::resume::{self, Interrupted, ResumePoint, Search};
@@ -191,7 +192,7 @@
             }
         };
         // A search for capacity and a prefill take long enough for peers to report crashes under the request.
-        match node.quarantined(job) {
+        match quarantine::refusal(node, job, trace) {
             Some(refusal) if !may_have_run() => {
                 prompt.mark_wasted(WasteCause::Refused);
                 return Err(refusal);
@@ -202,7 +203,7 @@
         if matches!(prompt, Prompt::NotPrefilled) {
             load::record_generation(node, job);
             prompt = prefill(node, job, trace, &mut sends).await?;
-            if let Some(refusal) = node.quarantined(job) {
+            if let Some(refusal) = quarantine::refusal(node, job, trace) {
                 prompt.mark_wasted(WasteCause::Refused);
                 return Err(refusal);
             }
--- a/crates/forward/src/gossip.rs
+++ b/crates/forward/src/gossip.rs
@@ -20,17 +20,18 @@
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
-use teaselshunt_core::{CrashReport, Fingerprint};
+use teaselshunt_core::{CrashReport, Fingerprint, PartReport};
 use teaselshunt_routing::{EngineTag, Peers, failure_timeout, plausible_interval, tag};
 use teaselshunt_teams::{TeamSpending, UpdateHeader};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 
 use crate::catalog::{Catalog, StoreUpdate};
-use crate::crashes::{self, log_quarantine};
+use crate::crashes;
 use crate::load::{self, LoadReport};
 use crate::node::Node;
 use crate::phase::Phase;
+use crate::quarantine;
 use crate::queue;
 use crate::rates::{self, RateEntry};
 use crate::reach;
@@ -42,6 +43,9 @@
 /// Fraction of the reports to other failure domains that tell of load: the bytes between domains are expensive,
 /// and what was told counts for over a second.
 const FAR_LOAD_FRACTION: f64 = 0.4;
+/// Fraction of the reports that repeat what keeps parts of prompts in quarantine: a peer that comes back from a partition
+/// does not know it, and hears it from several others within a second.
+const REMINDER_FRACTION: f64 = 0.25;
 /// Largest datagram that is read, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
 
@@ -113,13 +117,16 @@
     load: Option<LoadReport>,
 }
 
-/// End of a datagram. Builds that do not know it ignore it, and it is missing in their datagrams.
+/// Follows in a datagram. Builds that do not know it ignore it, and it is missing in their datagrams.
 #[derive(Debug, Default, Serialize, Deserialize)]
 struct Extension {
     /// Whether the sender opens tunnels to endpoints.
     takes_tunnels: bool,
 }
 
+/// Evidence about parts of prompts, at the end of a datagram. It may be missing like [`Extension`].
+type PartReports = Vec<PartReport>;
+
 /// Sends and receives gossip until the process ends.
 pub(crate) async fn run(
     catalog: Rc<Catalog>,
@@ -210,13 +217,16 @@
                 if let (era, Some(revision)) = report.snapshot_revision {
                     self.catalog.observe_peer_revision(from, era, revision);
                 }
-                let extension: Extension = postcard::from_bytes(rest).unwrap_or_default();
+                let (extension, rest) =
+                    postcard::take_from_bytes(rest).unwrap_or((Extension::default(), &[]));
+                let parts: PartReports = postcard::from_bytes(rest).unwrap_or_default();
                 let lifetime =
                     failure_timeout(plausible_interval(Duration::from_millis(trailer.next.into())));
                 let takes_tunnels = self.node.settings.tunnels && extension.takes_tunnels && !report.leaving;
                 let now = self.node.now();
                 self.node.pool.reach().peers().observe(now, from, takes_tunnels, same_domain, lifetime);
                 self.receive_report(from, datagram.domain, *report, trailer);
+                self.receive_parts(&parts);
             }
             Content::StoreUpdate(update) if same_domain && self.peers.contains(from) => {
                 self.catalog.merge_update(from, update);
@@ -288,12 +298,21 @@
         }
         for crash in crashes.into_iter().map(|report| report.crash(now, self.started)) {
             if self.node.state.borrow_mut().quarantine.merge_crash(now, crash) {
-                log_quarantine(&self.node, crash.request);
+                quarantine::log_request(&self.node, crash.request);
             }
             crashes::merge_crash(&self.node, crash);
         }
     }
 
+    fn receive_parts(&self, reports: &[PartReport]) {
+        if reports.is_empty() || !self.node.settings.part_quarantine {
+            return;
+        }
+        let now = self.node.now();
+        self.node.state.borrow_mut().part_quarantine.merge(now, self.started, reports);
+        quarantine::apply_changes(&self.node);
+    }
+
     /// Sends reports to the peers that are due. Returns whether a report contains entries that are sent for
     /// seconds only.
     async fn send(&mut self, socket: &UdpSocket) -> bool {
@@ -354,8 +373,12 @@
             let state = self.node.state.borrow();
             state.endpoints.leaving_reports(now).into_iter().map(|tag| tag.0).collect()
         };
-        let urgent =
-            !crashes.is_empty() || !served.is_empty() || !rates.is_empty() || !leaving_endpoints.is_empty();
+        let (parts, has_part_news) = self.part_reports(now, has_new_peer);
+        let urgent = !crashes.is_empty()
+            || !served.is_empty()
+            || !rates.is_empty()
+            || !leaving_endpoints.is_empty()
+            || has_part_news;
         let report = Report {
             incarnation,
             sequence,
@@ -371,17 +394,32 @@
             leaving,
             snapshot_revision: self.catalog.snapshot_revision(),
         };
-        self.send_to(socket, targets, Content::Report(Box::new(report))).await;
+        self.send_to(socket, targets, Content::Report(Box::new(report)), &parts).await;
         urgent
     }
 
+    /// Evidence about parts of prompts to send now, and whether some of it is new.
+    fn part_reports(&self, now: Instant, has_new_peer: bool) -> (PartReports, bool) {
+        let state = &mut *self.node.state.borrow_mut();
+        let is_reminder = has_new_peer || state.rng.random_bool(REMINDER_FRACTION);
+        let parts = &mut state.part_quarantine;
+        parts.set_tester(self.peers.is_lowest(now, self.own));
+        (parts.update(now, is_reminder), parts.has_news(now))
+    }
+
     /// Sends a store update to the peers of the same failure domain.
     async fn send_update(&self, socket: &UdpSocket, update: StoreUpdate) {
         let targets = self.peers.responsive_in_domain(self.node.now()).collect();
-        self.send_to(socket, targets, Content::StoreUpdate(update)).await;
+        self.send_to(socket, targets, Content::StoreUpdate(update), &[]).await;
     }
 
-    async fn send_to(&self, socket: &UdpSocket, targets: Vec<SocketAddr>, content: Content) {
+    async fn send_to(
+        &self,
+        socket: &UdpSocket,
+        targets: Vec<SocketAddr>,
+        content: Content,
+        parts: &[PartReport],
+    ) {
         let is_report = matches!(content, Content::Report(_));
         let datagram = Datagram { version: VERSION, domain: self.domain, content };
         let Ok(data) = postcard::to_allocvec(&datagram) else { return };
@@ -392,7 +430,7 @@
             let domain = self.peers.domain_of(peer);
             let data = encoded.entry(domain).or_insert_with(|| {
                 let trailer = if is_report { self.trailer(domain, &load) } else { Trailer::default() };
-                postcard::to_extend(&(trailer, &extension), data.clone()).unwrap_or_default()
+                postcard::to_extend(&(trailer, &extension, parts), data.clone()).unwrap_or_default()
             });
             // A datagram that cannot be sent is treated like a lost one.
             let _ = socket.send_to(data, peer).await;
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -7,7 +7,7 @@
 //! its requests to `requests`, which calls `plain` or `generate` (with `reservations`, `queue` and `waste`) within `deadline`
 //! (the end of requests whose handling does not respond; `runs` counts what endpoints may have begun). Both use `load`
 //! (admission to services that lack capacity), `rates` (rate limits that endpoints advertise), `statements`
-//! (what endpoints state about themselves), `stream`, `body` with `buffering` (bytes that slow callers have
+//! (what endpoints state about themselves), `quarantine` and `crashes` (requests under which endpoints crash), `stream`, `body` with `buffering` (bytes that slow callers have
 //! not read), `node` (state, one step at an endpoint), `in_flight` (accounts of work in progress) and
 //! `connection_pool` with `response_reader`, `reach` (over which way a connection to an endpoint leads), `tunnels`
 //! (connections through a peer) and `sockets`. `peer_listener` serves peers: snapshots of `catalog`, and tunnels by
@@ -59,6 +59,7 @@
 mod phase;
 mod plain;
 mod protocol;
+mod quarantine;
 mod queue;
 mod rates;
 mod reach;
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -42,6 +42,7 @@
     pub(crate) wasted_prefill: IntCounterVec,
     pub(crate) links: LinkMetrics,
     pub(crate) streams: StreamMetrics,
+    pub(crate) quarantine: QuarantineMetrics,
     response_ends: IntCounterVec,
     team_requests: IntCounterVec,
     /// Teams that have a label of their own.
@@ -165,6 +166,37 @@
     }
 }
 
+/// Metrics of requests under which endpoints crash.
+#[derive(Debug)]
+pub(crate) struct QuarantineMetrics {
+    pub(crate) suspected_parts: IntGauge,
+    pub(crate) quarantined_parts: IntGauge,
+    pub(crate) refusals: IntCounterVec,
+}
+
+impl QuarantineMetrics {
+    fn new(
+        gauge: &impl Fn(&str, &str) -> Result<IntGauge, prometheus::Error>,
+        counter: &impl Fn(&str, &str, &[&str]) -> Result<IntCounterVec, prometheus::Error>,
+    ) -> Result<Self, prometheus::Error> {
+        Ok(Self {
+            suspected_parts: gauge(
+                "suspected_prompt_parts",
+                "Parts of prompts of requests that endpoints had not begun to answer when they crashed.",
+            )?,
+            quarantined_parts: gauge(
+                "quarantined_prompt_parts",
+                "Parts of prompts that requests are refused for.",
+            )?,
+            refusals: counter(
+                "quarantine_refusals_total",
+                "Requests refused because endpoints crash under them, by what is in quarantine.",
+                &["cause"],
+            )?,
+        })
+    }
+}
+
 /// Most teams that have a label of their own; all others share [`OTHERS`]. Each label costs several time
 /// series for as long as the process runs.
 const TEAM_LABELS: usize = 64;
@@ -261,6 +293,7 @@
             )?,
             links: LinkMetrics::new(&gauge, &counter)?,
             streams: StreamMetrics::new(&counter)?,
+            quarantine: QuarantineMetrics::new(&gauge, &counter)?,
             response_ends: counter(
                 "response_ends_total",
                 "Responses of endpoints and of the platform, by framing and by how they ended.",
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -18,7 +18,7 @@
 use rand::rngs::SmallRng;
 use slog::{Logger, info};
 use teaselshunt_completeness::{Completeness, Framing};
-use teaselshunt_core::{Clock, ErrorKind, Fingerprint, PromptPart, Quarantine, Refusal};
+use teaselshunt_core::{Clock, Fingerprint, PartQuarantine, PromptPart, Quarantine};
 use teaselshunt_routing::{
     Admission, Advances, BodyMemory, Budgets, EndpointKey, Endpoints, Need, OutputEstimate, PrefillEstimate,
     Priority, Refusals, RetryDetector, Returns, Route, RouteSet, Sends, Service, SignsOfLife, Stage,
@@ -38,6 +38,7 @@
 use crate::metrics::Metrics;
 use crate::phase::Phase;
 use crate::protocol::{Protocol, Purpose, RequestMeta};
+use crate::quarantine;
 use crate::queue::PendingSearch;
 use crate::reach::Destination;
 use crate::response_reader::{ReadFailure, ResponseReader};
@@ -74,6 +75,8 @@
     pub(crate) waiters: Waiters<PendingSearch>,
     /// Requests under which endpoints crashed.
     pub(crate) quarantine: Quarantine,
+    /// Parts of prompts under which endpoints crashed.
+    pub(crate) part_quarantine: PartQuarantine,
     /// Rate limits of teams.
     pub(crate) quotas: Quotas<SocketAddr>,
     /// Memory for buffered bodies.
@@ -153,6 +156,8 @@
     pub(crate) fingerprint: OnceCell<Fingerprint>,
     /// Parts of the prompt that other requests may have as well.
     pub(crate) parts: Vec<PromptPart>,
+    /// Whether it is sent although its parts are in quarantine, to find out whether endpoints still crash under them.
+    pub(crate) is_part_test: Cell<bool>,
 }
 
 impl Job {
@@ -228,7 +233,7 @@
 pub(crate) enum StepFailure {
     /// Nothing reached the endpoint.
     Unsent,
-    /// Nothing was sent, since the endpoint leaves or wants no requests now.
+    /// Nothing was sent, since the endpoint leaves or wants no requests now, or the request is in quarantine.
     Withheld,
     /// The endpoint states that it has not run the request and will not.
     Refused,
@@ -390,16 +395,6 @@
         }
     }
 
-    /// The refusal for a request in quarantine; `None` for other requests.
-    pub(crate) fn quarantined(&self, job: &Job) -> Option<Refusal> {
-        let (state, now) = (self.state.borrow(), self.now());
-        if state.quarantine.is_empty() {
-            return None;
-        }
-        let until = state.quarantine.until(now, job.fingerprint())?;
-        Some(Refusal::retryable(ErrorKind::Quarantined, until.duration_since(now)))
-    }
-
     /// Records that an endpoint completed its response to a request. A response with an error of the
     /// endpoint's own shows nothing about the request: the endpoint may not have begun to run it. Nor does one that
     /// may be truncated.
@@ -460,7 +455,7 @@
         work.sent.set(true);
         // Asked right before the request is written.
         let may_send = || {
-            let may_send = self.locate_available(key).is_some();
+            let may_send = self.locate_available(key).is_some() && !quarantine::forbids(self, job);
             if let Some(run) = run.as_ref().filter(|_| may_send) {
                 run.begin();
             }
--- a/crates/forward/src/plain.rs
+++ b/crates/forward/src/plain.rs
@@ -21,6 +21,7 @@
 use crate::load;
 use crate::node::{Answer, Job, Node, StepFailure};
 use crate::protocol::Purpose;
+use crate::quarantine;
 use crate::rates;
 use crate::refusals::refuse;
 use crate::response_reader::ResponseEnd;
@@ -146,7 +147,7 @@
 ) -> Result<Outcome, Refusal> {
     let mut last = None;
     while node.now() < job.deadline && attempts.endpoints.len() < MAX_UNREACHABLE + attempts.sent as usize {
-        match node.quarantined(job) {
+        match quarantine::refusal(node, job, trace) {
             Some(refusal) if !attempts.may_have_run => return Err(refusal),
             Some(_) => break,
             None => {}
@@ -207,7 +208,7 @@
     }
     let need = Need { tried: &attempts.endpoints, hedge: true, ..node.need(&job.service.name) };
     let other = node.choose_for(need);
-    let allowed = |_: &EndpointKey| node.quarantined(job).is_none() && node.take_attempt(&job.service);
+    let allowed = |_: &EndpointKey| !quarantine::forbids(node, job) && node.take_attempt(&job.service);
     let Some(other) = other.filter(allowed) else {
         let result = first.await;
         attempts.count(&result);
--- a/crates/forward/src/requests.rs
+++ b/crates/forward/src/requests.rs
@@ -1,6 +1,6 @@
 //! Handles a caller's request from its head to its response.
 
-use std::cell::OnceCell;
+use std::cell::{Cell, OnceCell};
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -24,7 +24,7 @@
 use crate::refusals::{OTHER_INSTANCE_RETRY, refuse, refuse_as};
 use crate::runs::Runs;
 use crate::trace::Trace;
-use crate::{generate, headers, load, phase, plain, reservations};
+use crate::{generate, headers, load, phase, plain, quarantine, reservations};
 
 /// `Retry-After` delay if the buffer memory is full: the retry may reach another instance, which may buffer
 /// less, and callers will have read some of the buffered bytes by then.
@@ -160,6 +160,7 @@
         deadline,
         fingerprint: OnceCell::new(),
         parts,
+        is_part_test: Cell::new(false),
     })
 }
 
@@ -198,8 +199,7 @@
 }
 
 async fn run(node: &Rc<Node>, mut job: Job, trace: Trace) -> Response<ResponseBody> {
-    if let Some(refusal) = node.quarantined(&job) {
-        trace.set_fingerprint(job.fingerprint());
+    if let Err(refusal) = quarantine::admit(node, &job, &trace) {
         return refuse(node, refusal, trace);
     }
     if is_unreachable(node, &job).await {
--- a/crates/forward/src/resume.rs
+++ b/crates/forward/src/resume.rs
@@ -17,6 +17,7 @@
 
 use crate::generate::{self, Start, Started};
 use crate::node::{Answer, Job, Node};
+use crate::quarantine;
 use crate::trace::Trace;
 use crate::waste::{self, WasteCause};
 
@@ -170,7 +171,7 @@
         if !self.may_resume() {
             return Err(NotResumed::Attempts);
         }
-        if node.quarantined(job).is_some() {
+        if quarantine::forbids(node, job) {
             return Err(NotResumed::Quarantined);
         }
         if !node.has_attempt(&job.service) {
--- a/crates/forward/src/settings.rs
+++ b/crates/forward/src/settings.rs
@@ -44,6 +44,8 @@
     pub domain_count: u32,
     /// Whether this instance reaches endpoints through peers where its own links fail, and opens tunnels for peers.
     pub tunnels: bool,
+    /// Whether requests are refused for a part of their prompt under which endpoints crash.
+    pub part_quarantine: bool,
     /// Parts of load control.
     pub load: LoadSwitches,
 }
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -40,6 +40,7 @@
 use crate::load;
 use crate::node::{Answer, Job, Node};
 use crate::pace::StreamTimer;
+use crate::quarantine;
 use crate::response_reader::{Piece, ResponseEnd, ResponseReader};
 use crate::resume::{self, Interrupted, NotResumed, Search};
 use crate::silence::SilenceWatch;
@@ -288,8 +289,9 @@
                 }
             };
             self.trace.record_events(scan.events);
-            if scan.events > 0 {
+            if scan.events > 0 && self.progress == Progress::Unanswered {
                 self.progress = Progress::Answering;
+                quarantine::observe_start(node, job);
             }
             let received = node.now();
             if let Some(timer) = &mut self.timer {
--- a/crates/forward/src/supervisor.rs
+++ b/crates/forward/src/supervisor.rs
@@ -10,7 +10,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use slog::{error, info, warn};
-use teaselshunt_core::{Clock, Quarantine, SystemClock};
+use teaselshunt_core::{Clock, PartQuarantine, Quarantine, SystemClock};
 use teaselshunt_routing::{
     Admission, Advances, BodyMemory, Budgets, Endpoints, Refusals, RetryDetector, Returns, SignsOfLife,
     Waiters, tag,
@@ -29,7 +29,7 @@
 use crate::phase::Phase;
 use crate::protocol::Protocol;
 use crate::settings::Settings;
-use crate::{gossip, listeners, load, logs, orders, pace, peer_listener, queue, reach};
+use crate::{gossip, listeners, load, logs, orders, pace, peer_listener, quarantine, queue, reach};
 
 /// How instances divide teams' rate limits.
 const QUOTA_MODE: QuotaMode = QuotaMode::Shared;
@@ -105,6 +105,8 @@
     let domains = (tag(&settings.domain), settings.domain_count);
     let mut quotas = Quotas::new(SystemClock.uptime(), QUOTA_MODE, start_kind, domains);
     quotas.set_precedence(settings.load.quotas);
+    let mut part_quarantine = PartQuarantine::default();
+    part_quarantine.set_tester(settings.gossip_port.is_none());
     let node = Rc::new(Node {
         state: RefCell::new(State {
             routes: None,
@@ -122,6 +124,7 @@
             signs: SignsOfLife::default(),
             waiters: Waiters::new(settings.load.order),
             quarantine: Quarantine::default(),
+            part_quarantine,
             quotas,
             memory: BodyMemory::new((settings.memory_bytes as f64 * BUFFER_FRACTION) as u64),
             list_complete: false,
@@ -194,6 +197,8 @@
         node.pool.set_max_idle(max_idle_connections(&node));
         node.state.borrow_mut().endpoints.ledger().expire(node.now());
         node.state.borrow_mut().quarantine.expire(node.now());
+        node.state.borrow_mut().part_quarantine.expire(node.now());
+        quarantine::apply_changes(&node);
         node.state.borrow_mut().quotas.tick(node.clock.uptime());
         node.state.borrow_mut().endpoints.expire_rates(node.now());
         load::maintain(&node);
@@ -210,6 +215,7 @@
             node.metrics.cooling_endpoints.set(endpoints.cooling_count(node.now()) as i64);
             node.metrics.slow_engines.set(endpoints.slow_count() as i64);
             node.metrics.links.suspected.set(endpoints.suspected_count(node.now()) as i64);
+            quarantine::update_metrics(&node);
         }
         node.metrics.limited_endpoints.set(node.state.borrow_mut().endpoints.rates().len() as i64);
         let removed = node.state.borrow_mut().endpoints.remove_unconfirmed(node.now());
--- a/crates/routing/src/peers.rs
+++ b/crates/routing/src/peers.rs
@@ -141,6 +141,12 @@
         self.of_domain(now, self.domain)
     }
 
+    /// Whether `own` is the lowest of all responsive instances, whatever their failure domains.
+    pub fn is_lowest(&self, now: Instant, own: P) -> bool {
+        let responsive = |peer: &Peer| peer.observed && now.duration_since(peer.seen) < peer.failure_timeout;
+        self.known.iter().all(|(&address, peer)| own <= address || !responsive(peer))
+    }
+
     fn of_domain(&self, now: Instant, domain: u32) -> impl Iterator<Item = P> {
         let fits = move |peer: &Peer| {
             peer.domain == Some(domain) && now.duration_since(peer.seen) < peer.failure_timeout
