--- a/crates/core/src/prompt_parts.rs
+++ b/crates/core/src/prompt_parts.rs
@@ -14,13 +14,14 @@
 //! - a start takes [`START_WEIGHT`] crashes before it back. A part of many requests starts all the time;
 //! - no verdict is reached before [`SETTLE_TIME`] has passed since the first crash. Endpoints that share a host end together,
 //!   and the parts that were present start elsewhere meanwhile;
-//! - a part that has started lately needs [`KNOWN_LIMIT`] crashes instead of [`CRASH_LIMIT`];
+//! - a part that has started several times lately needs [`KNOWN_LIMIT`] crashes instead of [`CRASH_LIMIT`];
 //! - a crash that one verdict explains counts for no other. Parts that were present at exactly the same crashes form one
 //!   verdict, which refuses only requests that have all of them. Whatever crash or start tells them apart narrows it.
 //!
 //! A verdict lasts while requests are refused by it, and [`QUIET_PERIOD`] longer. A wrong one would refuse what could clear it.
-//! So one instance sends a single request to an endpoint, the later the more crashes there were, as a test: a start counts
-//! like any other.
+//! So one instance sends a single request to an endpoint as a test, and a start counts like any other. Each test that ends in
+//! a crash doubles the time until the next one. A verdict on a part that was present at all crashes of several others, which may
+//! as well be the causes, is tested at once, as long as few endpoints have crashed.
 //!
 //! No invariant depends on what peers report, and a part that is reported wrongly is only refused for a while.
 
@@ -37,18 +38,22 @@
 const PARTS_MAX: usize = 64;
 /// Crashes from which a part is refused. Two can have other causes.
 const CRASH_LIMIT: u32 = 3;
-/// The same for a part that has started within [`KNOWN_PERIOD`].
+/// The same for a part that started [`KNOWN_STARTS`] times, each within [`KNOWN_PERIOD`] after the one before, until an endpoint
+/// crashed.
 const KNOWN_LIMIT: u32 = 5;
+const KNOWN_STARTS: usize = 3;
 /// How long a start shows that endpoints can answer a part.
 const KNOWN_PERIOD: Duration = Duration::from_mins(1);
+/// Crashes left at which a verdict ends: of many crashes, one start takes back little.
+const RELEASE_SCORE: u32 = 1;
 /// Crashes that one start takes back.
 const START_WEIGHT: u32 = 2;
 /// Shortest time from the first crash to a verdict.
 const SETTLE_TIME: Duration = Duration::from_millis(500);
 /// Crashes that are kept of one part, the latest ones.
 const CRASHES_MAX: usize = 8;
-/// Starts that are kept of one part, the latest ones. They take back all but two of the crashes that are kept.
-const STARTS_MAX: usize = 3;
+/// Starts that are kept of one part, the latest ones. They take back all crashes that are kept.
+const STARTS_MAX: usize = 4;
 /// Time after the last crash or refusal until a verdict ends.
 const QUIET_PERIOD: Duration = Duration::from_mins(10);
 /// Time after the last crash or refusal until a verdict that has ended is forgotten. Until then one crash renews it.
@@ -58,7 +63,7 @@
 /// Time without a crash before one that was the result of a test.
 const TEST_GAP: Duration = Duration::from_secs(30);
 /// Time for a test to begin an answer or to crash an endpoint.
-const TEST_TIMEOUT: Duration = Duration::from_secs(10);
+const TEST_TIMEOUT: Duration = Duration::from_secs(3);
 /// Shortest delay after which a refused caller is told to return.
 const RETRY_DELAY_MIN: Duration = Duration::from_secs(5);
 /// How long a change is sent to peers. This covers several gossip intervals, so that a lost datagram does no harm.
@@ -184,6 +189,27 @@
     true
 }
 
+/// What the evidence about a part amounts to.
+#[derive(Debug, Clone, Copy, Default)]
+struct Weight {
+    /// Crashes that starts have not taken back.
+    score: u32,
+    /// Whether it is enough for a verdict.
+    is_enough: bool,
+}
+
+impl Weight {
+    fn add_crash(&mut self, limit: u32) {
+        self.score += 1;
+        self.is_enough |= self.score >= limit;
+    }
+
+    fn add_start(&mut self, release_score: u32) {
+        self.score = self.score.saturating_sub(START_WEIGHT);
+        self.is_enough &= self.score > release_score;
+    }
+}
+
 /// Evidence about one part.
 #[derive(Debug, Default)]
 struct Record {
@@ -195,6 +221,8 @@
     observed: Option<Instant>,
     /// When a request was last refused, at any instance.
     refused: Option<Instant>,
+    /// Whether it was known to start when endpoints began to crash.
+    known: bool,
     /// Whether it has been part of a verdict.
     convicted: bool,
 }
@@ -209,34 +237,40 @@
         self.last_crash().max(self.refused)
     }
 
-    /// Whether endpoints began to answer it at some time shortly before its first crash, or later.
-    fn is_known(&self) -> bool {
-        let Some(first) = self.crashes.first() else { return false };
-        self.starts.iter().any(|start| start.at + KNOWN_PERIOD > first.at)
-    }
-
     /// Crashes from which it is refused.
     fn limit(&self) -> u32 {
-        if self.is_known() { KNOWN_LIMIT } else { CRASH_LIMIT }
+        if self.known { KNOWN_LIMIT } else { CRASH_LIMIT }
     }
 
-    /// Crashes that starts have not taken back, without those that are `explained`.
-    fn score(&self, explained: &HashSet<u64>) -> u32 {
+    /// Weighs the evidence in the order of time, without the crashes that are `explained`.
+    fn weigh(&self, explained: &HashSet<u64>) -> Weight {
+        let mut weight = Weight::default();
         let mut starts = self.starts.iter().peekable();
-        let mut score = 0_u32;
         for crash in self.crashes.iter().filter(|crash| !explained.contains(&crash.id)) {
-            while starts.next_if(|start| start.at <= crash.at).is_some() {
-                score = score.saturating_sub(START_WEIGHT);
+            while let Some(start) = starts.next_if(|start| start.at <= crash.at) {
+                weight.add_start(self.release_score(start.at));
             }
-            score += 1;
+            weight.add_crash(self.limit());
         }
-        score.saturating_sub(START_WEIGHT * starts.count() as u32)
+        starts.for_each(|start| weight.add_start(self.release_score(start.at)));
+        weight
+    }
+
+    /// Crashes left at which a start ends a verdict. Before the evidence has settled there is no verdict that could last.
+    fn release_score(&self, start: Instant) -> u32 {
+        let is_settled = self.suspected.is_some_and(|first| start >= first + SETTLE_TIME);
+        if is_settled { RELEASE_SCORE } else { self.limit() - 1 }
+    }
+
+    /// Whether starts have taken back all crashes.
+    fn is_cleared(&self) -> bool {
+        self.weigh(&HashSet::new()).score == 0
     }
 
     /// Adds a start, and returns whether it was not known.
     fn add_start(&mut self, start: Mark) -> bool {
         let is_new = insert_mark(&mut self.starts, start, STARTS_MAX);
-        if is_new && self.score(&HashSet::new()) == 0 {
+        if is_new && self.is_cleared() {
             self.suspected = None;
         }
         is_new
@@ -244,8 +278,8 @@
 
     /// When it may be refused, if there are enough crashes.
     fn settled(&self, explained: &HashSet<u64>) -> Option<Instant> {
-        let has_enough = self.score(explained) >= self.limit();
-        self.suspected.filter(|_| has_enough).map(|first| first + SETTLE_TIME)
+        let is_enough = self.crashes.len() >= self.limit() as usize && self.weigh(explained).is_enough;
+        self.suspected.filter(|_| is_enough).map(|first| first + SETTLE_TIME)
     }
 
     fn unexplained<'a>(&'a self, explained: &'a HashSet<u64>) -> impl Iterator<Item = Mark> + 'a {
@@ -265,19 +299,27 @@
     }
 }
 
+/// The last start of a part, and how many there were without a long pause.
+#[derive(Debug, Clone, Copy)]
+struct LastStart {
+    mark: Mark,
+    count: usize,
+}
+
 /// When endpoints last began to answer parts, by what this instance observed.
 #[derive(Debug, Default)]
 struct LastStarts {
-    last: HashMap<PromptPart, Mark>,
+    last: HashMap<PromptPart, LastStart>,
     order: VecDeque<(Instant, PromptPart)>,
 }
 
 impl LastStarts {
     fn insert(&mut self, now: Instant, part: PromptPart, mark: Mark) {
-        if self.last.insert(part, mark).is_none() {
+        self.expire(now);
+        let count = self.last.get(&part).map_or(0, |last| last.count) + 1;
+        if self.last.insert(part, LastStart { mark, count }).is_none() {
             self.order.push_back((now, part));
         }
-        self.expire(now);
     }
 
     /// Looks at the parts in the order in which they were added. One that has started again since is moved to the end.
@@ -288,7 +330,7 @@
                 return;
             }
             self.order.pop_front();
-            match self.last.get(&part).map(|mark| mark.at) {
+            match self.last.get(&part).map(|last| last.mark.at) {
                 Some(last) if last > at && now.duration_since(last) < KNOWN_PERIOD => {
                     self.order.push_back((last, part));
                 }
@@ -369,7 +411,7 @@
         for &part in parts {
             self.last_starts.insert(now, part, mark);
             let Some(record) = self.records.get_mut(&part) else { continue };
-            matters |= record.score(&HashSet::new()) >= CRASH_LIMIT;
+            matters |= record.weigh(&HashSet::new()).is_enough;
             if record.add_start(mark) {
                 record.observed = Some(now);
             }
@@ -469,7 +511,7 @@
         let mut is_changed = false;
         self.records.retain(|_, record| {
             let idle = record.last_active().map_or(MEMORY_PERIOD, |at| now.duration_since(at));
-            let is_cleared = record.score(&HashSet::new()) == 0
+            let is_cleared = record.is_cleared()
                 && record.observed.is_none_or(|at| now.duration_since(at) >= UPDATE_PERIOD)
                 && idle >= UPDATE_PERIOD;
             if is_cleared || idle >= MEMORY_PERIOD || (idle >= QUIET_PERIOD && !record.convicted) {
@@ -500,11 +542,12 @@
     fn add_crash(&mut self, now: Instant, part: PromptPart, mark: Mark) -> bool {
         if !self.records.contains_key(&part) {
             self.make_room();
-            let known = self.last_starts.last.get(&part).filter(|s| s.at + KNOWN_PERIOD > mark.at);
+            let last = self.last_starts.last.get(&part).filter(|last| last.mark.at + KNOWN_PERIOD > mark.at);
+            let known = last.is_some_and(|last| last.count >= KNOWN_STARTS);
             // Peers do not know the start.
-            let observed = known.map(|_| now);
-            let starts = known.copied().into_iter().collect();
-            self.records.insert(part, Record { starts, observed, ..Record::default() });
+            let observed = last.map(|_| now);
+            let starts = last.map(|last| last.mark).into_iter().collect();
+            self.records.insert(part, Record { starts, observed, known, ..Record::default() });
         }
         let record = self.records.get_mut(&part).expect("it was inserted if it was missing");
         // What a peer reports is not newer than now, and what is older than a verdict lasts is no evidence.
@@ -571,14 +614,29 @@
             candidates.iter().filter(|(_, record)| same(record)).map(|(part, _)| **part).collect();
         parts.sort_unstable();
         let last_crash = best.last_crash()?;
+        let is_ambiguous =
+            crashes.len() < KNOWN_LIMIT as usize && self.is_explained_by_others(&crashes, explained);
+        let delay = if is_ambiguous { Duration::ZERO } else { TEST_DELAY * 2_u32.pow(best.failed_tests()) };
         Some(PartVerdict {
             parts,
             crashes: crashes.len(),
             first_crash: best.crashes.first()?.at,
             last_crash,
-            next_test: last_crash + TEST_DELAY * 2_u32.pow(best.failed_tests()),
+            next_test: last_crash + delay,
         })
     }
+
+    /// Whether parts that were present at some of the crashes, and have not started since, together explain all of them.
+    fn is_explained_by_others(&self, crashes: &HashSet<u64>, explained: &HashSet<u64>) -> bool {
+        let mut covered = HashSet::new();
+        for record in self.records.values().filter(|record| record.weigh(explained).score > 0) {
+            let ids: HashSet<u64> = record.unexplained(explained).map(|crash| crash.id).collect();
+            if ids.len() < crashes.len() && ids.is_subset(crashes) {
+                covered.extend(ids);
+            }
+        }
+        covered.len() == crashes.len()
+    }
 }
 
 fn report_of(now: Instant, part: PromptPart, record: &Record) -> PartReport {
--- a/crates/core/tests/all/main.rs
+++ b/crates/core/tests/all/main.rs
@@ -5,6 +5,7 @@
 mod ids;
 mod kept_runs;
 mod limits;
+mod prompt_parts;
 mod quarantine;
 mod steps;
 mod support;
