--- a/crates/core/src/prompt_parts.rs
+++ b/crates/core/src/prompt_parts.rs
@@ -629,9 +629,11 @@
     /// Whether parts that were present at some of the crashes, and have not started since, together explain all of them.
     fn is_explained_by_others(&self, crashes: &HashSet<u64>, explained: &HashSet<u64>) -> bool {
         let mut covered = HashSet::new();
-        for record in self.records.values().filter(|record| record.weigh(explained).score > 0) {
+        let concerns = |record: &&Record| record.crashes.iter().any(|crash| crashes.contains(&crash.id));
+        for record in self.records.values().filter(concerns) {
             let ids: HashSet<u64> = record.unexplained(explained).map(|crash| crash.id).collect();
-            if ids.len() < crashes.len() && ids.is_subset(crashes) {
+            let is_suspected = record.weigh(explained).score > 0;
+            if is_suspected && ids.len() < crashes.len() && ids.is_subset(crashes) {
                 covered.extend(ids);
             }
         }
--- a/crates/core/tests/all/prompt_parts/fleet.rs
+++ b/crates/core/tests/all/prompt_parts/fleet.rs
@@ -293,8 +293,13 @@
     fn run(&mut self) {
         let (tick, now) = (self.tick, self.now());
         let mut ended = Vec::new();
-        for request in self.requests.clone() {
-            let Some(index) = self.requests.iter().position(|other| other.id == request.id) else { continue };
+        let is_due = |request: &&Request| {
+            if request.engine.is_some() { request.begin_at <= tick } else { request.decode_at <= tick }
+        };
+        let due: Vec<_> = self.requests.iter().filter(is_due).map(|request| request.id).collect();
+        for id in due {
+            let Some(index) = self.requests.iter().position(|request| request.id == id) else { continue };
+            let request = self.requests[index].clone();
             let quarantine = &mut self.instances[request.instance].quarantine;
             if request.engine.is_none() && request.decode_at <= tick {
                 let engine = self.rng.random_range(0..self.engines.len());
