Crashes: a search for another engine that meets a crash attributes it

Found while looking for what else sends such requests: a search reads the first event of the engine that it has chosen by itself, and did not check an engine that broke there, so that neither the request nor a part of its prompt was held for the crash. A run that failed while a search went on is checked as well, and a caller that leaves during the search is recorded.

--- a/crates/core/src/prompt_parts.rs
+++ b/crates/core/src/prompt_parts.rs
@@ -559,13 +559,16 @@
         true
     }
 
-    /// Removes the part whose last crash is the oldest, and that is not refused, if there are too many.
+    /// Removes parts whose last crashes are the oldest, and that were never refused, if there are too many. They are several, so
+    /// that the next part needs no such search.
     fn make_room(&mut self) {
         if self.records.len() < RECORDS_MAX {
             return;
         }
-        let oldest = self.records.iter().min_by_key(|(part, r)| (r.convicted, r.last_crash(), **part));
-        if let Some(part) = oldest.map(|(part, _)| *part) {
+        let mut parts: Vec<_> =
+            self.records.iter().map(|(part, r)| (r.convicted, r.last_crash(), *part)).collect();
+        parts.sort_unstable();
+        for (_, _, part) in parts.into_iter().take(RECORDS_MAX / 8) {
             self.records.remove(&part);
         }
     }
--- a/crates/forward/src/crashes.rs
+++ b/crates/forward/src/crashes.rs
@@ -146,7 +146,12 @@
 
 impl<'a> CallGuard<'a> {
     pub(crate) fn new(node: &'a Node, job: &'a Job, endpoint: EndpointKey) -> Self {
-        Self { node, job, endpoint, sent_at: node.now(), ended: false }
+        Self::since(node, job, endpoint, node.now())
+    }
+
+    /// The same for a call that was sent at `sent_at`.
+    pub(crate) const fn since(node: &'a Node, job: &'a Job, endpoint: EndpointKey, sent_at: Instant) -> Self {
+        Self { node, job, endpoint, sent_at, ended: false }
     }
 
     /// Records that the call has its result; returns when it began.
--- a/crates/forward/src/generate.rs
+++ b/crates/forward/src/generate.rs
@@ -364,8 +364,20 @@
     let result = match first_event(node, interrupted, after, reserved.endpoint, run).await {
         FirstEvent::Answered(result) => result,
         FirstEvent::Replaced(started, failure) => {
-            if failure.is_some_and(|failure| !failure.may_have_run()) {
-                run_count.undo();
+            match failure {
+                Some(failure) if failure.may_have_run() => {
+                    let sent_at = guard.ended();
+                    crashes::check_endpoint(
+                        node,
+                        job,
+                        trace,
+                        reserved.endpoint,
+                        sent_at,
+                        Progress::Unanswered,
+                    );
+                }
+                Some(_) => run_count.undo(),
+                None => {}
             }
             return FirstEvent::Replaced(started, failure);
         }
--- a/crates/forward/src/resume.rs
+++ b/crates/forward/src/resume.rs
@@ -15,6 +15,7 @@
 use teaselshunt_core::ErrorKind;
 use teaselshunt_routing::{EndpointKey, Repeat, StepOutcome, WaitPolicy};
 
+use crate::crashes::{self, CallGuard, Progress};
 use crate::generate::{self, Start, Started};
 use crate::node::{Answer, Job, Node};
 use crate::quarantine;
@@ -195,11 +196,15 @@
     }
 
     /// Waits until the engine has sent an event: a response that has begun need not go on.
-    async fn await_first_event(self, node: &Node, mut started: Started) -> Result<Started, NotResumed> {
-        let Answer { body, endpoint, .. } = &mut started.answer;
-        match body.await_first_event().await {
+    async fn await_first_event(self, node: &Rc<Node>, mut started: Started) -> Result<Started, NotResumed> {
+        let Answer { body, endpoint, sent_at, .. } = &mut started.answer;
+        let guard = CallGuard::since(node, self.job, *endpoint, *sent_at);
+        let first = body.await_first_event().await;
+        let sent_at = guard.ended();
+        match first {
             Ok(()) => Ok(started),
             Err(end) => {
+                crashes::check_endpoint(node, self.job, self.trace, *endpoint, sent_at, Progress::Unanswered);
                 let text = format!("broken{end}");
                 self.trace.record_step("stream", &node.id_for_log(*endpoint), &text);
                 node.metrics.count_response_end(end);
