Own interface: generations are refused for a message under which engines crash

The same cause: the quarantine of the core counted by whole requests there too. Parts are all messages of a chat but the last. The core keeps the same evidence, tells members (a new last message kind; a build that does not know it drops that message alone) and refuses waiting requests when a verdict is reached.

Left: a completion is one text without parts; a request whose prompt is being prefilled when the verdict is reached goes on, as with the quarantine of whole requests; no switch.

The module of prompt parts is split in two (decision, evidence), and the stand-in's crashing requests have a file of their own.

--- a/crates/bench/src/slopes.rs
+++ b/crates/bench/src/slopes.rs
@@ -95,6 +95,7 @@
             retry: false,
             key: None,
             fingerprint: Fingerprint(number),
+            parts: Vec::new(),
             deadline: Duration::from_mins(1),
         });
         let clock = Instant::now();
--- a/crates/bench/src/world/callers.rs
+++ b/crates/bench/src/world/callers.rs
@@ -399,6 +399,7 @@
             retry: self.submissions > 1,
             key,
             fingerprint: self.fingerprint,
+            parts: Vec::new(),
             deadline,
         })
     }
--- a/crates/core/src/crashes.rs
+++ b/crates/core/src/crashes.rs
@@ -14,9 +14,11 @@
 use crate::event::{Audit, Effect};
 use crate::ids::{EndpointKey, RequestKey};
 use crate::instance::Instance;
+use crate::members::{Health, Member};
 use crate::message::Message;
+use crate::prompt_parts::{PartChange, PartDecision, PartReport, PromptPart};
 use crate::quarantine::{Crash, CrashReport, EndpointIncarnation};
-use crate::requests::Phase;
+use crate::requests::{Phase, Request};
 use crate::{EndpointId, Fingerprint, InstanceId};
 
 /// An endpoint that is unreachable within this time after a request failed there counts as crashed under the
@@ -34,13 +36,23 @@
 const CRASH_UPDATE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// A request that failed at an endpoint, or whose caller disconnected.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub(crate) struct Loss {
     request: Fingerprint,
+    /// Parts of its prompt, if the endpoint had not begun to answer.
+    unanswered_parts: Vec<PromptPart>,
     endpoint: EndpointId,
     at: Instant,
 }
 
+impl Loss {
+    fn new(at: Instant, request: &Request, endpoint: EndpointId) -> Self {
+        let has_begun = request.answered == Some(request.number);
+        let unanswered_parts = if has_begun { Vec::new() } else { request.parts.clone() };
+        Self { request: request.fingerprint, unanswered_parts, endpoint, at }
+    }
+}
+
 impl Instance {
     /// Records that a request failed at an endpoint that may have crashed.
     pub(crate) fn request_lost(
@@ -50,10 +62,10 @@
         endpoint: EndpointKey,
         out: &mut Vec<Effect>,
     ) {
-        let request = self.requests.get(key).fingerprint;
         let target = self.endpoints.get(endpoint).target();
+        let loss = Loss::new(now, self.requests.get(key), target.id);
         self.losses.retain(|loss| now.duration_since(loss.at) < LOSS_WINDOW);
-        self.losses.push(Loss { request, endpoint: target.id, at: now });
+        self.losses.push(loss);
         if !matches!(self.requests.get(key).phase, Phase::Calling { .. }) {
             out.push(Effect::Poll { target });
         }
@@ -63,11 +75,7 @@
     pub(crate) fn caller_left(&mut self, now: Instant, key: RequestKey) {
         let request = self.requests.get(key);
         let Some(endpoint) = request.phase.endpoint() else { return };
-        let loss = Loss {
-            request: request.fingerprint,
-            endpoint: self.endpoints.get(endpoint).target().id,
-            at: now,
-        };
+        let loss = Loss::new(now, request, self.endpoints.get(endpoint).target().id);
         self.abandoned.retain(|loss| now.duration_since(loss.at) < LOSS_WINDOW);
         self.abandoned.push(loss);
     }
@@ -98,15 +106,17 @@
 
     /// Attributes a crash to each of these requests.
     fn attribute_crash(&mut self, now: Instant, lost: Vec<Loss>, out: &mut Vec<Effect>) {
-        for Loss { request, endpoint, at } in
+        for Loss { request, unanswered_parts, endpoint, at } in
             lost.into_iter().filter(|l| now.duration_since(l.at) < LOSS_WINDOW)
         {
             let crash = Crash { request, endpoint: self.incarnation_at(endpoint, at), at };
             self.next_crash_update = now;
+            self.part_quarantine.observe_crash(now, crash.endpoint, at, &unanswered_parts);
             if self.quarantine.observe_crash(now, crash) {
                 self.refuse_quarantined(now, request, out);
             }
         }
+        self.apply_part_changes(now, out);
     }
 
     /// Incarnation of an endpoint that crashed at the time `at`.
@@ -119,7 +129,12 @@
     /// Refuses the waiting requests with this fingerprint, which is in quarantine from now on.
     fn refuse_quarantined(&mut self, now: Instant, fingerprint: Fingerprint, out: &mut Vec<Effect>) {
         out.push(Effect::Audit(Audit::Quarantined { request: fingerprint }));
-        let waits = |r: &crate::requests::Request| r.phase == Phase::Waiting && r.fingerprint == fingerprint;
+        self.refuse_waiting(now, |request| request.fingerprint == fingerprint, out);
+    }
+
+    /// Refuses the waiting requests that are in quarantine by now, of those that `may_be`.
+    fn refuse_waiting(&mut self, now: Instant, may_be: impl Fn(&Request) -> bool, out: &mut Vec<Effect>) {
+        let waits = |request: &Request| request.phase == Phase::Waiting && may_be(request);
         let waiting = self.requests.iter().filter(|(_, request)| waits(request));
         let keys: Vec<RequestKey> = waiting.map(|(key, _)| key).collect();
         for key in keys {
@@ -134,7 +149,10 @@
     /// Refusal of a request that is in quarantine.
     pub(crate) fn quarantine_refusal(&self, now: Instant, key: RequestKey) -> Option<Refusal> {
         let request = self.requests.get(key);
-        let remaining = self.quarantine.until(now, request.fingerprint)?.duration_since(now);
+        let until = self.quarantine.until(now, request.fingerprint);
+        let parts = self.part_quarantine.refusal(now, &request.parts).filter(|_| !request.is_part_test);
+        let remaining =
+            until.map(|until| until.duration_since(now)).max(parts.map(|refusal| refusal.delay))?;
         // A request that may have run must not be refused as "not run".
         let kind = if request.may_have_run() { ErrorKind::EndpointFailed } else { ErrorKind::Quarantined };
         Some(Refusal::retryable(kind, remaining))
@@ -147,13 +165,77 @@
             return;
         }
         self.next_crash_update = now + CRASH_UPDATE_INTERVAL;
-        let Some(message) = self.crash_update(now, false) else { return };
+        self.review_parts(now, out);
+        let messages: Vec<_> =
+            [self.crash_update(now, false), self.part_update(now, true)].into_iter().flatten().collect();
         let members: Vec<InstanceId> = self.members.iter().map(|(id, _)| id).collect();
-        for to in members {
+        for (to, message) in members.iter().flat_map(|&to| messages.iter().map(move |message| (to, message)))
+        {
             self.deliver(now, to, message.clone(), out);
         }
     }
 
+    /// Ends what is too old of the evidence about parts, and determines whether this instance tests verdicts: the lowest of those
+    /// that are alive does.
+    fn review_parts(&mut self, now: Instant, out: &mut Vec<Effect>) {
+        let own = self.identity.id();
+        let is_lower = |(id, member): (InstanceId, &Member)| id < own && member.health == Health::Alive;
+        let is_lowest = !self.members.iter().any(is_lower);
+        self.part_quarantine.set_tester(is_lowest);
+        self.part_quarantine.expire(now);
+        self.apply_part_changes(now, out);
+    }
+
+    /// Whether a request that is about to be queued is sent as a test although its parts are in quarantine.
+    pub(crate) fn decide_part_test(&mut self, now: Instant, key: RequestKey) {
+        let request = self.requests.get(key);
+        if request.parts.is_empty() || self.part_quarantine.is_empty() {
+            return;
+        }
+        let decision = self.part_quarantine.decide_request(now, &request.parts);
+        self.requests.get_mut(key).is_part_test = decision == PartDecision::Test;
+    }
+
+    /// Records that the caller of a request got something of an attempt.
+    pub(crate) fn attempt_answered(&mut self, now: Instant, key: RequestKey, out: &mut Vec<Effect>) {
+        let request = self.requests.get_mut(key);
+        if request.answered.replace(request.number) == Some(request.number) || request.parts.is_empty() {
+            return;
+        }
+        let attempt = request.attempt().to_string();
+        self.part_quarantine.observe_start(now, &attempt, &request.parts);
+        self.apply_part_changes(now, out);
+    }
+
+    /// Reports the verdicts that have begun or ended, and refuses the waiting requests that these concern.
+    fn apply_part_changes(&mut self, now: Instant, out: &mut Vec<Effect>) {
+        let changes = self.part_quarantine.take_changes();
+        if changes.is_empty() {
+            return;
+        }
+        self.next_crash_update = self.next_crash_update.min(now);
+        for change in changes {
+            let (parts, quarantined) = match change {
+                PartChange::Began(verdict) => (verdict.parts, true),
+                PartChange::Ended(parts) => (parts, false),
+            };
+            out.push(Effect::Audit(Audit::PromptParts { parts, quarantined }));
+        }
+        self.refuse_waiting(now, |request| !request.parts.is_empty(), out);
+    }
+
+    /// Message with recent evidence about parts, and with `all` also with what verdicts rest on.
+    pub(crate) fn part_update(&self, now: Instant, all: bool) -> Option<Message> {
+        let reports = self.part_quarantine.update(now, all);
+        (!reports.is_empty()).then_some(Message::PromptParts { reports })
+    }
+
+    /// Merges a member's evidence about parts.
+    pub(crate) fn merge_parts(&mut self, now: Instant, reports: &[PartReport], out: &mut Vec<Effect>) {
+        self.part_quarantine.merge(now, self.started, reports);
+        self.apply_part_changes(now, out);
+    }
+
     /// Message with recent changes, and for a newcomer with all crashes that keep requests in quarantine.
     pub(crate) fn crash_update(&self, now: Instant, newcomer: bool) -> Option<Message> {
         let update = self.quarantine.update(now, newcomer);
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -7,7 +7,10 @@
 use serde::{Deserialize, Serialize};
 use teaselshunt_settings::{Configuration, parse_configuration};
 
-use crate::{AttemptId, CallerKey, EndpointId, Fingerprint, InstanceId, Message, Refusal, RequestId, Ticket};
+use crate::{
+    AttemptId, CallerKey, EndpointId, Fingerprint, InstanceId, Message, PromptPart, Refusal, RequestId,
+    Ticket,
+};
 
 /// Input of an instance.
 #[derive(Debug, Clone)]
@@ -164,6 +167,8 @@
     pub key: Option<CallerKey>,
     /// Identifies the request when the caller sends it again.
     pub fingerprint: Fingerprint,
+    /// Parts of the prompt that other requests may have as well.
+    pub parts: Vec<PromptPart>,
     /// Time from arrival after which the caller does not need the response any more.
     pub deadline: Duration,
 }
@@ -492,6 +497,13 @@
         /// The request.
         request: Fingerprint,
     },
+    /// Parts of prompts are refused from now on, since endpoints crash under them, or no longer.
+    PromptParts {
+        /// The parts that are refused together.
+        parts: Vec<PromptPart>,
+        /// Whether they are refused.
+        quarantined: bool,
+    },
     /// An orphaned attempt was cancelled at an engine.
     Orphan {
         /// The attempt.
--- a/crates/core/src/instance/mod.rs
+++ b/crates/core/src/instance/mod.rs
@@ -25,6 +25,7 @@
 use crate::limits::Limits;
 use crate::members::{Health, Members};
 use crate::orphans::Cancels;
+use crate::prompt_parts::PartQuarantine;
 use crate::quarantine::Quarantine;
 use crate::queue::Queue;
 use crate::requests::Requests;
@@ -95,6 +96,8 @@
     pub(crate) abandoned: Vec<Loss>,
     /// Requests that crash endpoints.
     pub(crate) quarantine: Quarantine,
+    /// Parts of prompts under which endpoints crash.
+    pub(crate) part_quarantine: PartQuarantine,
     pub(crate) next_crash_update: Instant,
     pub(crate) limits: Limits,
     /// When the process started.
@@ -149,6 +152,7 @@
             losses: Vec::new(),
             abandoned: Vec::new(),
             quarantine: Quarantine::default(),
+            part_quarantine: PartQuarantine::default(),
             next_crash_update: now,
             limits: Limits::new(now),
             started: now,
--- a/crates/core/src/instance/peers.rs
+++ b/crates/core/src/instance/peers.rs
@@ -57,6 +57,7 @@
                 self.send_replies(now, replies, out);
             }
             Message::Crashes { crashes, served } => self.merge_crashes(now, crashes, served, out),
+            Message::PromptParts { reports } => self.merge_parts(now, &reports, out),
             Message::Reserve(request) => self.reservation_requested(now, from, &request, out),
             Message::Queued { request } => self.reservation_queued(from, request),
             Message::Reserved { pool, request, prefill, decode } => {
@@ -110,6 +111,9 @@
             // endpoints again before it refuses them.
             self.deliver(now, from, update, out);
         }
+        if !known && let Some(update) = self.part_update(now, true) {
+            self.deliver(now, from, update, out);
+        }
         for &update in &heartbeat.updates {
             changes.extend(self.members.merge_update(now, update));
         }
--- a/crates/core/src/lifecycle.rs
+++ b/crates/core/src/lifecycle.rs
@@ -55,6 +55,7 @@
 
     /// Queues a request, or refuses it at once if it would wait for longer than its class may.
     pub(crate) fn admit(&mut self, now: Instant, key: RequestKey, out: &mut Vec<Effect>) {
+        self.decide_part_test(now, key);
         if let Some(refusal) = self.quarantine_refusal(now, key) {
             return self.refuse(now, key, refusal, out);
         }
@@ -353,6 +354,7 @@
         // resumed again.
         request.resumed_from = None;
         request.silent_since = None;
+        self.attempt_answered(now, key, out);
     }
 
     pub(crate) fn finished(
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 use teaselshunt_teams::TeamSpending;
 
+use crate::prompt_parts::PartReport;
 use crate::quarantine::CrashReport;
 use crate::{
     EndpointId, Fingerprint, IdempotencyKey, InstanceId, InstanceList, PoolId, RequestId, StoredResponse,
@@ -165,6 +166,11 @@
     },
     /// Reports the admitted units of teams near their limits.
     Spending(SpendingReport),
+    /// Evidence about parts of prompts under which endpoints crash.
+    PromptParts {
+        /// The evidence.
+        reports: Vec<PartReport>,
+    },
 }
 
 /// Units that an instance has admitted for teams near their limits.
--- a/crates/core/src/new_request.rs
+++ b/crates/core/src/new_request.rs
@@ -57,6 +57,7 @@
             wait: Duration::from_millis(class.wait_ms),
             caller_key: work.key,
             fingerprint: work.fingerprint,
+            parts: work.parts,
             deadline: work.deadline,
         })
     }
@@ -80,6 +81,7 @@
             wait: SERVICE_WAIT,
             caller_key: work.key,
             fingerprint: work.fingerprint,
+            parts: Vec::new(),
             deadline: work.deadline,
         })
     }
--- a/crates/core/src/prompt_parts.rs
+++ b/crates/core/src/prompt_parts.rs
@@ -25,43 +25,26 @@
 //!
 //! No invariant depends on what peers report, and a part that is reported wrongly is only refused for a while.
 
-use std::collections::{HashMap, HashSet, VecDeque};
+mod evidence;
+
+use std::collections::{HashMap, HashSet};
 use std::fmt;
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
+use self::evidence::{CRASHES_MAX, KNOWN_LIMIT, LastStarts, Mark, Record, STARTS_MAX, report_of};
 use crate::quarantine::EndpointIncarnation;
 
 /// Maximum number of parts of one prompt that count.
 const PARTS_MAX: usize = 64;
-/// Crashes from which a part is refused. Two can have other causes.
-const CRASH_LIMIT: u32 = 3;
-/// The same for a part that started [`KNOWN_STARTS`] times, each within [`KNOWN_PERIOD`] after the one before, until an endpoint
-/// crashed.
-const KNOWN_LIMIT: u32 = 5;
-const KNOWN_STARTS: usize = 3;
-/// How long a start shows that endpoints can answer a part.
-const KNOWN_PERIOD: Duration = Duration::from_mins(1);
-/// Crashes left at which a verdict ends: of many crashes, one start takes back little.
-const RELEASE_SCORE: u32 = 1;
-/// Crashes that one start takes back.
-const START_WEIGHT: u32 = 2;
-/// Shortest time from the first crash to a verdict.
-const SETTLE_TIME: Duration = Duration::from_millis(500);
-/// Crashes that are kept of one part, the latest ones.
-const CRASHES_MAX: usize = 8;
-/// Starts that are kept of one part, the latest ones. They take back all crashes that are kept.
-const STARTS_MAX: usize = 4;
 /// Time after the last crash or refusal until a verdict ends.
 const QUIET_PERIOD: Duration = Duration::from_mins(10);
 /// Time after the last crash or refusal until a verdict that has ended is forgotten. Until then one crash renews it.
 const MEMORY_PERIOD: Duration = Duration::from_hours(1);
 /// Time after a verdict's last crash until it is tested, doubled with each test that ended in a crash.
 const TEST_DELAY: Duration = Duration::from_mins(1);
-/// Time without a crash before one that was the result of a test.
-const TEST_GAP: Duration = Duration::from_secs(30);
 /// Time for a test to begin an answer or to crash an endpoint.
 const TEST_TIMEOUT: Duration = Duration::from_secs(3);
 /// Shortest delay after which a refused caller is told to return.
@@ -72,8 +55,6 @@
 const UPDATE_ENTRIES_MAX: usize = 16;
 /// Maximum number of parts with crashes. Simultaneous crashes of a few hundred endpoints do not exceed it.
 const RECORDS_MAX: usize = 4096;
-/// Maximum number of parts whose last start is known.
-const STARTED_MAX: usize = 8192;
 
 /// A part of the prompts of a service that several requests may have, such as instructions or a document.
 ///
@@ -94,6 +75,12 @@
         parts
     }
 
+    /// The parts with these texts of prompts for a model, each once.
+    pub fn of_texts(model: &str, texts: &[String]) -> Vec<Self> {
+        let ids: Vec<_> = texts.iter().take(PARTS_MAX).map(|text| xxh3_64(text.as_bytes())).collect();
+        Self::of_all(model, &ids)
+    }
+
     /// The parts as one text, for logs.
     pub fn join(parts: &[Self]) -> String {
         let texts: Vec<_> = parts.iter().map(Self::to_string).collect();
@@ -164,184 +151,6 @@
     Ended(Vec<PromptPart>),
 }
 
-/// One piece of evidence. Its `id` tells it from others: an incarnation, or a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct Mark {
-    id: u64,
-    at: Instant,
-}
-
-/// Adds a mark to marks in the order of time, of which the latest `most` are kept. Returns whether it was added.
-fn insert_mark(marks: &mut Vec<Mark>, mark: Mark, most: usize) -> bool {
-    if marks.iter().any(|known| known.id == mark.id) {
-        return false;
-    }
-    let place = marks.partition_point(|known| known.at <= mark.at);
-    if marks.len() >= most {
-        if place == 0 {
-            return false;
-        }
-        marks.remove(0);
-        marks.insert(place - 1, mark);
-    } else {
-        marks.insert(place, mark);
-    }
-    true
-}
-
-/// What the evidence about a part amounts to.
-#[derive(Debug, Clone, Copy, Default)]
-struct Weight {
-    /// Crashes that starts have not taken back.
-    score: u32,
-    /// Whether it is enough for a verdict.
-    is_enough: bool,
-}
-
-impl Weight {
-    fn add_crash(&mut self, limit: u32) {
-        self.score += 1;
-        self.is_enough |= self.score >= limit;
-    }
-
-    fn add_start(&mut self, release_score: u32) {
-        self.score = self.score.saturating_sub(START_WEIGHT);
-        self.is_enough &= self.score > release_score;
-    }
-}
-
-/// Evidence about one part.
-#[derive(Debug, Default)]
-struct Record {
-    crashes: Vec<Mark>,
-    starts: Vec<Mark>,
-    /// When the first of the crashes happened that starts have not taken back.
-    suspected: Option<Instant>,
-    /// When this instance last observed a crash or a start itself.
-    observed: Option<Instant>,
-    /// When a request was last refused, at any instance.
-    refused: Option<Instant>,
-    /// Whether it was known to start when endpoints began to crash.
-    known: bool,
-    /// Whether it has been part of a verdict.
-    convicted: bool,
-}
-
-impl Record {
-    fn last_crash(&self) -> Option<Instant> {
-        self.crashes.last().map(|crash| crash.at)
-    }
-
-    /// When it last mattered.
-    fn last_active(&self) -> Option<Instant> {
-        self.last_crash().max(self.refused)
-    }
-
-    /// Crashes from which it is refused.
-    fn limit(&self) -> u32 {
-        if self.known { KNOWN_LIMIT } else { CRASH_LIMIT }
-    }
-
-    /// Weighs the evidence in the order of time, without the crashes that are `explained`.
-    fn weigh(&self, explained: &HashSet<u64>) -> Weight {
-        let mut weight = Weight::default();
-        let mut starts = self.starts.iter().peekable();
-        for crash in self.crashes.iter().filter(|crash| !explained.contains(&crash.id)) {
-            while let Some(start) = starts.next_if(|start| start.at <= crash.at) {
-                weight.add_start(self.release_score(start.at));
-            }
-            weight.add_crash(self.limit());
-        }
-        starts.for_each(|start| weight.add_start(self.release_score(start.at)));
-        weight
-    }
-
-    /// Crashes left at which a start ends a verdict. Before the evidence has settled there is no verdict that could last.
-    fn release_score(&self, start: Instant) -> u32 {
-        let is_settled = self.suspected.is_some_and(|first| start >= first + SETTLE_TIME);
-        if is_settled { RELEASE_SCORE } else { self.limit() - 1 }
-    }
-
-    /// Whether starts have taken back all crashes.
-    fn is_cleared(&self) -> bool {
-        self.weigh(&HashSet::new()).score == 0
-    }
-
-    /// Adds a start, and returns whether it was not known.
-    fn add_start(&mut self, start: Mark) -> bool {
-        let is_new = insert_mark(&mut self.starts, start, STARTS_MAX);
-        if is_new && self.is_cleared() {
-            self.suspected = None;
-        }
-        is_new
-    }
-
-    /// When it may be refused, if there are enough crashes.
-    fn settled(&self, explained: &HashSet<u64>) -> Option<Instant> {
-        let is_enough = self.crashes.len() >= self.limit() as usize && self.weigh(explained).is_enough;
-        self.suspected.filter(|_| is_enough).map(|first| first + SETTLE_TIME)
-    }
-
-    fn unexplained<'a>(&'a self, explained: &'a HashSet<u64>) -> impl Iterator<Item = Mark> + 'a {
-        self.crashes.iter().copied().filter(|crash| !explained.contains(&crash.id))
-    }
-
-    /// Starts after the first crash.
-    fn later_starts(&self) -> usize {
-        let Some(first) = self.crashes.first() else { return 0 };
-        self.starts.iter().filter(|start| start.at > first.at).count()
-    }
-
-    /// Crashes that were results of tests: each came after a long time without any.
-    fn failed_tests(&self) -> u32 {
-        let gap = |pair: &[Mark]| pair[1].at.duration_since(pair[0].at) >= TEST_GAP;
-        self.crashes.windows(2).rev().take_while(|pair| gap(pair)).count() as u32
-    }
-}
-
-/// The last start of a part, and how many there were without a long pause.
-#[derive(Debug, Clone, Copy)]
-struct LastStart {
-    mark: Mark,
-    count: usize,
-}
-
-/// When endpoints last began to answer parts, by what this instance observed.
-#[derive(Debug, Default)]
-struct LastStarts {
-    last: HashMap<PromptPart, LastStart>,
-    order: VecDeque<(Instant, PromptPart)>,
-}
-
-impl LastStarts {
-    fn insert(&mut self, now: Instant, part: PromptPart, mark: Mark) {
-        self.expire(now);
-        let count = self.last.get(&part).map_or(0, |last| last.count) + 1;
-        if self.last.insert(part, LastStart { mark, count }).is_none() {
-            self.order.push_back((now, part));
-        }
-    }
-
-    /// Looks at the parts in the order in which they were added. One that has started again since is moved to the end.
-    fn expire(&mut self, now: Instant) {
-        while let Some(&(at, part)) = self.order.front() {
-            let is_old = now.duration_since(at) >= KNOWN_PERIOD;
-            if !is_old && self.order.len() <= STARTED_MAX {
-                return;
-            }
-            self.order.pop_front();
-            match self.last.get(&part).map(|last| last.mark.at) {
-                Some(last) if last > at && now.duration_since(last) < KNOWN_PERIOD => {
-                    self.order.push_back((last, part));
-                }
-                _ => {
-                    self.last.remove(&part);
-                }
-            }
-        }
-    }
-}
-
 /// Parts of prompts under which endpoints crash, as known to one instance.
 #[derive(Debug, Default)]
 pub struct PartQuarantine {
@@ -518,11 +327,8 @@
                 is_changed |= record.convicted;
                 return false;
             }
-            let kept = CRASH_LIMIT as usize - 1;
-            if idle >= QUIET_PERIOD && record.crashes.len() > kept {
-                record.crashes.drain(..record.crashes.len() - kept);
-                record.starts.clear();
-                is_changed = true;
+            if idle >= QUIET_PERIOD {
+                is_changed |= record.reduce();
             }
             true
         });
@@ -540,23 +346,13 @@
     }
 
     fn add_crash(&mut self, now: Instant, part: PromptPart, mark: Mark) -> bool {
+        // What a peer reports is not newer than now.
+        let mark = Mark { at: mark.at.min(now), ..mark };
         if !self.records.contains_key(&part) {
             self.make_room();
-            let last = self.last_starts.last.get(&part).filter(|last| last.mark.at + KNOWN_PERIOD > mark.at);
-            let known = last.is_some_and(|last| last.count >= KNOWN_STARTS);
-            // Peers do not know the start.
-            let observed = last.map(|_| now);
-            let starts = last.map(|last| last.mark).into_iter().collect();
-            self.records.insert(part, Record { starts, observed, known, ..Record::default() });
+            self.records.insert(part, self.last_starts.record(now, part, mark.at));
         }
-        let record = self.records.get_mut(&part).expect("it was inserted if it was missing");
-        // What a peer reports is not newer than now, and what is older than a verdict lasts is no evidence.
-        let mark = Mark { at: mark.at.min(now), ..mark };
-        if !insert_mark(&mut record.crashes, mark, CRASHES_MAX) {
-            return false;
-        }
-        record.suspected = Some(record.suspected.map_or(mark.at, |first| first.min(mark.at)));
-        true
+        self.records.get_mut(&part).is_some_and(|record| record.add_crash(mark))
     }
 
     /// Removes parts whose last crashes are the oldest, and that were never refused, if there are too many. They are several, so
@@ -643,10 +439,3 @@
         covered.len() == crashes.len()
     }
 }
-
-fn report_of(now: Instant, part: PromptPart, record: &Record) -> PartReport {
-    let age = |at: Instant| u32::try_from(now.saturating_duration_since(at).as_millis()).unwrap_or(u32::MAX);
-    let crashes = record.crashes.iter().map(|c| (EndpointIncarnation(c.id), age(c.at))).collect();
-    let starts = record.starts.iter().map(|start| (start.id, age(start.at))).collect();
-    PartReport { part, crashes, starts, refused: record.refused.map(age) }
-}
--- a/crates/core/src/requests.rs
+++ b/crates/core/src/requests.rs
@@ -10,7 +10,7 @@
 
 use crate::ids::{EndpointKey, RequestKey};
 use crate::limits::Charge;
-use crate::{AttemptId, CallerKey, Fingerprint, InstanceId, RequestId, Ticket};
+use crate::{AttemptId, CallerKey, Fingerprint, InstanceId, PromptPart, RequestId, Ticket};
 
 /// Phase of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -110,6 +110,12 @@
     /// Units charged to the team.
     pub(crate) charge: Option<Charge>,
     pub(crate) fingerprint: Fingerprint,
+    /// Parts of the prompt that other requests may have as well.
+    pub(crate) parts: Vec<PromptPart>,
+    /// Whether it is sent although its parts are in quarantine, as a test.
+    pub(crate) is_part_test: bool,
+    /// Number of the last attempt that the caller got something of.
+    pub(crate) answered: Option<u32>,
     pub(crate) arrived: Instant,
     pub(crate) deadline: Instant,
     pub(crate) phase: Phase,
@@ -206,6 +212,7 @@
     pub(crate) wait: Duration,
     pub(crate) caller_key: Option<CallerKey>,
     pub(crate) fingerprint: Fingerprint,
+    pub(crate) parts: Vec<PromptPart>,
     pub(crate) deadline: Duration,
 }
 
@@ -233,6 +240,9 @@
             caller_key: new_request.caller_key,
             charge: None,
             fingerprint: new_request.fingerprint,
+            parts: new_request.parts,
+            is_part_test: false,
+            answered: None,
             arrived: now,
             deadline,
             phase: Phase::Claiming,
--- a/crates/core/tests/all/crashes.rs
+++ b/crates/core/tests/all/crashes.rs
@@ -4,7 +4,7 @@
 
 use teaselshunt_core::{
     AttemptId, Audit, CrashReport, Effect, EndpointIncarnation, EngineLoad, ErrorKind, Event, Fingerprint,
-    InstanceId, Message, Running, StepFailure, Target, Ticket,
+    InstanceId, Message, PartReport, PromptPart, Running, StepFailure, Target, Ticket,
 };
 
 use crate::support::{SingleInstance, prefill};
@@ -175,3 +175,44 @@
     }
     assert_eq!(refused(&instance.ask(ticket + 1, BAD)), Some(ErrorKind::Quarantined));
 }
+
+/// Parts of the prompts below: of all, under which engines crash, and of some sound ones.
+const FIRST_PART: PromptPart = PromptPart(1);
+const BAD_PART: PromptPart = PromptPart(2);
+const OTHER_PART: PromptPart = PromptPart(3);
+
+/// Guards against crashes that count for whole requests only: no two of these are alike, and they share a part.
+#[test]
+fn requests_with_a_part_under_which_engines_crash_are_refused() {
+    let mut instance = SingleInstance::start();
+    let mut ticket = 0;
+    for _ in 0..3 {
+        ticket += 1;
+        let mut next = prefill(&instance.ask_with_parts(ticket, &[FIRST_PART, BAD_PART]));
+        while let Some(attempt) = next {
+            next = prefill(&crash(&mut instance, attempt));
+            instance.pass(Duration::from_millis(300));
+        }
+        instance.pass(Duration::from_secs(6));
+    }
+    let last = instance.ask_with_parts(ticket + 1, &[FIRST_PART, BAD_PART, OTHER_PART]);
+    assert_eq!(refused(&last), Some(ErrorKind::Quarantined));
+    let sound = instance.ask_with_parts(ticket + 2, &[FIRST_PART, OTHER_PART]);
+    assert!(prefill(&sound).is_some(), "requests without the part are served");
+}
+
+/// The same for an instance that has observed no crash itself.
+#[test]
+fn evidence_about_parts_that_peers_report_counts() {
+    let mut instance = SingleInstance::start();
+    let crashes = (1..=3).map(|number| (EndpointIncarnation(number), 1_000 * number as u32)).collect();
+    let report = PartReport { part: BAD_PART, crashes, starts: Vec::new(), refused: None };
+    let message = Message::PromptParts { reports: vec![report] };
+    let effects = instance.step(Event::Received { from: InstanceId::of("other"), message });
+    let is_audited =
+        |effect: &Effect| matches!(effect, Effect::Audit(Audit::PromptParts { quarantined: true, .. }));
+    assert!(effects.iter().any(is_audited), "the verdict is in the audit trail");
+    let refusal = refused(&instance.ask_with_parts(1, &[FIRST_PART, BAD_PART]));
+    assert_eq!(refusal, Some(ErrorKind::Quarantined));
+    assert!(prefill(&instance.ask_with_parts(2, &[FIRST_PART])).is_some());
+}
--- a/crates/core/tests/all/support.rs
+++ b/crates/core/tests/all/support.rs
@@ -5,8 +5,8 @@
 
 use teaselshunt_core::{
     AttemptId, ConfigurationCandidate, Effect, EndpointId, EngineLoad, Event, Fingerprint, Generate,
-    Heartbeat, Identity, Instance, InstanceEntry, InstanceId, InstanceList, Message, Placement, Source,
-    Ticket, Work,
+    Heartbeat, Identity, Instance, InstanceEntry, InstanceId, InstanceList, Message, Placement, PromptPart,
+    Source, Ticket, Work,
 };
 use teaselshunt_settings::{Configuration, parse_configuration};
 
@@ -118,6 +118,15 @@
 
     /// A caller requests an invoice with this fingerprint.
     pub(crate) fn ask(&mut self, ticket: u64, fingerprint: Fingerprint) -> Vec<Effect> {
+        self.ask_for(ticket, fingerprint, Vec::new())
+    }
+
+    /// A caller requests an invoice that no other request asks for, with a prompt that has these parts.
+    pub(crate) fn ask_with_parts(&mut self, ticket: u64, parts: &[PromptPart]) -> Vec<Effect> {
+        self.ask_for(ticket, Fingerprint(ticket), parts.to_vec())
+    }
+
+    fn ask_for(&mut self, ticket: u64, fingerprint: Fingerprint, parts: Vec<PromptPart>) -> Vec<Effect> {
         let work = Work::Generate(Generate {
             model: "fee-writer-invoice".to_owned(),
             team: String::new(),
@@ -126,6 +135,7 @@
             retry: false,
             key: None,
             fingerprint,
+            parts,
             deadline: Duration::from_mins(1),
         });
         self.step(Event::Arrived { ticket: Ticket(ticket), work })
--- a/crates/daemon/src/audit.rs
+++ b/crates/daemon/src/audit.rs
@@ -11,7 +11,7 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use serde::Serialize;
-use teaselshunt_core::{Audit, InstanceId, Source};
+use teaselshunt_core::{Audit, InstanceId, PromptPart, Source};
 
 /// Lines kept in memory.
 const RETAINED_LINES: usize = 10_000;
@@ -114,6 +114,11 @@
                 line.subject = Some(request.to_string());
                 line.cause = Some("endpoints crashed under this request".to_owned());
             }
+            Audit::PromptParts { parts, quarantined } => {
+                line.change = "prompt part";
+                line.subject = Some(PromptPart::join(parts));
+                line.state = Some(if *quarantined { "quarantined" } else { "released" });
+            }
             Audit::Orphan { attempt, endpoint } => {
                 line.change = "orphan";
                 line.subject = Some(endpoint.clone());
--- a/crates/daemon/src/callers/openai.rs
+++ b/crates/daemon/src/callers/openai.rs
@@ -8,7 +8,9 @@
 use poem::web::Data;
 use poem::{Body, Request, Response, handler};
 use serde::{Deserialize, Serialize};
-use teaselshunt_core::{ErrorKind, Fingerprint, Generate, Refusal, RequestId, StoredResponse, Work};
+use teaselshunt_core::{
+    ErrorKind, Fingerprint, Generate, PromptPart, Refusal, RequestId, StoredResponse, Work,
+};
 use tokio::sync::{OwnedSemaphorePermit, mpsc};
 
 use super::answer::{REQUEST_ID, RefusalResponse, caller_gone, replay_response};
@@ -95,6 +97,8 @@
     format: Format,
     model: String,
     prompt: String,
+    /// Messages that other requests may have as well: all but the last.
+    shared: Vec<String>,
     max_tokens: u32,
     stream: bool,
 }
@@ -160,15 +164,18 @@
 fn parse_chat(body: &[u8]) -> Result<ParsedRequest, RefusalResponse> {
     let request: ChatRequest = serde_json::from_slice(body).map_err(|e| invalid(e.to_string()))?;
     require_one_choice(request.n)?;
-    let mut prompt = String::new();
+    let mut messages = Vec::new();
     for message in request.messages {
-        prompt.push_str(&message.role);
-        prompt.push_str(": ");
-        push_content(&mut prompt, message.content)?;
-        prompt.push('\n');
+        let mut text = message.role + ": ";
+        push_content(&mut text, message.content)?;
+        text.push('\n');
+        messages.push(text);
     }
+    let prompt = messages.concat();
+    messages.pop();
     let max_tokens = request.max_completion_tokens.or(request.max_tokens);
-    validate(Format::Chat, request.model, prompt, max_tokens, request.stream)
+    let parsed = validate(Format::Chat, request.model, prompt, max_tokens, request.stream)?;
+    Ok(ParsedRequest { shared: messages, ..parsed })
 }
 
 fn push_content(prompt: &mut String, content: Content) -> Result<(), RefusalResponse> {
@@ -212,7 +219,7 @@
             "max_tokens: {max_tokens} was given, 1 to {MAX_TOKENS_LIMIT} are allowed"
         )));
     }
-    Ok(ParsedRequest { format, model, prompt, max_tokens, stream })
+    Ok(ParsedRequest { format, model, prompt, shared: Vec::new(), max_tokens, stream })
 }
 
 async fn run_generation(
@@ -237,6 +244,7 @@
         retry: request_headers.is_retry,
         key: request_headers.key,
         fingerprint,
+        parts: PromptPart::of_texts(&parsed.model, &parsed.shared),
         deadline: passage.core_deadline(),
     };
     if request_headers.key.is_some() {
--- a/crates/standin/src/site/endpoint.rs
+++ b/crates/standin/src/site/endpoint.rs
@@ -15,6 +15,7 @@
 
 use super::body::{SiteBody, SiteFraming};
 use super::capacity::{Entry, Places, Reservations};
+use super::crash::crashes_under;
 use super::events::write_events;
 use super::http::{Request, read_request, write_response};
 use super::no_end::{Begin, SiteNoEnd, write_without_end};
@@ -23,19 +24,6 @@
 /// Slots that an endpoint without a limit on its places states: more than it gets requests at a time.
 const UNLIMITED_SLOTS: u32 = 1_000;
 
-/// Body of a request that crashes every endpoint that starts to run it. A prefill of its prompt crashes no engine.
-pub const CRASHING_BODY: &str = "crash";
-
-/// Id of a part of prompts under which every decode engine crashes once it begins to answer, whatever else the request holds. A
-/// header `crash-at` names the only engine that crashes.
-pub const CRASHING_PART: &str = "c4a54";
-
-/// Whether the prompt of a request has [`CRASHING_PART`] among its parts.
-fn has_crashing_part(request: &Request) -> bool {
-    let parts = request.header("prompt-prefix").unwrap_or_default();
-    parts.split(',').any(|part| part.split(':').next() == Some(CRASHING_PART))
-}
-
 /// Properties of a stand-in endpoint.
 #[derive(Debug, Clone)]
 pub struct SiteOptions {
@@ -527,9 +515,7 @@
         }
         tokio::time::sleep(work_time).await;
         self.pauses.over().await;
-        let is_spared = request.header("crash-at").is_some_and(|engine| engine != self.options.id);
-        let is_crashing = request.body == CRASHING_BODY.as_bytes() || has_crashing_part(request);
-        let crashes = !prefill && !is_spared && is_crashing;
+        let crashes = !prefill && crashes_under(request, &self.options.id);
         if crashes && self.options.event_count == 0 {
             self.crash.send_replace(true);
             return false;
--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -5,6 +5,7 @@
 mod caller;
 mod capacity;
 mod configuration;
+mod crash;
 mod endpoint;
 mod events;
 mod http;
@@ -17,9 +18,8 @@
 pub use body::{SiteBody, SiteCut, SiteFraming};
 pub use caller::{is_signed, leaving_endpoint, site_request};
 pub use configuration::{FLOODING_TEAM, RIVAL_TEAM, SiteTeam, UNLIMITED_TEAM, site_configuration};
-pub use endpoint::{
-    CRASHING_BODY, CRASHING_PART, SiteArrival, SiteEndpoint, SiteExecution, SiteFault, SiteOptions,
-};
+pub use crash::{CRASHING_BODY, CRASHING_PART};
+pub use endpoint::{SiteArrival, SiteEndpoint, SiteExecution, SiteFault, SiteOptions};
 pub use events::event_text;
 pub use http::RESPONSE_HEADERS;
 pub use instance::{SiteInstance, SiteSettings};
