Soak: requests that share a part under which engines crash, beside the one that is sent again

All generations have prompts with a common first part, a middle part of their kind and one of their own; every second crashing request has the part that crashes engines and nothing else in common with others.

--- a/crates/core/src/prompt_parts.rs
+++ b/crates/core/src/prompt_parts.rs
@@ -279,7 +279,7 @@
     }
 
     fn refusal_of(now: Instant, verdict: &PartVerdict) -> PartRefusal {
-        let delay = verdict.next_test.saturating_duration_since(now).max(RETRY_DELAY_MIN);
+        let delay = verdict.next_test.saturating_duration_since(now).clamp(RETRY_DELAY_MIN, QUIET_PERIOD);
         PartRefusal { parts: verdict.parts.clone(), delay }
     }
 
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -13,7 +13,10 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use reqwest::{Client, Response};
-use teaselshunt_standin::{CRASHING_BODY, FLOODING_TEAM, RIVAL_TEAM, SiteTeam, UNLIMITED_TEAM};
+use teaselshunt_routing::tag;
+use teaselshunt_standin::{
+    CRASHING_BODY, CRASHING_PART, FLOODING_TEAM, RIVAL_TEAM, SiteTeam, UNLIMITED_TEAM,
+};
 use teaselshunt_standin::{SiteExecution, event_text, is_signed, site_request};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
@@ -79,7 +82,9 @@
 const SHOWN_CHARS: usize = 2_000;
 
 /// Kinds of requests that may run only once.
-const ONCE: [&str; 7] = ["once", "stream", "crash", "urgent", "background", "fair", "rival"];
+const ONCE: [&str; 8] = ["once", "stream", "crash", "part", "urgent", "background", "fair", "rival"];
+/// Kinds of requests that crash engines.
+const CRASHING: [&str; 2] = ["crash", "part"];
 
 #[derive(Debug, Default)]
 struct Records {
@@ -268,7 +273,13 @@
 
 /// Whether requests of a kind are generations.
 fn uses_engines(kind: &str) -> bool {
-    ["resume", "crash"].contains(&kind) || kind.ends_with("stream")
+    kind == "resume" || CRASHING.contains(&kind) || kind.ends_with("stream")
+}
+
+/// Parts of the prompt of a request: the first is common to all, the second to those of its kind, and the last is its own.
+fn prompt_parts(kind: &str, id: &str) -> String {
+    let middle = if kind == "part" { CRASHING_PART } else { "e1" };
+    format!("f1:200,{middle}:40,{:x}:20", tag(id))
 }
 
 /// Whether a text is the whole response of a request and what an endpoint sends after it that sends without an end, as far
@@ -387,11 +398,13 @@
         served
     }
 
-    /// Sends the same request repeatedly, which crashes each engine that starts to run it.
+    /// Sends requests that crash each engine that starts to run them: the same one again, and others that have only a part of
+    /// their prompts in common, in turn.
     async fn send_crashing(self, index: usize, mut rng: StdRng) {
-        for number in 0_u64.. {
+        for number in 0_usize.. {
             tokio::time::sleep(Duration::from_millis(rng.random_range(CRASH_PAUSE_MS))).await;
-            self.send("crash", &format!("crash-{index}-{number}-{:x}", rng.random::<u32>())).await;
+            let kind = CRASHING[number % CRASHING.len()];
+            self.send(kind, &format!("{kind}-{index}-{number}-{:x}", rng.random::<u32>())).await;
         }
     }
 
@@ -405,9 +418,9 @@
     /// Sends a request and checks its response. Returns whether the response was complete.
     async fn send(&self, kind: &str, id: &str) -> bool {
         self.counts.sent.fetch_add(1, Ordering::Relaxed);
-        let crashes = kind == "crash";
         let path = match kind {
             "crash" => "/stream/".to_owned(),
+            "part" => format!("/stream/{id}"),
             "flood" => "/safe/".to_owned(),
             "fair" | "rival" => "/once/".to_owned(),
             kind => format!("/{kind}/"),
@@ -415,8 +428,10 @@
         let team = team_of(id);
         let mut request = site_request(&self.client, &self.address, &path, id, DEADLINE_MS);
         request = request.header("authorization", format!("Token {}", team.key)).header("tenant", "forged");
-        if crashes {
+        if kind == "crash" {
             request = request.body(CRASHING_BODY);
+        } else if uses_engines(kind) {
+            request = request.header("prompt-prefix", prompt_parts(kind, id)).body(format!("question {id}"));
         }
         let sent = Instant::now();
         // A broken connection proves nothing about the request.
@@ -521,7 +536,7 @@
     /// be refused.
     fn record_broken(&self, kind: &str, id: &str, sent: Instant, ending: Ending) {
         let steady = ["once", "safe", "stream", "resume"].contains(&kind);
-        let may_fail = ["crash", "flood"].contains(&first_word(id));
+        let may_fail = first_word(id) == "flood" || CRASHING.contains(&first_word(id));
         if steady || !may_fail && !matches!(ending, Ending::Refused(_)) {
             let (id, ended, uses_engines) = (id.to_owned(), Instant::now(), uses_engines(kind));
             lock(&self.records).broken.push(Broken { id, uses_engines, ending, sent, ended });
--- a/crates/soak/src/callers/verification.rs
+++ b/crates/soak/src/callers/verification.rs
@@ -5,7 +5,9 @@
 use teaselshunt_routing::{Class, Demand, Priority, divide};
 use tokio::task::JoinSet;
 
-use super::{BURST_KINDS, CUT_CALLS, CUT_SERVED_PERCENT, Callers, FAIR_CALLS, FAIR_PAUSE, Violation, lock};
+use super::{
+    BURST_KINDS, CRASHING, CUT_CALLS, CUT_SERVED_PERCENT, Callers, FAIR_CALLS, FAIR_PAUSE, Violation, lock,
+};
 use crate::faults::Plan;
 use crate::site::Site;
 
@@ -82,24 +84,32 @@
         self.violation(site).map_or(Ok(()), Err)
     }
 
-    /// After all faults have ended, a request that crashes engines may crash at most [`MAX_CRASHES`] more.
+    /// After all faults have ended, a request that crashes engines, or requests with a part that does, may crash at most
+    /// [`MAX_CRASHES`] more.
     pub(crate) async fn verify_quarantine(&self, site: &Site, plan: &mut Plan) -> Result<(), Violation> {
+        for kind in CRASHING {
+            self.verify_quarantine_of(kind, site, plan).await?;
+        }
+        Ok(())
+    }
+
+    async fn verify_quarantine_of(&self, kind: &str, site: &Site, plan: &mut Plan) -> Result<(), Violation> {
         let before = site.crash_count();
         let addresses: Vec<String> =
             site.parts().instances.iter().map(|s| s.settings.caller_address.to_string()).collect();
         for (number, address) in addresses.iter().cycle().take(MAX_CRASHES).enumerate() {
-            self.caller(address).send("crash", &format!("crash-first-{number}")).await;
+            self.caller(address).send(kind, &format!("{kind}-first-{number}")).await;
             plan.replace_lapsed(site).await;
         }
         tokio::time::sleep(GOSSIP_TIME).await;
         for (number, address) in addresses.iter().enumerate() {
-            self.caller(address).send("crash", &format!("crash-last-{number}")).await;
+            self.caller(address).send(kind, &format!("{kind}-last-{number}")).await;
             plan.replace_lapsed(site).await;
         }
         let more = site.crash_count() - before;
         if more > MAX_CRASHES {
-            let message = format!("a request crashed {more} engines after all faults had ended");
-            return Err(Violation { message, request_id: Some("crash-last".to_owned()) });
+            let message = format!("requests ({kind}) crashed {more} engines after all faults had ended");
+            return Err(Violation { message, request_id: Some(format!("{kind}-last")) });
         }
         Ok(())
     }
