--- a/crates/forward/src/quarantine.rs
+++ b/crates/forward/src/quarantine.rs
@@ -51,6 +51,7 @@
 pub(crate) fn observe_start(node: &Node, job: &Job) {
     if !job.parts.is_empty() && node.settings.part_quarantine {
         let now = node.now();
+        job.is_part_test.set(false);
         node.state.borrow_mut().part_quarantine.observe_start(now, &job.meta.id, &job.parts);
         apply_changes(node);
     }
--- a/crates/forward/src/resume.rs
+++ b/crates/forward/src/resume.rs
@@ -114,10 +114,12 @@
 }
 
 impl<'a> Interrupted<'a> {
-    /// Whether the route allows a further attempt.
+    /// Whether the route allows a further attempt. A test of a verdict is sent to one engine only.
     pub(crate) fn may_resume(self) -> bool {
         let route = &self.job.route;
-        route.repeat == (Repeat::Stream { resumable: true }) && self.runs.get() < route.attempts
+        !self.job.is_part_test.get()
+            && route.repeat == (Repeat::Stream { resumable: true })
+            && self.runs.get() < route.attempts
     }
 
     /// Begins the search for an engine other than `engine`, which ends at the deadline.
