Bench: what callers see while engines crash under a part of prompts, on processes

`teaselshunt-bench parts` starts instances, engines that come back as new incarnations after 3 s, sound streams and requests with the part, each sent up to three times.

--- a/crates/bench/src/commands/mod.rs
+++ b/crates/bench/src/commands/mod.rs
@@ -4,6 +4,7 @@
 mod contention;
 mod cost;
 mod links;
+mod parts;
 mod plot;
 mod policy;
 mod quotas;
@@ -50,6 +51,8 @@
     Cost(cost::Arguments),
     #[options(help = "measure what callers of instances without links to endpoints see")]
     Links(links::Arguments),
+    #[options(help = "measure what callers see while engines crash under a part of prompts")]
+    Parts(parts::Arguments),
 }
 
 impl Command {
@@ -70,6 +73,7 @@
             }
             Self::Cost(arguments) => cost::run(&arguments),
             Self::Links(arguments) => links::run(&arguments),
+            Self::Parts(arguments) => parts::run(&arguments),
         }
     }
 }
