Prompt parts: when evidence settles follows from the marks alone

Found by quickcheck in a run of the core's tests (instances_with_the_same_evidence_decide_alike, once; crashes (0, 0), (2, 29), (0, 0), (3, 5), (0, 29), (1, 1), starts (50, 45)): two instances that know the same crashes and the same start decide differently.

Cause: the time of the first crash that starts have not taken back was a field that followed the order of arrival. An instance that knew one crash and its start forgot that time, and took that of the next crash it was told of; another one kept the first. A start within the difference ended a verdict at one of them only, so that one instance refused what the other sent. The time is now computed with the weight, from the marks in the order of their times. The first crash of a part stays among the eight that are kept: with the latest eight alone, a part that crashes sixteen engines a second would never be half a second old.

The new test fails before this change (the second instance refuses nothing).

--- a/crates/core/src/prompt_parts/evidence.rs
+++ b/crates/core/src/prompt_parts/evidence.rs
@@ -20,7 +20,7 @@
 const START_WEIGHT: u32 = 2;
 /// Shortest time from the first crash to a verdict.
 const SETTLE_TIME: Duration = Duration::from_millis(500);
-/// Crashes that are kept of one part, the latest ones.
+/// Crashes that are kept of one part: the first one, from which evidence settles, and the latest ones.
 pub(super) const CRASHES_MAX: usize = 8;
 /// Starts that are kept of one part, the latest ones. They take back all crashes that are kept.
 pub(super) const STARTS_MAX: usize = 4;
@@ -36,42 +36,42 @@
     pub(super) at: Instant,
 }
 
-/// Adds a mark to marks in the order of time, of which the latest `most` are kept. Returns whether it was added.
-fn insert_mark(marks: &mut Vec<Mark>, mark: Mark, most: usize) -> bool {
+/// Adds a mark to marks in the order of time. If there are more than `most` then, the one at the index `dropped` is removed. Returns
+/// whether the mark was added.
+fn insert_mark(marks: &mut Vec<Mark>, mark: Mark, most: usize, dropped: usize) -> bool {
     if marks.iter().any(|known| known.id == mark.id) {
         return false;
     }
-    let place = marks.partition_point(|known| known.at <= mark.at);
-    if marks.len() >= most {
-        if place == 0 {
-            return false;
-        }
-        marks.remove(0);
-        marks.insert(place - 1, mark);
-    } else {
-        marks.insert(place, mark);
-    }
-    true
+    let place = marks.partition_point(|known| (known.at, known.id) < (mark.at, mark.id));
+    marks.insert(place, mark);
+    marks.len() <= most || marks.remove(dropped).id != mark.id
 }
 
-/// What the evidence about a part amounts to.
+/// What the evidence about a part amounts to, as a function of the marks alone.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct Weight {
     /// Crashes that starts have not taken back.
     pub(super) score: u32,
     /// Whether it is enough for a verdict.
     pub(super) is_enough: bool,
+    /// When the first of the crashes happened that starts have not taken back.
+    pub(super) suspected: Option<Instant>,
 }
 
 impl Weight {
-    fn add_crash(&mut self, limit: u32) {
+    fn add_crash(&mut self, at: Instant, limit: u32) {
+        self.suspected.get_or_insert(at);
         self.score += 1;
         self.is_enough |= self.score >= limit;
     }
 
-    fn add_start(&mut self, release_score: u32) {
+    fn add_start(&mut self, at: Instant, limit: u32) {
+        // Before the evidence has settled there is no verdict that could last.
+        let is_settled = self.suspected.is_some_and(|first| at >= first + SETTLE_TIME);
+        let release_score = if is_settled { RELEASE_SCORE } else { limit - 1 };
         self.score = self.score.saturating_sub(START_WEIGHT);
         self.is_enough &= self.score > release_score;
+        self.suspected.take_if(|_| self.score == 0);
     }
 }
 
@@ -80,8 +80,6 @@
 pub(super) struct Record {
     pub(super) crashes: Vec<Mark>,
     pub(super) starts: Vec<Mark>,
-    /// When the first of the crashes happened that starts have not taken back.
-    pub(super) suspected: Option<Instant>,
     /// When this instance last observed a crash or a start itself.
     pub(super) observed: Option<Instant>,
     /// When a request was last refused, at any instance.
@@ -109,24 +107,18 @@
 
     /// Weighs the evidence in the order of time, without the crashes that are `explained`.
     pub(super) fn weigh(&self, explained: &HashSet<u64>) -> Weight {
-        let mut weight = Weight::default();
+        let (mut weight, limit) = (Weight::default(), self.limit());
         let mut starts = self.starts.iter().peekable();
         for crash in self.crashes.iter().filter(|crash| !explained.contains(&crash.id)) {
             while let Some(start) = starts.next_if(|start| start.at <= crash.at) {
-                weight.add_start(self.release_score(start.at));
+                weight.add_start(start.at, limit);
             }
-            weight.add_crash(self.limit());
+            weight.add_crash(crash.at, limit);
         }
-        starts.for_each(|start| weight.add_start(self.release_score(start.at)));
+        starts.for_each(|start| weight.add_start(start.at, limit));
         weight
     }
 
-    /// Crashes left at which a start ends a verdict. Before the evidence has settled there is no verdict that could last.
-    fn release_score(&self, start: Instant) -> u32 {
-        let is_settled = self.suspected.is_some_and(|first| start >= first + SETTLE_TIME);
-        if is_settled { RELEASE_SCORE } else { self.limit() - 1 }
-    }
-
     /// Whether starts have taken back all crashes.
     pub(super) fn is_cleared(&self) -> bool {
         self.weigh(&HashSet::new()).score == 0
@@ -134,20 +126,12 @@
 
     /// Adds a start, and returns whether it was not known.
     pub(super) fn add_start(&mut self, start: Mark) -> bool {
-        let is_new = insert_mark(&mut self.starts, start, STARTS_MAX);
-        if is_new && self.is_cleared() {
-            self.suspected = None;
-        }
-        is_new
+        insert_mark(&mut self.starts, start, STARTS_MAX, 0)
     }
 
     /// Adds a crash, and returns whether it was not known.
     pub(super) fn add_crash(&mut self, crash: Mark) -> bool {
-        if !insert_mark(&mut self.crashes, crash, CRASHES_MAX) {
-            return false;
-        }
-        self.suspected = Some(self.suspected.map_or(crash.at, |first| first.min(crash.at)));
-        true
+        insert_mark(&mut self.crashes, crash, CRASHES_MAX, 1)
     }
 
     /// Leaves so little that one more crash is needed for a verdict. Returns whether there was more.
@@ -163,8 +147,11 @@
 
     /// When it may be refused, if there are enough crashes.
     pub(super) fn settled(&self, explained: &HashSet<u64>) -> Option<Instant> {
-        let is_enough = self.crashes.len() >= self.limit() as usize && self.weigh(explained).is_enough;
-        self.suspected.filter(|_| is_enough).map(|first| first + SETTLE_TIME)
+        if self.crashes.len() < self.limit() as usize {
+            return None;
+        }
+        let weight = self.weigh(explained);
+        weight.suspected.filter(|_| weight.is_enough).map(|first| first + SETTLE_TIME)
     }
 
     pub(super) fn unexplained<'a>(&'a self, explained: &'a HashSet<u64>) -> impl Iterator<Item = Mark> + 'a {
--- a/crates/core/tests/all/prompt_parts.rs
+++ b/crates/core/tests/all/prompt_parts.rs
@@ -346,6 +346,28 @@
     assert!(site.refuses(&[FIRST, BAD]), "what is refused is not removed for others");
 }
 
+/// Guards against verdicts that depend on the order in which marks arrive: a start that took back the only crash an instance knew
+/// made it forget when the evidence had begun.
+#[test]
+fn a_start_between_reports_does_not_change_when_evidence_settles() {
+    let now = Instant::now() + MEMORY_PERIOD;
+    let at = |millis| now + Duration::from_millis(millis);
+    let mut all_crashes_first = PartQuarantine::default();
+    let mut start_first = PartQuarantine::default();
+    let crash = |quarantine: &mut PartQuarantine, number: u64| {
+        quarantine.observe_crash(at(10 * number), EndpointIncarnation(number), at(10 * number), &[BAD]);
+    };
+    (0..4).for_each(|number| crash(&mut all_crashes_first, number));
+    all_crashes_first.observe_start(at(500), "r-1", &[BAD]);
+    crash(&mut start_first, 0);
+    start_first.observe_start(at(500), "r-1", &[BAD]);
+    (1..4).for_each(|number| crash(&mut start_first, number));
+    for quarantine in [&mut all_crashes_first, &mut start_first] {
+        quarantine.expire(at(500) + SETTLED);
+        assert!(quarantine.refusal(at(500) + SETTLED, &[BAD]).is_some());
+    }
+}
+
 quickcheck! {
     /// Guards against decisions that depend on the order, the repetition or the loss of reports: whoever knows the same decides
     /// alike.
