Own interface: a request that comes into quarantine during its prefill is not decoded

Callers whose prompts share a part, or a request that is sent again, could crash one more engine each after the verdict: the quarantine was looked up when a request was queued, and again for waiting requests when a verdict came. One that was being prefilled or imported at that moment was decoded all the same. It is looked up once more after the prefill and after the import; the KV cache is discarded at either engine, and a run that is kept beside a search goes on.

The test fails before (the import is sent: no refusal among the effects) and passes after.

--- a/crates/core/src/instance/mod.rs
+++ b/crates/core/src/instance/mod.rs
@@ -194,7 +194,7 @@
             Event::Arrived { ticket, work } => self.arrived(now, ticket, work, out),
             Event::CallerGone { ticket } => self.caller_gone(now, ticket, out),
             Event::Prefilled { attempt, .. } => self.prefilled(now, attempt, out),
-            Event::Imported { attempt } => self.imported(attempt, out),
+            Event::Imported { attempt } => self.imported(now, attempt, out),
             Event::Began { attempt } => self.began(now, attempt, out),
             Event::Advanced { attempt, offset } => self.advanced(now, attempt, offset, out),
             Event::Finished { attempt, offset, stored } => self.finished(now, attempt, offset, stored, out),
--- a/crates/core/src/lifecycle.rs
+++ b/crates/core/src/lifecycle.rs
@@ -259,11 +259,32 @@
         let pool = request.pool.clone();
         request.cache = Some(Cache { attempt, prefill });
         request.prefill_ended = now;
-        // May refuse the request.
-        self.import_unless_leaving(now, key, (prefill, decode), out);
+        if !self.refuse_before_decode(now, key, decode, out) {
+            // May refuse the request.
+            self.import_unless_leaving(now, key, (prefill, decode), out);
+        }
         self.start_queued(now, &pool, out);
     }
 
+    /// Refuses a request that came into quarantine while it was prefilled or imported, and returns whether that is so: the decode
+    /// would crash one more engine.
+    fn refuse_before_decode(
+        &mut self,
+        now: Instant,
+        key: RequestKey,
+        decode: EndpointKey,
+        out: &mut Vec<Effect>,
+    ) -> bool {
+        let Some(refusal) = self.quarantine_refusal(now, key) else { return false };
+        self.release_decode(now, key, decode, out);
+        self.discard_cache(now, key, out);
+        self.return_to_waiting(key);
+        if !self.continue_kept_run(key, out) {
+            self.refuse(now, key, refusal, out);
+        }
+        true
+    }
+
     /// The decode slot was reserved before the prefill, and its endpoint may have started draining since. The
     /// import would be new work for that endpoint and goes to another one.
     pub(crate) fn import_unless_leaving(
@@ -303,7 +324,7 @@
         out.push(effect);
     }
 
-    pub(crate) fn imported(&mut self, attempt: AttemptId, out: &mut Vec<Effect>) {
+    pub(crate) fn imported(&mut self, now: Instant, attempt: AttemptId, out: &mut Vec<Effect>) {
         let Some(key) = self.requests.current(attempt) else {
             return;
         };
@@ -312,7 +333,13 @@
         };
         self.step_succeeded(decode, out);
         self.requests.get_mut(key).cache = None;
-        self.send_decode(key, decode, None, out);
+        if self.quarantine_refusal(now, key).is_none() {
+            return self.send_decode(key, decode, None, out);
+        }
+        let pool = self.requests.get(key).pool.clone();
+        self.cancel(now, attempt, decode, out);
+        self.refuse_before_decode(now, key, decode, out);
+        self.start_queued(now, &pool, out);
     }
 
     pub(crate) fn send_decode(
--- a/crates/core/tests/all/crashes.rs
+++ b/crates/core/tests/all/crashes.rs
@@ -7,7 +7,7 @@
     InstanceId, Message, PartReport, PromptPart, Running, StepFailure, Target, Ticket,
 };
 
-use crate::support::{SingleInstance, prefill};
+use crate::support::{SingleInstance, import, prefill};
 
 const BAD: Fingerprint = Fingerprint(1_000_000);
 const GOOD: Fingerprint = Fingerprint(2_000_000);
@@ -201,14 +201,19 @@
     assert!(prefill(&sound).is_some(), "requests without the part are served");
 }
 
+/// A peer's message from which requests with [`BAD_PART`] are refused.
+fn verdict() -> Event {
+    let crashes = (1..=3).map(|number| (EndpointIncarnation(number), 1_000 * number as u32)).collect();
+    let report = PartReport { part: BAD_PART, crashes, starts: Vec::new(), refused: None };
+    let message = Message::PromptParts { reports: vec![report] };
+    Event::Received { from: InstanceId::of("other"), message }
+}
+
 /// The same for an instance that has observed no crash itself.
 #[test]
 fn evidence_about_parts_that_peers_report_counts() {
     let mut instance = SingleInstance::start();
-    let crashes = (1..=3).map(|number| (EndpointIncarnation(number), 1_000 * number as u32)).collect();
-    let report = PartReport { part: BAD_PART, crashes, starts: Vec::new(), refused: None };
-    let message = Message::PromptParts { reports: vec![report] };
-    let effects = instance.step(Event::Received { from: InstanceId::of("other"), message });
+    let effects = instance.step(verdict());
     let is_audited =
         |effect: &Effect| matches!(effect, Effect::Audit(Audit::PromptParts { quarantined: true, .. }));
     assert!(effects.iter().any(is_audited), "the verdict is in the audit trail");
@@ -216,3 +221,32 @@
     assert_eq!(refusal, Some(ErrorKind::Quarantined));
     assert!(prefill(&instance.ask_with_parts(2, &[FIRST_PART])).is_some());
 }
+
+/// The end of a prefill.
+fn prefilled(attempt: AttemptId) -> Event {
+    Event::Prefilled { attempt, bytes: 0, cached: 0 }
+}
+
+/// Guards against a request that crashes one more engine because it was prefilled, or imported, when the verdict came.
+#[test]
+fn a_request_with_a_part_in_quarantine_is_not_decoded() {
+    let decodes = |effects: &[Effect]| effects.iter().any(|effect| matches!(effect, Effect::Decode { .. }));
+    let mut instance = SingleInstance::start();
+    let attempt = prefill(&instance.ask_with_parts(1, &[BAD_PART])).expect("a prefill");
+    instance.step(verdict());
+    let effects = instance.step(prefilled(attempt));
+    assert_eq!(refused(&effects), Some(ErrorKind::EndpointFailed));
+    assert_eq!(import(&effects), None);
+    assert!(effects.iter().any(|effect| matches!(effect, Effect::Cancel { .. })), "the KV cache is discarded");
+
+    let mut instance = SingleInstance::start();
+    let attempt = prefill(&instance.ask_with_parts(1, &[BAD_PART])).expect("a prefill");
+    assert!(import(&instance.step(prefilled(attempt))).is_some());
+    instance.step(verdict());
+    let effects = instance.step(Event::Imported { attempt });
+    assert_eq!(refused(&effects), Some(ErrorKind::EndpointFailed));
+    assert!(!decodes(&effects));
+    let sound = prefill(&instance.ask_with_parts(2, &[OTHER_PART])).expect("a prefill");
+    assert!(import(&instance.step(prefilled(sound))).is_some());
+    assert!(decodes(&instance.step(Event::Imported { attempt: sound })), "slots are free for others");
+}
