Crashes: peers are reminded of requests in quarantine

An instance that was cut off from its peers while a request crashed engines heard of none of the crashes: they are told for three seconds, and afterwards to new incarnations only. Back from the partition it sent the request to three engines of its own, while all others refused it.

A quarter of the reports now repeat the crashes of the last minute that keep requests in quarantine; the own interface repeats them each second. No older ones: a success that clears a request is remembered for a minute, so that whoever knows one is not talked out of it (asserted for ten minutes in the new test). A reminder is no news, so that it does not hurry the reports.

The test can't compile on the old code; with the scope of before (Recent) in place of Reminder, it fails.

--- a/crates/core/src/crashes.rs
+++ b/crates/core/src/crashes.rs
@@ -17,7 +17,7 @@
 use crate::members::{Health, Member};
 use crate::message::Message;
 use crate::prompt_parts::{PartChange, PartDecision, PartReport, PromptPart};
-use crate::quarantine::{Crash, CrashReport, EndpointIncarnation};
+use crate::quarantine::{Crash, CrashReport, EndpointIncarnation, UpdateScope};
 use crate::requests::{Phase, Request};
 use crate::{EndpointId, Fingerprint, InstanceId};
 
@@ -166,8 +166,10 @@
         }
         self.next_crash_update = now + CRASH_UPDATE_INTERVAL;
         self.review_parts(now, out);
-        let messages: Vec<_> =
-            [self.crash_update(now, false), self.part_update(now, true)].into_iter().flatten().collect();
+        let messages: Vec<_> = [self.crash_update(now, UpdateScope::Reminder), self.part_update(now, true)]
+            .into_iter()
+            .flatten()
+            .collect();
         let members: Vec<InstanceId> = self.members.iter().map(|(id, _)| id).collect();
         for (to, message) in members.iter().flat_map(|&to| messages.iter().map(move |message| (to, message)))
         {
@@ -236,9 +238,9 @@
         self.apply_part_changes(now, out);
     }
 
-    /// Message with recent changes, and for a newcomer with all crashes that keep requests in quarantine.
-    pub(crate) fn crash_update(&self, now: Instant, newcomer: bool) -> Option<Message> {
-        let update = self.quarantine.update(now, newcomer);
+    /// Message with the crashes and successes that members should know.
+    pub(crate) fn crash_update(&self, now: Instant, scope: UpdateScope) -> Option<Message> {
+        let update = self.quarantine.update(now, scope);
         if update.crashes.is_empty() && update.served.is_empty() {
             return None;
         }
--- a/crates/core/src/instance/peers.rs
+++ b/crates/core/src/instance/peers.rs
@@ -9,6 +9,7 @@
 use crate::event::{ConfigurationCandidate, Effect, Source};
 use crate::homes::{Claim, InquiryReply, Replies};
 use crate::message::{Heartbeat, Message};
+use crate::quarantine::UpdateScope;
 
 /// Minimum time between two fetches of a newer configuration or list from peers.
 const FETCH_INTERVAL: Duration = Duration::from_millis(300);
@@ -106,7 +107,7 @@
         let mut changes = Vec::new();
         let known = self.members.get(from).is_some_and(|member| member.incarnation == heartbeat.incarnation);
         changes.extend(self.members.receive_heartbeat(now, from, heartbeat));
-        if !known && let Some(update) = self.crash_update(now, true) {
+        if !known && let Some(update) = self.crash_update(now, UpdateScope::Newcomers) {
             // A new incarnation knows no crashes. Without this update, requests in quarantine would crash
             // endpoints again before it refuses them.
             self.deliver(now, from, update, out);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -71,4 +71,4 @@
 pub use prompt_parts::{
     PartChange, PartDecision, PartQuarantine, PartRefusal, PartReport, PartVerdict, PromptPart,
 };
-pub use quarantine::{Crash, CrashReport, CrashUpdate, EndpointIncarnation, Quarantine};
+pub use quarantine::{Crash, CrashReport, CrashUpdate, EndpointIncarnation, Quarantine, UpdateScope};
--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -52,6 +52,18 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct EndpointIncarnation(pub u64);
 
+/// What an update to peers contains.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum UpdateScope {
+    /// Changes that were observed here lately.
+    Recent,
+    /// Also crashes of the last minute that keep requests in quarantine, for peers that come back from a partition.
+    Reminder,
+    /// Also all crashes that keep requests in quarantine. A new incarnation knows no crashes, and endpoints would crash again before
+    /// it refuses these requests.
+    Newcomers,
+}
+
 /// A crash of an endpoint under a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Crash {
@@ -240,15 +252,29 @@
         self.records.get(&request)?.until(now)
     }
 
-    /// Changes to send to peers now: recent changes observed here and, if some peers are newcomers, all
-    /// crashes that keep requests in quarantine. A new incarnation knows no crashes, and endpoints would
-    /// crash again before it refuses these requests.
-    pub fn update(&self, now: Instant, newcomers: bool) -> CrashUpdate {
+    /// Whether something was observed here that peers may not know yet.
+    pub fn has_news(&self, now: Instant) -> bool {
+        let update = self.update(now, UpdateScope::Recent);
+        !update.crashes.is_empty() || !update.served.is_empty()
+    }
+
+    /// Changes to send to peers now.
+    pub fn update(&self, now: Instant, scope: UpdateScope) -> CrashUpdate {
         let recent = |at: Instant| now.duration_since(at) < UPDATE_PERIOD;
-        let to_send =
-            |r: &&CrashRecord| r.last_observed.is_some_and(recent) || (newcomers && r.until(now).is_some());
-        let mut crashes: Vec<_> =
-            self.records.values().filter(to_send).flat_map(|r| r.crashes.iter().copied()).collect();
+        // Whoever knows a success after a crash remembers it for longer than the crash is repeated, so that a reminder does not
+        // bring back what the success has cleared.
+        let is_repeated = |crash: &Crash| match scope {
+            UpdateScope::Recent => false,
+            UpdateScope::Reminder => now.duration_since(crash.at) < SUCCESS_RETENTION,
+            UpdateScope::Newcomers => true,
+        };
+        let to_send = |record: &CrashRecord| -> Vec<Crash> {
+            let is_recent = record.last_observed.is_some_and(recent);
+            let is_quarantined = record.until(now).is_some();
+            let to_send = |crash: &&Crash| is_recent || (is_quarantined && is_repeated(crash));
+            record.crashes.iter().filter(to_send).copied().collect()
+        };
+        let mut crashes: Vec<_> = self.records.values().flat_map(to_send).collect();
         crashes.sort_by_key(|crash| std::cmp::Reverse(crash.at));
         crashes.truncate(UPDATE_ENTRIES_MAX);
         let cleared = self.cleared.iter().rev().filter(|(at, _)| recent(*at));
--- a/crates/core/tests/all/crashes.rs
+++ b/crates/core/tests/all/crashes.rs
@@ -237,7 +237,10 @@
     let effects = instance.step(prefilled(attempt));
     assert_eq!(refused(&effects), Some(ErrorKind::EndpointFailed));
     assert_eq!(import(&effects), None);
-    assert!(effects.iter().any(|effect| matches!(effect, Effect::Cancel { .. })), "the KV cache is discarded");
+    assert!(
+        effects.iter().any(|effect| matches!(effect, Effect::Cancel { .. })),
+        "the KV cache is discarded"
+    );
 
     let mut instance = SingleInstance::start();
     let attempt = prefill(&instance.ask_with_parts(1, &[BAD_PART])).expect("a prefill");
--- a/crates/core/tests/all/quarantine.rs
+++ b/crates/core/tests/all/quarantine.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use quickcheck::quickcheck;
-use teaselshunt_core::{Crash, CrashUpdate, EndpointIncarnation, Fingerprint, Quarantine};
+use teaselshunt_core::{Crash, CrashUpdate, EndpointIncarnation, Fingerprint, Quarantine, UpdateScope};
 
 const BAD: Fingerprint = Fingerprint(1);
 const OTHER: Fingerprint = Fingerprint(2);
@@ -70,7 +70,7 @@
             quarantine
         })
         .collect();
-    let updates: Vec<CrashUpdate> = instances.iter().map(|i| i.update(now, false)).collect();
+    let updates: Vec<CrashUpdate> = instances.iter().map(|i| i.update(now, UpdateScope::Recent)).collect();
     for instance in &mut instances {
         for update in &updates {
             merge(instance, now, update);
@@ -87,10 +87,13 @@
     let mut quarantine = observed(1, now);
     quarantine.merge_crash(now, crash(BAD, 9, now));
     let later = now + Duration::from_secs(1);
-    let sent = quarantine.update(later, false).crashes;
+    let sent = quarantine.update(later, UpdateScope::Recent).crashes;
     assert!(sent.iter().any(|c| c.endpoint == EndpointIncarnation(1)), "{sent:?}");
     let over = now + Duration::from_secs(5);
-    assert!(quarantine.update(over, false).crashes.is_empty(), "every peer has been sent the crash");
+    assert!(
+        quarantine.update(over, UpdateScope::Recent).crashes.is_empty(),
+        "every peer has been sent the crash"
+    );
 }
 
 /// An instance restarts while callers keep sending a request that is in quarantine. Any peer, including one
@@ -100,14 +103,34 @@
 fn a_new_instance_is_sent_all_quarantines() {
     let now = Instant::now() + CRASH_RETENTION;
     let mut peer = Quarantine::default();
-    merge(&mut peer, now, &observed(3, now).update(now, false));
+    merge(&mut peer, now, &observed(3, now).update(now, UpdateScope::Recent));
     let later = now + Duration::from_mins(2);
-    assert!(peer.update(later, false).crashes.is_empty(), "there is no recent change");
+    assert!(peer.update(later, UpdateScope::Recent).crashes.is_empty(), "there is no recent change");
     let mut newcomer = Quarantine::default();
-    merge(&mut newcomer, later, &peer.update(later, true));
+    merge(&mut newcomer, later, &peer.update(later, UpdateScope::Newcomers));
     assert!(is_quarantined(&newcomer, later, BAD));
 }
 
+/// Guards against an instance that comes back from a partition, in which it heard of no crash, and loses three endpoints of its own
+/// to a request that all others refuse.
+#[test]
+fn an_instance_that_comes_back_is_reminded_of_quarantines() {
+    let now = Instant::now() + CRASH_RETENTION;
+    let peer = observed(3, now);
+    let later = now + Duration::from_secs(20);
+    let mut returned = Quarantine::default();
+    merge(&mut returned, later, &peer.update(later, UpdateScope::Reminder));
+    assert!(is_quarantined(&returned, later, BAD));
+    let mut cleared = Quarantine::default();
+    cleared.observe_success(now + Duration::from_secs(1), BAD);
+    for seconds in 1..600 {
+        let at = now + Duration::from_secs(seconds);
+        cleared.expire(at);
+        merge(&mut cleared, at, &peer.update(at, UpdateScope::Reminder));
+        assert!(!is_quarantined(&cleared, at, BAD), "a reminder does not undo a success, after {seconds} s");
+    }
+}
+
 /// A request that many callers send is in progress at every endpoint that crashes. It was completed a moment
 /// before, or is completed by the remaining endpoints. No crash may be attributed to it, and its callers must
 /// not be refused.
@@ -124,7 +147,7 @@
     quarantine.observe_success(now, BAD);
     assert!(!is_quarantined(&quarantine, now, BAD), "the request is completed afterwards");
     let mut peer = observed(3, now);
-    merge(&mut peer, now, &quarantine.update(now, false));
+    merge(&mut peer, now, &quarantine.update(now, UpdateScope::Recent));
     assert!(!is_quarantined(&peer, now, BAD), "the request is completed at another instance");
 }
 
@@ -177,7 +200,7 @@
         quarantine.observe_crash(now, crash(BAD, endpoint, now));
     }
     assert!(is_quarantined(&quarantine, now, BAD));
-    let news = quarantine.update(now, true);
+    let news = quarantine.update(now, UpdateScope::Newcomers);
     assert!(news.crashes.len() <= 64 && news.served.len() <= 64);
 }
 
--- a/crates/forward/src/gossip.rs
+++ b/crates/forward/src/gossip.rs
@@ -20,7 +20,7 @@
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
-use teaselshunt_core::{CrashReport, Fingerprint, PartReport};
+use teaselshunt_core::{CrashReport, CrashUpdate, Fingerprint, PartReport, UpdateScope};
 use teaselshunt_routing::{EngineTag, Peers, failure_timeout, plausible_interval, tag};
 use teaselshunt_teams::{TeamSpending, UpdateHeader};
 use tokio::net::UdpSocket;
@@ -43,8 +43,8 @@
 /// Fraction of the reports to other failure domains that tell of load: the bytes between domains are expensive,
 /// and what was told counts for over a second.
 const FAR_LOAD_FRACTION: f64 = 0.4;
-/// Fraction of the reports that repeat what keeps parts of prompts in quarantine: a peer that comes back from a partition
-/// does not know it, and hears it from several others within a second.
+/// Fraction of the reports that repeat what keeps requests and parts of prompts in quarantine: a peer that comes back from a
+/// partition does not know it, and hears it from several others within a second.
 const REMINDER_FRACTION: f64 = 0.25;
 /// Largest datagram that is read, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
@@ -347,7 +347,8 @@
         let uptime = self.node.clock.uptime();
         let leaving = self.node.phase() > Phase::Serving;
         let is_sound = self.node.pool.reach().is_sound(now);
-        let (in_flight, suspects, local_prefills, crash_update, spending, instances) = {
+        let is_reminder = has_new_peer || self.node.state.borrow_mut().rng.random_bool(REMINDER_FRACTION);
+        let (in_flight, suspects, local_prefills, spending, instances) = {
             let state = &mut *self.node.state.borrow_mut();
             let work = state.endpoints.own_work(now);
             let in_flight = work.tokens.into_iter().map(|(tag, tokens)| (tag.0, tokens)).collect();
@@ -355,30 +356,23 @@
             let suspects =
                 if is_sound { work.suspects.into_iter().map(|tag| tag.0).collect() } else { Vec::new() };
             let local_prefills = work.local_prefills.into_iter().map(|tag| tag.0).collect();
-            let crash_update = state.quarantine.update(now, has_new_peer);
             let spending = state.quotas.team_spending(uptime);
             let instances = state.quotas.known_instances();
-            (in_flight, suspects, local_prefills, crash_update, spending, instances)
+            (in_flight, suspects, local_prefills, spending, instances)
         };
         // An unresponsive seed may be reachable again.
         let contact_seeds = self.node.state.borrow_mut().rng.random_bool(0.2);
         let unresponsive_seeds = self.seeds.iter().filter(|s| **s != self.own && !self.peers.contains(**s));
         targets.extend(unresponsive_seeds.filter(|_| contact_seeds || self.peers.is_empty()));
         let Self { incarnation, sequence, .. } = *self;
-        let crashes: Vec<_> =
-            crash_update.crashes.into_iter().map(|crash| CrashReport::new(now, crash)).collect();
-        let served = crash_update.served;
+        let (crashes, served, has_crash_news) = self.crash_reports(now, has_new_peer, is_reminder);
         let rates = rates::reports(&self.node);
         let leaving_endpoints: Vec<u32> = {
             let state = self.node.state.borrow();
             state.endpoints.leaving_reports(now).into_iter().map(|tag| tag.0).collect()
         };
-        let (parts, has_part_news) = self.part_reports(now, has_new_peer);
-        let urgent = !crashes.is_empty()
-            || !served.is_empty()
-            || !rates.is_empty()
-            || !leaving_endpoints.is_empty()
-            || has_part_news;
+        let (parts, has_part_news) = self.part_reports(now, is_reminder);
+        let urgent = has_crash_news || has_part_news || !rates.is_empty() || !leaving_endpoints.is_empty();
         let report = Report {
             incarnation,
             sequence,
@@ -398,11 +392,29 @@
         urgent
     }
 
+    /// Crashes and successes of requests to send now, and whether some of them are new to a peer.
+    fn crash_reports(
+        &self,
+        now: Instant,
+        has_new_peer: bool,
+        is_reminder: bool,
+    ) -> (Vec<CrashReport>, Vec<Fingerprint>, bool) {
+        let scope = match is_reminder {
+            _ if has_new_peer => UpdateScope::Newcomers,
+            true => UpdateScope::Reminder,
+            false => UpdateScope::Recent,
+        };
+        let quarantine = &self.node.state.borrow().quarantine;
+        let CrashUpdate { crashes, served } = quarantine.update(now, scope);
+        let is_empty = crashes.is_empty() && served.is_empty();
+        let has_news = !is_empty && (has_new_peer || quarantine.has_news(now));
+        let crashes = crashes.into_iter().map(|crash| CrashReport::new(now, crash)).collect();
+        (crashes, served, has_news)
+    }
+
     /// Evidence about parts of prompts to send now, and whether some of it is new.
-    fn part_reports(&self, now: Instant, has_new_peer: bool) -> (PartReports, bool) {
-        let state = &mut *self.node.state.borrow_mut();
-        let is_reminder = has_new_peer || state.rng.random_bool(REMINDER_FRACTION);
-        let parts = &mut state.part_quarantine;
+    fn part_reports(&self, now: Instant, is_reminder: bool) -> (PartReports, bool) {
+        let parts = &mut self.node.state.borrow_mut().part_quarantine;
         parts.set_tester(self.peers.is_lowest(now, self.own));
         (parts.update(now, is_reminder), parts.has_news(now))
     }
