--- a/crates/bench/src/commands/parts.rs
+++ b/crates/bench/src/commands/parts.rs
@@ -144,8 +144,8 @@
     /// Parts of a prompt: a shared first one, `middle`, and one of its own.
     fn parts(&mut self, middle: &[&str]) -> String {
         let first = FIRST_PARTS[self.rng.random_range(0..FIRST_PARTS.len())];
-        let middle: String = middle.iter().map(|part| format!("{part}:40,")).collect();
-        format!("{first}:200,{middle}{:x}:20", 0x1000_0000 + self.number)
+        let middle: Vec<_> = middle.iter().map(|part| format!("{part}:40")).collect();
+        format!("{first}:200,{},{:x}:20", middle.join(","), 0x1000_0000 + self.number)
     }
 
     fn sound(&mut self, address: &str) -> (RequestBuilder, String) {
@@ -188,7 +188,8 @@
 
 async fn measure(arguments: &Arguments, scenario: Scenario) -> Result<(), CommandError> {
     let mut fleet = Fleet::start(arguments.instances, arguments.decodes, arguments.prefills).await?;
-    let begin = Instant::now() + WARM_UP + CALM;
+    let calm = Instant::now() + WARM_UP;
+    let begin = calm + CALM;
     let client = Client::builder().pool_max_idle_per_host(0).build()?;
     let mut callers =
         Callers { rng: StdRng::seed_from_u64(arguments.seed), client, scenario, begin, number: 0 };
@@ -219,9 +220,9 @@
             let results = results.clone();
             tokio::spawn(async move {
                 for (request, id) in attempts {
-                    let call = send(request, &id).await;
-                    let _ = results.send(call);
-                    if call.is_complete {
+                    let outcome = send(request, &id).await;
+                    let _ = results.send(outcome);
+                    if outcome.is_complete {
                         return;
                     }
                     tokio::time::sleep(ATTEMPT_GAP).await;
@@ -242,7 +243,7 @@
     while let Some(call) = outcomes.recv().await {
         deadly.push(call);
     }
-    print(arguments, &fleet, begin, &sound, &deadly);
+    print(arguments, &fleet, calm..begin, &sound, &deadly);
     Ok(())
 }
 
@@ -269,8 +270,8 @@
     list
 }
 
-fn print(arguments: &Arguments, fleet: &Fleet, begin: Instant, sound: &[Call], deadly: &[Call]) {
-    let crashes = fleet.crashes();
+fn print(arguments: &Arguments, fleet: &Fleet, calm: Range<Instant>, sound: &[Call], deadly: &[Call]) {
+    let (crashes, begin) = (fleet.crashes(), calm.end);
     println!(
         "{}: {} instances, {} + {} engines, {} sound requests a second, seed {}",
         arguments.scenario,
@@ -292,9 +293,8 @@
         );
     }
     let settled = crashes.get(CRASHES - 1).or(crashes.last()).map_or(begin, |&at| at + 2 * PROPAGATION_TIME);
-    let calm = begin - CALM;
     let end = begin + Duration::from_secs(arguments.seconds);
-    print_calls("sound, calm", begin, sound, calm..begin);
+    print_calls("sound, calm", begin, sound, calm);
     print_calls("sound, meanwhile", begin, sound, begin..settled);
     print_calls("sound, settled", begin, sound, settled..end);
     print_calls("with the part, meanwhile", begin, deadly, begin..settled);
--- a/crates/bench/src/commands/parts/fleet.rs
+++ b/crates/bench/src/commands/parts/fleet.rs
@@ -97,6 +97,11 @@
     ["north", "south", "west"][number % 3]
 }
 
+fn start_process(settings: &SiteSettings) -> Result<SiteInstance, CommandError> {
+    let binary = std::env::current_exe()?.with_file_name("teaselshunt");
+    Ok(SiteInstance::start(&binary, settings)?)
+}
+
 impl Fleet {
     pub(super) async fn start(
         instances: usize,
@@ -120,7 +125,7 @@
         let mut fleet = Self { store, engines, end, processes: Vec::new(), earlier_lines: Vec::new() };
         for number in 0..instances {
             let settings = fleet.settings(number);
-            fleet.processes.push((fleet.start_process(&settings)?, settings));
+            fleet.processes.push((start_process(&settings)?, settings));
         }
         Ok(fleet)
     }
@@ -143,11 +148,6 @@
         }
     }
 
-    fn start_process(&self, settings: &SiteSettings) -> Result<SiteInstance, CommandError> {
-        let binary = std::env::current_exe()?.with_file_name("teaselshunt");
-        Ok(SiteInstance::start(&binary, settings)?)
-    }
-
     /// Address of an instance for callers.
     pub(super) fn caller(&self, instance: usize) -> String {
         self.processes[instance].1.caller_address.to_string()
@@ -158,7 +158,7 @@
         let settings = self.processes[instance].1.clone();
         self.processes[instance].0.kill();
         self.earlier_lines.extend(self.processes[instance].0.log_lines(""));
-        let process = self.start_process(&settings)?;
+        let process = start_process(&settings)?;
         self.processes[instance].0 = process;
         Ok(())
     }
