Own interface: the quarantine of prompt parts has a switch

The platform's settings have part_quarantine; the own interface had nothing to lift a wrong verdict but a restart of all instances. The policy of the configuration has part_quarantine now, true where it is not named: without it a generation has no parts, so that none is refused for them and no crash is attributed to them.

--- a/crates/core/src/new_request.rs
+++ b/crates/core/src/new_request.rs
@@ -57,7 +57,7 @@
             wait: Duration::from_millis(class.wait_ms),
             caller_key: work.key,
             fingerprint: work.fingerprint,
-            parts: work.parts,
+            parts: if configuration.policy.part_quarantine { work.parts } else { Vec::new() },
             deadline: work.deadline,
         })
     }
--- a/crates/core/tests/all/crashes.rs
+++ b/crates/core/tests/all/crashes.rs
@@ -222,6 +222,17 @@
     assert!(prefill(&instance.ask_with_parts(2, &[FIRST_PART])).is_some());
 }
 
+/// Guards against refusals for parts of prompts where operators have switched them off.
+#[test]
+fn operators_can_switch_the_quarantine_of_parts_off() {
+    let mut instance = SingleInstance::start();
+    instance.step(verdict());
+    instance.change(|configuration| configuration.policy.part_quarantine = false);
+    assert!(prefill(&instance.ask_with_parts(1, &[BAD_PART])).is_some());
+    instance.change(|configuration| configuration.policy.part_quarantine = true);
+    assert_eq!(refused(&instance.ask_with_parts(2, &[BAD_PART])), Some(ErrorKind::Quarantined));
+}
+
 /// The end of a prefill.
 fn prefilled(attempt: AttemptId) -> Event {
     Event::Prefilled { attempt, bytes: 0, cached: 0 }
--- a/crates/settings/src/configuration.rs
+++ b/crates/settings/src/configuration.rs
@@ -291,6 +291,8 @@
     /// Endpoints of one pool that may load weights at once.
     #[schemars(range(min = 1, max = 1000))]
     pub loading_max: u32,
+    /// Whether generations are refused for a message of their prompt under which engines crash.
+    pub part_quarantine: bool,
 }
 
 impl Default for Policy {
@@ -304,6 +306,7 @@
             skew_ms: 30_000,
             backlog_percent: 150,
             loading_max: 1,
+            part_quarantine: true,
         }
     }
 }
