--- a/crates/bench/src/upkeep.rs
+++ b/crates/bench/src/upkeep.rs
@@ -4,6 +4,8 @@
 //! operation is repeated and timed by itself; its rate is that of an instance with as many peers, so that the
 //! product is the part of a core that the operation takes.
 
+mod parts;
+
 use std::net::SocketAddr;
 use std::num::NonZeroU32;
 use std::sync::Arc;
@@ -56,6 +58,21 @@
 }
 
 impl OperationCost {
+    /// Times an operation that gets the number of its repetition.
+    fn measure(operation: &'static str, rate: f64, mut act: impl FnMut(usize)) -> Self {
+        act(0);
+        let (mut count, mut least) = (0, f64::INFINITY);
+        for _ in 0..BATCHES {
+            let (start, first) = (Instant::now(), count);
+            while start.elapsed() < BATCH_TIME {
+                count += 1;
+                act(count);
+            }
+            least = least.min(start.elapsed().as_secs_f64() / (count - first) as f64);
+        }
+        Self { operation, micros: least * 1e6, rate }
+    }
+
     /// Part of a core that the operation takes.
     pub fn core(&self) -> f64 {
         self.micros * 1e-6 * self.rate
@@ -165,17 +182,7 @@
         rate: f64,
         mut act: impl FnMut(&mut Self, usize),
     ) -> OperationCost {
-        act(self, 0);
-        let (mut count, mut least) = (0, f64::INFINITY);
-        for _ in 0..BATCHES {
-            let (start, first) = (Instant::now(), count);
-            while start.elapsed() < BATCH_TIME {
-                count += 1;
-                act(self, count);
-            }
-            least = least.min(start.elapsed().as_secs_f64() / (count - first) as f64);
-        }
-        OperationCost { operation, micros: least * 1e6, rate }
+        OperationCost::measure(operation, rate, |count| act(self, count))
     }
 }
 
@@ -192,7 +199,8 @@
     for peer in 0..upkeep.peers {
         known.observe(upkeep.now, address(peer), peer as u32 % 5, Duration::from_secs(2));
     }
-    vec![
+    let mut costs = parts::measure(rounds, datagrams);
+    costs.extend([
         upkeep.measure("datagram, nothing changed", datagrams / 2.0, |upkeep, count| {
             upkeep.receive(count % upkeep.peers, 0);
         }),
@@ -264,7 +272,8 @@
             let chosen = upkeep.endpoints.choose(upkeep.now, need, &mut rng);
             assert!(chosen.is_some(), "all engines are free");
         }),
-    ]
+    ]);
+    costs
 }
 
 fn address(peer: usize) -> SocketAddr {
