--- a/crates/bench/src/commands/parts.rs
+++ b/crates/bench/src/commands/parts.rs
@@ -12,6 +12,7 @@
 use rand::{Rng, SeedableRng};
 use reqwest::{Client, RequestBuilder};
 use teaselshunt_standin::{CRASHING_PART, event_text, site_request};
+use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 use tokio::task::JoinSet;
 
 use self::fleet::{EVENTS, Fleet};
@@ -29,6 +30,10 @@
 /// Attempts of a request with the part, and the time between two of them.
 const ATTEMPTS: u32 = 3;
 const ATTEMPT_GAP: Duration = Duration::from_millis(300);
+/// Factor of the rate of requests with the part in one scenario.
+const FREQUENT_FACTOR: f64 = 6.0;
+/// Time between two looks at what is due.
+const TICK: Duration = Duration::from_millis(2);
 /// Times and log lines that are printed at most.
 const TIMES_SHOWN: usize = 24;
 const LINES_SHOWN: usize = 8;
@@ -52,8 +57,8 @@
     Known,
     /// The part, and every second instance restarts 12 s later.
     Restarts,
-    /// The part comes at six times the rate.
-    Rush,
+    /// The part comes [`FREQUENT_FACTOR`] times as often.
+    Frequent,
     /// Eight engines end by themselves, one a second.
     Ends,
     /// Five engines end at once, twice.
@@ -67,7 +72,7 @@
             "companion" => Self::Companion,
             "known" => Self::Known,
             "restarts" => Self::Restarts,
-            "rush" => Self::Rush,
+            "frequent" => Self::Frequent,
             "ends" => Self::Ends,
             "hosts" => Self::Hosts,
             _ => return None,
@@ -83,7 +88,7 @@
 pub(crate) struct Arguments {
     #[options(help = "print this help")]
     help: bool,
-    #[options(help = "part, companion, known, restarts, rush, ends or hosts", default = "part")]
+    #[options(help = "part, companion, known, restarts, frequent, ends or hosts", default = "part")]
     scenario: String,
     #[options(help = "instances, in three failure domains", default = "7")]
     instances: usize,
@@ -120,6 +125,19 @@
     Call { sent, status, is_complete }
 }
 
+/// Makes attempts one after the other until one is answered completely, and reports each.
+async fn send_until_complete(attempts: Vec<(RequestBuilder, String)>, results: UnboundedSender<Call>) {
+    for (request, id) in attempts {
+        let outcome = send(request, &id).await;
+        // The measurement may have ended.
+        let _ = results.send(outcome);
+        if outcome.is_complete {
+            return;
+        }
+        tokio::time::sleep(ATTEMPT_GAP).await;
+    }
+}
+
 pub(crate) fn run(arguments: &Arguments) -> Result<(), CommandError> {
     let Some(scenario) = Scenario::parse(&arguments.scenario) else {
         return Err(CommandError::Usage(format!("unknown scenario \"{}\"", arguments.scenario)));
@@ -170,7 +188,7 @@
         (if has_part { request.header("crash-at", "none") } else { request }, id)
     }
 
-    fn deadly(&mut self, address: &str, attempt: u32) -> (RequestBuilder, String) {
+    fn crashing(&mut self, address: &str, attempt: u32) -> (RequestBuilder, String) {
         self.number += 1;
         let path = PATHS[self.number as usize % PATHS.len()];
         let shared = format!("e{:x}", self.rng.random_range(0..MIDDLE_PARTS));
@@ -179,7 +197,7 @@
             middle.push(COMPANION);
         }
         let parts = self.parts(&middle);
-        let id = format!("deadly-{}-{attempt}", self.number);
+        let id = format!("crashing-{}-{attempt}", self.number);
         let request =
             site_request(&self.client, address, &format!("{path}{}", self.number), &id, DEADLINE_MS);
         (request.header("prompt-prefix", parts).body(format!("question {}", self.number)), id)
@@ -196,11 +214,11 @@
     let end = begin + Duration::from_secs(arguments.seconds);
     let mut sound = JoinSet::new();
     let sound_gap = Duration::from_secs_f64(1.0 / arguments.rate);
-    let factor = if scenario == Scenario::Rush { 6.0 } else { 1.0 };
-    let deadly_gap = Duration::from_secs_f64(1.0 / (arguments.part_rate * factor));
-    let (mut next_sound, mut next_deadly) = (Instant::now(), begin);
+    let factor = if scenario == Scenario::Frequent { FREQUENT_FACTOR } else { 1.0 };
+    let crashing_gap = Duration::from_secs_f64(1.0 / (arguments.part_rate * factor));
+    let (mut next_sound, mut next_crashing) = (Instant::now(), begin);
     let mut disturbances = disturbances(scenario, begin, arguments);
-    let (results, mut outcomes) = tokio::sync::mpsc::unbounded_channel();
+    let (results, mut outcomes) = unbounded_channel();
     while Instant::now() < end {
         let now = Instant::now();
         if next_sound <= now {
@@ -209,25 +227,15 @@
             let (request, id) = callers.sound(&address);
             sound.spawn(async move { send(request, &id).await });
         }
-        if scenario.has_part() && next_deadly <= now {
-            next_deadly += deadly_gap;
+        if scenario.has_part() && next_crashing <= now {
+            next_crashing += crashing_gap;
             let attempts: Vec<_> = (0..ATTEMPTS)
                 .map(|attempt| {
                     let address = fleet.caller(callers.rng.random_range(0..arguments.instances));
-                    callers.deadly(&address, attempt)
+                    callers.crashing(&address, attempt)
                 })
                 .collect();
-            let results = results.clone();
-            tokio::spawn(async move {
-                for (request, id) in attempts {
-                    let outcome = send(request, &id).await;
-                    let _ = results.send(outcome);
-                    if outcome.is_complete {
-                        return;
-                    }
-                    tokio::time::sleep(ATTEMPT_GAP).await;
-                }
-            });
+            tokio::spawn(send_until_complete(attempts, results.clone()));
         }
         while let Some((_, disturbance)) = disturbances.pop_if(|(at, _)| *at <= now) {
             match disturbance {
@@ -235,15 +243,15 @@
                 Disturbance::Restart(instance) => fleet.restart(instance)?,
             }
         }
-        tokio::time::sleep(Duration::from_millis(2)).await;
+        tokio::time::sleep(TICK).await;
     }
     let sound = sound.join_all().await;
     drop(results);
-    let mut deadly = Vec::new();
+    let mut crashing = Vec::new();
     while let Some(call) = outcomes.recv().await {
-        deadly.push(call);
+        crashing.push(call);
     }
-    print(arguments, &fleet, calm..begin, &sound, &deadly);
+    print(arguments, &fleet, calm..begin, &sound, &crashing);
     Ok(())
 }
 
@@ -255,7 +263,7 @@
     Restart(usize),
 }
 
-/// What happens when; the first one is the last.
+/// What happens besides the requests, the latest first.
 fn disturbances(scenario: Scenario, begin: Instant, arguments: &Arguments) -> Vec<(Instant, Disturbance)> {
     let at = |seconds: u64| begin + Duration::from_secs(seconds);
     let mut list: Vec<_> = match scenario {
@@ -264,13 +272,13 @@
         Scenario::Restarts => {
             (0..arguments.instances).step_by(2).map(|number| (at(12), Disturbance::Restart(number))).collect()
         }
-        Scenario::Part | Scenario::Companion | Scenario::Known | Scenario::Rush => Vec::new(),
+        Scenario::Part | Scenario::Companion | Scenario::Known | Scenario::Frequent => Vec::new(),
     };
     list.reverse();
     list
 }
 
-fn print(arguments: &Arguments, fleet: &Fleet, calm: Range<Instant>, sound: &[Call], deadly: &[Call]) {
+fn print(arguments: &Arguments, fleet: &Fleet, calm: Range<Instant>, sound: &[Call], crashing: &[Call]) {
     let (crashes, begin) = (fleet.crashes(), calm.end);
     println!(
         "{}: {} instances, {} + {} engines, {} sound requests a second, seed {}",
@@ -286,7 +294,7 @@
     println!("{} crashes, at {} s", crashes.len(), times.join(" "));
     let bounded = crashes.get(CRASHES - 1).map(|&fifth| fifth + PROPAGATION_TIME);
     if let Some(bounded) = bounded {
-        let (requests, sends) = fleet.reached("deadly-", bounded);
+        let (requests, sends) = fleet.reached("crashing-", bounded);
         println!(
             "later than {:.1} s: {requests} requests with the part reach engines, {sends} sends",
             since(bounded)
@@ -297,8 +305,8 @@
     print_calls("sound, calm", begin, sound, calm);
     print_calls("sound, meanwhile", begin, sound, begin..settled);
     print_calls("sound, settled", begin, sound, settled..end);
-    print_calls("with the part, meanwhile", begin, deadly, begin..settled);
-    print_calls("with the part, settled", begin, deadly, settled..end);
+    print_calls("with the part, meanwhile", begin, crashing, begin..settled);
+    print_calls("with the part, settled", begin, crashing, settled..end);
     for line in fleet.log_lines("\"msg\":\"prompt part\"").iter().take(LINES_SHOWN) {
         println!("{line}");
     }
