Links: a check waits at least as long as the endpoint took for its last answer

An endpoint that had taken 1 s or more was given up before it could answer, counted as failed, and had peers asked, whose links were checked in turn.

--- a/crates/routing/src/links.rs
+++ b/crates/routing/src/links.rs
@@ -9,8 +9,9 @@
 //! - a link is lost only while nothing has arrived over a connection that was opened after the loss;
 //! - an endpoint is unreachable only after [`FAILED_CHECKS`] checks in a row that no path answered, and is still asked
 //!   directly as long as any other link works, so that one that is silent for a moment stays in use;
-//! - a check is in progress until it is answered or its patience ends, and is not repeated meanwhile; patience grows with
-//!   each check that was not answered, so that no check asks for an answer sooner than the endpoint can give it;
+//! - a check is in progress until it is answered or its patience ends, and is not repeated meanwhile; patience is no shorter
+//!   than what the last answer took and grows with each check that was not answered, so that no check goes on asking for
+//!   an answer sooner than the endpoint can give it;
 //! - checks are begun within a [`CheckBudget`], so that they do not become the load that keeps endpoints from answering;
 //! - nothing that a check did not find counts against an endpoint that was heard since the check began;
 //! - a link counts as working only if it has answered since another one was found not to, or else is checked;
@@ -174,7 +175,7 @@
     fn check_times(&self) -> CheckTimes {
         let answer = (self.answer_time * 2).clamp(ANSWER_TIME_MIN, ANSWER_TIME_MAX);
         let patience = PATIENCE_MIN * 2_u32.pow(self.unanswered.min(8));
-        CheckTimes { answer, patience: patience.min(PATIENCE_MAX) }
+        CheckTimes { answer, patience: patience.min(PATIENCE_MAX).max(answer) }
     }
 
     fn begin_check(&mut self, now: Instant) {
