Links: only links that requests use are checked because another one was not reached

From the lines: a check asks peers, whose links then count as used and, once any link was not reached, as unproven, so that they are checked, and ask peers in turn. What no request of the instance uses proves nothing to it.

The new test fails without the change (the two links that only peers use are checked).

--- a/crates/routing/src/links.rs
+++ b/crates/routing/src/links.rs
@@ -14,7 +14,8 @@
 //!   an answer sooner than the endpoint can give it;
 //! - checks are begun within a [`CheckBudget`], so that they do not become the load that keeps endpoints from answering;
 //! - nothing that a check did not find counts against an endpoint that was heard since the check began;
-//! - a link counts as working only if it has answered since another one was found not to, or else is checked;
+//! - a link that requests use counts as working only if it has answered since another one was found not to, or else is
+//!   checked; links that are only used for peers are not, since checks for peers would cause checks without end;
 //! - what is not used any more is forgotten, unless nothing is reached at all, so that the number of links is bounded by
 //!   the endpoints in use.
 
@@ -131,6 +132,8 @@
     /// When the link was lost.
     lost: Option<Instant>,
     used: Option<Instant>,
+    /// When a request of this instance last used it.
+    requested: Option<Instant>,
     /// When bytes last arrived over it.
     heard: Option<Instant>,
     /// Since when a request waits for a first byte.
@@ -210,7 +213,7 @@
     pub fn path(&mut self, now: Instant, endpoint: SocketAddr) -> Path {
         let (cut, isolated) = (self.cut_since, self.is_isolated(now));
         let link = self.known.entry(endpoint).or_default();
-        link.used = Some(now);
+        (link.used, link.requested) = (Some(now), Some(now));
         link.join_cut(cut);
         match link.state {
             State::Unreachable if isolated => Path::None,
@@ -358,7 +361,9 @@
                 let is_usual =
                     link.failed.is_none_or(|failed| self.heard.is_some_and(|heard| heard > failed));
                 let failed = link.failures > 1 || (link.failures == 1 && !is_usual);
-                let is_unproven = all_silent && self.not_reached.is_some_and(|at| link.heard < Some(at));
+                let is_requested = age(link.requested).is_some_and(|age| age < RETENTION);
+                let is_unproven =
+                    is_requested && all_silent && self.not_reached.is_some_and(|at| link.heard < Some(at));
                 failed || is_unproven || waited >= LINK_SILENCE || (waited >= SILENCE && all_silent)
             }
         };
--- a/crates/routing/tests/all/links.rs
+++ b/crates/routing/tests/all/links.rs
@@ -311,6 +311,29 @@
     assert!(!idle.is_isolated(now + millis(600)));
 }
 
+/// Guards against checks without end between idle instances: each check for a peer made another link unproven.
+#[test]
+fn only_links_that_requests_use_are_checked_because_another_was_not_reached() {
+    for is_requested in [true, false] {
+        let (now, mut rng) = (Instant::now(), rng());
+        let mut links = sound(now, 1);
+        for number in 1..3 {
+            if is_requested {
+                links.path(now, endpoint(number));
+            }
+            links.record_send(now, endpoint(number));
+            links.record_bytes(now, endpoint(number), now);
+        }
+        for _ in 0..2 {
+            links.record_check(now + millis(500), endpoint(0), CheckResult::Neither);
+        }
+        let mut due = links.due_checks(now + millis(5_000), &mut rng);
+        due.sort_unstable();
+        let unproven = if is_requested { [endpoint(1), endpoint(2)].to_vec() } else { Vec::new() };
+        assert_eq!(due, [[endpoint(0)].to_vec(), unproven].concat());
+    }
+}
+
 /// Guards against an answer that is never waited for, and against a verdict that comes before a slow endpoint can answer.
 #[test]
 fn a_check_waits_longer_after_one_without_an_answer_and_after_a_late_one() {
