RECOVER: connections are closed unread while the processor is overloaded

Cause: the instance reads whatever arrives. Once more comes than its processor handles, the queue of tasks grows, each request passes it about ten times, and all of them are late together. Nothing in the instance looks at its processor.

A periodic task records how late it runs. While each run of 0.2 s is late by 20 ms or more, a falling fraction of the new connections is read, the others are closed at once, and kept connections end after a response; what has waited 0.1 s in the queue is closed as well. A caller whose connection is closed unread may send its request to another instance, whatever it is. One connection in 0.1 s is read in any case. A pause of the process makes one run late, slices of a processor single ones, so that neither sheds. load.shedding=false switches it off.

The test of a rush counts what was read, asserts that what was closed has not run, and that its next try is served: a connection that is closed unread is no failure of the users' rule if a later try is read. The soak tells such calls apart by the line of their instance and by their not having reached an endpoint.

--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -2,7 +2,7 @@
 //! this crate to a platform.
 //!
 //! The modules form layers, from the top: `supervisor` starts `listeners`, `catalog` (the contents of the
-//! platform's store) and `orders`; the first two accept connections through `accept`. `caller_connection`
+//! platform's store) and `orders`; the first two accept connections through `accept`, and `shedding` says which of callers' are read. `caller_connection`
 //! keeps each connection of a caller (a `caller_stream`) by its `caller_activity` and the `caller_limits` in force, and hands
 //! its requests to `requests`, which calls `plain` or `generate` (with `reservations`, `queue` and `waste`) within `deadline`
 //! (the end of requests whose handling does not respond; `runs` counts what endpoints may have begun). Both use `load`
@@ -71,6 +71,7 @@
 mod resume;
 mod runs;
 mod settings;
+mod shedding;
 mod silence;
 mod sockets;
 mod statements;
--- a/crates/forward/src/listeners.rs
+++ b/crates/forward/src/listeners.rs
@@ -19,6 +19,7 @@
 use crate::caller_connection;
 use crate::caller_limits::CallerLimits;
 use crate::node::Node;
+use crate::shedding;
 
 /// Idle timeout of connections of the balancer and of operators.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
@@ -28,7 +29,15 @@
     let limits = Rc::new(CallerLimits::new(Rc::clone(&node)));
     loop {
         let stream = accept(&node, &listener).await;
-        tokio::task::spawn_local(caller_connection::run(Rc::clone(&node), Rc::clone(&limits), stream));
+        if !shedding::keeps_new(&node) {
+            continue;
+        }
+        let (accepted, node, limits) = (node.now(), Rc::clone(&node), Rc::clone(&limits));
+        tokio::task::spawn_local(async move {
+            if shedding::keeps_waiting(&node, accepted) {
+                caller_connection::run(node, limits, stream).await;
+            }
+        });
     }
 }
 
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry, TextEncoder,
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+    TextEncoder,
 };
 
 use crate::response_reader::ResponseEnd;
@@ -43,6 +44,7 @@
     pub(crate) links: LinkMetrics,
     pub(crate) streams: StreamMetrics,
     pub(crate) quarantine: QuarantineMetrics,
+    pub(crate) shedding: SheddingMetrics,
     response_ends: IntCounterVec,
     team_requests: IntCounterVec,
     /// Teams that have a label of their own.
@@ -197,6 +199,28 @@
     }
 }
 
+/// Metrics of an overloaded processor.
+#[derive(Debug)]
+pub(crate) struct SheddingMetrics {
+    pub(crate) lateness: IntGauge,
+    pub(crate) connections: IntCounter,
+}
+
+impl SheddingMetrics {
+    fn new(
+        gauge: &impl Fn(&str, &str) -> Result<IntGauge, prometheus::Error>,
+        registry: &Registry,
+    ) -> Result<Self, prometheus::Error> {
+        let connections = IntCounter::new(
+            "shed_connections_total",
+            "New connections of callers that were closed unread because the processor was overloaded.",
+        )?;
+        registry.register(Box::new(connections.clone()))?;
+        let lateness = gauge("lateness_milliseconds", "How late a periodic task last ran.")?;
+        Ok(Self { lateness, connections })
+    }
+}
+
 /// Most teams that have a label of their own; all others share [`OTHERS`]. Each label costs several time
 /// series for as long as the process runs.
 const TEAM_LABELS: usize = 64;
@@ -205,6 +229,13 @@
 /// Label of the teams, services and priorities without a label of their own.
 const OTHERS: &str = "(others)";
 
+fn new_waiting_requests(registry: &Registry) -> Result<IntGaugeVec, prometheus::Error> {
+    let options = Opts::new("waiting_requests", "Generations that wait for an engine.");
+    let waiting_requests = IntGaugeVec::new(options, &["service", "priority"])?;
+    registry.register(Box::new(waiting_requests.clone()))?;
+    Ok(waiting_requests)
+}
+
 impl Metrics {
     /// # Errors
     /// Two metrics share a name.
@@ -226,11 +257,6 @@
             registry.register(Box::new(metric.clone()))?;
             Ok::<_, prometheus::Error>(metric)
         };
-        let waiting_requests = IntGaugeVec::new(
-            Opts::new("waiting_requests", "Generations that wait for an engine."),
-            &["service", "priority"],
-        )?;
-        registry.register(Box::new(waiting_requests.clone()))?;
         Ok(Self {
             time_to_head: histogram("first_seconds", "From arrival to the head of the answer.")?,
             time_to_end: histogram("whole_seconds", "From arrival to the end of the answer.")?,
@@ -294,6 +320,7 @@
             links: LinkMetrics::new(&gauge, &counter)?,
             streams: StreamMetrics::new(&counter)?,
             quarantine: QuarantineMetrics::new(&gauge, &counter)?,
+            shedding: SheddingMetrics::new(&gauge, &registry)?,
             response_ends: counter(
                 "response_ends_total",
                 "Responses of endpoints and of the platform, by framing and by how they ended.",
@@ -305,7 +332,7 @@
                 &["team", "outcome"],
             )?,
             labelled_teams: RefCell::default(),
-            waiting_requests,
+            waiting_requests: new_waiting_requests(&registry)?,
             labelled_queues: RefCell::default(),
             registry,
         })
--- a/crates/forward/src/requests.rs
+++ b/crates/forward/src/requests.rs
@@ -24,7 +24,7 @@
 use crate::refusals::{OTHER_INSTANCE_RETRY, refuse, refuse_as};
 use crate::runs::Runs;
 use crate::trace::Trace;
-use crate::{generate, headers, load, phase, plain, quarantine, reservations};
+use crate::{generate, headers, load, phase, plain, quarantine, reservations, shedding};
 
 /// `Retry-After` delay if the buffer memory is full: the retry may reach another instance, which may buffer
 /// less, and callers will have read some of the buffered bytes by then.
@@ -57,7 +57,7 @@
         Ok(Err(refusal)) => refuse(&node, refusal, trace),
         Err(unanswered) => respond(&node, &unanswered, None, trace),
     };
-    if node.phase() > Phase::Serving {
+    if node.phase() > Phase::Serving || !shedding::keeps_open(&node) {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     Ok(response)
--- a/crates/forward/src/settings.rs
+++ b/crates/forward/src/settings.rs
@@ -70,6 +70,8 @@
     pub pace: bool,
     /// Rejected callers are told to return when capacity is expected for them.
     pub returns: bool,
+    /// New connections of callers are closed unread while the processor is overloaded.
+    pub shedding: bool,
 }
 
 impl Default for LoadSwitches {
@@ -82,6 +84,7 @@
             quotas: true,
             pace: true,
             returns: true,
+            shedding: true,
         }
     }
 }
--- a/crates/forward/src/supervisor.rs
+++ b/crates/forward/src/supervisor.rs
@@ -12,8 +12,8 @@
 use slog::{error, info, warn};
 use teaselshunt_core::{Clock, PartQuarantine, Quarantine, SystemClock};
 use teaselshunt_routing::{
-    Admission, Advances, BodyMemory, Budgets, Endpoints, Refusals, RetryDetector, Returns, SignsOfLife,
-    Waiters, tag,
+    Admission, Advances, BodyMemory, Budgets, ConnectionShedding, Endpoints, Refusals, RetryDetector,
+    Returns, SignsOfLife, Waiters, tag,
 };
 use teaselshunt_teams::{QuotaMode, Quotas, StartKind};
 use tokio::net::TcpListener;
@@ -29,7 +29,7 @@
 use crate::phase::Phase;
 use crate::protocol::Protocol;
 use crate::settings::Settings;
-use crate::{gossip, listeners, load, logs, orders, pace, peer_listener, quarantine, queue, reach};
+use crate::{gossip, listeners, load, logs, orders, pace, peer_listener, quarantine, queue, reach, shedding};
 
 /// How instances divide teams' rate limits.
 const QUOTA_MODE: QuotaMode = QuotaMode::Shared;
@@ -127,6 +127,7 @@
             part_quarantine,
             quotas,
             memory: BodyMemory::new((settings.memory_bytes as f64 * BUFFER_FRACTION) as u64),
+            shedding: ConnectionShedding::default(),
             list_complete: false,
             list_confirmed: None,
         }),
@@ -166,6 +167,9 @@
     spawn(&node, "queues", queue::run(Rc::clone(&node)));
     spawn(&node, "orders", orders::run(Rc::clone(&node)));
     spawn(&node, "housekeeping", maintenance(Rc::clone(&node)));
+    if node.settings.load.shedding {
+        spawn(&node, "shedding", shedding::run(Rc::clone(&node)));
+    }
     spawn(&node, "reload", handle_reloads(Rc::clone(&node), hangup, reload));
     terminate.recv().await;
     shut_down(&node).await;
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -26,6 +26,7 @@
 //! - `links` tells endpoints that are down from those that only this instance has lost, and `tunnel_peers` chooses
 //!   the peer through which the latter are reached.
 //! - `idle_limit` says how long callers' connections may be idle while versions change that time.
+//! - `connection_shedding` closes new connections of callers unread while the processor is overloaded.
 //! - `memory` bounds the bodies that are held for slow readers.
 //! - `budget` limits second attempts, and `sends` charges those of a generation.
 //! - `silence` decides when a stream looks for another engine because its own sends nothing.
@@ -37,6 +38,7 @@
 mod capacity;
 mod changes;
 mod check_budget;
+mod connection_shedding;
 mod endpoint;
 mod endpoints;
 mod freed;
@@ -73,6 +75,7 @@
 pub use budget::{BudgetTerms, Budgets};
 pub use capacity::{Capacity, LimitChange, PlainState};
 pub use changes::RecentChanges;
+pub use connection_shedding::{ConnectionShedding, LATENESS_INTERVAL, SheddingChange};
 pub use endpoint::{Endpoint, EndpointKey, EndpointState, Incarnation, Stage, StepOutcome};
 pub use endpoints::{
     Endpoints, LearnedChange, Need, OwnWork, PaceChange, Statement, StatementChanges, UpsertOutcome,
--- a/crates/routing/tests/all/main.rs
+++ b/crates/routing/tests/all/main.rs
@@ -6,6 +6,7 @@
 mod capacity;
 mod changes;
 mod checks;
+mod connection_shedding;
 mod endpoints;
 mod idle_limit;
 mod incarnations;
--- a/crates/soak/src/callers/broken.rs
+++ b/crates/soak/src/callers/broken.rs
@@ -54,6 +54,8 @@
     Instance,
     /// Its instance was shutting down, and refused it or closed the kept connection that it was on. It did not reach an endpoint.
     Stopping,
+    /// Its instance had too little of the processor, and closed its connection unread. It did not reach an endpoint.
+    Shed,
     /// Another instance, through which it may have reached its endpoint, was killed or stopped just before it ended.
     Peer,
     /// Its deadline had passed.
@@ -147,6 +149,12 @@
         {
             return Cause::Stopping;
         }
+        if call.ending == Ending::Unanswered
+            && runs.endpoints.is_empty()
+            && statements::has_shed(parts, &call.id)
+        {
+            return Cause::Shed;
+        }
         if call.ended - call.sent + DEADLINE_MARGIN >= Duration::from_millis(DEADLINE_MS) {
             return Cause::Deadline;
         }
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -96,6 +96,13 @@
     pub(crate) undisturbed_since: Instant,
 }
 
+impl InstanceSlot {
+    /// Log lines of all its processes that contain a text.
+    pub(crate) fn log_lines(&self, text: &str) -> Vec<String> {
+        self.previous.iter().chain(&self.process).flat_map(|process| process.log_lines(text)).collect()
+    }
+}
+
 /// The parts of the site that faults act on.
 pub(crate) struct Parts {
     pub(crate) endpoints: Vec<Endpoint>,
@@ -335,8 +342,7 @@
     /// Log lines of all instances that contain a text.
     pub(crate) fn log_lines(&self, text: &str) -> Vec<String> {
         let parts = self.parts();
-        let processes = parts.instances.iter().flat_map(|s| s.previous.iter().chain(&s.process));
-        processes.flat_map(|p| p.log_lines(text)).collect()
+        parts.instances.iter().flat_map(|slot| slot.log_lines(text)).collect()
     }
 }
 
--- a/crates/soak/src/statements.rs
+++ b/crates/soak/src/statements.rs
@@ -82,6 +82,12 @@
     terminated.is_some_and(|(_, at)| at <= ended && sent <= at + SHUTDOWN_TIME)
 }
 
+/// Whether the instance of a request has closed connections unread because it was late.
+pub(crate) fn has_shed(parts: &Parts, request_id: &str) -> bool {
+    let instance = instance_of(request_id).and_then(|index| parts.instances.get(index));
+    instance.is_some_and(|instance| !instance.log_lines("connections are shed").is_empty())
+}
+
 /// A request that is one too many in a cooldown.
 pub(crate) fn request_in_cooldown(parts: &Parts) -> Option<String> {
     parts.endpoints.iter().chain(&parts.ended).find_map(|endpoint| {
