Connection shedding: what waits is closed before a whole window has passed, and one connection in 0.1 s is read for certain

The invariant that an instance reads one connection in 0.1 s did not hold: one that was kept for it could be closed because it had waited. A connection that has waited 0.1 s while the last run was late is closed now, which begins the shedding as well. A pause or a slice below the share closes nothing, as before (the same test).

Names: kept is what is not closed at accept, read what is not closed by the connection's own task.

--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -2,8 +2,8 @@
 //! this crate to a platform.
 //!
 //! The modules form layers, from the top: `supervisor` starts `listeners`, `catalog` (the contents of the
-//! platform's store) and `orders`; the first two accept connections through `accept`, and `shedding` says which of callers' are read. `caller_connection`
-//! keeps each connection of a caller (a `caller_stream`) by its `caller_activity` and the `caller_limits` in force, and hands
+//! platform's store) and `orders`; the first two accept connections through `accept`, and `shedding` says which
+//! connections of callers are read. `caller_connection` keeps each connection of a caller (a `caller_stream`) by its `caller_activity` and the `caller_limits` in force, and hands
 //! its requests to `requests`, which calls `plain` or `generate` (with `reservations`, `queue` and `waste`) within `deadline`
 //! (the end of requests whose handling does not respond; `runs` counts what endpoints may have begun). Both use `load`
 //! (admission to services that lack capacity), `rates` (rate limits that endpoints advertise), `statements`
--- a/crates/forward/src/listeners.rs
+++ b/crates/forward/src/listeners.rs
@@ -34,7 +34,7 @@
         }
         let (accepted, node, limits) = (node.now(), Rc::clone(&node), Rc::clone(&limits));
         tokio::task::spawn_local(async move {
-            if shedding::keeps_waiting(&node, accepted) {
+            if shedding::reads_waiting(&node, accepted) {
                 caller_connection::run(node, limits, stream).await;
             }
         });
--- a/crates/forward/src/shedding.rs
+++ b/crates/forward/src/shedding.rs
@@ -1,7 +1,7 @@
 //! Closes new connections of callers unread while the processor is overloaded, so that they try another instance.
 
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use slog::{info, warn};
 use teaselshunt_routing::{LATENESS_INTERVAL, SheddingChange};
@@ -18,9 +18,7 @@
         node.metrics.shedding.lateness.set(lateness.as_millis() as i64);
         let change = node.state.borrow_mut().shedding.record_run(now, lateness);
         match change {
-            Some(SheddingChange::Began(lateness)) => warn!(node.log, "connections are shed";
-                "late_ms" => lateness.as_millis() as u64, "connections" => node.connections.get(),
-                "running" => node.metrics.progress.running.get()),
+            Some(SheddingChange::Began(lateness)) => log_begin(&node, lateness),
             Some(SheddingChange::Ended) => info!(node.log, "no connection is shed";
                 "shed" => node.metrics.shedding.connections.get()),
             None => {}
@@ -28,7 +26,12 @@
     }
 }
 
-/// Whether a new connection is read.
+fn log_begin(node: &Node, lateness: Duration) {
+    warn!(node.log, "connections are shed"; "late_ms" => lateness.as_millis() as u64,
+        "connections" => node.connections.get(), "running" => node.metrics.progress.running.get());
+}
+
+/// Whether a new connection is kept.
 pub(crate) fn keeps_new(node: &Node) -> bool {
     let state = &mut *node.state.borrow_mut();
     let keeps = !state.shedding.is_shedding() || state.shedding.keeps_new(node.now(), &mut state.rng);
@@ -38,14 +41,19 @@
     keeps
 }
 
-/// Whether a connection that was accepted then is read. Asked by the task of the connection as it begins.
-pub(crate) fn keeps_waiting(node: &Node, accepted: Instant) -> bool {
-    let waited = node.now().saturating_duration_since(accepted);
-    let keeps = node.state.borrow().shedding.keeps_waiting(waited);
-    if !keeps {
+/// Whether a connection that was accepted at `accepted` is read, now that its task begins.
+pub(crate) fn reads_waiting(node: &Node, accepted: Instant) -> bool {
+    let now = node.now();
+    let waited = now.saturating_duration_since(accepted);
+    let was_shedding = node.state.borrow().shedding.is_shedding();
+    let reads = node.state.borrow_mut().shedding.reads_waiting(now, waited);
+    if !reads {
         node.metrics.shedding.connections.inc();
+        if !was_shedding {
+            log_begin(node, waited);
+        }
     }
-    keeps
+    reads
 }
 
 /// Whether a connection stays open after its response.
--- a/crates/routing/src/check_budget.rs
+++ b/crates/routing/src/check_budget.rs
@@ -9,7 +9,8 @@
 
 use rand::Rng;
 
-/// Connections a second that the checks of all instances together open to one endpoint, directly and through peers.
+/// Connections a second that the checks of all instances together open to one endpoint on average, directly and through
+/// peers. They fall on endpoints unevenly.
 const CHECK_RATE: f64 = 14.0;
 /// Time for which an instance saves its part: that of the checks that tell a cut from a pause.
 const SAVING_TIME: Duration = Duration::from_millis(400);
--- a/crates/routing/tests/all/connection_shedding/processor.rs
+++ b/crates/routing/tests/all/connection_shedding/processor.rs
@@ -180,7 +180,8 @@
 
     fn step(&mut self, number: usize) {
         let is_first = std::mem::take(&mut self.requests[number].is_unread);
-        if is_first && !self.shedding.keeps_waiting(self.now.saturating_sub(self.requests[number].begun)) {
+        let waited = self.now.saturating_sub(self.requests[number].begun);
+        if is_first && !self.shedding.reads_waiting(self.start + self.now, waited) {
             self.requests[number].is_shed = true;
             return self.shed.push(self.now);
         }
