Review, case 2: a stream without a length looks complete when its instance is killed

The reset that marks a truncated answer is set up when the process drops the connection, which a killed process does not.

--- a/review/standin/desync.rs
+++ b/review/standin/desync.rs
@@ -69,6 +69,7 @@
             event_gap: Duration::from_millis(100),
             drops: !PERSISTENT.contains(&number),
             extra: if DISTURBED.contains(&number) && trouble { EXTRA } else { 0.0 },
+            unframed: 0.0,
         };
         let engine = Engine::start(network.address(100 + number, 0), options, &record);
         store.put(&engine.key(), &engine.entry());
@@ -117,19 +118,25 @@
     record.add("client", id, Event::Sent);
     let answer = Connection::connect(front, Duration::from_secs(1)).ok().and_then(|mut connection| {
         let _ = connection.stream.set_read_timeout(Some(Duration::from_secs(15)));
-        let body = "x".repeat(300);
-        let text = format!(
-            "POST {prefix}2f HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {id}\r\nModel: m\r\nToken-Count: 300,66\r\n\
-             Prompt-Prefix: 5c1e07a2:200,{:x}:100\r\nLength-Hint: 66\r\nRequest-Deadline: 14000\r\nContent-Length: {}\r\n\r\n{body}",
-            id.bytes().fold(7_u64, |hash, byte| hash.wrapping_mul(31) + u64::from(byte)),
-            body.len()
-        );
-        if !connection.write(&text) { None } else { connection.read() }
+        connection.write(&request_text(prefix, id));
+        connection.read_response()
     });
     let (status, complete) = answer.map_or((0, false), |answer| (answer.status(), answer.complete));
     record.add("client", id, Event::Answered(status, complete));
 }
 
+/// A request of 300 prompt tokens and at most 66 others.
+pub fn request_text(prefix: &str, id: &str) -> String {
+    let body = "x".repeat(300);
+    let part = id.bytes().fold(7_u64, |hash, byte| hash.wrapping_mul(31).wrapping_add(u64::from(byte)));
+    format!(
+        "POST {prefix}2f HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {id}\r\nModel: m\r\nToken-Count: 300,66\r\n\
+         Prompt-Prefix: 5c1e07a2:200,{part:x}:100\r\nLength-Hint: 66\r\nRequest-Deadline: 14000\r\n\
+         Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
 /// Judges REFUSED and TWICE.
 fn judge(record: &Record, path: &Path) -> Verdict {
     let lines = record.lines();
--- a/review/standin/engine.rs
+++ b/review/standin/engine.rs
@@ -31,6 +31,8 @@
     pub drops: bool,
     /// Part of the answers that come a second time, late, in windows of [`WINDOW`].
     pub extra: f64,
+    /// Part of the streams that have no length and no chunks and end with their connection, in the same windows.
+    pub unframed: f64,
 }
 
 #[derive(Default)]
@@ -176,13 +178,17 @@
         }
         let open = self.stream(connection, id, &headers);
         self.inner.lock().expect("no panic").running -= 1;
-        let disrupted = self.record.now() % PERIOD < WINDOW;
-        if open && disrupted && self.random() < options.extra {
+        if open && self.is_disturbed(options.extra) {
             *late = Some(response(200, &headers, "second answer"));
         }
         open
     }
 
+    /// Whether a disruption of this part of all answers affects this one.
+    fn is_disturbed(&self, part: f64) -> bool {
+        self.record.now() % PERIOD < WINDOW && self.random() < part
+    }
+
     fn stream(&self, connection: &mut Connection, id: &str, headers: &[(&str, &str)]) -> bool {
         let options = &self.options;
         thread::sleep(options.first_time);
@@ -191,20 +197,23 @@
             return false;
         }
         self.record.add(&options.id, id, Event::Began);
-        let mut head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n".to_owned();
+        let unframed = self.is_disturbed(options.unframed);
+        let framing = if unframed { "Connection: close" } else { "Transfer-Encoding: chunked" };
+        let mut head = format!("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n{framing}\r\n");
         for (name, value) in headers {
             head.push_str(&format!("{name}: {value}\r\n"));
         }
         let mut open = connection.write(&format!("{head}\r\n"));
         for event in 1..=options.events {
             let text = format!("id: {event}\ndata: {id} {event}\n\n");
-            open = open && connection.write(&format!("{:x}\r\n{text}\r\n", text.len()));
+            let piece = if unframed { text } else { format!("{:x}\r\n{text}\r\n", text.len()) };
+            open = open && connection.write(&piece);
             if !open && options.drops {
                 return false;
             }
             thread::sleep(options.event_gap);
         }
         self.record.add(&options.id, id, Event::Ended);
-        open && connection.write("0\r\n\r\n")
+        open && !unframed && connection.write("0\r\n\r\n")
     }
 }
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -3,6 +3,7 @@
 mod desync;
 mod engine;
 mod instances;
+mod killed;
 mod net;
 mod record;
 mod store;
@@ -26,6 +27,7 @@
     std::fs::create_dir_all(&folder).expect("a temporary folder");
     let verdict = match scenario.as_str() {
         "desync" => desync::run(&folder, &record, trouble),
+        "killed" => killed::run(&folder, &record, trouble),
         _ => Verdict::CouldNotRun,
     };
     let _ = std::fs::remove_dir_all(&folder);
--- a/review/standin/net.rs
+++ b/review/standin/net.rs
@@ -13,8 +13,10 @@
     pub headers: Vec<(String, String)>,
     /// The body without its framing.
     pub body: Vec<u8>,
-    /// Whether the body was received to its end.
+    /// Whether the body was received to its end, as far as HTTP shows that.
     pub complete: bool,
+    /// Whether nothing but the end of the connection marks the end of the body.
+    pub unframed: bool,
 }
 
 impl Message {
@@ -110,6 +112,17 @@
         Some(message)
     }
 
+    /// Reads a response. One without a length or chunks ends with its connection, and is complete unless that fails.
+    pub fn read_response(&mut self) -> Option<Message> {
+        let mut message = self.read()?;
+        if message.header("transfer-encoding").is_none() && message.header("content-length").is_none() {
+            message.unframed = true;
+            message.body = std::mem::take(&mut self.buffer);
+            message.complete = self.stream.read_to_end(&mut message.body).is_ok();
+        }
+        Some(message)
+    }
+
     fn chunks(&mut self, body: &mut Vec<u8>) -> Option<()> {
         loop {
             let size = usize::from_str_radix(self.line()?.split(';').next()?.trim(), 16).ok()?;
