--- a/review/standin/desync.rs
+++ b/review/standin/desync.rs
@@ -50,7 +50,8 @@
     )
 }
 
-pub fn run(folder: &PathBuf, path: &Path, trouble: bool) -> Verdict {
+/// Plays the scenario. With `calls`, reservations are answered at once, and the answers to them come twice as well.
+pub fn run(folder: &PathBuf, path: &Path, trouble: bool, calls: bool) -> Verdict {
     let (network, record) = (Network::own(), Arc::new(Record::new()));
     let store = Store::start(network.address(200, 0));
     store.put("op/config", &config(1));
@@ -63,11 +64,12 @@
             zone: "z1".to_owned(),
             decodes,
             slots: 4,
-            hold_time: if decodes { HOLD_TIME } else { Duration::ZERO },
+            hold_time: if decodes && !calls { HOLD_TIME } else { Duration::ZERO },
             first_time: if decodes { FIRST_TOKEN_TIME } else { PREFILL_TIME },
             events: 6,
             event_gap: Duration::from_millis(100),
             drops: !PERSISTENT.contains(&number),
+            extra_calls: calls,
             extra: if DISTURBED.contains(&number) && trouble { EXTRA } else { 0.0 },
             unframed: 0.0,
         };
--- a/review/standin/engine.rs
+++ b/review/standin/engine.rs
@@ -31,6 +31,8 @@
     pub drops: bool,
     /// Part of the answers that come a second time, late, in windows of [`WINDOW`].
     pub extra: f64,
+    /// Whether answers to reservations and other small calls come a second time as well.
+    pub extra_calls: bool,
     /// Part of the streams that have no length and no chunks and end with their connection, in the same windows.
     pub unframed: f64,
 }
@@ -114,20 +116,22 @@
         let path = request.path();
         if path == "/-/hold-take" {
             thread::sleep(self.options.hold_time);
-            return match self.reserve() {
-                Some(hold) => connection.write(&response(200, &[], &format!("{{\"hold\":\"{hold}\"}}"))),
-                None => connection.write(&response(503, &[("Not-Executed", "1")], "")),
+            let answer = match self.reserve() {
+                Some(hold) => response(200, &[], &format!("{{\"hold\":\"{hold}\"}}")),
+                None => response(503, &[("Not-Executed", "1")], ""),
             };
+            return self.answer(connection, answer, late);
         }
         if let Some(hold) = path.strip_prefix("/-/hold-drop/") {
             self.inner.lock().expect("no panic").holds.remove(hold);
-            return connection.write(&response(200, &[], "{}"));
+            return self.answer(connection, response(200, &[], "{}"), late);
         }
         if path.starts_with("/-/kv-handle/") {
-            return connection.write(&response(200, &[], "{}"));
+            return self.answer(connection, response(200, &[], "{}"), late);
         }
         if path == "/-/report" {
-            return connection.write(&response(200, &[("Content-Type", "application/json")], &self.report()));
+            let answer = response(200, &[("Content-Type", "application/json")], &self.report());
+            return self.answer(connection, answer, late);
         }
         if path == "/-/order" {
             return connection.write(&response(200, &[], "{}"));
@@ -135,6 +139,15 @@
         self.run(connection, request, late)
     }
 
+    /// Answers a call, perhaps a second time later.
+    fn answer(&self, connection: &mut Connection, answer: String, late: &mut Option<String>) -> bool {
+        let open = connection.write(&answer);
+        if open && self.options.extra_calls && self.is_disturbed(self.options.extra) {
+            *late = Some(answer);
+        }
+        open
+    }
+
     fn report(&self) -> String {
         let running = self.inner.lock().expect("no panic").running;
         let stage = if self.options.decodes { "decode" } else { "prefill" };
--- a/review/standin/killed.rs
+++ b/review/standin/killed.rs
@@ -47,6 +47,7 @@
             event_gap: EVENT_GAP,
             drops: true,
             extra: 0.0,
+            extra_calls: false,
             unframed: if UNFRAMED_ENGINES.contains(&number) { UNFRAMED } else { 0.0 },
         };
         let engine = Engine::start(network.address(100 + number, 0), options, &record);
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -26,7 +26,8 @@
     let folder = std::env::temp_dir().join(format!("review-{}", std::process::id()));
     std::fs::create_dir_all(&folder).expect("a temporary folder");
     let verdict = match scenario.as_str() {
-        "desync" => desync::run(&folder, &record, trouble),
+        "desync" => desync::run(&folder, &record, trouble, false),
+        "desync-calls" => desync::run(&folder, &record, trouble, true),
         "killed" => killed::run(&folder, &record, trouble),
         _ => Verdict::CouldNotRun,
     };
