--- a/review/standin/desync.rs
+++ b/review/standin/desync.rs
@@ -87,6 +87,7 @@
                 zone: "z1",
                 host,
                 first_start: true,
+                seeds: [1, 2, 3],
                 log: log(host),
             })
         })
--- a/review/standin/engine.rs
+++ b/review/standin/engine.rs
@@ -134,7 +134,13 @@
             return self.answer(connection, answer, late);
         }
         if path == "/-/order" {
-            return connection.write(&response(200, &[], "{}"));
+            let body = String::from_utf8_lossy(&request.body).into_owned();
+            let field = |name: &str| {
+                let rest = body.split_once(&format!("\"{name}\":")).map_or("", |(_, rest)| rest);
+                rest.split([',', '}']).next().unwrap_or_default().trim_matches('"').to_owned()
+            };
+            self.record.add(id, &format!("{}#{}", field("holder"), field("fence")), Event::Ordered);
+            return connection.write(&response(202, &[], "{}"));
         }
         self.run(connection, request, late)
     }
--- a/review/standin/instances.rs
+++ b/review/standin/instances.rs
@@ -47,14 +47,16 @@
     pub zone: &'a str,
     pub host: u8,
     pub first_start: bool,
+    /// Hosts of the seeds, in their order.
+    pub seeds: [u8; 3],
     pub log: Option<PathBuf>,
 }
 
 impl Instance {
     pub fn start(options: &Options<'_>) -> Self {
-        let Options { network, store, folder, zone, host, first_start, log } = options;
+        let Options { network, store, folder, zone, host, first_start, seeds, log } = options;
         let (front, ready) = (network.address(*host, FRONT), network.address(*host, READY));
-        let seeds: Vec<_> = (1..=3).map(|host| network.address(host, CONTROL).to_string()).collect();
+        let seeds: Vec<_> = seeds.iter().map(|host| network.address(*host, CONTROL).to_string()).collect();
         let text = format!(
             "node=front-{zone}-{host}\nrole=router\ninstance_class=front\nserves=front,control\nip={}\nzone={zone}\n\
              region=r\nzones.z1=r\nzones.z2=r\nzones.z3=r\nlisten.front={front}\nlisten.ready={ready}\nlisten.control={}\n\
--- a/review/standin/killed.rs
+++ b/review/standin/killed.rs
@@ -55,7 +55,7 @@
         engines.push(engine);
     }
     let start = |host: u8, first_start: bool| {
-        Instance::start(&instances::Options { network, store: store.address, folder, zone: "z1", host, first_start, log: None })
+        Instance::start(&instances::Options { network, store: store.address, folder, zone: "z1", host, first_start, seeds: [1, 2, 3], log: None })
     };
     let mut instances: Vec<_> = (1..=INSTANCES).map(|host| start(host, true)).collect();
     if !instances.iter().all(|instance| instance.await_ready(Duration::from_secs(10))) {
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -2,6 +2,7 @@
 
 mod desync;
 mod engine;
+mod holders;
 mod instances;
 mod killed;
 mod net;
@@ -28,6 +29,7 @@
     let verdict = match scenario.as_str() {
         "desync" => desync::run(&folder, &record, trouble, false),
         "desync-calls" => desync::run(&folder, &record, trouble, true),
+        "holders" => holders::run(&folder, &record, trouble),
         "killed" => killed::run(&folder, &record, trouble),
         _ => Verdict::CouldNotRun,
     };
--- a/review/standin/record.rs
+++ b/review/standin/record.rs
@@ -21,8 +21,9 @@
     Ended,
     /// A worker sent the late second answer to an earlier request.
     Extra,
+    /// A worker got an order. The id is the holder's name and its fencing token.
+    Ordered,
     /// The time of a disruption.
-    #[allow(dead_code)]
     Note(&'static str),
 }
 
