A response that ends with its connection is reset whatever ends its instance

Cause: the reset that says that such a response is truncated was set up only while the connection was dropped. A process that is killed drops nothing, and the kernel closes its sockets as at the end of a whole response. The same at exit(1) and when memory ends. Besides, the reset was revoked when the library had taken the last bytes, before they were written.

Ruled out: a tunnel whose peer is killed. An empty record marks the end there; the new test passed before the fix.

Fix: from before the first byte of such a response the socket is set to be reset when it is closed, whoever closes it, and only the shutdown of the connection after the last byte of a complete response takes that back. The own interface had the same gap for HTTP/1.0 and for services, and closed a stream to a caller of HTTP/1.0 that no engine could complete; it does the same now.

Tests, before: killed_instances::a_stream_of_a_killed_instance_does_not_look_complete failed (a close in place of a reset); of the daemon's, three of four new ones in responses failed (a_stream_of_a_killed_instance_does_not_look_complete, a_stream_to_an_old_caller_that_no_engine_completes_is_reset, a_part_of_a_response_that_ends_with_its_connection_does_not_look_complete). After: all pass.

--- a/crates/daemon/src/acceptor.rs
+++ b/crates/daemon/src/acceptor.rs
@@ -3,6 +3,10 @@
 //! The HTTP server ends a body that fails in the same way as one that is complete. A response that fails therefore
 //! [aborts](AbortHandle::abort) its connection first, which then takes no end mark.
 //!
+//! The kernel closes the connections of a process that is killed, exactly as at the end of a response without an end
+//! mark. While such a [response](AbortHandle::ends_with_connection) is written, the kernel is set to reset the connection
+//! in place of closing it.
+//!
 //! A caller that does not read its response holds a connection, and with a stream also a request in progress. Such a
 //! connection is [cut](AbortHandle::cut_at) by a reset some time after the request's deadline.
 
@@ -19,6 +23,7 @@
 use poem::http::uri::Scheme;
 use poem::listener::Acceptor;
 use poem::web::{LocalAddr, RemoteAddr};
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
@@ -53,6 +58,8 @@
 #[derive(Debug, Default)]
 struct ConnectionState {
     is_aborted: AtomicBool,
+    /// Whether the end of the connection is that of the response.
+    is_end_mark: AtomicBool,
     /// Whether the connection ends without waiting for the caller.
     is_cut: AtomicBool,
     is_closed: AtomicBool,
@@ -79,6 +86,15 @@
         self.0.is_aborted.store(true, Ordering::Relaxed);
     }
 
+    /// Records that the response now begun has neither a length nor chunks. It is the last on its connection.
+    pub(crate) fn ends_with_connection(&self) {
+        self.0.is_end_mark.store(true, Ordering::Relaxed);
+    }
+
+    fn is_end_mark(&self) -> bool {
+        self.0.is_end_mark.load(Ordering::Relaxed)
+    }
+
     fn is_aborted(&self) -> bool {
         self.0.is_aborted.load(Ordering::Relaxed)
     }
@@ -173,7 +189,8 @@
             let abort = AbortHandle::default();
             self.open.lock().insert(remote, abort.clone());
             let open = self.open.clone();
-            let connection = Connection { stream, remote, abort, blocked: None, open, _permit: permit };
+            let connection =
+                Connection { stream, remote, abort, blocked: None, resets: false, open, _permit: permit };
             return Ok((connection, LocalAddr(local.into()), RemoteAddr(remote.into()), Scheme::HTTP));
         }
     }
@@ -187,6 +204,8 @@
     abort: AbortHandle,
     /// Ends when a write that the caller does not read fails.
     blocked: Option<Pin<Box<Sleep>>>,
+    /// Whether the kernel resets the connection when the socket is closed.
+    resets: bool,
     open: OpenConnections,
     _permit: OwnedSemaphorePermit,
 }
@@ -203,6 +222,24 @@
         Err(io::ErrorKind::ConnectionAborted.into())
     }
 
+    /// Has the kernel reset the connection if it ends before the response that it marks the end of.
+    fn prepare_reset(&mut self) {
+        if self.abort.is_end_mark() && !self.resets {
+            // Fails if the caller has closed the connection.
+            let _ = self.stream.set_zero_linger();
+            self.resets = true;
+        }
+    }
+
+    /// Has the kernel close the connection at its end, with all bytes that the caller has not read yet.
+    fn prepare_close(&mut self) -> io::Result<()> {
+        if self.resets {
+            SockRef::from(&self.stream).set_linger(None)?;
+            self.resets = false;
+        }
+        Ok(())
+    }
+
     /// Waits for the caller to read, up to the limit.
     fn poll_blocked(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
         let Some(limit) = *self.abort.lock_limit() else {
@@ -252,6 +289,7 @@
         if self.abort.is_aborted() {
             return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
         }
+        self.prepare_reset();
         match Pin::new(&mut self.stream).poll_write(cx, buf) {
             Poll::Pending => self.poll_blocked(cx),
             written @ Poll::Ready(_) => {
@@ -266,6 +304,12 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.resets && self.abort.is_aborted() {
+            // The end of the stream would look like that of the response.
+            return Poll::Ready(Ok(()));
+        }
+        // The server has written all bytes before.
+        self.prepare_close()?;
         Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
--- a/crates/daemon/src/callers/openai.rs
+++ b/crates/daemon/src/callers/openai.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use futures_util::stream;
-use poem::http::header;
+use poem::http::{Version, header};
 use poem::web::Data;
 use poem::{Body, Request, Response, handler};
 use serde::{Deserialize, Serialize};
@@ -258,6 +258,10 @@
         Generation { model: parsed.model, prompt: parsed.prompt, max_tokens: parsed.max_tokens, render };
     let mut output = start_generation(session, api.engines.clone(), generation, &passage);
     let abort = api.abort_handle(request);
+    if parsed.stream && request.version() < Version::HTTP_11 {
+        // There are no chunks in this version.
+        abort.ends_with_connection();
+    }
     // Dropping the output ends the driver, which releases what the request holds.
     let first = tokio::select! {
         first = first_output(&mut output) => first?,
--- a/crates/daemon/src/callers/services.rs
+++ b/crates/daemon/src/callers/services.rs
@@ -61,6 +61,9 @@
     };
     match output {
         Ok(CallOutput::Answered { request, response }) => {
+            if !response.is_complete {
+                connection.ends_with_connection();
+            }
             Ok(with_request_id(caller_response(response), request))
         }
         Ok(CallOutput::Refused { request, refusal }) => Err(RefusalResponse::of(refusal, request)),
--- a/crates/daemon/tests/all/support.rs
+++ b/crates/daemon/tests/all/support.rs
@@ -195,7 +195,8 @@
         self.wait_until_ready(self.launch_with_log(index, writer.into())).await
     }
 
-    async fn wait_until_ready(&self, daemon: Daemon) -> Daemon {
+    /// Waits until an instance is ready.
+    pub(crate) async fn wait_until_ready(&self, daemon: Daemon) -> Daemon {
         until("the instance is ready", || async {
             let ready = self.client.get(format!("http://{}/ready", daemon.operators)).send().await;
             ready.is_ok_and(|r| r.status().is_success())
--- a/crates/forward/src/caller_stream.rs
+++ b/crates/forward/src/caller_stream.rs
@@ -1,4 +1,8 @@
 //! Connections of callers, which can be reset, and whose reads and writes show what they are doing.
+//!
+//! The kernel closes the connections of a process that is killed, exactly as at the end of a response. A response that
+//! ends with its connection therefore has its connection set to be reset, from before its first byte until all of its
+//! bytes are written. Whatever ends the process in between, the caller sees that the response is truncated.
 
 use std::io::{self, ErrorKind, Read};
 use std::pin::Pin;
@@ -15,7 +19,7 @@
 use crate::caller_limits::CallerLimits;
 
 /// A connection of a caller. Dropping it resets the connection if the last response requires that, and closes
-/// it otherwise.
+/// it otherwise. So does an end of the process.
 #[derive(Debug)]
 pub(crate) struct CallerStream {
     stream: TcpStream,
@@ -26,6 +30,8 @@
     head_bytes: usize,
     /// Bytes that the library had read when it was set up again.
     unread: Bytes,
+    /// Whether the kernel resets the connection when the socket is closed.
+    resets: bool,
 }
 
 impl CallerStream {
@@ -36,7 +42,7 @@
         limits: Rc<CallerLimits>,
     ) -> Self {
         let head_bytes = limits.head_bytes();
-        Self { stream, connection, activity, limits, head_bytes, unread: Bytes::new() }
+        Self { stream, connection, activity, limits, head_bytes, unread: Bytes::new(), resets: false }
     }
 
     /// Largest head of the requests that are read from now on, in bytes.
@@ -51,6 +57,24 @@
         self.unread = unread;
     }
 
+    /// Has the kernel reset the connection at its end, if the response whose bytes are written now requires that.
+    fn prepare_reset(&mut self) {
+        if self.connection.must_reset() && !self.resets {
+            // A failure means that the connection has ended already.
+            let _ = self.stream.set_zero_linger();
+            self.resets = true;
+        }
+    }
+
+    /// Has the kernel close the connection at its end, with all bytes that the caller has not read yet.
+    fn prepare_close(&mut self) -> io::Result<()> {
+        if self.resets {
+            SockRef::from(&self.stream).set_linger(None)?;
+            self.resets = false;
+        }
+        Ok(())
+    }
+
     fn poll_stream(&mut self, context: &mut Context<'_>, buffer: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         if !self.unread.is_empty() {
             let count = self.unread.len().min(buffer.remaining());
@@ -80,10 +104,7 @@
 
 impl Drop for CallerStream {
     fn drop(&mut self) {
-        if self.connection.must_reset() {
-            // A failure means that the connection has ended already.
-            let _ = self.stream.set_zero_linger();
-        }
+        self.prepare_reset();
     }
 }
 
@@ -110,6 +131,7 @@
         context: &mut Context<'_>,
         data: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.prepare_reset();
         Pin::new(&mut self.stream).poll_write(context, data)
     }
 
@@ -120,6 +142,12 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.connection.must_reset() {
+            // The end of the stream would look like that of the response.
+            return Poll::Ready(Ok(()));
+        }
+        // The library has written all bytes before.
+        self.prepare_close()?;
         Pin::new(&mut self.stream).poll_shutdown(context)
     }
 
@@ -128,6 +156,7 @@
         context: &mut Context<'_>,
         data: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.prepare_reset();
         Pin::new(&mut self.stream).poll_write_vectored(context, data)
     }
 
