One instance gives orders also where instances have read different lists of seeds

Cause: each instance decided by the first seed of its own list alone, and both counted from 1. The module claimed that only one process ever gives orders, which held only if all had read the same list; the platform says that lists may be stale. Both logged that they give orders; there was no other candidate for the cause.

Fix: each process of the first start has one fixed vote, for the first seed of its own list, and its reports state it for a minute. A candidate is elected if all seeds of its list have voted for it and each other candidate that it knows lacks a vote. Of two candidates whose lists share an instance, that instance's vote excludes one, whatever is lost, late, frozen or partitioned; nothing has to be agreed in time, since settings do not change while a process runs. For lists that share nothing: a second's wait, and an order requires that its engine has taken none before. Fencing numbers contain the instance's address, so that no two instances draw the same.

Weighed: a majority of the list (two lists of three have majorities without a common instance), the lowest address that is heard (changes with each partition).

Tests, before: orders::one_instance_gives_orders_where_lists_of_seeds_differ failed (two gave orders, 2 != 1), orders::an_engine_takes_the_orders_of_one_instance_only failed (engines took both).

--- a/crates/forward/src/catalog.rs
+++ b/crates/forward/src/catalog.rs
@@ -44,7 +44,6 @@
 
 use crate::connection_pool::ExchangeFailure;
 use crate::node::Node;
-use crate::orders;
 use crate::protocol::{Batch, Call, StoreChange};
 use crate::queue;
 use listing::ListProgress;
@@ -61,7 +60,7 @@
 const MIN_GAP_SEARCH: Duration = Duration::from_millis(300);
 /// Number of changes in one response from which on the next response is requested at once.
 const BULK_CHANGES: usize = 200;
-/// Time after the start in which the instance that orders engines coalesces changes for [`STARTUP_COALESCE`]
+/// Time after the start in which an instance that may order engines coalesces changes for [`STARTUP_COALESCE`]
 /// only: endpoints register then, engines take seconds to change their stage, and traffic is about to begin.
 /// The other instances do not need the short pause, which costs about ten calls to the store for each.
 const STARTUP_TIME: Duration = Duration::from_secs(4);
@@ -146,8 +145,8 @@
     era: Cell<Era>,
     list_progress: RefCell<ListProgress>,
     started: Instant,
-    /// Whether this process orders engines.
-    gives_orders: bool,
+    /// Whether this process may give orders to engines.
+    may_order: bool,
     /// When the store last responded to this instance or to a peer that sent an update.
     last_response: Cell<Instant>,
     /// Until when a removed entry may be one that expired while the store was unreachable.
@@ -185,7 +184,7 @@
             era: Cell::default(),
             list_progress: RefCell::default(),
             started,
-            gives_orders: orders::gives_orders(node),
+            may_order: node.state.borrow().election.is_candidate(),
             last_response: Cell::new(started),
             expiry_window_end: Cell::new(None),
             missing_since: Cell::new(started),
@@ -245,7 +244,7 @@
     /// thousands of entries, as would all others. Callers arrive only when endpoints are there.
     fn is_starting(&self) -> bool {
         let settings = &self.node.settings;
-        let uses_peers = settings.first_start && settings.gossip_port.is_some() && !self.gives_orders;
+        let uses_peers = settings.first_start && settings.gossip_port.is_some() && !self.may_order;
         let elapsed = self.node.now().duration_since(self.started);
         uses_peers && !self.source.get().is_settled(elapsed, self.node.peer_count.get())
     }
@@ -387,7 +386,7 @@
     /// How long to wait after a change for further ones to accumulate.
     fn coalesce_pause(&self) -> Duration {
         let pause = self.read_times.pause();
-        let starting = self.gives_orders && self.node.now().duration_since(self.started) < STARTUP_TIME;
+        let starting = self.may_order && self.node.now().duration_since(self.started) < STARTUP_TIME;
         if starting { STARTUP_COALESCE.min(pause) } else { pause }
     }
 
--- a/crates/forward/src/catalog/store_updates.rs
+++ b/crates/forward/src/catalog/store_updates.rs
@@ -51,7 +51,7 @@
         self.freeze_detector.set(freeze_detector);
         let source = match UpdateSource::of(&own, domain_peers.iter().copied()) {
             // Orders to engines depend on the current list, without the delay of a peer.
-            UpdateSource::Peers if self.gives_orders => UpdateSource::Reader,
+            UpdateSource::Peers if self.may_order => UpdateSource::Reader,
             source => source,
         };
         if self.source.replace(source) != source {
--- a/crates/forward/src/gossip.rs
+++ b/crates/forward/src/gossip.rs
@@ -7,8 +7,8 @@
 //!
 //! Gossip uses plain datagrams and not QUIC: a report is outdated after a moment, a lost report is made up
 //! for by the next report, and the platform provides no keys for a handshake. A forged report can make
-//! choices worse, have a request refused for a while, or take an endpoint out of use until it starts again;
-//! it cannot make a request run twice or a refusal false. A forged store update could send work to the wrong
+//! choices worse, have a request refused for a while, take an endpoint out of use until it starts again, or
+//! keep orders from being given; it cannot make a request run twice or a refusal false. A forged store update could send work to the wrong
 //! endpoint. Store updates are therefore accepted only from known peers of the same failure domain, but no
 //! peer is authenticated.
 
@@ -21,7 +21,7 @@
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
 use teaselshunt_core::{CrashReport, CrashUpdate, Fingerprint, PartReport, UpdateScope};
-use teaselshunt_routing::{EngineTag, Peers, failure_timeout, plausible_interval, tag};
+use teaselshunt_routing::{EngineTag, Peers, SeedStatement, failure_timeout, plausible_interval, tag};
 use teaselshunt_teams::{TeamSpending, UpdateHeader};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
@@ -124,9 +124,19 @@
     takes_tunnels: bool,
 }
 
-/// Evidence about parts of prompts, at the end of a datagram. It may be missing like [`Extension`].
+/// Evidence about parts of prompts, after the extension. It may be missing like [`Extension`].
 type PartReports = Vec<PartReport>;
 
+/// What the sender votes for where instances elect the one that gives orders, at the end of a datagram. It may be missing like
+/// [`Extension`].
+#[derive(Debug, Serialize, Deserialize)]
+struct Vote {
+    /// Control address of the sender.
+    instance: SocketAddr,
+    /// Its seeds, the first of which it votes for.
+    seeds: Vec<SocketAddr>,
+}
+
 /// Sends and receives gossip until the process ends.
 pub(crate) async fn run(
     catalog: Rc<Catalog>,
@@ -219,7 +229,8 @@
                 }
                 let (extension, rest) =
                     postcard::take_from_bytes(rest).unwrap_or((Extension::default(), &[]));
-                let parts: PartReports = postcard::from_bytes(rest).unwrap_or_default();
+                let (parts, rest) = postcard::take_from_bytes(rest).unwrap_or((PartReports::default(), &[]));
+                let vote: Option<Vote> = postcard::from_bytes(rest).unwrap_or_default();
                 let lifetime =
                     failure_timeout(plausible_interval(Duration::from_millis(trailer.next.into())));
                 let takes_tunnels = self.node.settings.tunnels && extension.takes_tunnels && !report.leaving;
@@ -227,6 +238,9 @@
                 self.node.pool.reach().peers().observe(now, from, takes_tunnels, same_domain, lifetime);
                 self.receive_report(from, datagram.domain, *report, trailer);
                 self.receive_parts(&parts);
+                if let Some(Vote { instance, seeds }) = vote {
+                    self.node.state.borrow_mut().election.observe(SeedStatement { instance, seeds });
+                }
             }
             Content::StoreUpdate(update) if same_domain && self.peers.contains(from) => {
                 self.catalog.merge_update(from, update);
@@ -437,12 +451,14 @@
         let Ok(data) = postcard::to_allocvec(&datagram) else { return };
         let load = if is_report { load::report(&self.node) } else { LoadReport::default() };
         let extension = Extension { takes_tunnels: is_report && reach::takes_tunnels(&self.node) };
+        let statement = self.node.state.borrow().election.statement(self.node.now());
+        let vote = statement.filter(|_| is_report).map(|s| Vote { instance: s.instance, seeds: s.seeds });
         let mut encoded = HashMap::new();
         for peer in targets {
             let domain = self.peers.domain_of(peer);
             let data = encoded.entry(domain).or_insert_with(|| {
                 let trailer = if is_report { self.trailer(domain, &load) } else { Trailer::default() };
-                postcard::to_extend(&(trailer, &extension, parts), data.clone()).unwrap_or_default()
+                postcard::to_extend(&(trailer, &extension, parts, &vote), data.clone()).unwrap_or_default()
             });
             // A datagram that cannot be sent is treated like a lost one.
             let _ = socket.send_to(data, peer).await;
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -21,8 +21,8 @@
 use teaselshunt_core::{Clock, Fingerprint, PartQuarantine, PromptPart, Quarantine};
 use teaselshunt_routing::{
     Admission, Advances, BodyMemory, Budgets, ConnectionShedding, EndpointKey, Endpoints, Need,
-    OutputEstimate, PrefillEstimate, Priority, Refusals, RetryDetector, Returns, Route, RouteSet, Sends,
-    Service, SignsOfLife, Stage, StepOutcome, Waiters,
+    OrderElection, OutputEstimate, PrefillEstimate, Priority, Refusals, RetryDetector, Returns, Route,
+    RouteSet, Sends, Service, SignsOfLife, Stage, StepOutcome, Waiters,
 };
 use teaselshunt_teams::{Quotas, Team};
 use tokio::sync::{Notify, watch};
@@ -83,6 +83,8 @@
     pub(crate) memory: BodyMemory,
     /// Which new connections of callers are closed unread.
     pub(crate) shedding: ConnectionShedding,
+    /// Which instance gives orders to engines.
+    pub(crate) election: OrderElection<SocketAddr>,
     /// Whether the complete list of endpoints has been known at some time.
     pub(crate) list_complete: bool,
     /// When the store last confirmed the list of endpoints, directly or through a peer.
--- a/crates/forward/src/orders.rs
+++ b/crates/forward/src/orders.rs
@@ -1,23 +1,28 @@
 //! Orders engines to change their stage.
 //!
-//! Two instances that order the same engine would undo each other's orders, and there is no store in which
-//! they could agree on which of them gives orders. Only one process therefore ever gives orders: the process
-//! of the first instance in the list of seeds that started with the first start of the whole system. If this
-//! process ends, no orders are given any more; stages then stay as they are, which costs throughput but
-//! breaks nothing. If the process is frozen or partitioned and returns, it is still the only one.
+//! One instance gives orders, the one that [`OrderElection`] elects. If its process ends, no orders are given any more; stages then
+//! stay as they are, which costs throughput but breaks nothing. If it is frozen or partitioned and returns, it is still the only
+//! one.
+//!
+//! An engine gets at most one order in each incarnation, and takes it only if it has taken none before.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures_util::StreamExt;
 use hyper::StatusCode;
 use slog::info;
-use teaselshunt_routing::{Incarnation, Service, Stage, StageChange, plan_stage_changes};
+use teaselshunt_routing::{
+    ElectionState, FencingNumbers, Incarnation, OrderElection, Service, Stage, StageChange,
+    plan_stage_changes,
+};
 
 use crate::node::Node;
 use crate::phase::Phase;
 use crate::protocol::Order;
+use crate::settings::Settings;
 
 /// Interval at which the stages are polled.
 const POLL_INTERVAL: Duration = Duration::from_millis(250);
@@ -34,26 +39,24 @@
 /// Longest time to wait for the response to an order.
 const ORDER_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Whether this process gives the orders.
-pub(crate) fn gives_orders(node: &Node) -> bool {
-    let settings = &node.settings;
-    settings.first_start
-        && settings.control_address.is_some()
-        && settings.control_address.as_ref() == settings.seeds.first()
+/// The election as a process with these settings begins it.
+pub(crate) fn election(settings: &Settings, started: Instant) -> OrderElection<SocketAddr> {
+    match settings.control_address {
+        Some(control) if settings.first_start => OrderElection::new(started, control, settings.seeds.clone()),
+        Some(_) | None => OrderElection::without_vote(started),
+    }
 }
 
-/// Orders engines until the stages have the planned shares, if this process gives the orders.
+/// Orders engines until the stages have the planned shares, while this instance is elected.
 pub(crate) async fn run(node: Rc<Node>) {
-    if !gives_orders(&node) {
-        return;
-    }
-    info!(node.log, "giving orders to engines");
+    let Some(control) = node.settings.control_address else { return };
     let mut ordered: OrderedStages = HashMap::new();
-    let mut fencing_number = 0;
+    let mut numbers = FencingNumbers::new(control);
+    let mut election = ElectionState::NoCandidate;
     let mut known = 0;
     let mut steady_polls = 0;
     let mut serving = false;
-    while node.phase() == Phase::Serving {
+    while node.state.borrow().election.is_candidate() && node.phase() == Phase::Serving {
         tokio::time::sleep(POLL_INTERVAL).await;
         let (count, list_complete) = {
             let state = node.state.borrow();
@@ -61,16 +64,20 @@
         };
         steady_polls = if list_complete && count > 0 && count == known { steady_polls + 1 } else { 0 };
         known = count;
-        if steady_polls < if serving { STEADY_POLLS_SERVING } else { STEADY_POLLS } {
+        let before = std::mem::replace(&mut election, node.state.borrow().election.state(node.now()));
+        if election != before {
+            log_election(&node, election);
+        }
+        if election != ElectionState::Elected
+            || steady_polls < if serving { STEADY_POLLS_SERVING } else { STEADY_POLLS }
+        {
             continue;
         }
         let mut orders = Vec::new();
         for change in planned_changes(&node, &ordered, serving) {
-            // An engine gets at most one order in each incarnation: an order without a response may have been
-            // accepted.
+            // An order without a response may have been accepted.
             if ordered.insert(change.incarnation.clone(), change.stage).is_none() {
-                fencing_number += 1;
-                orders.push((change, fencing_number));
+                orders.push((change, numbers.draw()));
             }
         }
         let node = &node;
@@ -80,6 +87,16 @@
     }
 }
 
+fn log_election(node: &Node, state: ElectionState<SocketAddr>) {
+    match state.other() {
+        None if state == ElectionState::Elected => info!(node.log, "giving orders to engines"),
+        None => info!(node.log, "no orders to engines"; "cause" => state.text()),
+        Some(other) => {
+            info!(node.log, "no orders to engines"; "cause" => state.text(), "other" => %other);
+        }
+    }
+}
+
 /// The stage that each incarnation of an engine was ordered to take.
 type OrderedStages = HashMap<Incarnation, Stage>;
 
--- a/crates/forward/src/protocol.rs
+++ b/crates/forward/src/protocol.rs
@@ -123,7 +123,7 @@
     pub body: Bytes,
 }
 
-/// An order to an engine to change its stage.
+/// An order to an engine to change its stage, which the engine takes only if it has taken none in its incarnation.
 #[derive(Debug, Clone, Copy)]
 pub struct Order<'a> {
     /// Id of the intended engine.
--- a/crates/forward/src/settings.rs
+++ b/crates/forward/src/settings.rs
@@ -20,7 +20,7 @@
     pub metrics_address: Option<SocketAddr>,
     /// Address by which other instances know this one.
     pub control_address: Option<SocketAddr>,
-    /// Control addresses of some instances; the same list on every instance.
+    /// Control addresses of some instances, some of which may have ended. Lists may differ between instances.
     pub seeds: Vec<SocketAddr>,
     /// UDP and TCP port for gossip and snapshots between instances; the same on every instance.
     pub gossip_port: Option<u16>,
--- a/crates/forward/src/supervisor.rs
+++ b/crates/forward/src/supervisor.rs
@@ -128,6 +128,7 @@
             quotas,
             memory: BodyMemory::new((settings.memory_bytes as f64 * BUFFER_FRACTION) as u64),
             shedding: ConnectionShedding::default(),
+            election: orders::election(&settings, SystemClock.now()),
             list_complete: false,
             list_confirmed: None,
         }),
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -30,7 +30,8 @@
 //! - `memory` bounds the bodies that are held for slow readers.
 //! - `budget` limits second attempts, and `sends` charges those of a generation.
 //! - `silence` decides when a stream looks for another engine because its own sends nothing.
-//! - `stages` decides how many engines prefill and how many decode.
+//! - `stages` decides how many engines prefill and how many decode, `order_election` which instance orders engines to
+//!   change their stage, and `fencing_numbers` numbers its orders.
 
 mod admission;
 mod advances;
@@ -41,6 +42,7 @@
 mod connection_shedding;
 mod endpoint;
 mod endpoints;
+mod fencing_numbers;
 mod freed;
 mod health_estimate;
 mod idle_limit;
@@ -49,6 +51,7 @@
 mod links;
 mod memory;
 mod observations;
+mod order_election;
 mod output_estimate;
 mod pace;
 mod peers;
@@ -80,6 +83,7 @@
 pub use endpoints::{
     Endpoints, LearnedChange, Need, OwnWork, PaceChange, Statement, StatementChanges, UpsertOutcome,
 };
+pub use fencing_numbers::FencingNumbers;
 pub use freed::FreedCapacity;
 pub use idle_limit::IdleLimit;
 pub use late_prompts::LatePrompts;
@@ -87,6 +91,7 @@
 pub use links::{CheckResult, CheckTimes, LinkChange, Links, Path, Probe};
 pub use memory::{BodyKind, BodyMemory, MemoryFull};
 pub use observations::{Observation, Observations, ResultReport, Results, SLOW_GOAL_FRACTION};
+pub use order_election::{ElectionState, OrderElection, SeedStatement};
 pub use output_estimate::OutputEstimate;
 pub use pace::{Pace, PaceReport, Paces};
 pub use peers::{HEARTBEAT_INTERVAL, Peers, failure_timeout, plausible_interval};
--- a/crates/routing/tests/all/main.rs
+++ b/crates/routing/tests/all/main.rs
@@ -16,6 +16,7 @@
 mod local_prefill;
 mod memory;
 mod observations;
+mod order_election;
 mod output_estimate;
 mod pace;
 mod pauses;
--- a/crates/standin/src/site/endpoint.rs
+++ b/crates/standin/src/site/endpoint.rs
@@ -116,6 +116,8 @@
     orders: Vec<Value>,
     fault: SiteFault,
     address_released: bool,
+    /// Orders that were accepted.
+    accepted_orders: u64,
     /// The `Server-Limit` of the endpoint's responses.
     advertised_limit: Option<String>,
     /// Whether the endpoint's responses state that it leaves.
@@ -226,6 +228,11 @@
 
     /// Every order that the endpoint received.
     pub fn orders(&self) -> Vec<Value> {
+    /// Number of orders that the endpoint accepted.
+    pub fn accepted_orders(&self) -> u64 {
+        self.lock().accepted_orders
+    }
+
         self.lock().orders.clone()
     }
 
@@ -459,7 +466,13 @@
             return Some((200, json!({ "in_flight": inner.active_requests })));
         }
         if path == "/-/order" {
-            inner.orders.push(serde_json::from_slice(&request.body).unwrap_or_default());
+            let order: Value = serde_json::from_slice(&request.body).unwrap_or_default();
+            let expected = order["precondition"].as_u64();
+            inner.orders.push(order);
+            if expected.is_some_and(|expected| expected != inner.accepted_orders) {
+                return Some((409, json!({})));
+            }
+            inner.accepted_orders += 1;
             return Some((202, json!({})));
         }
         None
