Entries whose id no header carries name no endpoint

Cause: any text after the prefix of a key was an id, and building a header panicked on one that no header carries. A handle in an engine's response could do the same. Besides, one item with a number that no type holds, or nested too deeply, failed the parser of the whole response of the store; items are the store's own, and only the values in them are others', so that this was not seen. Weights of a route's services were added in 32 bits.

Ruled out by reading: long strings in datagrams (changes that do not fit are not sent), times near the largest number (checked where they are read).

Fix: ids, handles and reservations are visible ASCII of at most 256 bytes where they are read, also from peers; other entries are invalid and hide no other. Weights are added in 64 bits.

--- a/crates/daemon/tests/all/configuration.rs
+++ b/crates/daemon/tests/all/configuration.rs
@@ -83,3 +83,32 @@
     let number = fleet.patch(|_| {});
     until("the next version is active", || async { version(&fleet, &daemon).await == number }).await;
 }
+
+/// Guards against an instance that ends, or follows no document any more, because one is deeply nested, has a number that no type
+/// holds, or an address that is none.
+#[tokio::test(flavor = "multi_thread")]
+async fn odd_documents_end_no_instance() {
+    let mut fleet = Fleet::start(1).await;
+    let daemon = fleet.start_daemon(0).await;
+    let deep = format!("{}{}", "[".repeat(70_000), "]".repeat(70_000));
+    let digits = "9".repeat(400);
+    let odd_values =
+        [&*deep, "1e999", &digits, "\"127.0.0.1:70000\"", "\"127.0.0.1:-1\"", "\"\\ud800\"", "\"a\\nb\""];
+    for (odd, number) in odd_values.into_iter().zip(2..) {
+        let address = |text: &str| {
+            let field = format!("\"address\":{}", fleet.configuration["endpoints"][0]["address"]);
+            text.replacen(&field, &format!("\"address\":{odd}"), 1)
+        };
+        let version = format!("\"version\":{number}");
+        let configuration = address(&fleet.configuration.to_string()).replacen("\"version\":1", &version, 1);
+        fleet.platform.publish_text(number, &configuration);
+        for list in [format!("{{\"revision\":{number},\"instances\":[{odd}]}}"), odd.to_owned()] {
+            fleet.platform.publish_instances(number, &list);
+        }
+        let response = fleet.completion(&daemon, "Odd", true).send().await.unwrap();
+        assert_eq!(streamed_text(response).await, Some(generated_text("Odd", 400)));
+    }
+    fleet.configuration["version"] = 50.into();
+    let number = fleet.patch(|_| {});
+    until("the next version is active", || async { version(&fleet, &daemon).await == number }).await;
+}
--- a/crates/forward/src/catalog.rs
+++ b/crates/forward/src/catalog.rs
@@ -440,6 +440,10 @@
     /// Applies an endpoint's entry. Returns whether the entry is new or changed.
     fn apply_endpoint(&self, endpoint: Endpoint, revision: u64) -> bool {
         let (id, state) = (Arc::clone(&endpoint.id), endpoint.state);
+        if !self.node.protocol.is_endpoint_id(&id) {
+            warn!(self.node.log, "invalid entry of a peer"; "endpoint" => &*id, "revision" => revision);
+            return false;
+        }
         let (service, address) = (Arc::clone(&endpoint.service), endpoint.address);
         let stage_name = endpoint.stage.map(Stage::text);
         let outcome = self.node.state.borrow_mut().endpoints.upsert(endpoint);
--- a/crates/forward/src/protocol.rs
+++ b/crates/forward/src/protocol.rs
@@ -208,6 +208,8 @@
     fn list(&self, after: Option<&str>) -> Call;
     /// Waits for changes after a revision.
     fn watch(&self, revision: u64, wait: Duration) -> Call;
+    /// Whether calls to an endpoint can name this id. The list of the platform and those of peers are checked.
+    fn is_endpoint_id(&self, id: &str) -> bool;
     /// Reads the store's era from the headers of any of its responses, whatever the status. The era rises
     /// each time that the store is restored from a backup; revisions restart then. `None` on platforms
     /// without eras.
--- a/crates/routing/src/routes.rs
+++ b/crates/routing/src/routes.rs
@@ -76,14 +76,15 @@
 
     /// Picks a service at random, by weight.
     pub fn pick_service(&self, rng: &mut impl Rng) -> Option<&Arc<str>> {
-        let total: u32 = self.targets.iter().map(|t| t.1).sum();
+        let total: u64 = self.targets.iter().map(|target| u64::from(target.1)).sum();
         if total == 0 {
             return None;
         }
         let mut draw = rng.random_range(0..total);
         self.targets.iter().find_map(|(service, weight)| {
-            let picked = draw < *weight;
-            draw = draw.saturating_sub(*weight);
+            let weight = u64::from(*weight);
+            let picked = draw < weight;
+            draw = draw.saturating_sub(weight);
             picked.then_some(service)
         })
     }
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -76,6 +76,11 @@
         self.state.configuration.send_replace(Document { number: version(text), text: text.to_owned() });
     }
 
+    /// Publishes a text in place of the configuration, under this version.
+    pub fn publish_text(&self, version: u64, text: &str) {
+        self.state.configuration.send_replace(Document { number: version, text: text.to_owned() });
+    }
+
     /// Publishes a list of instances.
     pub fn publish_instances(&self, revision: u64, text: &str) {
         self.state.instances.send_replace(Document { number: revision, text: text.to_owned() });
