Tests: responses that end inside their head

Now: plain calls and streams over new and kept connections, after an interim response, with a close and with a reset; prefills and reservations; over a tunnel; the own interface's prefill, import, decode and calls.

--- a/crates/daemon/tests/all/endless.rs
+++ b/crates/daemon/tests/all/endless.rs
@@ -115,6 +115,32 @@
         assert_eq!(endless.relay.answered(), 1, "the call is not sent again");
     }
 }
+
+/// Places in a head at which an endpoint stops and closes its connection.
+const HEAD_CUTS: [usize; 6] = [0, 8, 15, 17, 40, usize::MAX];
+
+/// Guards against a step that counts as done although the head of its response was not finished.
+#[tokio::test(flavor = "multi_thread")]
+async fn steps_that_end_inside_the_head_are_repeated_elsewhere() {
+    for bytes in HEAD_CUTS {
+        for (endpoint, path) in [(0, PREFILL_PATH), (2, IMPORT_PATH), (2, DECODE_PATH)] {
+            EndlessFleet::start(endpoint, path, NoEnd::CutHead(bytes), |_| {}).await.assert_served().await;
+        }
+    }
+}
+
+/// Guards against a call that counts as answered although the head of its response was not finished.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_that_ends_inside_the_head_is_unknown() {
+    for bytes in HEAD_CUTS {
+        let endless = EndlessFleet::start(4, "/new", NoEnd::CutHead(bytes), |_| {}).await;
+        let response = endless.fleet.booking(&endless.daemon, "cut").send().await.unwrap();
+        assert_eq!(response.status(), 502, "{bytes} bytes");
+        assert_eq!(response.headers()["x-teaselshunt-outcome"], "unknown");
+        assert_eq!(endless.relay.answered(), 1, "the call is not sent again");
+    }
+}
+
 /// Guards against the same in interim responses, which the HTTP library reads without a bound: the stall, or the
 /// timeout of the step, ends them.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -23,7 +23,7 @@
 pub use service::{Execution, Service, ServiceFaults, Unframed};
 pub use site::{
     CRASHING_BODY, CRASHING_PART, FLOODING_TEAM, LinkMode, RESPONSE_HEADERS, RIVAL_TEAM, SiteArrival,
-    SiteBody, SiteCut, SiteEndpoint, SiteExecution, SiteFault, SiteFraming, SiteInstance, SiteLink,
-    SiteNoEnd, SiteOptions, SitePause, SiteSettings, SiteTeam, Store, StoreBackup, StoreMode, UNLIMITED_TEAM,
-    event_text, is_signed, leaving_endpoint, site_configuration, site_request,
+    SiteBody, SiteCut, SiteEndpoint, SiteExecution, SiteFault, SiteFraming, SiteHeadCut, SiteInstance,
+    SiteLink, SiteNoEnd, SiteOptions, SitePause, SiteSettings, SiteTeam, Store, StoreBackup, StoreMode,
+    UNLIMITED_TEAM, event_text, is_signed, leaving_endpoint, site_configuration, site_request,
 };
--- a/crates/standin/src/no_end.rs
+++ b/crates/standin/src/no_end.rs
@@ -9,11 +9,13 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinHandle;
 
-/// What is sent without an end, until the connection is closed.
+/// What is sent without an end, until the caller or, inside a head, the relay closes the connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum NoEnd {
     /// Header lines.
     Head,
+    /// So many bytes of a head, all but the last at most. The connection is closed then.
+    CutHead(usize),
     /// Interim responses (`102 Processing`).
     Interim,
     /// Bytes of a body, without a line end.
@@ -109,6 +111,10 @@
     let head = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n";
     match kind {
         NoEnd::Interim => {}
+        NoEnd::CutHead(bytes) => {
+            let head = format!("{head}content-length: 0\r\n\r\n");
+            return stream.write_all(&head.as_bytes()[..bytes.min(head.len() - 1)]).await;
+        }
         NoEnd::Head => stream.write_all(head.as_bytes()).await?,
         NoEnd::Body | NoEnd::Comments | NoEnd::Tokens => {
             stream.write_all(format!("{head}connection: close\r\n\r\n").as_bytes()).await?;
@@ -117,7 +123,7 @@
     let filler = ".".repeat(1024);
     for number in 0_u32.. {
         let piece = match kind {
-            NoEnd::Head => format!("filler: {filler}\r\n"),
+            NoEnd::Head | NoEnd::CutHead(_) => format!("filler: {filler}\r\n"),
             NoEnd::Interim => "HTTP/1.1 102 Processing\r\n\r\n".repeat(INTERIM_RESPONSES),
             NoEnd::Body => filler.clone(),
             NoEnd::Comments => format!(": {filler}\n"),
--- a/crates/standin/src/site/body.rs
+++ b/crates/standin/src/site/body.rs
@@ -111,3 +111,36 @@
         }
     }
 }
+
+/// How an endpoint ends a connection inside the head of a response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SiteHeadCut {
+    /// Bytes of the head that are sent, all but the last one at most.
+    pub bytes: usize,
+    /// How the connection ends; [`SiteCut::Mark`] closes it.
+    pub cut: SiteCut,
+    /// Whether a whole interim response precedes the head.
+    pub interim: bool,
+}
+
+impl SiteHeadCut {
+    /// Writes a part of the head of a response, and returns that the connection does not stay open.
+    pub(crate) async fn write(
+        self,
+        stream: &mut PausableStream,
+        status: u16,
+        headers: &[(&str, &str)],
+    ) -> bool {
+        let interim = if self.interim { "HTTP/1.1 102 Processing\r\n\r\n" } else { "" };
+        let head = format!("{}content-length: 0\r\n\r\n", response_head(status, headers));
+        let text = format!("{interim}{}", &head[..self.bytes.min(head.len() - 1)]);
+        // A caller that has left needs nothing.
+        let _ = stream.write_all(text.as_bytes()).await;
+        if self.cut == SiteCut::Reset {
+            // The bytes must have arrived before the reset, which takes back those that have not.
+            tokio::time::sleep(Duration::from_millis(5)).await;
+            let _ = stream.reset_on_drop();
+        }
+        false
+    }
+}
--- a/crates/standin/src/site/endpoint.rs
+++ b/crates/standin/src/site/endpoint.rs
@@ -13,7 +13,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
-use super::body::{SiteBody, SiteFraming};
+use super::body::{SiteBody, SiteFraming, SiteHeadCut};
 use super::capacity::{Entry, Places, Reservations};
 use super::crash::crashes_under;
 use super::events::write_events;
@@ -72,6 +72,8 @@
     Cut(u32),
     /// Sends the bodies of responses like this.
     Body(SiteBody),
+    /// Ends the connection inside the head of each response.
+    CutHead(SiteHeadCut),
     /// Sends this text in place of a response; `{id}` stands for the request's id. The connection stays open.
     Text(&'static str),
     /// Sends responses without an end.
@@ -114,10 +116,10 @@
     pace: f64,
     next_id: u64,
     orders: Vec<Value>,
-    fault: SiteFault,
-    address_released: bool,
     /// Orders that were accepted.
     accepted_orders: u64,
+    fault: SiteFault,
+    address_released: bool,
     /// The `Server-Limit` of the endpoint's responses.
     advertised_limit: Option<String>,
     /// Whether the endpoint's responses state that it leaves.
@@ -226,13 +228,13 @@
         inner.reservations.open_count() + inner.handles.len()
     }
 
-    /// Every order that the endpoint received.
-    pub fn orders(&self) -> Vec<Value> {
     /// Number of orders that the endpoint accepted.
     pub fn accepted_orders(&self) -> u64 {
         self.lock().accepted_orders
     }
 
+    /// Every order that the endpoint received.
+    pub fn orders(&self) -> Vec<Value> {
         self.lock().orders.clone()
     }
 
@@ -420,6 +422,10 @@
         if let Some(response) = self.handle_control(request, path) {
             let (status, body) = response;
             let headers = self.with_statements(status, &[("content-type", "application/json")]);
+            let fault = self.lock().fault;
+            if let SiteFault::CutHead(cut) = fault {
+                return cut.write(stream, status, &as_strs(&headers)).await;
+            }
             return self.write_body(stream, status, &as_strs(&headers), body.to_string()).await;
         }
         self.run_request(stream, request, arrival).await
@@ -478,6 +484,18 @@
         None
     }
 
+    /// Responds that a request was not run, and returns that the connection stays open.
+    async fn refuse(&self, stream: &mut PausableStream, id: &str, arrival: usize) -> bool {
+        {
+            let mut inner = self.lock();
+            let delay = inner.retry_after.clone();
+            inner.arrivals[arrival].retry_after = delay;
+        }
+        let headers = self.with_statements(503, &[("not-executed", "1"), ("request-id", id)]);
+        write_response(stream, 503, &as_strs(&headers), "").await;
+        true
+    }
+
     /// Runs a request with its faults, and returns whether the connection stays open. `arrival` is its index among
     /// the arrivals.
     async fn run_request(&self, stream: &mut PausableStream, request: &Request, arrival: usize) -> bool {
@@ -489,16 +507,7 @@
         let _place = match entry {
             Entry::Run(place) => place,
             Entry::Gone => return false,
-            Entry::Full => {
-                {
-                    let mut inner = self.lock();
-                    let delay = inner.retry_after.clone();
-                    inner.arrivals[arrival].retry_after = delay;
-                }
-                let headers = self.with_statements(503, &[("not-executed", "1"), ("request-id", &id)]);
-                write_response(stream, 503, &as_strs(&headers), "").await;
-                return true;
-            }
+            Entry::Full => return self.refuse(stream, &id, arrival).await,
         };
         // A request that was queued runs with the fault of this moment; the refusals are for arriving requests only.
         let (_active, fault, work_time) = {
@@ -544,6 +553,9 @@
         let headers =
             self.with_statements(status, &[("request-id", id.as_str()), ("server-seal", seal.as_str())]);
         let headers = as_strs(&headers);
+        if let SiteFault::CutHead(cut) = fault {
+            return cut.write(stream, status, &headers).await;
+        }
         if prefill {
             let handle = {
                 let mut inner = self.lock();
--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -15,7 +15,7 @@
 mod pause;
 mod store;
 
-pub use body::{SiteBody, SiteCut, SiteFraming};
+pub use body::{SiteBody, SiteCut, SiteFraming, SiteHeadCut};
 pub use caller::{is_signed, leaving_endpoint, site_request};
 pub use configuration::{FLOODING_TEAM, RIVAL_TEAM, SiteTeam, UNLIMITED_TEAM, site_configuration};
 pub use crash::{CRASHING_BODY, CRASHING_PART};
