The response to a request counts only with the request's id

Cause: calls without an id took a late response for theirs and kept the connection, one response behind, and a response without an id was accepted for a request that has one, so that a reservation's 503 became the refusal of a stream.

Fix: a response to a request must have its id; one to a call must have none; either failure ends the connection. A response whose content is of another kind ends the idle connections to its address.

--- a/crates/forward/src/calls.rs
+++ b/crates/forward/src/calls.rs
@@ -1,4 +1,15 @@
 //! Small calls to endpoints and to the platform, and responses that are read to their end.
+//!
+//! An endpoint may send a response a second time, late, where the response to the next request is expected. Endpoints echo the
+//! id of a request, but not of a call: reservations, releases, reports and orders have no id to echo. In its place:
+//!
+//! - A response that has an id belongs to an earlier request on its connection. It fails the call and ends the connection.
+//! - A response whose content is not that of its call's kind ends the idle connections to its address: what follows on its
+//!   own may be shifted as well.
+//! - Nothing that a call brings is a promise to a caller. A second refusal of a reservation passes an engine over, and a
+//!   second grant names a reservation that the engine then refuses to use, in a response that has the request's id.
+//!
+//! The response to a request counts only with the request's id (`Node::check_response`).
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -89,6 +100,7 @@
         let (destination, request) = (self.destination(address), request(address, call)?);
         let condition = SendCondition { may_send, ends_with_link: false };
         let (head, mut body) = self.pool.exchange_if(&destination, request, until, condition).await?;
+        self.check_call(&head)?;
         body.set_bounds(BodyBounds::bytes(CALL_BYTES_MAX));
         let body = self.read(body, until).await?;
         self.observe_life(key);
@@ -159,6 +171,7 @@
     ) -> Result<(Parts, Bytes), ExchangeFailure> {
         let request = request(destination.address, call)?;
         let (head, mut body) = self.pool.exchange(destination, request, until).await?;
+        self.check_call(&head)?;
         body.set_bounds(BodyBounds::bytes(max_bytes));
         let body = self.read(body, until).await?;
         Ok((head, body))
@@ -173,12 +186,24 @@
         until: Instant,
     ) -> Result<(), ExchangeFailure> {
         let request = request(address, call)?;
-        let (_, mut body) = self.pool.exchange_over(connection, request, until).await?;
+        let (head, mut body) = self.pool.exchange_over(connection, request, until).await?;
+        self.check_call(&head)?;
         body.set_bounds(BodyBounds::bytes(CALL_BYTES_MAX));
         self.read(body, until).await?;
         Ok(())
     }
 
+    /// Accepts the response to a call only if it names no request. The connection of another ends when it is dropped.
+    fn check_call(&self, head: &Parts) -> Result<(), ExchangeFailure> {
+        let id = self.protocol.read_response(head.status, &head.headers).id;
+        if id.is_empty() {
+            return Ok(());
+        }
+        warn!(self.log, "response belongs to another request"; "expected" => "call", "id" => id);
+        self.metrics.count_step("call", "foreign");
+        Err(ExchangeFailure::Broken)
+    }
+
     /// The endpoint that is listed at an address, or the platform or a peer.
     fn destination(&self, address: SocketAddr) -> Destination {
         let endpoint = self.state.borrow().endpoints.at_address(address).map(|e| Arc::clone(&e.id));
--- a/crates/forward/src/catalog.rs
+++ b/crates/forward/src/catalog.rs
@@ -226,6 +226,10 @@
                     failures = 0;
                 }
                 Err(error) => {
+                    if matches!(error, StoreError::InvalidResponse(_)) {
+                        // It may be the response to another call, and what follows it as well.
+                        self.node.pool.close_idle(self.node.settings.store_address);
+                    }
                     // One line at the start of an outage, not one for each call.
                     if failures == 0 {
                         warn!(self.node.log, "store lost"; "error" => %error, "unconfirmed_ms" => self.unconfirmed_ms());
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -16,7 +16,7 @@
 use hyper::http::response::Parts;
 use hyper::{Method, Request, StatusCode};
 use rand::rngs::SmallRng;
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use teaselshunt_completeness::{Completeness, Framing};
 use teaselshunt_core::{Clock, Fingerprint, PartQuarantine, PromptPart, Quarantine};
 use teaselshunt_routing::{
@@ -523,9 +523,10 @@
 
     /// Accepts a response only if it belongs to this request and comes from the intended endpoint.
     ///
-    /// An endpoint may respond twice to one request. The second response then arrives where the next
-    /// request's response is expected, and would give one caller another caller's data. The request id
-    /// reveals this; such a connection is not reused.
+    /// An endpoint may respond twice to one request or call. The second response then arrives where the next
+    /// request's response is expected, and would give one caller another caller's data, or say of a request that
+    /// runs that it does not. Endpoints echo the request id in every response to a request; a response without it is
+    /// that to a call. Such a connection is not reused.
     fn check_response(
         &self,
         job: &Job,
@@ -534,7 +535,8 @@
         purpose: Purpose<'_>,
     ) -> Result<(), StepFailure> {
         let meta = self.protocol.read_response(head.status, &head.headers);
-        if !meta.id.is_empty() && meta.id != job.meta.id {
+        if meta.id != job.meta.id {
+            warn!(self.log, "response belongs to another request"; "expected" => &job.meta.id, "id" => &meta.id);
             return Err(StepFailure::Broken);
         }
         statements::observe(self, key, &meta);
--- a/crates/forward/src/reservations.rs
+++ b/crates/forward/src/reservations.rs
@@ -321,6 +321,10 @@
     };
     let (outcome, text) = classify(&answer, node.now().duration_since(sent_at));
     node.metrics.count_step("reserve", if reservation_id.is_some() { "ok" } else { text });
+    if reservation_id.is_none() && matches!(answer, Ok((StatusCode::OK, _))) {
+        // The response to another call.
+        node.pool.close_idle(address);
+    }
     let Some(reservation_id) = reservation_id else {
         if !matches!(answer, Err(ExchangeFailure::Withheld)) {
             node.observe_step(engine, outcome);
--- a/crates/standin/src/site/endpoint.rs
+++ b/crates/standin/src/site/endpoint.rs
@@ -17,7 +17,7 @@
 use super::capacity::{Entry, Places, Reservations};
 use super::crash::crashes_under;
 use super::events::write_events;
-use super::http::{Request, read_request, write_response};
+use super::http::{Request, read_request, response_head, write_response};
 use super::no_end::{Begin, SiteNoEnd, write_without_end};
 use super::pause::{PausableListener, PausableStream, Pauses, SitePause};
 
@@ -66,6 +66,11 @@
     Lose,
     /// Sends the response of a plain request a second time, after the first.
     Extra,
+    /// Sends the response to each call without an id a second time, as a refusal, once the next request on its connection has
+    /// arrived.
+    LateRefusals,
+    /// Sends the response to each request a second time, once the next request on its connection has arrived.
+    LateResponses,
     /// Responds with status 500.
     Fail,
     /// Truncates streams after this many events, in the middle of the next event.
@@ -390,12 +395,33 @@
 
     async fn serve(&self, mut stream: PausableStream) {
         let mut buffer = Vec::new();
+        let mut late = None;
         while let Some(request) = read_request(&mut stream, &mut buffer).await {
+            if let Some(second) = late.take() {
+                // A connection that has ended ends at the next read.
+                let _ = stream.write_all(String::as_bytes(&second)).await;
+            }
             // Work for a client that has disconnected ends at its next write, or with the connection.
             let keep_open = self.handle_request(&mut stream, &request).await;
             if !keep_open {
                 return self.pauses.over().await;
             }
+            late = self.second_response(&request);
+        }
+    }
+
+    /// What is sent once more of the response to a request, before that to the next.
+    fn second_response(&self, request: &Request) -> Option<String> {
+        let id = request.header("request-id");
+        match (self.lock().fault, id) {
+            (SiteFault::LateRefusals, None) => {
+                Some(format!("{}content-length: 0\r\n\r\n", response_head(503, &[("not-executed", "1")])))
+            }
+            (SiteFault::LateResponses, Some(id)) => {
+                let headers = [("request-id", id), ("server-seal", "late")];
+                Some(format!("{}content-length: 4\r\n\r\nlate", response_head(200, &headers)))
+            }
+            _ => None,
         }
     }
 
@@ -405,7 +431,9 @@
         if request.header("expect-instance").is_some_and(|id| id != self.options.id)
             || self.lock().address_released
         {
-            write_response(stream, 421, &[("not-executed", "1")], "").await;
+            let mut headers = vec![("not-executed", "1")];
+            headers.extend(request.header("request-id").map(|id| ("request-id", id)));
+            write_response(stream, 421, &headers, "").await;
             return true;
         }
         let arrival = {
