--- a/crates/forward/src/orders.rs
+++ b/crates/forward/src/orders.rs
@@ -1,8 +1,8 @@
 //! Orders engines to change their stage.
 //!
-//! One instance gives orders, the one that [`OrderElection`] elects. If its process ends, no orders are given any more; stages then
-//! stay as they are, which costs throughput but breaks nothing. If it is frozen or partitioned and returns, it is still the only
-//! one.
+//! The instance that [`OrderElection`] elects gives orders; where lists of seeds share no instance, there may be two. If its
+//! process ends, no orders are given any more; stages then stay as they are, which costs throughput but breaks nothing. If it
+//! is frozen or partitioned and returns, nobody has been elected in its place.
 //!
 //! An engine gets at most one order in each incarnation, and takes it only if it has taken none before.
 
--- a/crates/routing/src/fencing_numbers.rs
+++ b/crates/routing/src/fencing_numbers.rs
@@ -4,7 +4,7 @@
 
 use crate::ledger::tag;
 
-/// Numbers of orders, which rise with each order of a process. No two instances draw the same.
+/// Numbers of orders, which rise with each order of a process. Instances with different IPv4 addresses never draw the same.
 #[derive(Debug, Clone, Copy)]
 pub struct FencingNumbers {
     instance: u32,
