A tunnel's check begins at once: peers with sound links declined tunnels

An instance without links finds no way through peers that have no traffic.

Cause: an instance that has heard from no endpoint for 500 ms checks the link before it opens a tunnel. The check took its connection from the instance's part of the rate of checks; below ten a second the first one waits for a random part of its time (three instances, no link in use: one of eight; from six instances on nearly all). The tunnel does not wait, and was declined at once.

Ruled out: the 80 ms of the check (no check was in progress), a link that is marked as bad (none was).

Such a check now begins at once and is counted, so that later ones wait for it.

--- a/crates/forward/src/reach.rs
+++ b/crates/forward/src/reach.rs
@@ -355,11 +355,12 @@
     reach.record_check(began, address, result);
 }
 
-/// Whether the endpoint at an address answers a check of this instance itself, one in progress included. Many may wait for
-/// one check.
+/// Whether the endpoint at an address answers a check of this instance itself, one in progress included, before it opens a
+/// tunnel for a peer. Many may wait for one check.
 pub(crate) async fn answers_soon(node: &Rc<Node>, address: SocketAddr, timeout: Duration) -> bool {
     let (reach, since) = (node.pool.reach(), node.now());
-    start_probe(node, address);
+    let probe = reach.links.borrow_mut().begin_peer_probe(since, address);
+    spawn_probe(node, address, probe);
     tokio::time::timeout(timeout, reach.until_checked(&[address], since)).await.unwrap_or(false)
 }
 
@@ -375,7 +376,11 @@
 }
 
 fn start_probe(node: &Rc<Node>, address: SocketAddr) {
-    if node.pool.reach().begin_probe(address) == Probe::Begun {
+    spawn_probe(node, address, node.pool.reach().begin_probe(address));
+}
+
+fn spawn_probe(node: &Rc<Node>, address: SocketAddr, probe: Probe) {
+    if probe == Probe::Begun {
         tokio::task::spawn_local(check(Rc::clone(node), address, Asks::Endpoint));
     }
 }
--- a/crates/routing/src/check_budget.rs
+++ b/crates/routing/src/check_budget.rs
@@ -27,6 +27,16 @@
     waits: bool,
 }
 
+/// What an instance has gained since the last time.
+struct Gain {
+    /// Connections a second.
+    rate: f64,
+    /// Connections that it may have saved at most.
+    most: f64,
+    /// Connections.
+    gained: f64,
+}
+
 impl Default for CheckBudget {
     fn default() -> Self {
         Self { instances: 1, level: 0.0, updated: None, waits: false }
@@ -41,11 +51,7 @@
 
     /// Takes the connection of one check, of an instance with so many links. Asked for again in each round while a check is due.
     pub(crate) fn take(&mut self, now: Instant, links: usize, rng: &mut impl Rng) -> bool {
-        let rate = CHECK_RATE * links.max(1) as f64 / self.instances as f64;
-        let most = (rate * SAVING_TIME.as_secs_f64()).max(1.0);
-        let gained = self.updated.map_or(most, |at| rate * now.saturating_duration_since(at).as_secs_f64());
-        self.updated = Some(now);
-        self.level = (self.level + gained).min(most);
+        let Gain { rate, most, gained } = self.gain(now, links);
         if rate < JITTER_RATE && gained >= 1.0 && self.level >= most && !self.waits {
             self.level -= rng.random::<f64>();
             self.waits = true;
@@ -58,6 +64,23 @@
         true
     }
 
+    /// Takes the connection of a check that a peer's tunnel waits for; it is not refused, and delays later checks. One connection
+    /// at most is owed, so that peers do not keep this instance from its own checks.
+    pub(crate) fn take_for_tunnel(&mut self, now: Instant, links: usize) {
+        self.gain(now, links);
+        self.level = (self.level - 1.0).max(-1.0);
+    }
+
+    /// Adds what this instance has gained since the last time, with so many links.
+    fn gain(&mut self, now: Instant, links: usize) -> Gain {
+        let rate = CHECK_RATE * links.max(1) as f64 / self.instances as f64;
+        let most = (rate * SAVING_TIME.as_secs_f64()).max(1.0);
+        let gained = self.updated.map_or(most, |at| rate * now.saturating_duration_since(at).as_secs_f64());
+        self.updated = Some(now);
+        self.level = (self.level + gained).min(most);
+        Gain { rate, most, gained }
+    }
+
     /// Takes connections through at most so many peers for a check that has begun; one in any case, since the check would say
     /// nothing without it.
     pub(crate) fn take_for_peers(&mut self, most: usize) -> usize {
--- a/crates/routing/src/links.rs
+++ b/crates/routing/src/links.rs
@@ -12,7 +12,8 @@
 //! - a check is in progress until it is answered or its patience ends, and is not repeated meanwhile; patience is no shorter
 //!   than what the last answer took and grows with each check that was not answered, so that no check goes on asking for
 //!   an answer sooner than the endpoint can give it;
-//! - checks are begun within a [`CheckBudget`], so that they do not become the load that keeps endpoints from answering;
+//! - checks are begun within a [`CheckBudget`], so that they do not become the load that keeps endpoints from answering; one
+//!   that a peer's tunnel waits for is begun at once, and counted: there are no more of them than tunnels that peers ask for;
 //! - nothing that a check did not find counts against an endpoint that was heard since the check began;
 //! - a link that requests use counts as working only if it has answered since another one was found not to, or else is
 //!   checked; links that are only used for peers are not, since checks for peers would cause checks without end;
@@ -387,6 +388,21 @@
         if is_due && self.begin_check(now, endpoint, rng) { Probe::Begun } else { Probe::Later }
     }
 
+    /// Begins a check that a peer's tunnel waits for. The peer has a request, or has taken the connection from its own part of
+    /// the rate of checks, so that this one is begun at once.
+    pub fn begin_peer_probe(&mut self, now: Instant, endpoint: SocketAddr) -> Probe {
+        if self.is_checked(now, endpoint) {
+            return Probe::InProgress;
+        }
+        let is_due = self.known.get(&endpoint).is_none_or(|link| link.may_check(now));
+        if !is_due || self.checks_in_progress(now) >= CHECKS_IN_PROGRESS_MAX {
+            return Probe::Later;
+        }
+        self.budget.take_for_tunnel(now, self.known.len());
+        self.start_check(now, endpoint);
+        Probe::Begun
+    }
+
     /// Whether a check of this link is in progress.
     pub fn is_checked(&self, now: Instant, endpoint: SocketAddr) -> bool {
         self.known.get(&endpoint).is_some_and(|link| link.is_checked(now))
@@ -406,11 +422,15 @@
         {
             return false;
         }
+        self.start_check(now, endpoint);
+        true
+    }
+
+    fn start_check(&mut self, now: Instant, endpoint: SocketAddr) {
         let cut = self.cut_since;
         let link = self.known.entry(endpoint).or_default();
         link.join_cut(cut);
         link.begin_check(now);
-        true
     }
 
     /// Number of peers, at most `most`, that a check asks.
--- a/crates/routing/tests/all/checks/fleet.rs
+++ b/crates/routing/tests/all/checks/fleet.rs
@@ -8,7 +8,7 @@
 use rand::rngs::SmallRng;
 use rand::seq::IteratorRandom;
 use rand::{Rng, SeedableRng};
-use teaselshunt_routing::{CheckResult, Links, Path};
+use teaselshunt_routing::{CheckResult, Links, Path, Probe};
 
 /// Time between two rounds of checks.
 const ROUND: Duration = Duration::from_millis(100);
@@ -228,7 +228,7 @@
                 let (now, links) = (self.at(), &mut self.members[peer].links);
                 if links.has_heard_within(now, HEARD_LATELY) {
                     self.open(peer, endpoint, Purpose::Peer(check));
-                } else if links.begin_check(now, address(endpoint), &mut self.rng) {
+                } else if links.begin_peer_probe(now, address(endpoint)) == Probe::Begun {
                     self.check(peer, endpoint, false);
                 }
             }
--- a/crates/routing/tests/all/links.rs
+++ b/crates/routing/tests/all/links.rs
@@ -6,7 +6,7 @@
 use quickcheck::quickcheck;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use teaselshunt_routing::{CheckResult, LinkChange, Links, Path};
+use teaselshunt_routing::{CheckResult, LinkChange, Links, Path, Probe};
 
 fn endpoint(number: u16) -> SocketAddr {
     ([127, 0, 0, 1], number).into()
@@ -408,3 +408,30 @@
         true
     }
 }
+
+/// Guards against tunnels over sound links that an instance without traffic does not open, since the check that a tunnel needs waits for a
+/// part of the rate of checks that is small among many instances.
+#[test]
+fn a_check_that_a_peer_waits_for_begins_at_once() {
+    for instances in [1, 3, 6, 70, 584] {
+        let (start, mut links) = (Instant::now(), Links::default());
+        links.set_instances(instances);
+        for number in 0..50 {
+            let now = start + millis(number * 600);
+            assert_eq!(links.begin_peer_probe(now, endpoint(0)), Probe::Begun, "{instances} {number}");
+            assert_eq!(links.begin_peer_probe(now, endpoint(0)), Probe::InProgress);
+            links.record_check(now + millis(5), endpoint(0), CheckResult::Direct);
+            links.end_check(now + millis(5), endpoint(0), millis(5), true, &mut rng());
+        }
+    }
+}
+
+/// Guards against checks for peers without end: one that was not answered is not repeated at once.
+#[test]
+fn a_check_for_a_peer_is_not_repeated_at_once() {
+    let (now, mut links) = (Instant::now(), Links::default());
+    assert_eq!(links.begin_peer_probe(now, endpoint(0)), Probe::Begun);
+    links.end_check(now + millis(80), endpoint(0), millis(80), false, &mut rng());
+    assert_eq!(links.begin_peer_probe(now + millis(100), endpoint(0)), Probe::Later);
+    assert_eq!(links.begin_peer_probe(now + millis(1_500), endpoint(0)), Probe::Begun);
+}
