No tunnel over a link that is known to be lost

What callers saw: 502 (outcome unknown) for a request that must not run twice, through a peer whose new connections are reset.

Cause: an instance that has heard from any endpoint within 500 ms opened tunnels without a look at the link. The link accepts the connection and resets it, when the request has been sent already. Found by reading, while the decline of tunnels was traced.

Before: a_peer_opens_no_tunnel_over_a_lost_link got 101 for its first tunnel in three runs of three. After: passes. A lost link, and any link while this instance's links are in doubt, is checked before the tunnel; one that does not answer is declined as in doubt.

--- a/crates/forward/src/tunnel_listener.rs
+++ b/crates/forward/src/tunnel_listener.rs
@@ -125,10 +125,12 @@
     };
     let tunnel = OpenTunnel::begin(node).ok_or(Decline::Full)?;
     let reach = node.pool.reach();
-    let mut is_sound = reach.is_sound(node.now());
+    let (is_lost, mut is_sound) = (reach.is_lost(address), reach.is_sound(node.now()));
     // An instance without traffic of its own may have lost its links unnoticed.
-    if !reach.has_heard_lately(node.now()) && !reach::answers_soon(node, address, CHECK_TIMEOUT).await {
-        is_sound = reach::others_answer_soon(node, address, CHECK_TIMEOUT).await;
+    let is_trusted = is_sound && !is_lost && reach.has_heard_lately(node.now());
+    if !is_trusted && !reach::answers_soon(node, address, CHECK_TIMEOUT).await {
+        // Peers reach an endpoint whose link is lost.
+        is_sound = !is_lost && reach::others_answer_soon(node, address, CHECK_TIMEOUT).await;
     } else {
         reach.count_connection(Cause::Tunnel);
         let connecting = tokio::time::timeout(CONNECT_TIMEOUT, sockets::connect(address));
