All links count as lost if one is and none in use works

Cause: a check of the second link was put to peers that had lost their links as well. Nobody vouched for the link, so that it counted as unreachable (the endpoint is down) and not as lost; as long as all links do not count as lost, such a link is used directly.

Ruled out: the test's wait (the instance had judged its links), a link of the serving peer (sound, and used by the other requests).

Before: links_that_no_peer_vouched_for_are_lost_with_the_others failed. A lost link beside an endpoint that is down is no cut as long as another link works (test).

--- a/crates/routing/src/links.rs
+++ b/crates/routing/src/links.rs
@@ -320,12 +320,18 @@
         let is_new = link.state != State::Lost;
         link.lose(now);
         self.not_reached = Some(now);
+        self.find_cut(now);
+        is_new.then_some(LinkChange::Lost)
+    }
+
+    /// Finds out whether all links count as lost: enough are, or one is and none works.
+    fn find_cut(&mut self, now: Instant) {
         let silent = self.heard.is_none_or(|heard| now.duration_since(heard) >= SILENCE);
-        let all_known = self.known.values().all(|link| link.state == State::Lost);
-        if self.cut_since.is_none() && (self.lost_count() >= LOST_QUORUM && silent || all_known) {
+        let lost = self.lost_count();
+        let none_works = self.known.values().all(|link| link.state != State::Direct);
+        if self.cut_since.is_none() && (lost >= LOST_QUORUM && silent || lost > 0 && none_works) {
             self.cut_since = Some(now);
         }
-        is_new.then_some(LinkChange::Lost)
     }
 
     fn record_failed_check(&mut self, now: Instant, endpoint: SocketAddr) -> Option<LinkChange> {
@@ -338,6 +344,8 @@
         }
         link.state = State::Unreachable;
         self.not_reached = Some(now);
+        // The peers that were asked may have lost their own links.
+        self.find_cut(now);
         Some(LinkChange::Unreachable)
     }
 
--- a/crates/routing/tests/all/links.rs
+++ b/crates/routing/tests/all/links.rs
@@ -435,3 +435,36 @@
     assert_eq!(links.begin_peer_probe(now + millis(100), endpoint(0)), Probe::Later);
     assert_eq!(links.begin_peer_probe(now + millis(1_500), endpoint(0)), Probe::Begun);
 }
+
+/// Guards against requests that are sent over a broken link, since the peers that were asked about it had lost their own: another endpoint
+/// was reached through a peer, and none directly.
+#[test]
+fn links_that_no_peer_vouched_for_are_lost_with_the_others() {
+    let now = Instant::now();
+    let mut links = sound(now, 2);
+    links.set_has_peers(true);
+    links.record_failure(now + millis(100), endpoint(0));
+    links.record_failure(now + millis(100), endpoint(1));
+    links.record_check(now + millis(150), endpoint(0), CheckResult::Tunnel);
+    for number in 0..2 {
+        links.record_check(now + millis(150 + number * 300), endpoint(1), CheckResult::Neither);
+    }
+    assert!(links.is_cut_off());
+    assert_eq!(links.path(now + millis(500), endpoint(1)), Path::Tunnel);
+    links.record_check(now + millis(600), endpoint(1), CheckResult::Direct);
+    assert_eq!(links.path(now + millis(600), endpoint(1)), Path::Direct);
+}
+
+/// Guards against one endpoint that is down, beside a lost link, for which an instance takes its other links for lost.
+#[test]
+fn a_lost_link_and_an_endpoint_that_is_down_are_no_cut() {
+    let now = Instant::now();
+    let mut links = sound(now, 3);
+    links.set_has_peers(true);
+    links.record_check(now + millis(150), endpoint(0), CheckResult::Tunnel);
+    for number in 0..2 {
+        links.record_check(now + millis(150 + number * 300), endpoint(1), CheckResult::Neither);
+    }
+    assert!(!links.is_cut_off());
+    assert_eq!(links.path(now + millis(500), endpoint(2)), Path::Direct);
+}
