A caller that leaves the end of a response unread no longer keeps its connection

What callers saw: nothing.

Before: body::tests::a_response_that_the_kernel_has_not_taken_is_overdue failed. After: passes; the limit ends when the kernel has all bytes, which is also when the connection begins to count as idle. Not played with a process: which sizes fall between the library and the kernel depends on the machine.

--- a/crates/forward/src/body.rs
+++ b/crates/forward/src/body.rs
@@ -67,8 +67,8 @@
         Self { content: Content::Relay(relay), framed, connection: None }
     }
 
-    /// Sends the body on a connection to a caller of this HTTP version. Closes the connection if the body is not
-    /// read by `until`; a complete body of at most one piece has no such limit.
+    /// Sends the body on a connection to a caller of this HTTP version. Closes the connection if the kernel has not
+    /// taken all of the body by `until`; a complete body of at most one piece has no such limit.
     #[must_use]
     pub(crate) fn send_on(
         mut self,
@@ -90,14 +90,6 @@
     }
 }
 
-impl Drop for ResponseBody {
-    fn drop(&mut self) {
-        if let Some(connection) = self.connection.take() {
-            connection.clear_read_deadline();
-        }
-    }
-}
-
 impl Body for ResponseBody {
     type Data = Bytes;
     type Error = Truncated;
@@ -246,7 +238,8 @@
         self.started.notify_one();
     }
 
-    fn clear_read_deadline(&self) {
+    /// Records that the kernel has all bytes of the response.
+    pub(crate) fn clear_read_deadline(&self) {
         self.until.set(None);
     }
 
@@ -271,3 +264,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/forward/src/caller_activity.rs
+++ b/crates/forward/src/caller_activity.rs
@@ -95,11 +95,13 @@
         self.response_ended.set(false);
     }
 
-    /// Records that the kernel has all bytes that were to be written.
-    pub(crate) fn flushed(&self) {
-        if self.response_ended.take() {
+    /// Records that the kernel has all bytes that were to be written. Returns whether a response ended with them.
+    pub(crate) fn flushed(&self) -> bool {
+        let ended = self.response_ended.take();
+        if ended {
             self.current.set(Activity::Idle(self.clock.now()));
         }
+        ended
     }
 }
 
--- a/crates/forward/src/caller_stream.rs
+++ b/crates/forward/src/caller_stream.rs
@@ -137,7 +137,9 @@
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         // The library calls this function once it has written all that it had.
-        self.activity.flushed();
+        if self.activity.flushed() {
+            self.connection.clear_read_deadline();
+        }
         Pin::new(&mut self.stream).poll_flush(context)
     }
 
