Soak: a body that ends short without an error is excused by its endpoint alone

Endpoints that end whole bodies with their connections count as sound now, so that the check applies to them.

The check is right and rarely reached; killed_instances::* is the test of the fault.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -448,11 +448,11 @@
         let status = response.status().as_u16();
         let complete = match status {
             200 => {
-                let complete = self.check_response(kind, id, response).await;
-                if !complete {
-                    self.record_broken(kind, id, sent, Ending::BrokenOff);
+                let broken = self.check_response(kind, id, response).await;
+                if let Some(ending) = broken {
+                    self.record_broken(kind, id, sent, ending);
                 }
-                complete
+                broken.is_none()
             }
             408 | 421 | 429 | 503 => {
                 self.counts.refused.fetch_add(1, Ordering::Relaxed);
@@ -490,11 +490,12 @@
         complete
     }
 
-    async fn check_response(&self, kind: &str, id: &str, mut response: Response) -> bool {
+    /// Checks a response, and returns how it ended unless it is complete.
+    async fn check_response(&self, kind: &str, id: &str, mut response: Response) -> Option<Ending> {
         if !is_signed(response.headers()) {
             self.report(id, "a response lacks its endpoint's signature".to_owned());
         }
-        // Without framing, the end of a response claims nothing.
+        // Without framing, the end of a response claims no more than that of its endpoint's.
         let framed =
             ["content-length", "transfer-encoding"].iter().any(|name| response.headers().contains_key(*name));
         let mut text = Vec::new();
@@ -528,8 +529,9 @@
         }
         if complete {
             self.counts.answered.fetch_add(1, Ordering::Relaxed);
+            return None;
         }
-        complete
+        Some(if ended && !framed { Ending::Short } else { Ending::BrokenOff })
     }
 
     /// Records a call of which nobody knows yet why its response was not delivered whole. Whoever crashes engines and whoever sends too much is to
--- a/crates/soak/src/callers/broken.rs
+++ b/crates/soak/src/callers/broken.rs
@@ -4,7 +4,7 @@
 //! has passed or its instance was killed. Other load on the machine excuses none: it delays what an endpoint or an instance does, and a call that
 //! was delayed until its deadline has that excuse already, by the caller's own clock, which runs from before the call was sent. What was broken
 //! off earlier was broken off on purpose. Only what is known by its moment, that a response came through an instance that was killed, is given more
-//! time there. A refusal that says that nothing ran is counted, and no violation: the caller may try again at once.
+//! time there. A body that ends short without an error is excused by its endpoint alone. A refusal that says that nothing ran is counted, and no violation: the caller may try again at once.
 
 use std::collections::HashMap;
 use std::fmt;
@@ -33,6 +33,8 @@
     Refused(u16),
     /// The body ended before it was complete.
     BrokenOff,
+    /// The body ended before it was complete, without an error, and nothing marks its end.
+    Short,
     /// The connection ended before a response.
     Unanswered,
 }
@@ -94,6 +96,21 @@
     answers: bool,
 }
 
+impl fmt::Display for Runs<'_> {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (endpoint, arrived) in &self.endpoints {
+            let sound = endpoint.sound_since().map(|since| arrived.saturating_duration_since(since));
+            write!(formatter, ", got by {}, sound for {sound:.1?}", endpoint.server.id())?;
+        }
+        Ok(())
+    }
+}
+
+/// Whether nothing has been wrong with an endpoint since this time.
+fn is_sound((endpoint, since): &(&Endpoint, Instant)) -> bool {
+    endpoint.sound_since().is_some_and(|sound| sound <= *since)
+}
+
 impl Callers {
     /// The first response of each ending that was not delivered because its endpoint paused, or without a cause. They do not end the run, so that the run tells how
     /// many there were.
@@ -130,8 +147,11 @@
                 let took = call.ended - call.sent;
                 let why =
                     if cause == Cause::Silence { "because its endpoint paused" } else { "without a cause" };
-                let message =
-                    format!("a response was not delivered {why}: {:?} after {took:.1?}", call.ending);
+                let endpoints = &runs[&*call.id];
+                let message = format!(
+                    "a response was not delivered {why}: {:?} after {took:.1?}{endpoints}",
+                    call.ending
+                );
                 let violation = Violation { message, request_id: Some(call.id.clone()) };
                 causes.silenced.push((call.ending, violation));
             }
@@ -139,6 +159,10 @@
     }
 
     fn cause_of(&self, parts: &Parts, runs: &Runs<'_>, call: &Broken) -> Cause {
+        if call.ending == Ending::Short {
+            // Whatever happens to an instance, only an endpoint may end a response that looks complete.
+            return if runs.endpoints.iter().all(is_sound) { Cause::Unknown } else { Cause::Endpoint };
+        }
         if statements::was_interrupted(parts, &call.id, call.sent, call.ended) {
             return Cause::Instance;
         }
@@ -170,9 +194,6 @@
         } else {
             parts.endpoints.iter().filter(waited_for).map(|endpoint| (endpoint, call.sent)).collect()
         };
-        let is_sound = |(endpoint, since): &(&Endpoint, Instant)| {
-            endpoint.sound_since().is_some_and(|sound| sound <= *since)
-        };
         if !involved.iter().all(is_sound) {
             return Cause::Endpoint;
         }
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -7,7 +7,8 @@
 use std::time::{Duration, Instant};
 
 use teaselshunt_standin::{
-    SiteEndpoint, SiteExecution, SiteFault, SiteInstance, SiteOptions, SiteSettings, Store, StoreMode,
+    SiteBody, SiteEndpoint, SiteExecution, SiteFault, SiteInstance, SiteOptions, SiteSettings, Store,
+    StoreMode,
 };
 use tokio::sync::watch;
 
@@ -47,7 +48,9 @@
     /// Replaces the endpoint's fault.
     pub(crate) fn set_fault(&self, fault: SiteFault) {
         self.server.set_fault(fault);
-        self.broken.set((fault != SiteFault::None, Instant::now()));
+        // A whole body is sound, however its end is marked.
+        let is_sound = matches!(fault, SiteFault::None | SiteFault::Body(SiteBody { cut: None, .. }));
+        self.broken.set((!is_sound, Instant::now()));
         self.endless.set(self.endless.get() || matches!(fault, SiteFault::NoEnd(_)));
     }
 
