--- a/crates/standin/src/site/endpoint.rs
+++ b/crates/standin/src/site/endpoint.rs
@@ -13,12 +13,13 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
-use super::body::{SiteBody, SiteFraming, SiteHeadCut};
+use super::body::{SiteBody, SiteFraming};
 use super::capacity::{Entry, Places, Reservations};
 use super::crash::crashes_under;
 use super::events::write_events;
-use super::http::{Request, read_request, response_head, write_response};
-use super::no_end::{Begin, SiteNoEnd, write_without_end};
+use super::fault::SiteFault;
+use super::http::{Request, read_request, write_response};
+use super::no_end::{Begin, write_without_end};
 use super::pause::{PausableListener, PausableStream, Pauses, SitePause};
 
 /// Slots that an endpoint without a limit on its places states: more than it gets requests at a time.
@@ -50,45 +51,6 @@
     pub queue: u32,
 }
 
-/// A fault of an endpoint. The fault lasts until another one is set.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub enum SiteFault {
-    /// No fault.
-    #[default]
-    None,
-    /// Refuses requests with 503 and `Not-Executed`.
-    Refuse,
-    /// Refuses reservations too.
-    RefuseAll,
-    /// Accepts requests and never responds.
-    Hang,
-    /// Runs requests and closes the connection without a response.
-    Lose,
-    /// Sends the response of a plain request a second time, after the first.
-    Extra,
-    /// Sends the response to each call without an id a second time, as a refusal, once the next request on its connection has
-    /// arrived.
-    LateRefusals,
-    /// Sends the response to each request a second time, once the next request on its connection has arrived.
-    LateResponses,
-    /// Responds with status 500.
-    Fail,
-    /// Truncates streams after this many events, in the middle of the next event.
-    Cut(u32),
-    /// Sends the bodies of responses like this.
-    Body(SiteBody),
-    /// Ends the connection inside the head of each response.
-    CutHead(SiteHeadCut),
-    /// Sends this text in place of a response; `{id}` stands for the request's id. The connection stays open.
-    Text(&'static str),
-    /// Sends responses without an end.
-    NoEnd(SiteNoEnd),
-    /// The same for requests of callers only. Reservations and prefills are granted.
-    NoEndOfRuns(SiteNoEnd),
-    /// Adds this many bytes to each response, and to each event of a stream.
-    Large(usize),
-}
-
 /// A request that an endpoint ran.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SiteExecution {
@@ -406,22 +368,8 @@
             if !keep_open {
                 return self.pauses.over().await;
             }
-            late = self.second_response(&request);
-        }
-    }
-
-    /// What is sent once more of the response to a request, before that to the next.
-    fn second_response(&self, request: &Request) -> Option<String> {
-        let id = request.header("request-id");
-        match (self.lock().fault, id) {
-            (SiteFault::LateRefusals, None) => {
-                Some(format!("{}content-length: 0\r\n\r\n", response_head(503, &[("not-executed", "1")])))
-            }
-            (SiteFault::LateResponses, Some(id)) => {
-                let headers = [("request-id", id), ("server-seal", "late")];
-                Some(format!("{}content-length: 4\r\n\r\nlate", response_head(200, &headers)))
-            }
-            _ => None,
+            let fault = self.lock().fault;
+            late = fault.second_response(&request);
         }
     }
 
--- a/crates/standin/src/site/events.rs
+++ b/crates/standin/src/site/events.rs
@@ -2,7 +2,8 @@
 
 use tokio::io::AsyncWriteExt;
 
-use super::endpoint::{SiteFault, SiteOptions};
+use super::endpoint::SiteOptions;
+use super::fault::SiteFault;
 use super::http::{response_head, write_chunk};
 use super::no_end::{Begin, write_without_end};
 use super::pause::PausableStream;
