--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -222,8 +222,9 @@
                 &id,
             );
         }
-        if let Some(id) = statements::request_in_cooldown(&site.parts()) {
-            return violation("an instance sent requests to an endpoint in its cooldown", &id);
+        if let Some((id, times)) = statements::request_in_cooldown(&site.parts()) {
+            let message = format!("an instance sent requests to an endpoint in its cooldown: {times}");
+            return violation(&message, &id);
         }
         if let Some(id) = beyond_limit(&runs) {
             return violation("a team exceeded its limit", &id);
--- a/crates/soak/src/statements.rs
+++ b/crates/soak/src/statements.rs
@@ -88,8 +88,8 @@
     instance.is_some_and(|instance| !instance.log_lines("connections are shed").is_empty())
 }
 
-/// A request that is one too many in a cooldown.
-pub(crate) fn request_in_cooldown(parts: &Parts) -> Option<String> {
+/// A request that is one too many in a cooldown, and when those of its instance arrived.
+pub(crate) fn request_in_cooldown(parts: &Parts) -> Option<(String, String)> {
     parts.endpoints.iter().chain(&parts.ended).find_map(|endpoint| {
         let clear_since = endpoint.clear_since()?;
         let log = endpoint.server.arrival_log();
@@ -103,8 +103,13 @@
             let begun = log[position].at;
             let end = begun + Duration::from_secs_f64(seconds);
             let within = log[position..].iter().filter(|a| a.at > begun + IN_FLIGHT_TIME && a.at < end);
-            let sent = within.filter(|a| instance_of(&a.request_id) == Some(index));
-            sent.map(|a| a.request_id.clone()).nth(COOLDOWN_REQUESTS_MAX)
+            let sent: Vec<_> = within.filter(|a| instance_of(&a.request_id) == Some(index)).collect();
+            let id = sent.get(COOLDOWN_REQUESTS_MAX)?.request_id.clone();
+            let times: Vec<Duration> = sent.iter().map(|a| a.at - begun).collect();
+            Some((
+                id,
+                format!("{} asked for {seconds} s, and got some after {times:.1?}", endpoint.server.id()),
+            ))
         })
     })
 }
