A check for a peer's tunnel forgives no debt of the instance's own checks

What callers saw: nothing. Found by reading, where it came in: an instance that owed more than one connection for its own checks owed one after a peer's request, and could then check more than its part of the rate.

Before: links::a_check_for_a_peer_forgives_no_debt failed (a check began 0.3 s after eight that were owed).

--- a/crates/routing/src/check_budget.rs
+++ b/crates/routing/src/check_budget.rs
@@ -64,11 +64,12 @@
         true
     }
 
-    /// Takes the connection of a check that a peer's tunnel waits for; it is not refused, and delays later checks. One connection
-    /// at most is owed, so that peers do not keep this instance from its own checks.
+    /// Takes the connection of a check that a peer's tunnel waits for; it is not refused, and delays later checks. It adds to what
+    /// is owed only up to one connection, so that peers do not keep this instance from its own checks.
     pub(crate) fn take_for_tunnel(&mut self, now: Instant, links: usize) {
         self.gain(now, links);
-        self.level = (self.level - 1.0).max(-1.0);
+        let least = self.level.min(-1.0);
+        self.level = (self.level - 1.0).max(least);
     }
 
     /// Adds what this instance has gained since the last time, with so many links.
--- a/crates/routing/tests/all/links.rs
+++ b/crates/routing/tests/all/links.rs
@@ -468,3 +468,16 @@
     assert!(!links.is_cut_off());
     assert_eq!(links.path(now + millis(500), endpoint(2)), Path::Direct);
 }
+
+/// Guards against a peer's request that forgives what this instance owes for its own checks, so that it checks more than its part.
+#[test]
+fn a_check_for_a_peer_forgives_no_debt() {
+    let (now, mut links, mut rng) = (Instant::now(), Links::default(), rng());
+    links.set_instances(2);
+    assert!(links.begin_check(now, endpoint(0), &mut rng));
+    for _ in 0..8 {
+        links.take_peers(1);
+    }
+    assert_eq!(links.begin_peer_probe(now, endpoint(1)), Probe::Begun);
+    assert!(!links.begin_check(now + millis(300), endpoint(2), &mut rng));
+}
