--- a/crates/routing/src/links.rs
+++ b/crates/routing/src/links.rs
@@ -27,13 +27,12 @@
 use rand::Rng;
 
 use crate::check_budget::CheckBudget;
+use crate::link::{CHECK_PAUSE_MIN, CheckTimes, Link, State};
 
 /// Time without a byte from any endpoint, while a request waits, after which the link of that request is checked.
 const SILENCE: Duration = Duration::from_millis(400);
 /// The same for a link that is silent while others are not: prompts of other requests may be before one.
 const LINK_SILENCE: Duration = Duration::from_millis(1500);
-/// Shortest time between two checks of a link, doubled with each check that reached nothing.
-const CHECK_PAUSE_MIN: Duration = Duration::from_millis(250);
 /// Longest time between two checks of a link that nothing reaches.
 const CHECK_PAUSE_MAX: Duration = Duration::from_secs(1);
 /// Time between two checks whether a lost link is back, while all links are lost.
@@ -57,14 +56,6 @@
 const CHECKS_MAX: usize = 4;
 /// Checks in progress at a time.
 const CHECKS_IN_PROGRESS_MAX: usize = 32;
-/// Shortest time without an answer after which a check means that an endpoint does not answer now.
-const ANSWER_TIME_MIN: Duration = Duration::from_millis(200);
-/// Longest such time; requests are not kept from an endpoint for longer than that.
-const ANSWER_TIME_MAX: Duration = Duration::from_secs(8);
-/// Time for which a check waits for a late answer, doubled with each check in a row that had none.
-const PATIENCE_MIN: Duration = Duration::from_secs(1);
-/// Longest time for a late answer.
-const PATIENCE_MAX: Duration = Duration::from_secs(16);
 
 /// How requests reach an endpoint now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -88,15 +79,6 @@
     Neither,
 }
 
-/// Times of a check.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct CheckTimes {
-    /// Time without an answer after which the endpoint counts as not answering now, and peers are asked.
-    pub answer: Duration,
-    /// Time for which the check goes on for a late answer.
-    pub patience: Duration,
-}
-
 /// What a request that nothing reaches an endpoint for can wait for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Probe {
@@ -119,75 +101,6 @@
     Restored,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-enum State {
-    #[default]
-    Direct,
-    Lost,
-    Unreachable,
-}
-
-#[derive(Debug, Default)]
-struct Link {
-    state: State,
-    /// When the link was lost.
-    lost: Option<Instant>,
-    used: Option<Instant>,
-    /// When a request of this instance last used it.
-    requested: Option<Instant>,
-    /// When bytes last arrived over it.
-    heard: Option<Instant>,
-    /// Since when a request waits for a first byte.
-    waiting: Option<Instant>,
-    /// Connections that failed since the last byte, and when the last one did.
-    failures: u32,
-    failed: Option<Instant>,
-    /// Checks in a row that reached nothing.
-    failed_checks: u32,
-    /// When the next check may start.
-    next_check: Option<Instant>,
-    /// Until when a check is in progress.
-    checked_until: Option<Instant>,
-    /// Checks in a row that were never answered.
-    unanswered: u32,
-    /// Time that the endpoint took to answer the last check.
-    answer_time: Duration,
-}
-
-impl Link {
-    fn lose(&mut self, now: Instant) {
-        self.state = State::Lost;
-        self.lost = Some(now);
-    }
-
-    /// Counts as lost with all others since `cut`.
-    fn join_cut(&mut self, cut: Option<Instant>) {
-        if let (Some(since), State::Direct) = (cut, self.state) {
-            self.lose(since);
-        }
-    }
-
-    fn may_check(&self, now: Instant) -> bool {
-        self.next_check.is_none_or(|at| at <= now) && !self.is_checked(now)
-    }
-
-    /// Whether a check is in progress.
-    fn is_checked(&self, now: Instant) -> bool {
-        self.checked_until.is_some_and(|until| now < until)
-    }
-
-    fn check_times(&self) -> CheckTimes {
-        let answer = (self.answer_time * 2).clamp(ANSWER_TIME_MIN, ANSWER_TIME_MAX);
-        let patience = PATIENCE_MIN * 2_u32.pow(self.unanswered.min(8));
-        CheckTimes { answer, patience: patience.min(PATIENCE_MAX).max(answer) }
-    }
-
-    fn begin_check(&mut self, now: Instant) {
-        self.next_check = Some(now + CHECK_PAUSE_MIN);
-        self.checked_until = Some(now + self.check_times().patience);
-    }
-}
-
 /// Links to the endpoints that are in use.
 #[derive(Debug, Default)]
 pub struct Links {
