Review: two machines give orders where two lists of seeds have no machine in common

Tried: six machines start within 0.25 s for the first time; three have read a stale list of seeds (themselves), three the present one (themselves). Stand-ins of the store and of eight engines.

--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -246,13 +246,24 @@
         address: SocketAddr,
         id: &str,
         run: impl Fn(&Arrival) -> Duration + Send + Sync + 'static,
+    ) -> io::Result<Self> {
+        Self::start_engine(address, id, run, |_, _| None)
+    }
+
+    /// The same for a worker that takes calls beside requests. `call` gets the head and the body of each, and returns the status and the
+    /// body of its answer, or nothing for what is no call.
+    pub fn start_engine(
+        address: SocketAddr,
+        id: &str,
+        run: impl Fn(&Arrival) -> Duration + Send + Sync + 'static,
+        call: impl Fn(&Head, &str) -> Option<(u16, String)> + Send + Sync + 'static,
     ) -> io::Result<Self> {
         let listener = listen(address)?;
         let address = listener.local_addr()?;
         listener.set_nonblocking(true)?;
         let ended = Arc::new(AtomicBool::new(false));
         let connections = Arc::new(Mutex::new(Vec::new()));
-        let (run, id) = (Arc::new(run), id.to_owned());
+        let (run, call, id) = (Arc::new(run), Arc::new(call), id.to_owned());
         let (ending, open) = (Arc::clone(&ended), Arc::clone(&connections));
         thread::spawn(move || {
             while !ending.load(Ordering::SeqCst) {
@@ -265,8 +276,9 @@
                 if let Ok(copy) = stream.try_clone() {
                     open.lock().unwrap().push(copy);
                 }
-                let (run, id, ending) = (Arc::clone(&run), id.clone(), Arc::clone(&ending));
-                thread::spawn(move || serve_worker(stream, &id, &*run, &ending));
+                let (run, call) = (Arc::clone(&run), Arc::clone(&call));
+                let (id, ending) = (id.clone(), Arc::clone(&ending));
+                thread::spawn(move || serve_worker(stream, &id, &*run, &*call, &ending));
             }
         });
         Ok(Self { address, ended, connections })
@@ -300,7 +312,8 @@
 fn serve_worker(
     stream: TcpStream,
     id: &str,
-    run: &(impl Fn(&Arrival) -> Duration + ?Sized),
+    run: &impl Fn(&Arrival) -> Duration,
+    call: &impl Fn(&Head, &str) -> Option<(u16, String)>,
     ended: &AtomicBool,
 ) -> Option<()> {
     let mut writer = stream.try_clone().ok()?;
@@ -317,6 +330,14 @@
             writer.write_all(answer.as_bytes()).ok()?;
             continue;
         }
+        if let Some((status, body)) = call(&head, &String::from_utf8_lossy(&body)) {
+            let answer = format!(
+                "HTTP/1.1 {status} Answer\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
+                body.len()
+            );
+            writer.write_all(answer.as_bytes()).ok()?;
+            continue;
+        }
         if head.first.contains(" /-/report ") {
             let body = "{\"models\":[],\"busy\":false,\"sequence\":0,\"queue_depth\":0,\"in_flight\":0}";
             let answer = format!(
@@ -385,12 +406,26 @@
 impl Fleet {
     /// Starts one instance for each name of a zone, with the command of the deploy file.
     pub fn start(addresses: &[Ipv4Addr], zones: &[&str], store: SocketAddr, bounds: Bounds) -> io::Result<Self> {
+        let seeds: Vec<usize> = (0..addresses.len().min(3)).collect();
+        Self::start_with(addresses, zones, store, bounds, |_| (seeds.clone(), Duration::ZERO))
+    }
+
+    /// The same, with the numbers of the seeds of each instance, and the time between its start and that of the one before.
+    pub fn start_with(
+        addresses: &[Ipv4Addr],
+        zones: &[&str],
+        store: SocketAddr,
+        bounds: Bounds,
+        start: impl Fn(usize) -> (Vec<usize>, Duration),
+    ) -> io::Result<Self> {
         let folder = std::env::temp_dir().join(format!("teaselshunt-review-2-{}", std::process::id()));
         fs::create_dir_all(&folder)?;
         let [front, ready, control, gossip] = [(); 4].map(|()| free_port(addresses));
-        let seeds: Vec<_> = addresses.iter().take(3).map(|address| format!("{address}:{control}")).collect();
         let mut fleet = Self { fronts: Vec::new(), ready: Vec::new(), children: Vec::new(), folder };
         for (number, (address, zone)) in addresses.iter().zip(zones).enumerate() {
+            let (seeds, pause) = start(number);
+            thread::sleep(pause);
+            let seeds: Vec<_> = seeds.into_iter().map(|seed| format!("{}:{control}", addresses[seed])).collect();
             let named: String = zones.iter().map(|zone| format!("zones.{zone}=region\n")).collect();
             let Bounds { stable_window, drain, config } = bounds;
             let settings = format!(
